--- /dev/null
+++ b/cmake/Layers.cmake
@@ -0,0 +1,38 @@
+# The layers of docs/DESIGN.md, lowest first. Libraries marked pure take the time as an argument and
+# link neither sockets nor threads.
+pepperbay_library(base SOURCES clock.cpp error.cpp hash.cpp ids.cpp PACKAGES xxhash)
+pepperbay_library(settings SOURCES settings.cpp yaml_reader.cpp USES base
+                  PACKAGES yaml-cpp)
+pepperbay_library(journal SOURCES appender.cpp follower.cpp
+                  USES base proto) # pure
+pepperbay_library(state SOURCES fold.cpp documents.cpp USES base proto) # pure
+pepperbay_library(lease SOURCES keeper.cpp USES state) # pure
+pepperbay_library(membership SOURCES roster.cpp evidence.cpp
+                  USES base proto) # pure
+pepperbay_library(placement SOURCES planner.cpp orders.cpp
+                  USES state membership) # pure
+pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
+                  USES base) # pure
+pepperbay_library(routing SOURCES router.cpp USES base) # pure
+pepperbay_library(dispatch SOURCES attempt.cpp USES routing admission) # pure
+pepperbay_library(wire SOURCES peer_link.cpp codec.cpp USES base proto
+                  PACKAGES cppzmq)
+pepperbay_library(http SOURCES message.cpp server.cpp client.cpp USES base
+                  PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
+pepperbay_library(node SOURCES host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp
+                  dump.cpp platform.cpp publish_file.cpp gateway.cpp job.cpp node.cpp log.cpp metrics.cpp
+                 
+                  USES settings journal state lease membership placement admission routing dispatch
+                       wire http
+                  PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core PkgConfig::LOG4)
+
+add_executable(pepperbay src/pepperbay/main/main.cpp src/pepperbay/main/commands.cpp)
+target_include_directories(pepperbay PRIVATE src)
+target_link_libraries(pepperbay PRIVATE pepperbay_node absl::flags absl::flags_parse
+                      absl::flags_usage pepperbay_warnings)
+
+add_executable(pepperbay_fakes fakes/main.cpp fakes/fake_log.cpp fakes/fake_engines.cpp
+                               fakes/fake_service.cpp)
+target_link_libraries(pepperbay_fakes PRIVATE pepperbay_http pepperbay_proto pepperbay_settings
+                      nlohmann_json::nlohmann_json absl::flags absl::flags_parse absl::strings
+                      pepperbay_warnings)
--- /dev/null
+++ b/include/pepperbay/http/client.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// @brief An HTTP client: one thread drives any number of calls.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/http/message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace pepperbay {
+
+struct HttpCall
+{
+  std::string mMethod = "GET";
+  std::string mUrl;
+  std::vector<HttpHeader> mHeaders;
+  std::string mBody;
+  Duration mTimeout = std::chrono::seconds(5);
+  Duration mConnectTimeout = std::chrono::seconds(1);
+  /// Use a connection of its own. The library resends a request by itself, POST included, when a
+  /// reused connection closes before the first byte of the answer; what must not run twice may not
+  /// travel on one.
+  bool mOwnConnection = false;
+};
+
+/// How a call ended.
+struct HttpOutcome
+{
+  bool mOk = false; ///< a complete answer came, whatever its status
+  int mStatus = 0;  ///< 0 when no answer began
+  /// False only with proof: no byte of the request left this process.
+  bool mMayHaveRun = true;
+  Error mError; ///< set when not mOk
+};
+
+/// What a call reports; all on the client's thread, so none may block.
+struct HttpEvents
+{
+  /// The status and headers of the answer are in.
+  std::function<void(int aStatus, const std::vector<HttpHeader>& aHeaders)> mOnHead;
+  /// A piece of the body. Return false to give the call up.
+  std::function<bool(std::string_view aBytes)> mOnBody;
+  /// Exactly once, last.
+  std::function<void(const HttpOutcome& aOutcome)> mOnDone;
+};
+
+/// An answer taken whole.
+struct HttpFetched
+{
+  HttpOutcome mOutcome;
+  HttpResponse mResponse;
+};
+
+class HttpClient
+{
+public:
+  /// @param aMaxConnections idle connections kept for reuse
+  static std::unique_ptr<HttpClient> Create(long aMaxConnections = 64);
+  virtual ~HttpClient() = default;
+
+  /// Begin a call. @return its id, for `Cancel()`.
+  virtual std::uint64_t Start(HttpCall aCall, HttpEvents aEvents) = 0;
+
+  /// Give a call up; mOnDone still comes, with kCancelled, unless it came before.
+  virtual void Cancel(std::uint64_t aId) = 0;
+
+  /// Begin a call and have its whole answer delivered to `aDone`, on the client's thread.
+  void Fetch(HttpCall aCall, std::function<void(HttpFetched)> aDone);
+
+  /// Make a call and wait for it. Not for the client's own thread.
+  HttpFetched FetchAndWait(HttpCall aCall);
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/node/metrics.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// @brief Counters and gauges in the text form that Prometheus reads.
+#pragma once
+
+#include "pepperbay/node/controller.hpp"
+#include "pepperbay/node/gateway.hpp"
+#include "pepperbay/wire/peer_link.hpp"
+
+#include <string>
+
+namespace pepperbay {
+
+/// @return the metrics page.
+std::string
+RenderMetrics(const ControllerCounters& aControl,
+              const PeerLinkCounters& aLink,
+              const GatewayCounters& aGateway,
+              bool aHoldsLease,
+              std::uint64_t aApplied,
+              double aControlCpuSeconds);
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/node/platform.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// @brief The platform and the engines over HTTP.
+///
+/// The interfaces, also to be found in docs/OPERATING.md:
+/// - log: `POST /streams/NAME` with a LogAppend, answered by a LogAppended;
+///   `GET /streams/NAME?from=N&max=N&wait_ms=N`, answered by LogRecords (protobuf both);
+/// - host list: `GET /hosts`, JSON;
+/// - engine: `GET /state`, `POST /orders`, JSON.
+#pragma once
+
+#include "pepperbay/http/client.hpp"
+#include "pepperbay/node/controller.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+/// Calls to the platform and to hosts. Answers come on the client's thread.
+class Platform
+{
+public:
+  Platform(const PlatformSettings& aSettings, HttpClient* aClient);
+
+  void Append(const std::string& aStream,
+              const std::vector<std::string>& aRecords,
+              std::function<void(Result<std::uint64_t> aFirstOffset)> aDone);
+  void Read(const std::string& aStream,
+            const LogRead& aRead,
+            std::function<void(Result<proto::LogRecords>)> aDone);
+  void ListHosts(std::function<void(Result<std::vector<HostListing>>)> aDone);
+  void Probe(const std::string& aAddress,
+             Duration aTimeout,
+             std::function<void(Result<proto::Evidence>)> aDone);
+  void Order(const HostOrder& aOrder, Duration aTimeout, std::function<void(Result<void>)> aDone);
+
+private:
+  PlatformSettings mSettings;
+  HttpClient* mClient;
+};
+
+/// @return what a host said of itself, from the JSON of `GET /state`.
+Result<proto::Evidence>
+ParseHostState(const std::string& aBody, const std::string& aPeer);
+
+/// @return the hosts of `GET /hosts`.
+Result<std::vector<HostListing>>
+ParseHostList(const std::string& aBody, const std::string& aPeer);
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/routing/router.hpp
@@ -0,0 +1,117 @@
+/// @file
+/// @brief Which replica a request goes to.
+///
+/// Two random choices, scored by expected first token: reported load corrected by what this node
+/// has sent since the report, prefix cache, stragglers, slow start. The work of one decision does
+/// not grow with the fleet. Pure: tables are values, randomness is passed in.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+/// What this node has in progress on one generation of a replica. Shared by the traffic threads,
+/// which count, and the control thread, which closes; the only mutable part of a routing table.
+class ReplicaLoad
+{
+public:
+  /// Count a request in. @return false when the replica is closed; the request must go elsewhere.
+  ///
+  /// Counting comes before the check and closing before the read of the count, so a request that a
+  /// thread with an old table begins is either seen by the control thread or turned away here.
+  bool Enter();
+  void Leave() { mInFlight.fetch_sub(1); }
+  void Close() { mClosed.store(true); }
+  void Open() { mClosed.store(false); }
+  bool Closed() const { return mClosed.load(); }
+  int InFlight() const { return mInFlight.load(); }
+
+private:
+  std::atomic<int> mInFlight{ 0 };
+  std::atomic<bool> mClosed{ false };
+};
+
+/// One replica that may be routed to.
+struct ReplicaTarget
+{
+  std::string mReplica;
+  std::uint64_t mGeneration = 0;
+  std::string mAddress;      ///< of the member that takes requests
+  int mReported = 0;         ///< running and queued, by its own last report
+  int mInFlightAtReport = 0; ///< this node's own part of that
+  int mSlots = 1;
+  double mSlowness = 1.0; ///< its time to first token over the pool's median; 1 is usual
+  bool mEjected = false;  ///< a straggler; used only when there is nothing else
+  TimePoint mWholeSince{};
+  std::shared_ptr<ReplicaLoad> mLoad;
+};
+
+/// The replicas of one profile.
+struct Pool
+{
+  std::vector<ReplicaTarget> mTargets; ///< this node's stable subset first
+  std::size_t mSubset = 0;             ///< how many of them are the subset
+};
+
+struct RoutingTable
+{
+  std::uint64_t mOffset = 0; ///< of the control stream that it is drawn from
+  std::map<std::string, Pool> mPools;
+  std::map<std::string, std::vector<std::string>> mServices; ///< plain service to endpoints
+};
+
+struct RouteOptions
+{
+  Duration mSlowStart =
+    std::chrono::seconds(10); ///< a replica that is whole again warms up so long
+  double mWarmest = 4.0;      ///< how much heavier load counts at the start of it
+  double mPrefixWorth = 0.5;  ///< part of the score that a fully cached prefix saves
+  double mSpillAt = 1.0;      ///< load per slot from which the subset is left for the whole pool
+};
+
+/// A request as routing sees it.
+struct RouteQuery
+{
+  std::string mProfile;
+  std::set<std::string> mAvoid; ///< replicas that have failed this request
+  /// @return the part of the prompt, 0 to 1, that a replica is believed to have cached.
+  std::function<double(const std::string& aReplica)> mCached;
+};
+
+/// The expected cost of a target; smaller is better.
+double
+Score(const ReplicaTarget& aTarget,
+      const RouteQuery& aQuery,
+      const RouteOptions& aOptions,
+      TimePoint aNow);
+
+/// Choose a target and count the request in.
+///
+/// @param aRandom returns 64 random bits
+/// @return null when no replica of the profile can take it; otherwise the caller calls
+/// `mLoad->Leave()` when the attempt is over.
+const ReplicaTarget*
+ChooseReplica(const RoutingTable& aTable,
+              const RouteQuery& aQuery,
+              const RouteOptions& aOptions,
+              TimePoint aNow,
+              const std::function<std::uint64_t()>& aRandom);
+
+/// Replica to its recent time to first token.
+using FirstTokenTimes = std::map<std::string, Duration>;
+
+/// Mark stragglers: a target slower than `aFactor` times the median is ejected, but never more than
+/// `aMostShare` of a pool, or a general slowness would take all of it out.
+void
+EjectStragglers(Pool* aPool, const FirstTokenTimes& aTimes, double aFactor, double aMostShare);
+
+} // namespace pepperbay
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,87 @@
+#!/usr/bin/env bash
+# Install, build and run the whole path on loopback addresses: the platform's stand-in with four
+# hosts, three nodes, an operator and a caller. Ends by itself with every process gone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh >/dev/null
+work=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap cleanup EXIT
+say() { printf '\n== %s\n' "$*"; }
+wait_until() { # wait_until WHAT COMMAND...: at most 30 s
+  local what=$1
+  shift
+  for _ in $(seq 300); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  echo "gave up waiting until $what" >&2
+  cat "$work"/*.log >&2
+  return 1
+}
+ready() { curl -fsS "http://$1:8080/readyz"; }
+whole() { build/pepperbay status --admin "$1:8081" | grep -q '  whole$'; }
+
+say "the platform, four hosts of one fabric domain and a plain service (stand-ins)"
+build/pepperbay_fakes --log=127.0.0.2:7000 --control=127.0.0.2:7001 --service=127.0.0.2:7002 \
+  >"$work/fakes.log" 2>&1 &
+pids+=($!)
+wait_until "the stand-ins listen" curl -fsS http://127.0.0.2:7001/hosts
+
+say "three nodes"
+for i in 1 2 3; do
+  scripts/node_settings.sh "levis-$i" levis "127.0.0.1$i" 127.0.0.11 127.0.0.12 127.0.0.13 \
+    >"$work/node$i.yaml"
+  build/pepperbay check-config --config "$work/node$i.yaml"
+  build/pepperbay serve --config "$work/node$i.yaml" 2>"$work/node$i.log" &
+  pids+=($!)
+done
+for i in 1 2 3; do wait_until "node $i is ready" ready "127.0.0.1$i"; done
+
+say "an operator publishes a profile, a customer and a service"
+cat >"$work/first.yaml" <<'YAML'
+profiles:
+  - name: checklist
+    model: audit-70b
+    model_version: "1"
+    hosts_per_replica: 4
+    priority: 2
+    share: 1.0
+customers:
+  - { name: school, share: 0.5 }
+services:
+  - { name: lots, endpoints: ["127.0.0.2:7002"] }
+YAML
+build/pepperbay publish "$work/first.yaml" --wait --admin 127.0.0.11:8081
+for i in 1 2 3; do wait_until "node $i sees a whole replica" whole "127.0.0.1$i"; done
+build/pepperbay status --admin 127.0.0.12:8081
+
+say "a caller asks for a streamed answer, at the third node"
+curl -fsSN http://127.0.0.13:8080/v1/chat/completions -H 'X-Customer: school' -d '{
+  "model": "checklist", "stream": true, "max_tokens": 5,
+  "messages": [{"role": "user", "content": "Draft an opening audit for a school kitchen."}]}'
+
+say "a lot is booked through the plain service; the request may not be repeated"
+curl -fsS http://127.0.0.11:8080/services/lots/book -H 'X-Customer: school' \
+  -H 'X-Unrepeatable: true' -d '{"lot": "bronze-7"}'
+echo
+
+say "bad input names the field and what is allowed"
+curl -sS http://127.0.0.11:8080/v1/chat/completions -H 'X-Customer: school' -d '{"model": 7}'
+echo
+
+say "the nodes stop on SIGTERM and exit with 0"
+for pid in "${pids[@]:1}"; do kill -TERM "$pid"; done
+for pid in "${pids[@]:1}"; do
+  code=0
+  wait "$pid" || code=$?
+  echo "node process $pid: exit code $code"
+  [ "$code" = 0 ]
+done
+pids=("${pids[0]}")
+say "done"
--- /dev/null
+++ b/src/pepperbay/admission/admission.cpp
@@ -0,0 +1,253 @@
+#include "pepperbay/admission/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace pepperbay {
+namespace {
+
+constexpr double kServiceSmoothing = 0.1;
+constexpr double kLeastShare = 0.001;
+constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
+
+} // namespace
+
+bool
+Admission::Rank::operator<(const Rank& aOther) const
+{
+  return std::tie(mOverShare, mLevel, mUse, mSince) <
+         std::tie(aOther.mOverShare, aOther.mLevel, aOther.mUse, aOther.mSince);
+}
+
+Admission::Admission(AdmissionOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+Admission::SetPool(PoolState aPool)
+{
+  mPool = std::move(aPool);
+}
+
+double
+Admission::ShareOf(const std::string& aCustomer) const
+{
+  const auto it = mPool.mShares.find(aCustomer);
+  const double share = it == mPool.mShares.end() ? mOptions.mDefaultShare : it->second;
+  return std::max(share, kLeastShare);
+}
+
+std::size_t
+Admission::RunningOf(const std::string& aCustomer) const
+{
+  std::size_t n = 0;
+  const auto own = mOwnRunning.find(aCustomer);
+  if (own != mOwnRunning.end()) {
+    n += own->second;
+  }
+  const auto others = mPool.mOthers.find(aCustomer);
+  if (others != mPool.mOthers.end()) {
+    n += others->second.mRunning;
+  }
+  return n;
+}
+
+/// What is free in the pool is split evenly between the nodes until they hear of each other again;
+/// or all would fill the same free slots at once. A node that is silent may still be working, so it
+/// counts with its even part: cut off from its peers, each node falls back to that safe part.
+std::size_t
+Admission::Allowance() const
+{
+  const std::size_t nodes = std::max<std::size_t>(1, mPool.mNodes);
+  const std::size_t evenPart = mPool.mSlots / nodes;
+  std::size_t others = mPool.mSilentNodes * evenPart;
+  for (const auto& [customer, usage] : mPool.mOthers) {
+    others += usage.mRunning;
+  }
+  const std::size_t used = others + mRunning.size();
+  const std::size_t free = mPool.mSlots > used ? mPool.mSlots - used : 0;
+  const std::size_t part = (free + nodes - 1) / nodes;
+  const std::size_t allowed = mRunning.size() + part;
+  const std::size_t least = mPool.mSlots > 0 ? std::max<std::size_t>(1, evenPart) : 0;
+  return free > 0 ? std::max(allowed, std::min(least, mRunning.size() + free))
+                  : std::min(mRunning.size(), least);
+}
+
+Duration
+Admission::ServiceTime() const
+{
+  if (mServiceSeconds <= 0) {
+    return mOptions.mFirstServiceGuess;
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(mServiceSeconds));
+}
+
+/// Expected wait with so many requests ahead: they leave at the rate of the slots held here.
+Duration
+Admission::WaitBehind(std::size_t aAhead) const
+{
+  const std::size_t slots = std::max<std::size_t>(1, std::max(Allowance(), mRunning.size()));
+  return ServiceTime() * static_cast<Duration::rep>(aAhead + 1) / static_cast<Duration::rep>(slots);
+}
+
+Duration
+Admission::ExpectedWait() const
+{
+  return mWaiting.empty() && mRunning.size() < Allowance() ? Duration::zero()
+                                                           : WaitBehind(mWaiting.size());
+}
+
+Admission::Rank
+Admission::RankOf(const Arrival& aArrival, TimePoint aSince, TimePoint aNow) const
+{
+  const double share = ShareOf(aArrival.mCustomer) * static_cast<double>(mPool.mSlots);
+  const double running = static_cast<double>(RunningOf(aArrival.mCustomer));
+  const std::int64_t levels = (aNow - aSince) / mOptions.mAgeOneLevel;
+  const std::int64_t level = static_cast<std::int64_t>(aArrival.mPriority) - levels;
+  return { running >= std::max(1.0, share), level, running / std::max(share, kLeastShare), aSince };
+}
+
+AdmissionDecision
+Admission::Refusal(const std::string& aReason, Duration aRetryAfter) const
+{
+  return { AdmissionVerdict::kRefuse, aReason, std::max(aRetryAfter, kLeastRetryAfter) };
+}
+
+void
+Admission::Start(const Arrival& aArrival)
+{
+  mRunning[aArrival.mId] = aArrival.mCustomer;
+  ++mOwnRunning[aArrival.mCustomer];
+}
+
+AdmissionDecision
+Admission::Arrive(const Arrival& aArrival, TimePoint aNow, std::vector<GivenUp>* aGivenUp)
+{
+  if (mPool.mSlots == 0) {
+    return Refusal("no replica is whole", kLeastRetryAfter);
+  }
+  if (aArrival.mDeadline <= aNow) {
+    return Refusal("its deadline has passed", kLeastRetryAfter);
+  }
+  if (mWaiting.empty() && mRunning.size() < Allowance()) {
+    Start(aArrival);
+    return { AdmissionVerdict::kRun, "", Duration::zero() };
+  }
+  const Rank rank = RankOf(aArrival, aNow, aNow);
+  std::size_t ahead = 0;
+  auto worst = mWaiting.end();
+  Rank worstRank{};
+  for (auto it = mWaiting.begin(); it != mWaiting.end(); ++it) {
+    const Rank other = RankOf(it->mArrival, it->mSince, aNow);
+    ahead += other < rank ? 1 : 0;
+    if (worst == mWaiting.end() || worstRank < other) {
+      worst = it;
+      worstRank = other;
+    }
+  }
+  const Duration wait = WaitBehind(ahead);
+  if (aNow + wait > aArrival.mDeadline) {
+    return Refusal("it would wait past its deadline", WaitBehind(mWaiting.size()));
+  }
+  if (mWaiting.size() >= mOptions.mQueue) {
+    const bool outranks = worst != mWaiting.end() && rank < worstRank;
+    if (!outranks) {
+      return Refusal("the queue is full", WaitBehind(mWaiting.size()));
+    }
+    aGivenUp->push_back(
+      { worst->mArrival.mId,
+        Refusal("the queue is full of more urgent requests", WaitBehind(mWaiting.size())) });
+    mWaiting.erase(worst);
+  }
+  mWaiting.push_back({ aArrival, aNow });
+  return { AdmissionVerdict::kWait, "", Duration::zero() };
+}
+
+void
+Admission::OnDone(std::uint64_t aId, Duration aService)
+{
+  const auto it = mRunning.find(aId);
+  if (it == mRunning.end()) {
+    return;
+  }
+  const auto own = mOwnRunning.find(it->second);
+  if (--own->second == 0) {
+    mOwnRunning.erase(own);
+  }
+  mRunning.erase(it);
+  if (aService > Duration::zero()) {
+    const double seconds = std::chrono::duration<double>(aService).count();
+    mServiceSeconds = mServiceSeconds <= 0
+                        ? seconds
+                        : mServiceSeconds + kServiceSmoothing * (seconds - mServiceSeconds);
+  }
+}
+
+void
+Admission::OnGone(std::uint64_t aId)
+{
+  const auto it = std::find_if(mWaiting.begin(), mWaiting.end(), [aId](const Waiter& aWaiter) {
+    return aWaiter.mArrival.mId == aId;
+  });
+  if (it != mWaiting.end()) {
+    mWaiting.erase(it);
+  }
+}
+
+std::vector<std::uint64_t>
+Admission::Next(TimePoint aNow)
+{
+  std::vector<std::uint64_t> started;
+  while (!mWaiting.empty() && mRunning.size() < Allowance()) {
+    auto best = mWaiting.begin();
+    Rank bestRank = RankOf(best->mArrival, best->mSince, aNow);
+    for (auto it = std::next(best); it != mWaiting.end(); ++it) {
+      const Rank rank = RankOf(it->mArrival, it->mSince, aNow);
+      if (rank < bestRank) {
+        best = it;
+        bestRank = rank;
+      }
+    }
+    Start(best->mArrival);
+    started.push_back(best->mArrival.mId);
+    mWaiting.erase(best);
+  }
+  return started;
+}
+
+std::vector<GivenUp>
+Admission::Hopeless(TimePoint aNow)
+{
+  std::vector<GivenUp> givenUp;
+  const Duration retry = WaitBehind(mWaiting.size());
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    // Half a service time before the deadline there is no longer a good answer to be had.
+    const bool late = aNow + ServiceTime() / 2 > it->mArrival.mDeadline;
+    const bool noPool = mPool.mSlots == 0;
+    if (!late && !noPool) {
+      ++it;
+      continue;
+    }
+    const char* reason = noPool ? "no replica is whole" : "its turn would come too late";
+    givenUp.push_back({ it->mArrival.mId, Refusal(reason, retry) });
+    it = mWaiting.erase(it);
+  }
+  return givenUp;
+}
+
+std::map<std::string, CustomerUsage>
+Admission::Usage() const
+{
+  std::map<std::string, CustomerUsage> usage;
+  for (const auto& [customer, n] : mOwnRunning) {
+    usage[customer].mRunning = n;
+  }
+  for (const auto& it : mWaiting) {
+    ++usage[it.mArrival.mCustomer].mWaiting;
+  }
+  return usage;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/http/client.cpp
@@ -0,0 +1,328 @@
+#include "pepperbay/http/client.hpp"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <future>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace pepperbay {
+namespace {
+
+/// Answers larger than this are given up when taken whole; a peer gone mad must not fill memory.
+constexpr std::size_t kMaxFetched = 64U << 20U;
+constexpr int kPollMs = 1000;
+
+struct CurlGlobal
+{
+  CurlGlobal() { curl_global_init(CURL_GLOBAL_ALL); }
+};
+
+/// One call in progress; owned and touched by the client's thread only.
+struct Transfer
+{
+  std::uint64_t mId = 0;
+  HttpCall mCall;
+  HttpEvents mEvents;
+  CURL* mEasy = nullptr;
+  curl_slist* mHeaderList = nullptr;
+  std::vector<HttpHeader> mAnswerHeaders;
+  bool mHeadReported = false;
+  bool mGivenUp = false;
+};
+
+std::string
+Trimmed(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const auto last = aText.find_last_not_of(" \t\r\n");
+  return std::string(aText.substr(first, last - first + 1));
+}
+
+void
+ReportHead(Transfer& aTransfer)
+{
+  if (aTransfer.mHeadReported) {
+    return;
+  }
+  aTransfer.mHeadReported = true;
+  long status = 0;
+  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_RESPONSE_CODE, &status);
+  if (aTransfer.mEvents.mOnHead) {
+    aTransfer.mEvents.mOnHead(static_cast<int>(status), aTransfer.mAnswerHeaders);
+  }
+}
+
+std::size_t
+OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  auto& transfer = *static_cast<Transfer*>(aSelf);
+  const std::string_view line(aData, aSize * aCount);
+  if (line.substr(0, 5) == "HTTP/") {
+    transfer.mAnswerHeaders.clear();
+    return line.size();
+  }
+  const auto colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    transfer.mAnswerHeaders.push_back(
+      { std::string(line.substr(0, colon)), Trimmed(line.substr(colon + 1)) });
+  }
+  return line.size();
+}
+
+std::size_t
+OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  auto& transfer = *static_cast<Transfer*>(aSelf);
+  const std::string_view bytes(aData, aSize * aCount);
+  ReportHead(transfer);
+  const bool wanted = !transfer.mEvents.mOnBody || transfer.mEvents.mOnBody(bytes);
+  if (!wanted) {
+    transfer.mGivenUp = true;
+    return 0;
+  }
+  return bytes.size();
+}
+
+class ClientImpl : public HttpClient
+{
+public:
+  explicit ClientImpl(long aMaxConnections)
+  {
+    static const CurlGlobal global;
+    mMulti = curl_multi_init();
+    curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, aMaxConnections);
+    mThread = std::thread([this] { Run(); });
+  }
+
+  ~ClientImpl() override
+  {
+    mStop = true;
+    curl_multi_wakeup(mMulti);
+    mThread.join();
+    curl_multi_cleanup(mMulti);
+  }
+  ClientImpl(const ClientImpl&) = delete;
+  ClientImpl& operator=(const ClientImpl&) = delete;
+
+  std::uint64_t Start(HttpCall aCall, HttpEvents aEvents) override
+  {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->mCall = std::move(aCall);
+    transfer->mEvents = std::move(aEvents);
+    std::uint64_t id = 0;
+    {
+      const std::lock_guard lock(mMutex);
+      id = ++mLastId;
+      transfer->mId = id;
+      mNew.push_back(std::move(transfer));
+    }
+    curl_multi_wakeup(mMulti);
+    return id;
+  }
+
+  void Cancel(std::uint64_t aId) override
+  {
+    {
+      const std::lock_guard lock(mMutex);
+      mCancelled.insert(aId);
+    }
+    curl_multi_wakeup(mMulti);
+  }
+
+private:
+  void Run()
+  {
+    while (!mStop) {
+      TakeCommands();
+      int running = 0;
+      curl_multi_perform(mMulti, &running);
+      ReapFinished();
+      curl_multi_poll(mMulti, nullptr, 0, kPollMs, nullptr);
+    }
+    TakeCommands();
+    while (!mActive.empty()) {
+      Finish(mActive.begin()->first, CURLE_ABORTED_BY_CALLBACK, true);
+    }
+  }
+
+  void TakeCommands()
+  {
+    std::vector<std::unique_ptr<Transfer>> fresh;
+    std::set<std::uint64_t> cancelled;
+    {
+      const std::lock_guard lock(mMutex);
+      fresh.swap(mNew);
+      cancelled.swap(mCancelled);
+    }
+    for (auto& it : fresh) {
+      Begin(std::move(it));
+    }
+    for (const auto id : cancelled) {
+      for (const auto& [easy, transfer] : mActive) {
+        if (transfer->mId == id) {
+          Finish(easy, CURLE_ABORTED_BY_CALLBACK, true);
+          break;
+        }
+      }
+    }
+  }
+
+  void Begin(std::unique_ptr<Transfer> aTransfer)
+  {
+    CURL* easy = curl_easy_init();
+    aTransfer->mEasy = easy;
+    Configure(*aTransfer);
+    curl_multi_add_handle(mMulti, easy);
+    mActive.emplace(easy, std::move(aTransfer));
+  }
+
+  static void Configure(Transfer& aTransfer)
+  {
+    CURL* easy = aTransfer.mEasy;
+    const HttpCall& call = aTransfer.mCall;
+    curl_easy_setopt(easy, CURLOPT_URL, call.mUrl.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(ToMs(call.mTimeout).count()));
+    curl_easy_setopt(
+      easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(ToMs(call.mConnectTimeout).count()));
+    if (call.mOwnConnection) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    for (const auto& it : call.mHeaders) {
+      const std::string line = it.mName + ": " + it.mValue;
+      aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, line.c_str());
+    }
+    if (call.mMethod == "POST") {
+      // Without this the library waits up to a second for leave to send a larger body.
+      aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Expect:");
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(
+        easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.mBody.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.mBody.data());
+    } else if (call.mMethod != "GET") {
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.mMethod.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.mHeaderList);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  }
+
+  void ReapFinished()
+  {
+    int left = 0;
+    while (CURLMsg* msg = curl_multi_info_read(mMulti, &left)) {
+      if (msg->msg == CURLMSG_DONE) {
+        Finish(msg->easy_handle, msg->data.result, false);
+      }
+    }
+  }
+
+  void Finish(CURL* aEasy, CURLcode aCode, bool aCancelled)
+  {
+    auto it = mActive.find(aEasy);
+    if (it == mActive.end()) {
+      return;
+    }
+    const std::unique_ptr<Transfer> transfer = std::move(it->second);
+    mActive.erase(it);
+    const HttpOutcome outcome = Judge(*transfer, aCode, aCancelled);
+    if (outcome.mOk) {
+      ReportHead(*transfer);
+    }
+    curl_multi_remove_handle(mMulti, aEasy);
+    curl_easy_cleanup(aEasy);
+    curl_slist_free_all(transfer->mHeaderList);
+    if (transfer->mEvents.mOnDone) {
+      transfer->mEvents.mOnDone(outcome);
+    }
+  }
+
+  static HttpOutcome Judge(const Transfer& aTransfer, CURLcode aCode, bool aCancelled)
+  {
+    HttpOutcome outcome;
+    long status = 0;
+    long sent = 0;
+    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_REQUEST_SIZE, &sent);
+    outcome.mStatus = static_cast<int>(status);
+    outcome.mOk = aCode == CURLE_OK && !aCancelled;
+    // No byte of the request was written and none of an answer was read: it cannot have run.
+    outcome.mMayHaveRun = sent != 0 || status != 0;
+    if (outcome.mOk) {
+      return outcome;
+    }
+    outcome.mError.mStep = "http." + aTransfer.mCall.mMethod;
+    outcome.mError.mPeer = aTransfer.mCall.mUrl;
+    outcome.mError.mDetail = curl_easy_strerror(aCode);
+    if (aCancelled || aTransfer.mGivenUp) {
+      outcome.mError.mCode = Errc::kCancelled;
+    } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
+      outcome.mError.mCode = Errc::kTimeout;
+    } else {
+      outcome.mError.mCode = Errc::kUnavailable;
+    }
+    return outcome;
+  }
+
+  CURLM* mMulti = nullptr;
+  std::thread mThread;
+  std::atomic<bool> mStop{ false };
+  std::mutex mMutex;
+  std::uint64_t mLastId = 0;
+  std::vector<std::unique_ptr<Transfer>> mNew;
+  std::set<std::uint64_t> mCancelled;
+  std::map<CURL*, std::unique_ptr<Transfer>> mActive;
+};
+
+} // namespace
+
+std::unique_ptr<HttpClient>
+HttpClient::Create(long aMaxConnections)
+{
+  return std::make_unique<ClientImpl>(aMaxConnections);
+}
+
+void
+HttpClient::Fetch(HttpCall aCall, std::function<void(HttpFetched)> aDone)
+{
+  auto fetched = std::make_shared<HttpFetched>();
+  HttpEvents events;
+  events.mOnHead = [fetched](int aStatus, const std::vector<HttpHeader>& aHeaders) {
+    fetched->mResponse.mStatus = aStatus;
+    fetched->mResponse.mHeaders = aHeaders;
+  };
+  events.mOnBody = [fetched](std::string_view aBytes) {
+    fetched->mResponse.mBody.append(aBytes);
+    return fetched->mResponse.mBody.size() <= kMaxFetched;
+  };
+  events.mOnDone = [fetched, done = std::move(aDone)](const HttpOutcome& aOutcome) {
+    fetched->mOutcome = aOutcome;
+    done(std::move(*fetched));
+  };
+  Start(std::move(aCall), std::move(events));
+}
+
+HttpFetched
+HttpClient::FetchAndWait(HttpCall aCall)
+{
+  auto promise = std::make_shared<std::promise<HttpFetched>>();
+  auto answer = promise->get_future();
+  Fetch(std::move(aCall),
+        [promise](HttpFetched aFetched) { promise->set_value(std::move(aFetched)); });
+  return answer.get();
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/main/commands.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// @brief The command line: `serve` and the operator's commands.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+/// Exit codes, the same for every command.
+enum ExitCode
+{
+  kExitOk = 0,
+  kExitUsage = 2,       ///< wrong arguments
+  kExitBadInput = 3,    ///< a settings or publish file is wrong
+  kExitConflict = 4,    ///< somebody else's change came first
+  kExitRefused = 5,     ///< the change breaks a rule, or the thing named does not exist
+  kExitUnknown = 6,     ///< no answer in time; the effect is unknown
+  kExitUnreachable = 7, ///< the node does not answer; nothing was done
+};
+
+/// What the flags said.
+struct CommandOptions
+{
+  std::string mConfig;
+  std::string mAdmin;
+  bool mJson = false;
+  bool mWait = false;
+  int mTimeoutSeconds = 30;
+};
+
+/// Run a command. @param aWords the command's name and its arguments
+int
+RunCommand(const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+
+/// @return the help of a command, or of all when it is not known.
+std::string
+HelpOf(const std::string& aCommand);
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/membership/roster.cpp
@@ -0,0 +1,191 @@
+#include "pepperbay/membership/roster.hpp"
+
+namespace pepperbay {
+namespace {
+
+std::uint64_t
+ToStamp(TimePoint aTime)
+{
+  return static_cast<std::uint64_t>(aTime.time_since_epoch().count());
+}
+
+TimePoint
+FromStamp(std::uint64_t aStamp)
+{
+  return TimePoint(Duration(static_cast<Duration::rep>(aStamp)));
+}
+
+} // namespace
+
+const char*
+ToString(PeerStatus aStatus)
+{
+  switch (aStatus) {
+    case PeerStatus::kUnheard:
+      return "unheard";
+    case PeerStatus::kAlive:
+      return "alive";
+    case PeerStatus::kSuspect:
+      return "suspect";
+    case PeerStatus::kLapsed:
+      return "lapsed";
+  }
+  return "lapsed";
+}
+
+Roster::Roster(RosterOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void
+Roster::OnJoin(const proto::Join& aJoin, TimePoint aNow)
+{
+  if (aJoin.node() == mOptions.mSelf) {
+    return;
+  }
+  Peer& peer = mPeers[aJoin.node()];
+  if (peer.mIncarnation > aJoin.incarnation()) {
+    return;
+  }
+  if (peer.mIncarnation < aJoin.incarnation()) {
+    peer = Peer();
+    peer.mIncarnation = aJoin.incarnation();
+    peer.mSince = aNow;
+  }
+  peer.mInLog = true;
+  peer.mAddress = aJoin.peer_address();
+  peer.mCallerAddress = aJoin.caller_address();
+  peer.mDataCentre = aJoin.data_centre();
+}
+
+void
+Roster::OnLeave(const std::string& aNode)
+{
+  const auto it = mPeers.find(aNode);
+  if (it == mPeers.end()) {
+    return;
+  }
+  it->second.mInLog = false;
+  if (!it->second.mHeard) {
+    mPeers.erase(it);
+  }
+}
+
+Hearing
+Roster::Hear(const proto::Envelope& aEnvelope, TimePoint aNow)
+{
+  if (aEnvelope.from() == mOptions.mSelf) {
+    return Hearing::kSelf;
+  }
+  const auto known = mPeers.find(aEnvelope.from());
+  if (known != mPeers.end()) {
+    const Peer& peer = known->second;
+    // A process that was replaced may wake and speak on; it must not pass for its successor.
+    if (aEnvelope.incarnation() < peer.mIncarnation) {
+      return Hearing::kOldIncarnation;
+    }
+    const bool same = aEnvelope.incarnation() == peer.mIncarnation;
+    if (same && peer.mInLog && aEnvelope.data_centre() != peer.mDataCentre) {
+      return Hearing::kWrongPlace;
+    }
+    if (same && aEnvelope.stamp_ns() < peer.mLastStampNs) {
+      return Hearing::kReordered;
+    }
+  }
+  Peer& peer = mPeers[aEnvelope.from()];
+  if (aEnvelope.incarnation() > peer.mIncarnation) {
+    const std::string address = peer.mAddress;
+    const std::string callers = peer.mCallerAddress;
+    const bool inLog = peer.mInLog;
+    peer = Peer();
+    peer.mIncarnation = aEnvelope.incarnation();
+    peer.mAddress = address;
+    peer.mCallerAddress = callers;
+    peer.mInLog = inLog;
+    peer.mSince = aNow;
+  }
+  peer.mDataCentre = aEnvelope.data_centre();
+  peer.mHeard = true;
+  peer.mLastHeard = aNow;
+  peer.mLastStampNs = aEnvelope.stamp_ns();
+  if (aEnvelope.echo_stamp_ns() != 0) {
+    const TimePoint bound =
+      FromStamp(aEnvelope.echo_stamp_ns()) + Duration(aEnvelope.echo_held_ns());
+    // An echo from the future is of an earlier start of this process; it proves nothing.
+    if (bound <= aNow) {
+      peer.mSentNoEarlier = bound;
+    }
+  }
+  return Hearing::kAccepted;
+}
+
+void
+Roster::Stamp(const std::string& aTo, proto::Envelope* aEnvelope, TimePoint aNow) const
+{
+  aEnvelope->set_stamp_ns(ToStamp(aNow));
+  const auto it = mPeers.find(aTo);
+  if (it != mPeers.end() && it->second.mHeard) {
+    aEnvelope->set_echo_stamp_ns(it->second.mLastStampNs);
+    aEnvelope->set_echo_held_ns(static_cast<std::uint64_t>((aNow - it->second.mLastHeard).count()));
+  }
+}
+
+PeerStatus
+Roster::StatusOf(const std::string& aNode, TimePoint aNow) const
+{
+  const auto it = mPeers.find(aNode);
+  if (it == mPeers.end()) {
+    return PeerStatus::kLapsed;
+  }
+  if (!it->second.mHeard) {
+    return aNow - it->second.mSince < mOptions.mLapseAfter ? PeerStatus::kUnheard
+                                                           : PeerStatus::kLapsed;
+  }
+  const Duration silent = aNow - it->second.mLastHeard;
+  if (silent < mOptions.mSuspectAfter) {
+    return PeerStatus::kAlive;
+  }
+  return silent < mOptions.mLapseAfter ? PeerStatus::kSuspect : PeerStatus::kLapsed;
+}
+
+std::vector<std::string>
+Roster::Alive(TimePoint aNow) const
+{
+  std::vector<std::string> alive;
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mHeard && StatusOf(name, aNow) == PeerStatus::kAlive) {
+      alive.push_back(name);
+    }
+  }
+  return alive;
+}
+
+bool
+Roster::MayBeWorking(const std::string& aNode, Duration aLongestWork, TimePoint aNow) const
+{
+  const auto it = mPeers.find(aNode);
+  if (it == mPeers.end()) {
+    return false;
+  }
+  const TimePoint last = it->second.mHeard ? it->second.mLastHeard : it->second.mSince;
+  return aNow - last < mOptions.mLapseAfter + aLongestWork;
+}
+
+void
+Roster::Forget(TimePoint aNow)
+{
+  for (auto it = mPeers.begin(); it != mPeers.end();) {
+    const bool gone = !it->second.mInLog && StatusOf(it->first, aNow) == PeerStatus::kLapsed;
+    it = gone ? mPeers.erase(it) : std::next(it);
+  }
+}
+
+Peer*
+Roster::Find(const std::string& aNode)
+{
+  const auto it = mPeers.find(aNode);
+  return it == mPeers.end() ? nullptr : &it->second;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/node/controller_impl.hpp
@@ -0,0 +1,128 @@
+/// @file
+/// @brief The controller's parts, shared by controller.cpp, traffic_view.cpp and dump.cpp.
+#pragma once
+
+#include "pepperbay/node/controller.hpp"
+
+#include "drain_ledger.hpp"
+#include "holder.hpp"
+#include "host_watch.hpp"
+
+#include "pepperbay/journal/appender.hpp"
+
+#include <deque>
+#include <set>
+
+namespace pepperbay {
+
+/// A planned stop that was asked for here and is not yet known widely enough.
+struct PendingStop
+{
+  proto::Drain mDrain;
+  TimePoint mGiveUp{};
+  std::function<void(Result<void>)> mDone;
+};
+
+/// What a peer last said, beside its membership.
+struct PeerWord
+{
+  std::map<std::string, std::map<std::string, CustomerUsage>> mUsage;
+  std::set<std::string> mDrains; ///< hosts it knows to be stopping and not in its fold
+};
+
+/// What is known of another data centre.
+struct RemoteCentre
+{
+  proto::DataCentreSummary mSummary;
+  TimePoint mSaid{};
+};
+
+struct Controller::Impl
+{
+  Impl(const Settings& aSettings, std::uint64_t aIncarnation, ControllerHooks aHooks);
+
+  // ---- controller.cpp: the loop ----
+  void Tick();
+  void OnMessage(std::string_view aBytes);
+  void OnHeartbeat(const std::string& aFrom, const proto::Heartbeat& aHeartbeat);
+  void OnFetch(const std::string& aFrom, const proto::FetchRecords& aFetch);
+  void Fold(std::uint64_t aOffset, const std::string& aBytes);
+  void AfterFold(const FoldResult& aResult);
+  void Install(const proto::Snapshot& aSnapshot);
+  void ReadLog();
+  void AppendDue();
+  void ListHosts();
+  void ProbeDue();
+  void Heartbeat();
+  void AskSeeds();
+  void JoinWhenDue();
+  void RemoveLapsedNodes();
+  void ShareDrains();
+  void SettleStops();
+  Result<void> Submit(proto::Record aRecord, TimePoint aGiveUp, Appender::Done aDone);
+
+  proto::Envelope MakeEnvelope() const;
+  void Send(const std::string& aNode, proto::Envelope aEnvelope);
+  std::vector<std::string> HeartbeatTargets() const;
+  bool IsDelegate() const;
+  std::vector<std::string> NodesOf(const std::string& aDataCentre) const;
+  void AddSummaries(proto::Heartbeat* aHeartbeat) const;
+  std::vector<HostView> OwnHosts() const;
+  bool Draining(const std::string& aHost) const;
+  bool Drained(const std::string& aReplica, std::uint64_t aGeneration) const;
+
+  // ---- traffic_view.cpp ----
+  void BuildView();
+  void BuildPools(TrafficView* aView);
+  void AddReplica(TrafficView* aView, const std::string& aName, const proto::ReplicaState& aState);
+  void BuildPoolStates(TrafficView* aView) const;
+  void BuildSpill(TrafficView* aView) const;
+  std::string WhyNotReady() const;
+  std::size_t SilentNodes() const;
+  bool ViewIsCurrent() const;
+  ReplicaLoad& LoadOf(const ReplicaKey& aKey);
+
+  // ---- dump.cpp ----
+  std::string Dump() const;
+
+  Settings mSettings;
+  std::uint64_t mIncarnation;
+  ControllerHooks mHooks;
+  TimePoint mStarted;
+  State mState;
+  Roster mRoster;
+  HostWatch mWatch;
+  DrainLedger mLedger;
+  Appender mAppender;
+  Follower mFollower;
+  Holder mHolder;
+  ControllerCounters mCounters;
+  std::vector<HostListing> mListing;
+  bool mListingKnown = false;
+  bool mListingInFlight = false;
+  TimePoint mNextListing{};
+  TimePoint mNextHeartbeat{};
+  TimePoint mNextSeeds{};
+  TimePoint mNextJoin{};
+  TimePoint mNextSweep{};
+  TimePoint mNextRead{};
+  TimePoint mNextView{};
+  bool mViewDirty = true;
+  bool mJoinOutstanding = false;
+  bool mStopping = false;
+  std::uint64_t mRevision = 1;
+  std::map<std::string, PeerWord> mWords;
+  std::map<std::string, std::uint64_t> mLocalDrains; ///< host to incarnation, from anywhere
+  std::set<std::string> mDrainsSubmitted;
+  std::vector<PendingStop> mStops;
+  std::map<std::string, RemoteCentre> mRemotes;
+  std::map<ReplicaKey, std::shared_ptr<ReplicaLoad>> mLoads;
+  std::map<ReplicaKey, TimePoint> mWholeSince;
+  std::map<ReplicaKey, WholenessReport> mReports;
+  std::map<std::string, int> mInFlightAtReport;
+  std::map<std::string, std::pair<TimePoint, int>> mReportSeen;
+  std::string mLastWhyNot = "starting";
+  bool mPeerState = false; ///< the folded state came from a peer
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/node/holder.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// @brief The control holder's work: the lease, plans into the log, orders to hosts.
+#pragma once
+
+#include "pepperbay/journal/appender.hpp"
+#include "pepperbay/lease/keeper.hpp"
+#include "pepperbay/placement/orders.hpp"
+#include "pepperbay/settings/settings.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct HolderHooks
+{
+  /// Queue a record for the log.
+  std::function<Result<void>(proto::Record, TimePoint aGiveUp, Appender::Done)> mSubmit;
+  /// Give an order; it must be over within the timeout.
+  std::function<void(const HostOrder&, Duration aTimeout)> mOrder;
+};
+
+/// Runs on every node; acts only while this node holds the lease of its data centre.
+class Holder
+{
+public:
+  Holder(const Settings& aSettings, std::uint64_t aIncarnation, HolderHooks aHooks);
+
+  /// The folded state has changed.
+  void OnState(const State& aState, TimePoint aNow);
+
+  /// One round. Fields of the input that concern the tenure are filled in here.
+  void Tick(PlanInput aInput, TimePoint aNow);
+
+  /// Give the lease back; @return false when there is none to give or the log takes no records.
+  bool GiveUp(TimePoint aNow);
+
+  const LeaseKeeper& Lease() const { return mKeeper; }
+  const PlanOutcome& LastPlan() const { return mLastPlan; }
+  std::uint64_t Orders() const { return mOrders; }
+  std::uint64_t Refused() const { return mRefused; }
+
+private:
+  void Claim(const proto::Claim& aClaim, TimePoint aNow);
+  void AppendPlan(const PlanInput& aInput, TimePoint aNow);
+  void AppendSnapshot(const State& aState, TimePoint aNow);
+
+  Settings mSettings;
+  HolderHooks mHooks;
+  LeaseKeeper mKeeper;
+  Planner mPlanner;
+  OrderPlan mOrderPlan;
+  PlanOutcome mLastPlan;
+  std::size_t mOutstanding = 0;
+  bool mSnapshotOutstanding = false;
+  std::uint64_t mOrders = 0;
+  std::uint64_t mRefused = 0;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/node/host_watch.hpp
@@ -0,0 +1,73 @@
+/// @file
+/// @brief Probing hosts: which ones this node asks, and what it and its peers have heard.
+#pragma once
+
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/membership/evidence.hpp"
+#include "pepperbay/settings/settings.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct ProbeTarget
+{
+  std::string mHost;
+  std::string mAddress;
+};
+
+/// Each host is probed by a few nodes of its data centre, chosen by rendezvous hash over those
+/// alive; the results travel in heartbeats. So the work of a node does not grow with the fleet.
+class HostWatch
+{
+public:
+  HostWatch(const ControlSettings& aSettings, std::string aSelf);
+
+  /// @return the hosts that this node has to probe now.
+  std::vector<ProbeTarget> Due(const std::vector<ProbeTarget>& aHosts,
+                               const std::vector<std::string>& aAliveNodes,
+                               TimePoint aNow);
+
+  /// A probe has ended. A refused connection is evidence; silence is none.
+  void OnProbe(const std::string& aHost, const Result<proto::Evidence>& aAnswer, TimePoint aSentAt);
+
+  /// A peer's evidence, sent no earlier than `aSentNoEarlier` by this node's clock.
+  void OnPeerEvidence(const std::string& aPeer,
+                      const proto::Heartbeat& aHeartbeat,
+                      TimePoint aSentNoEarlier);
+
+  /// Add this node's own results to a heartbeat. A full list goes out when something but age and
+  /// load has changed, and every so often; else only a digest and the age of the oldest result.
+  void Share(proto::Heartbeat* aHeartbeat, TimePoint aNow);
+
+  const EvidenceTable& Table() const { return mTable; }
+  void Forget(TimePoint aNow) { mTable.Forget(kForgetAfter, aNow); }
+
+  std::uint64_t Probes() const { return mProbes; }
+
+private:
+  static constexpr Duration kForgetAfter = std::chrono::minutes(10);
+
+  struct Own
+  {
+    proto::Evidence mEvidence;
+    TimePoint mSentAt{};
+    TimePoint mNext{};
+    bool mInFlight = false;
+    bool mMine = false;
+  };
+
+  ControlSettings mSettings;
+  std::string mSelf;
+  EvidenceTable mTable;
+  std::map<std::string, Own> mOwn;
+  std::set<std::string> mOwnersFor;
+  std::vector<std::string> mOwnersNodes;
+  std::size_t mOwnersHosts = 0;
+  std::uint64_t mProbes = 0;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/node/node.cpp
@@ -0,0 +1,395 @@
+#include "pepperbay/node/node.hpp"
+
+#include "pepperbay/base/ids.hpp"
+#include "pepperbay/node/controller.hpp"
+#include "pepperbay/node/gateway.hpp"
+#include "pepperbay/node/log.hpp"
+#include "pepperbay/node/metrics.hpp"
+#include "pepperbay/node/platform.hpp"
+#include "pepperbay/node/publish_file.hpp"
+#include "pepperbay/wire/codec.hpp"
+#include "pepperbay/wire/peer_link.hpp"
+
+#include <atomic>
+#include <ctime>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+
+namespace pepperbay {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr Duration kLongestDumpWait = std::chrono::seconds(30);
+constexpr Duration kLastAppends = std::chrono::seconds(2);
+
+double
+ThreadCpuSeconds()
+{
+  timespec ts{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+  constexpr double kNano = 1e-9;
+  return static_cast<double>(ts.tv_sec) + static_cast<double>(ts.tv_nsec) * kNano;
+}
+
+/// An operator that waits for the dump to change.
+struct DumpWaiter
+{
+  std::uint64_t mAfter = 0;
+  TimePoint mUntil{};
+  std::shared_ptr<Responder> mResponder;
+};
+
+class NodeImpl : public Node
+{
+public:
+  explicit NodeImpl(const Settings& aSettings)
+    : mSettings(aSettings)
+    , mControlClient(HttpClient::Create())
+    , mPlatform(aSettings.mPlatform, mControlClient.get())
+    , mGateway(aSettings, &BootClock::now)
+    , mWakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+  {
+  }
+
+  ~NodeImpl() override
+  {
+    RequestStop();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+    // Answers of calls in progress are posted to this object; end the calls first.
+    mCallers.reset();
+    mAdmin.reset();
+    mControlClient.reset();
+    ::close(mWakeFd);
+  }
+  NodeImpl(const NodeImpl&) = delete;
+  NodeImpl& operator=(const NodeImpl&) = delete;
+
+  Result<void> Open()
+  {
+    PeerLinkOptions link;
+    link.mAddress = mSettings.mPlace.mPeers;
+    auto opened = PeerLink::Open(link);
+    if (!opened.has_value()) {
+      return opened.error();
+    }
+    mLink = std::move(opened.value());
+    mController = std::make_unique<Controller>(mSettings, NewIncarnation(), MakeHooks());
+    auto admin = Listen(mSettings.mPlace.mAdmin,
+                        1,
+                        [this](HttpRequest aRequest, std::shared_ptr<Responder> aResponder) {
+                          OnAdmin(std::move(aRequest), std::move(aResponder));
+                        });
+    if (!admin.has_value()) {
+      return admin.error();
+    }
+    mAdmin = std::move(admin.value());
+    auto callers = Listen(mSettings.mPlace.mCallers,
+                          mSettings.mRequests.mThreads,
+                          [this](HttpRequest aRequest, std::shared_ptr<Responder> aResponder) {
+                            mGateway.Handle(std::move(aRequest), std::move(aResponder));
+                          });
+    if (!callers.has_value()) {
+      return callers.error();
+    }
+    mCallers = std::move(callers.value());
+    mThread = std::thread([this] { ControlLoop(); });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void RequestStop() override
+  {
+    mStopRequested = true;
+    WakeControl();
+  }
+
+  void Wait() override
+  {
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+private:
+  Result<std::unique_ptr<HttpServer>> Listen(const std::string& aAddress,
+                                             int aThreads,
+                                             HttpHandler aHandler) const
+  {
+    const auto endpoint = ParseEndpoint(aAddress);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    HttpServerOptions options;
+    options.mAddress = endpoint.value().mHost;
+    options.mPort = endpoint.value().mPort;
+    options.mThreads = aThreads;
+    options.mMaxBody = static_cast<std::size_t>(mSettings.mRequests.mMaxBody);
+    return HttpServer::Start(options, std::move(aHandler));
+  }
+
+  // ---- Towards the control thread ----
+
+  void WakeControl() const
+  {
+    const std::uint64_t one = 1;
+    (void)!::write(mWakeFd, &one, sizeof one);
+  }
+
+  void Post(std::function<void()> aTask)
+  {
+    {
+      const std::lock_guard lock(mTasksMutex);
+      mTasks.push_back(std::move(aTask));
+    }
+    WakeControl();
+  }
+
+  /// @return a callback that carries an answer to the control thread.
+  template<class Answer>
+  std::function<void(Answer)> Posted(std::function<void(Answer)> aDone)
+  {
+    return [this, done = std::move(aDone)](Answer aAnswer) {
+      Post([done, answer = std::move(aAnswer)]() mutable { done(std::move(answer)); });
+    };
+  }
+
+  ControllerHooks MakeHooks()
+  {
+    ControllerHooks hooks;
+    hooks.mNow = &BootClock::now;
+    hooks.mSend = [this](const std::string& aAddress, const proto::Envelope& aEnvelope) {
+      mLink->Send(aAddress, EncodeEnvelope(aEnvelope));
+    };
+    hooks.mAppend = [this](const std::vector<std::string>& aRecords,
+                           std::function<void(bool)> aDone) {
+      auto posted = Posted<bool>(std::move(aDone));
+      mPlatform.Append(
+        mSettings.mPlatform.mStream, aRecords, [posted](const Result<std::uint64_t>& aOffset) {
+          posted(aOffset.has_value());
+        });
+    };
+    hooks.mRead = [this](const LogRead& aRead,
+                         std::function<void(Result<proto::LogRecords>)> aDone) {
+      mPlatform.Read(
+        mSettings.mPlatform.mStream, aRead, Posted<Result<proto::LogRecords>>(std::move(aDone)));
+    };
+    hooks.mListHosts = [this](std::function<void(Result<std::vector<HostListing>>)> aDone) {
+      mPlatform.ListHosts(Posted<Result<std::vector<HostListing>>>(std::move(aDone)));
+    };
+    hooks.mProbe = [this](const std::string& aAddress,
+                          std::function<void(Result<proto::Evidence>)> aDone) {
+      mPlatform.Probe(aAddress,
+                      mSettings.mControl.mProbeTimeout,
+                      Posted<Result<proto::Evidence>>(std::move(aDone)));
+    };
+    hooks.mOrder =
+      [this](const HostOrder& aOrder, Duration aTimeout, std::function<void(Result<void>)> aDone) {
+        mPlatform.Order(aOrder, aTimeout, Posted<Result<void>>(std::move(aDone)));
+      };
+    hooks.mPublishView = [this](std::shared_ptr<const TrafficView> aView) {
+      mGateway.SetView(std::move(aView));
+    };
+    hooks.mTraffic = [this] { return mGateway.Report(); };
+    return hooks;
+  }
+
+  // ---- The control thread ----
+
+  void ControlLoop()
+  {
+    LogEvent("node.started",
+             { { "callers", mSettings.mPlace.mCallers }, { "admin", mSettings.mPlace.mAdmin } });
+    TimePoint nextTick = BootClock::now();
+    TimePoint stopAt = TimePoint::max();
+    while (!Stopped(&stopAt)) {
+      const TimePoint now = BootClock::now();
+      if (now >= nextTick) {
+        mController->Tick();
+        nextTick = now + mSettings.mControl.mTick;
+        AnswerDumpWaiters(now);
+      }
+      mLink->Poll(mWakeFd,
+                  std::max(nextTick - BootClock::now(), Duration::zero()) +
+                    std::chrono::milliseconds(1),
+                  [this](std::string_view aBytes) { mController->OnMessage(aBytes); });
+      RunTasks();
+    }
+    for (const auto& it : mDumpWaiters) {
+      it.mResponder->Send({ kOk, {}, mController->Dump() });
+    }
+    mDumpWaiters.clear();
+    LogEvent("node.stopped");
+  }
+
+  /// Readiness fails first and the balancer gets time; then accepted requests end.
+  bool Stopped(TimePoint* aStopAt)
+  {
+    if (!mStopRequested) {
+      return false;
+    }
+    const TimePoint now = BootClock::now();
+    if (*aStopAt == TimePoint::max()) {
+      mController->BeginStop();
+      *aStopAt = now + mSettings.mControl.mDrainGrace;
+      mStopLatest = now + mSettings.mControl.mDrainGrace + mSettings.mRequests.mLongestDeadline;
+    }
+    const bool idle = mGateway.Counters().mOpen.load() == 0;
+    const bool settled = !mController->HasRecordsWaiting() || now > *aStopAt + kLastAppends;
+    return (now >= *aStopAt && idle && settled) || now >= mStopLatest;
+  }
+
+  void RunTasks()
+  {
+    std::uint64_t count = 0;
+    (void)!::read(mWakeFd, &count, sizeof count);
+    std::deque<std::function<void()>> tasks;
+    {
+      const std::lock_guard lock(mTasksMutex);
+      tasks.swap(mTasks);
+    }
+    for (const auto& it : tasks) {
+      it();
+    }
+  }
+
+  void AnswerDumpWaiters(TimePoint aNow)
+  {
+    for (auto it = mDumpWaiters.begin(); it != mDumpWaiters.end();) {
+      if (mController->Revision() > it->mAfter || aNow >= it->mUntil) {
+        it->mResponder->Send({ kOk, {}, mController->Dump() });
+        it = mDumpWaiters.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  // ---- Operators ----
+
+  void OnAdmin(HttpRequest aRequest, std::shared_ptr<Responder> aResponder)
+  {
+    if (aRequest.mPath == "/healthz") {
+      aResponder->Send({ kOk, {}, R"({"alive":true})" });
+      return;
+    }
+    auto request = std::make_shared<HttpRequest>(std::move(aRequest));
+    Post([this, request, aResponder] { OnAdminControl(*request, aResponder); });
+  }
+
+  /// On the control thread, which owns what operators ask about.
+  void OnAdminControl(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    if (aRequest.mPath == "/dump") {
+      OnDump(aRequest, aResponder);
+    } else if (aRequest.mPath == "/metrics") {
+      HttpResponse response;
+      response.mContentType = "text/plain; version=0.0.4";
+      response.mBody = RenderMetrics(mController->Counters(),
+                                     mLink->Counters(),
+                                     mGateway.Counters(),
+                                     mController->HoldsLease(),
+                                     mController->Folded().Next(),
+                                     ThreadCpuSeconds());
+      aResponder->Send(std::move(response));
+    } else if (aRequest.mPath == "/publish" && aRequest.mMethod == "POST") {
+      OnPublish(aRequest, aResponder);
+    } else if (aRequest.mPath == "/stop-host" && aRequest.mMethod == "POST") {
+      OnStopHost(aRequest, aResponder);
+    } else {
+      aResponder->Send({ kNotFound, {}, R"({"error":"no such page; see docs/OPERATING.md"})" });
+    }
+  }
+
+  void OnDump(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    const auto after = FirstValue(aRequest.mQuery, "after");
+    if (!after) {
+      aResponder->Send({ kOk, {}, mController->Dump() });
+      return;
+    }
+    DumpWaiter waiter;
+    waiter.mAfter = std::strtoull(after->c_str(), nullptr, 10);
+    waiter.mUntil = BootClock::now() + kLongestDumpWait;
+    waiter.mResponder = aResponder;
+    mDumpWaiters.push_back(std::move(waiter));
+  }
+
+  void OnPublish(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    PublishFile file = ParsePublishFile("request", aRequest.mBody);
+    if (!file.mProblems.empty()) {
+      Json json;
+      for (const auto& it : file.mProblems) {
+        json["problems"].push_back(ToString(it));
+      }
+      aResponder->Send({ kBadRequest, {}, json.dump() });
+      return;
+    }
+    mController->Publish(std::move(file.mItems),
+                         [aResponder](const std::vector<PublishOutcome>& aOutcomes) {
+                           Json json = Json::array();
+                           for (const auto& it : aOutcomes) {
+                             json.push_back({ { "key", it.mKey },
+                                              { "outcome", it.mOutcome },
+                                              { "version", it.mVersion },
+                                              { "offset", it.mOffset },
+                                              { "reason", it.mReason } });
+                           }
+                           aResponder->Send({ kOk, {}, json.dump() });
+                         });
+  }
+
+  void OnStopHost(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    const std::string host = FirstValue(aRequest.mQuery, "host").value_or("");
+    mController->StopHost(host, [aResponder, host](const Result<void>& aDone) {
+      if (aDone.has_value()) {
+        aResponder->Send({ kOk, {}, Json{ { "host", host }, { "announced", true } }.dump() });
+        return;
+      }
+      const int status = aDone.error().mCode == Errc::kNotFound ? kNotFound : kUnavailable;
+      aResponder->Send({ status, {}, Json{ { "error", ToString(aDone.error()) } }.dump() });
+    });
+  }
+
+  Settings mSettings;
+  std::unique_ptr<HttpClient> mControlClient;
+  Platform mPlatform;
+  Gateway mGateway;
+  int mWakeFd;
+  std::unique_ptr<PeerLink> mLink;
+  std::unique_ptr<Controller> mController;
+  std::unique_ptr<HttpServer> mAdmin;
+  std::unique_ptr<HttpServer> mCallers;
+  std::thread mThread;
+  std::atomic<bool> mStopRequested{ false };
+  TimePoint mStopLatest = TimePoint::max();
+  std::mutex mTasksMutex;
+  std::deque<std::function<void()>> mTasks;
+  std::vector<DumpWaiter> mDumpWaiters;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Node>>
+Node::Start(const Settings& aSettings)
+{
+  auto node = std::make_unique<NodeImpl>(aSettings);
+  auto opened = node->Open();
+  if (!opened.has_value()) {
+    return opened.error();
+  }
+  return std::unique_ptr<Node>(std::move(node));
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/placement/planner.cpp
@@ -0,0 +1,719 @@
+#include "pepperbay/placement/planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace pepperbay {
+namespace {
+
+constexpr double kPermille = 1000.0;
+constexpr double kSecondsPerHour = 3600.0;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/// A member that its replica cannot count on.
+struct LostMember
+{
+  std::string mHost;
+  Duration mSilentFor{ 0 };
+  bool mProcessGone = false;
+};
+
+/// A live replica as this round sees it.
+struct ReplicaView
+{
+  std::string mName;
+  const proto::ReplicaState* mState = nullptr;
+  std::vector<LostMember> mLost;
+  bool mWhole = false;
+  bool mMustStop = false;
+  std::string mStopReason;
+
+  const proto::Assign& Assigned() const { return mState->assign(); }
+};
+
+/// A profile as this round sees it.
+struct ProfileView
+{
+  const proto::Profile* mProfile = nullptr;
+  std::size_t mFloor = 0;   ///< replicas that its share entitles it to
+  double mEntitled = 0;     ///< the same before rounding
+  std::size_t mLive = 0;    ///< replicas not closing
+  std::size_t mServing = 0; ///< whole and not closing
+  bool mRolling = false;    ///< some replica serves another version than wanted
+
+  double Deficit() const { return mEntitled - static_cast<double>(mLive); }
+};
+
+/// One round of planning.
+class Round
+{
+public:
+  Round(const PlanInput& aInput,
+        const PlannerOptions& aOptions,
+        std::map<std::string, TimePoint>& aSilentSince)
+    : mIn(aInput)
+    , mOptions(aOptions)
+    , mSilentSince(aSilentSince)
+  {
+  }
+
+  PlanOutcome Run()
+  {
+    SurveyHosts();
+    SurveyReplicas();
+    SurveyProfiles();
+    NoteFailedVersions();
+    StopAndRelease();
+    Repair();
+    Roll();
+    Grow();
+    MakeRoom();
+    for (const auto& [domain, hosts] : mFree) {
+      mOut.mSpares += static_cast<int>(hosts.size());
+    }
+    return std::move(mOut);
+  }
+
+private:
+  // ---- Looking ----
+
+  bool Silent(const std::string& aHost) const
+  {
+    const HostWord* word = mIn.mEvidence->Find(aHost);
+    return word == nullptr || mIn.mNow - word->mSaidNoEarlier > mOptions.mFreshness;
+  }
+
+  bool Refuses(const std::string& aHost) const
+  {
+    const HostWord* word = mIn.mEvidence->Find(aHost);
+    return word != nullptr && word->mEvidence.refused();
+  }
+
+  bool Draining(const std::string& aHost) const
+  {
+    const auto it = mIn.mState->Content().drains().find(aHost);
+    if (it == mIn.mState->Content().drains().end()) {
+      return false;
+    }
+    const HostWord* word = mIn.mEvidence->Find(aHost);
+    return word == nullptr || word->mEvidence.host_incarnation() <= it->second;
+  }
+
+  /// A host may be given to a replica when it answers, and has answered to this holder: what an
+  /// earlier holder did to it shows in that answer.
+  bool Usable(const HostView& aHost) const
+  {
+    const HostWord* word = mIn.mEvidence->Find(aHost.mHost);
+    return !aHost.mLeaving && !Draining(aHost.mHost) && !Silent(aHost.mHost) &&
+           !Refuses(aHost.mHost) && word->mSaidNoEarlier >= mIn.mHeldSince;
+  }
+
+  void SurveyHosts()
+  {
+    for (const auto& it : mIn.mHosts) {
+      mHosts[it.mHost] = &it;
+      if (!Silent(it.mHost)) {
+        mSilentSince.erase(it.mHost);
+      } else {
+        mSilentSince.emplace(it.mHost, mIn.mNow);
+      }
+      if (Usable(it)) {
+        ++mUsable;
+        if (mIn.mState->ReplicaOfHost(it.mHost) == nullptr) {
+          mFree[it.mDomain].push_back(it.mHost);
+        }
+      }
+    }
+  }
+
+  void SurveyReplicas()
+  {
+    for (const auto& [name, state] : mIn.mState->Content().replicas()) {
+      if (state.assign().scope() != mIn.mScope) {
+        continue;
+      }
+      ReplicaView view;
+      view.mName = name;
+      view.mState = &state;
+      Expected expected;
+      expected.mReplica = name;
+      expected.mGeneration = state.assign().generation();
+      expected.mModelVersion = state.assign().model_version();
+      for (const auto& member : state.assign().members()) {
+        expected.mHosts.push_back(member.host());
+        SurveyMember(member.host(), view);
+      }
+      const auto report = mIn.mEvidence->Judge(expected, mOptions.mFreshness, mIn.mNow);
+      view.mWhole = report.mWholeness == Wholeness::kWhole;
+      const proto::Profile* profile = mIn.mState->FindProfile(state.assign().profile());
+      if (profile == nullptr) {
+        view.mMustStop = true;
+        view.mStopReason = "its profile is gone";
+      } else if (profile->hosts_per_replica() !=
+                 static_cast<std::uint32_t>(state.assign().members_size())) {
+        view.mMustStop = true;
+        view.mStopReason = "its profile wants another size";
+      }
+      mReplicas.push_back(std::move(view));
+    }
+    std::sort(mReplicas.begin(), mReplicas.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mName < aRight.mName;
+    });
+  }
+
+  void SurveyMember(const std::string& aHost, ReplicaView& aView)
+  {
+    const auto listed = mHosts.find(aHost);
+    const bool leaving = listed != mHosts.end() && listed->second->mLeaving;
+    if (leaving || Draining(aHost)) {
+      aView.mMustStop = true;
+      aView.mStopReason = aHost + " is to stop";
+    }
+    if (Refuses(aHost)) {
+      aView.mLost.push_back({ aHost, Duration::zero(), true });
+      return;
+    }
+    if (!Silent(aHost)) {
+      mSilentSince.erase(aHost);
+      return;
+    }
+    const TimePoint since = mSilentSince.emplace(aHost, mIn.mNow).first->second;
+    aView.mLost.push_back({ aHost, mIn.mNow - since, false });
+  }
+
+  void SurveyProfiles()
+  {
+    for (const auto& [key, versioned] : mIn.mState->Content().documents()) {
+      if (!versioned.document().has_profile()) {
+        continue;
+      }
+      const proto::Profile& profile = versioned.document().profile();
+      ProfileView& view = mProfiles[profile.name()];
+      view.mProfile = &profile;
+      const double hosts = static_cast<double>(mUsable) * profile.share_permille() / kPermille;
+      view.mEntitled = hosts / profile.hosts_per_replica();
+      constexpr double kRounding = 1e-9;
+      view.mFloor = static_cast<std::size_t>(view.mEntitled + kRounding);
+      if (view.mFloor == 0 && profile.share_permille() > 0) {
+        view.mFloor = 1;
+      }
+    }
+    for (const auto& it : mReplicas) {
+      const auto profile = mProfiles.find(it.Assigned().profile());
+      if (profile == mProfiles.end() || it.mState->closing() || it.mMustStop) {
+        continue;
+      }
+      ++profile->second.mLive;
+      profile->second.mServing += it.mWhole ? 1 : 0;
+      if (it.Assigned().model_version() != WantedVersion(*profile->second.mProfile)) {
+        profile->second.mRolling = true;
+      }
+    }
+  }
+
+  // ---- Versions ----
+
+  bool VersionFailed(const proto::Profile& aProfile) const
+  {
+    const auto& failed = mIn.mState->Content().failed_versions();
+    const auto it = failed.find(aProfile.name());
+    return it != failed.end() && it->second == aProfile.model_version();
+  }
+
+  /// The version to give to a replica now: the published one, or the last good one when that failed
+  /// to load.
+  std::string WantedVersion(const proto::Profile& aProfile) const
+  {
+    if (!VersionFailed(aProfile)) {
+      return aProfile.model_version();
+    }
+    for (const auto& it : mReplicas) {
+      if (it.Assigned().profile() != aProfile.name()) {
+        continue;
+      }
+      if (it.Assigned().model_version() != aProfile.model_version()) {
+        return it.Assigned().model_version();
+      }
+      if (!it.mState->previous_version().empty()) {
+        return it.mState->previous_version();
+      }
+    }
+    return aProfile.model_version();
+  }
+
+  /// A host that cannot load the published version stops the roll for all: the next replica would
+  /// go dark the same way.
+  void NoteFailedVersions()
+  {
+    for (const auto& it : mReplicas) {
+      const auto profile = mProfiles.find(it.Assigned().profile());
+      if (profile == mProfiles.end()) {
+        continue;
+      }
+      const proto::Profile& wanted = *profile->second.mProfile;
+      const bool newest = it.Assigned().model_version() == wanted.model_version();
+      if (!newest || VersionFailed(wanted) || mNotedFailures.count(wanted.name()) > 0) {
+        continue;
+      }
+      for (const auto& member : it.Assigned().members()) {
+        const HostWord* word = mIn.mEvidence->Find(member.host());
+        const bool failed = word != nullptr && word->mEvidence.phase() == proto::PHASE_FAILED &&
+                            word->mEvidence.replica() == it.mName &&
+                            word->mEvidence.generation() == it.Assigned().generation() &&
+                            word->mEvidence.model_version() == wanted.model_version();
+        if (failed) {
+          auto& note = *NewRecord().mutable_version_failed();
+          note.set_scope(mIn.mScope);
+          note.set_fence(mIn.mFence);
+          note.set_profile(wanted.name());
+          note.set_model_version(wanted.model_version());
+          mNotedFailures.insert(wanted.name());
+          break;
+        }
+      }
+    }
+  }
+
+  // ---- Records ----
+
+  proto::Record& NewRecord() { return mOut.mRecords.emplace_back(); }
+
+  void Release(const ReplicaView& aReplica, bool aClosing)
+  {
+    auto& release = *NewRecord().mutable_release();
+    release.set_scope(mIn.mScope);
+    release.set_fence(mIn.mFence);
+    release.set_replica(aReplica.mName);
+    release.set_generation(aReplica.Assigned().generation());
+    release.set_closing(aClosing);
+    mTouched.insert(aReplica.mName);
+  }
+
+  void Assign(const std::string& aReplica,
+              const proto::Profile& aProfile,
+              const std::vector<proto::Member>& aMembers)
+  {
+    const auto& generations = mIn.mState->Content().generations();
+    const auto last = generations.find(aReplica);
+    auto& assign = *NewRecord().mutable_assign();
+    assign.set_scope(mIn.mScope);
+    assign.set_fence(mIn.mFence);
+    assign.set_replica(aReplica);
+    assign.set_generation((last == generations.end() ? 0 : last->second) + 1);
+    assign.set_profile(aProfile.name());
+    assign.set_model(aProfile.model());
+    assign.set_model_version(WantedVersion(aProfile));
+    for (const auto& it : aMembers) {
+      *assign.add_members() = it;
+    }
+    mTouched.insert(aReplica);
+  }
+
+  proto::Member MemberOf(const std::string& aHost) const
+  {
+    const HostView& view = *mHosts.at(aHost);
+    proto::Member member;
+    member.set_host(view.mHost);
+    member.set_domain(view.mDomain);
+    member.set_address(view.mAddress);
+    member.set_checks_fence(view.mChecksFence);
+    member.set_accelerators(view.mAccelerators);
+    return member;
+  }
+
+  // ---- Deciding ----
+
+  void StopAndRelease()
+  {
+    for (const auto& it : mReplicas) {
+      if (mTouched.count(it.mName) > 0) {
+        continue;
+      }
+      if (it.mMustStop && !it.mState->closing()) {
+        Release(it, true);
+        continue;
+      }
+      if (!it.mState->closing()) {
+        continue;
+      }
+      if (!mIn.mDrained(it.mName, it.Assigned().generation())) {
+        mOut.mWaiting[it.mName] = "closing: requests may be in progress";
+        continue;
+      }
+      const auto profile = mProfiles.find(it.Assigned().profile());
+      const bool again = !it.mMustStop && it.mLost.empty() && profile != mProfiles.end() &&
+                         it.Assigned().model_version() != WantedVersion(*profile->second.mProfile);
+      if (again) {
+        const auto& members = it.Assigned().members();
+        Assign(it.mName, *profile->second.mProfile, { members.begin(), members.end() });
+      } else {
+        Release(it, false);
+      }
+    }
+  }
+
+  /// Urgent profiles first, then those with least service.
+  std::vector<const ReplicaView*> Broken() const
+  {
+    std::vector<const ReplicaView*> broken;
+    for (const auto& it : mReplicas) {
+      const bool candidate = !it.mLost.empty() && !it.mState->closing() && !it.mMustStop &&
+                             mTouched.count(it.mName) == 0;
+      if (candidate) {
+        broken.push_back(&it);
+      }
+    }
+    std::stable_sort(broken.begin(), broken.end(), [this](const auto* aLeft, const auto* aRight) {
+      const ProfileView& left = mProfiles.at(aLeft->Assigned().profile());
+      const ProfileView& right = mProfiles.at(aRight->Assigned().profile());
+      if (left.mProfile->priority() != right.mProfile->priority()) {
+        return left.mProfile->priority() < right.mProfile->priority();
+      }
+      if (left.mServing != right.mServing) {
+        return left.mServing < right.mServing;
+      }
+      return aLeft->mLost.size() < aRight->mLost.size();
+    });
+    return broken;
+  }
+
+  void Repair()
+  {
+    const auto broken = Broken();
+    std::set<std::string> given;
+    for (std::size_t i = 0; i < broken.size(); ++i) {
+      const ReplicaView& replica = *broken[i];
+      if (given.count(replica.mName) > 0) {
+        continue;
+      }
+      const std::string& domain = replica.Assigned().members(0).domain();
+      const ReplicaView* donor = nullptr;
+      for (std::size_t j = broken.size(); j-- > i + 1;) {
+        const bool fits =
+          broken[j]->Assigned().members(0).domain() == domain &&
+          given.count(broken[j]->mName) == 0 &&
+          broken[j]->mLost.size() < static_cast<std::size_t>(broken[j]->Assigned().members_size());
+        if (fits) {
+          donor = broken[j];
+          break;
+        }
+      }
+      const RepairChoice choice = ChooseRepair(CaseOf(replica, donor != nullptr), mOptions);
+      Carry(replica, donor, choice, given);
+    }
+  }
+
+  RepairCase CaseOf(const ReplicaView& aReplica, bool aDonor)
+  {
+    RepairCase repair;
+    repair.mLost = aReplica.mLost.size();
+    repair.mSize = static_cast<std::size_t>(aReplica.Assigned().members_size());
+    repair.mAccelerators = aReplica.Assigned().members(0).accelerators();
+    for (const auto& it : aReplica.mLost) {
+      repair.mSilentFor = std::max(repair.mSilentFor, it.mSilentFor);
+      repair.mProcessGone = repair.mProcessGone || it.mProcessGone;
+    }
+    const std::string& domain = aReplica.Assigned().members(0).domain();
+    repair.mSparesInDomain = mFree[domain].size();
+    repair.mDonorInDomain = aDonor;
+    for (const auto& [name, hosts] : mFree) {
+      repair.mRoomElsewhere |= name != domain && hosts.size() >= repair.mSize;
+    }
+    return repair;
+  }
+
+  void Carry(const ReplicaView& aReplica,
+             const ReplicaView* aDonor,
+             RepairChoice aChoice,
+             std::set<std::string>& aGiven)
+  {
+    switch (aChoice) {
+      case RepairChoice::kWait:
+        mOut.mWaiting[aReplica.mName] = "waiting for " + aReplica.mLost.front().mHost;
+        return;
+      case RepairChoice::kUseSpares:
+        ReplaceLost(aReplica);
+        return;
+      case RepairChoice::kTakeFromAnother:
+        aGiven.insert(aDonor->mName);
+        Release(*aDonor, true);
+        mOut.mWaiting[aReplica.mName] = "takes hosts of " + aDonor->mName;
+        return;
+      case RepairChoice::kGiveUp:
+        Release(aReplica, true);
+        mOut.mWaiting[aReplica.mName] = "given up; another domain has room";
+        return;
+    }
+  }
+
+  void ReplaceLost(const ReplicaView& aReplica)
+  {
+    const std::string& domain = aReplica.Assigned().members(0).domain();
+    std::vector<proto::Member> members;
+    for (const auto& it : aReplica.Assigned().members()) {
+      const bool lost =
+        std::any_of(aReplica.mLost.begin(), aReplica.mLost.end(), [&](const LostMember& aLost) {
+          return aLost.mHost == it.host();
+        });
+      if (!lost) {
+        members.push_back(it);
+        continue;
+      }
+      members.push_back(MemberOf(mFree[domain].back()));
+      mFree[domain].pop_back();
+    }
+    Assign(aReplica.mName, *mProfiles.at(aReplica.Assigned().profile()).mProfile, members);
+  }
+
+  /// One replica of each profile at a time, and never below the profile's share.
+  void Roll()
+  {
+    for (auto& [name, view] : mProfiles) {
+      if (!view.mRolling) {
+        continue;
+      }
+      const ReplicaView* next = nullptr;
+      bool busy = false;
+      for (const auto& it : mReplicas) {
+        if (it.Assigned().profile() != name) {
+          continue;
+        }
+        const bool old = it.Assigned().model_version() != WantedVersion(*view.mProfile);
+        busy = busy || it.mState->closing() || (!old && !it.mWhole);
+        const bool better = next == nullptr || (next->mWhole && !it.mWhole);
+        if (old && !it.mState->closing() && mTouched.count(it.mName) == 0 && better) {
+          next = &it;
+        }
+      }
+      if (next == nullptr || (busy && next->mWhole)) {
+        continue;
+      }
+      const std::size_t after = view.mServing - (next->mWhole ? 1 : 0);
+      if (next->mWhole && after < view.mFloor) {
+        mOut.mWaiting[name] = "roll: no replica above its share of " + std::to_string(view.mFloor);
+        mSurge.insert(name);
+        continue;
+      }
+      Release(*next, true);
+      view.mServing = after;
+    }
+  }
+
+  double GrowthRank(const ProfileView& aView) const
+  {
+    constexpr double kFirstReplica = 1e6;
+    const double first = aView.mLive == 0 ? kFirstReplica - aView.mProfile->priority() : 0;
+    const double surge = mSurge.count(aView.mProfile->name()) > 0 ? 1.0 : 0.0;
+    return first + surge + aView.Deficit();
+  }
+
+  void Grow()
+  {
+    for (;;) {
+      ProfileView* best = nullptr;
+      for (auto& [name, view] : mProfiles) {
+        const bool wants = view.mProfile->share_permille() > 0 && DomainFor(view) != nullptr;
+        if (wants && (best == nullptr || GrowthRank(view) > GrowthRank(*best))) {
+          best = &view;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      Create(*best, *DomainFor(*best));
+    }
+    for (const auto& [name, view] : mProfiles) {
+      if (view.mLive < view.mFloor) {
+        mOut.mWaiting[name] = "has " + std::to_string(view.mLive) + " of " +
+                              std::to_string(view.mFloor) + " replicas: no domain has room";
+      }
+    }
+  }
+
+  /// The domain in which a new replica strands fewest hosts; null when none has room.
+  const std::string* DomainFor(const ProfileView& aView) const
+  {
+    const std::size_t size = aView.mProfile->hosts_per_replica();
+    const bool needed = aView.mLive < aView.mFloor || mSurge.count(aView.mProfile->name()) > 0;
+    const std::string* best = nullptr;
+    std::size_t bestLeft = 0;
+    for (const auto& [domain, hosts] : mFree) {
+      std::size_t keep = 0;
+      if (!needed) {
+        keep = SparesWorthKeeping(HostsInUse(domain), size, Accelerators(hosts), mOptions);
+      }
+      if (hosts.size() < size + keep) {
+        continue;
+      }
+      const std::size_t left = (hosts.size() - size) % size;
+      if (best == nullptr || left < bestLeft) {
+        best = &domain;
+        bestLeft = left;
+      }
+    }
+    return best;
+  }
+
+  std::uint32_t Accelerators(const std::vector<std::string>& aHosts) const
+  {
+    return aHosts.empty() ? 1 : mHosts.at(aHosts.front())->mAccelerators;
+  }
+
+  std::size_t HostsInUse(const std::string& aDomain) const
+  {
+    std::size_t n = 0;
+    for (const auto& it : mReplicas) {
+      const auto& assigned = it.Assigned();
+      if (assigned.members_size() > 0 && assigned.members(0).domain() == aDomain) {
+        n += static_cast<std::size_t>(assigned.members_size());
+      }
+    }
+    return n;
+  }
+
+  void Create(ProfileView& aView, const std::string& aDomain)
+  {
+    std::vector<std::string>& hosts = mFree[aDomain];
+    std::vector<proto::Member> members;
+    for (std::uint32_t i = 0; i < aView.mProfile->hosts_per_replica(); ++i) {
+      members.push_back(MemberOf(hosts.back()));
+      hosts.pop_back();
+    }
+    Assign(FreshName(*aView.mProfile), *aView.mProfile, members);
+    ++aView.mLive;
+    mSurge.erase(aView.mProfile->name());
+  }
+
+  std::string FreshName(const proto::Profile& aProfile) const
+  {
+    for (int i = 1;; ++i) {
+      std::string name = mIn.mScope + "/" + aProfile.name() + "-" + std::to_string(i);
+      const bool taken =
+        mIn.mState->Content().replicas().count(name) > 0 || mTouched.count(name) > 0;
+      if (!taken) {
+        return name;
+      }
+    }
+  }
+
+  /// Shares have changed: a profile above its share gives one replica up for one below it.
+  void MakeRoom()
+  {
+    for (const auto& it : mReplicas) {
+      if (it.mState->closing()) {
+        return; // hosts are on their way already
+      }
+    }
+    const ProfileView* needy = nullptr;
+    for (const auto& [name, view] : mProfiles) {
+      const bool lacks = view.mLive < view.mFloor || mSurge.count(name) > 0;
+      if (lacks && (needy == nullptr || GrowthRank(view) > GrowthRank(*needy))) {
+        needy = &view;
+      }
+    }
+    if (needy == nullptr || !mOut.mRecords.empty()) {
+      return;
+    }
+    const ReplicaView* give = nullptr;
+    double most = 0;
+    for (const auto& it : mReplicas) {
+      const auto owner = mProfiles.find(it.Assigned().profile());
+      const bool above = owner != mProfiles.end() && &owner->second != needy &&
+                         owner->second.mLive > owner->second.mFloor;
+      if (above &&
+          it.Assigned().members_size() >= static_cast<int>(needy->mProfile->hosts_per_replica())) {
+        const double surplus = -owner->second.Deficit();
+        if (give == nullptr || surplus > most) {
+          give = &it;
+          most = surplus;
+        }
+      }
+    }
+    if (give != nullptr) {
+      Release(*give, true);
+    }
+  }
+
+  const PlanInput& mIn;
+  const PlannerOptions& mOptions;
+  std::map<std::string, TimePoint>& mSilentSince;
+  PlanOutcome mOut;
+  std::map<std::string, const HostView*> mHosts;
+  std::map<std::string, std::vector<std::string>> mFree;
+  std::size_t mUsable = 0;
+  std::vector<ReplicaView> mReplicas;
+  std::map<std::string, ProfileView> mProfiles;
+  std::set<std::string> mTouched;
+  std::set<std::string> mNotedFailures;
+  std::set<std::string> mSurge;
+};
+
+} // namespace
+
+RepairChoice
+ChooseRepair(const RepairCase& aCase, const PlannerOptions& aOptions)
+{
+  // Per second in which the replica is not whole.
+  const double left = static_cast<double>(aCase.mSize - aCase.mLost) * aCase.mAccelerators;
+  const double perSecond = aOptions.mDowntimeWeight + aOptions.mStrandedWeight * left;
+  const double load = Seconds(aOptions.mLoadTime);
+  const double blipLeft = Seconds(aOptions.mBlip - aCase.mSilentFor);
+  const bool mayBeBlip = !aCase.mProcessGone && blipLeft > 0;
+  const double returns = mayBeBlip ? aOptions.mBlipShare : 0.0;
+  const double wait =
+    mayBeBlip ? blipLeft + (1.0 - returns) * load : Seconds(aCase.mSilentFor) + load;
+  const double costOfWait = perSecond * wait;
+  const double costOfLoad = perSecond * load;
+  if (aCase.mSparesInDomain >= aCase.mLost) {
+    return costOfLoad < costOfWait || aCase.mProcessGone ? RepairChoice::kUseSpares
+                                                         : RepairChoice::kWait;
+  }
+  if (mayBeBlip) {
+    return RepairChoice::kWait;
+  }
+  if (aCase.mDonorInDomain) {
+    return RepairChoice::kTakeFromAnother;
+  }
+  const bool longGone = aCase.mSilentFor > aOptions.mLoadTime || aCase.mLost == aCase.mSize;
+  return aCase.mRoomElsewhere && longGone ? RepairChoice::kGiveUp : RepairChoice::kWait;
+}
+
+std::size_t
+SparesWorthKeeping(std::size_t aHostsInUse,
+                   std::size_t aReplicaSize,
+                   std::uint32_t aAccelerators,
+                   const PlannerOptions& aOptions)
+{
+  // The n-th spare is used when n hosts of the domain are down together; with few failures that is
+  // near the n-th power of the mean number down.
+  const double meanDown =
+    static_cast<double>(aHostsInUse) * aOptions.mHostFailuresPerHour * aOptions.mHostRepairHours;
+  const double downtimePerHour = aOptions.mDowntimeWeight * kSecondsPerHour;
+  const double strandedPerHour = aOptions.mStrandedWeight * aAccelerators * kSecondsPerHour;
+  std::size_t worth = 0;
+  double chance = std::min(1.0, meanDown);
+  while (worth < aReplicaSize && chance * downtimePerHour > strandedPerHour) {
+    ++worth;
+    chance *= meanDown;
+  }
+  return worth;
+}
+
+Planner::Planner(PlannerOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+PlanOutcome
+Planner::Plan(const PlanInput& aInput)
+{
+  return Round(aInput, mOptions, mSilentSince).Run();
+}
+
+} // namespace pepperbay
