Planner: tests, a replay of failures against baselines, and four faults they found

Causes: (1) extra replicas were given by deficit counted in replicas, so profiles of single hosts ate the room of larger ones; (2) the first replica of an urgent profile could come after a less urgent one with a larger share; (3) a profile above its share in small replicas never made room for a large one; (4) loads ordered but not yet shown by the hosts were not counted, so more weight loads ran at once than allowed. Change: growth compares shares in hosts, spares the room of the largest size, closes several small replicas of one domain together, and counts unseen orders as loads.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -10,7 +10,7 @@
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp
                   TESTS membership_test.cpp USES base proto) # pure
 pepperbay_library(placement SOURCES planner.cpp orders.cpp
-                  USES state membership) # pure
+                  TESTS planner_test.cpp USES state membership) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   USES base) # pure
 pepperbay_library(routing SOURCES router.cpp USES base) # pure
@@ -48,3 +48,11 @@
   add_dependencies(${name}_test pepperbay pepperbay_fakes)
   set_tests_properties(${name}_test PROPERTIES TIMEOUT 600)
 endforeach()
+
+# Measurements; run by scripts/bench_*.sh, never by tests.
+add_executable(pepperbay_load bench/load.cpp)
+target_link_libraries(pepperbay_load PRIVATE pepperbay_http nlohmann_json::nlohmann_json absl::flags
+                      absl::flags_parse absl::strings pepperbay_warnings)
+add_executable(pepperbay_bench_placement bench/placement.cpp)
+target_link_libraries(pepperbay_bench_placement PRIVATE pepperbay_placement absl::flags
+                      absl::flags_parse pepperbay_warnings)
--- a/fakes/fake_wire.cpp
+++ b/fakes/fake_wire.cpp
@@ -72,8 +72,7 @@
 {
   sockaddr_in peer{};
   socklen_t size = sizeof peer;
-  const int from =
-    ::accept4(mListen, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
+  const int from = ::accept4(mListen, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
   if (from < 0) {
     return;
   }
@@ -132,8 +131,8 @@
       const Pair pair = mPairs[keys[i]];
       const bool fromReady = fds[1 + 2 * i].revents != 0;
       const bool toReady = fds[2 + 2 * i].revents != 0;
-      const bool over = (fromReady && !Pass(pair.mFrom, pair.mTo)) ||
-                        (toReady && !Pass(pair.mTo, pair.mFrom));
+      const bool over =
+        (fromReady && !Pass(pair.mFrom, pair.mTo)) || (toReady && !Pass(pair.mTo, pair.mFrom));
       if (over) {
         ::close(pair.mFrom);
         ::close(pair.mTo);
--- a/include/pepperbay/placement/planner.hpp
+++ b/include/pepperbay/placement/planner.hpp
@@ -27,8 +27,26 @@
   bool mLeaving = false; ///< announced by the platform or by an operator
 };
 
+/// What may be done about a replica with lost members.
+enum class RepairChoice
+{
+  kWait,
+  kUseSpares,
+  kTakeFromAnother,
+  kGiveUp,
+};
+
+struct RepairCase;
+struct PlannerOptions;
+
+/// How to judge one broken replica; see ChooseRepair().
+using RepairPolicy = std::function<RepairChoice(const RepairCase&, const PlannerOptions&)>;
+
 struct PlannerOptions
 {
+  RepairPolicy mRepair;   ///< ChooseRepair() when empty
+  bool mFirstFit = false; ///< take the first domain with room, for comparison
+
   double mDowntimeWeight = 2.0; ///< cost of a replica-second of downtime
   double mStrandedWeight = 1.0; ///< cost of an accelerator-second stranded
   Duration mBlip = std::chrono::seconds(5);
@@ -61,15 +79,6 @@
   int mSpares = 0;                             ///< usable hosts in no replica
 };
 
-/// What may be done about a replica with lost members.
-enum class RepairChoice
-{
-  kWait,
-  kUseSpares,
-  kTakeFromAnother,
-  kGiveUp,
-};
-
 /// The state of a replica that matters to its repair.
 struct RepairCase
 {
--- a/src/pepperbay/placement/orders.cpp
+++ b/src/pepperbay/placement/orders.cpp
@@ -89,7 +89,12 @@
     }
     const proto::ReplicaState* replica = aInput.mState->ReplicaOfHost(host.mHost);
     const bool settled = replica != nullptr && Matches(said, replica->assign());
-    if (said.phase() == proto::PHASE_LOADING) {
+    // An order shows in the host's word only later; until then it counts as a load under way, or
+    // the weight store would be asked for more at once than it can give.
+    const auto last = mOrderedAt.find(host.mHost);
+    const bool unseen = last != mOrderedAt.end() && word->mSaidNoEarlier <= last->second &&
+                        aInput.mNow - last->second < mOptions.mOrderTimeout;
+    if (said.phase() == proto::PHASE_LOADING || unseen) {
       ++loading;
     }
     if (settled || !MayOrder(host, *word, aInput)) {
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -46,8 +46,6 @@
   std::size_t mLive = 0;    ///< replicas not closing
   std::size_t mServing = 0; ///< whole and not closing
   bool mRolling = false;    ///< some replica serves another version than wanted
-
-  double Deficit() const { return mEntitled - static_cast<double>(mLive); }
 };
 
 /// One round of planning.
@@ -404,7 +402,9 @@
           break;
         }
       }
-      const RepairChoice choice = ChooseRepair(CaseOf(replica, donor != nullptr), mOptions);
+      const RepairCase repair = CaseOf(replica, donor != nullptr);
+      const RepairChoice choice =
+        mOptions.mRepair ? mOptions.mRepair(repair, mOptions) : ChooseRepair(repair, mOptions);
       Carry(replica, donor, choice, given);
     }
   }
@@ -505,12 +505,22 @@
     }
   }
 
+  /// Larger grows first: a first replica, then a roll that needs room, then whoever would be least
+  /// above its share. Shares are compared in hosts, since replicas differ in size.
+  static double GrowthRank(const ProfileView& aView, bool aSurge)
+  {
+    constexpr double kFirstReplica = 1e9;
+    constexpr double kPerPriority = 1e7;
+    constexpr double kSurge = 1e5;
+    const double first =
+      aView.mLive == 0 ? kFirstReplica - kPerPriority * aView.mProfile->priority() : 0;
+    const double after = static_cast<double>(aView.mLive + 1) / std::max(aView.mEntitled, 1e-9);
+    return first + (aSurge ? kSurge : 0.0) - after;
+  }
+
   double GrowthRank(const ProfileView& aView) const
   {
-    constexpr double kFirstReplica = 1e6;
-    const double first = aView.mLive == 0 ? kFirstReplica - aView.mProfile->priority() : 0;
-    const double surge = mSurge.count(aView.mProfile->name()) > 0 ? 1.0 : 0.0;
-    return first + surge + aView.Deficit();
+    return GrowthRank(aView, mSurge.count(aView.mProfile->name()) > 0);
   }
 
   void Grow()
@@ -536,30 +546,46 @@
     }
   }
 
-  /// The domain in which a new replica strands fewest hosts; null when none has room.
+  /// The domain in which a new replica takes least room from larger ones and strands fewest hosts;
+  /// null when none has room.
   const std::string* DomainFor(const ProfileView& aView) const
   {
     const std::size_t size = aView.mProfile->hosts_per_replica();
     const bool needed = aView.mLive < aView.mFloor || mSurge.count(aView.mProfile->name()) > 0;
+    const std::size_t largest = LargestSize();
     const std::string* best = nullptr;
-    std::size_t bestLeft = 0;
+    std::size_t bestCost = 0;
     for (const auto& [domain, hosts] : mFree) {
-      std::size_t keep = 0;
-      if (!needed) {
-        keep = SparesWorthKeeping(HostsInUse(domain), size, Accelerators(hosts), mOptions);
-      }
+      const std::size_t keep =
+        needed ? 0 : SparesWorthKeeping(HostsInUse(domain), size, Accelerators(hosts), mOptions);
       if (hosts.size() < size + keep) {
         continue;
       }
-      const std::size_t left = (hosts.size() - size) % size;
-      if (best == nullptr || left < bestLeft) {
+      if (mOptions.mFirstFit) {
+        return &domain;
+      }
+      const std::size_t left = hosts.size() - size;
+      const std::size_t lost = hosts.size() / largest - left / largest;
+      const std::size_t cost = lost * (largest + 1) + left % largest;
+      if (best == nullptr || cost < bestCost) {
         best = &domain;
-        bestLeft = left;
+        bestCost = cost;
       }
     }
     return best;
   }
 
+  std::size_t LargestSize() const
+  {
+    std::size_t largest = 1;
+    for (const auto& [name, view] : mProfiles) {
+      if (view.mProfile->share_permille() > 0) {
+        largest = std::max<std::size_t>(largest, view.mProfile->hosts_per_replica());
+      }
+    }
+    return largest;
+  }
+
   std::uint32_t Accelerators(const std::vector<std::string>& aHosts) const
   {
     return aHosts.empty() ? 1 : mHosts.at(aHosts.front())->mAccelerators;
@@ -620,23 +646,40 @@
     if (needy == nullptr || !mOut.mRecords.empty()) {
       return;
     }
-    const ReplicaView* give = nullptr;
-    double most = 0;
+    CloseSurplus(needy->mProfile->hosts_per_replica(), needy->mProfile->name());
+  }
+
+  /// Close the fewest replicas of profiles above their share that make one domain hold `aSize` free
+  /// hosts; small replicas make room for a large one together.
+  void CloseSurplus(std::size_t aSize, const std::string& aFor)
+  {
+    std::vector<const ReplicaView*> best;
+    std::set<std::string> domains;
     for (const auto& it : mReplicas) {
-      const auto owner = mProfiles.find(it.Assigned().profile());
-      const bool above = owner != mProfiles.end() && &owner->second != needy &&
-                         owner->second.mLive > owner->second.mFloor;
-      if (above &&
-          it.Assigned().members_size() >= static_cast<int>(needy->mProfile->hosts_per_replica())) {
-        const double surplus = -owner->second.Deficit();
-        if (give == nullptr || surplus > most) {
-          give = &it;
-          most = surplus;
+      domains.insert(it.Assigned().members(0).domain());
+    }
+    for (const auto& domain : domains) {
+      std::map<std::string, std::size_t> surplus;
+      for (const auto& [name, view] : mProfiles) {
+        surplus[name] = name != aFor && view.mLive > view.mFloor ? view.mLive - view.mFloor : 0;
+      }
+      std::size_t room = mFree[domain].size();
+      std::vector<const ReplicaView*> chosen;
+      for (const auto& it : mReplicas) {
+        const bool here = it.Assigned().members(0).domain() == domain;
+        if (room >= aSize || !here || surplus[it.Assigned().profile()] == 0) {
+          continue;
         }
+        --surplus[it.Assigned().profile()];
+        room += static_cast<std::size_t>(it.Assigned().members_size()) - it.mLost.size();
+        chosen.push_back(&it);
+      }
+      if (room >= aSize && (best.empty() || chosen.size() < best.size())) {
+        best = chosen;
       }
     }
-    if (give != nullptr) {
-      Release(*give, true);
+    for (const auto* it : best) {
+      Release(*it, true);
     }
   }
 
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -151,7 +151,8 @@
     EXPECT_TRUE(mWires.back()->Start(NodeIp(i), NodeIp(i), kPublicPeerPort, kPeerPort));
   }
   const auto until = std::chrono::steady_clock::now() + kGuard;
-  while (!Call("GET", "http://" + ip + ":" + std::to_string(kControlPort) + "/hosts").mOutcome.mOk) {
+  while (
+    !Call("GET", "http://" + ip + ":" + std::to_string(kControlPort) + "/hosts").mOutcome.mOk) {
     if (std::chrono::steady_clock::now() > until) {
       ADD_FAILURE() << "the stand-ins do not listen";
       return;
@@ -208,9 +209,10 @@
   for (int i = 0; i < Nodes(); ++i) {
     out << NodeIp(i) << ":" << kPublicPeerPort << ", ";
   }
-  out << "]\nplatform:\n  log: " << PlatformIp() << ":" << kLogPort
-      << "\n  hosts: " << PlatformIp() << ":" << kControlPort
-      << "\n  timeout: 300ms\n  read_wait: 200ms\n  read_every: 5ms\n  hosts_every: 100ms\n  snapshot_every: 40\n"
+  out << "]\nplatform:\n  log: " << PlatformIp() << ":" << kLogPort << "\n  hosts: " << PlatformIp()
+      << ":" << kControlPort
+      << "\n  timeout: 300ms\n  read_wait: 200ms\n  read_every: 5ms\n  hosts_every: 100ms\n  "
+         "snapshot_every: 40\n"
       << "control:\n  tick: 10ms\n  heartbeat: 50ms\n  suspect_after: 400ms\n  lapse_after: 1s\n"
       << "  lease: 1200ms\n  probe: 50ms\n  probe_timeout: 100ms\n  freshness: 500ms\n"
       << "  order_timeout: 200ms\n  drain_grace: 100ms\n"
@@ -278,9 +280,7 @@
 }
 
 Json
-Cluster::WaitFor(int aNode,
-                 const std::string& aWhat,
-                 const std::function<bool(const Json&)>& aIs)
+Cluster::WaitFor(int aNode, const std::string& aWhat, const std::function<bool(const Json&)>& aIs)
 {
   const auto until = std::chrono::steady_clock::now() + kGuard;
   const std::string url = "http://" + NodeIp(aNode) + ":" + std::to_string(kAdminPort) + "/dump";
@@ -383,11 +383,11 @@
                       { "max_tokens", aTokens },
                       { "messages", { { { "role", "user" }, { "content", prompt } } } } };
   Answer answer;
-  answer.mFetched = Call("POST",
-                         "http://" + NodeIp(aNode) + ":" + std::to_string(kCallerPort) +
-                           "/v1/chat/completions",
-                         body.dump(),
-                         { { "X-Customer", "school" } });
+  answer.mFetched =
+    Call("POST",
+         "http://" + NodeIp(aNode) + ":" + std::to_string(kCallerPort) + "/v1/chat/completions",
+         body.dump(),
+         { { "X-Customer", "school" } });
   answer.mRan = FirstValue(answer.mFetched.mResponse.mHeaders, "X-Ran").value_or("");
   // The stand-in's tokens are their number and a hash of the prompt: order and owner show.
   std::string expected;
@@ -433,15 +433,15 @@
   {
     for (int n = 0; !mStop; ++n) {
       const int node = n % mCluster.Nodes();
-      const Answer answer =
-        mCluster.Ask(node, mTokens, n % 3 != 0, "asker " + std::to_string(n));
+      const Answer answer = mCluster.Ask(node, mTokens, n % 3 != 0, "asker " + std::to_string(n));
       const std::lock_guard lock(mMutex);
       if (answer.mWhole) {
         ++mWhole;
         mChanged.notify_all();
         continue;
       }
-      const bool cleanEnd = answer.mFetched.mOutcome.mOk && answer.mFetched.mResponse.mStatus == 200;
+      const bool cleanEnd =
+        answer.mFetched.mOutcome.mOk && answer.mFetched.mResponse.mStatus == 200;
       const bool connected = answer.mFetched.mResponse.mStatus != 0;
       // A node that died gives no answer; an answer that is given is whole or says what it is.
       if (cleanEnd || (connected && answer.mFetched.mOutcome.mOk && answer.mRan.empty())) {
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -49,19 +49,19 @@
   int mNodesPerCentre = 3;
   int mDomains = 1;
   int mHostsPerDomain = 5;
-  int mUnchecked = 0;  ///< hosts of a domain that ignore fencing numbers
+  int mUnchecked = 0; ///< hosts of a domain that ignore fencing numbers
   int mTokenMs = 2;
   int mLoadMs = 50;
   int mSlots = 16;
   std::string mMoreSettings; ///< YAML under `requests:`, indented by two
-  std::string mProfiles; ///< what to publish; a default when empty
+  std::string mProfiles;     ///< what to publish; a default when empty
 };
 
 /// One answer to a caller.
 struct Answer
 {
   pepperbay::HttpFetched mFetched;
-  std::string mRan;   ///< of an answer that is no success
+  std::string mRan;    ///< of an answer that is no success
   bool mWhole = false; ///< complete, in order, and to this request's own prompt
 };
 
--- a/tests/control_faults_test.cpp
+++ b/tests/control_faults_test.cpp
@@ -147,9 +147,8 @@
 DarkDomain(Cluster& aCluster)
 {
   aCluster.Fault("domain:levis-d1", "dark");
-  aCluster.WaitForAll("the dark domain is out of routing", [](const Json& aDump) {
-    return HasWhole(aDump, 1) && !HasWhole(aDump, 2);
-  });
+  aCluster.WaitForAll("the dark domain is out of routing",
+                      [](const Json& aDump) { return HasWhole(aDump, 1) && !HasWhole(aDump, 2); });
   EXPECT_TRUE(aCluster.Ask(0).mWhole);
   aCluster.Fault("domain:levis-d1", "heal");
 }
@@ -181,9 +180,8 @@
 CutFromLog(Cluster& aCluster)
 {
   aCluster.CutLog(2, true);
-  aCluster.WaitFor(2, "log unreachable", [](const Json& aDump) {
-    return !aDump["log"]["reachable"].get<bool>();
-  });
+  aCluster.WaitFor(
+    2, "log unreachable", [](const Json& aDump) { return !aDump["log"]["reachable"].get<bool>(); });
   PublishAccepted(aCluster, 1, "via-peers"); // reaches the cut node through its peers
   EXPECT_TRUE(aCluster.Ask(2).mWhole);
   aCluster.CutLog(2, false);
@@ -232,9 +230,8 @@
 HangingLog(Cluster& aCluster)
 {
   aCluster.Fault("log", "hang");
-  aCluster.WaitForAll("log unreachable", [](const Json& aDump) {
-    return !aDump["log"]["reachable"].get<bool>();
-  });
+  aCluster.WaitForAll("log unreachable",
+                      [](const Json& aDump) { return !aDump["log"]["reachable"].get<bool>(); });
   EXPECT_TRUE(aCluster.Ask(1).mWhole);
   aCluster.Fault("log", "hang", "0");
 }
@@ -245,8 +242,7 @@
 {
   PublishAccepted(aCluster, 0, "raced");
   for (int version = 1; version <= 5; ++version) {
-    const std::string yaml = "customers:\n  - { name: raced, share: 0.0" +
-                             std::to_string(version) +
+    const std::string yaml = "customers:\n  - { name: raced, share: 0.0" + std::to_string(version) +
                              ", if_version: " + std::to_string(version) + " }\n";
     std::string bodies[2];
     std::thread other([&] { bodies[1] = aCluster.PublishYaml(1, yaml).mResponse.mBody; });
@@ -383,10 +379,9 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Table,
-                         ControlFaults,
-                         ::testing::ValuesIn(kFaults),
-                         [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+INSTANTIATE_TEST_SUITE_P(Table, ControlFaults, ::testing::ValuesIn(kFaults), [](const auto& aInfo) {
+  return std::string(aInfo.param.mName);
+});
 
 } // namespace
 } // namespace tests
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -63,7 +63,8 @@
   const auto file = [&](const char* aName, const char* aText) {
     return Write(cluster, aName, aText);
   };
-  const std::string stale = file("stale.yaml", "customers:\n  - { name: school, share: 0.1, if_version: 7 }\n");
+  const std::string stale =
+    file("stale.yaml", "customers:\n  - { name: school, share: 0.1, if_version: 7 }\n");
   const std::string tooMuch = file("much.yaml", "customers:\n  - { name: mill, share: 0.9 }\n");
   const std::string typo = file("typo.yaml", "customers:\n  - { name: mill, shar: 0.9 }\n");
   const std::string upper = file("upper.yaml", "customers:\n  - name: Mill\n    share: 0.1\n");
@@ -90,7 +91,8 @@
   for (const auto& it : cases) {
     const CommandResult result = RunCommand(cluster, it.mArguments);
     EXPECT_EQ(result.mCode, it.mCode) << it.mWhat << "\n" << result.mOutput;
-    EXPECT_NE(result.mOutput.find(it.mSays), std::string::npos) << it.mWhat << "\n" << result.mOutput;
+    EXPECT_NE(result.mOutput.find(it.mSays), std::string::npos) << it.mWhat << "\n"
+                                                                << result.mOutput;
   }
 }
 
@@ -103,7 +105,8 @@
   const char* mField;
 };
 
-/// Contract of the callers' interface: every mistake gets a 4xx that names the field, and "ran: no".
+/// Contract of the callers' interface: every mistake gets a 4xx that names the field, and "ran:
+/// no".
 TEST(CallersInterface, BadInputNamesTheField)
 {
   Cluster cluster(SmallCluster());
@@ -116,7 +119,11 @@
     { "no model", R"({"messages":[]})", { school }, 400, "model" },
     { "no messages", R"({"model":"checklist","messages":[]})", { school }, 400, "messages" },
     { "odd message", R"({"model":"checklist","messages":[7]})", { school }, 400, "messages" },
-    { "odd stream", R"({"model":"checklist","messages":[{"role":"u"}],"stream":1})", { school }, 400, "stream" },
+    { "odd stream",
+      R"({"model":"checklist","messages":[{"role":"u"}],"stream":1})",
+      { school },
+      400,
+      "stream" },
     { "unknown profile", R"({"model":"x","messages":[{"role":"u"}]})", { school }, 404, "model" },
     { "no customer", good, {}, 400, "X-Customer" },
     { "unknown customer", good, { { "X-Customer", "nobody" } }, 403, "X-Customer" },
@@ -125,7 +132,11 @@
     { "negative deadline", good, { school, { "X-Deadline-Ms", "-1" } }, 400, "X-Deadline-Ms" },
     { "odd priority", good, { school, { "X-Priority", "10" } }, 400, "X-Priority" },
     { "odd flag", good, { school, { "X-Unrepeatable", "maybe" } }, 400, "X-Unrepeatable" },
-    { "long key", good, { school, { "Idempotency-Key", std::string(300, 'k') } }, 400, "Idempotency-Key" },
+    { "long key",
+      good,
+      { school, { "Idempotency-Key", std::string(300, 'k') } },
+      400,
+      "Idempotency-Key" },
     { "oversized", std::string(2U << 20U, ' '), { school }, 413, "body" },
   };
   const std::string url = "http://" + cluster.NodeIp(0) + ":8080/v1/chat/completions";
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -38,12 +38,9 @@
   Cluster cluster(Options());
   cluster.StartAndPublish();
   const std::vector<ServiceCase> cases = {
-    { "none", true, 200, "", 1, 1 },
-    { "cut_before", true, 502, "unknown", 1, 1 },
-    { "half", true, 502, "unknown", 1, 1 },
-    { "refuse", true, 503, "no", 0, 0 },
-    { "none", false, 200, "", 1, 1 },
-    { "cut_before", false, 502, "unknown", 1, 4 },
+    { "none", true, 200, "", 1, 1 },        { "cut_before", true, 502, "unknown", 1, 1 },
+    { "half", true, 502, "unknown", 1, 1 }, { "refuse", true, 503, "no", 0, 0 },
+    { "none", false, 200, "", 1, 1 },       { "cut_before", false, 502, "unknown", 1, 4 },
     { "refuse", false, 503, "no", 0, 0 },
   };
   int number = 0;
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -87,7 +87,8 @@
   cluster.StartAndPublish();
   cluster.WaitForAll("two replicas", [](const Json& aDump) { return HasWhole(aDump, 2); });
   cluster.Fault("log", "out");
-  cluster.WaitForAll("log out", [](const Json& aDump) { return !aDump["log"]["reachable"].get<bool>(); });
+  cluster.WaitForAll("log out",
+                     [](const Json& aDump) { return !aDump["log"]["reachable"].get<bool>(); });
   const std::string host = SomeMember(cluster.Dump(0));
   EXPECT_EQ(StopHost(cluster, 0, host).mResponse.mStatus, 200);
   cluster.WaitForAll("closed on every node", [&](const Json& aDump) {
@@ -139,7 +140,8 @@
   }
   EXPECT_EQ(StopHost(cluster, holder, host).mResponse.mStatus, 200);
   cluster.WaitFor(holder, "waits for the cut node", [&](const Json& aDump) {
-    return aDump["holder"]["waiting"].dump().find("requests may be in progress") != std::string::npos;
+    return aDump["holder"]["waiting"].dump().find("requests may be in progress") !=
+           std::string::npos;
   });
   for (auto& it : answers) {
     EXPECT_TRUE(it.get().mWhole);
@@ -168,7 +170,8 @@
     return false;
   });
   cluster.Node(0).Signal(SIGTERM);
-  cluster.WaitFor(1, "readiness fails first", [](const Json& aDump) { return aDump["ready"].get<bool>(); });
+  cluster.WaitFor(
+    1, "readiness fails first", [](const Json& aDump) { return aDump["ready"].get<bool>(); });
   EXPECT_TRUE(answer.get().mWhole);
   EXPECT_EQ(cluster.Node(0).Wait(), 0);
 }
@@ -219,7 +222,8 @@
   cluster.WaitForAll("the version is known to fail", [](const Json& aDump) {
     return aDump["failed_versions"].value("checklist", "") == "bad";
   });
-  cluster.WaitForAll("all serve the old version", [](const Json& aDump) { return AllServe(aDump, "1"); });
+  cluster.WaitForAll("all serve the old version",
+                     [](const Json& aDump) { return AllServe(aDump, "1"); });
   asker.WaitWhole(5);
   EXPECT_EQ(asker.Stop(), "");
   // A good version afterwards rolls as usual.
