Planner counts hosts in use within the round, so that spares are kept from the first fill

Cause: SparesWorthKeeping() was asked with the hosts of replicas that stood before the round, none at the first fill; with downtime weighed high no host was kept. Ruled out: the repair policy itself, by its table. Change: count usable hosts less free ones; a test that failed first.

--- a/include/pepperbay/http/client.hpp
+++ b/include/pepperbay/http/client.hpp
@@ -61,6 +61,14 @@
   std::string mSource;       ///< IP number to connect from; empty lets the system choose
 };
 
+/// Bytes of requests and answers, headers included, of all calls that have ended.
+struct HttpClientCounters
+{
+  std::uint64_t mCalls = 0;
+  std::uint64_t mSentBytes = 0;
+  std::uint64_t mReceivedBytes = 0;
+};
+
 class HttpClient
 {
 public:
@@ -73,6 +81,8 @@
   /// Give a call up; mOnDone still comes, with kCancelled, unless it came before.
   virtual void Cancel(std::uint64_t aId) = 0;
 
+  virtual HttpClientCounters Counters() const = 0;
+
   /// Begin a call and have its whole answer delivered to `aDone`, on the client's thread.
   void Fetch(HttpCall aCall, std::function<void(HttpFetched)> aDone);
 
--- a/include/pepperbay/node/metrics.hpp
+++ b/include/pepperbay/node/metrics.hpp
@@ -17,6 +17,7 @@
               const GatewayCounters& aGateway,
               bool aHoldsLease,
               std::uint64_t aApplied,
+              const HttpClientCounters& aControlHttp,
               double aControlCpuSeconds);
 
 } // namespace pepperbay
--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -136,9 +136,15 @@
     curl_multi_wakeup(mMulti);
   }
 
+  HttpClientCounters Counters() const override
+  {
+    return { mCalls.load(), mSentBytes.load(), mReceivedBytes.load() };
+  }
+
 private:
   void Run()
   {
+    pthread_setname_np(pthread_self(), "http-client");
     while (!mStop) {
       TakeCommands();
       int running = 0;
@@ -243,6 +249,7 @@
     const std::unique_ptr<Transfer> transfer = std::move(it->second);
     mActive.erase(it);
     const HttpOutcome outcome = Judge(*transfer, aCode, aCancelled);
+    CountBytes(*transfer);
     if (outcome.mOk) {
       ReportHead(*transfer);
     }
@@ -254,6 +261,19 @@
     }
   }
 
+  void CountBytes(const Transfer& aTransfer)
+  {
+    long head = 0;
+    long answerHead = 0;
+    curl_off_t answer = 0;
+    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_REQUEST_SIZE, &head);
+    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_HEADER_SIZE, &answerHead);
+    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_SIZE_DOWNLOAD_T, &answer);
+    ++mCalls;
+    mSentBytes += static_cast<std::uint64_t>(head) + aTransfer.mCall.mBody.size();
+    mReceivedBytes += static_cast<std::uint64_t>(answerHead) + static_cast<std::uint64_t>(answer);
+  }
+
   static HttpOutcome Judge(const Transfer& aTransfer, CURLcode aCode, bool aCancelled)
   {
     HttpOutcome outcome;
@@ -285,6 +305,9 @@
   CURLM* mMulti = nullptr;
   std::thread mThread;
   std::atomic<bool> mStop{ false };
+  std::atomic<std::uint64_t> mCalls{ 0 };
+  std::atomic<std::uint64_t> mSentBytes{ 0 };
+  std::atomic<std::uint64_t> mReceivedBytes{ 0 };
   std::mutex mMutex;
   std::uint64_t mLastId = 0;
   std::vector<std::unique_ptr<Transfer>> mNew;
--- a/src/pepperbay/node/metrics.cpp
+++ b/src/pepperbay/node/metrics.cpp
@@ -96,6 +96,7 @@
               const GatewayCounters& aGateway,
               bool aHoldsLease,
               std::uint64_t aApplied,
+              const HttpClientCounters& aControlHttp,
               double aControlCpuSeconds)
 {
   Page page;
@@ -118,6 +119,15 @@
   page.Counter("peer_messages_unsent_total",
                "Messages dropped for a peer that is away",
                static_cast<double>(aLink.mDropped));
+  page.Counter("control_calls_total",
+               "Calls to the platform and hosts",
+               static_cast<double>(aControlHttp.mCalls));
+  page.Counter("control_call_bytes_sent_total",
+               "Bytes sent in them",
+               static_cast<double>(aControlHttp.mSentBytes));
+  page.Counter("control_call_bytes_received_total",
+               "Bytes received in them",
+               static_cast<double>(aControlHttp.mReceivedBytes));
   page.Counter("control_cpu_seconds_total", "Processor time of control", aControlCpuSeconds);
   page.Gauge("applied_offset", "Next offset of the control stream", static_cast<double>(aApplied));
   page.Gauge("holds_lease", "1 while this node holds the control lease", aHoldsLease ? 1 : 0);
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -217,6 +217,7 @@
 
   void ControlLoop()
   {
+    pthread_setname_np(pthread_self(), "control");
     LogEvent("node.started",
              { { "callers", mSettings.mPlace.mCallers }, { "admin", mSettings.mPlace.mAdmin } });
     TimePoint nextTick = BootClock::now();
@@ -309,6 +310,7 @@
                                      mGateway.Counters(),
                                      mController->HoldsLease(),
                                      mController->Folded().Next(),
+                                     mControlClient->Counters(),
                                      ThreadCpuSeconds());
       aResponder->Send(std::move(response));
     } else if (aRequest.mPath == "/publish" && aRequest.mMethod == "POST") {
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -123,6 +123,7 @@
       }
       if (Usable(it)) {
         ++mUsable;
+        ++mUsableIn[it.mDomain];
         if (mIn.mState->ReplicaOfHost(it.mHost) == nullptr) {
           mFree[it.mDomain].push_back(it.mHost);
         }
@@ -591,16 +592,13 @@
     return aHosts.empty() ? 1 : mHosts.at(aHosts.front())->mAccelerators;
   }
 
+  /// Hosts of a domain that are, or in this round become, members of replicas.
   std::size_t HostsInUse(const std::string& aDomain) const
   {
-    std::size_t n = 0;
-    for (const auto& it : mReplicas) {
-      const auto& assigned = it.Assigned();
-      if (assigned.members_size() > 0 && assigned.members(0).domain() == aDomain) {
-        n += static_cast<std::size_t>(assigned.members_size());
-      }
-    }
-    return n;
+    const auto usable = mUsableIn.find(aDomain);
+    const auto free = mFree.find(aDomain);
+    return (usable == mUsableIn.end() ? 0 : usable->second) -
+           (free == mFree.end() ? 0 : free->second.size());
   }
 
   void Create(ProfileView& aView, const std::string& aDomain)
@@ -690,6 +688,7 @@
   std::map<std::string, const HostView*> mHosts;
   std::map<std::string, std::vector<std::string>> mFree;
   std::size_t mUsable = 0;
+  std::map<std::string, std::size_t> mUsableIn; ///< by fabric domain
   std::vector<ReplicaView> mReplicas;
   std::map<std::string, ProfileView> mProfiles;
   std::set<std::string> mTouched;
--- a/src/pepperbay/placement/planner_test.cpp
+++ b/src/pepperbay/placement/planner_test.cpp
@@ -160,6 +160,21 @@
   EXPECT_EQ(model.Round().mSpares, 0);
 }
 
+/// Symptom: with downtime weighed high, no host is kept for repairs all the same.
+/// Cause: counting only hosts of replicas that stood before the round, of which there are none when
+/// a data centre is first filled.
+TEST(Planner, KeepsASpareFromTheFirstRoundWhenDowntimeIsDear)
+{
+  Model model(1, 8);
+  PlannerOptions options;
+  options.mDowntimeWeight = 10000;
+  model.mPlanner = Planner(options);
+  model.Profile("p", 4, 500, 5);
+  model.Rounds(4);
+  EXPECT_EQ(model.Whole("p"), 1) << "what its share entitles it to";
+  EXPECT_EQ(model.Round().mSpares, 4);
+}
+
 TEST(Planner, UrgentProfilesGetTheirFirstReplicaFirst)
 {
   Model model(1, 4);
