At most once: keys are claimed in partitioned streams of the log before dispatch

Cause: an unrepeatable request with a key could be sent again by its caller after a lost answer. Change: the node that took it asks the owner of the key's partition, which batches claims into one append; the stream's first claim wins, on whichever node. Keys belong to their customer. Found by its own property over arbitrary bytes: keys that are no UTF-8 made records that cannot be read back.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -14,14 +14,15 @@
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   USES base) # pure
 pepperbay_library(routing SOURCES router.cpp USES base) # pure
-pepperbay_library(dispatch SOURCES attempt.cpp TESTS attempt_test.cpp USES routing admission) # pure
+pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp TESTS attempt_test.cpp USES routing admission proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp USES base proto
                   PACKAGES cppzmq)
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
-pepperbay_library(node SOURCES host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp
+pepperbay_library(node SOURCES claim_desk.cpp host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp
                   dump.cpp platform.cpp publish_file.cpp gateway.cpp job.cpp node.cpp log.cpp metrics.cpp
                  
+                  TESTS claim_desk_test.cpp
                   USES settings journal state lease membership placement admission routing dispatch
                        wire http
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core PkgConfig::LOG4)
--- a/include/pepperbay/node/controller.hpp
+++ b/include/pepperbay/node/controller.hpp
@@ -39,6 +39,14 @@
   std::function<void(const std::string& aAddress, std::function<void(Result<proto::Evidence>)>)>
     mProbe;
   std::function<void(const HostOrder&, Duration, std::function<void(Result<void>)>)> mOrder;
+  /// The same for the claims streams.
+  std::function<void(const std::string& aStream,
+                     std::vector<std::string>,
+                     std::function<void(Result<std::uint64_t> aFirstOffset)>)>
+    mAppendClaims;
+  std::function<
+    void(const std::string& aStream, LogRead, std::function<void(Result<proto::LogRecords>)>)>
+    mReadClaims;
   std::function<void(std::shared_ptr<const TrafficView>)> mPublishView;
   std::function<TrafficReport()> mTraffic;
 };
@@ -96,6 +104,18 @@
   /// takes requests can have missed it.
   void StopHost(const std::string& aHost, std::function<void(Result<void>)> aDone);
 
+  /// Claim an idempotency key before its request is dispatched; see ClaimDesk.
+  void Claim(const std::string& aKey,
+             const std::string& aClaimId,
+             Duration aPatience,
+             std::function<void(const proto::ClaimAnswer&)> aDone);
+  /// Keep the answer of a claim that won.
+  void ReportAnswer(const std::string& aKey,
+                    const std::string& aClaimId,
+                    proto::KeptAnswer aAnswer);
+  /// A claim that won was not carried out, with proof.
+  void AbandonClaim(const std::string& aKey, const std::string& aClaimId);
+
   /// Fail readiness; give the lease back; tell the peers.
   void BeginStop();
 
--- a/include/pepperbay/node/gateway.hpp
+++ b/include/pepperbay/node/gateway.hpp
@@ -13,7 +13,9 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <pepperbay.pb.h>
 
 namespace pepperbay {
 
@@ -22,10 +24,11 @@
 {
   std::atomic<std::uint64_t> mRequests{ 0 };
   std::atomic<std::uint64_t> mCompleted{ 0 };
-  std::atomic<std::uint64_t> mInvalid{ 0 }; ///< answered 4xx for bad input
-  std::atomic<std::uint64_t> mRefused{ 0 }; ///< answered "not run" with when to come back
-  std::atomic<std::uint64_t> mFailed{ 0 };  ///< accepted and not answered whole
-  std::atomic<std::uint64_t> mUnknown{ 0 }; ///< of the failed, those that may have run
+  std::atomic<std::uint64_t> mInvalid{ 0 };  ///< answered 4xx for bad input
+  std::atomic<std::uint64_t> mRefused{ 0 };  ///< answered "not run" with when to come back
+  std::atomic<std::uint64_t> mFailed{ 0 };   ///< accepted and not answered whole
+  std::atomic<std::uint64_t> mUnknown{ 0 };  ///< of the failed, those that may have run
+  std::atomic<std::uint64_t> mReplayed{ 0 }; ///< answered from the claim of their key
   std::atomic<std::uint64_t> mCallerGone{ 0 };
   std::atomic<std::uint64_t> mAttempts{ 0 };
   std::atomic<std::uint64_t> mRetries{ 0 };
@@ -37,10 +40,25 @@
   std::atomic<std::uint64_t> mOpen{ 0 };    ///< accepted and not yet answered
 };
 
+/// Claims of idempotency keys, carried to the control thread and back. The answer of a claim comes
+/// on any thread, never within the call.
+struct ClaimHooks
+{
+  std::function<void(const std::string& aKey,
+                     const std::string& aClaimId,
+                     Duration aPatience,
+                     std::function<void(const proto::ClaimAnswer&)> aDone)>
+    mClaim;
+  std::function<
+    void(const std::string& aKey, const std::string& aClaimId, const proto::KeptAnswer& aAnswer)>
+    mReport;
+  std::function<void(const std::string& aKey, const std::string& aClaimId)> mAbandon;
+};
+
 class Gateway
 {
 public:
-  Gateway(const Settings& aSettings, NowFn aNow);
+  Gateway(const Settings& aSettings, NowFn aNow, ClaimHooks aClaims);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
--- a/include/pepperbay/node/platform.hpp
+++ b/include/pepperbay/node/platform.hpp
@@ -26,8 +26,10 @@
   void Append(const std::string& aStream,
               const std::vector<std::string>& aRecords,
               std::function<void(Result<std::uint64_t> aFirstOffset)> aDone);
+  /// @param aWait how long the log may hold the read when there is nothing new
   void Read(const std::string& aStream,
             const LogRead& aRead,
+            Duration aWait,
             std::function<void(Result<proto::LogRecords>)> aDone);
   void ListHosts(std::function<void(Result<std::vector<HostListing>>)> aDone);
   void Probe(const std::string& aAddress,
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <functional>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -71,6 +72,7 @@
     return kExitBadInput;
   }
   StartLogging(report.mSettings.mPlace.mName);
+  google::protobuf::SetLogHandler(nullptr); // what cannot be read is counted by reason instead
   auto node = Node::Start(report.mSettings);
   if (!node.has_value()) {
     std::cerr << ToString(node.error()) << "\n";
--- /dev/null
+++ b/src/pepperbay/node/claim_desk.cpp
@@ -0,0 +1,321 @@
+#include "claim_desk.hpp"
+
+namespace pepperbay {
+namespace {
+
+constexpr std::size_t kMaxBatch = 256;
+constexpr std::size_t kMaxRead = 1024;
+constexpr Duration kAfterFailure = std::chrono::milliseconds(200);
+
+proto::ClaimRecord
+MakeClaimRecord(proto::ClaimRecord::Kind aKind,
+                const std::string& aKey,
+                const std::string& aClaimId)
+{
+  proto::ClaimRecord record;
+  record.set_kind(aKind);
+  record.set_key(aKey);
+  record.set_claim_id(aClaimId);
+  return record;
+}
+
+proto::ClaimAnswer
+Unavailable(const std::string& aClaimId)
+{
+  proto::ClaimAnswer answer;
+  answer.set_claim_id(aClaimId);
+  answer.set_verdict(proto::ClaimAnswer::UNAVAILABLE);
+  return answer;
+}
+
+} // namespace
+
+ClaimDesk::ClaimDesk(ClaimDeskOptions aOptions, ClaimDeskHooks aHooks)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+{
+}
+
+std::string
+ClaimDesk::StreamOf(std::uint32_t aPartition) const
+{
+  return mOptions.mStreamPrefix + "-" + std::to_string(aPartition);
+}
+
+std::size_t
+ClaimDesk::Keys() const
+{
+  std::size_t n = 0;
+  for (const auto& [number, partition] : mPartitions) {
+    n += partition.mFold.Keys();
+  }
+  return n;
+}
+
+// ---- The node that took the request ----
+
+void
+ClaimDesk::Claim(const std::string& aKey,
+                 const std::string& aClaimId,
+                 Duration aPatience,
+                 Done aDone)
+{
+  mPending[aClaimId] = { aKey, mHooks.mNow() + aPatience, std::move(aDone) };
+  ToOwner(MakeClaimRecord(proto::ClaimRecord::CLAIM, aKey, aClaimId));
+}
+
+void
+ClaimDesk::Report(const std::string& aKey, const std::string& aClaimId, proto::KeptAnswer aAnswer)
+{
+  proto::ClaimRecord record = MakeClaimRecord(proto::ClaimRecord::ANSWER, aKey, aClaimId);
+  if (aAnswer.body().size() > kMaxKeptAnswer) {
+    aAnswer.clear_body();
+    aAnswer.set_body_left_out(true);
+  }
+  *record.mutable_answer() = std::move(aAnswer);
+  ToOwner(std::move(record));
+}
+
+void
+ClaimDesk::Abandon(const std::string& aKey, const std::string& aClaimId)
+{
+  ToOwner(MakeClaimRecord(proto::ClaimRecord::ABANDON, aKey, aClaimId));
+}
+
+void
+ClaimDesk::ToOwner(proto::ClaimRecord aRecord)
+{
+  const std::string owner = mHooks.mOwner(PartitionOf(aRecord.key(), mOptions.mPartitions));
+  if (owner == mOptions.mSelf) {
+    Take(mOptions.mSelf, aRecord);
+    return;
+  }
+  proto::Envelope envelope;
+  *envelope.mutable_claim_ask()->mutable_record() = std::move(aRecord);
+  mHooks.mSend(owner, std::move(envelope));
+}
+
+void
+ClaimDesk::OnAnswer(const proto::ClaimAnswer& aAnswer)
+{
+  const auto it = mPending.find(aAnswer.claim_id());
+  if (it == mPending.end()) {
+    return; // given up before; whatever it says, the request was answered "not run"
+  }
+  const Done done = std::move(it->second.mDone);
+  mPending.erase(it);
+  done(aAnswer);
+}
+
+// ---- The owner of a partition ----
+
+void
+ClaimDesk::OnAsk(const std::string& aFrom, const proto::ClaimAsk& aAsk)
+{
+  if (!aAsk.record().key().empty() && !aAsk.record().claim_id().empty()) {
+    Take(aFrom, aAsk.record());
+  }
+}
+
+void
+ClaimDesk::Take(const std::string& aFrom, const proto::ClaimRecord& aRecord)
+{
+  const std::uint32_t number = PartitionOf(aRecord.key(), mOptions.mPartitions);
+  Partition& partition = mPartitions[number];
+  if (aRecord.kind() != proto::ClaimRecord::CLAIM) {
+    partition.mWaiting.push_back(aRecord);
+    return;
+  }
+  if (partition.mFold.Keys() >= mOptions.mMostKeys) {
+    Reply(aFrom, Unavailable(aRecord.claim_id()));
+    return;
+  }
+  partition.mAskers[aRecord.claim_id()] = { aFrom, aRecord.key() };
+  // A key that is known to be taken needs no append.
+  if (partition.mCaughtUp &&
+      partition.mFold.Judge(aRecord.key(), aRecord.claim_id()).mStanding != ClaimStanding::kUnknown) {
+    Settle(partition);
+    return;
+  }
+  partition.mWaiting.push_back(aRecord);
+}
+
+void
+ClaimDesk::Reply(const std::string& aNode, const proto::ClaimAnswer& aAnswer)
+{
+  if (aNode == mOptions.mSelf) {
+    OnAnswer(aAnswer);
+    return;
+  }
+  proto::Envelope envelope;
+  *envelope.mutable_claim_answer() = aAnswer;
+  mHooks.mSend(aNode, std::move(envelope));
+}
+
+proto::ClaimAnswer
+ClaimDesk::AnswerOf(const std::string& aClaimId, const ClaimVerdict& aVerdict)
+{
+  proto::ClaimAnswer answer;
+  answer.set_claim_id(aClaimId);
+  switch (aVerdict.mStanding) {
+    case ClaimStanding::kUnknown:
+      break;
+    case ClaimStanding::kWon:
+      answer.set_verdict(proto::ClaimAnswer::WON);
+      break;
+    case ClaimStanding::kTaken:
+      answer.set_verdict(proto::ClaimAnswer::TAKEN);
+      break;
+    case ClaimStanding::kAnswered:
+      answer.set_verdict(proto::ClaimAnswer::ANSWERED);
+      *answer.mutable_answer() = aVerdict.mAnswer;
+      break;
+  }
+  return answer;
+}
+
+void
+ClaimDesk::Settle(Partition& aPartition)
+{
+  for (auto it = aPartition.mAskers.begin(); it != aPartition.mAskers.end();) {
+    const ClaimVerdict verdict = aPartition.mFold.Judge(it->second.mKey, it->first);
+    if (verdict.mStanding == ClaimStanding::kUnknown) {
+      ++it;
+      continue;
+    }
+    const std::string node = it->second.mNode;
+    const proto::ClaimAnswer answer = AnswerOf(it->first, verdict);
+    it = aPartition.mAskers.erase(it);
+    Reply(node, answer);
+  }
+  // An append that seemed to fail had taken effect: its claim won, though its node was told that it
+  // is void. Nobody will carry it out, so the key is freed.
+  for (auto it = aPartition.mRefused.begin(); it != aPartition.mRefused.end();) {
+    const ClaimVerdict verdict = aPartition.mFold.Judge(it->second, it->first);
+    if (verdict.mStanding == ClaimStanding::kWon) {
+      aPartition.mWaiting.push_back(
+        MakeClaimRecord(proto::ClaimRecord::ABANDON, it->second, it->first));
+    }
+    it = verdict.mStanding == ClaimStanding::kUnknown ? std::next(it)
+                                                      : aPartition.mRefused.erase(it);
+  }
+}
+
+void
+ClaimDesk::ReadIfDue(std::uint32_t aNumber, Partition& aPartition)
+{
+  const TimePoint now = mHooks.mNow();
+  const bool due = !aPartition.mCaughtUp || now >= aPartition.mNextRead;
+  if (aPartition.mReading || !due || now < aPartition.mNotBefore) {
+    return;
+  }
+  aPartition.mReading = true;
+  mHooks.mRead(StreamOf(aNumber),
+               { aPartition.mFold.Next(), kMaxRead },
+               [this, aNumber](const Result<proto::LogRecords>& aRecords) {
+                 Partition& partition = mPartitions[aNumber];
+                 const TimePoint then = mHooks.mNow();
+                 partition.mReading = false;
+                 if (!aRecords.has_value()) {
+                   partition.mNotBefore = then + kAfterFailure;
+                   return;
+                 }
+                 const proto::LogRecords& read = aRecords.value();
+                 partition.mFold.StartAt(read.earliest());
+                 for (int i = 0; i < read.records_size(); ++i) {
+                   partition.mFold.Apply(read.first_offset() + static_cast<std::uint64_t>(i),
+                                         read.records(i));
+                 }
+                 partition.mFold.ForgetBefore(read.earliest());
+                 partition.mCaughtUp = partition.mFold.Next() >= read.end();
+                 partition.mNextRead = then + mOptions.mReadEvery;
+                 Settle(partition);
+               });
+}
+
+void
+ClaimDesk::AppendIfDue(std::uint32_t aNumber, Partition& aPartition)
+{
+  const TimePoint now = mHooks.mNow();
+  if (aPartition.mAppending || aPartition.mWaiting.empty() || now < aPartition.mNotBefore) {
+    return;
+  }
+  std::vector<proto::ClaimRecord> batch;
+  std::vector<std::string> bytes;
+  const std::size_t n = std::min(kMaxBatch, aPartition.mWaiting.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    bytes.push_back(aPartition.mWaiting[i].SerializeAsString());
+    batch.push_back(std::move(aPartition.mWaiting[i]));
+  }
+  aPartition.mWaiting.erase(aPartition.mWaiting.begin(),
+                            aPartition.mWaiting.begin() + static_cast<std::ptrdiff_t>(n));
+  aPartition.mAppending = true;
+  ++mAppends;
+  mHooks.mAppend(StreamOf(aNumber),
+                 std::move(bytes),
+                 [this, aNumber, batch = std::move(batch)](const Result<std::uint64_t>& aFirst) {
+                   OnAppended(aNumber, batch, aFirst);
+                 });
+}
+
+void
+ClaimDesk::OnAppended(std::uint32_t aNumber,
+                      std::vector<proto::ClaimRecord> aBatch,
+                      const Result<std::uint64_t>& aFirst)
+{
+  Partition& partition = mPartitions[aNumber];
+  partition.mAppending = false;
+  if (aFirst.has_value()) {
+    if (partition.mCaughtUp && aFirst.value() == partition.mFold.Next()) {
+      std::uint64_t offset = aFirst.value();
+      for (const auto& it : aBatch) {
+        partition.mFold.Apply(offset++, it.SerializeAsString());
+      }
+    } else {
+      partition.mCaughtUp = false; // somebody else has written too: read what lies between
+    }
+    Settle(partition);
+    return;
+  }
+  // No log, no claim. Whether it took effect is unknown, so the claims are void for good and what
+  // the stream says must be read before anything else is decided.
+  partition.mCaughtUp = false;
+  partition.mNotBefore = mHooks.mNow() + kAfterFailure;
+  for (auto& it : aBatch) {
+    if (it.kind() != proto::ClaimRecord::CLAIM) {
+      partition.mWaiting.push_back(std::move(it));
+      continue;
+    }
+    partition.mRefused[it.claim_id()] = it.key();
+    const auto asker = partition.mAskers.find(it.claim_id());
+    if (asker != partition.mAskers.end()) {
+      const std::string node = asker->second.mNode;
+      partition.mAskers.erase(asker);
+      Reply(node, Unavailable(it.claim_id()));
+    }
+  }
+}
+
+void
+ClaimDesk::Tick()
+{
+  const TimePoint now = mHooks.mNow();
+  std::vector<std::string> late;
+  for (const auto& [id, pending] : mPending) {
+    if (pending.mUntil <= now) {
+      late.push_back(id);
+    }
+  }
+  for (const auto& id : late) {
+    const Pending pending = std::move(mPending.at(id));
+    mPending.erase(id);
+    pending.mDone(Unavailable(id));
+    Abandon(pending.mKey, id);
+  }
+  for (auto& [number, partition] : mPartitions) {
+    ReadIfDue(number, partition);
+    AppendIfDue(number, partition);
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/node/controller.cpp
+++ b/src/pepperbay/node/controller.cpp
@@ -37,6 +37,16 @@
   return options;
 }
 
+ClaimDeskOptions
+MakeClaimOptions(const Settings& aSettings)
+{
+  ClaimDeskOptions options;
+  options.mSelf = aSettings.mPlace.mName;
+  options.mStreamPrefix = aSettings.mPlatform.mClaimsStream;
+  options.mPartitions = static_cast<std::uint32_t>(aSettings.mRequests.mClaimPartitions);
+  return options;
+}
+
 const char*
 ToString(Hearing aHearing)
 {
@@ -82,9 +92,28 @@
                              mCounters.mOrdersRefused += aDone.has_value() ? 0 : 1;
                            });
                          } })
+  , mClaims(MakeClaimOptions(aSettings), MakeClaimHooks())
 {
 }
 
+ClaimDeskHooks
+Controller::Impl::MakeClaimHooks()
+{
+  ClaimDeskHooks hooks;
+  hooks.mNow = mHooks.mNow;
+  hooks.mOwner = [this](std::uint32_t aPartition) {
+    return OwnerOf("claims/" + std::to_string(aPartition));
+  };
+  hooks.mSend = [this](const std::string& aNode, proto::Envelope aEnvelope) {
+    proto::Envelope envelope = MakeEnvelope();
+    envelope.MergeFrom(aEnvelope);
+    Send(aNode, std::move(envelope));
+  };
+  hooks.mAppend = mHooks.mAppendClaims;
+  hooks.mRead = mHooks.mReadClaims;
+  return hooks;
+}
+
 // ---- The fold ----
 
 void
@@ -384,10 +413,18 @@
 /// falls silent the next in rank takes over, and until then nodes fall back to their even part.
 std::string
 Controller::Impl::Collector() const
+{
+  return OwnerOf("usage");
+}
+
+/// The live node of this data centre that does a thing for all; each node computes the same one
+/// once they agree on who is alive.
+std::string
+Controller::Impl::OwnerOf(const std::string& aThing) const
 {
   std::vector<std::string> nodes = AliveHere();
   nodes.push_back(mSettings.mPlace.mName);
-  return RendezvousTop("usage", nodes, 1).front();
+  return RendezvousTop(aThing, nodes, 1).front();
 }
 
 std::vector<std::string>
@@ -570,6 +607,12 @@
       mPeerState = true;
       mFollower.OnPeerSnapshot(envelope.snapshot());
       break;
+    case proto::Envelope::kClaimAsk:
+      mClaims.OnAsk(envelope.from(), envelope.claim_ask());
+      break;
+    case proto::Envelope::kClaimAnswer:
+      mClaims.OnAnswer(envelope.claim_answer());
+      break;
     case proto::Envelope::kFetchEvidence: {
       proto::Envelope reply = MakeHeartbeat();
       mWatch.ShareAll(reply.mutable_heartbeat(), mHooks.mNow());
@@ -843,6 +886,7 @@
     mHolder.Tick(std::move(input), now);
   }
   RemoveLapsedNodes();
+  mClaims.Tick();
   AppendDue();
   BuildView();
   Heartbeat();
@@ -953,6 +997,30 @@
   LogEvent("host.stop_announced", { { "host", aHost } });
 }
 
+void
+Controller::Claim(const std::string& aKey,
+                  const std::string& aClaimId,
+                  Duration aPatience,
+                  std::function<void(const proto::ClaimAnswer&)> aDone)
+{
+  mImpl->mClaims.Claim(aKey, aClaimId, aPatience, std::move(aDone));
+  mImpl->mClaims.Tick(); // do not wait for the next tick to ask the log
+}
+
+void
+Controller::ReportAnswer(const std::string& aKey,
+                         const std::string& aClaimId,
+                         proto::KeptAnswer aAnswer)
+{
+  mImpl->mClaims.Report(aKey, aClaimId, std::move(aAnswer));
+}
+
+void
+Controller::AbandonClaim(const std::string& aKey, const std::string& aClaimId)
+{
+  mImpl->mClaims.Abandon(aKey, aClaimId);
+}
+
 void
 Controller::BeginStop()
 {
--- a/src/pepperbay/node/controller_impl.hpp
+++ b/src/pepperbay/node/controller_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "pepperbay/node/controller.hpp"
 
+#include "claim_desk.hpp"
 #include "drain_ledger.hpp"
 #include "holder.hpp"
 #include "host_watch.hpp"
@@ -59,6 +60,8 @@
   void Heartbeat();
   proto::Envelope MakeHeartbeat() const;
   std::string Collector() const;
+  std::string OwnerOf(const std::string& aThing) const;
+  ClaimDeskHooks MakeClaimHooks();
   std::vector<std::string> AliveHere() const;
   UsageByProfile TotalUsage(const UsageByProfile& aOwn) const;
   static void AddUsage(const UsageByProfile& aUsage, proto::Heartbeat* aHeartbeat);
@@ -107,6 +110,7 @@
   Appender mAppender;
   Follower mFollower;
   Holder mHolder;
+  ClaimDesk mClaims;
   ControllerCounters mCounters;
   std::vector<HostListing> mListing;
   bool mListingKnown = false;
--- a/src/pepperbay/node/dump.cpp
+++ b/src/pepperbay/node/dump.cpp
@@ -150,6 +150,7 @@
   for (const auto& [profile, version] : mState.Content().failed_versions()) {
     failed[profile] = version;
   }
+  json["claims"] = { { "keys", mClaims.Keys() }, { "appends", mClaims.Appends() } };
   json["drains_not_in_log"] = mLocalDrains;
   json["dropped_messages"] = mCounters.mDroppedMessages;
   json["records_folded"] = mCounters.mFolded;
--- a/src/pepperbay/node/gateway.cpp
+++ b/src/pepperbay/node/gateway.cpp
@@ -3,6 +3,7 @@
 #include "job.hpp"
 
 #include "pepperbay/base/ids.hpp"
+#include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/settings/settings.hpp"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kForbidden = 403;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr Duration kComeBackSoon = std::chrono::seconds(1);
@@ -42,6 +44,8 @@
   std::set<std::string> mAvoid;
   bool mDone = false;
   bool mStreamStarted = false;
+  std::string mClaimId; ///< of its idempotency key; empty when there is none
+  bool mClaimWon = false;
   bool mCallerLost = false; ///< the caller hung up or reads too slowly
   TimePoint mStarted{};
   std::string mText; ///< the answer so far, when it is not streamed
@@ -101,9 +105,10 @@
 
 struct Gateway::Impl : std::enable_shared_from_this<Gateway::Impl>
 {
-  Impl(const Settings& aSettings, NowFn aNow)
+  Impl(const Settings& aSettings, NowFn aNow, ClaimHooks aClaims)
     : mSettings(aSettings)
     , mNow(std::move(aNow))
+    , mClaims(std::move(aClaims))
     , mBudget({ aSettings.mRequests.mRetryShare, kRetryBurst })
     , mView(std::make_shared<TrafficView>())
   {
@@ -221,13 +226,133 @@
       }
     });
     const std::lock_guard lock(job->mMutex);
-    if (job->mRequest.mService) {
-      RunService(job);
+    const bool once = job->mRequest.mUnrepeatable && !job->mRequest.mKey.empty();
+    if (once && !job->mRequest.mForwarded) {
+      ClaimKey(job);
     } else {
-      Admit(job);
+      Begin(job);
     }
   }
 
+  void Begin(const std::shared_ptr<Job>& aJob)
+  {
+    if (aJob->mRequest.mService) {
+      RunService(aJob);
+    } else {
+      Admit(aJob);
+    }
+  }
+
+  // ---- At most once ----
+
+  /// A key belongs to its customer: another customer's equal key is another key.
+  static std::string ClaimKeyOf(const Job& aJob)
+  {
+    return aJob.mRequest.mCustomer + "\n" + aJob.mRequest.mKey;
+  }
+
+  void ClaimKey(const std::shared_ptr<Job>& aJob)
+  {
+    const auto made = TimeOfKey(aJob->mRequest.mKey);
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    if (made && wall - *made > mSettings.mRequests.mClaimWindow) {
+      // Its first use may be forgotten already; to take it for new could run it twice.
+      FinishWith(aJob,
+                 ErrorResponse(kConflict,
+                               "Idempotency-Key: older than the time for which keys are remembered",
+                               Ran::kUnknown,
+                               Duration::zero()));
+      return;
+    }
+    aJob->mClaimId = NewAttemptId();
+    const Duration patience =
+      std::min<Duration>(mSettings.mPlatform.mTimeout * 2, aJob->mDeadline - mNow());
+    mClaims.mClaim(ClaimKeyOf(*aJob),
+                   aJob->mClaimId,
+                   patience,
+                   [self = weak_from_this(), aJob](const proto::ClaimAnswer& aAnswer) {
+                     const auto impl = self.lock();
+                     const std::lock_guard lock(aJob->mMutex);
+                     if (impl) {
+                       impl->OnClaim(aJob, aAnswer);
+                     }
+                   });
+  }
+
+  void OnClaim(const std::shared_ptr<Job>& aJob, const proto::ClaimAnswer& aAnswer)
+  {
+    if (aJob->mDone) { // the caller has gone; nothing was dispatched
+      if (aAnswer.verdict() == proto::ClaimAnswer::WON) {
+        mClaims.mAbandon(ClaimKeyOf(*aJob), aJob->mClaimId);
+      }
+      return;
+    }
+    switch (aAnswer.verdict()) {
+      case proto::ClaimAnswer::WON:
+        aJob->mClaimWon = true;
+        Begin(aJob);
+        return;
+      case proto::ClaimAnswer::ANSWERED:
+        Replay(aJob, aAnswer.answer());
+        return;
+      case proto::ClaimAnswer::TAKEN:
+        FinishWith(aJob,
+                   ErrorResponse(kConflict,
+                                 "a request with this key was dispatched; its outcome is not known",
+                                 Ran::kUnknown,
+                                 kComeBackSoon));
+        return;
+      default:
+        Refuse(
+          aJob,
+          { AdmissionVerdict::kRefuse, "the log cannot be asked about the key", kComeBackSoon });
+        return;
+    }
+  }
+
+  void Replay(const std::shared_ptr<Job>& aJob, const proto::KeptAnswer& aKept)
+  {
+    HttpResponse response;
+    response.mStatus = static_cast<int>(aKept.status());
+    response.mContentType = aKept.content_type();
+    response.mBody = aKept.body();
+    response.mHeaders.push_back({ "X-Replayed", "true" });
+    response.mHeaders.push_back({ "X-Ran", "yes" });
+    if (aKept.body_left_out()) {
+      response.mBody = R"({"error":{"message":"it ran and was answered; the answer was too large )"
+                       R"(to keep"},"ran":"yes"})";
+      response.mContentType = "application/json";
+    }
+    FinishWith(aJob, std::move(response));
+  }
+
+  void FinishWith(const std::shared_ptr<Job>& aJob, HttpResponse aResponse)
+  {
+    ++mCounters.mReplayed;
+    aJob->mResponder->Send(std::move(aResponse));
+    Close(aJob);
+  }
+
+  /// After the last answer of a request whose claim won: keep the answer, or free the key.
+  void SettleClaim(const Job& aJob, Ran aRan, const HttpResponse& aAnswer)
+  {
+    if (!aJob.mClaimWon) {
+      return;
+    }
+    if (aRan == Ran::kNo) {
+      mClaims.mAbandon(ClaimKeyOf(aJob), aJob.mClaimId);
+    } else if (aRan == Ran::kYes) {
+      proto::KeptAnswer kept;
+      kept.set_status(static_cast<std::uint32_t>(aAnswer.mStatus));
+      kept.set_content_type(aAnswer.mContentType);
+      kept.set_body(aAnswer.mBody);
+      mClaims.mReport(ClaimKeyOf(aJob), aJob.mClaimId, kept);
+    }
+  }
+
+  /// What is kept of an answer that was streamed: that it was given.
+  static HttpResponse StreamedAnswer() { return { kOk, {}, std::string(kMaxKeptAnswer + 1, ' ') }; }
+
   void Admit(const std::shared_ptr<Job>& aJob)
   {
     Arrival arrival;
@@ -508,7 +633,7 @@
       next = aJob->mDelivery->OnFailure(failure, mNow(), &mBudget);
     }
     if (next.mStep == NextStep::kAnswer) {
-      FailFinal(aJob, next.mRan, next.mReason);
+      Fail(aJob, next.mRan, next.mReason);
       return;
     }
     if (aJob->mDelivery->Tokens() == 0) {
@@ -579,7 +704,7 @@
   {
     const int attempt = aJob->mDelivery->BeginAttempt();
     if (attempt == 0) {
-      FailFinal(aJob, Ran::kUnknown, "no further attempt may be made");
+      Fail(aJob, Ran::kUnknown, "no further attempt may be made");
       return;
     }
     ResetAttempt(aJob, attempt);
@@ -633,6 +758,7 @@
     if (aOutcome.mOk && !refused) {
       aJob->mDelivery->OnComplete();
       if (aJob->mStreamStarted) {
+        SettleClaim(*aJob, Ran::kYes, StreamedAnswer());
         aJob->mResponder->End();
       } else {
         constexpr int kFirstError = 400;
@@ -641,6 +767,8 @@
         if (error && !told) {
           aJob->mRelayed.mHeaders.push_back({ "X-Ran", "unknown" });
         }
+        // An error without a word on whether it ran leaves the key taken, outcome unknown.
+        SettleClaim(*aJob, error && !told ? Ran::kUnknown : Ran::kYes, aJob->mRelayed);
         aJob->mResponder->Send(std::move(aJob->mRelayed));
       }
       ++mCounters.mCompleted;
@@ -658,14 +786,14 @@
       next = aJob->mDelivery->OnFailure(failure, mNow(), &mBudget);
     }
     if (next.mStep == NextStep::kAnswer) {
-      FailFinal(aJob, next.mRan, next.mReason);
+      Fail(aJob, next.mRan, next.mReason);
       return;
     }
     ++mCounters.mRetries;
     if (aJob->mRequest.mService) {
       RunService(aJob);
     } else if (!Spill(aJob)) {
-      FailFinal(aJob, refused ? Ran::kNo : Ran::kUnknown, "no data centre took it");
+      Fail(aJob, refused ? Ran::kNo : Ran::kUnknown, "no data centre took it");
     }
   }
 
@@ -677,6 +805,7 @@
     ++mCounters.mCompleted;
     if (aJob->mRequest.mStream) {
       StartStream(aJob);
+      SettleClaim(*aJob, Ran::kYes, StreamedAnswer());
       aJob->mResponder->Write(LastEvents(RequestId(*aJob)));
       aJob->mResponder->End();
     } else {
@@ -687,8 +816,9 @@
                           { "model", aJob->mRequest.mTarget },
                           { "choices", Json::array({ choice }) },
                           { "usage", { { "completion_tokens", aJob->mDelivery->Tokens() } } } };
-      aJob->mResponder->Send(
-        { kOk, {}, json.dump(-1, ' ', false, Json::error_handler_t::replace) });
+      HttpResponse response{ kOk, {}, json.dump(-1, ' ', false, Json::error_handler_t::replace) };
+      SettleClaim(*aJob, Ran::kYes, response);
+      aJob->mResponder->Send(std::move(response));
     }
     Close(aJob);
   }
@@ -696,21 +826,17 @@
   void Refuse(const std::shared_ptr<Job>& aJob, const AdmissionDecision& aDecision)
   {
     ++mCounters.mRefused;
+    SettleClaim(*aJob, Ran::kNo, {});
     aJob->mResponder->Send(
       ErrorResponse(kUnavailable, aDecision.mReason, Ran::kNo, aDecision.mRetryAfter));
     Close(aJob);
   }
 
-  /// No attempt is left; the delivery still has to say whether anything may have run.
   void Fail(const std::shared_ptr<Job>& aJob, Ran aRan, const std::string& aReason)
-  {
-    FailFinal(aJob, aRan, aReason);
-  }
-
-  void FailFinal(const std::shared_ptr<Job>& aJob, Ran aRan, const std::string& aReason)
   {
     ++mCounters.mFailed;
     mCounters.mUnknown += aRan == Ran::kUnknown ? 1 : 0;
+    SettleClaim(*aJob, aRan, {});
     if (aJob->mStreamStarted) {
       aJob->mResponder->Write(ErrorEvent(aReason, aRan));
       aJob->mResponder->Abort();
@@ -848,6 +974,7 @@
 
   Settings mSettings;
   NowFn mNow;
+  ClaimHooks mClaims;
   RouteOptions mRouteOptions;
   std::vector<std::unique_ptr<HttpClient>> mClients;
   std::thread mPump;
@@ -866,8 +993,8 @@
   std::shared_ptr<const TrafficView> mView;
 };
 
-Gateway::Gateway(const Settings& aSettings, NowFn aNow)
-  : mImpl(std::make_shared<Impl>(aSettings, std::move(aNow)))
+Gateway::Gateway(const Settings& aSettings, NowFn aNow, ClaimHooks aClaims)
+  : mImpl(std::make_shared<Impl>(aSettings, std::move(aNow), std::move(aClaims)))
 {
   mImpl->Begin();
 }
--- a/src/pepperbay/node/job.cpp
+++ b/src/pepperbay/node/job.cpp
@@ -82,8 +82,11 @@
   }
   aOut->mUnrepeatable = unrepeatable.value_or("false") == "true";
   aOut->mKey = FirstValue(aRequest.mHeaders, "Idempotency-Key").value_or("");
-  if (aOut->mKey.size() > kMaxKey) {
-    return Bad("Idempotency-Key", "must be at most 256 bytes");
+  const bool printable = std::all_of(aOut->mKey.begin(), aOut->mKey.end(), [](unsigned char aChar) {
+    return aChar > ' ' && aChar <= '~';
+  });
+  if (aOut->mKey.size() > kMaxKey || !printable) {
+    return Bad("Idempotency-Key", "must be at most 256 printable ASCII characters without spaces");
   }
   aOut->mForwarded = FirstValue(aRequest.mHeaders, "X-Pepperbay-Forwarded").has_value();
   aOut->mContentType = FirstValue(aRequest.mHeaders, "Content-Type").value_or("application/json");
--- a/src/pepperbay/node/metrics.cpp
+++ b/src/pepperbay/node/metrics.cpp
@@ -77,6 +77,8 @@
   aPage.Counter("refused_total", "Requests refused as not run", Value(aGateway.mRefused));
   aPage.Counter("failed_total", "Accepted requests not answered whole", Value(aGateway.mFailed));
   aPage.Counter("unknown_total", "Failed requests that may have run", Value(aGateway.mUnknown));
+  aPage.Counter(
+    "replayed_total", "Requests answered from the claim of their key", Value(aGateway.mReplayed));
   aPage.Counter("caller_gone_total", "Callers that hung up", Value(aGateway.mCallerGone));
   aPage.Counter("attempts_total", "Calls to back ends", Value(aGateway.mAttempts));
   aPage.Counter("retries_total", "Attempts begun anew", Value(aGateway.mRetries));
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -56,7 +56,7 @@
     : mSettings(aSettings)
     , mControlClient(HttpClient::Create(ClientOptions(aSettings)))
     , mPlatform(aSettings.mPlatform, mControlClient.get())
-    , mGateway(aSettings, &BootClock::now)
+    , mGateway(aSettings, &BootClock::now, MakeClaimHooks())
     , mWakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
   {
   }
@@ -173,6 +173,28 @@
     };
   }
 
+  ClaimHooks MakeClaimHooks()
+  {
+    ClaimHooks hooks;
+    hooks.mClaim = [this](const std::string& aKey,
+                          const std::string& aClaimId,
+                          Duration aPatience,
+                          std::function<void(const proto::ClaimAnswer&)> aDone) {
+      Post([this, aKey, aClaimId, aPatience, done = std::move(aDone)] {
+        mController->Claim(aKey, aClaimId, aPatience, done);
+      });
+    };
+    hooks.mReport = [this](const std::string& aKey,
+                           const std::string& aClaimId,
+                           const proto::KeptAnswer& aAnswer) {
+      Post([this, aKey, aClaimId, aAnswer] { mController->ReportAnswer(aKey, aClaimId, aAnswer); });
+    };
+    hooks.mAbandon = [this](const std::string& aKey, const std::string& aClaimId) {
+      Post([this, aKey, aClaimId] { mController->AbandonClaim(aKey, aClaimId); });
+    };
+    return hooks;
+  }
+
   ControllerHooks MakeHooks()
   {
     ControllerHooks hooks;
@@ -190,8 +212,21 @@
     };
     hooks.mRead = [this](const LogRead& aRead,
                          std::function<void(Result<proto::LogRecords>)> aDone) {
+      mPlatform.Read(mSettings.mPlatform.mStream,
+                     aRead,
+                     mSettings.mPlatform.mReadWait,
+                     Posted<Result<proto::LogRecords>>(std::move(aDone)));
+    };
+    hooks.mAppendClaims = [this](const std::string& aStream,
+                                 const std::vector<std::string>& aRecords,
+                                 std::function<void(Result<std::uint64_t>)> aDone) {
+      mPlatform.Append(aStream, aRecords, Posted<Result<std::uint64_t>>(std::move(aDone)));
+    };
+    hooks.mReadClaims = [this](const std::string& aStream,
+                               const LogRead& aRead,
+                               std::function<void(Result<proto::LogRecords>)> aDone) {
       mPlatform.Read(
-        mSettings.mPlatform.mStream, aRead, Posted<Result<proto::LogRecords>>(std::move(aDone)));
+        aStream, aRead, Duration::zero(), Posted<Result<proto::LogRecords>>(std::move(aDone)));
     };
     hooks.mListHosts = [this](std::function<void(Result<std::vector<HostListing>>)> aDone) {
       mPlatform.ListHosts(Posted<Result<std::vector<HostListing>>>(std::move(aDone)));
--- a/src/pepperbay/node/platform.cpp
+++ b/src/pepperbay/node/platform.cpp
@@ -86,13 +86,14 @@
 void
 Platform::Read(const std::string& aStream,
                const LogRead& aRead,
+               Duration aWait,
                std::function<void(Result<proto::LogRecords>)> aDone)
 {
   HttpCall call;
   call.mUrl = "http://" + mSettings.mLog + "/streams/" + aStream +
               "?from=" + std::to_string(aRead.mFrom) + "&max=" + std::to_string(aRead.mMax) +
-              "&wait_ms=" + std::to_string(ToMs(mSettings.mReadWait).count());
-  call.mTimeout = mSettings.mReadWait + mSettings.mTimeout;
+              "&wait_ms=" + std::to_string(ToMs(aWait).count());
+  call.mTimeout = aWait + mSettings.mTimeout;
   mClient->Fetch(std::move(call),
                  [done = std::move(aDone), peer = mSettings.mLog](HttpFetched aFetched) {
                    const auto body = BodyOf(aFetched, "log.read", peer);
--- a/src/pepperbay/settings/settings.cpp
+++ b/src/pepperbay/settings/settings.cpp
@@ -39,6 +39,13 @@
   aReader.Read("peers_public", &aPlace.mPeersPublic);
   aReader.Read("source", &aPlace.mSource);
   aReader.Read("seeds", &aPlace.mSeeds);
+  constexpr const char* kNameChars = "abcdefghijklmnopqrstuvwxyz0123456789-_";
+  for (const char* key : { "name", "data_centre" }) {
+    const std::string& value = std::string(key) == "name" ? aPlace.mName : aPlace.mDataCentre;
+    if (value.empty() || value.find_first_not_of(kNameChars) != std::string::npos) {
+      aReader.Problem(key, "must be of a-z, 0-9, '-', '_'");
+    }
+  }
   CheckEndpoint(aReader, "callers", aPlace.mCallers);
   CheckEndpoint(aReader, "admin", aPlace.mAdmin);
   CheckEndpoint(aReader, "peers", aPlace.mPeers);
--- a/src/pepperbay/state/documents.cpp
+++ b/src/pepperbay/state/documents.cpp
@@ -17,6 +17,14 @@
   return good ? "" : "name: '" + aName + "' is not 1 to 63 of a-z, 0-9, '-', '_'";
 }
 
+/// Records are read back as UTF-8; a text that is not would make its record unreadable.
+bool
+Printable(const std::string& aText)
+{
+  return std::all_of(
+    aText.begin(), aText.end(), [](unsigned char aChar) { return aChar >= ' ' && aChar <= '~'; });
+}
+
 std::string
 ProfileProblem(const proto::Profile& aProfile)
 {
@@ -26,6 +34,9 @@
   if (aProfile.model_version().empty()) {
     return "model_version: is missing";
   }
+  if (!Printable(aProfile.model()) || !Printable(aProfile.model_version())) {
+    return "model: and model_version must be printable ASCII";
+  }
   if (aProfile.hosts_per_replica() < 1 || aProfile.hosts_per_replica() > kMaxHostsPerReplica) {
     return "hosts_per_replica: must be 1 to 64";
   }
@@ -45,7 +56,7 @@
     return "endpoints: at least one address 'IP:port' is needed";
   }
   for (const auto& it : aService.endpoints()) {
-    if (it.find(':') == std::string::npos) {
+    if (it.find(':') == std::string::npos || !Printable(it)) {
       return "endpoints: '" + it + "' is not 'IP:port'";
     }
   }
--- a/src/pepperbay/state/fold_test.cpp
+++ b/src/pepperbay/state/fold_test.cpp
@@ -173,6 +173,18 @@
   }
 }
 
+/// Symptom: a publish is never accepted and never refused. Cause: a text that is no UTF-8 makes a
+/// record that no node can read back, so the check must come before the record is written.
+TEST(Fold, TextsThatCouldNotBeReadBackAreRefused)
+{
+  Writer writer;
+  proto::Record record = writer.Publish(0, "p", 0, 2);
+  proto::Document& document = *record.mutable_publish()->mutable_document();
+  EXPECT_EQ(ProblemOf(document), "");
+  document.mutable_profile()->set_model("\xff\xfe");
+  EXPECT_NE(ProblemOf(document), "");
+}
+
 TEST(Fold, HostsAreFreeOnlyAfterClosing)
 {
   State state;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -137,6 +137,7 @@
       { school, { "Idempotency-Key", std::string(300, 'k') } },
       400,
       "Idempotency-Key" },
+    { "odd key", good, { school, { "Idempotency-Key", "\xff\xfe" } }, 400, "Idempotency-Key" },
     { "oversized", std::string(2U << 20U, ' '), { school }, 413, "body" },
   };
   const std::string url = "http://" + cluster.NodeIp(0) + ":8080/v1/chat/completions";
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -65,6 +65,130 @@
   }
 }
 
+std::vector<pepperbay::HttpHeader>
+KeyHeaders(const std::string& aKey)
+{
+  return { { "X-Customer", "school" }, { "X-Unrepeatable", "true" }, { "Idempotency-Key", aKey } };
+}
+
+pepperbay::HttpFetched
+Book(Cluster& aCluster, int aNode, const std::string& aKey)
+{
+  return aCluster.Call("POST",
+                       "http://" + aCluster.NodeIp(aNode) + ":8080/services/lots/book",
+                       "lot",
+                       KeyHeaders(aKey));
+}
+
+std::string
+RanOf(const pepperbay::HttpFetched& aFetched)
+{
+  return pepperbay::FirstValue(aFetched.mResponse.mHeaders, "X-Ran").value_or("");
+}
+
+/// The same key at once on all nodes, several rounds: the service runs it once, and whoever is
+/// answered with success has the one answer.
+TEST(AtMostOnce, TheSameKeyAtOnceOnAllNodes)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  for (int round = 0; round < 5; ++round) {
+    const std::string key = "lot-" + std::to_string(round);
+    std::vector<std::future<pepperbay::HttpFetched>> answers;
+    for (int i = 0; i < 6; ++i) {
+      answers.push_back(
+        std::async(std::launch::async, [&cluster, key, i] { return Book(cluster, i % 3, key); }));
+    }
+    int served = 0;
+    for (auto& it : answers) {
+      const auto answer = it.get();
+      if (answer.mResponse.mStatus == 200) {
+        ++served;
+        EXPECT_NE(answer.mResponse.mBody.find("\"runs\":1"), std::string::npos);
+      } else {
+        EXPECT_EQ(answer.mResponse.mStatus, 409);
+        EXPECT_EQ(RanOf(answer), "unknown");
+      }
+    }
+    EXPECT_GE(served, 1);
+    EXPECT_EQ(cluster.Runs().value(key, 0), 1);
+  }
+}
+
+/// The node dies after the dispatch and before the answer. A retry elsewhere must not run it again;
+/// it is told that the outcome is unknown.
+TEST(AtMostOnce, TheNodeDiesBetweenDispatchAndAnswer)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  cluster.Fault("service", "hang");
+  auto first = std::async(std::launch::async, [&] { return Book(cluster, 0, "lot-9"); });
+  cluster.WaitFor(1, "the service has run it", [&](const Json&) {
+    return cluster.Runs().value("lot-9", 0) == 1;
+  });
+  cluster.Node(0).Signal(SIGKILL);
+  EXPECT_FALSE(first.get().mOutcome.mOk);
+  cluster.Fault("service", "none");
+  cluster.WaitFor(1, "the dead node is missed", [](const Json& aDump) {
+    return At(aDump, "/peers/n0/status") != "alive";
+  });
+  cluster.WaitFor(2, "the dead node is missed", [](const Json& aDump) {
+    return At(aDump, "/peers/n0/status") != "alive";
+  });
+  const auto retry = Book(cluster, 1, "lot-9");
+  EXPECT_EQ(retry.mResponse.mStatus, 409) << retry.mResponse.mBody;
+  EXPECT_EQ(RanOf(retry), "unknown");
+  EXPECT_EQ(cluster.Runs().value("lot-9", 0), 1);
+}
+
+/// No log, no claim: refused at once as not run, and it did not run. Without a key there is nothing
+/// to compare, so an unrepeatable request goes out once, log or no log.
+TEST(AtMostOnce, TheLogIsOut)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  cluster.Fault("log", "out");
+  const auto refused = Book(cluster, 0, "lot-3");
+  EXPECT_EQ(refused.mResponse.mStatus, 503) << refused.mResponse.mBody;
+  EXPECT_EQ(RanOf(refused), "no");
+  EXPECT_EQ(cluster.Runs().value("lot-3", 0), 0);
+  const auto keyless = cluster.Call("POST",
+                                    "http://" + cluster.NodeIp(0) + ":8080/services/lots/book",
+                                    "no key",
+                                    { { "X-Customer", "school" }, { "X-Unrepeatable", "true" } });
+  EXPECT_EQ(keyless.mResponse.mStatus, 200);
+  EXPECT_EQ(cluster.Runs().value("body:no key", 0), 1);
+  cluster.Fault("log", "out", "0");
+  cluster.WaitForAll("log",
+                     [](const Json& aDump) { return aDump["log"]["reachable"].get<bool>(); });
+  // The same key works once the log is back: it was refused as not run, so it may run now.
+  auto again = Book(cluster, 1, "lot-3");
+  for (int i = 0; i < 20 && again.mResponse.mStatus == 503; ++i) {
+    again = Book(cluster, 1, "lot-3");
+  }
+  EXPECT_EQ(again.mResponse.mStatus, 200) << again.mResponse.mBody;
+  EXPECT_EQ(cluster.Runs().value("lot-3", 0), 1);
+}
+
+TEST(AtMostOnce, RetriesGetTheKeptAnswerAndOldKeysAreRefused)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  const auto first = Book(cluster, 0, "lot-4");
+  EXPECT_EQ(first.mResponse.mStatus, 200);
+  cluster.WaitFor(2, "the answer is kept", [&](const Json&) {
+    return Book(cluster, 2, "lot-4").mResponse.mStatus == 200;
+  });
+  const auto retry = Book(cluster, 1, "lot-4");
+  EXPECT_EQ(retry.mResponse.mBody, first.mResponse.mBody);
+  EXPECT_EQ(pepperbay::FirstValue(retry.mResponse.mHeaders, "X-Replayed").value_or(""), "true");
+  EXPECT_EQ(cluster.Runs().value("lot-4", 0), 1);
+  const auto old = Book(cluster, 0, "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"); // of the year 2022
+  EXPECT_EQ(old.mResponse.mStatus, 409);
+  EXPECT_EQ(RanOf(old), "unknown");
+  EXPECT_EQ(cluster.Runs().value("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 0), 0);
+}
+
 /// A hand-made connection of a caller that reads a little and hangs up.
 TEST(Callers, HangingUpCancelsTheWorkAtTheEngine)
 {
