Admission keeps to what was free at the last word; routing by rings of prefixes

Ruled out: the queue's order, which its own tests cover. Change: the allowance counts from the requests that ran when the others' usage was last told; equals that came earlier are ahead. Prompts that begin alike go to two replicas on a hash ring, the same on all nodes, unless they are busy; closing, avoiding and ejecting apply as before.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -12,8 +12,8 @@
 pepperbay_library(placement SOURCES planner.cpp orders.cpp
                   TESTS planner_test.cpp USES state membership) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
-                  USES base) # pure
-pepperbay_library(routing SOURCES router.cpp USES base) # pure
+                  TESTS admission_test.cpp USES base) # pure
+pepperbay_library(routing SOURCES router.cpp TESTS router_test.cpp USES base) # pure
 pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp TESTS attempt_test.cpp USES routing admission proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp USES base proto
                   PACKAGES cppzmq)
--- a/include/pepperbay/admission/admission.hpp
+++ b/include/pepperbay/admission/admission.hpp
@@ -38,6 +38,7 @@
   std::size_t mSilentNodes = 0; ///< of them, those not heard that may still be working
   std::map<std::string, double> mShares;        ///< customer to share of the pool, 0 to 1
   std::map<std::string, CustomerUsage> mOthers; ///< customer to its work at the nodes heard
+  TimePoint mUsageAt{};                         ///< when `mOthers` was last told
 };
 
 struct Arrival
@@ -131,6 +132,7 @@
 
   AdmissionOptions mOptions;
   PoolState mPool;
+  std::size_t mBase = 0; ///< own requests running when the others' usage was last told
   std::map<std::uint64_t, std::string> mRunning;
   std::map<std::string, std::size_t> mOwnRunning;
   std::vector<Waiter> mWaiting;
--- a/include/pepperbay/routing/router.hpp
+++ b/include/pepperbay/routing/router.hpp
@@ -1,9 +1,10 @@
 /// @file
 /// @brief Which replica a request goes to.
 ///
-/// Two random choices, scored by expected first token: reported load corrected by what this node
-/// has sent since the report, prefix cache, stragglers, slow start. The work of one decision does
-/// not grow with the fleet. Pure: tables are values, randomness is passed in.
+/// Two random choices and the two replicas that the prompt's beginning belongs to, scored by
+/// expected first token: reported load corrected by what this node has sent since the report,
+/// prefix cache, stragglers, slow start. The work of one decision hardly grows with the fleet.
+/// Pure: tables are values, randomness is passed in.
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
@@ -55,13 +56,27 @@
   std::shared_ptr<ReplicaLoad> mLoad;
 };
 
+/// A place on the ring of prefixes.
+struct RingPoint
+{
+  std::uint64_t mAt = 0;
+  std::size_t mTarget = 0;
+};
+
 /// The replicas of one profile.
 struct Pool
 {
   std::vector<ReplicaTarget> mTargets; ///< this node's stable subset first
   std::size_t mSubset = 0;             ///< how many of them are the subset
+  std::vector<RingPoint> mRing;        ///< see BuildRing()
 };
 
+/// Place the replicas on a ring, so that all nodes send a prompt's beginning to the same few
+/// replicas, which then hold it in their cache, without a message between nodes. Call it once the
+/// targets stand. A replica that comes or goes moves only its own part of the prefixes.
+void
+BuildRing(Pool* aPool);
+
 struct RoutingTable
 {
   std::uint64_t mOffset = 0; ///< of the control stream that it is drawn from
@@ -74,7 +89,7 @@
   Duration mSlowStart =
     std::chrono::seconds(10); ///< a replica that is whole again warms up so long
   double mWarmest = 4.0;      ///< how much heavier load counts at the start of it
-  double mPrefixWorth = 0.5;  ///< part of the score that a fully cached prefix saves
+  double mPrefixWorth = 0.6;  ///< part of the score that a cached prefix saves
   double mSpillAt = 1.0;      ///< load per slot from which the subset is left for the whole pool
 };
 
@@ -83,16 +98,14 @@
 {
   std::string mProfile;
   std::set<std::string> mAvoid; ///< replicas that have failed this request
-  /// @return the part of the prompt, 0 to 1, that a replica is believed to have cached.
-  std::function<double(const std::string& aReplica)> mCached;
+  /// Hash of the prompt's beginning; 0 when it has none worth caching.
+  std::uint64_t mPrefix = 0;
 };
 
 /// The expected cost of a target; smaller is better.
+/// @param aCached how likely it is, 0 to 1, that the target holds the prompt's beginning
 double
-Score(const ReplicaTarget& aTarget,
-      const RouteQuery& aQuery,
-      const RouteOptions& aOptions,
-      TimePoint aNow);
+Score(const ReplicaTarget& aTarget, double aCached, const RouteOptions& aOptions, TimePoint aNow);
 
 /// Choose a target and count the request in.
 ///
--- a/src/pepperbay/admission/admission.cpp
+++ b/src/pepperbay/admission/admission.cpp
@@ -28,6 +28,11 @@
 void
 Admission::SetPool(PoolState aPool)
 {
+  const bool news = aPool.mUsageAt != mPool.mUsageAt || aPool.mSlots != mPool.mSlots ||
+                    aPool.mNodes != mPool.mNodes || aPool.mSilentNodes != mPool.mSilentNodes;
+  if (news) {
+    mBase = mRunning.size();
+  }
   mPool = std::move(aPool);
 }
 
@@ -55,24 +60,30 @@
 }
 
 /// What is free in the pool is split evenly between the nodes until they hear of each other again;
-/// or all would fill the same free slots at once. A node that is silent may still be working, so it
-/// counts with its even part: cut off from its peers, each node falls back to that safe part.
+/// or all would fill the same free slots at once. Free means as of the last word: counted anew
+/// after each own start it would creep up to the whole pool. A node that is silent may still be
+/// working, so it counts with its even part: cut off from its peers, each node falls back to that
+/// safe part.
 std::size_t
 Admission::Allowance() const
 {
+  if (mPool.mSlots == 0) {
+    return 0;
+  }
   const std::size_t nodes = std::max<std::size_t>(1, mPool.mNodes);
   const std::size_t evenPart = mPool.mSlots / nodes;
   std::size_t others = mPool.mSilentNodes * evenPart;
   for (const auto& [customer, usage] : mPool.mOthers) {
     others += usage.mRunning;
   }
-  const std::size_t used = others + mRunning.size();
+  const std::size_t used = others + mBase;
   const std::size_t free = mPool.mSlots > used ? mPool.mSlots - used : 0;
-  const std::size_t part = (free + nodes - 1) / nodes;
-  const std::size_t allowed = mRunning.size() + part;
-  const std::size_t least = mPool.mSlots > 0 ? std::max<std::size_t>(1, evenPart) : 0;
-  return free > 0 ? std::max(allowed, std::min(least, mRunning.size() + free))
-                  : std::min(mRunning.size(), least);
+  const std::size_t least = std::max<std::size_t>(1, evenPart);
+  if (free == 0) {
+    return std::min(mBase, least);
+  }
+  const std::size_t lent = mBase + (free + nodes - 1) / nodes;
+  return std::max(lent, std::min(least, mBase + free));
 }
 
 Duration
@@ -141,7 +152,7 @@
   Rank worstRank{};
   for (auto it = mWaiting.begin(); it != mWaiting.end(); ++it) {
     const Rank other = RankOf(it->mArrival, it->mSince, aNow);
-    ahead += other < rank ? 1 : 0;
+    ahead += rank < other ? 0 : 1;
     if (worst == mWaiting.end() || worstRank < other) {
       worst = it;
       worstRank = other;
--- /dev/null
+++ b/src/pepperbay/admission/admission_test.cpp
@@ -0,0 +1,211 @@
+#include "pepperbay/admission/admission.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+PoolState
+PoolOf(std::size_t aSlots, std::map<std::string, double> aShares)
+{
+  PoolState pool;
+  pool.mSlots = aSlots;
+  pool.mShares = std::move(aShares);
+  return pool;
+}
+
+/// One node's admission with a clock.
+class Desk
+{
+public:
+  explicit Desk(PoolState aPool, std::size_t aQueue = 100)
+    : mAdmission(MakeOptions(aQueue))
+  {
+    mAdmission.SetPool(std::move(aPool));
+  }
+
+  AdmissionVerdict Arrive(const std::string& aCustomer,
+                          std::uint32_t aPriority = 5,
+                          Duration aDeadline = seconds(60))
+  {
+    Arrival arrival{ ++mLast, aCustomer, aPriority, mClock.Now() + aDeadline };
+    mDecision = mAdmission.Arrive(arrival, mClock.Now(), &mGivenUp);
+    return mDecision.mVerdict;
+  }
+
+  static AdmissionOptions MakeOptions(std::size_t aQueue)
+  {
+    AdmissionOptions options;
+    options.mQueue = aQueue;
+    options.mFirstServiceGuess = seconds(1);
+    return options;
+  }
+
+  ManualClock mClock;
+  Admission mAdmission;
+  AdmissionDecision mDecision;
+  std::vector<GivenUp> mGivenUp;
+  std::uint64_t mLast = 0;
+};
+
+TEST(Admission, RunsWhileSlotsAreFreeThenWaits)
+{
+  Desk desk(PoolOf(2, { { "a", 0.5 } }));
+  EXPECT_EQ(desk.Arrive("a"), AdmissionVerdict::kRun);
+  EXPECT_EQ(desk.Arrive("a"), AdmissionVerdict::kRun) << "an unused share is lent";
+  EXPECT_EQ(desk.Arrive("a"), AdmissionVerdict::kWait);
+  desk.mAdmission.OnDone(1, seconds(1));
+  EXPECT_EQ(desk.mAdmission.Next(desk.mClock.Now()), std::vector<std::uint64_t>{ 3 });
+}
+
+TEST(Admission, WhatIsLentComesBackAsSoonAsARequestEnds)
+{
+  Desk desk(PoolOf(4, { { "flood", 0.5 }, { "cook", 0.5 } }));
+  for (int i = 0; i < 20; ++i) {
+    desk.Arrive("flood");
+  }
+  EXPECT_EQ(desk.Arrive("cook"), AdmissionVerdict::kWait);
+  const std::uint64_t cook = desk.mLast;
+  desk.mAdmission.OnDone(1, seconds(1));
+  EXPECT_EQ(desk.mAdmission.Next(desk.mClock.Now()), std::vector<std::uint64_t>{ cook })
+    << "before those of the customer above its share, though they came first";
+}
+
+TEST(Admission, UrgentRequestsGoFirstAndNobodyStarves)
+{
+  Desk desk(PoolOf(1, { { "a", 1.0 } }));
+  desk.Arrive("a");
+  desk.Arrive("a", 5);
+  const std::uint64_t patient = desk.mLast;
+  desk.Arrive("a", 0);
+  const std::uint64_t alert = desk.mLast;
+  desk.mAdmission.OnDone(1, seconds(1));
+  EXPECT_EQ(desk.mAdmission.Next(desk.mClock.Now()).front(), alert);
+  desk.mClock.Advance(seconds(30)); // six levels of age
+  desk.Arrive("a", 0);
+  desk.mAdmission.OnDone(alert, seconds(1));
+  EXPECT_EQ(desk.mAdmission.Next(desk.mClock.Now()).front(), patient);
+}
+
+TEST(Admission, RefusesOnArrivalWhatCannotBeInTime)
+{
+  Desk desk(PoolOf(1, { { "a", 1.0 } }));
+  for (int i = 0; i < 6; ++i) {
+    desk.Arrive("a");
+  }
+  EXPECT_EQ(desk.Arrive("a", 5, seconds(3)), AdmissionVerdict::kRefuse);
+  EXPECT_GE(desk.mDecision.mRetryAfter, seconds(5)) << "from the queue as it is";
+  EXPECT_EQ(desk.Arrive("a", 5, seconds(30)), AdmissionVerdict::kWait);
+}
+
+TEST(Admission, AFullQueueGivesUpTheLeastUrgentForAnAlert)
+{
+  Desk desk(PoolOf(1, { { "a", 0.5 }, { "b", 0.5 } }), 2);
+  desk.Arrive("a");
+  desk.Arrive("a", 9);
+  desk.Arrive("a", 8);
+  EXPECT_EQ(desk.Arrive("b", 0), AdmissionVerdict::kWait);
+  ASSERT_EQ(desk.mGivenUp.size(), 1U);
+  EXPECT_EQ(desk.mGivenUp.front().mId, 2U);
+  EXPECT_GT(desk.mGivenUp.front().mDecision.mRetryAfter, Duration::zero());
+  EXPECT_EQ(desk.Arrive("a", 9), AdmissionVerdict::kRefuse);
+}
+
+/// Symptom: all nodes fill the same free slots at once. And: a node cut off from its peers goes on
+/// as if the whole pool were its own.
+TEST(Admission, NodesSplitWhatIsFreeAndFallBackToTheirEvenPart)
+{
+  PoolState pool = PoolOf(90, { { "a", 1.0 } });
+  pool.mNodes = 9;
+  pool.mOthers["a"].mRunning = 45;
+  Desk desk(pool);
+  EXPECT_LE(desk.mAdmission.Allowance(), 10U);
+  pool.mOthers.clear();
+  pool.mUsageAt += seconds(1);
+  pool.mSilentNodes = 8;
+  desk.mAdmission.SetPool(pool);
+  EXPECT_EQ(desk.mAdmission.Allowance(), 10U);
+}
+
+/// Several nodes over one pool, with views that lag: customers come and go at random, and the nodes
+/// exchange usage only now and then. What runs never exceeds the pool by more than one node's even
+/// part, each request gets one decision, and a customer within its share is never refused for a full
+/// queue while another above its share waits.
+RC_GTEST_PROP(Admission, SharesHoldAcrossNodes, ())
+{
+  constexpr int kNodes = 3;
+  constexpr std::size_t kSlots = 30;
+  const auto script = *rc::gen::container<std::vector<std::pair<int, int>>>(
+    rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 6)));
+  PoolState pool = PoolOf(kSlots, { { "a", 0.5 }, { "b", 0.5 } });
+  pool.mNodes = kNodes;
+  std::vector<Admission> nodes;
+  for (int i = 0; i < kNodes; ++i) {
+    nodes.emplace_back(Desk::MakeOptions(20));
+    nodes.back().SetPool(pool);
+  }
+  ManualClock clock;
+  std::uint64_t last = 0;
+  std::vector<std::set<std::uint64_t>> running(kNodes);
+  std::set<std::uint64_t> decided;
+  const auto start = [&](int aNode, std::uint64_t aId) {
+    RC_ASSERT(running[static_cast<std::size_t>(aNode)].insert(aId).second);
+  };
+  for (const auto& [kind, value] : script) {
+    clock.Advance(milliseconds(100));
+    const int index = value % kNodes;
+    Admission& node = nodes[static_cast<std::size_t>(index)];
+    if (kind < 4) {
+      std::vector<GivenUp> givenUp;
+      const std::uint64_t id = ++last;
+      const auto decision = node.Arrive({ id, kind < 3 ? "a" : "b", 5, clock.Now() + seconds(60) },
+                                        clock.Now(),
+                                        &givenUp);
+      if (decision.mVerdict == AdmissionVerdict::kRun) {
+        start(index, id);
+      } else if (decision.mVerdict == AdmissionVerdict::kRefuse) {
+        RC_ASSERT(decision.mRetryAfter > Duration::zero());
+        RC_ASSERT(decided.insert(id).second);
+      }
+      for (const auto& it : givenUp) {
+        RC_ASSERT(decided.insert(it.mId).second);
+      }
+    } else if (kind == 4 && !running[static_cast<std::size_t>(index)].empty()) {
+      auto& mine = running[static_cast<std::size_t>(index)];
+      node.OnDone(*mine.begin(), milliseconds(500));
+      RC_ASSERT(decided.insert(*mine.begin()).second);
+      mine.erase(mine.begin());
+    } else if (kind == 5) {
+      for (const auto id : node.Next(clock.Now())) {
+        start(index, id);
+      }
+    } else if (kind == 6) {
+      for (std::size_t i = 0; i < kNodes; ++i) { // the nodes hear of each other
+        PoolState view = pool;
+        view.mUsageAt = clock.Now();
+        for (std::size_t j = 0; j < kNodes; ++j) {
+          if (i == j) {
+            continue;
+          }
+          for (const auto& [customer, usage] : nodes[j].Usage()) {
+            view.mOthers[customer].mRunning += usage.mRunning;
+          }
+        }
+        nodes[i].SetPool(view);
+      }
+    }
+    std::size_t total = 0;
+    for (const auto& it : running) {
+      total += it.size();
+    }
+    RC_ASSERT(total <= kSlots + kSlots / kNodes);
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/node/claim_desk.cpp
+++ b/src/pepperbay/node/claim_desk.cpp
@@ -132,8 +132,8 @@
   }
   partition.mAskers[aRecord.claim_id()] = { aFrom, aRecord.key() };
   // A key that is known to be taken needs no append.
-  if (partition.mCaughtUp &&
-      partition.mFold.Judge(aRecord.key(), aRecord.claim_id()).mStanding != ClaimStanding::kUnknown) {
+  if (partition.mCaughtUp && partition.mFold.Judge(aRecord.key(), aRecord.claim_id()).mStanding !=
+                               ClaimStanding::kUnknown) {
     Settle(partition);
     return;
   }
@@ -196,8 +196,8 @@
       aPartition.mWaiting.push_back(
         MakeClaimRecord(proto::ClaimRecord::ABANDON, it->second, it->first));
     }
-    it = verdict.mStanding == ClaimStanding::kUnknown ? std::next(it)
-                                                      : aPartition.mRefused.erase(it);
+    it =
+      verdict.mStanding == ClaimStanding::kUnknown ? std::next(it) : aPartition.mRefused.erase(it);
   }
 }
 
--- a/src/pepperbay/node/claim_desk.hpp
+++ b/src/pepperbay/node/claim_desk.hpp
@@ -37,9 +37,8 @@
                      std::vector<std::string>,
                      std::function<void(Result<std::uint64_t> aFirstOffset)>)>
     mAppend;
-  std::function<void(const std::string& aStream,
-                     LogRead,
-                     std::function<void(Result<proto::LogRecords>)>)>
+  std::function<
+    void(const std::string& aStream, LogRead, std::function<void(Result<proto::LogRecords>)>)>
     mRead;
 };
 
@@ -84,7 +83,7 @@
     TimePoint mNextRead{};
     TimePoint mNotBefore{}; ///< after a failure
     std::vector<proto::ClaimRecord> mWaiting;
-    std::map<std::string, Asker> mAskers; ///< by claim id
+    std::map<std::string, Asker> mAskers;        ///< by claim id
     std::map<std::string, std::string> mRefused; ///< claims told UNAVAILABLE, to their key
   };
   struct Pending
--- a/src/pepperbay/node/claim_desk_test.cpp
+++ b/src/pepperbay/node/claim_desk_test.cpp
@@ -253,9 +253,9 @@
   EXPECT_EQ(world.mDispatched["key"], 1);
 }
 
-/// Symptom: after an outage of the log a caller's retry is told "dispatched, outcome unknown" though
-/// the first try was refused as not run. Sequence: the append of the claim takes effect, its answer
-/// is lost, the caller is refused. Cause: leaving that claim as the winner of its key.
+/// Symptom: after an outage of the log a caller's retry is told "dispatched, outcome unknown"
+/// though the first try was refused as not run. Sequence: the append of the claim takes effect, its
+/// answer is lost, the caller is refused. Cause: leaving that claim as the winner of its key.
 TEST(ClaimDesk, AClaimRefusedAfterALostAnswerIsFreedAgain)
 {
   World world;
@@ -290,7 +290,9 @@
 {
   EXPECT_EQ(TimeOfKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
             std::chrono::milliseconds(0x017f22e279b0));
-  for (const char* other : { "", "lot-7", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f",
+  for (const char* other : { "",
+                             "lot-7",
+                             "017f22e2-79b0-4cc3-98c4-dc0c0c07398f",
                              "017f22e2x79b0-7cc3-98c4-dc0c0c07398f" }) {
     EXPECT_FALSE(TimeOfKey(other).has_value()) << other;
   }
--- a/src/pepperbay/node/gateway.cpp
+++ b/src/pepperbay/node/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "job.hpp"
 
+#include "pepperbay/base/hash.hpp"
 #include "pepperbay/base/ids.hpp"
 #include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/settings/settings.hpp"
@@ -411,6 +412,7 @@
     RouteQuery query;
     query.mProfile = aJob->mRequest.mTarget;
     query.mAvoid = aJob->mAvoid;
+    query.mPrefix = PrefixOf(aJob->mRequest.mPrompt);
     const auto random = [this] {
       const std::lock_guard lock(mMutex);
       return mRandom();
@@ -449,6 +451,13 @@
     });
   }
 
+  /// Prompts that begin alike share the hash of their beginning; short ones are not worth caching.
+  std::uint64_t PrefixOf(const std::string& aPrompt) const
+  {
+    const auto n = static_cast<std::size_t>(mSettings.mRequests.mPrefixBytes);
+    return aPrompt.size() < n ? 0 : Hash64(std::string_view(aPrompt).substr(0, n));
+  }
+
   void NoReplica(const std::shared_ptr<Job>& aJob)
   {
     if (aJob->mDelivery->Attempts() == 0) {
--- a/src/pepperbay/node/traffic_view.cpp
+++ b/src/pepperbay/node/traffic_view.cpp
@@ -201,6 +201,7 @@
     EjectStragglers(&pool, times, kStragglerFactor, kMostEjected);
     PutSubsetFirst(
       &pool, mSettings.mPlace.mName, static_cast<std::size_t>(mSettings.mRequests.mSubset));
+    BuildRing(&pool);
   }
 }
 
@@ -270,6 +271,7 @@
   PoolState common;
   common.mNodes = NodesOf(mSettings.mPlace.mDataCentre).size() + 1;
   common.mSilentNodes = SilentNodes();
+  common.mUsageAt = mUsageTotalAt;
   // Without the collector's sum nothing is known of the others: each counts with its even part.
   if (now - mUsageTotalAt > mSettings.mControl.mSuspectAfter) {
     common.mSilentNodes = common.mNodes - 1;
--- a/src/pepperbay/routing/router.cpp
+++ b/src/pepperbay/routing/router.cpp
@@ -1,67 +1,101 @@
 #include "pepperbay/routing/router.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <algorithm>
 
 namespace pepperbay {
 namespace {
 
 constexpr int kTries = 8;
+constexpr int kPointsPerReplica = 8;
+/// How likely the owners of a prefix on the ring hold it, first and second.
+constexpr double kOwnerCached[] = { 0.9, 0.5 };
 
-/// Pick two different usable targets among the first `aCount` and return the better one.
-const ReplicaTarget*
-BetterOfTwo(const Pool& aPool,
-            std::size_t aCount,
-            const RouteQuery& aQuery,
-            const RouteOptions& aOptions,
-            TimePoint aNow,
-            const std::function<std::uint64_t()>& aRandom)
+double
+LoadPerSlot(const ReplicaTarget& aTarget)
 {
-  const ReplicaTarget* best = nullptr;
-  double bestScore = 0;
-  int found = 0;
-  for (int i = 0; i < kTries && found < 2; ++i) {
-    const ReplicaTarget& it = aPool.mTargets[aRandom() % aCount];
-    const bool usable =
-      !it.mEjected && !it.mLoad->Closed() && aQuery.mAvoid.count(it.mReplica) == 0 && &it != best;
-    if (!usable) {
-      continue;
+  const int since = aTarget.mLoad->InFlight() - aTarget.mInFlightAtReport;
+  const int load = std::max({ aTarget.mReported + since, aTarget.mLoad->InFlight(), 0 });
+  return static_cast<double>(load) / std::max(1, aTarget.mSlots);
+}
+
+/// Gathers candidates and keeps the best.
+class Choice
+{
+public:
+  Choice(const RouteQuery& aQuery, const RouteOptions& aOptions, TimePoint aNow)
+    : mQuery(aQuery)
+    , mOptions(aOptions)
+    , mNow(aNow)
+  {
+  }
+
+  /// @return whether the target was usable and new.
+  bool Consider(const ReplicaTarget& aTarget, double aCached)
+  {
+    const bool usable = !aTarget.mLoad->Closed() && mQuery.mAvoid.count(aTarget.mReplica) == 0;
+    if (!usable || &aTarget == mBest) {
+      return false;
     }
-    ++found;
-    const double score = Score(it, aQuery, aOptions, aNow);
-    if (best == nullptr || score < bestScore) {
-      best = &it;
-      bestScore = score;
+    // A straggler is used only when there is nothing else.
+    constexpr double kEjectedPenalty = 1e6;
+    const double score =
+      Score(aTarget, aCached, mOptions, mNow) + (aTarget.mEjected ? kEjectedPenalty : 0.0);
+    if (mBest == nullptr || score < mScore) {
+      mBest = &aTarget;
+      mScore = score;
     }
+    return !aTarget.mEjected;
   }
-  return best;
-}
 
-/// When random tries found nothing: any target that is not closed, best first.
-const ReplicaTarget*
-AnyUsable(const Pool& aPool, const RouteQuery& aQuery, const RouteOptions& aOptions, TimePoint aNow)
+  const ReplicaTarget* Best() const { return mBest; }
+
+private:
+  const RouteQuery& mQuery;
+  const RouteOptions& mOptions;
+  TimePoint mNow;
+  const ReplicaTarget* mBest = nullptr;
+  double mScore = 0;
+};
+
+/// The two replicas that a prefix belongs to.
+void
+ConsiderOwners(const Pool& aPool, std::uint64_t aPrefix, Choice* aChoice)
 {
-  const ReplicaTarget* best = nullptr;
-  double bestScore = 0;
-  for (const auto& it : aPool.mTargets) {
-    if (it.mLoad->Closed() || aQuery.mAvoid.count(it.mReplica) > 0) {
-      continue;
+  if (aPrefix == 0 || aPool.mRing.empty()) {
+    return;
+  }
+  auto it =
+    std::lower_bound(aPool.mRing.begin(),
+                     aPool.mRing.end(),
+                     aPrefix,
+                     [](const RingPoint& aPoint, std::uint64_t aAt) { return aPoint.mAt < aAt; });
+  std::size_t last = aPool.mTargets.size();
+  int found = 0;
+  for (int i = 0; i < kTries && found < 2; ++i, ++it) {
+    if (it == aPool.mRing.end()) {
+      it = aPool.mRing.begin();
     }
-    constexpr double kEjectedPenalty = 1e6;
-    const double score = Score(it, aQuery, aOptions, aNow) + (it.mEjected ? kEjectedPenalty : 0.0);
-    if (best == nullptr || score < bestScore) {
-      best = &it;
-      bestScore = score;
+    if (it->mTarget != last) {
+      last = it->mTarget;
+      aChoice->Consider(aPool.mTargets[last], kOwnerCached[found]);
+      ++found;
     }
   }
-  return best;
 }
 
-double
-LoadPerSlot(const ReplicaTarget& aTarget)
+/// Two usable targets among the first `aCount`.
+void
+ConsiderRandom(const Pool& aPool,
+               std::size_t aCount,
+               const std::function<std::uint64_t()>& aRandom,
+               Choice* aChoice)
 {
-  const int since = aTarget.mLoad->InFlight() - aTarget.mInFlightAtReport;
-  const int load = std::max({ aTarget.mReported + since, aTarget.mLoad->InFlight(), 0 });
-  return static_cast<double>(load) / std::max(1, aTarget.mSlots);
+  int found = 0;
+  for (int i = 0; i < kTries && found < 2; ++i) {
+    found += aChoice->Consider(aPool.mTargets[aRandom() % aCount], 0.0) ? 1 : 0;
+  }
 }
 
 } // namespace
@@ -78,10 +112,7 @@
 }
 
 double
-Score(const ReplicaTarget& aTarget,
-      const RouteQuery& aQuery,
-      const RouteOptions& aOptions,
-      TimePoint aNow)
+Score(const ReplicaTarget& aTarget, double aCached, const RouteOptions& aOptions, TimePoint aNow)
 {
   double load = LoadPerSlot(aTarget);
   const Duration age = aNow - aTarget.mWholeSince;
@@ -90,8 +121,26 @@
     load = (load + 1.0 / std::max(1, aTarget.mSlots)) *
            (1.0 + (aOptions.mWarmest - 1.0) * std::clamp(left, 0.0, 1.0));
   }
-  const double cached = aQuery.mCached ? aQuery.mCached(aTarget.mReplica) : 0.0;
-  return aTarget.mSlowness * (load + 1.0 - aOptions.mPrefixWorth * cached);
+  // Past its slots a replica makes requests wait for whole answers, not for a prefill.
+  constexpr double kQueued = 8.0;
+  const double queued = std::max(0.0, load - 1.0) * kQueued;
+  return aTarget.mSlowness * (load + queued + 1.0 - aOptions.mPrefixWorth * aCached);
+}
+
+void
+BuildRing(Pool* aPool)
+{
+  aPool->mRing.clear();
+  for (std::size_t i = 0; i < aPool->mTargets.size(); ++i) {
+    for (int point = 0; point < kPointsPerReplica; ++point) {
+      const std::uint64_t at =
+        Hash64(aPool->mTargets[i].mReplica, static_cast<std::uint64_t>(point));
+      aPool->mRing.push_back({ at, i });
+    }
+  }
+  std::sort(aPool->mRing.begin(),
+            aPool->mRing.end(),
+            [](const RingPoint& aLeft, const RingPoint& aRight) { return aLeft.mAt < aRight.mAt; });
 }
 
 const ReplicaTarget*
@@ -109,19 +158,21 @@
   const std::size_t subset = std::clamp<std::size_t>(pool.mSubset, 1, pool.mTargets.size());
   // A target may close between choice and entry; another choice is then made.
   for (int i = 0; i < kTries; ++i) {
-    const ReplicaTarget* target = BetterOfTwo(pool, subset, aQuery, aOptions, aNow, aRandom);
-    const bool full = target == nullptr || LoadPerSlot(*target) >= aOptions.mSpillAt;
+    Choice choice(aQuery, aOptions, aNow);
+    ConsiderOwners(pool, aQuery.mPrefix, &choice);
+    ConsiderRandom(pool, subset, aRandom, &choice);
+    const ReplicaTarget* target = choice.Best();
+    const bool full =
+      target == nullptr || target->mEjected || LoadPerSlot(*target) >= aOptions.mSpillAt;
     if (full && subset < pool.mTargets.size()) {
-      const ReplicaTarget* other =
-        BetterOfTwo(pool, pool.mTargets.size(), aQuery, aOptions, aNow, aRandom);
-      const bool better =
-        other != nullptr && (target == nullptr || Score(*other, aQuery, aOptions, aNow) <
-                                                    Score(*target, aQuery, aOptions, aNow));
-      target = better ? other : target;
+      ConsiderRandom(pool, pool.mTargets.size(), aRandom, &choice);
     }
-    if (target == nullptr) {
-      target = AnyUsable(pool, aQuery, aOptions, aNow);
+    if (choice.Best() == nullptr || choice.Best()->mEjected) {
+      for (const auto& other : pool.mTargets) {
+        choice.Consider(other, 0.0);
+      }
     }
+    target = choice.Best();
     if (target == nullptr) {
       return nullptr;
     }
--- /dev/null
+++ b/src/pepperbay/routing/router_test.cpp
@@ -0,0 +1,163 @@
+#include "pepperbay/routing/router.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RoutingTable
+TableOf(int aReplicas, std::size_t aSubset)
+{
+  RoutingTable table;
+  Pool& pool = table.mPools["p"];
+  for (int i = 0; i < aReplicas; ++i) {
+    ReplicaTarget target;
+    target.mReplica = "r" + std::to_string(i);
+    target.mSlots = 4;
+    target.mLoad = std::make_shared<ReplicaLoad>();
+    pool.mTargets.push_back(std::move(target));
+  }
+  pool.mSubset = aSubset;
+  BuildRing(&pool);
+  return table;
+}
+
+class Router
+{
+public:
+  const ReplicaTarget* Choose(const RoutingTable& aTable, RouteQuery aQuery = {})
+  {
+    aQuery.mProfile = "p";
+    return ChooseReplica(aTable, aQuery, {}, TimePoint(seconds(1000)), [this] { return mRandom(); });
+  }
+  std::mt19937_64 mRandom{ 7 };
+};
+
+TEST(Routing, NothingUsableMeansNone)
+{
+  Router router;
+  RoutingTable table = TableOf(3, 3);
+  EXPECT_EQ(ChooseReplica({}, {}, {}, TimePoint(), [] { return 0U; }), nullptr);
+  for (auto& it : table.mPools["p"].mTargets) {
+    it.mLoad->Close();
+  }
+  EXPECT_EQ(router.Choose(table), nullptr);
+}
+
+TEST(Routing, AvoidsWhatFailedThisRequestAndStragglersUnlessNothingElse)
+{
+  Router router;
+  RoutingTable table = TableOf(3, 3);
+  table.mPools["p"].mTargets[1].mEjected = true;
+  RouteQuery query;
+  query.mAvoid = { "r0" };
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(router.Choose(table, query)->mReplica, "r2");
+  }
+  query.mAvoid = { "r0", "r2" };
+  EXPECT_EQ(router.Choose(table, query)->mReplica, "r1");
+}
+
+TEST(Routing, EqualBeginningsMeetAtOneReplicaOnAllNodes)
+{
+  RoutingTable one = TableOf(20, 5);
+  RoutingTable other = TableOf(20, 5);
+  std::reverse(other.mPools["p"].mTargets.begin(), other.mPools["p"].mTargets.end());
+  BuildRing(&other.mPools["p"]);
+  Router router;
+  for (std::uint64_t prefix = 1; prefix < 50; ++prefix) {
+    RouteQuery query;
+    query.mPrefix = prefix * 0x9e3779b97f4a7c15U;
+    const ReplicaTarget* first = router.Choose(one, query);
+    const ReplicaTarget* second = router.Choose(other, query);
+    EXPECT_EQ(first->mReplica, second->mReplica);
+    first->mLoad->Leave();
+    second->mLoad->Leave();
+  }
+}
+
+TEST(Routing, ABusyOwnerOfAPrefixIsPassedBy)
+{
+  RoutingTable table = TableOf(10, 10);
+  Router router;
+  RouteQuery query;
+  query.mPrefix = 12345;
+  const std::string owner = router.Choose(table, query)->mReplica;
+  for (auto& it : table.mPools["p"].mTargets) {
+    it.mReported = it.mReplica == owner ? 8 : 0;
+  }
+  EXPECT_NE(router.Choose(table, query)->mReplica, owner);
+}
+
+/// Symptom: after a report of "idle", one replica gets a burst until the next report.
+/// Cause: a report that lags, not corrected by this node's own sends.
+TEST(Routing, OwnSendsSinceTheReportCount)
+{
+  RoutingTable table = TableOf(10, 10);
+  Router router;
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 40; ++i) {
+    ++sent[router.Choose(table)->mReplica];
+  }
+  for (const auto& [replica, n] : sent) {
+    EXPECT_LE(n, 8) << replica;
+  }
+}
+
+TEST(Routing, AReturnedReplicaStartsSlowly)
+{
+  ReplicaTarget target;
+  target.mSlots = 4;
+  target.mLoad = std::make_shared<ReplicaLoad>();
+  target.mReported = 2;
+  target.mWholeSince = TimePoint(seconds(100));
+  const double fresh = Score(target, 0, {}, TimePoint(seconds(101)));
+  const double warm = Score(target, 0, {}, TimePoint(seconds(120)));
+  EXPECT_GT(fresh, warm);
+}
+
+TEST(Routing, StragglersAreEjectedButNeverMoreThanAPart)
+{
+  RoutingTable table = TableOf(10, 10);
+  Pool& pool = table.mPools["p"];
+  FirstTokenTimes times;
+  for (int i = 0; i < 10; ++i) {
+    times["r" + std::to_string(i)] = milliseconds(i < 6 ? 10 : 100);
+  }
+  EjectStragglers(&pool, times, 3.0, 0.2);
+  EXPECT_EQ(std::count_if(pool.mTargets.begin(),
+                          pool.mTargets.end(),
+                          [](const ReplicaTarget& aTarget) { return aTarget.mEjected; }),
+            2);
+}
+
+/// A thread with an old table enters while the control thread closes: whichever order the steps
+/// take, either the closer sees the request or the request is turned away.
+RC_GTEST_PROP(Routing, ClosingSeesEveryRequestThatEnters, ())
+{
+  const auto script = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3));
+  ReplicaLoad load;
+  int inside = 0;
+  for (const int step : script) {
+    if (step == 0) {
+      inside += load.Enter() ? 1 : 0;
+    } else if (step == 1 && inside > 0) {
+      load.Leave();
+      --inside;
+    } else if (step == 2) {
+      load.Close();
+    }
+    RC_ASSERT(load.InFlight() == inside);
+    if (load.Closed()) {
+      RC_ASSERT(!load.Enter());
+    }
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/settings/settings.cpp
+++ b/src/pepperbay/settings/settings.cpp
@@ -127,6 +127,7 @@
   aReader.Read("queue", &aRequests.mQueue, 0, 1000000);
   aReader.Read("retry_share", &aRequests.mRetryShare, 0.0, 1.0);
   aReader.Read("subset", &aRequests.mSubset, 2, 10000);
+  aReader.Read("prefix_bytes", &aRequests.mPrefixBytes, 16, 1 << 20);
   aReader.Read("claim_window", &aRequests.mClaimWindow, seconds(1), hours(24 * 30));
   aReader.Read("claim_partitions", &aRequests.mClaimPartitions, 1, 1024);
   if (aRequests.mLongestDeadline < aRequests.mDefaultDeadline) {
