--- a/examples/lease/holder.cpp
+++ b/examples/lease/holder.cpp
@@ -22,7 +22,8 @@
   lease.set_fence(1);
   lease.set_last(1);
   keeper.OnFolded(&lease, clock.Now());
-  std::cout << "holds: " << keeper.Held(clock.Now()) << ", fencing number " << keeper.Fence() << "\n";
+  std::cout << "holds: " << keeper.Held(clock.Now()) << ", fencing number " << keeper.Fence()
+            << "\n";
   clock.Advance(std::chrono::minutes(1)); // paused
   std::cout << "after a pause holds: " << keeper.Held(clock.Now()) << "\n";
   return keeper.Held(clock.Now()) ? 1 : 0;
--- a/include/pepperbay/membership/roster.hpp
+++ b/include/pepperbay/membership/roster.hpp
@@ -62,6 +62,10 @@
   kWrongPlace,     ///< claims another data centre than the log says
 };
 
+/// @return the name under which it is counted, such as `old_incarnation`.
+const char*
+ToString(Hearing aHearing);
+
 /// The other nodes, as heard by this one. Pure.
 ///
 /// @code
--- a/include/pepperbay/placement/reserves.hpp
+++ b/include/pepperbay/placement/reserves.hpp
@@ -1,11 +1,12 @@
 /// @file
 /// @brief Repair while the log is out, by spares that the log has set aside beforehand.
 ///
-/// A repair needs a record, and outages of the log are long. So the holder keeps reservations in the
-/// log: this spare may replace one lost member of these replicas, as the next generation. To carry
-/// one out is no new decision, so the last holder may do it without the log, towards engines that
-/// check fencing numbers only. A later holder's orders have a higher number, and each node still
-/// routes only on what the hosts themselves confirm, so a host is never in two whole replicas. Pure.
+/// A repair needs a record, and outages of the log are long. So the holder keeps reservations in
+/// the log: this spare may replace one lost member of these replicas, as the next generation. To
+/// carry one out is no new decision, so the last holder may do it without the log, towards engines
+/// that check fencing numbers only. A later holder's orders have a higher number, and each node
+/// still routes only on what the hosts themselves confirm, so a host is never in two whole
+/// replicas. Pure.
 #pragma once
 
 #include "pepperbay/state/fold.hpp"
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -50,20 +50,12 @@
   std::cout << Json{ { "problems", json } }.dump(2) << "\n";
 }
 
-bool
-HasConfig(const CommandOptions& aOptions)
+/// Read and check the settings file. @return kExitOk, or why not after saying so
+int
+ReadSettings(const CommandOptions& aOptions, Settings* aSettings)
 {
   if (aOptions.mConfig.empty()) {
     std::cerr << "--config FILE is needed\n";
-    return false;
-  }
-  return true;
-}
-
-int
-Serve(const Words& /*aWords*/, const CommandOptions& aOptions)
-{
-  if (!HasConfig(aOptions)) {
     return kExitUsage;
   }
   const SettingsReport report = LoadSettings(aOptions.mConfig);
@@ -71,9 +63,21 @@
     PrintProblems(report.mProblems, aOptions.mJson);
     return kExitBadInput;
   }
-  StartLogging(report.mSettings.mPlace.mName);
+  *aSettings = report.mSettings;
+  return kExitOk;
+}
+
+int
+Serve(const Words& /*aWords*/, const CommandOptions& aOptions)
+{
+  Settings settings;
+  const int read = ReadSettings(aOptions, &settings);
+  if (read != kExitOk) {
+    return read;
+  }
+  StartLogging(settings.mPlace.mName);
   google::protobuf::SetLogHandler(nullptr); // what cannot be read is counted by reason instead
-  auto node = Node::Start(report.mSettings);
+  auto node = Node::Start(settings);
   if (!node.has_value()) {
     std::cerr << ToString(node.error()) << "\n";
     return kExitUnreachable;
@@ -89,13 +93,10 @@
 int
 CheckConfig(const Words& /*aWords*/, const CommandOptions& aOptions)
 {
-  if (!HasConfig(aOptions)) {
-    return kExitUsage;
-  }
-  const SettingsReport report = LoadSettings(aOptions.mConfig);
-  if (!report.mProblems.empty()) {
-    PrintProblems(report.mProblems, aOptions.mJson);
-    return kExitBadInput;
+  Settings settings;
+  const int read = ReadSettings(aOptions, &settings);
+  if (read != kExitOk) {
+    return read;
   }
   if (aOptions.mJson) {
     std::cout << R"({"problems":[]})"
--- a/src/pepperbay/membership/roster.cpp
+++ b/src/pepperbay/membership/roster.cpp
@@ -33,6 +33,24 @@
   return "lapsed";
 }
 
+const char*
+ToString(Hearing aHearing)
+{
+  switch (aHearing) {
+    case Hearing::kAccepted:
+      return "accepted";
+    case Hearing::kSelf:
+      return "own";
+    case Hearing::kOldIncarnation:
+      return "old_incarnation";
+    case Hearing::kReordered:
+      return "reordered";
+    case Hearing::kWrongPlace:
+      return "wrong_data_centre";
+  }
+  return "accepted";
+}
+
 Roster::Roster(RosterOptions aOptions)
   : mOptions(std::move(aOptions))
 {
--- a/src/pepperbay/node/controller_impl.hpp
+++ b/src/pepperbay/node/controller_impl.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// @brief The controller's parts, shared by controller.cpp, traffic_view.cpp and dump.cpp.
+/// @brief The controller's parts, shared by controller.cpp (fold, log, loop), controller_peers.cpp,
+/// controller_hosts.cpp, traffic_view.cpp and dump.cpp.
 #pragma once
 
 #include "pepperbay/node/controller.hpp"
@@ -16,6 +17,9 @@
 
 namespace pepperbay {
 
+/// How long a record may wait for the fold before its writer is told that the outcome is unknown.
+constexpr Duration kRecordPatience = std::chrono::seconds(10);
+
 /// A planned stop that was asked for here and is not yet known widely enough.
 struct PendingStop
 {
@@ -64,6 +68,7 @@
   void AppendDue();
   void ListHosts();
   void ProbeDue();
+  std::vector<ProbeTarget> ProbeTargets();
   void Heartbeat();
   proto::Envelope MakeHeartbeat() const;
   std::string Collector() const;
@@ -124,7 +129,8 @@
   ClaimDesk mClaims;
   ControllerCounters mCounters;
   std::vector<HostListing> mListing;
-  bool mListingKnown = false;
+  std::vector<ProbeTarget> mTargets;
+  bool mTargetsStale = true;
   bool mListingInFlight = false;
   TimePoint mNextListing{};
   TimePoint mNextHeartbeat{};
@@ -154,6 +160,7 @@
   std::map<ReplicaKey, TimePoint> mWholeSince;
   std::map<ReplicaKey, WholenessReport> mReports;
   std::map<std::string, LastReport> mLastReports; ///< by replica
+  std::set<std::string> mLeaving;                 ///< hosts that the platform lists as leaving
   std::string mLastWhyNot = "starting";
   bool mPeerState = false; ///< the folded state came from a peer
 };
--- a/src/pepperbay/node/gateway.cpp
+++ b/src/pepperbay/node/gateway.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/node/gateway.hpp"
 
 #include "job.hpp"
+#include "request.hpp"
 
 #include "pepperbay/base/hash.hpp"
 #include "pepperbay/base/ids.hpp"
@@ -30,78 +31,12 @@
 constexpr int kBadGateway = 502;
 constexpr Duration kComeBackSoon = std::chrono::seconds(1);
 
-/// A request that was accepted, until its answer is out. Locked by its own mutex; the gateway's
-/// mutex may be taken while it is held, never the other way round.
-struct Job
-{
-  std::uint64_t mId = 0;
-  CallerRequest mRequest;
-  std::shared_ptr<Responder> mResponder;
-  TimePoint mArrived{};
-  TimePoint mDeadline{};
-
-  std::mutex mMutex;
-  std::optional<Delivery> mDelivery;
-  std::set<std::string> mAvoid;
-  bool mDone = false;
-  bool mStreamStarted = false;
-  std::string mClaimId; ///< of its idempotency key; empty when there is none
-  bool mClaimWon = false;
-  bool mCallerLost = false; ///< the caller hung up or reads too slowly
-  TimePoint mStarted{};
-  std::string mText; ///< the answer so far, when it is not streamed
-
-  // The attempt in progress.
-  int mAttempt = 0; ///< 0 when there is none
-  std::string mAttemptId;
-  std::uint64_t mCallId = 0;
-  std::size_t mClient = 0;
-  std::shared_ptr<ReplicaLoad> mLoad;
-  ReplicaKey mReplica;
-  EventLines mLines;
-  TimePoint mAttemptStarted{};
-  TimePoint mLastPart{};
-  bool mFirstPartSeen = false;
-  bool mFinishSeen = false;
-  bool mResumable = false;
-  int mStatus = 0;
-  bool mBackEndSaysNotRun = false;
-  std::string mEndDetail; ///< why this node ended the attempt, when it did
-  HttpResponse mRelayed;
-};
-
 struct FirstTokenMean
 {
   double mSeconds = 0;
   TimePoint mAt{};
 };
 
-std::string
-ChunkEvent(const std::string& aId, const std::string& aText)
-{
-  static const std::string kAfterText = R"(},"finish_reason":null}]})";
-  return R"(data: {"id":")" + aId +
-         R"(","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":)" +
-         Json(aText).dump(-1, ' ', false, Json::error_handler_t::replace) + kAfterText + "\n\n";
-}
-
-std::string
-LastEvents(const std::string& aId)
-{
-  return R"(data: {"id":")" + aId +
-         R"(","object":"chat.completion.chunk","choices":[{"index":0,"delta":{},)"
-         R"("finish_reason":"stop"}]})"
-         "\n\ndata: [DONE]\n\n";
-}
-
-std::string
-ErrorEvent(const std::string& aMessage, Ran aRan)
-{
-  const Json json = { { "error", { { "message", aMessage } } }, { "ran", ToString(aRan) } };
-  return "event: error\ndata: " + json.dump(-1, ' ', false, Json::error_handler_t::replace) +
-         "\n\n";
-}
-
 } // namespace
 
 struct Gateway::Impl : std::enable_shared_from_this<Gateway::Impl>
--- a/src/pepperbay/node/job.hpp
+++ b/src/pepperbay/node/job.hpp
@@ -1,103 +1,58 @@
 /// @file
-/// @brief One caller's request, from its parse to its answer.
+/// @brief One accepted request, from its arrival to its answer.
 #pragma once
 
-#include "pepperbay/admission/admission.hpp"
-#include "pepperbay/dispatch/attempt.hpp"
-#include "pepperbay/http/client.hpp"
+#include "request.hpp"
+
 #include "pepperbay/http/server.hpp"
 #include "pepperbay/node/traffic_view.hpp"
 
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace pepperbay {
 
-/// What is wrong with a caller's request: which field, and what is allowed.
-struct BadField
-{
-  int mStatus = 400;
-  std::string mField;
-  std::string mMessage;
-};
-
-/// A caller's request after its checks.
-struct CallerRequest
-{
-  std::string mTarget; ///< profile or service
-  bool mService = false;
-  std::string mServicePath; ///< what follows the service's name
-  std::string mMethod;
-  std::string mCustomer;
-  std::uint32_t mPriority = 5;
-  Duration mTimeLeft{ 0 };
-  bool mUnrepeatable = false;
-  bool mStream = false;
-  bool mForwarded = false; ///< came from a node of another data centre
-  std::string mKey;        ///< idempotency key; empty when there is none
-  std::string mContentType;
-  std::string mBody;
-  std::string mPrompt; ///< for prefix routing
-};
-
-/// Limits that the checks apply.
-struct RequestLimits
-{
-  Duration mDefaultDeadline{ 0 };
-  Duration mLongestDeadline{ 0 };
-};
-
-/// Check a request to `/v1/chat/completions` or `/services/NAME/...`.
-/// @return the request, or the field that is wrong
-struct ParsedRequest
+/// A request that was accepted, until its answer is out. Locked by its own mutex; the gateway's
+/// mutex may be taken while it is held, never the other way round.
+struct Job
 {
+  std::uint64_t mId = 0;
   CallerRequest mRequest;
-  std::optional<BadField> mBad;
-};
-
-ParsedRequest
-ParseModelRequest(HttpRequest aRequest, const RequestLimits& aLimits);
-
-ParsedRequest
-ParseServiceRequest(HttpRequest aRequest, const RequestLimits& aLimits);
-
-/// The body of every answer that is not a success.
-HttpResponse
-ErrorResponse(int aStatus, const std::string& aMessage, Ran aRan, Duration aRetryAfter);
-
-HttpResponse
-BadFieldResponse(const BadField& aBad);
-
-/// One event of an engine's answer stream.
-struct EnginePart
-{
-  enum class Kind
-  {
-    kToken,
-    kFinish, ///< the engine says how many tokens there were
-    kError,
-    kForeign, ///< of another attempt, or not understood
-  };
-  Kind mKind = Kind::kForeign;
-  std::uint64_t mIndex = 0; ///< of the token; for kFinish the number of tokens
-  std::string mText;
-};
-
-/// Understand one `data:` line of an engine's stream.
-EnginePart
-ParseEnginePart(const std::string& aData, const std::string& aAttemptId);
-
-/// Takes the `data:` lines out of a stream of server-sent events that comes in any pieces.
-class EventLines
-{
-public:
-  /// @return false when a line is longer than any event may be.
-  bool Feed(std::string_view aBytes, const std::function<void(const std::string& aData)>& aOnData);
-
-private:
-  std::string mPartial;
+  std::shared_ptr<Responder> mResponder;
+  TimePoint mArrived{};
+  TimePoint mDeadline{};
+
+  std::mutex mMutex;
+  std::optional<Delivery> mDelivery;
+  std::set<std::string> mAvoid;
+  bool mDone = false;
+  bool mStreamStarted = false;
+  std::string mClaimId; ///< of its idempotency key; empty when there is none
+  bool mClaimWon = false;
+  bool mCallerLost = false; ///< the caller hung up or reads too slowly
+  TimePoint mStarted{};
+  std::string mText; ///< the answer so far, when it is not streamed
+
+  // The attempt in progress.
+  int mAttempt = 0; ///< 0 when there is none
+  std::string mAttemptId;
+  std::uint64_t mCallId = 0;
+  std::size_t mClient = 0;
+  std::shared_ptr<ReplicaLoad> mLoad;
+  ReplicaKey mReplica;
+  EventLines mLines;
+  TimePoint mAttemptStarted{};
+  TimePoint mLastPart{};
+  bool mFirstPartSeen = false;
+  bool mFinishSeen = false;
+  bool mResumable = false;
+  int mStatus = 0;
+  bool mBackEndSaysNotRun = false;
+  std::string mEndDetail; ///< why this node ended the attempt, when it did
+  HttpResponse mRelayed;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/node/job.cpp
+++ b/src/pepperbay/node/request.cpp
@@ -1,6 +1,7 @@
-#include "job.hpp"
+#include "request.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -208,6 +209,32 @@
   return response;
 }
 
+std::string
+ChunkEvent(const std::string& aId, const std::string& aText)
+{
+  static const std::string kAfterText = R"(},"finish_reason":null}]})";
+  return R"(data: {"id":")" + aId +
+         R"(","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":)" +
+         Json(aText).dump(-1, ' ', false, Json::error_handler_t::replace) + kAfterText + "\n\n";
+}
+
+std::string
+LastEvents(const std::string& aId)
+{
+  return R"(data: {"id":")" + aId +
+         R"(","object":"chat.completion.chunk","choices":[{"index":0,"delta":{},)"
+         R"("finish_reason":"stop"}]})"
+         "\n\ndata: [DONE]\n\n";
+}
+
+std::string
+ErrorEvent(const std::string& aMessage, Ran aRan)
+{
+  const Json json = { { "error", { { "message", aMessage } } }, { "ran", ToString(aRan) } };
+  return "event: error\ndata: " + json.dump(-1, ' ', false, Json::error_handler_t::replace) +
+         "\n\n";
+}
+
 EnginePart
 ParseEnginePart(const std::string& aData, const std::string& aAttemptId)
 {
--- a/src/pepperbay/node/traffic_view.cpp
+++ b/src/pepperbay/node/traffic_view.cpp
@@ -167,6 +167,12 @@
 {
   std::map<ReplicaKey, WholenessReport> before;
   before.swap(mReports);
+  mLeaving.clear();
+  for (const auto& it : mListing) {
+    if (it.mView.mLeaving) {
+      mLeaving.insert(it.mView.mHost);
+    }
+  }
   for (const auto& [name, replica] : Effective().Content().replicas()) {
     if (replica.assign().scope() == mSettings.mPlace.mDataCentre) {
       AddReplica(aView, name, replica);
@@ -219,15 +225,7 @@
   ReplicaLoad& load = LoadOf(key);
   bool closing = aState.closing();
   for (const auto& it : assign.members()) {
-    closing = closing || Draining(it.host());
-  }
-  for (const auto& it : mListing) {
-    if (!it.mView.mLeaving) {
-      continue;
-    }
-    for (const auto& member : assign.members()) {
-      closing = closing || member.host() == it.mView.mHost;
-    }
+    closing = closing || Draining(it.host()) || mLeaving.count(it.host()) > 0;
   }
   if (closing) {
     load.Close();
--- a/src/pepperbay/placement/reserves.cpp
+++ b/src/pepperbay/placement/reserves.cpp
@@ -46,8 +46,7 @@
   }
   const proto::Assign& folded = replica->assign();
   const bool next = aRepair.generation() == folded.generation() + 1 &&
-                    aRepair.fence() == lease->second.fence() &&
-                    aRepair.scope() == folded.scope() &&
+                    aRepair.fence() == lease->second.fence() && aRepair.scope() == folded.scope() &&
                     aRepair.profile() == folded.profile() &&
                     aRepair.model_version() == folded.model_version();
   const proto::Member* spare = OnlyNewMember(folded, aRepair);
