A new holder plans once it is informed; control at rest costs less; failed versions can be retried

Causes, found by reading: (1) a node that has just taken the lease has read back few hosts; shares were counted over those only, and a roll in progress would have taken serving replicas for broken; (2) a version that once failed could never be published again; (3) the gateway was destroyed after what its hooks post to. Change: shares count hosts that answer, and nothing is planned before the lease is held for the freshness time; publishing another version lifts the mark; the gateway goes first. Planning every five ticks, views on change or five times a second, the pump rests without requests.

--- a/src/pepperbay/node/controller_hosts.cpp
+++ b/src/pepperbay/node/controller_hosts.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// @brief The controller and the hosts: list, probes, planned stops, leading, repairs without the log.
+/// @brief The controller and the hosts: list, probes, planned stops, leading, repairs without the
+/// log.
 
 #include "controller_impl.hpp"
 
@@ -105,8 +106,8 @@
   for (const auto& it : mWatch.Due(mTargets, AliveHere(), now)) {
     mHooks.mProbe(it.mAddress,
                   [this, host = it.mHost, now](const Result<proto::Evidence>& aAnswer) {
-                    mWatch.OnProbe(host, aAnswer, now);
-                    mViewDirty = true;
+                    const bool news = mWatch.OnProbe(host, aAnswer, now);
+                    mViewDirty = mViewDirty || news;
                   });
   }
 }
@@ -227,7 +228,7 @@
     !mFollower.LogReachable() && now - mFollower.LastRead() > mSettings.mControl.mSuspectAfter;
   PlanInput input;
   input.mEvidence = &mWatch.Table();
-  if (out || mHolder.Lease().Held(now)) {
+  if (mHolder.WantsHosts(now)) {
     input.mHosts = OwnHosts(); // the others have no use for them
   }
   input.mDrained = [this](const std::string& aReplica, std::uint64_t aGeneration) {
--- a/src/pepperbay/node/gateway.cpp
+++ b/src/pepperbay/node/gateway.cpp
@@ -21,6 +21,7 @@
 using Json = nlohmann::json;
 
 constexpr Duration kPumpEvery = std::chrono::milliseconds(10);
+constexpr Duration kPumpAtRest = std::chrono::seconds(1);
 constexpr Duration kFirstTokenMemory = std::chrono::seconds(10);
 constexpr double kFirstTokenSmoothing = 0.2;
 constexpr int kOk = 200;
@@ -153,6 +154,7 @@
       mBudget.OnRequest();
       ++mCounters.mOpen;
     }
+    mWake.notify_one(); // the pump may be at rest
     const std::weak_ptr<Job> weak = job;
     job->mResponder->OnClosed([self = weak_from_this(), weak](bool aComplete) {
       const auto impl = self.lock();
@@ -848,7 +850,8 @@
       std::vector<std::shared_ptr<Job>> all;
       {
         std::unique_lock lock(mMutex);
-        mWake.wait_for(lock, kPumpEvery);
+        // Without requests there is nothing to time; a node at rest should cost next to nothing.
+        mWake.wait_for(lock, mJobs.empty() ? kPumpAtRest : kPumpEvery);
         if (mStopping) {
           return;
         }
@@ -966,7 +969,9 @@
     }
   }
   std::atomic_store(&mImpl->mView, std::move(aView));
-  mImpl->mWake.notify_one();
+  if (mImpl->mCounters.mOpen.load() > 0) {
+    mImpl->mWake.notify_one();
+  }
 }
 
 TrafficReport
--- a/src/pepperbay/node/holder.cpp
+++ b/src/pepperbay/node/holder.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int kStaggerSteps = 16;
+constexpr int kTicksPerPlan = 5;
 
 LeaseOptions
 MakeLeaseOptions(const Settings& aSettings, std::uint64_t aIncarnation)
@@ -96,14 +97,19 @@
   if (const auto claim = mKeeper.Tick(aNow)) {
     Claim(*claim, aNow);
   }
-  if (!mKeeper.Held(aNow)) {
+  // Planning looks at every host and replica; a few times a second is soon enough.
+  if (!mKeeper.Held(aNow) || aNow < mNextPlan) {
     return;
   }
+  mNextPlan = aNow + mSettings.mControl.mTick * kTicksPerPlan;
   aInput.mScope = mSettings.mPlace.mDataCentre;
   aInput.mFence = mKeeper.Fence();
   aInput.mHeldSince = mKeeper.HeldSince();
   aInput.mNow = aNow;
-  if (aMayPlan) {
+  // A node that has just started has heard few hosts; planning on that, it would take serving
+  // replicas for broken and profiles for being above their shares.
+  const bool informed = aNow - mKeeper.HeldSince() >= mSettings.mControl.mFreshness;
+  if (aMayPlan && informed) {
     AppendPlan(aInput, aNow);
     AppendSnapshot(*aInput.mState, aNow);
   }
@@ -126,9 +132,10 @@
 std::vector<proto::Assign>
 Holder::TickOutage(PlanInput aInput, TimePoint aNow)
 {
-  if (!mLastHolder) {
+  if (!mLastHolder || aNow < mNextPlan) {
     return {};
   }
+  mNextPlan = aNow + mSettings.mControl.mTick * kTicksPerPlan;
   aInput.mScope = mSettings.mPlace.mDataCentre;
   aInput.mFence = mKeeper.Fence();
   aInput.mHeldSince = mKeeper.HeldSince();
--- a/src/pepperbay/node/holder.hpp
+++ b/src/pepperbay/node/holder.hpp
@@ -47,6 +47,12 @@
   /// are on their way.
   bool Adopt(const OutageRepairs& aRepairs, TimePoint aNow);
 
+  /// @return whether the next call of Tick() or TickOutage() looks at the hosts.
+  bool WantsHosts(TimePoint aNow) const
+  {
+    return aNow >= mNextPlan && (mLastHolder || mKeeper.Held(aNow));
+  }
+
   /// Give the lease back; @return false when there is none to give or the log takes no records.
   bool GiveUp(TimePoint aNow);
 
@@ -68,6 +74,7 @@
   PlanOutcome mLastPlan;
   std::size_t mOutstanding = 0;
   bool mSnapshotOutstanding = false;
+  TimePoint mNextPlan{};
   bool mLastHolder = false; ///< the folded lease is this node's, whether its time is over or not
   std::uint64_t mOrders = 0;
   std::uint64_t mRefused = 0;
--- a/src/pepperbay/node/host_watch.cpp
+++ b/src/pepperbay/node/host_watch.cpp
@@ -55,7 +55,7 @@
   return due;
 }
 
-void
+bool
 HostWatch::OnProbe(const std::string& aHost,
                    const Result<proto::Evidence>& aAnswer,
                    TimePoint aSentAt)
@@ -64,12 +64,14 @@
   own.mInFlight = false;
   own.mAnswered = aAnswer.has_value();
   if (!aAnswer.has_value()) {
-    return;
+    return false;
   }
+  const std::uint64_t before = EvidenceSignature(own.mEvidence, mSlots);
   own.mEvidence = aAnswer.value();
   own.mEvidence.set_host(aHost);
   own.mSentAt = aSentAt;
   mTable.Merge(own.mEvidence, aSentAt);
+  return EvidenceSignature(own.mEvidence, mSlots) != before;
 }
 
 bool
--- a/src/pepperbay/node/host_watch.hpp
+++ b/src/pepperbay/node/host_watch.hpp
@@ -33,7 +33,8 @@
                                TimePoint aNow);
 
   /// A probe has ended. A refused connection is evidence; silence is none.
-  void OnProbe(const std::string& aHost, const Result<proto::Evidence>& aAnswer, TimePoint aSentAt);
+  /// @return whether the host says anything but its age anew
+  bool OnProbe(const std::string& aHost, const Result<proto::Evidence>& aAnswer, TimePoint aSentAt);
 
   /// A peer's evidence, sent no earlier than `aSentNoEarlier` by this node's clock.
   /// @return whether all of it is known; when not, the peer should be asked for all.
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -56,7 +56,7 @@
     : mSettings(aSettings)
     , mControlClient(HttpClient::Create(ClientOptions(aSettings)))
     , mPlatform(aSettings.mPlatform, mControlClient.get())
-    , mGateway(aSettings, &BootClock::now, MakeClaimHooks())
+    , mGateway(std::make_unique<Gateway>(aSettings, &BootClock::now, MakeClaimHooks()))
     , mWakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
   {
   }
@@ -70,6 +70,7 @@
     // Answers of calls in progress are posted to this object; end the calls first.
     mCallers.reset();
     mAdmin.reset();
+    mGateway.reset();
     mControlClient.reset();
     ::close(mWakeFd);
   }
@@ -100,7 +101,7 @@
       Listen(mSettings.mPlace.mCallers,
              mSettings.mRequests.mThreads,
              [this](HttpRequest aRequest, const std::shared_ptr<Responder>& aResponder) {
-               mGateway.Handle(std::move(aRequest), aResponder);
+               mGateway->Handle(std::move(aRequest), aResponder);
              });
     if (!callers.has_value()) {
       return callers.error();
@@ -243,9 +244,9 @@
         mPlatform.Order(aOrder, aTimeout, Posted<Result<void>>(std::move(aDone)));
       };
     hooks.mPublishView = [this](std::shared_ptr<const TrafficView> aView) {
-      mGateway.SetView(std::move(aView));
+      mGateway->SetView(std::move(aView));
     };
-    hooks.mTraffic = [this] { return mGateway.Report(); };
+    hooks.mTraffic = [this] { return mGateway->Report(); };
     return hooks;
   }
 
@@ -290,7 +291,7 @@
       *aStopAt = now + mSettings.mControl.mDrainGrace;
       mStopLatest = now + mSettings.mControl.mDrainGrace + mSettings.mRequests.mLongestDeadline;
     }
-    const bool idle = mGateway.Counters().mOpen.load() == 0;
+    const bool idle = mGateway->Counters().mOpen.load() == 0;
     const bool settled = !mController->HasRecordsWaiting() || now > *aStopAt + kLastAppends;
     return (now >= *aStopAt && idle && settled) || now >= mStopLatest;
   }
@@ -343,7 +344,7 @@
       response.mContentType = "text/plain; version=0.0.4";
       response.mBody = RenderMetrics(mController->Counters(),
                                      mLink->Counters(),
-                                     mGateway.Counters(),
+                                     mGateway->Counters(),
                                      mController->HoldsLease(),
                                      mController->Folded().Next(),
                                      mControlClient->Counters(),
@@ -416,7 +417,7 @@
   Settings mSettings;
   std::unique_ptr<HttpClient> mControlClient;
   Platform mPlatform;
-  Gateway mGateway;
+  std::unique_ptr<Gateway> mGateway;
   int mWakeFd;
   std::unique_ptr<PeerLink> mLink;
   std::unique_ptr<Controller> mController;
--- a/src/pepperbay/node/traffic_view.cpp
+++ b/src/pepperbay/node/traffic_view.cpp
@@ -10,7 +10,7 @@
 namespace pepperbay {
 namespace {
 
-constexpr Duration kViewEvery = std::chrono::milliseconds(100);
+constexpr Duration kViewEvery = std::chrono::milliseconds(200);
 constexpr double kStragglerFactor = 3.0;
 constexpr double kMostEjected = 0.2;
 constexpr double kPermilleUnit = 1000.0;
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -131,13 +131,18 @@
     return word == nullptr || word->mEvidence.host_incarnation() <= it->second;
   }
 
-  /// A host may be given to a replica when it answers, and has answered to this holder: what an
-  /// earlier holder did to it shows in that answer.
   bool Usable(const HostView& aHost) const
   {
-    const HostWord* word = mIn.mEvidence->Find(aHost.mHost);
     return !aHost.mLeaving && !Draining(aHost.mHost) && !Silent(aHost.mHost) &&
-           !Refuses(aHost.mHost) && word->mSaidNoEarlier >= mIn.mHeldSince;
+           !Refuses(aHost.mHost);
+  }
+
+  /// A host may be given to a replica once it has answered in this tenure: what an earlier holder
+  /// did to it shows in that answer.
+  bool Free(const HostView& aHost) const
+  {
+    return mIn.mState->ReplicaOfHost(aHost.mHost) == nullptr &&
+           mIn.mEvidence->Find(aHost.mHost)->mSaidNoEarlier >= mIn.mHeldSince;
   }
 
   void SurveyHosts()
@@ -152,7 +157,7 @@
       if (Usable(it)) {
         ++mUsable;
         ++mUsableIn[it.mDomain];
-        if (mIn.mState->ReplicaOfHost(it.mHost) == nullptr) {
+        if (Free(it)) {
           mFree[it.mDomain].push_back(it.mHost);
         }
       }
--- a/src/pepperbay/placement/planner_test.cpp
+++ b/src/pepperbay/placement/planner_test.cpp
@@ -182,6 +182,31 @@
   EXPECT_EQ(model.Round().mSpares, 4);
 }
 
+/// Symptom: a holder that has just taken over closes a serving replica.
+/// Sequence: it has not read any host back yet, so no host seems usable; every share rounds down to
+/// one replica and profiles seem to be far above theirs.
+/// Cause: counting shares over hosts read back in this tenure, in place of hosts that answer.
+TEST(Planner, ANewTenureDoesNotShrinkShares)
+{
+  Model model(1, 8);
+  model.Profile("a", 4, 1000, 5);
+  model.Rounds(3);
+  ASSERT_EQ(model.Whole("a"), 2);
+  PlanInput input = model.Input();
+  input.mHeldSince = model.mClock.Now() + seconds(1); // nothing said since
+  input.mDrained = [](const auto&, auto) { return true; };
+  model.Profile("a", 4, 500, 5);
+  model.Profile("b", 4, 500, 5);
+  input.mState = &model.mState;
+  const PlanOutcome outcome = model.mPlanner.Plan(input);
+  EXPECT_EQ(outcome.mWaiting.count("b"), 1U);
+  EXPECT_EQ(outcome.mWaiting.at("b"), "has 0 of 1 replicas: no domain has room");
+  model.Profile("a", 4, 1000 - 500, 5, "2");
+  PlanInput rolling = input;
+  const PlanOutcome roll = model.mPlanner.Plan(rolling);
+  EXPECT_LE(roll.mRecords.size(), 1U) << "one replica at a time";
+}
+
 TEST(Planner, UrgentProfilesGetTheirFirstReplicaFirst)
 {
   Model model(1, 4);
--- a/src/pepperbay/state/fold.cpp
+++ b/src/pepperbay/state/fold.cpp
@@ -172,6 +172,12 @@
   proto::Versioned& versioned = (*mContent.mutable_documents())[aPublish.key()];
   versioned.set_version(version + 1);
   versioned.set_offset(aOffset);
+  // Another version than the one that failed: the failed one may be tried again later.
+  const auto failed = mContent.failed_versions().find(aPublish.document().profile().name());
+  if (aPublish.document().has_profile() && failed != mContent.failed_versions().end() &&
+      failed->second != aPublish.document().profile().model_version()) {
+    mContent.mutable_failed_versions()->erase(aPublish.document().profile().name());
+  }
   if (removes) {
     versioned.clear_document();
   } else {
--- a/src/pepperbay/state/fold_test.cpp
+++ b/src/pepperbay/state/fold_test.cpp
@@ -200,6 +200,28 @@
   EXPECT_EQ(state.ReplicaOfHost("h0"), nullptr);
 }
 
+/// Symptom: a version that once failed to load can never be published again, though its files were
+/// mended. Publishing another version in between lifts the mark.
+TEST(Fold, AFailedVersionMayBeTriedAgainAfterAnother)
+{
+  State state;
+  Writer writer;
+  Apply(state, writer.Publish(0, "p", 0, 2));
+  Apply(state, writer.Claim(0, 0));
+  proto::Record failed = writer.New(0);
+  failed.mutable_version_failed()->set_scope("dc");
+  failed.mutable_version_failed()->set_fence(FenceOf(state));
+  failed.mutable_version_failed()->set_profile("p");
+  failed.mutable_version_failed()->set_model_version("1");
+  ASSERT_EQ(Apply(state, failed), FoldVerdict::kAccepted);
+  Apply(state, writer.Publish(0, "p", 1, 3));
+  EXPECT_EQ(state.Content().failed_versions().count("p"), 1U) << "the same version still fails";
+  proto::Record other = writer.Publish(0, "p", 2, 2);
+  other.mutable_publish()->mutable_document()->mutable_profile()->set_model_version("2");
+  Apply(state, other);
+  EXPECT_EQ(state.Content().failed_versions().count("p"), 0U);
+}
+
 TEST(Fold, DropsOversizedRecordsAndNewerFormats)
 {
   State state;
