--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -76,6 +77,10 @@
     return read;
   }
   StartLogging(settings.mPlace.mName);
+  // Values made on one thread are freed on another; with an arena a thread each arena would keep
+  // its own peak of them, and the resident size would grow with the number of threads.
+  constexpr int kArenas = 2;
+  mallopt(M_ARENA_MAX, kArenas);
   google::protobuf::SetLogHandler(nullptr); // what cannot be read is counted by reason instead
   auto node = Node::Start(settings);
   if (!node.has_value()) {
--- a/src/pepperbay/node/host_watch.hpp
+++ b/src/pepperbay/node/host_watch.hpp
@@ -73,7 +73,7 @@
   /// What this node stands by: the words of its own hosts that answered their last probe.
   std::vector<proto::Evidence> Current(TimePoint aNow, Duration* aOldest) const;
 
-  static constexpr Duration kFullEvery = std::chrono::seconds(30);
+  static constexpr Duration kFullEvery = std::chrono::minutes(5);
 
   ControlSettings mSettings;
   std::uint32_t mSlots;
