--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -149,7 +149,7 @@
   {
     for (const auto& it : mIn.mHosts) {
       mHosts[it.mHost] = &it;
-      if (!Silent(it.mHost)) {
+      if (!Silent(it.mHost) && !Refuses(it.mHost)) {
         mSilentSince.erase(it.mHost);
       } else {
         mSilentSince.emplace(it.mHost, mIn.mNow);
@@ -207,16 +207,13 @@
       aView.mMustStop = true;
       aView.mStopReason = aHost + " is to stop";
     }
-    if (Refuses(aHost)) {
-      aView.mLost.push_back({ aHost, Duration::zero(), true });
-      return;
-    }
-    if (!Silent(aHost)) {
+    const bool gone = Refuses(aHost);
+    if (!gone && !Silent(aHost)) {
       mSilentSince.erase(aHost);
       return;
     }
     const TimePoint since = mSilentSince.emplace(aHost, mIn.mNow).first->second;
-    aView.mLost.push_back({ aHost, mIn.mNow - since, false });
+    aView.mLost.push_back({ aHost, mIn.mNow - since, gone });
   }
 
   void SurveyProfiles()
@@ -794,14 +791,16 @@
     return costOfLoad < costOfWait || aCase.mProcessGone ? RepairChoice::kUseSpares
                                                          : RepairChoice::kWait;
   }
-  if (mayBeBlip) {
-    return RepairChoice::kWait;
-  }
-  if (aCase.mDonorInDomain) {
+  // The donor loses its own chance of return: most hosts that are away for longer than a blip were
+  // restarted and are back within a load or two. So both it and a new place wait until this one has
+  // been away for as long as a load takes.
+  const bool longGone = aCase.mSilentFor > aOptions.mLoadTime;
+  if (aCase.mDonorInDomain && longGone) {
     return RepairChoice::kTakeFromAnother;
   }
-  const bool longGone = aCase.mSilentFor > aOptions.mLoadTime || aCase.mLost == aCase.mSize;
-  return aCase.mRoomElsewhere && longGone ? RepairChoice::kGiveUp : RepairChoice::kWait;
+  const bool hopeless = longGone || aCase.mLost == aCase.mSize;
+  return aCase.mRoomElsewhere && hopeless && !mayBeBlip ? RepairChoice::kGiveUp
+                                                        : RepairChoice::kWait;
 }
 
 std::size_t
