--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -116,7 +116,7 @@
 class Replay
 {
 public:
-  Replay(const Size& aSize, PlannerOptions aOptions)
+  Replay(const Size& aSize, const PlannerOptions& aOptions)
     : mSize(aSize)
     , mPlanner(aOptions)
     , mOrders(MakeOrderOptions(aSize))
--- a/include/pepperbay/placement/planner.hpp
+++ b/include/pepperbay/placement/planner.hpp
@@ -111,7 +111,7 @@
 class Planner
 {
 public:
-  explicit Planner(PlannerOptions aOptions);
+  explicit Planner(const PlannerOptions& aOptions);
 
   /// Decide one round. Call again once the records of the last round are folded or refused.
   PlanOutcome Plan(const PlanInput& aInput);
--- a/src/pepperbay/node/controller.cpp
+++ b/src/pepperbay/node/controller.cpp
@@ -78,7 +78,7 @@
   hooks.mOwner = [this](std::uint32_t aPartition) {
     return OwnerOf("claims/" + std::to_string(aPartition));
   };
-  hooks.mSend = [this](const std::string& aNode, proto::Envelope aEnvelope) {
+  hooks.mSend = [this](const std::string& aNode, const proto::Envelope& aEnvelope) {
     proto::Envelope envelope = MakeEnvelope();
     envelope.MergeFrom(aEnvelope);
     Send(aNode, std::move(envelope));
--- a/src/pepperbay/node/holder.cpp
+++ b/src/pepperbay/node/holder.cpp
@@ -116,12 +116,12 @@
   // An order must be over before the lease is, or it could arrive after a successor's.
   const Duration timeout = mSettings.mControl.mOrderTimeout;
   if (mKeeper.Remaining(aNow) > timeout) {
-    GiveOrders(std::move(aInput), timeout);
+    GiveOrders(aInput, timeout);
   }
 }
 
 void
-Holder::GiveOrders(PlanInput aInput, Duration aTimeout)
+Holder::GiveOrders(const PlanInput& aInput, Duration aTimeout)
 {
   for (const auto& it : mOrderPlan.Due(aInput)) {
     ++mOrders;
@@ -147,7 +147,7 @@
                              [](const HostView& aHost) { return !aHost.mChecksFence; }),
               hosts.end());
   std::vector<proto::Assign> repairs = mPlanner.PlanOutage(aInput);
-  GiveOrders(std::move(aInput), mSettings.mControl.mOrderTimeout);
+  GiveOrders(aInput, mSettings.mControl.mOrderTimeout);
   return repairs;
 }
 
--- a/src/pepperbay/node/holder.hpp
+++ b/src/pepperbay/node/holder.hpp
@@ -41,7 +41,7 @@
   std::vector<proto::Assign> TickOutage(PlanInput aInput, TimePoint aNow);
 
   /// Give the orders that bring hosts to a state with repairs laid over it.
-  void GiveOrders(PlanInput aInput, Duration aTimeout);
+  void GiveOrders(const PlanInput& aInput, Duration aTimeout);
 
   /// Put repairs made without the log into it; nothing else is planned before. @return whether some
   /// are on their way.
--- a/src/pepperbay/node/traffic_view.cpp
+++ b/src/pepperbay/node/traffic_view.cpp
@@ -73,7 +73,7 @@
     return "no state yet from the log or a peer";
   }
   if (!mFollower.CaughtUp()) {
-    const std::string behind = WhyBehindPeers();
+    std::string behind = WhyBehindPeers();
     if (!behind.empty()) {
       return behind;
     }
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -824,7 +824,7 @@
   return worth;
 }
 
-Planner::Planner(PlannerOptions aOptions)
+Planner::Planner(const PlannerOptions& aOptions)
   : mOptions(aOptions)
 {
 }
