Routing replay: what runs on a dark engine is lost

Change: an epoch for each engine; its requests fail after the two seconds in which nodes notice. Also an unused counter of the stand-in is gone.

--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -93,6 +93,8 @@
 {
   int mRunning = 0;
   std::deque<std::shared_ptr<Request>> mQueue;
+  std::map<std::uint64_t, std::shared_ptr<Request>> mActive; ///< running and waiting in it
+  int mEpoch = 0; ///< grows when it loses power; what was under way then never ends
   std::list<std::uint64_t> mCache;
   double mSlow = 1.0;
   bool mDark = false;
@@ -312,6 +314,7 @@
       return;
     }
     engine.mQueue.push_back(aRequest);
+    engine.mActive[aRequest->mId] = aRequest;
     StartQueued(aRequest->mReplica);
   }
 
@@ -359,9 +362,17 @@
       ++mResult.mPrefills;
       mResult.mHits += hit ? 1 : 0;
       const double first = kPrefill * (hit ? kCachedPart : 1.0) * engine.mSlow;
-      Later(mNow + first, [this, request, aReplica] { FirstToken(request, aReplica); });
-      Later(mNow + first + kToken * kTokens * engine.mSlow,
-            [this, request, aReplica] { Done(request, aReplica); });
+      const int epoch = engine.mEpoch;
+      Later(mNow + first, [this, request, aReplica, epoch] {
+        if (mEngines[static_cast<std::size_t>(aReplica)].mEpoch == epoch) {
+          FirstToken(request, aReplica);
+        }
+      });
+      Later(mNow + first + kToken * kTokens * engine.mSlow, [this, request, aReplica, epoch] {
+        if (mEngines[static_cast<std::size_t>(aReplica)].mEpoch == epoch) {
+          Done(request, aReplica);
+        }
+      });
     }
   }
 
@@ -386,6 +397,7 @@
     if (aRequest->mReplica != aReplica) {
       return;
     }
+    engine.mActive.erase(aRequest->mId);
     --engine.mRunning;
     aRequest->mLoad->Leave();
     aRequest->mReplica = -1;
@@ -409,10 +421,11 @@
         engine.mRunning = 0;
         engine.mQueue.clear();
         engine.mCache.clear();
-        for (auto& [id, request] : Active(r)) {
-          const auto lost = request;
-          Later(mNow + 2.0, [this, lost, r] { AttemptFailed(lost, r); });
+        ++engine.mEpoch;
+        for (const auto& [id, request] : engine.mActive) {
+          Later(mNow + 2.0, [this, lost = request, r] { AttemptFailed(lost, r); });
         }
+        engine.mActive.clear();
       }
     }
     Later(mNow + 2.0, [this, aDark] {
@@ -429,17 +442,6 @@
     });
   }
 
-  std::map<std::uint64_t, std::shared_ptr<Request>> Active(int aReplica)
-  {
-    std::map<std::uint64_t, std::shared_ptr<Request>> active;
-    std::priority_queue<Event> left;
-    (void)left;
-    for (const auto& it : mEngines[static_cast<std::size_t>(aReplica)].mQueue) {
-      active[it->mId] = it;
-    }
-    return active;
-  }
-
   void Report()
   {
     for (int r = 0; r < kReplicas; ++r) {
--- a/fakes/fake_engines.hpp
+++ b/fakes/fake_engines.hpp
@@ -47,7 +47,6 @@
   std::uint64_t mTokens = 0;
   std::uint64_t mPartial = 0;      ///< requests that reached a replica which was not whole
   std::uint64_t mStaleOrders = 0;  ///< orders with an old fencing number, refused
-  std::uint64_t mDoubleHosts = 0;  ///< moments at which a host was in two whole replicas
   std::uint64_t mCutByStop = 0;    ///< streams cut by an unload or load order
   std::uint64_t mAfterLeaving = 0; ///< requests that reached a host well after its stop
   std::uint64_t mCachedBlocks = 0;
