Drop state that nothing reads

Cause: read again as a whole: the planner kept why a replica must stop and the host watch counted its probes, and neither was ever shown. Change: both are gone; behaviour is as it was. Figures: planner tests 17, stops 6 pass; the other tests, unchanged, were not run again.

--- a/src/pepperbay/node/host_watch.cpp
+++ b/src/pepperbay/node/host_watch.cpp
@@ -49,7 +49,6 @@
     }
     own.mInFlight = true;
     own.mNext = aNow + mSettings.mProbe;
-    ++mProbes;
     due.push_back(it);
   }
   return due;
--- a/src/pepperbay/node/host_watch.hpp
+++ b/src/pepperbay/node/host_watch.hpp
@@ -55,8 +55,6 @@
   const EvidenceTable& Table() const { return mTable; }
   void Forget(TimePoint aNow) { mTable.Forget(kForgetAfter, aNow); }
 
-  std::uint64_t Probes() const { return mProbes; }
-
 private:
   static constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
@@ -86,7 +84,6 @@
   EvidenceSender mSender;
   std::map<std::string, EvidenceReceiver> mReceivers;
   TimePoint mNextFull{};
-  std::uint64_t mProbes = 0;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -34,7 +34,6 @@
   std::vector<LostMember> mLost;
   bool mWhole = false;
   bool mMustStop = false;
-  std::string mStopReason;
 
   const proto::Assign& Assigned() const { return mState->assign(); }
 };
@@ -186,11 +185,9 @@
       const proto::Profile* profile = mIn.mState->FindProfile(state.assign().profile());
       if (profile == nullptr) {
         view.mMustStop = true;
-        view.mStopReason = "its profile is gone";
       } else if (profile->hosts_per_replica() !=
                  static_cast<std::uint32_t>(state.assign().members_size())) {
         view.mMustStop = true;
-        view.mStopReason = "its profile wants another size";
       }
       mReplicas.push_back(std::move(view));
     }
@@ -205,7 +202,6 @@
     const bool leaving = listed != mHosts.end() && listed->second->mLeaving;
     if (leaving || Draining(aHost)) {
       aView.mMustStop = true;
-      aView.mStopReason = aHost + " is to stop";
     }
     const bool gone = Refuses(aHost);
     if (!gone && !Silent(aHost)) {
