--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -183,10 +183,8 @@
       const auto report = mIn.mEvidence->Judge(expected, mOptions.mFreshness, mIn.mNow);
       view.mWhole = report.mWholeness == Wholeness::kWhole;
       const proto::Profile* profile = mIn.mState->FindProfile(state.assign().profile());
-      if (profile == nullptr) {
-        view.mMustStop = true;
-      } else if (profile->hosts_per_replica() !=
-                 static_cast<std::uint32_t>(state.assign().members_size())) {
+      const auto members = static_cast<std::uint32_t>(state.assign().members_size());
+      if (profile == nullptr || profile->hosts_per_replica() != members) {
         view.mMustStop = true;
       }
       mReplicas.push_back(std::move(view));
