placement: shares are due of all hosts that were bought, not of those that are up

Shares were measured by the hosts up at the moment, so they shrank with each failure; a host that came back alone became a replica of the profile of single hosts, the profile of groups of four was "at its share" with fewer than it was bought for, and nobody gave a group's hosts back. Ruled out: giving broken replicas up too early. Tried and dropped. Change: a profile is due its share of all hosts listed. Below that it grows first, needs no spare kept, and takes hosts from profiles above theirs. A roll still goes by the share of hosts that are up, or a dark domain would stop it. The property "its records are accepted and it settles" holds over 2,000 cases; the new test fails without the change (3 groups of 4). The bench runs its policies side by side.

Also: an order of an old holder that arrives late is brought about at a host that checks fencing numbers (refused) and at one that does not (out of routing, ordered back).

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -14,6 +14,7 @@
 #include <absl/flags/parse.h>
 #include <algorithm>
 #include <cstdio>
+#include <future>
 #include <random>
 
 ABSL_FLAG(double, hours, 24, "hours replayed");
@@ -324,6 +325,20 @@
   return options;
 }
 
+Costs
+SumOfSeeds(const Size& aSize, const Policy& aPolicy)
+{
+  Costs sum;
+  for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+    const auto events =
+      MakeSchedule(aSize.mDomains, aSize.mHostsPerDomain, static_cast<std::uint64_t>(seed));
+    const Costs costs = Replay(aSize, aPolicy.mOptions).Run(events);
+    sum.mDowntime += costs.mDowntime;
+    sum.mStranded += costs.mStranded;
+  }
+  return sum;
+}
+
 } // namespace
 
 int
@@ -351,17 +366,16 @@
   policies.push_back({ "weighed, downtime first", Base(200, 1) });
   std::printf("%-16s %-26s %16s %20s\n", "size", "policy", "downtime rep-h", "stranded acc-h");
   for (const auto& size : sizes) {
+    std::vector<std::future<Costs>> runs;
+    runs.reserve(policies.size());
     for (const auto& policy : policies) {
-      Costs sum;
-      for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
-        const auto events =
-          MakeSchedule(size.mDomains, size.mHostsPerDomain, static_cast<std::uint64_t>(seed));
-        const Costs costs = Replay(size, policy.mOptions).Run(events);
-        sum.mDowntime += costs.mDowntime;
-        sum.mStranded += costs.mStranded;
-      }
+      runs.push_back(
+        std::async(std::launch::async, [&size, &policy] { return SumOfSeeds(size, policy); }));
+    }
+    for (std::size_t i = 0; i < policies.size(); ++i) {
+      const Costs sum = runs[i].get();
       std::printf(
-        "%-16s %-26s %16.2f %20.1f\n", size.mName, policy.mName, sum.mDowntime, sum.mStranded);
+        "%-16s %-26s %16.2f %20.1f\n", size.mName, policies[i].mName, sum.mDowntime, sum.mStranded);
       std::fflush(stdout);
     }
   }
--- a/fakes/fake_engines.cpp
+++ b/fakes/fake_engines.cpp
@@ -83,6 +83,7 @@
   bool mSilent = false; ///< dark or paused
   bool mDark = false;
   bool mKilled = false;
+  bool mStopped = false; ///< every node has confirmed that it sends no new work
   bool mLeaving = false;
   Clock::time_point mLeavingSince;
   double mStraggle = 1.0;
@@ -255,6 +256,8 @@
     host.mCutBefore = aValue == "1";
   } else if (aKind == "fail_version") {
     host.mFailVersion = aValue;
+  } else if (aKind == "stopped") {
+    host.mStopped = aValue == "1";
   } else if (aKind == "leaving") {
     host.mLeaving = aValue == "1";
     host.mLeavingSince = Clock::now();
@@ -453,7 +456,7 @@
     return;
   }
   constexpr auto kSomeSeconds = std::chrono::seconds(5);
-  if (aHost.mLeaving && Clock::now() - aHost.mLeavingSince > kSomeSeconds) {
+  if (aHost.mStopped || (aHost.mLeaving && Clock::now() - aHost.mLeavingSince > kSomeSeconds)) {
     ++mCounts.mAfterLeaving;
   }
   auto stream = std::make_shared<Stream>();
--- a/fakes/fake_engines.hpp
+++ b/fakes/fake_engines.hpp
@@ -48,7 +48,7 @@
   std::uint64_t mPartial = 0;      ///< requests that reached a replica which was not whole
   std::uint64_t mStaleOrders = 0;  ///< orders with an old fencing number, refused
   std::uint64_t mCutByStop = 0;    ///< streams cut by an unload or load order
-  std::uint64_t mAfterLeaving = 0; ///< requests that reached a host well after its stop
+  std::uint64_t mAfterLeaving = 0; ///< requests that reached a host after its stop
   std::uint64_t mCachedBlocks = 0;
   std::uint64_t mPromptBlocks = 0;
 };
--- a/scripts/bench_recovery.sh
+++ b/scripts/bench_recovery.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Time from a failure to the effect, with the default settings: a holder killed, a host's process
-# gone, a host silent. Medians of five in one run.
+# Time from a failure to the effect, with the default settings: a host's process gone, a host
+# silent, the holder killed. Medians of five in one run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/bench_lib.sh
@@ -30,3 +30,22 @@
   for _ in 1 2 3 4 5; do trial "$kind"; done >"$work/$kind"
   echo "host $kind: out of routing after $(cut -d' ' -f1 "$work/$kind" | median) ms, whole again after $(cut -d' ' -f2 "$work/$kind" | median) ms"
 done
+holder() { curl -fsS "http://$1/dump" | grep -o '"leases":{[^}]*}' | grep -o '"holder":"[^"]*"' | cut -d'"' -f4; }
+restart() { # INDEX: start a node again and wait until it is ready
+  build/pepperbay serve --config "$work/node-levis-$(($1 + 1)).yaml" 2>>"$work/nodes.log" &
+  NODE_PIDS[$1]=$!
+  pids+=($!)
+  wait_until "node $1 is ready" curl -fsS "http://${ADMINS[$1]%:*}:8080/readyz"
+}
+for _ in 1 2 3 4 5; do
+  old=$(holder "${ADMINS[0]}")
+  index=$((${old#levis-} - 1))
+  other=${ADMINS[$(((index + 1) % 3))]}
+  begun=$(now)
+  kill -9 "${NODE_PIDS[$index]}"
+  until [ "$(holder "$other")" != "$old" ]; do :; done
+  echo $(($(now) - begun))
+  restart "$index"
+  sleep 3
+done >"$work/holder"
+echo "holder killed: another one after $(median <"$work/holder") ms"
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -43,7 +43,8 @@
 {
   const proto::Profile* mProfile = nullptr;
   std::size_t mFloor = 0;   ///< replicas that its share entitles it to
-  double mEntitled = 0;     ///< the same before rounding
+  std::size_t mDue = 0;     ///< the same of all hosts listed, those that are away included
+  double mEntitled = 0;     ///< mFloor before rounding
   std::size_t mLive = 0;    ///< replicas not closing
   std::size_t mServing = 0; ///< whole and not closing
   bool mRolling = false;    ///< some replica serves another version than wanted
@@ -226,6 +227,10 @@
       if (view.mFloor == 0 && profile.share_permille() > 0) {
         view.mFloor = 1;
       }
+      const double all = static_cast<double>(mIn.mHosts.size()) * profile.share_permille();
+      view.mDue = std::max(
+        view.mFloor,
+        static_cast<std::size_t>(all / kPermille / profile.hosts_per_replica() + kRounding));
     }
     for (const auto& it : mReplicas) {
       const auto profile = mProfiles.find(it.Assigned().profile());
@@ -537,10 +542,12 @@
     constexpr double kFirstReplica = 1e9;
     constexpr double kPerPriority = 1e7;
     constexpr double kSurge = 1e5;
+    constexpr double kDue = 1e3;
     const double first =
       aView.mLive == 0 ? kFirstReplica - kPerPriority * aView.mProfile->priority() : 0;
+    const double due = aView.mLive < aView.mDue ? kDue : 0.0;
     const double after = static_cast<double>(aView.mLive + 1) / std::max(aView.mEntitled, 1e-9);
-    return first + (aSurge ? kSurge : 0.0) - after;
+    return first + (aSurge ? kSurge : 0.0) + due - after;
   }
 
   double GrowthRank(const ProfileView& aView) const
@@ -576,7 +583,7 @@
   const std::string* DomainFor(const ProfileView& aView) const
   {
     const std::size_t size = aView.mProfile->hosts_per_replica();
-    const bool needed = aView.mLive < aView.mFloor || mSurge.count(aView.mProfile->name()) > 0;
+    const bool needed = aView.mLive < aView.mDue || mSurge.count(aView.mProfile->name()) > 0;
     const std::size_t largest = LargestSize();
     const std::string* best = nullptr;
     std::size_t bestCost = 0;
@@ -660,7 +667,7 @@
     }
     const ProfileView* needy = nullptr;
     for (const auto& [name, view] : mProfiles) {
-      const bool lacks = view.mLive < view.mFloor || mSurge.count(name) > 0;
+      const bool lacks = view.mLive < view.mDue || mSurge.count(name) > 0;
       if (lacks && (needy == nullptr || GrowthRank(view) > GrowthRank(*needy))) {
         needy = &view;
       }
@@ -683,7 +690,7 @@
     for (const auto& domain : domains) {
       std::map<std::string, std::size_t> surplus;
       for (const auto& [name, view] : mProfiles) {
-        surplus[name] = name != aFor && view.mLive > view.mFloor ? view.mLive - view.mFloor : 0;
+        surplus[name] = name != aFor && view.mLive > view.mDue ? view.mLive - view.mDue : 0;
       }
       std::size_t room = mFree[domain].size();
       std::vector<const ReplicaView*> chosen;
--- a/src/pepperbay/placement/planner_test.cpp
+++ b/src/pepperbay/placement/planner_test.cpp
@@ -344,6 +344,35 @@
 /// Any history of silences, returns and restarts: every record of the planner is accepted by the
 /// fold (it never proposes a host twice or across domains), and once all hosts are back and quiet,
 /// every replica is whole and no domain holds enough idle hosts for another.
+/// Symptom: after a day of failures the profile of large replicas is dark in part while another one
+/// has more than its share. Sequence: hosts fail and return one by one; each that is free by itself
+/// becomes a replica of the profile of single hosts; a whole group never comes free again. Cause:
+/// measuring shares by the hosts that are up at the moment, of which there were always enough.
+TEST(Planner, HostsThatReturnGoToTheProfileBelowItsShareOfAllHosts)
+{
+  Model model(1, 20);
+  model.Profile("big", 4, 800, 5);   // due: 4 replicas
+  model.Profile("small", 1, 100, 1); // due: 2
+  model.Rounds(10);
+  ASSERT_EQ(model.Whole("big"), 4);
+  const std::vector<std::string> lost = { "d0h0", "d0h1", "d0h2", "d0h3", "d0h4", "d0h5" };
+  model.mSilent.insert(lost.begin(), lost.end());
+  model.Rounds(200); // what is broken is given up or completed from another
+  for (const auto& it : lost) {
+    if (it == lost.back()) {
+      break; // one stays away: 19 hosts, of which 800 in a thousand make 3.8 groups of four
+    }
+    model.mSilent.erase(it);
+    model.mSays[it].clear_replica();
+    model.mSays[it].set_phase(proto::PHASE_IDLE);
+    model.mSays[it].set_host_incarnation(2);
+    model.Rounds(5);
+  }
+  model.Rounds(20);
+  EXPECT_EQ(model.Whole("big"), 4);
+  EXPECT_GE(model.Whole("small"), 2);
+}
+
 RC_GTEST_PROP(Planner, ItsRecordsAreAcceptedAndItSettles, ())
 {
   const auto script = *rc::gen::container<std::vector<std::pair<int, int>>>(
--- a/tests/control_faults_test.cpp
+++ b/tests/control_faults_test.cpp
@@ -216,6 +216,54 @@
   aCluster.StartNode(holder);
 }
 
+/// @return the platform's entry of some member of a replica, by whether it checks fencing numbers
+Json
+MemberThatChecks(Cluster& aCluster, bool aChecks, std::string* aReplica)
+{
+  const Json hosts = Json::parse(
+    aCluster.Call("GET", "http://" + aCluster.PlatformIp() + ":7001/hosts").mResponse.mBody);
+  const Json dump = aCluster.Dump(0);
+  for (const auto& [name, replica] : dump["replicas"].items()) {
+    for (const auto& member : replica["members"]) {
+      for (const auto& host : hosts) {
+        if (host["host"] == member && host["checks_fence"] == aChecks) {
+          *aReplica = name;
+          return host;
+        }
+      }
+    }
+  }
+  ADD_FAILURE() << "no such member";
+  return {};
+}
+
+/// Symptom: a host that serves is taken for another group by an order that a former holder had sent
+/// and that a slow network delivers now. A host that checks fencing numbers refuses it. One that
+/// does not obeys: this is the window that the design leaves open. Its own word then takes the
+/// replica out of routing on every node, no engine serves in part, and the holder orders it back.
+void
+LateOrderOfAnOldHolder(Cluster& aCluster)
+{
+  const std::string order =
+    R"({"order":"load","fence":0,"replica":"levis/ghost","generation":1,"model":"audit",)"
+    R"("model_version":"1","members":[]})";
+  std::string replica;
+  const Json careful = MemberThatChecks(aCluster, true, &replica);
+  const auto send = [&](const Json& aHost) {
+    const std::string url = "http://" + aHost["address"].get<std::string>() + "/orders";
+    return aCluster.Call("POST", url, order).mResponse.mStatus;
+  };
+  EXPECT_EQ(send(careful), 409);
+  const Json careless = MemberThatChecks(aCluster, false, &replica);
+  const Json::json_pointer whole = Json::json_pointer("/replicas") / replica / "wholeness";
+  EXPECT_EQ(send(careless), 200);
+  for (int i = 0; i < aCluster.Nodes(); ++i) {
+    aCluster.WaitFor(i, "the replica is out of routing", [&](const Json& aDump) {
+      return aDump.value(whole, "whole") != "whole";
+    });
+  }
+}
+
 void
 DarkDomain(Cluster& aCluster)
 {
@@ -437,14 +485,15 @@
 
 /// Callers ask all the while. Afterwards, without a hand: two whole replicas on every node, one
 /// holder, the same replicas everywhere, a publish that is accepted, no wrong answer ever.
-TEST_P(ControlFaults, RecoversWithoutAHand)
+void
+RecoverWithoutAHand(const ClusterOptions& aOptions, const std::function<void(Cluster&)>& aBring)
 {
-  Cluster cluster(Faulty(50));
+  Cluster cluster(aOptions);
   cluster.StartAndPublish();
   cluster.WaitForAll("settled", Settled);
   Asker asker(cluster, 6);
   asker.WaitWhole(5);
-  GetParam().mBring(cluster);
+  aBring(cluster);
   cluster.WaitForAll("settled again", Settled);
   PublishAccepted(cluster, 0, "after");
   asker.WaitWhole(10);
@@ -454,6 +503,19 @@
   }
 }
 
+TEST_P(ControlFaults, RecoversWithoutAHand)
+{
+  RecoverWithoutAHand(Faulty(50), GetParam().mBring);
+}
+
+TEST(LateOrder, OfAnOldHolderIsRefusedOrFoundOut)
+{
+  ClusterOptions options = Faulty(50);
+  options.mHostsPerDomain = 4; // all of them members, half of them ignore fencing numbers
+  options.mUnchecked = 2;
+  RecoverWithoutAHand(options, LateOrderOfAnOldHolder);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, ControlFaults, ::testing::ValuesIn(kFaults), [](const auto& aInfo) {
   return std::string(aInfo.param.mName);
 });
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cluster.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <gtest/gtest.h>
@@ -42,6 +43,21 @@
   return false;
 }
 
+/// From here on the engines themselves count each request that still reaches the host's replica.
+void
+CountWorkAfterStop(Cluster& aCluster, const std::string& aHost)
+{
+  const Json dump = aCluster.Dump(0);
+  for (const auto& [name, replica] : dump["replicas"].items()) {
+    const auto members = replica["members"].get<std::vector<std::string>>();
+    if (std::find(members.begin(), members.end(), aHost) != members.end()) {
+      for (const auto& it : members) {
+        aCluster.Fault("host:" + it, "stopped");
+      }
+    }
+  }
+}
+
 pepperbay::HttpFetched
 StopHost(Cluster& aCluster, int aNode, const std::string& aHost)
 {
@@ -101,7 +117,11 @@
     }
     return false;
   });
-  EXPECT_TRUE(cluster.Ask(1).mWhole) << "the other replica serves on";
+  CountWorkAfterStop(cluster, host);
+  Asker asker(cluster, 8);
+  asker.WaitWhole(50); // the other replica serves on
+  EXPECT_EQ(asker.Stop(), "");
+  EXPECT_EQ(cluster.Stats()["after_leaving"], 0);
   cluster.Fault("log", "out", "0");
   cluster.WaitForAll("the host is free", [&](const Json& aDump) { return !UsesHost(aDump, host); });
   EXPECT_EQ(cluster.Stats()["cut_by_stop"], 0);
