claims: a key used again for another request is refused, not answered

Cause: a retry was recognised by its key alone. A client that sent another lot under a key used before got the kept answer of the first: told "booked", and nothing was booked. Ruled out: leaving it to callers (the kept answer is a success that they cannot tell from their own). Change: a claim carries a hash of method, target, path and body; when the first claim of the key has another one, the answer is 422, ran no, naming the header and what to do. A retry in the moment before the answer's record is folded is still told "outcome unknown", as before; it gets the kept answer after that.

--- a/include/pepperbay/dispatch/claims.hpp
+++ b/include/pepperbay/dispatch/claims.hpp
@@ -39,10 +39,20 @@
   kAnswered, ///< another claim was first; its answer is kept
 };
 
+/// A request with an idempotency key that asks to be the one that runs.
+struct KeyClaim
+{
+  std::string mKey;
+  std::string mClaimId;           ///< of this try, never used again
+  std::uint64_t mFingerprint = 0; ///< hash of the request; 0 when unknown
+  Duration mPatience{ 0 };        ///< until the claim is given up
+};
+
 struct ClaimVerdict
 {
   ClaimStanding mStanding = ClaimStanding::kUnknown;
-  proto::KeptAnswer mAnswer; ///< when answered
+  std::uint64_t mFingerprint = 0; ///< of the claim that was first
+  proto::KeptAnswer mAnswer;      ///< when answered
 };
 
 /// The fold of one partition of the claims stream.
@@ -80,6 +90,7 @@
     std::string mId;
     std::uint64_t mOffset = 0;
     std::optional<proto::KeptAnswer> mAnswer;
+    std::uint64_t mFingerprint = 0;
   };
   struct Order
   {
--- a/include/pepperbay/node/controller.hpp
+++ b/include/pepperbay/node/controller.hpp
@@ -7,6 +7,7 @@
 
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
+#include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/journal/follower.hpp"
 #include "pepperbay/membership/roster.hpp"
 #include "pepperbay/node/traffic_view.hpp"
@@ -106,10 +107,7 @@
   void StopHost(const std::string& aHost, std::function<void(Result<void>)> aDone);
 
   /// Claim an idempotency key before its request is dispatched; see ClaimDesk.
-  void Claim(const std::string& aKey,
-             const std::string& aClaimId,
-             Duration aPatience,
-             std::function<void(const proto::ClaimAnswer&)> aDone);
+  void Claim(const KeyClaim& aClaim, std::function<void(const proto::ClaimAnswer&)> aDone);
   /// Keep the answer of a claim that won.
   void ReportAnswer(const std::string& aKey,
                     const std::string& aClaimId,
--- a/include/pepperbay/node/gateway.hpp
+++ b/include/pepperbay/node/gateway.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
+#include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/http/client.hpp"
 #include "pepperbay/http/server.hpp"
 #include "pepperbay/node/traffic_view.hpp"
@@ -44,11 +45,7 @@
 /// on any thread, never within the call.
 struct ClaimHooks
 {
-  std::function<void(const std::string& aKey,
-                     const std::string& aClaimId,
-                     Duration aPatience,
-                     std::function<void(const proto::ClaimAnswer&)> aDone)>
-    mClaim;
+  std::function<void(const KeyClaim&, std::function<void(const proto::ClaimAnswer&)> aDone)> mClaim;
   std::function<
     void(const std::string& aKey, const std::string& aClaimId, const proto::KeptAnswer& aAnswer)>
     mReport;
--- a/src/pepperbay/dispatch/claims.cpp
+++ b/src/pepperbay/dispatch/claims.cpp
@@ -54,7 +54,7 @@
     case proto::ClaimRecord::CLAIM:
       // The first one wins; a record that came twice has the same claim id and changes nothing.
       if (it == mClaims.end() && mVoid.count(record.claim_id()) == 0) {
-        mClaims[record.key()] = { record.claim_id(), aOffset, std::nullopt };
+        mClaims[record.key()] = { record.claim_id(), aOffset, std::nullopt, record.fingerprint() };
         mOrder.push_back({ aOffset, record.key() });
       }
       break;
@@ -93,6 +93,7 @@
   if (it == mClaims.end()) {
     return verdict;
   }
+  verdict.mFingerprint = it->second.mFingerprint;
   if (it->second.mId == aClaimId) {
     verdict.mStanding = ClaimStanding::kWon;
   } else if (it->second.mAnswer) {
--- a/src/pepperbay/node/claim_desk.cpp
+++ b/src/pepperbay/node/claim_desk.cpp
@@ -72,13 +72,13 @@
 // ---- The node that took the request ----
 
 void
-ClaimDesk::Claim(const std::string& aKey,
-                 const std::string& aClaimId,
-                 Duration aPatience,
-                 Done aDone)
+ClaimDesk::Claim(const KeyClaim& aClaim, Done aDone)
 {
-  mPending[aClaimId] = { aKey, mHooks.mNow() + aPatience, std::move(aDone) };
-  ToOwner(MakeClaimRecord(proto::ClaimRecord::CLAIM, aKey, aClaimId));
+  mPending[aClaim.mClaimId] = { aClaim.mKey, mHooks.mNow() + aClaim.mPatience, std::move(aDone) };
+  proto::ClaimRecord record =
+    MakeClaimRecord(proto::ClaimRecord::CLAIM, aClaim.mKey, aClaim.mClaimId);
+  record.set_fingerprint(aClaim.mFingerprint);
+  ToOwner(std::move(record));
 }
 
 void
@@ -151,7 +151,7 @@
     Reply(aFrom, Unavailable(aRecord.claim_id()));
     return;
   }
-  partition.mAskers[aRecord.claim_id()] = { aFrom, aRecord.key(), false };
+  partition.mAskers[aRecord.claim_id()] = { aFrom, aRecord.key(), aRecord.fingerprint(), false };
   // A key that is known to be taken needs no append.
   if (partition.mCaughtUp && partition.mFold.Judge(aRecord.key(), aRecord.claim_id()).mStanding !=
                                ClaimStanding::kUnknown) {
@@ -174,10 +174,17 @@
 }
 
 proto::ClaimAnswer
-ClaimDesk::AnswerOf(const std::string& aClaimId, const ClaimVerdict& aVerdict)
+ClaimDesk::AnswerOf(const std::string& aClaimId, const Asker& aAsker, const ClaimVerdict& aVerdict)
 {
   proto::ClaimAnswer answer;
   answer.set_claim_id(aClaimId);
+  // A key used again for another request: its kept answer would be somebody else's.
+  const bool other = aVerdict.mFingerprint != 0 && aAsker.mFingerprint != 0 &&
+                     aVerdict.mFingerprint != aAsker.mFingerprint;
+  if (other && aVerdict.mStanding != ClaimStanding::kWon) {
+    answer.set_verdict(proto::ClaimAnswer::MISMATCH);
+    return answer;
+  }
   switch (aVerdict.mStanding) {
     case ClaimStanding::kUnknown:
       break;
@@ -211,7 +218,7 @@
     if (verdict.mStanding != ClaimStanding::kWon) {
       MakeVoid(aPartition, id, asker);
     }
-    Reply(asker.mNode, AnswerOf(id, verdict));
+    Reply(asker.mNode, AnswerOf(id, asker, verdict));
   }
 }
 
--- a/src/pepperbay/node/claim_desk.hpp
+++ b/src/pepperbay/node/claim_desk.hpp
@@ -51,7 +51,7 @@
 
   /// Claim a key. `aDone` is called once: with the verdict, or with UNAVAILABLE when there is none
   /// in time; the claim is then void and the request must not be dispatched.
-  void Claim(const std::string& aKey, const std::string& aClaimId, Duration aPatience, Done aDone);
+  void Claim(const KeyClaim& aClaim, Done aDone);
 
   /// Keep the answer of a claim that won, for retries of its key.
   void Report(const std::string& aKey, const std::string& aClaimId, proto::KeptAnswer aAnswer);
@@ -73,6 +73,7 @@
   {
     std::string mNode; ///< this node's own name for its own requests
     std::string mKey;
+    std::uint64_t mFingerprint = 0;
     bool mSent = false; ///< its record may be in the log, or land there yet
   };
   struct Partition
@@ -107,7 +108,9 @@
   void Settle(Partition& aPartition);
   void MakeVoid(Partition& aPartition, const std::string& aClaimId, const Asker& aAsker);
   void RefuseWaiting(Partition& aPartition);
-  static proto::ClaimAnswer AnswerOf(const std::string& aClaimId, const ClaimVerdict& aVerdict);
+  static proto::ClaimAnswer AnswerOf(const std::string& aClaimId,
+                                     const Asker& aAsker,
+                                     const ClaimVerdict& aVerdict);
 
   ClaimDeskOptions mOptions;
   ClaimDeskHooks mHooks;
--- a/src/pepperbay/node/claim_desk_test.cpp
+++ b/src/pepperbay/node/claim_desk_test.cpp
@@ -43,7 +43,7 @@
   {
     const std::string id = "claim" + std::to_string(++mLastClaim);
     mDesks[static_cast<std::size_t>(aNode)]->Claim(
-      aKey, id, seconds(2), [this, aNode, aKey, id](const proto::ClaimAnswer& aAnswer) {
+      { aKey, id, 0, seconds(2) }, [this, aNode, aKey, id](const proto::ClaimAnswer& aAnswer) {
         ++mAnswers;
         if (aAnswer.verdict() == proto::ClaimAnswer::WON) {
           ++mDispatched[aKey];
@@ -59,7 +59,7 @@
   /// A claim at node 0 that reports nothing when it is won.
   std::string Quietly(const std::string& aId, const std::string& aKey)
   {
-    mDesks[0]->Claim(aKey, aId, seconds(2), [](const proto::ClaimAnswer&) {});
+    mDesks[0]->Claim({ aKey, aId, 0, seconds(2) }, [](const proto::ClaimAnswer&) {});
     return aId;
   }
 
--- a/src/pepperbay/node/controller.cpp
+++ b/src/pepperbay/node/controller.cpp
@@ -325,12 +325,9 @@
 }
 
 void
-Controller::Claim(const std::string& aKey,
-                  const std::string& aClaimId,
-                  Duration aPatience,
-                  std::function<void(const proto::ClaimAnswer&)> aDone)
+Controller::Claim(const KeyClaim& aClaim, std::function<void(const proto::ClaimAnswer&)> aDone)
 {
-  mImpl->mClaims.Claim(aKey, aClaimId, aPatience, std::move(aDone));
+  mImpl->mClaims.Claim(aClaim, std::move(aDone));
   mImpl->mClaims.Tick(); // do not wait for the next tick to ask the log
 }
 
--- a/src/pepperbay/node/gateway.cpp
+++ b/src/pepperbay/node/gateway.cpp
@@ -30,6 +30,7 @@
 constexpr int kNotFound = 404;
 constexpr int kForbidden = 403;
 constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr Duration kComeBackSoon = std::chrono::seconds(1);
@@ -191,6 +192,14 @@
     return aJob.mRequest.mCustomer + "\n" + aJob.mRequest.mKey;
   }
 
+  /// What makes two requests the same one: where it goes and what it says.
+  static std::uint64_t FingerprintOf(const CallerRequest& aRequest)
+  {
+    return Hash64(
+      aRequest.mBody,
+      Hash64(aRequest.mServicePath, Hash64(aRequest.mTarget, Hash64(aRequest.mMethod))));
+  }
+
   void ClaimKey(const std::shared_ptr<Job>& aJob)
   {
     const auto made = TimeOfKey(aJob->mRequest.mKey);
@@ -205,18 +214,19 @@
       return;
     }
     aJob->mClaimId = NewAttemptId();
-    const Duration patience =
+    KeyClaim claim;
+    claim.mKey = ClaimKeyOf(*aJob);
+    claim.mClaimId = aJob->mClaimId;
+    claim.mFingerprint = FingerprintOf(aJob->mRequest);
+    claim.mPatience =
       std::min<Duration>(mSettings.mPlatform.mTimeout * 2, aJob->mDeadline - mNow());
-    mClaims.mClaim(ClaimKeyOf(*aJob),
-                   aJob->mClaimId,
-                   patience,
-                   [self = weak_from_this(), aJob](const proto::ClaimAnswer& aAnswer) {
-                     const auto impl = self.lock();
-                     const std::lock_guard lock(aJob->mMutex);
-                     if (impl) {
-                       impl->OnClaim(aJob, aAnswer);
-                     }
-                   });
+    mClaims.mClaim(claim, [self = weak_from_this(), aJob](const proto::ClaimAnswer& aAnswer) {
+      const auto impl = self.lock();
+      const std::lock_guard lock(aJob->mMutex);
+      if (impl) {
+        impl->OnClaim(aJob, aAnswer);
+      }
+    });
   }
 
   void OnClaim(const std::shared_ptr<Job>& aJob, const proto::ClaimAnswer& aAnswer)
@@ -235,6 +245,14 @@
       case proto::ClaimAnswer::ANSWERED:
         Replay(aJob, aAnswer.answer());
         return;
+      case proto::ClaimAnswer::MISMATCH:
+        FinishWith(aJob,
+                   ErrorResponse(kUnprocessable,
+                                 "Idempotency-Key: already used for a request that differs from "
+                                 "this one; send each request with a key of its own",
+                                 Ran::kNo,
+                                 Duration::zero()));
+        return;
       case proto::ClaimAnswer::TAKEN:
         FinishWith(aJob,
                    ErrorResponse(kConflict,
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -177,13 +177,9 @@
   ClaimHooks MakeClaimHooks()
   {
     ClaimHooks hooks;
-    hooks.mClaim = [this](const std::string& aKey,
-                          const std::string& aClaimId,
-                          Duration aPatience,
+    hooks.mClaim = [this](const KeyClaim& aClaim,
                           std::function<void(const proto::ClaimAnswer&)> aDone) {
-      Post([this, aKey, aClaimId, aPatience, done = std::move(aDone)] {
-        mController->Claim(aKey, aClaimId, aPatience, done);
-      });
+      Post([this, aClaim, done = std::move(aDone)] { mController->Claim(aClaim, done); });
     };
     hooks.mReport = [this](const std::string& aKey,
                            const std::string& aClaimId,
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -72,11 +72,11 @@
 }
 
 pepperbay::HttpFetched
-Book(Cluster& aCluster, int aNode, const std::string& aKey)
+Book(Cluster& aCluster, int aNode, const std::string& aKey, const std::string& aBody = "lot")
 {
   return aCluster.Call("POST",
                        "http://" + aCluster.NodeIp(aNode) + ":8080/services/lots/book",
-                       "lot",
+                       aBody,
                        KeyHeaders(aKey));
 }
 
@@ -86,6 +86,25 @@
   return pepperbay::FirstValue(aFetched.mResponse.mHeaders, "X-Ran").value_or("");
 }
 
+/// Symptom: a clerk books a second lot and is told that it is booked; it is not. Sequence: the
+/// client sends another request under a key that was used before. Cause: answering by the key
+/// alone.
+TEST(AtMostOnce, AKeyIsNotAnsweredForAnotherRequest)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  EXPECT_EQ(Book(cluster, 0, "lot-7", "lot 7").mResponse.mStatus, 200);
+  const auto other = Book(cluster, 1, "lot-7", "lot 8");
+  EXPECT_EQ(other.mResponse.mStatus, 422) << other.mResponse.mBody;
+  EXPECT_EQ(RanOf(other), "no");
+  EXPECT_NE(other.mResponse.mBody.find("Idempotency-Key"), std::string::npos);
+  cluster.WaitFor(2, "the answer kept for the first request", [&](const Json&) {
+    const auto again = Book(cluster, 2, "lot-7", "lot 7");
+    return pepperbay::FirstValue(again.mResponse.mHeaders, "X-Replayed").value_or("") == "true";
+  });
+  EXPECT_EQ(cluster.Runs()["lot-7"], 1);
+}
+
 /// The same key at once on all nodes, several rounds: the service runs it once, and whoever is
 /// answered with success has the one answer.
 TEST(AtMostOnce, TheSameKeyAtOnceOnAllNodes)
