A flood and a caller that does not read, with real processes

Ruled out: nothing; tests of what is there. Change: two tests. One customer keeps 30 requests open through three nodes of 8 slots; another with the same share asks 60 times. A caller asks for 5 million tokens and reads none; its engine must be told to stop. Conclusion: kept.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -207,20 +207,26 @@
 {
   const auto& first = aSummary["first_token_ms"];
   const auto& gap = aSummary["token_gap_ms"];
-  std::printf("%-8s sent %5d whole %5d in time %5d refused %4d failed %4d | first token ms p50 "
-              "%.2f p95 %.2f p99 %.2f | gap ms p50 %.2f p95 %.2f p99 %.2f\n",
+  const int sent = aSummary["sent"].get<int>();
+  const auto percent = [&](const char* aKey) {
+    return 100.0 * aSummary[aKey].get<int>() / std::max(1, sent);
+  };
+  std::printf("%-6s sent %5d in time %5.1f%% whole %5.1f%% refused %5.1f%% failed %d | first token "
+              "ms p50 %.2f p95 %.2f p99 %.2f | gap ms p50 %.2f p95 %.2f p99 %.2f | refusal ms p95 "
+              "%.0f\n",
               aName,
-              aSummary["sent"].get<int>(),
-              aSummary["whole"].get<int>(),
-              aSummary["in_time"].get<int>(),
-              aSummary["refused"].get<int>(),
+              sent,
+              percent("in_time"),
+              percent("whole"),
+              percent("refused"),
               aSummary["failed"].get<int>(),
               first["p50"].get<double>(),
               first["p95"].get<double>(),
               first["p99"].get<double>(),
               gap["p50"].get<double>(),
               gap["p95"].get<double>(),
-              gap["p99"].get<double>());
+              gap["p99"].get<double>(),
+              aSummary["refusal_wait_ms"]["p95"].get<double>());
 }
 
 } // namespace
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -9,8 +9,10 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <netinet/in.h>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -375,6 +377,20 @@
   return text.str();
 }
 
+int
+Cluster::Connect(int aNode) const
+{
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int window = 4096;
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kCallerPort);
+  inet_pton(AF_INET, NodeIp(aNode).c_str(), &address.sin_addr);
+  EXPECT_EQ(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+  return fd;
+}
+
 Answer
 Cluster::Ask(int aNode, int aTokens, bool aStream, const std::string& aPrompt)
 {
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -102,6 +102,10 @@
                               const std::string& aUrl,
                               const std::string& aBody = "",
                               std::vector<pepperbay::HttpHeader> aHeaders = {});
+  /// A bare connection to a node's callers' address with a small window, for callers that
+  /// misbehave.
+  /// @return its descriptor, which the test closes
+  int Connect(int aNode) const;
   pepperbay::HttpFetched PublishYaml(int aNode, const std::string& aYaml);
 
   std::string NodeIp(int aNode) const;
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -2,9 +2,12 @@
 
 #include "cluster.hpp"
 
+#include <atomic>
 #include <csignal>
 #include <future>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace tests {
 namespace {
@@ -329,6 +332,66 @@
   EXPECT_EQ(cluster.Stats()["after_leaving"], 0);
 }
 
+/// One customer keeps more requests open than the pool has slots, through all nodes; another, with
+/// the same share, goes on being served.
+TEST(Overload, ACustomerThatFloodsHarmsNoOther)
+{
+  ClusterOptions options = Options();
+  options.mProfiles = "profiles:\n  - { name: checklist, model: audit, model_version: \"1\", "
+                      "hosts_per_replica: 4, share: 1.0 }\ncustomers:\n  - { name: school, share: "
+                      "0.5 }\n  - { name: flood, share: 0.5 }\n";
+  Cluster cluster(options);
+  cluster.StartAndPublish();
+  cluster.WaitForAll("two replicas", [](const Json& aDump) { return HasWhole(aDump, 2); });
+  std::atomic<bool> over{ false };
+  std::atomic<int> refused{ 0 };
+  std::vector<std::future<void>> floods;
+  for (int i = 0; i < 30; ++i) {
+    floods.push_back(std::async(std::launch::async, [&, i] {
+      const std::string url = "http://" + cluster.NodeIp(i % 3) + ":8080/v1/chat/completions";
+      const std::string body = R"({"model":"checklist","max_tokens":20,"messages":[{"role":"user",)"
+                               R"("content":"flood"}]})";
+      while (!over) {
+        const auto got = cluster.Call("POST", url, body, { { "X-Customer", "flood" } });
+        refused += got.mResponse.mStatus == 503 ? 1 : 0;
+      }
+    }));
+  }
+  cluster.WaitFor(0, "a flood that is refused in part", [&](const Json&) { return refused > 20; });
+  int whole = 0;
+  for (int i = 0; i < 60; ++i) {
+    whole += cluster.Ask(i % 3).mWhole ? 1 : 0;
+  }
+  over = true;
+  for (auto& it : floods) {
+    it.get();
+  }
+  EXPECT_EQ(whole, 60);
+}
+
+/// Symptom: a node's memory grows by the answers that their callers do not read. The caller here
+/// asks for a long answer and reads none of it; its engine must be told to stop.
+TEST(Streams, ACallerThatDoesNotReadIsCutAndItsWorkCancelled)
+{
+  ClusterOptions options = Options();
+  options.mTokenMs = 0;
+  Cluster cluster(options);
+  cluster.StartAndPublish();
+  const int caller = cluster.Connect(0);
+  const std::string body =
+    R"({"model":"checklist","stream":true,"max_tokens":5000000,"messages":[{"role":"user","content":"x"}]})";
+  const std::string request = "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nX-Customer: "
+                              "school\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body;
+  ASSERT_EQ(::send(caller, request.data(), request.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(request.size()));
+  cluster.WaitFor(0, "the engine's work is cancelled", [&](const Json&) {
+    return cluster.Stats()["cancelled"] == 1;
+  });
+  ::close(caller);
+  EXPECT_TRUE(cluster.Ask(0).mWhole);
+}
+
 TEST(Overload, IsRefusedAtOnceAndTruthfully)
 {
   Cluster cluster(Options());
