--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -9,7 +9,7 @@
 pepperbay_library(lease SOURCES keeper.cpp TESTS keeper_test.cpp USES state) # pure
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp
                   TESTS membership_test.cpp USES base proto) # pure
-pepperbay_library(placement SOURCES planner.cpp orders.cpp reserves.cpp
+pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp
                   TESTS planner_test.cpp reserves_test.cpp USES state membership) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
--- a/scripts/bench_control.sh
+++ b/scripts/bench_control.sh
@@ -5,7 +5,7 @@
 # node) | resident MB | messages sent/s | peer bytes sent/s | call bytes both ways/s | in force ms
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 nodes=$1 domains=$2 hosts=$3 customers=${4:-1} seconds=${5:-15}
 start_platform --domains="$domains" --hosts="$hosts" --load_ms=50 >/dev/null
 printf 'requests:\n  threads: 1\n%s' "${MORE_SETTINGS:-}" >"$work/more.yaml"
--- a/scripts/bench_load.sh
+++ b/scripts/bench_load.sh
@@ -5,7 +5,7 @@
 # usage: bench_load.sh [SECONDS] [LOADS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 seconds=${1:-20} loads=${2:-0.5 0.9 1.2 2.0}
 start_platform --domains=4 --hosts=17 --load_ms=50 --slots=8 --first_token_ms=200 --token_ms=20
 printf 'requests:\n  slots_per_replica: 8\n' >"$work/more.yaml"
--- a/scripts/bench_outage.sh
+++ b/scripts/bench_outage.sh
@@ -6,7 +6,7 @@
 outage=${OUTAGE:-30}
 run() { # true|false
   (
-    . scripts/bench_lib.sh
+    . scripts/lib.sh
     start_platform --hosts=5 --load_ms=1000
     printf 'placement:\n  reserve_spares: %s\n' "$1" >"$work/more.yaml"
     start_nodes 3 levis "$work/more.yaml"
--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -2,7 +2,7 @@
 # Added time to first token through a node, against the same engine asked directly, in one run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 start_platform --hosts=4 --token_ms=10 --first_token_ms=20 --slots=64
 start_nodes 3 levis
 publish_first 1.0
--- a/scripts/bench_records.sh
+++ b/scripts/bench_records.sh
@@ -3,7 +3,7 @@
 # operators publish. usage: bench_records.sh [NODES] [SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 nodes=${1:-3} seconds=${2:-15}
 start_platform --hosts=4 >/dev/null
 start_nodes "$nodes" levis
--- a/scripts/bench_recovery.sh
+++ b/scripts/bench_recovery.sh
@@ -3,7 +3,7 @@
 # silent, the holder killed. Medians of five in one run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 start_platform --hosts=6 --load_ms=1000
 start_nodes 3 levis
 publish_first 1.0
--- a/scripts/bench_requests.sh
+++ b/scripts/bench_requests.sh
@@ -2,7 +2,7 @@
 # Processor time of a node for each request and each token, from two loads in one run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. scripts/bench_lib.sh
+. scripts/lib.sh
 start_platform --hosts=4 --token_ms=10 --first_token_ms=20 --slots=400
 printf 'requests:\n  slots_per_replica: 400\n' >"$work/more.yaml"
 start_nodes 1 levis "$work/more.yaml"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,26 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh >/dev/null
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap cleanup EXIT
+. scripts/lib.sh
 say() { printf '\n== %s\n' "$*"; }
-wait_until() { # wait_until WHAT COMMAND...: at most 30 s
-  local what=$1
-  shift
-  for _ in $(seq 300); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  echo "gave up waiting until $what" >&2
-  cat "$work"/*.log >&2
-  return 1
-}
 ready() { curl -fsS "http://$1:8080/readyz"; }
 whole() { build/pepperbay status --admin "$1:8081" | grep -q '  whole$'; }
 
--- a/scripts/bench_lib.sh
+++ b/scripts/lib.sh
@@ -1,4 +1,5 @@
-# Helpers of the bench scripts: start stand-ins and nodes on loopback addresses, stop them at exit.
+# Helpers of the demo and the benches: start stand-ins and nodes on loopback addresses, stop them at
+# exit.
 work=$(mktemp -d)
 pids=()
 NODES=""
@@ -17,6 +18,7 @@
     sleep 0.1
   done
   echo "gave up waiting until $what" >&2
+  tail -n 20 "$work"/*.log >&2 || true
   return 1
 }
 start_platform() {
--- a/src/pepperbay/placement/planner.cpp
+++ b/src/pepperbay/placement/planner.cpp
@@ -1,4 +1,4 @@
-#include "pepperbay/placement/planner.hpp"
+#include "survey.hpp"
 
 #include "pepperbay/placement/reserves.hpp"
 
@@ -9,7 +9,6 @@
 namespace pepperbay {
 namespace {
 
-constexpr double kPermille = 1000.0;
 constexpr double kSecondsPerHour = 3600.0;
 
 double
@@ -18,56 +17,19 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-/// A member that its replica cannot count on.
-struct LostMember
-{
-  std::string mHost;
-  Duration mSilentFor{ 0 };
-  bool mProcessGone = false;
-};
-
-/// A live replica as this round sees it.
-struct ReplicaView
-{
-  std::string mName;
-  const proto::ReplicaState* mState = nullptr;
-  std::vector<LostMember> mLost;
-  bool mWhole = false;
-  bool mMustStop = false;
-
-  const proto::Assign& Assigned() const { return mState->assign(); }
-};
-
-/// A profile as this round sees it.
-struct ProfileView
-{
-  const proto::Profile* mProfile = nullptr;
-  std::size_t mFloor = 0;   ///< replicas that its share entitles it to
-  std::size_t mDue = 0;     ///< the same of all hosts listed, those that are away included
-  double mEntitled = 0;     ///< mFloor before rounding
-  std::size_t mLive = 0;    ///< replicas not closing
-  std::size_t mServing = 0; ///< whole and not closing
-  bool mRolling = false;    ///< some replica serves another version than wanted
-};
-
 /// One round of planning.
-class Round
+class Round : private Survey
 {
 public:
   Round(const PlanInput& aInput,
         const PlannerOptions& aOptions,
         std::map<std::string, TimePoint>& aSilentSince)
-    : mIn(aInput)
-    , mOptions(aOptions)
-    , mSilentSince(aSilentSince)
+    : Survey(aInput, aOptions, aSilentSince)
   {
   }
 
   PlanOutcome Run()
   {
-    SurveyHosts();
-    SurveyReplicas();
-    SurveyProfiles();
     NoteFailedVersions();
     StopAndRelease();
     Repair();
@@ -84,9 +46,6 @@
   /// Repairs that only carry out reservations.
   std::vector<proto::Assign> RunOutage()
   {
-    SurveyHosts();
-    SurveyReplicas();
-    SurveyProfiles();
     std::vector<proto::Assign> repairs;
     for (const auto* replica : Broken()) {
       if (replica->mLost.size() != 1 ||
@@ -107,174 +66,8 @@
   }
 
 private:
-  // ---- Looking ----
-
-  bool Silent(const std::string& aHost) const
-  {
-    const HostWord* word = mIn.mEvidence->Find(aHost);
-    return word == nullptr || mIn.mNow - word->mSaidNoEarlier > mOptions.mFreshness;
-  }
-
-  bool Refuses(const std::string& aHost) const
-  {
-    const HostWord* word = mIn.mEvidence->Find(aHost);
-    return word != nullptr && word->mEvidence.refused();
-  }
-
-  bool Draining(const std::string& aHost) const
-  {
-    const auto it = mIn.mState->Content().drains().find(aHost);
-    if (it == mIn.mState->Content().drains().end()) {
-      return false;
-    }
-    const HostWord* word = mIn.mEvidence->Find(aHost);
-    return word == nullptr || word->mEvidence.host_incarnation() <= it->second;
-  }
-
-  bool Usable(const HostView& aHost) const
-  {
-    return !aHost.mLeaving && !Draining(aHost.mHost) && !Silent(aHost.mHost) &&
-           !Refuses(aHost.mHost);
-  }
-
-  /// A host may be given to a replica once it has answered in this tenure: what an earlier holder
-  /// did to it shows in that answer.
-  bool Free(const HostView& aHost) const
-  {
-    return mIn.mState->ReplicaOfHost(aHost.mHost) == nullptr &&
-           mIn.mEvidence->Find(aHost.mHost)->mSaidNoEarlier >= mIn.mHeldSince;
-  }
-
-  void SurveyHosts()
-  {
-    for (const auto& it : mIn.mHosts) {
-      mHosts[it.mHost] = &it;
-      if (!Silent(it.mHost) && !Refuses(it.mHost)) {
-        mSilentSince.erase(it.mHost);
-      } else {
-        mSilentSince.emplace(it.mHost, mIn.mNow);
-      }
-      if (Usable(it)) {
-        ++mUsable;
-        ++mUsableIn[it.mDomain];
-        if (Free(it)) {
-          mFree[it.mDomain].push_back(it.mHost);
-        }
-      }
-    }
-  }
-
-  void SurveyReplicas()
-  {
-    for (const auto& [name, state] : mIn.mState->Content().replicas()) {
-      if (state.assign().scope() != mIn.mScope) {
-        continue;
-      }
-      ReplicaView view;
-      view.mName = name;
-      view.mState = &state;
-      Expected expected;
-      expected.mReplica = name;
-      expected.mGeneration = state.assign().generation();
-      expected.mModelVersion = state.assign().model_version();
-      for (const auto& member : state.assign().members()) {
-        expected.mHosts.push_back(member.host());
-        SurveyMember(member.host(), view);
-      }
-      const auto report = mIn.mEvidence->Judge(expected, mOptions.mFreshness, mIn.mNow);
-      view.mWhole = report.mWholeness == Wholeness::kWhole;
-      const proto::Profile* profile = mIn.mState->FindProfile(state.assign().profile());
-      const auto members = static_cast<std::uint32_t>(state.assign().members_size());
-      if (profile == nullptr || profile->hosts_per_replica() != members) {
-        view.mMustStop = true;
-      }
-      mReplicas.push_back(std::move(view));
-    }
-    std::sort(mReplicas.begin(), mReplicas.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.mName < aRight.mName;
-    });
-  }
-
-  void SurveyMember(const std::string& aHost, ReplicaView& aView)
-  {
-    const auto listed = mHosts.find(aHost);
-    const bool leaving = listed != mHosts.end() && listed->second->mLeaving;
-    if (leaving || Draining(aHost)) {
-      aView.mMustStop = true;
-    }
-    const bool gone = Refuses(aHost);
-    if (!gone && !Silent(aHost)) {
-      mSilentSince.erase(aHost);
-      return;
-    }
-    const TimePoint since = mSilentSince.emplace(aHost, mIn.mNow).first->second;
-    aView.mLost.push_back({ aHost, mIn.mNow - since, gone });
-  }
-
-  void SurveyProfiles()
-  {
-    for (const auto& [key, versioned] : mIn.mState->Content().documents()) {
-      if (!versioned.document().has_profile()) {
-        continue;
-      }
-      const proto::Profile& profile = versioned.document().profile();
-      ProfileView& view = mProfiles[profile.name()];
-      view.mProfile = &profile;
-      const double hosts = static_cast<double>(mUsable) * profile.share_permille() / kPermille;
-      view.mEntitled = hosts / profile.hosts_per_replica();
-      constexpr double kRounding = 1e-9;
-      view.mFloor = static_cast<std::size_t>(view.mEntitled + kRounding);
-      if (view.mFloor == 0 && profile.share_permille() > 0) {
-        view.mFloor = 1;
-      }
-      const double all = static_cast<double>(mIn.mHosts.size()) * profile.share_permille();
-      view.mDue = std::max(
-        view.mFloor,
-        static_cast<std::size_t>(all / kPermille / profile.hosts_per_replica() + kRounding));
-    }
-    for (const auto& it : mReplicas) {
-      const auto profile = mProfiles.find(it.Assigned().profile());
-      if (profile == mProfiles.end() || it.mState->closing() || it.mMustStop) {
-        continue;
-      }
-      ++profile->second.mLive;
-      profile->second.mServing += it.mWhole ? 1 : 0;
-      if (it.Assigned().model_version() != WantedVersion(*profile->second.mProfile)) {
-        profile->second.mRolling = true;
-      }
-    }
-  }
-
   // ---- Versions ----
 
-  bool VersionFailed(const proto::Profile& aProfile) const
-  {
-    const auto& failed = mIn.mState->Content().failed_versions();
-    const auto it = failed.find(aProfile.name());
-    return it != failed.end() && it->second == aProfile.model_version();
-  }
-
-  /// The version to give to a replica now: the published one, or the last good one when that failed
-  /// to load.
-  std::string WantedVersion(const proto::Profile& aProfile) const
-  {
-    if (!VersionFailed(aProfile)) {
-      return aProfile.model_version();
-    }
-    for (const auto& it : mReplicas) {
-      if (it.Assigned().profile() != aProfile.name()) {
-        continue;
-      }
-      if (it.Assigned().model_version() != aProfile.model_version()) {
-        return it.Assigned().model_version();
-      }
-      if (!it.mState->previous_version().empty()) {
-        return it.mState->previous_version();
-      }
-    }
-    return aProfile.model_version();
-  }
-
   /// A host that cannot load the published version stops the roll for all: the next replica would
   /// go dark the same way.
   void NoteFailedVersions()
@@ -757,16 +550,7 @@
     }
   }
 
-  const PlanInput& mIn;
-  const PlannerOptions& mOptions;
-  std::map<std::string, TimePoint>& mSilentSince;
   PlanOutcome mOut;
-  std::map<std::string, const HostView*> mHosts;
-  std::map<std::string, std::vector<std::string>> mFree;
-  std::size_t mUsable = 0;
-  std::map<std::string, std::size_t> mUsableIn; ///< by fabric domain
-  std::vector<ReplicaView> mReplicas;
-  std::map<std::string, ProfileView> mProfiles;
   std::set<std::string> mTouched;
   std::set<std::string> mNotedFailures;
   std::set<std::string> mSurge;
