gateway: four files by what they do

Cause: gateway.cpp had grown to 1,020 lines, one struct with every function in its body. Ruled out: several classes (all of it works on one job under one lock; the split would be of text, with the state passed around). Change: gateway_impl.hpp declares, with what guards what; arrival, admission, ends and the pump stay in gateway.cpp (450 lines), claims, attempts and relays have a file each. The text of the functions is unchanged.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -20,7 +20,7 @@
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
 pepperbay_library(node SOURCES claim_desk.cpp host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp controller_peers.cpp
-                  controller_hosts.cpp dump.cpp platform.cpp publish_file.cpp gateway.cpp request.cpp node.cpp log.cpp metrics.cpp
+                  controller_hosts.cpp dump.cpp platform.cpp publish_file.cpp gateway.cpp gateway_claims.cpp gateway_attempts.cpp gateway_relays.cpp request.cpp node.cpp log.cpp metrics.cpp
                  
                   TESTS claim_desk_test.cpp
                   USES settings journal state lease membership placement admission routing dispatch
