--- a/scripts/bench_load.sh
+++ b/scripts/bench_load.sh
@@ -11,11 +11,16 @@
 printf 'requests:\n  slots_per_replica: 8\n' >"$work/more.yaml"
 start_nodes 9 levis "$work/more.yaml"
 more="  - { name: large2, share: 0.3 }"$'\n'
-for i in $(seq 3 10); do more="$more  - { name: c$i, share: 0.05 }"$'\n'; done
+for i in $(seq 3 10); do more="$more  - { name: c$i, share: 0.02 }"$'\n'; done
 publish_first 0.94 "$more"
-printf 'customers:\n  - { name: school, share: 0.3 }\n' >"$work/large.yaml"
-build/pepperbay publish "$work/large.yaml" --wait --admin "${ADMINS[0]}" >/dev/null
+{ # the first customer gives up what the small ones get
+  printf 'customers:\n  - { name: school, share: 0.3 }\n'
+  for i in $(seq 3 10); do echo "  - { name: c$i, share: 0.05 }"; done
+} >"$work/shares.yaml"
+build/pepperbay publish "$work/shares.yaml" --wait --admin "${ADMINS[0]}" >/dev/null
 customers=school,large2,c3,c4,c5,c6,c7,c8,c9,c10
+whole() { [ "$(build/pepperbay status --admin "$1" | grep -c '  whole$')" -ge 16 ]; }
+for admin in "${ADMINS[@]}"; do wait_until "$admin sees 16 whole replicas" whole "$admin"; done
 counter() { for a in "${ADMINS[@]}"; do curl -fsS "http://$a/metrics"; done | awk -v n="pepperbay_$1" '$1 == n { s += $2 } END { print s + 0 }'; }
 run() { # LOAD FAULT
   local rate before
