--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -73,7 +73,21 @@
 mutant "no retry budget" $s/admission/retry_budget.cpp \
   's/if \(mLeft < 1.0\)/if (false)/' dispatch_attempt_test '*RetriesStay*'
 mutant "last claim wins" $s/dispatch/claims.cpp \
-  's/^      if \(it == mClaims.end\(\)\) \{/      if (true) {/' node_claim_desk_test '*NoKeyIsDispatchedTwice*'
+  's/if \(it == mClaims.end\(\) \&\& mVoid/if (mVoid/' node_claim_desk_test '*NoKeyIsDispatchedTwice*'
+mutant "an abandoned claim may win" $s/dispatch/claims.cpp \
+  's/mVoid.count\(record.claim_id\(\)\) == 0/true/' node_claim_desk_test '*AnAbandonedClaim*'
+mutant "a claim told taken may win" $s/node/claim_desk.cpp \
+  's/if \(verdict.mStanding != ClaimStanding::kWon\)/if (false)/' node_claim_desk_test '*ToldTaken*:*TakenByNobody*'
+mutant "shares of the hosts that are up" $s/placement/survey.cpp \
+  's/static_cast<double>\(mIn.mHosts.size\(\)\)/static_cast<double>(mUsable)/' placement_planner_test '*BelowItsShare*'
+mutant "no bound on waiting" $s/admission/admission.cpp \
+  's/if \(ahead > 0 \&\& wait > mOptions.mLongestWait\)/if (false)/' admission_admission_test '*LongestWait*'
+mutant "a prefix has its full worth in a full pool" $s/routing/router.cpp \
+  's/aOptions.mPrefixWorth \* ease/aOptions.mPrefixWorth/' routing_router_test '*FullPool*'
+mutant "senders shortened for all" $s/membership/roster.cpp \
+  's/it->second.mApplied >= mOwnJoin/true/' membership_membership_test '*Shortened*'
+mutant "long heartbeats as datagrams" $s/wire/peer_link.cpp \
+  's/aBytes.size\(\) <= kMaxDatagramBytes/true/' wire_peer_link_test '*TooLong*'
 mutant "owner trusts its memory, not the log" $s/node/claim_desk.cpp \
   's/partition.mCaughtUp \&\& aFirst.value\(\) == partition.mFold.Next\(\)/true/' node_claim_desk_test '*NoKeyIsDispatchedTwice*:*KeptAnswer*'
 mutant "allowance counted anew" $s/admission/admission.cpp \
