--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,37 +1,61 @@
 # The layers of docs/DESIGN.md, lowest first. Libraries marked pure take the time as an argument and
 # link neither sockets nor threads.
 pepperbay_library(base SOURCES clock.cpp error.cpp hash.cpp ids.cpp PACKAGES xxhash)
-pepperbay_library(settings SOURCES settings.cpp yaml_reader.cpp TESTS settings_test.cpp USES base
+pepperbay_library(log SOURCES log.cpp line_budget.cpp USES base PACKAGES PkgConfig::LOG4)
+pepperbay_library(settings SOURCES settings.cpp edge_settings.cpp yaml_reader.cpp TESTS settings_test.cpp USES base
                   PACKAGES yaml-cpp)
-pepperbay_library(journal SOURCES appender.cpp follower.cpp
+pepperbay_library(journal SOURCES appender.cpp follower.cpp keyed_log.cpp
                   TESTS journal_test.cpp USES base proto) # pure
 pepperbay_library(state SOURCES fold.cpp documents.cpp TESTS fold_test.cpp USES base proto) # pure
-pepperbay_library(lease SOURCES keeper.cpp TESTS keeper_test.cpp USES state) # pure
-pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp
+pepperbay_library(lease SOURCES keeper.cpp log_lease.cpp TESTS keeper_test.cpp USES state) # pure
+pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp engine_directory.cpp
+                          stall_detector.cpp
                   TESTS membership_test.cpp USES base proto) # pure
-pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp
-                  TESTS planner_test.cpp reserves_test.cpp USES state membership) # pure
+pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp TESTS router_test.cpp USES base) # pure
+pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
+                          group_planner.cpp
+                  TESTS planner_test.cpp reserves_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
-pepperbay_library(routing SOURCES router.cpp TESTS router_test.cpp USES base) # pure
-pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp TESTS attempt_test.cpp USES routing admission proto) # pure
+pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp USES routing admission proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp peer_link_test.cpp USES base proto
                   PACKAGES cppzmq)
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
 pepperbay_library(node SOURCES claim_desk.cpp host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp controller_peers.cpp
-                  controller_hosts.cpp dump.cpp platform.cpp publish_file.cpp gateway.cpp gateway_claims.cpp gateway_attempts.cpp gateway_relays.cpp request.cpp node.cpp log.cpp metrics.cpp
-                 
+                  controller_hosts.cpp dump.cpp platform.cpp publish_file.cpp gateway.cpp gateway_claims.cpp gateway_attempts.cpp gateway_relays.cpp request.cpp node.cpp metrics.cpp
                   TESTS claim_desk_test.cpp
-                  USES settings journal state lease membership placement admission routing dispatch
+                  USES log settings journal state lease membership placement admission routing dispatch
                        wire http
-                  PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core PkgConfig::LOG4)
+                  PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
-add_executable(pepperbay src/pepperbay/main/main.cpp src/pepperbay/main/commands.cpp)
+# A node before a shared pool of engines, and the users' platform, which only translates.
+pepperbay_library(coordinator SOURCES coordinator.cpp engine_doubts.cpp peer_book.cpp plan_builder.cpp
+                  USES journal lease membership placement routing
+                  PACKAGES nlohmann_json::nlohmann_json) # pure
+pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
+                                relay.cpp session.cpp sockets.cpp
+                  USES settings membership admission routing dispatch
+                  PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
+pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
+                  USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
+add_library(pepperbay_platform STATIC platform/decode.cpp platform/dialect.cpp
+                                      platform/engine_client.cpp platform/link.cpp
+                                      platform/store_client.cpp platform/store_codec.cpp)
+target_include_directories(pepperbay_platform PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(pepperbay_platform PUBLIC pepperbay_edge nlohmann_json::nlohmann_json)
+target_link_libraries(pepperbay_platform PRIVATE pepperbay_warnings)
+
+add_executable(pepperbay src/pepperbay/main/main.cpp src/pepperbay/main/commands.cpp
+               src/pepperbay/main/edge.cpp)
 target_include_directories(pepperbay PRIVATE src)
-target_link_libraries(pepperbay PRIVATE pepperbay_node absl::flags absl::flags_parse
+target_link_libraries(pepperbay PRIVATE pepperbay_node pepperbay_platform absl::flags absl::flags_parse
                       absl::flags_usage pepperbay_warnings)
 
+if(NOT PEPPERBAY_TESTS)
+  return()
+endif()
+
 add_executable(pepperbay_fakes fakes/main.cpp fakes/fake_log.cpp fakes/fake_engines.cpp
                                fakes/fake_service.cpp)
 target_link_libraries(pepperbay_fakes PRIVATE pepperbay_http pepperbay_proto pepperbay_settings
--- a/cmake/PepperbayLibrary.cmake
+++ b/cmake/PepperbayLibrary.cmake
@@ -23,6 +23,9 @@
 
 # One GoogleTest program; RapidCheck's seed is fixed so that each run gives the same verdict.
 function(pepperbay_test aName aSource)
+  if(NOT PEPPERBAY_TESTS)
+    return()
+  endif()
   add_executable(${aName} ${aSource})
   target_include_directories(${aName} PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
   target_link_libraries(${aName} PRIVATE ${ARGN} GTest::gtest GTest::gtest_main rapidcheck
--- a/include/pepperbay/admission/retry_budget.hpp
+++ b/include/pepperbay/admission/retry_budget.hpp
@@ -29,6 +29,8 @@
   /// @return whether one retry may be made now; it is then spent.
   bool TakeRetry();
   double Left() const { return mLeft; }
+  /// The most that may be saved up has changed, with the number of nodes that share it.
+  void SetBurst(double aBurst);
 
 private:
   Options mOptions;
--- /dev/null
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief The control state of one node before a pool of engines. One thread owns it.
+///
+/// Follows the platform's store, talks to the other nodes, and, while it holds the lease, forms and
+/// repairs replicas. It opens no socket: all that goes out goes through hooks, whose answers come
+/// back on the same thread. Tests drive it with fakes and a paused clock.
+#pragma once
+
+#include "pepperbay/journal/keyed_log.hpp"
+#include "pepperbay/lease/log_lease.hpp"
+#include "pepperbay/membership/engine_directory.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+#include "pepperbay/routing/traffic_plan.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <pepperbay.pb.h>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pepperbay {
+
+struct CoordinatorOptions
+{
+  std::string mNode;
+  std::uint64_t mIncarnation = 0;
+  std::string mAddress; ///< where this node hears its peers
+  Duration mBeat = std::chrono::milliseconds(200);
+  /// A peer that is silent for this long does not count as a node at work.
+  Duration mPeerSilence = std::chrono::milliseconds(1200);
+  Duration mLease = std::chrono::milliseconds(1200);
+  /// Keys of a configuration older than this are not trusted. Below the time within which a key
+  /// that was taken away must be refused, by the time that a request takes to reach an engine.
+  Duration mKeysTrusted = std::chrono::milliseconds(4300);
+  /// How long the store holds a read of the configuration: the freshness of keys follows from it.
+  Duration mConfigWait = std::chrono::milliseconds(1500);
+  /// How long the store holds a read of registrations. A connection that has gone silent shows by
+  /// a read that is not answered after it, so it is well below the time in which a node must stop
+  /// sending to an engine that leaves.
+  Duration mEngineWait = std::chrono::milliseconds(1500);
+  /// Shortest time between two reads of registrations, of the holder and of the others. The others
+  /// hear of replicas from the holder; each read is a paid call.
+  Duration mHolderPause = std::chrono::milliseconds(25);
+  Duration mOtherPause = std::chrono::milliseconds(1000);
+  Duration mOrderTimeout = std::chrono::milliseconds(120);
+  /// An engine that does not answer within this is taken for lost, if a second question that was
+  /// sent at the same moment has no answer either.
+  Duration mAskTimeout = std::chrono::milliseconds(110);
+  /// Lost engines that are still registered are asked again after this.
+  Duration mAskAgain = std::chrono::milliseconds(700);
+  GroupPlannerOptions mPlanner;
+};
+
+/// The outside world as the coordinator needs it.
+struct CoordinatorHooks
+{
+  NowFn mNow;
+  KeyedLogHooks mConfigLog;
+  KeyedLogHooks mEngineLog;
+  KeyedLogHooks mNodeLog;
+  LogLeaseHooks mLeaseLog;
+  /// The key under which the operator's configuration stands in its log.
+  std::string mConfigKey;
+  std::function<Result<Configuration>(const std::string& aBody)> mDecodeConfiguration;
+  std::function<Result<EngineRecord>(const std::string& aId, const std::string& aBody)>
+    mDecodeEngine;
+  std::function<
+    void(const std::string& aKey, const std::string& aValue, std::function<void(Result<void>)>)>
+    mPutNode;
+  std::function<void(const GroupOrder&, Duration aTimeout, std::function<void(OrderAnswer)>)>
+    mOrder;
+  std::function<
+    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    mAsk;
+  std::function<void(const std::string& aAddress, const std::string& aBytes)> mSend;
+  std::function<void(std::shared_ptr<const TrafficPlan>)> mPublish;
+  std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
+};
+
+/// Counts since the start; see docs/OPERATIONS.md.
+struct CoordinatorCounters
+{
+  std::map<std::string, std::uint64_t> mOrders; ///< by kind and answer
+  std::uint64_t mAsks = 0;
+  std::uint64_t mLostEngines = 0; ///< times that an engine was found not to answer
+  std::uint64_t mBeats = 0;
+  std::uint64_t mBadMessages = 0;
+  std::uint64_t mBadConfigurations = 0;
+  std::uint64_t mBadRegistrations = 0;
+};
+
+class Coordinator
+{
+public:
+  Coordinator(CoordinatorOptions aOptions, CoordinatorHooks aHooks);
+  ~Coordinator();
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
+  /// Do all that is due; call every few tens of milliseconds.
+  void Tick();
+  /// Bytes of one heartbeat of a peer.
+  void OnBeat(const std::string& aBytes);
+  /// A head has been silent towards this node's streams.
+  void OnSuspect(const std::string& aHead, Duration aSilence);
+  /// This node's requests in progress, by engine.
+  void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
+  /// Fail readiness and give the lease back.
+  void BeginStop();
+
+  bool IsReady() const;
+  bool HoldsLease() const;
+  const CoordinatorCounters& Counters() const;
+  /// @return the whole control state as JSON, for people.
+  std::string Dump() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -0,0 +1,120 @@
+/// @file
+/// @brief A log that keeps the newest record of each key, and following it. Pure.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+#include "pepperbay/base/error.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct KeyedRecord
+{
+  std::string mKey;
+  std::optional<std::string> mValue; ///< none: the key was dropped
+};
+
+/// Some of the newest records, in the order of their keys.
+struct KeyedPage
+{
+  std::vector<KeyedRecord> mRecords;
+  bool mMore = false;     ///< ask again after the last key
+  std::uint64_t mEnd = 0; ///< offset after the last record of the log
+};
+
+/// Records from an offset on.
+struct KeyedTail
+{
+  std::vector<KeyedRecord> mRecords;
+  std::uint64_t mEnd = 0;  ///< offset after the last record of the log
+  std::uint64_t mNext = 0; ///< offset after the last record that was read
+};
+
+/// Calls to the log; each answers exactly once. A read of records that were deleted answers with
+/// Errc::kNotFound.
+struct KeyedLogHooks
+{
+  std::function<void(const std::string& aAfterKey, std::function<void(Result<KeyedPage>)>)> mNewest;
+  std::function<void(std::uint64_t aFrom, Duration aWait, std::function<void(Result<KeyedTail>)>)>
+    mRead;
+};
+
+/// What the follower tells its owner.
+struct KeyedFollowerEvents
+{
+  /// The whole list was read: keys that are not in it are gone.
+  std::function<void(std::vector<KeyedRecord>)> mOnList;
+  std::function<void(const KeyedRecord&)> mOnRecord;
+  /// The log answers again after it did not.
+  std::function<void()> mOnBack;
+  /// The log stopped answering.
+  std::function<void(const Error&)> mOnLost;
+};
+
+struct KeyedFollowerOptions
+{
+  Duration mWait = std::chrono::seconds(20); ///< how long the log may hold a read without news
+  Duration mPause{ 0 };                      ///< shortest time between two reads
+  Duration mRetryFirst = std::chrono::milliseconds(50); ///< pause after a failed call
+  Duration mRetryMost = std::chrono::milliseconds(400); ///< it doubles up to this
+};
+
+/// Follows one keyed log: the list first, then records as they come; the list again whenever
+/// records that were not read yet have been deleted.
+///
+/// Pages of a list are no snapshot. Reading goes on from the end that the *first* page gave, so a
+/// record that was added between two pages is read again rather than missed.
+///
+/// @code
+/// KeyedFollower follower(options, hooks, events);
+/// follower.Tick(now); // often
+/// if (now - follower.AsOf() < limit) { ... what was told is no older than the limit }
+/// @endcode
+class KeyedFollower
+{
+public:
+  KeyedFollower(const KeyedFollowerOptions& aOptions,
+                KeyedLogHooks aHooks,
+                KeyedFollowerEvents aEvents,
+                NowFn aNow);
+
+  /// Make the call that is due, if any.
+  void Tick();
+
+  /// All that was in the log at this time has been told; the zero time when nothing was read yet.
+  TimePoint AsOf() const { return mAsOf; }
+  bool HasList() const { return mHasList; }
+  /// @return whether the last call failed.
+  bool Lost() const { return mLost; }
+
+private:
+  void AskNewest();
+  void AskTail();
+  void OnPage(Result<KeyedPage> aPage, TimePoint aSent);
+  void OnTail(Result<KeyedTail> aTail, TimePoint aSent);
+  void OnFailure(const Error& aError);
+  void OnSuccess();
+
+  KeyedFollowerOptions mOptions;
+  KeyedLogHooks mHooks;
+  KeyedFollowerEvents mEvents;
+  NowFn mNow;
+  bool mAsking = false;
+  bool mHasList = false;
+  bool mListing = true;
+  bool mLost = false;
+  std::vector<KeyedRecord> mList;
+  std::optional<std::uint64_t> mListEnd; ///< of the first page
+  TimePoint mListSent{};
+  std::uint64_t mNext = 0;
+  TimePoint mAsOf{};
+  TimePoint mDue{};
+  Duration mRetry{ 0 };
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// @brief The engines that the platform lists, and what each says of itself. Pure.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+/// Where an engine is on its way into serving with others.
+enum class GroupPhase
+{
+  kNone,
+  kJoining,
+  kReady, ///< the head may be told to open
+  kOpen,  ///< the head serves
+  kClosing,
+  kBroken, ///< a member was lost and the head has noticed
+};
+
+const char*
+ToString(GroupPhase aPhase);
+
+/// An engine's place in a replica.
+struct GroupPlace
+{
+  std::string mName; ///< empty: in no group
+  std::uint64_t mEpoch = 0;
+  int mRank = 0; ///< 0 is the head
+  GroupPhase mPhase = GroupPhase::kNone;
+};
+
+/// One start of an engine, as it registered itself.
+struct EngineRecord
+{
+  std::string mId; ///< of this start; a restart has another
+  std::string mService;
+  std::string mAddress; ///< IP:port
+  std::string mDataCentre;
+  std::string mDomain; ///< of the fabric; empty for engines that serve alone
+  int mSlots = 1;
+  bool mLeaving = false; ///< takes no new work
+  std::vector<std::string> mLoadedModels;
+  std::vector<std::string> mStagedModels; ///< weights on its host
+  GroupPlace mGroup;
+
+  bool HasStaged(const std::string& aModel) const;
+};
+
+/// The engines now registered, by id.
+using EngineMap = std::map<std::string, EngineRecord>;
+
+/// Keeps the list through gaps of the store.
+///
+/// Registrations of engines that live may lapse while the store is away, and are back shortly after
+/// its return. An engine that vanishes from the list around an outage is therefore kept for
+/// `mReturnGrace`; without that, the whole pool would be dropped with the first answer of the store
+/// and every request refused until the engines have registered again. An engine that said that it
+/// leaves stays leaving for good.
+class EngineDirectory
+{
+public:
+  struct Options
+  {
+    /// Registrations are back within about two seconds of the store's return.
+    Duration mReturnGrace = std::chrono::milliseconds(2200);
+  };
+
+  EngineDirectory() = default;
+  explicit EngineDirectory(Options aOptions);
+
+  /// A registration came or changed.
+  void Put(EngineRecord aEngine, TimePoint aNow);
+  /// A registration was removed.
+  void Remove(const std::string& aId, TimePoint aNow);
+  /// The whole list was read again.
+  void Replace(std::vector<EngineRecord> aEngines, TimePoint aNow);
+  /// The store answers again after it did not.
+  void OnStoreBack(TimePoint aNow);
+  /// Drop what was kept through an outage and has not come back. @return whether any was
+  bool Tick(TimePoint aNow);
+
+  const EngineMap& Engines() const { return mEngines; }
+  const EngineRecord* Find(const std::string& aId) const;
+  /// Grows with each change.
+  std::uint64_t Revision() const { return mRevision; }
+
+private:
+  Options mOptions;
+  EngineMap mEngines;
+  std::map<std::string, TimePoint> mMissing; ///< kept until then
+  TimePoint mDoubtUntil{};                   ///< removals before this are held back
+  std::uint64_t mRevision = 0;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -0,0 +1,158 @@
+/// @file
+/// @brief Engines to whole replicas on a platform whose engines form groups by orders. Pure.
+///
+/// Run by the holder of the lease only. What stands is learnt from the engines themselves, so a new
+/// holder needs nothing from the last one, and a replica that serves is left alone.
+#pragma once
+
+#include "pepperbay/placement/group_order.hpp"
+#include "pepperbay/routing/route_table.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct GroupPlannerOptions
+{
+  /// Engines of a fabric domain kept free to replace lost members, as a share, rounded up. With
+  /// none, each loss darkens a replica for a whole load of weights.
+  double mSpareShare = 0.1;
+  /// An order that does not fit the engine's state yet is given again after this.
+  Duration mRepeat = std::chrono::milliseconds(25);
+  /// A join that has begun is asked for again after this, in case the word of its end was lost; a
+  /// repeat answers that it holds once the engine is ready.
+  Duration mAskJoined = std::chrono::milliseconds(240);
+  /// Orders without an answer, in a row, after which an engine counts as lost.
+  int mMostUnanswered = 3;
+  /// Requests at a replica with a leaving member get this long to end before the member is
+  /// replaced. Engines serve on for longer than that after they said that they leave.
+  Duration mDrainWait = std::chrono::milliseconds(1600);
+  /// The first replicas are formed once no engine has registered for this long: those of one
+  /// domain register within a short time of each other.
+  Duration mSettle = std::chrono::milliseconds(600);
+  /// What a registration says is trusted against an order's answer only after this.
+  Duration mRegistrationLag = std::chrono::milliseconds(1500);
+};
+
+/// All that one round looks at.
+struct GroupView
+{
+  const EngineMap* mEngines = nullptr;
+  std::string mService;
+  const EnginePool* mPool = nullptr;
+  TimePoint mNow{};
+  std::uint64_t mFence = 0;
+  bool mTraffic = false; ///< requests have come: loads now count against the weight store's rate
+  /// The engine does not answer, whatever its registration says.
+  std::function<bool(const std::string& aEngine)> mDead;
+  /// Requests of all nodes in progress at a head.
+  std::function<int(const std::string& aHead)> mInFlight;
+};
+
+enum class ReplicaPhase
+{
+  kForming, ///< members join
+  kOpening, ///< every member is ready; the head is told to open
+  kOpen,
+  kBroken, ///< a member is lost
+};
+
+const char*
+ToString(ReplicaPhase aPhase);
+
+/// A replica as the planner sees it.
+struct PlannedReplica
+{
+  std::string mName;
+  std::uint64_t mEpoch = 0;
+  std::string mModel;
+  std::string mDomain;
+  std::vector<std::string> mMembers; ///< the first is the head
+  ReplicaPhase mPhase = ReplicaPhase::kForming;
+  std::set<std::string> mReady;           ///< members that were ready under this epoch
+  TimePoint mSince{};                     ///< of the phase
+  std::optional<TimePoint> mLeavingSince; ///< a member leaves
+  std::string mWhy;                       ///< why it does not serve
+};
+
+class GroupPlanner
+{
+public:
+  GroupPlanner() = default;
+  explicit GroupPlanner(GroupPlannerOptions aOptions);
+
+  /// Forget what orders were given; a new tenure begins.
+  void Reset();
+  /// @return the orders to give now. Report the answer of each with OnAnswer().
+  std::vector<GroupOrder> Plan(const GroupView& aView);
+  void OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow);
+  /// An engine was asked and says where it stands.
+  void OnReport(const std::string& aEngine, const GroupPlace& aPlace, TimePoint aNow);
+
+  const std::map<std::string, PlannedReplica>& Replicas() const { return mReplicas; }
+  /// Engines that left orders unanswered; they count as lost until they are heard again.
+  const std::set<std::string>& Unanswering() const { return mUnanswering; }
+  void Forgive(const std::string& aEngine);
+
+private:
+  struct Spare
+  {
+    std::string mModel;
+    std::uint64_t mEpoch = 0;
+    bool mReady = false;
+  };
+  /// Orders in progress and their spacing, by engine and kind.
+  struct Pending
+  {
+    bool mWaiting = false;
+    TimePoint mDue{}; ///< not again before
+    int mUnanswered = 0;
+  };
+
+  bool Usable(const EngineRecord& aEngine) const;
+  bool Usable(const std::string& aEngine) const;
+  const EngineRecord* Find(const std::string& aEngine) const;
+  std::uint64_t NextEpoch();
+
+  void LearnStanding();
+  void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
+  void Judge(PlannedReplica& aReplica);
+  void Drive(PlannedReplica& aReplica);
+  void NoteReadiness(PlannedReplica& aReplica);
+  void RepairBroken();
+  bool Repair(PlannedReplica& aReplica);
+  void FormNew();
+  void CareForSpares();
+  std::string SpareModelFor(const EngineRecord& aEngine,
+                            const std::map<std::string, int>& aStandby) const;
+
+  /// Engines of a domain that no replica holds, cheapest to join the model first.
+  std::vector<const EngineRecord*> FreeEngines(const std::string& aDomain,
+                                               const std::string& aModel) const;
+  Duration JoinTime(const EngineRecord& aEngine, const std::string& aModel) const;
+  bool InReplica(const std::string& aEngine) const;
+  void Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
+  bool Give(GroupOrder aOrder);
+  bool MayLoad();
+
+  GroupPlannerOptions mOptions;
+  std::map<std::string, PlannedReplica> mReplicas;
+  std::map<std::string, Spare> mSpares;
+  std::map<std::string, Pending> mPending;
+  std::map<std::string, TimePoint> mStagedAt;    ///< engines told to stage, until they have
+  std::map<std::string, std::string> mLastModel; ///< of the last group that an engine was in
+  std::set<std::string> mUnanswering;
+  std::vector<TimePoint> mLoads; ///< begun in the last second
+  std::uint64_t mCounter = 0;
+  std::uint64_t mNames = 0;
+  std::size_t mSeenEngines = 0;
+  TimePoint mLastNew{};
+  const GroupView* mView = nullptr; ///< of the round in progress
+  std::vector<GroupOrder> mOrders;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/relay/relay.hpp
@@ -0,0 +1,96 @@
+/// @file
+/// @brief Callers' requests passed on to engines as they are, and the answers back.
+///
+/// The relay owns every decision about one request: its route, its engine, whether and where it is
+/// sent again, when it is given up. It runs on one traffic thread and knows the control state only
+/// through immutable plans.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/membership/stall_detector.hpp"
+#include "pepperbay/relay/dialect.hpp"
+#include "pepperbay/routing/balancer.hpp"
+#include "pepperbay/routing/traffic_plan.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace pepperbay {
+
+struct RelayOptions
+{
+  std::string mCallers;    ///< `IP:port` for callers
+  std::string mDataCentre; ///< of this node
+  /// Second attempts of all nodes together, as a share of requests and beyond it, in a window.
+  double mRetryShare = 0.2;
+  double mRetrySlack = 100;
+  /// A connection to an engine that does not stand after this is given up; several round trips
+  /// between data centres, and short enough to go elsewhere within an objective.
+  Duration mConnectTimeout = std::chrono::milliseconds(120);
+  /// A safe request without an answer after this share of its objective goes to a second engine.
+  double mSecondAfter = 0.55;
+  /// Streams leave a replica that is silent for this long, confirmed or not. Above the longest
+  /// pause that reading prompts causes.
+  Duration mLeaveSilent = std::chrono::milliseconds(450);
+  /// When a refused caller should come back: about the time in which a replica forms anew.
+  Duration mRetryAfter = std::chrono::milliseconds(600);
+  /// After a stop is asked for, the balancer needs this long to send no more connections.
+  Duration mStopGrace = std::chrono::milliseconds(2600);
+  /// What still runs is broken off this long after the stop was asked for.
+  Duration mStopMost = std::chrono::milliseconds(7200);
+  Duration mTick = std::chrono::milliseconds(20);
+  NowFn mNow = &BootClock::now;
+};
+
+/// Counts since the start; see docs/OPERATIONS.md.
+struct RelayCounters
+{
+  std::uint64_t mRequests = 0;
+  std::uint64_t mAnswered = 0;   ///< an engine's whole answer was passed on
+  std::uint64_t mInvalid = 0;    ///< answered 4xx
+  std::uint64_t mRefused = 0;    ///< answered "not run"
+  std::uint64_t mFailed = 0;     ///< answered 5xx otherwise
+  std::uint64_t mCut = 0;        ///< broken off after the answer had begun
+  std::uint64_t mCallerGone = 0; ///< the caller left first
+  std::uint64_t mAttempts = 0;   ///< requests sent to engines
+  std::uint64_t mSecondAttempts = 0;
+  std::uint64_t mResumes = 0;                    ///< of these, streams that went on elsewhere
+  std::uint64_t mConnects = 0;                   ///< connections opened to engines
+  std::uint64_t mBudgetSpent = 0;                ///< second attempts not made for want of budget
+  std::uint64_t mForeignAnswers = 0;             ///< of another request; dropped
+  std::uint64_t mOpen = 0;                       ///< requests in progress
+  std::map<std::string, std::uint64_t> mReasons; ///< of refusals, failures and cuts
+};
+
+struct RelayHooks
+{
+  /// A replica's head has been silent; any thread's business but the relay's.
+  std::function<void(const std::string& aHead, Duration aSilence)> mOnSuspect;
+  /// A line for the log; see log.hpp.
+  std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
+};
+
+class Relay
+{
+public:
+  static Result<std::unique_ptr<Relay>> Open(boost::asio::io_context& aContext,
+                                             RelayOptions aOptions,
+                                             Dialect aDialect,
+                                             RelayHooks aHooks);
+  virtual ~Relay() = default;
+
+  // All of these on the relay's own thread.
+  virtual void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) = 0;
+  /// Requests of this node in progress, by engine.
+  virtual std::unordered_map<std::string, int> InFlight() const = 0;
+  virtual const RelayCounters& Counters() const = 0;
+  /// Answer what is in progress, then call `aDone` once.
+  virtual void BeginStop(std::function<void()> aDone) = 0;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// @brief What traffic threads know of the control state: one immutable value, swapped whole.
+#pragma once
+
+#include "pepperbay/routing/route_table.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pepperbay {
+
+/// An engine that takes requests.
+struct EngineTarget
+{
+  std::string mId; ///< of one start; a request names it, so that no other engine runs it
+  std::string mAddress;
+  std::string mDataCentre;
+};
+
+/// A replica that serves, reached through its head.
+struct PoolReplica
+{
+  std::string mGroup;
+  std::uint64_t mEpoch = 0;
+  std::string mModel;
+  EngineTarget mHead;
+  /// Takes no new requests: a member is lost or leaving and the replica is about to form anew.
+  bool mSuspended = false;
+  /// A member is known to be lost, so nothing in progress there goes on.
+  bool mLost = false;
+};
+
+struct TrafficPlan
+{
+  std::shared_ptr<const RouteTable> mRoutes; ///< null until a configuration is known
+  std::map<std::string, std::vector<EngineTarget>> mEngines; ///< of plain services, by service
+  std::map<std::string, std::vector<PoolReplica>> mReplicas; ///< by service
+  std::unordered_map<std::string, int> mOthersInFlight;      ///< engine to requests of other nodes
+  /// Keys of customers are known to be in force up to here; later, the configuration may have taken
+  /// one away unseen.
+  TimePoint mKeysValidUntil{};
+  int mNodes = 1; ///< nodes that share the work, this one included
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/admission/retry_budget.cpp
+++ b/src/pepperbay/admission/retry_budget.cpp
@@ -26,4 +26,11 @@
   return true;
 }
 
+void
+RetryBudget::SetBurst(double aBurst)
+{
+  mOptions.mBurst = aBurst;
+  mLeft = std::min(mLeft, aBurst);
+}
+
 } // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -0,0 +1,86 @@
+#include "engine_doubts.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+namespace {
+constexpr int kQuestions = 2;
+}
+
+EngineDoubts::EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks)
+  : mOptions(aOptions)
+  , mHooks(std::move(aHooks))
+{
+}
+
+void
+EngineDoubts::Ask(const EngineRecord& aEngine)
+{
+  Question& question = mQuestions[aEngine.mId];
+  if (question.mOpen > 0) {
+    return;
+  }
+  question = { kQuestions, false };
+  const auto lost = mLost.find(aEngine.mId);
+  if (lost != mLost.end()) {
+    lost->second = mHooks.mNow();
+  }
+  for (int i = 0; i < kQuestions; ++i) {
+    ++mAsked;
+    mHooks.mAsk(
+      aEngine, mOptions.mAskTimeout, [this, aEngine](const Result<EngineReport>& aReport) {
+        OnAnswer(aEngine, aReport);
+      });
+  }
+}
+
+void
+EngineDoubts::OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport)
+{
+  const auto it = mQuestions.find(aEngine.mId);
+  if (it == mQuestions.end()) {
+    return;
+  }
+  Question& question = it->second;
+  --question.mOpen;
+  if (aReport.has_value()) {
+    const bool first = !question.mAnswered;
+    question.mAnswered = true;
+    if (mLost.erase(aEngine.mId) != 0) {
+      mHooks.mOnChange(aEngine, false);
+    }
+    if (first) {
+      mHooks.mOnAnswer(aEngine, aReport.value());
+    }
+  }
+  if (question.mOpen > 0) {
+    return;
+  }
+  const bool answered = question.mAnswered;
+  mQuestions.erase(it);
+  if (!answered && mLost.emplace(aEngine.mId, mHooks.mNow()).second) {
+    mHooks.mOnChange(aEngine, true);
+  }
+}
+
+void
+EngineDoubts::Tick(const EngineMap& aEngines)
+{
+  std::vector<const EngineRecord*> again;
+  for (auto it = mLost.begin(); it != mLost.end();) {
+    const auto engine = aEngines.find(it->first);
+    if (engine == aEngines.end()) {
+      it = mLost.erase(it);
+      continue;
+    }
+    if (mHooks.mNow() - it->second >= mOptions.mAskAgain) {
+      again.push_back(&engine->second);
+    }
+    ++it;
+  }
+  for (const auto* it : again) {
+    Ask(*it);
+  }
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief Engines that do not answer, found by asking; and when to ask again. Pure but for its
+/// hook.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/placement/group_order.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct EngineDoubtsOptions
+{
+  Duration mAskTimeout = std::chrono::milliseconds(110);
+  Duration mAskAgain = std::chrono::milliseconds(700);
+};
+
+struct EngineDoubtsHooks
+{
+  NowFn mNow;
+  std::function<
+    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    mAsk;
+  std::function<void(const EngineRecord&, const EngineReport&)> mOnAnswer;
+  /// An engine has become lost, or a lost one answers.
+  std::function<void(const EngineRecord&, bool aLost)> mOnChange;
+};
+
+/// Asks engines under suspicion.
+///
+/// Two questions go out at once, on connections of their own if need be, and an engine is lost when
+/// neither is answered in time: one lost packet must not darken a replica.
+class EngineDoubts
+{
+public:
+  EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks);
+
+  /// Ask an engine, unless it is being asked.
+  void Ask(const EngineRecord& aEngine);
+  bool IsLost(const std::string& aEngine) const { return mLost.count(aEngine) != 0; }
+  /// Ask lost engines that are still registered again; forget those that are not.
+  void Tick(const EngineMap& aEngines);
+  std::uint64_t Asked() const { return mAsked; }
+  const std::map<std::string, TimePoint>& Lost() const { return mLost; }
+
+private:
+  struct Question
+  {
+    int mOpen = 0;
+    bool mAnswered = false;
+  };
+
+  void OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport);
+
+  EngineDoubtsOptions mOptions;
+  EngineDoubtsHooks mHooks;
+  std::map<std::string, Question> mQuestions;
+  std::map<std::string, TimePoint> mLost; ///< when last asked
+  std::uint64_t mAsked = 0;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -0,0 +1,76 @@
+#include "peer_book.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+namespace {
+/// A silent peer gets heartbeats for this long, so that both ends of a cut find each other again
+/// soon; after it, its next start writes a new record.
+constexpr std::chrono::seconds kWorthSending{ 30 };
+}
+
+PeerBook::PeerBook(std::string aSelf, Duration aSilence)
+  : mSelf(std::move(aSelf))
+  , mSilence(aSilence)
+{
+}
+
+void
+PeerBook::OnRecord(const proto::NodeRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.node() == mSelf) {
+    return;
+  }
+  KnownPeer& peer = mPeers[aRecord.node()];
+  if (aRecord.incarnation() == peer.mIncarnation && aRecord.address() == peer.mAddress) {
+    return;
+  }
+  peer.mIncarnation = aRecord.incarnation();
+  peer.mAddress = aRecord.address();
+  peer.mKnown = aNow;
+  peer.mHeard = TimePoint{};
+  peer.mBeat.Clear();
+}
+
+bool
+PeerBook::OnBeat(const proto::NodeBeat& aBeat, TimePoint aNow)
+{
+  const auto it = mPeers.find(aBeat.node());
+  if (it == mPeers.end() || it->second.mIncarnation != aBeat.incarnation()) {
+    return false;
+  }
+  it->second.mHeard = aNow;
+  it->second.mBeat = aBeat;
+  return true;
+}
+
+bool
+PeerBook::Alive(const KnownPeer& aPeer, TimePoint aNow) const
+{
+  return aPeer.mHeard != TimePoint{} && aNow - aPeer.mHeard < mSilence;
+}
+
+int
+PeerBook::AliveCount(TimePoint aNow) const
+{
+  int n = 1;
+  for (const auto& [name, peer] : mPeers) {
+    n += Alive(peer, aNow) ? 1 : 0;
+  }
+  return n;
+}
+
+std::vector<std::string>
+PeerBook::Addresses(TimePoint aNow) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [name, peer] : mPeers) {
+    const TimePoint last = std::max(peer.mHeard, peer.mKnown);
+    if (aNow - last < kWorthSending) {
+      addresses.push_back(peer.mAddress);
+    }
+  }
+  return addresses;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -0,0 +1,167 @@
+#include "plan_builder.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+namespace {
+
+/// The engines registered under one name and the newest epoch of it.
+struct StandingGroup
+{
+  std::uint64_t mEpoch = 0;
+  std::vector<const EngineRecord*> mMembers;
+  const EngineRecord* mHead = nullptr;
+};
+
+using StandingGroups = std::map<std::string, StandingGroup>;
+
+void
+Add(const EngineRecord& aEngine, StandingGroups& aGroups)
+{
+  const GroupPlace& place = aEngine.mGroup;
+  StandingGroup& group = aGroups[place.mName];
+  if (place.mEpoch < group.mEpoch) {
+    return;
+  }
+  if (place.mEpoch > group.mEpoch) {
+    group = StandingGroup{};
+    group.mEpoch = place.mEpoch;
+  }
+  group.mMembers.push_back(&aEngine);
+  if (place.mRank == 0) {
+    group.mHead = &aEngine;
+  }
+}
+
+EngineTarget
+TargetOf(const EngineRecord& aEngine)
+{
+  return { aEngine.mId, aEngine.mAddress, aEngine.mDataCentre };
+}
+
+/// @return whether a replica can be used as it is registered.
+bool
+Serves(const StandingGroup& aGroup,
+       const EnginePool& aPool,
+       const std::function<bool(const std::string&)>& aLost)
+{
+  if (aGroup.mHead == nullptr || aGroup.mHead->mLoadedModels.empty() ||
+      aGroup.mHead->mGroup.mPhase != GroupPhase::kOpen) {
+    return false;
+  }
+  const ModelSpec* model = aPool.FindModel(aGroup.mHead->mLoadedModels.front());
+  return model != nullptr && aGroup.mMembers.size() == model->mSize &&
+         std::none_of(aGroup.mMembers.begin(), aGroup.mMembers.end(), [&](const auto* it) {
+           return aLost(it->mId);
+         });
+}
+
+std::vector<PoolReplica>
+ReplicasOf(const ServiceSpec& aService, const PlanSources& aSources)
+{
+  StandingGroups groups;
+  std::unordered_map<std::uint32_t, const EngineRecord*> byShortId;
+  for (const auto& [id, engine] : *aSources.mEngines) {
+    if (engine.mService != aService.mName) {
+      continue;
+    }
+    byShortId[ShortId(id)] = &engine;
+    if (!engine.mGroup.mName.empty()) {
+      Add(engine, groups);
+    }
+  }
+  std::vector<PoolReplica> replicas;
+  for (const auto& [name, group] : groups) {
+    const auto news = aSources.mNews->find(name);
+    const bool newer = news != aSources.mNews->end() && news->second.epoch() > group.mEpoch;
+    if (newer || group.mHead == nullptr || group.mHead->mLoadedModels.empty()) {
+      continue;
+    }
+    PoolReplica target;
+    target.mGroup = name;
+    target.mEpoch = group.mEpoch;
+    target.mModel = group.mHead->mLoadedModels.front();
+    target.mHead = TargetOf(*group.mHead);
+    const bool open = group.mHead->mGroup.mPhase == GroupPhase::kOpen;
+    target.mLost = open && !Serves(group, *aService.mPool, aSources.mLost);
+    target.mSuspended = !open || target.mLost || group.mHead->mLeaving;
+    if (news != aSources.mNews->end() && news->second.epoch() == group.mEpoch) {
+      target.mLost = target.mLost || news->second.lost();
+      target.mSuspended = target.mSuspended || !news->second.open();
+    }
+    replicas.push_back(std::move(target));
+  }
+  for (const auto& [name, news] : *aSources.mNews) {
+    const auto group = groups.find(name);
+    const auto head = byShortId.find(news.head());
+    const bool known = group != groups.end() && group->second.mEpoch >= news.epoch();
+    if (known || head == byShortId.end()) {
+      continue;
+    }
+    PoolReplica target;
+    target.mGroup = name;
+    target.mEpoch = news.epoch();
+    target.mModel = news.model();
+    target.mHead = TargetOf(*head->second);
+    target.mLost = news.lost();
+    target.mSuspended = !news.open() || head->second->mLeaving;
+    replicas.push_back(std::move(target));
+  }
+  return replicas;
+}
+
+} // namespace
+
+std::uint32_t
+ShortId(const std::string& aEngine)
+{
+  return static_cast<std::uint32_t>(Hash64(aEngine));
+}
+
+std::shared_ptr<const TrafficPlan>
+BuildPlan(const PlanSources& aSources)
+{
+  auto plan = std::make_shared<TrafficPlan>();
+  plan->mRoutes = aSources.mRoutes;
+  plan->mOthersInFlight = aSources.mOthersInFlight;
+  plan->mKeysValidUntil = aSources.mKeysValidUntil;
+  plan->mNodes = aSources.mNodes;
+  if (!plan->mRoutes) {
+    return plan;
+  }
+  for (const auto& [id, engine] : *aSources.mEngines) {
+    const ServiceSpec* service = plan->mRoutes->FindService(engine.mService);
+    if (service != nullptr && !service->mPool && !engine.mLeaving) {
+      plan->mEngines[engine.mService].push_back(TargetOf(engine));
+    }
+  }
+  for (const auto& it : plan->mRoutes->Services()) {
+    if (it.mPool) {
+      plan->mReplicas[it.mName] = ReplicasOf(it, aSources);
+    }
+  }
+  return plan;
+}
+
+std::vector<proto::ReplicaNews>
+NewsOf(const std::map<std::string, PlannedReplica>& aReplicas, TimePoint aNow, Duration aFormTime)
+{
+  std::vector<proto::ReplicaNews> all;
+  for (const auto& [name, replica] : aReplicas) {
+    proto::ReplicaNews news;
+    news.set_group(name);
+    news.set_epoch(replica.mEpoch);
+    news.set_model(replica.mModel);
+    news.set_head(ShortId(replica.mMembers.front()));
+    // The head serves a while after it has accepted the order to open.
+    news.set_open(replica.mPhase == ReplicaPhase::kOpen && !replica.mLeavingSince &&
+                  aNow - replica.mSince >= aFormTime);
+    news.set_lost(replica.mPhase == ReplicaPhase::kBroken);
+    all.push_back(std::move(news));
+  }
+  return all;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/plan_builder.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief From what the control thread knows to what traffic threads may use. Pure.
+#pragma once
+
+#include "peer_book.hpp"
+#include "pepperbay/membership/engine_directory.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+#include "pepperbay/routing/traffic_plan.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace pepperbay {
+
+/// The lower half of the hash of an engine's id, as heartbeats carry it.
+std::uint32_t
+ShortId(const std::string& aEngine);
+
+struct PlanSources
+{
+  std::shared_ptr<const RouteTable> mRoutes;
+  const EngineMap* mEngines = nullptr;
+  /// What the holder of the lease says of replicas, by name.
+  const std::map<std::string, proto::ReplicaNews>* mNews = nullptr;
+  std::function<bool(const std::string& aEngine)> mLost;
+  std::unordered_map<std::string, int> mOthersInFlight;
+  TimePoint mKeysValidUntil{};
+  int mNodes = 1;
+};
+
+/// A replica takes requests only while every member is registered under one epoch, none is lost,
+/// and the head says that it is open; the holder's word goes before older registrations.
+std::shared_ptr<const TrafficPlan>
+BuildPlan(const PlanSources& aSources);
+
+/// What the holder tells of its replicas.
+std::vector<proto::ReplicaNews>
+NewsOf(const std::map<std::string, PlannedReplica>& aReplicas, TimePoint aNow, Duration aFormTime);
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -0,0 +1,94 @@
+#include "edge_metrics.hpp"
+
+#include <map>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <vector>
+
+namespace pepperbay {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+MetricFamily
+Family(const char* aName, const char* aHelp, MetricType aType)
+{
+  MetricFamily family;
+  family.name = std::string("pepperbay_edge_") + aName;
+  family.help = aHelp;
+  family.type = aType;
+  return family;
+}
+
+MetricFamily
+Counter(const char* aName, const char* aHelp, std::uint64_t aValue)
+{
+  MetricFamily family = Family(aName, aHelp, MetricType::Counter);
+  ClientMetric metric;
+  metric.counter.value = static_cast<double>(aValue);
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
+MetricFamily
+Gauge(const char* aName, const char* aHelp, double aValue)
+{
+  MetricFamily family = Family(aName, aHelp, MetricType::Gauge);
+  ClientMetric metric;
+  metric.gauge.value = aValue;
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
+MetricFamily
+Counters(const char* aName,
+         const char* aHelp,
+         const char* aLabel,
+         const std::map<std::string, std::uint64_t>& aValues)
+{
+  MetricFamily family = Family(aName, aHelp, MetricType::Counter);
+  for (const auto& [label, value] : aValues) {
+    ClientMetric metric;
+    metric.counter.value = static_cast<double>(value);
+    metric.label.push_back({ aLabel, label });
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+} // namespace
+
+std::string
+RenderEdgeMetrics(const EdgeFigures& aFigures)
+{
+  const RelayCounters& relay = aFigures.mRelay;
+  const CoordinatorCounters& control = aFigures.mCoordinator;
+  const std::vector<MetricFamily> families = {
+    Counter("requests_total", "Requests read", relay.mRequests),
+    Counter("answered_total", "Answered with an engine's whole answer", relay.mAnswered),
+    Counter("invalid_total", "Answered 4xx", relay.mInvalid),
+    Counter("refused_total", "Answered as not run", relay.mRefused),
+    Counter("failed_total", "Answered 5xx otherwise", relay.mFailed),
+    Counter("cut_total", "Broken off after the answer had begun", relay.mCut),
+    Counter("caller_gone_total", "The caller left first", relay.mCallerGone),
+    Counter("attempts_total", "Requests sent to engines", relay.mAttempts),
+    Counter("second_attempts_total", "Of these, not the first", relay.mSecondAttempts),
+    Counter("resumes_total", "Of these, streams that went on elsewhere", relay.mResumes),
+    Counter("foreign_answers_total", "Answers of another request", relay.mForeignAnswers),
+    Counters("reasons_total", "Refusals, failures and cuts", "reason", relay.mReasons),
+    Gauge("open_requests", "In progress", static_cast<double>(relay.mOpen)),
+    Counters("orders_total", "Orders to engines", "order", control.mOrders),
+    Counter("asks_total", "Questions to engines", control.mAsks),
+    Counter("lost_engines_total", "Engines found not to answer", control.mLostEngines),
+    Counter("bad_configurations_total", "Not understood", control.mBadConfigurations),
+    Counter("bad_registrations_total", "Not understood", control.mBadRegistrations),
+    Counter("bad_messages_total", "Of peers, not understood", control.mBadMessages),
+    Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
+    Counter("log_lines_left_out_total", "Not written", aFigures.mLinesLeftOut),
+  };
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// @brief The metrics page of a node before a pool.
+#pragma once
+
+#include "pepperbay/coordinator/coordinator.hpp"
+#include "pepperbay/relay/relay.hpp"
+
+#include <string>
+
+namespace pepperbay {
+
+/// What the page shows, copied from the threads that own it.
+struct EdgeFigures
+{
+  RelayCounters mRelay;
+  CoordinatorCounters mCoordinator;
+  bool mHoldsLease = false;
+  std::uint64_t mLinesLeftOut = 0;
+};
+
+std::string
+RenderEdgeMetrics(const EdgeFigures& aFigures);
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -0,0 +1,366 @@
+#include "pepperbay/edge/edge_node.hpp"
+
+#include "edge_metrics.hpp"
+#include "pepperbay/base/ids.hpp"
+#include "pepperbay/http/server.hpp"
+#include "pepperbay/log/log.hpp"
+#include "pepperbay/relay/relay.hpp"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <mutex>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// The control thread looks at its work this often. A join of a replica takes 200 ms; a tenth of
+/// that is lost to looking at most.
+constexpr std::chrono::milliseconds kControlTick{ 20 };
+/// How often the traffic thread tells the control thread what is in progress.
+constexpr std::chrono::milliseconds kTellTraffic{ 100 };
+constexpr std::chrono::milliseconds kStopMargin{ 800 }; // before the platform would kill
+constexpr std::size_t kMostDatagram = 65536;
+/// Share of the second attempts that nodes spend; the rest covers nodes that miscount each other.
+constexpr double kRetryCaution = 0.8;
+/// Keys are distrusted this long before the bound, the time from the check to the engine.
+constexpr std::chrono::milliseconds kRevokeMargin{ 700 };
+
+using Timer = asio::steady_timer;
+using Udp = asio::ip::udp;
+
+class EdgeNodeImpl : public EdgeNode
+{
+public:
+  explicit EdgeNodeImpl(EdgeSettings aSettings)
+    : mSettings(std::move(aSettings))
+    , mControlTimer(mControl)
+    , mTrafficTimer(mTraffic)
+    , mPeerSocket(mControl)
+    , mWake(::eventfd(0, EFD_CLOEXEC))
+  {
+  }
+
+  ~EdgeNodeImpl() override
+  {
+    mAdmin.reset();
+    mControl.stop();
+    mTraffic.stop();
+    for (auto* it : { &mControlThread, &mTrafficThread }) {
+      if (it->joinable()) {
+        it->join();
+      }
+    }
+    mClient.reset();
+    ::close(mWake);
+  }
+  EdgeNodeImpl(const EdgeNodeImpl&) = delete;
+  EdgeNodeImpl& operator=(const EdgeNodeImpl&) = delete;
+
+  Result<void> Open(const PlatformLinkFactory& aFactory)
+  {
+    const auto peers = OpenPeerSocket();
+    if (!peers.has_value()) {
+      return peers.error();
+    }
+    mClient = HttpClient::Create();
+    mLink = aFactory(mSettings, mClient.get(), [this](std::function<void()> aWork) {
+      asio::post(mControl, std::move(aWork));
+    });
+    auto relay = Relay::Open(mTraffic, MakeRelayOptions(), mLink->CallerDialect(), RelayHooksOf());
+    if (!relay.has_value()) {
+      return relay.error();
+    }
+    mRelay = std::move(relay.value());
+    mCoordinator = std::make_unique<Coordinator>(MakeCoordinatorOptions(), HooksOf());
+    const auto admin = OpenAdmin();
+    if (!admin.has_value()) {
+      return admin.error();
+    }
+    ReceiveBeat();
+    TickControl();
+    TellTraffic();
+    mControlThread = std::thread([this] { mControl.run(); });
+    mTrafficThread = std::thread([this] { mTraffic.run(); });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void RequestStop() override
+  {
+    mStopAsked = true;
+    Wake();
+  }
+
+  void RequestReload() override
+  {
+    mReloadAsked = true;
+    Wake();
+  }
+
+  void Wait(const std::function<void()>& aReload) override
+  {
+    bool stopping = false;
+    for (;;) {
+      std::uint64_t count = 0;
+      if (::read(mWake, &count, sizeof(count)) < 0) {
+        continue; // interrupted by a signal
+      }
+      if (mReloadAsked.exchange(false)) {
+        aReload();
+      }
+      if (mStopped) {
+        return;
+      }
+      if (mStopAsked && !stopping) {
+        stopping = true;
+        LogEvent("stopping");
+        asio::post(mControl, [this] { mCoordinator->BeginStop(); });
+        asio::post(mTraffic, [this] {
+          mRelay->BeginStop([this] {
+            mStopped = true;
+            Wake();
+          });
+        });
+      }
+    }
+  }
+
+private:
+  void Wake()
+  {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t n = ::write(mWake, &one, sizeof(one));
+  }
+
+  Result<void> OpenPeerSocket()
+  {
+    const auto endpoint = ParseEndpoint(mSettings.mPeers);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    boost::system::error_code ec;
+    const Udp::endpoint address(asio::ip::make_address(endpoint.value().mHost, ec),
+                                static_cast<std::uint16_t>(endpoint.value().mPort));
+    mPeerSocket.open(address.protocol(), ec);
+    if (!ec) {
+      mPeerSocket.bind(address, ec);
+    }
+    if (!ec) {
+      mPeerSocket.non_blocking(true, ec);
+    }
+    if (ec) {
+      return Error{ Errc::kUnavailable, "peers.listen", mSettings.mPeers, ec.message() };
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  Result<void> OpenAdmin()
+  {
+    const auto endpoint = ParseEndpoint(mSettings.mAdmin);
+    HttpServerOptions options;
+    options.mAddress = endpoint.value().mHost;
+    options.mPort = endpoint.value().mPort;
+    auto server = HttpServer::Start(
+      options, [this](const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder) {
+        OnAdmin(aRequest, aResponder);
+      });
+    if (!server.has_value()) {
+      return server.error();
+    }
+    mAdmin = std::move(server.value());
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void OnAdmin(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    if (aRequest.mPath == mSettings.mReadyPath) {
+      const bool ready = mReady && !mStopAsked;
+      aResponder->Send({ ready ? kOk : kUnavailable, {}, ready ? "{}" : R"({"ready":false})" });
+      return;
+    }
+    if (aRequest.mPath == "/metrics") {
+      HttpResponse page;
+      page.mContentType = "text/plain";
+      {
+        const std::lock_guard<std::mutex> lock(mFiguresMutex);
+        page.mBody = RenderEdgeMetrics(mFigures);
+      }
+      aResponder->Send(std::move(page));
+      return;
+    }
+    if (aRequest.mPath == "/state") {
+      asio::post(mControl, [this, aResponder] {
+        aResponder->Send({ kOk, {}, mCoordinator->Dump() });
+      });
+      return;
+    }
+    aResponder->Send({ kNotFound, {}, R"({"error":"allowed: /metrics, /state"})" });
+  }
+
+  RelayOptions MakeRelayOptions() const
+  {
+    RelayOptions options;
+    options.mCallers = mSettings.mCallers;
+    options.mDataCentre = mSettings.mDataCentre;
+    options.mRetryShare = mSettings.mRetryShare * kRetryCaution;
+    options.mRetrySlack = mSettings.mRetrySlack * kRetryCaution;
+    options.mStopMost = mSettings.mStopWithin - kStopMargin;
+    return options;
+  }
+
+  CoordinatorOptions MakeCoordinatorOptions() const
+  {
+    CoordinatorOptions options;
+    options.mNode = mSettings.mName;
+    options.mIncarnation = NewIncarnation();
+    options.mAddress = mSettings.mPeers;
+    options.mKeysTrusted = mSettings.mRevokeWithin - kRevokeMargin;
+    return options;
+  }
+
+  RelayHooks RelayHooksOf()
+  {
+    RelayHooks hooks;
+    hooks.mOnSuspect = [this](const std::string& aHead, Duration aSilence) {
+      asio::post(mControl, [this, aHead, aSilence] { mCoordinator->OnSuspect(aHead, aSilence); });
+    };
+    hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
+      LogEvent(aEvent, aFields);
+    };
+    return hooks;
+  }
+
+  CoordinatorHooks HooksOf()
+  {
+    CoordinatorHooks hooks;
+    hooks.mNow = &BootClock::now;
+    hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
+      SendBeat(aAddress, aBytes);
+    };
+    hooks.mPublish = [this](std::shared_ptr<const TrafficPlan> aPlan) {
+      mReady = mCoordinator && mCoordinator->IsReady();
+      asio::post(mTraffic,
+                 [this, plan = std::move(aPlan)]() mutable { mRelay->SetPlan(std::move(plan)); });
+    };
+    hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
+      LogEvent(aEvent, aFields);
+    };
+    mLink->Connect(&hooks);
+    return hooks;
+  }
+
+  void SendBeat(const std::string& aAddress, const std::string& aBytes)
+  {
+    const auto endpoint = ParseEndpoint(aAddress);
+    if (!endpoint.has_value()) {
+      return;
+    }
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
+    // A heartbeat that cannot go out now is out of date at the next one.
+    mPeerSocket.send_to(
+      asio::buffer(aBytes), { address, static_cast<std::uint16_t>(endpoint.value().mPort) }, 0, ec);
+  }
+
+  void ReceiveBeat()
+  {
+    mPeerSocket.async_receive_from(asio::buffer(mDatagram),
+                                   mSender,
+                                   [this](boost::system::error_code aError, std::size_t aSize) {
+                                     if (aError == asio::error::operation_aborted) {
+                                       return;
+                                     }
+                                     if (!aError) {
+                                       mCoordinator->OnBeat(std::string(mDatagram.data(), aSize));
+                                     }
+                                     ReceiveBeat();
+                                   });
+  }
+
+  void TickControl()
+  {
+    mControlTimer.expires_after(kControlTick);
+    mControlTimer.async_wait([this](boost::system::error_code aError) {
+      if (aError) {
+        return;
+      }
+      mCoordinator->Tick();
+      TickControl();
+    });
+  }
+
+  void TellTraffic()
+  {
+    mTrafficTimer.expires_after(kTellTraffic);
+    mTrafficTimer.async_wait([this](boost::system::error_code aError) {
+      if (aError) {
+        return;
+      }
+      const bool traffic = mRelay->Counters().mRequests > 0;
+      asio::post(mControl, [this, inFlight = mRelay->InFlight(), traffic]() mutable {
+        mCoordinator->SetInFlight(std::move(inFlight), traffic);
+        const std::lock_guard<std::mutex> lock(mFiguresMutex);
+        mFigures.mCoordinator = mCoordinator->Counters();
+        mFigures.mHoldsLease = mCoordinator->HoldsLease();
+      });
+      {
+        const std::lock_guard<std::mutex> lock(mFiguresMutex);
+        mFigures.mRelay = mRelay->Counters();
+        mFigures.mLinesLeftOut = LinesLeftOut();
+      }
+      TellTraffic();
+    });
+  }
+
+  EdgeSettings mSettings;
+  asio::io_context mControl{ 1 };
+  asio::io_context mTraffic{ 1 };
+  Timer mControlTimer;
+  Timer mTrafficTimer;
+  Udp::socket mPeerSocket;
+  Udp::endpoint mSender;
+  std::array<char, kMostDatagram> mDatagram{};
+  std::unique_ptr<HttpClient> mClient;
+  std::unique_ptr<PlatformLink> mLink;
+  std::unique_ptr<Relay> mRelay;
+  std::unique_ptr<Coordinator> mCoordinator;
+  std::unique_ptr<HttpServer> mAdmin;
+  std::thread mControlThread;
+  std::thread mTrafficThread;
+  std::mutex mFiguresMutex;
+  EdgeFigures mFigures;
+  std::atomic<bool> mReady{ false };
+  std::atomic<bool> mStopAsked{ false };
+  std::atomic<bool> mReloadAsked{ false };
+  std::atomic<bool> mStopped{ false };
+  int mWake;
+};
+
+} // namespace
+
+Result<std::unique_ptr<EdgeNode>>
+EdgeNode::Start(const EdgeSettings& aSettings, const PlatformLinkFactory& aFactory)
+{
+  auto node = std::make_unique<EdgeNodeImpl>(aSettings);
+  const auto opened = node->Open(aFactory);
+  if (!opened.has_value()) {
+    return opened.error();
+  }
+  return std::unique_ptr<EdgeNode>(std::move(node));
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -0,0 +1,129 @@
+#include "pepperbay/journal/keyed_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+
+KeyedFollower::KeyedFollower(const KeyedFollowerOptions& aOptions,
+                             KeyedLogHooks aHooks,
+                             KeyedFollowerEvents aEvents,
+                             NowFn aNow)
+  : mOptions(aOptions)
+  , mHooks(std::move(aHooks))
+  , mEvents(std::move(aEvents))
+  , mNow(std::move(aNow))
+{
+}
+
+void
+KeyedFollower::Tick()
+{
+  if (mAsking || mNow() < mDue) {
+    return;
+  }
+  mAsking = true;
+  if (mListing) {
+    AskNewest();
+  } else {
+    AskTail();
+  }
+}
+
+void
+KeyedFollower::AskNewest()
+{
+  const TimePoint sent = mNow();
+  const std::string after = mList.empty() ? std::string() : mList.back().mKey;
+  mHooks.mNewest(after, [this, sent](Result<KeyedPage> aPage) { OnPage(std::move(aPage), sent); });
+}
+
+void
+KeyedFollower::AskTail()
+{
+  const TimePoint sent = mNow();
+  mHooks.mRead(mNext, mOptions.mWait, [this, sent](Result<KeyedTail> aTail) {
+    OnTail(std::move(aTail), sent);
+  });
+}
+
+void
+KeyedFollower::OnPage(Result<KeyedPage> aPage, TimePoint aSent)
+{
+  mAsking = false;
+  if (!aPage.has_value()) {
+    mList.clear(); // pages of two attempts must not be mixed
+    mListEnd.reset();
+    OnFailure(aPage.error());
+    return;
+  }
+  OnSuccess();
+  KeyedPage page = std::move(aPage.value());
+  if (!mListEnd) {
+    mListEnd = page.mEnd;
+    mListSent = aSent;
+  }
+  const bool more = page.mMore && !page.mRecords.empty();
+  for (auto& it : page.mRecords) {
+    mList.push_back(std::move(it));
+  }
+  if (more) {
+    return; // the next tick asks for the next page
+  }
+  mNext = *mListEnd;
+  mListEnd.reset();
+  mListing = false;
+  mHasList = true;
+  mAsOf = std::max(mAsOf, mListSent);
+  mEvents.mOnList(std::exchange(mList, {}));
+}
+
+void
+KeyedFollower::OnTail(Result<KeyedTail> aTail, TimePoint aSent)
+{
+  mAsking = false;
+  if (!aTail.has_value()) {
+    if (aTail.error().mCode == Errc::kNotFound) {
+      OnSuccess();
+      mListing = true;
+      return;
+    }
+    OnFailure(aTail.error());
+    return;
+  }
+  OnSuccess();
+  const KeyedTail& tail = aTail.value();
+  mNext = tail.mNext;
+  mDue = mNow() + mOptions.mPause;
+  // The answer shows the end as it was when the log answered, which was not before the call.
+  if (tail.mNext >= tail.mEnd) {
+    mAsOf = std::max(mAsOf, aSent);
+  }
+  for (const auto& it : tail.mRecords) {
+    mEvents.mOnRecord(it);
+  }
+}
+
+void
+KeyedFollower::OnFailure(const Error& aError)
+{
+  mRetry =
+    mRetry == Duration::zero() ? mOptions.mRetryFirst : std::min(mRetry * 2, mOptions.mRetryMost);
+  mDue = mNow() + mRetry;
+  if (!mLost) {
+    mLost = true;
+    mEvents.mOnLost(aError);
+  }
+}
+
+void
+KeyedFollower::OnSuccess()
+{
+  mRetry = Duration::zero();
+  if (mLost) {
+    mLost = false;
+    mEvents.mOnBack();
+  }
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/lease/log_lease.cpp
@@ -0,0 +1,156 @@
+#include "pepperbay/lease/log_lease.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+namespace {
+constexpr std::chrono::milliseconds kRetry{ 100 }; // after a failed call; a fraction of a lease
+}
+
+LogLease::LogLease(const LeaseOptions& aOptions, LogLeaseHooks aHooks, NowFn aNow)
+  : mOptions(aOptions)
+  , mHooks(std::move(aHooks))
+  , mNow(std::move(aNow))
+  , mKeeper(aOptions)
+{
+}
+
+void
+LogLease::Tick()
+{
+  if (mBusy || mNow() < mRetryAt) {
+    return;
+  }
+  if (mMustRead) {
+    Read();
+    return;
+  }
+  if (const auto claim = mKeeper.Tick(mNow())) {
+    Claim(*claim);
+  }
+}
+
+bool
+LogLease::LastIsMine() const
+{
+  return mState.last() != 0 && mState.holder() == mOptions.mHolder &&
+         mState.incarnation() == mOptions.mIncarnation && !mState.released();
+}
+
+void
+LogLease::OnHint(const proto::LeaseState& aState)
+{
+  if (aState.last() <= mState.last()) {
+    return;
+  }
+  mState = aState;
+  mKnown = true;
+  mMustRead = false;
+  mKeeper.OnFolded(&mState, mNow());
+}
+
+void
+LogLease::Doubt()
+{
+  mMustRead = true;
+}
+
+void
+LogLease::Release()
+{
+  if (const auto claim = mKeeper.Release()) {
+    Claim(*claim);
+  }
+}
+
+void
+LogLease::Read()
+{
+  mBusy = true;
+  mHooks.mRead(mState.last(), [this](const Result<LeaseTail>& aTail) { OnTail(aTail); });
+}
+
+void
+LogLease::OnTail(const Result<LeaseTail>& aTail)
+{
+  mBusy = false;
+  if (!aTail.has_value()) {
+    Failed();
+    return;
+  }
+  mLost = false;
+  mMustRead = false;
+  std::uint64_t offset = aTail.value().mFirst;
+  if (offset > mState.last()) {
+    // Claims in between are no longer kept. Whoever holds the lease is unknown, which counts as
+    // somebody: the wait for its end starts now.
+    proto::LeaseState unknown;
+    unknown.set_last(offset);
+    mState = unknown;
+  }
+  for (const auto& it : aTail.value().mRecords) {
+    proto::Claim claim;
+    if (claim.ParseFromString(it)) {
+      Apply(offset, claim);
+    }
+    ++offset;
+  }
+  if (offset > mState.last()) {
+    mState.set_last(offset); // a foreign record at the end still moves the end
+  }
+  mKnown = true;
+  mKeeper.OnClaimDone();
+  mKeeper.OnFolded(&mState, mNow());
+}
+
+void
+LogLease::Claim(const proto::Claim& aClaim)
+{
+  mBusy = true;
+  mHooks.mAppend(
+    aClaim.previous(),
+    aClaim.SerializeAsString(),
+    [this, aClaim](const Result<ConditionalAppend>& aResult) { OnAppended(aClaim, aResult); });
+}
+
+void
+LogLease::OnAppended(const proto::Claim& aClaim, const Result<ConditionalAppend>& aResult)
+{
+  mBusy = false;
+  if (!aResult.has_value()) {
+    // It may have been appended all the same, now or later; the next claim or a read tells.
+    mKeeper.OnClaimDone();
+    Failed();
+    return;
+  }
+  mLost = false;
+  if (!aResult.value().mAppended) {
+    mKeeper.OnClaimDone();
+    mMustRead = true;
+    return;
+  }
+  Apply(aClaim.previous(), aClaim);
+  mKeeper.OnFolded(&mState, mNow());
+}
+
+void
+LogLease::Apply(std::uint64_t aOffset, const proto::Claim& aClaim)
+{
+  const bool renewal = mState.holder() == aClaim.holder() &&
+                       mState.incarnation() == aClaim.incarnation() && !mState.released();
+  const std::uint64_t fence = renewal ? mState.fence() : aOffset + 1;
+  mState.set_holder(aClaim.holder());
+  mState.set_incarnation(aClaim.incarnation());
+  mState.set_fence(fence);
+  mState.set_last(aOffset + 1);
+  mState.set_released(aClaim.release());
+}
+
+void
+LogLease::Failed()
+{
+  mLost = true;
+  mRetryAt = mNow() + kRetry;
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -1,7 +1,7 @@
 #include "commands.hpp"
 
 #include "pepperbay/http/client.hpp"
-#include "pepperbay/node/log.hpp"
+#include "pepperbay/log/log.hpp"
 #include "pepperbay/node/node.hpp"
 #include "pepperbay/node/publish_file.hpp"
 
@@ -34,23 +34,6 @@
   gNode->RequestStop();
 }
 
-void
-PrintProblems(const std::vector<YamlProblem>& aProblems, bool aJson)
-{
-  if (!aJson) {
-    for (const auto& it : aProblems) {
-      std::cerr << ToString(it) << "\n";
-    }
-    return;
-  }
-  Json json = Json::array();
-  for (const auto& it : aProblems) {
-    json.push_back(
-      { { "file", it.mFile }, { "line", it.mLine }, { "key", it.mKey }, { "text", it.mText } });
-  }
-  std::cout << Json{ { "problems", json } }.dump(2) << "\n";
-}
-
 /// Read and check the settings file. @return kExitOk, or why not after saying so
 int
 ReadSettings(const CommandOptions& aOptions, Settings* aSettings)
@@ -68,6 +51,12 @@
   return kExitOk;
 }
 
+int
+Edge(const Words& /*aWords*/, const CommandOptions& aOptions)
+{
+  return RunEdge(aOptions);
+}
+
 int
 Serve(const Words& /*aWords*/, const CommandOptions& aOptions)
 {
@@ -362,13 +351,20 @@
   int (*mRun)(const Words&, const CommandOptions&);
 };
 
-constexpr std::array<Command, 7> kCommands{ {
+constexpr std::array<Command, 8> kCommands{ {
   { "serve",
     "--config FILE",
     "run a node until SIGTERM or SIGINT",
     "The settings are checked whole before any socket opens. On SIGTERM readiness fails first,\n"
     "accepted requests end, the lease is given back, and the node exits with 0.\n",
     &Serve },
+  { "edge",
+    "[--config FILE]",
+    "run a node before a shared pool of engines",
+    "Without --config the file is the one that PEPPERBAY_SETTINGS names. SIGTERM ends it: "
+    "readiness\n"
+    "fails first, requests in progress end. SIGHUP checks the file again.\n",
+    &Edge },
   { "check-config",
     "--config FILE",
     "check a settings file and say each thing that is wrong",
@@ -398,6 +394,23 @@
 
 } // namespace
 
+void
+PrintProblems(const std::vector<YamlProblem>& aProblems, bool aJson)
+{
+  if (!aJson) {
+    for (const auto& it : aProblems) {
+      std::cerr << ToString(it) << "\n";
+    }
+    return;
+  }
+  Json json = Json::array();
+  for (const auto& it : aProblems) {
+    json.push_back(
+      { { "file", it.mFile }, { "line", it.mLine }, { "key", it.mKey }, { "text", it.mText } });
+  }
+  std::cout << Json{ { "problems", json } }.dump(2) << "\n";
+}
+
 int
 RunCommand(const Words& aWords, const CommandOptions& aOptions)
 {
--- a/src/pepperbay/main/commands.hpp
+++ b/src/pepperbay/main/commands.hpp
@@ -2,6 +2,8 @@
 /// @brief The command line: `serve` and the operator's commands.
 #pragma once
 
+#include "pepperbay/settings/yaml_reader.hpp"
+
 #include <string>
 #include <vector>
 
@@ -33,6 +35,14 @@
 int
 RunCommand(const std::vector<std::string>& aWords, const CommandOptions& aOptions);
 
+/// Serve before a shared pool of engines until SIGTERM or SIGINT.
+int
+RunEdge(const CommandOptions& aOptions);
+
+/// Say each thing that is wrong with a file.
+void
+PrintProblems(const std::vector<YamlProblem>& aProblems, bool aJson);
+
 /// @return the help of a command, or of all when it is not known.
 std::string
 HelpOf(const std::string& aCommand);
--- /dev/null
+++ b/src/pepperbay/main/edge.cpp
@@ -0,0 +1,91 @@
+#include "commands.hpp"
+#include "pepperbay/edge/edge_node.hpp"
+#include "pepperbay/log/log.hpp"
+#include "platform/link.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <malloc.h>
+
+namespace pepperbay {
+namespace {
+
+/// Where a platform says which settings file to read, when the command line does not.
+constexpr const char* kSettingsVariable = "PEPPERBAY_SETTINGS";
+
+EdgeNode* gEdge = nullptr; // NOLINT: the signal handlers have no other way to it
+
+void
+OnStop(int /*aSignal*/)
+{
+  gEdge->RequestStop();
+}
+
+void
+OnReload(int /*aSignal*/)
+{
+  gEdge->RequestReload();
+}
+
+std::string
+SettingsFile(const CommandOptions& aOptions)
+{
+  if (!aOptions.mConfig.empty()) {
+    return aOptions.mConfig;
+  }
+  const char* file = std::getenv(kSettingsVariable); // NOLINT: before any thread starts
+  return file == nullptr ? "" : file;
+}
+
+/// The settings of a running node do not change; a new file is checked and told, and takes force
+/// at the next start.
+void
+CheckReloaded(const std::string& aFile)
+{
+  const EdgeSettingsReport report = LoadEdgeSettings(aFile);
+  if (report.mProblems.empty()) {
+    LogEvent("reload", { { "file", aFile }, { "in_force", "at the next start" } });
+    return;
+  }
+  for (const auto& it : report.mProblems) {
+    LogWarning("reload_refused", { { "problem", ToString(it) } });
+  }
+}
+
+} // namespace
+
+int
+RunEdge(const CommandOptions& aOptions)
+{
+  const std::string file = SettingsFile(aOptions);
+  if (file.empty()) {
+    std::cerr << "--config FILE or " << kSettingsVariable << " is needed\n";
+    return kExitUsage;
+  }
+  const EdgeSettingsReport report = LoadEdgeSettings(file);
+  if (!report.mProblems.empty()) {
+    PrintProblems(report.mProblems, aOptions.mJson);
+    return kExitBadInput;
+  }
+  StartLogging(report.mSettings.mName);
+  // Few arenas: values made on one thread are freed on another, and each arena keeps its own peak.
+  constexpr int kArenas = 2;
+  mallopt(M_ARENA_MAX, kArenas);
+  std::signal(SIGPIPE, SIG_IGN);
+  auto node = EdgeNode::Start(report.mSettings, &platform::MakePlatformLink);
+  if (!node.has_value()) {
+    std::cerr << ToString(node.error()) << "\n";
+    return kExitUnreachable;
+  }
+  gEdge = node.value().get();
+  std::signal(SIGTERM, &OnStop);
+  std::signal(SIGINT, &OnStop);
+  std::signal(SIGHUP, &OnReload);
+  LogEvent("started", { { "file", file }, { "data_centre", report.mSettings.mDataCentre } });
+  gEdge->Wait([&file] { CheckReloaded(file); });
+  LogEvent("stopped");
+  return kExitOk;
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/node/controller.cpp
+++ b/src/pepperbay/node/controller.cpp
@@ -1,6 +1,6 @@
 #include "controller_impl.hpp"
 
-#include "pepperbay/node/log.hpp"
+#include "pepperbay/log/log.hpp"
 
 #include <algorithm>
 
--- a/src/pepperbay/node/controller_hosts.cpp
+++ b/src/pepperbay/node/controller_hosts.cpp
@@ -4,7 +4,7 @@
 
 #include "controller_impl.hpp"
 
-#include "pepperbay/node/log.hpp"
+#include "pepperbay/log/log.hpp"
 
 #include <algorithm>
 
--- a/src/pepperbay/node/controller_peers.cpp
+++ b/src/pepperbay/node/controller_peers.cpp
@@ -4,7 +4,7 @@
 #include "controller_impl.hpp"
 
 #include "pepperbay/base/hash.hpp"
-#include "pepperbay/node/log.hpp"
+#include "pepperbay/log/log.hpp"
 #include "pepperbay/wire/codec.hpp"
 
 #include <algorithm>
--- a/src/pepperbay/node/holder.cpp
+++ b/src/pepperbay/node/holder.cpp
@@ -1,7 +1,7 @@
 #include "holder.hpp"
 
 #include "pepperbay/base/hash.hpp"
-#include "pepperbay/node/log.hpp"
+#include "pepperbay/log/log.hpp"
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -0,0 +1,656 @@
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+/// Epochs of one tenure follow its fencing number, so every order of a later holder goes before
+/// every order of an earlier one. A tenure gives fewer orders than this.
+constexpr std::uint64_t kEpochsPerFence = 100000;
+/// Groups of a single engine that is never opened: a spare that is 200 ms away from a replica.
+constexpr const char* kSparePrefix = "spare-";
+constexpr std::chrono::milliseconds kRejoinTime{ 200 };
+constexpr std::chrono::seconds kLoadWindow{ 1 };
+
+bool
+IsSpareGroup(const std::string& aName)
+{
+  return aName.rfind(kSparePrefix, 0) == 0;
+}
+
+} // namespace
+
+const char*
+ToString(ReplicaPhase aPhase)
+{
+  switch (aPhase) {
+    case ReplicaPhase::kForming:
+      return "forming";
+    case ReplicaPhase::kOpening:
+      return "opening";
+    case ReplicaPhase::kOpen:
+      return "open";
+    case ReplicaPhase::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
+GroupPlanner::GroupPlanner(GroupPlannerOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+GroupPlanner::Reset()
+{
+  mReplicas.clear();
+  mSpares.clear();
+  mPending.clear();
+  mStagedAt.clear();
+  mUnanswering.clear();
+  mCounter = 0;
+}
+
+std::vector<GroupOrder>
+GroupPlanner::Plan(const GroupView& aView)
+{
+  mView = &aView;
+  mOrders.clear();
+  LearnStanding();
+  for (auto& [name, replica] : mReplicas) {
+    Judge(replica);
+  }
+  RepairBroken();
+  FormNew();
+  for (auto& [name, replica] : mReplicas) {
+    Drive(replica);
+  }
+  CareForSpares();
+  mView = nullptr;
+  return std::exchange(mOrders, {});
+}
+
+const EngineRecord*
+GroupPlanner::Find(const std::string& aEngine) const
+{
+  const auto it = mView->mEngines->find(aEngine);
+  return it == mView->mEngines->end() ? nullptr : &it->second;
+}
+
+bool
+GroupPlanner::Usable(const EngineRecord& aEngine) const
+{
+  return aEngine.mService == mView->mService && !aEngine.mLeaving &&
+         mUnanswering.count(aEngine.mId) == 0 && !mView->mDead(aEngine.mId);
+}
+
+bool
+GroupPlanner::Usable(const std::string& aEngine) const
+{
+  const EngineRecord* engine = Find(aEngine);
+  return engine != nullptr && Usable(*engine);
+}
+
+std::uint64_t
+GroupPlanner::NextEpoch()
+{
+  return mView->mFence * kEpochsPerFence + ++mCounter;
+}
+
+void
+GroupPlanner::LearnStanding()
+{
+  std::map<std::string, std::vector<const EngineRecord*>> groups;
+  std::size_t n = 0;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (engine.mService != mView->mService) {
+      continue;
+    }
+    ++n;
+    const GroupPlace& place = engine.mGroup;
+    if (place.mName.empty()) {
+      continue;
+    }
+    if (!engine.mLoadedModels.empty()) {
+      mLastModel[id] = engine.mLoadedModels.front();
+    }
+    if (IsSpareGroup(place.mName)) {
+      auto& spare = mSpares[id];
+      if (place.mEpoch >= spare.mEpoch) {
+        spare.mEpoch = place.mEpoch;
+        spare.mModel = mLastModel[id];
+        spare.mReady = place.mPhase == GroupPhase::kReady;
+      }
+      continue;
+    }
+    groups[place.mName].push_back(&engine);
+  }
+  if (n > mSeenEngines) {
+    mLastNew = mView->mNow;
+  }
+  mSeenEngines = n;
+  for (auto& [name, members] : groups) {
+    Adopt(name, members);
+  }
+}
+
+void
+GroupPlanner::Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers)
+{
+  std::uint64_t epoch = 0;
+  for (const auto* it : aMembers) {
+    epoch = std::max(epoch, it->mGroup.mEpoch);
+  }
+  std::vector<const EngineRecord*> members;
+  for (const auto* it : aMembers) {
+    if (it->mGroup.mEpoch == epoch) {
+      members.push_back(it);
+    }
+  }
+  std::sort(members.begin(), members.end(), [](const auto* aLeft, const auto* aRight) {
+    return aLeft->mGroup.mRank < aRight->mGroup.mRank;
+  });
+  const EngineRecord& head = *members.front();
+  const bool headListed = head.mGroup.mRank == 0;
+  auto known = mReplicas.find(aName);
+  if (known != mReplicas.end() && known->second.mEpoch >= epoch) {
+    PlannedReplica& replica = known->second;
+    const bool same = replica.mEpoch == epoch && replica.mPhase == ReplicaPhase::kOpen &&
+                      headListed && replica.mMembers.front() == head.mId;
+    if (same && head.mGroup.mPhase == GroupPhase::kBroken) {
+      replica.mPhase = ReplicaPhase::kBroken;
+      replica.mSince = mView->mNow;
+      replica.mWhy = "the head says that it is broken";
+    }
+    return;
+  }
+  PlannedReplica replica;
+  replica.mName = aName;
+  replica.mEpoch = epoch;
+  replica.mModel = mLastModel[head.mId];
+  replica.mDomain = head.mDomain;
+  // It has been so for an unknown time; a head that says it is open serves already.
+  replica.mSince = mView->mNow - mView->mPool->mFormTime;
+  for (const auto* it : members) {
+    replica.mMembers.push_back(it->mId);
+  }
+  const ModelSpec* model = mView->mPool->FindModel(replica.mModel);
+  if (model == nullptr) {
+    return; // of a model that the configuration does not have
+  }
+  const bool whole = members.size() == model->mSize && headListed;
+  const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
+  replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
+  replica.mWhy = whole ? "found not open" : "found without all members";
+  mReplicas[aName] = std::move(replica);
+}
+
+void
+GroupPlanner::Judge(PlannedReplica& aReplica)
+{
+  if (aReplica.mPhase == ReplicaPhase::kBroken) {
+    return;
+  }
+  bool leaving = false;
+  for (const auto& it : aReplica.mMembers) {
+    const EngineRecord* engine = Find(it);
+    const bool listed = engine != nullptr;
+    if (listed && engine->mLeaving && !mView->mDead(it) && mUnanswering.count(it) == 0) {
+      leaving = true;
+    } else if (!listed || !Usable(*engine)) {
+      aReplica.mPhase = ReplicaPhase::kBroken;
+      aReplica.mSince = mView->mNow;
+      aReplica.mWhy = "lost member " + it;
+      aReplica.mLeavingSince.reset();
+      return;
+    }
+  }
+  if (!leaving) {
+    aReplica.mLeavingSince.reset();
+    return;
+  }
+  if (aReplica.mPhase != ReplicaPhase::kOpen) {
+    aReplica.mPhase = ReplicaPhase::kBroken;
+    aReplica.mSince = mView->mNow;
+    aReplica.mWhy = "a member leaves";
+    return;
+  }
+  if (!aReplica.mLeavingSince) {
+    aReplica.mLeavingSince = mView->mNow;
+  }
+  const bool idle = mView->mInFlight(aReplica.mMembers.front()) == 0;
+  if (idle || mView->mNow - *aReplica.mLeavingSince >= mOptions.mDrainWait) {
+    aReplica.mPhase = ReplicaPhase::kBroken;
+    aReplica.mSince = mView->mNow;
+    aReplica.mWhy = "a member leaves";
+    aReplica.mLeavingSince.reset();
+  }
+}
+
+void
+GroupPlanner::RepairBroken()
+{
+  std::vector<std::string> done;
+  for (auto& [name, replica] : mReplicas) {
+    if (replica.mPhase != ReplicaPhase::kBroken) {
+      continue;
+    }
+    const bool anyLeft = std::any_of(replica.mMembers.begin(),
+                                     replica.mMembers.end(),
+                                     [this](const std::string& it) { return Find(it) != nullptr; });
+    if (!anyLeft) {
+      done.push_back(name);
+      continue;
+    }
+    Repair(replica);
+  }
+  for (const auto& it : done) {
+    mReplicas.erase(it);
+  }
+}
+
+bool
+GroupPlanner::Repair(PlannedReplica& aReplica)
+{
+  const ModelSpec* model = mView->mPool->FindModel(aReplica.mModel);
+  if (model == nullptr) {
+    return false;
+  }
+  std::vector<std::string> members;
+  for (const auto& it : aReplica.mMembers) {
+    if (Usable(it) && members.size() < model->mSize) {
+      members.push_back(it);
+    }
+  }
+  if (members.empty()) {
+    return false; // nothing to keep together; its engines are free once they are back
+  }
+  const auto free = FreeEngines(aReplica.mDomain, aReplica.mModel);
+  for (const auto* it : free) {
+    if (members.size() < model->mSize) {
+      members.push_back(it->mId);
+    }
+  }
+  if (members.size() < model->mSize) {
+    aReplica.mWhy = "no spare in domain " + aReplica.mDomain;
+    return false;
+  }
+  Begin(aReplica, std::move(members));
+  return true;
+}
+
+void
+GroupPlanner::Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers)
+{
+  for (const auto& it : aMembers) {
+    mSpares.erase(it);
+    mPending.erase(it + " join");
+  }
+  aReplica.mMembers = std::move(aMembers);
+  aReplica.mEpoch = NextEpoch();
+  aReplica.mPhase = ReplicaPhase::kForming;
+  aReplica.mReady.clear();
+  aReplica.mSince = mView->mNow;
+  aReplica.mLeavingSince.reset();
+  mPending.erase(aReplica.mMembers.front() + " open");
+}
+
+std::vector<const EngineRecord*>
+GroupPlanner::FreeEngines(const std::string& aDomain, const std::string& aModel) const
+{
+  std::vector<std::pair<Duration, const EngineRecord*>> ranked;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (engine.mDomain == aDomain && Usable(engine) && !InReplica(id)) {
+      ranked.emplace_back(JoinTime(engine, aModel), &engine);
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  std::vector<const EngineRecord*> free;
+  free.reserve(ranked.size());
+  for (const auto& it : ranked) {
+    free.push_back(it.second);
+  }
+  return free;
+}
+
+bool
+GroupPlanner::InReplica(const std::string& aEngine) const
+{
+  return std::any_of(mReplicas.begin(), mReplicas.end(), [&](const auto& it) {
+    const auto& members = it.second.mMembers;
+    return std::find(members.begin(), members.end(), aEngine) != members.end();
+  });
+}
+
+Duration
+GroupPlanner::JoinTime(const EngineRecord& aEngine, const std::string& aModel) const
+{
+  const ModelSpec* model = mView->mPool->FindModel(aModel);
+  if (model == nullptr) {
+    return Duration::max();
+  }
+  const auto last = mLastModel.find(aEngine.mId);
+  const auto spare = mSpares.find(aEngine.mId);
+  if (last != mLastModel.end() && last->second == aModel &&
+      (spare == mSpares.end() || spare->second.mReady)) {
+    return kRejoinTime;
+  }
+  if (aEngine.HasStaged(aModel)) {
+    return model->mWarmupTime;
+  }
+  const auto staged = mStagedAt.find(aEngine.mId);
+  if (staged != mStagedAt.end()) {
+    return std::max<Duration>(model->mLoadTime - (mView->mNow - staged->second),
+                              model->mWarmupTime);
+  }
+  return model->mLoadTime;
+}
+
+void
+GroupPlanner::FormNew()
+{
+  if (mView->mNow - mLastNew < mOptions.mSettle) {
+    return;
+  }
+  struct Domain
+  {
+    std::size_t mAll = 0;
+    std::size_t mFree = 0;
+  };
+  std::map<std::string, Domain> domains;
+  std::size_t all = 0;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (!Usable(engine) || engine.mDomain.empty()) {
+      continue;
+    }
+    ++all;
+    ++domains[engine.mDomain].mAll;
+    domains[engine.mDomain].mFree += InReplica(id) ? 0 : 1;
+  }
+  std::map<std::string, std::size_t> have;
+  for (const auto& [name, replica] : mReplicas) {
+    ++have[replica.mModel];
+  }
+  for (auto& [name, domain] : domains) {
+    const auto reserve =
+      static_cast<std::size_t>(std::ceil(static_cast<double>(domain.mAll) * mOptions.mSpareShare));
+    for (;;) {
+      // The model that is furthest below its share of the engines, of those that fit.
+      const ModelSpec* best = nullptr;
+      double bestRatio = 0;
+      for (const auto& it : mView->mPool->mModels) {
+        const double due = it.mShare * static_cast<double>(all) / static_cast<double>(it.mSize);
+        const double ratio = static_cast<double>(have[it.mName]) / std::max(due, 1e-9);
+        if (domain.mFree >= it.mSize + reserve && (best == nullptr || ratio < bestRatio)) {
+          best = &it;
+          bestRatio = ratio;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      PlannedReplica replica;
+      replica.mName = "r" + std::to_string(mView->mFence) + "-" + std::to_string(++mNames);
+      replica.mModel = best->mName;
+      replica.mDomain = name;
+      std::vector<std::string> members;
+      for (const auto* it : FreeEngines(name, best->mName)) {
+        if (members.size() < best->mSize) {
+          members.push_back(it->mId);
+        }
+      }
+      Begin(replica, std::move(members));
+      domain.mFree -= best->mSize;
+      ++have[best->mName];
+      mReplicas[replica.mName] = std::move(replica);
+    }
+  }
+}
+
+void
+GroupPlanner::NoteReadiness(PlannedReplica& aReplica)
+{
+  for (const auto& it : aReplica.mMembers) {
+    const EngineRecord* engine = Find(it);
+    const GroupPlace& place = engine->mGroup;
+    if (place.mName == aReplica.mName && place.mEpoch == aReplica.mEpoch &&
+        (place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen)) {
+      aReplica.mReady.insert(it);
+    }
+  }
+}
+
+void
+GroupPlanner::Drive(PlannedReplica& aReplica)
+{
+  if (aReplica.mPhase != ReplicaPhase::kForming && aReplica.mPhase != ReplicaPhase::kOpening) {
+    return;
+  }
+  NoteReadiness(aReplica);
+  GroupOrder order;
+  order.mFence = mView->mFence;
+  order.mGroup = aReplica.mName;
+  order.mEpoch = aReplica.mEpoch;
+  if (aReplica.mReady.size() < aReplica.mMembers.size()) {
+    order.mKind = GroupOrderKind::kJoin;
+    order.mModel = aReplica.mModel;
+    order.mMembers = aReplica.mMembers;
+    for (const auto& it : aReplica.mMembers) {
+      if (aReplica.mReady.count(it) == 0) {
+        order.mEngine = it;
+        Give(order);
+      }
+    }
+    return;
+  }
+  aReplica.mPhase = ReplicaPhase::kOpening;
+  order.mKind = GroupOrderKind::kOpen;
+  order.mEngine = aReplica.mMembers.front();
+  Give(order);
+}
+
+bool
+GroupPlanner::Give(GroupOrder aOrder)
+{
+  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
+  if (pending.mWaiting || mView->mNow < pending.mDue) {
+    return false;
+  }
+  const EngineRecord* engine = Find(aOrder.mEngine);
+  if (engine == nullptr) {
+    return false;
+  }
+  pending.mWaiting = true;
+  aOrder.mAddress = engine->mAddress;
+  mOrders.push_back(std::move(aOrder));
+  return true;
+}
+
+bool
+GroupPlanner::MayLoad()
+{
+  const TimePoint now = mView->mNow;
+  mLoads.erase(std::remove_if(mLoads.begin(),
+                              mLoads.end(),
+                              [now](TimePoint it) { return now - it >= kLoadWindow; }),
+               mLoads.end());
+  if (mView->mTraffic && static_cast<double>(mLoads.size()) + 1 > mView->mPool->mLoadsPerSecond) {
+    return false;
+  }
+  mLoads.push_back(now);
+  return true;
+}
+
+void
+GroupPlanner::CareForSpares()
+{
+  std::map<std::string, std::map<std::string, int>> standby; // domain and model to spares
+  std::vector<const EngineRecord*> idle;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (!Usable(engine) || engine.mDomain.empty() || InReplica(id)) {
+      continue;
+    }
+    const auto spare = mSpares.find(id);
+    if (spare != mSpares.end()) {
+      ++standby[engine.mDomain][spare->second.mModel];
+    } else if (mStagedAt.count(id) == 0) {
+      idle.push_back(&engine);
+    }
+  }
+  if (mView->mNow - mLastNew < mOptions.mSettle && !mView->mTraffic) {
+    return;
+  }
+  for (const auto* it : idle) {
+    const std::string model = SpareModelFor(*it, standby[it->mDomain]);
+    if (model.empty()) {
+      continue;
+    }
+    ++standby[it->mDomain][model];
+    if (!it->HasStaged(model)) {
+      if (!MayLoad()) {
+        continue;
+      }
+      GroupOrder order;
+      order.mKind = GroupOrderKind::kStage;
+      order.mFence = mView->mFence;
+      order.mEngine = it->mId;
+      order.mModel = model;
+      if (Give(order)) {
+        mStagedAt[it->mId] = mView->mNow;
+      }
+      continue;
+    }
+    mSpares[it->mId] = { model, NextEpoch(), false };
+  }
+  for (auto it = mStagedAt.begin(); it != mStagedAt.end();) {
+    const EngineRecord* engine = Find(it->first);
+    const bool staged = engine == nullptr || !engine->mStagedModels.empty();
+    it = staged ? mStagedAt.erase(it) : std::next(it);
+  }
+  for (auto it = mSpares.begin(); it != mSpares.end();) {
+    if (Find(it->first) == nullptr) {
+      it = mSpares.erase(it);
+      continue;
+    }
+    Spare& spare = it->second;
+    if (!spare.mReady && Usable(it->first) && !InReplica(it->first)) {
+      GroupOrder order;
+      order.mKind = GroupOrderKind::kJoin;
+      order.mFence = mView->mFence;
+      order.mEngine = it->first;
+      order.mGroup = kSparePrefix + it->first;
+      order.mEpoch = spare.mEpoch;
+      order.mModel = spare.mModel;
+      order.mMembers = { it->first };
+      Give(order);
+    }
+    ++it;
+  }
+}
+
+std::string
+GroupPlanner::SpareModelFor(const EngineRecord& aEngine,
+                            const std::map<std::string, int>& aStandby) const
+{
+  // A spare is worth most for the model whose members in its domain are most likely to be lost,
+  // which is the one with the most members for each spare that it has.
+  std::map<std::string, std::size_t> members;
+  for (const auto& [name, replica] : mReplicas) {
+    if (replica.mDomain == aEngine.mDomain) {
+      members[replica.mModel] += replica.mMembers.size();
+    }
+  }
+  std::string best;
+  double bestWorth = 0;
+  std::size_t bestSize = 0; // of equals the smaller model's: no model goes without a spare
+  for (const auto& it : mView->mPool->mModels) {
+    const auto n = members.find(it.mName);
+    const auto have = aStandby.find(it.mName);
+    constexpr double kStagedWorth = 1.5; // a load saved outweighs a little evenness
+    double worth = n == members.end() ? it.mShare : static_cast<double>(n->second);
+    worth /= 1.0 + (have == aStandby.end() ? 0 : have->second);
+    worth *= aEngine.HasStaged(it.mName) ? kStagedWorth : 1.0;
+    if (worth > bestWorth || (worth == bestWorth && it.mSize < bestSize)) {
+      best = it.mName;
+      bestWorth = worth;
+      bestSize = it.mSize;
+    }
+  }
+  return best;
+}
+
+void
+GroupPlanner::OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow)
+{
+  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
+  pending.mWaiting = false;
+  if (aAnswer == OrderAnswer::kNone) {
+    pending.mDue = aNow; // at once again: the effect may be there or not
+    if (++pending.mUnanswered >= mOptions.mMostUnanswered) {
+      mUnanswering.insert(aOrder.mEngine);
+      pending.mUnanswered = 0;
+    }
+    return;
+  }
+  pending.mUnanswered = 0;
+  const bool joining = aOrder.mKind == GroupOrderKind::kJoin && aAnswer == OrderAnswer::kBegun;
+  pending.mDue = aNow + (joining ? mOptions.mAskJoined : mOptions.mRepeat);
+  const auto replica = mReplicas.find(aOrder.mGroup);
+  const bool current = replica != mReplicas.end() && replica->second.mEpoch == aOrder.mEpoch;
+  if (aAnswer == OrderAnswer::kOtherEngine) {
+    mUnanswering.insert(aOrder.mEngine);
+    return;
+  }
+  if (aAnswer == OrderAnswer::kStale && current) {
+    // Something newer was ordered there; form anew under a later epoch.
+    replica->second.mPhase = ReplicaPhase::kBroken;
+    replica->second.mSince = aNow;
+    replica->second.mWhy = "an order was refused as stale by " + aOrder.mEngine;
+    return;
+  }
+  if (aOrder.mKind == GroupOrderKind::kJoin) {
+    const bool holds = aAnswer == OrderAnswer::kHolds;
+    if (aAnswer == OrderAnswer::kBegun || holds) {
+      mLastModel[aOrder.mEngine] = aOrder.mModel;
+    }
+    if (holds && current) {
+      replica->second.mReady.insert(aOrder.mEngine);
+    }
+    const auto spare = mSpares.find(aOrder.mEngine);
+    if (holds && spare != mSpares.end() && spare->second.mEpoch == aOrder.mEpoch) {
+      spare->second.mReady = true;
+    }
+    return;
+  }
+  const bool accepted = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
+  if (aOrder.mKind == GroupOrderKind::kOpen && current && accepted &&
+      replica->second.mPhase == ReplicaPhase::kOpening) {
+    replica->second.mPhase = ReplicaPhase::kOpen;
+    replica->second.mSince = aNow;
+    replica->second.mWhy.clear();
+  }
+}
+
+void
+GroupPlanner::OnReport(const std::string& aEngine, const GroupPlace& aPlace, TimePoint /*aNow*/)
+{
+  const auto it = mReplicas.find(aPlace.mName);
+  const bool ready = aPlace.mPhase == GroupPhase::kReady || aPlace.mPhase == GroupPhase::kOpen;
+  if (it != mReplicas.end() && it->second.mEpoch == aPlace.mEpoch && ready) {
+    it->second.mReady.insert(aEngine);
+  }
+}
+
+void
+GroupPlanner::Forgive(const std::string& aEngine)
+{
+  mUnanswering.erase(aEngine);
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/attempt.cpp
@@ -0,0 +1,209 @@
+#include "attempt.hpp"
+
+#include "pepperbay/settings/settings.hpp"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+#include <utility>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+constexpr std::uint32_t kMostHeaderBytes = 65536; // of an engine's answer; more is no answer
+}
+
+Attempt::Attempt(asio::io_context& aContext, ConnectionPool* aPool, AttemptTarget aTarget)
+  : mContext(aContext)
+  , mPool(aPool)
+  , mTarget(std::move(aTarget))
+{
+}
+
+void
+Attempt::Start(UpstreamRequest aRequest, bool aFresh, AttemptEvents aEvents)
+{
+  mRequest = std::move(aRequest);
+  mEvents = std::move(aEvents);
+  if (!aFresh) {
+    mSocket = mPool->Take(mTarget.mEngine);
+  }
+  if (mSocket) {
+    mConnected = true;
+    Send();
+    return;
+  }
+  Connect();
+}
+
+void
+Attempt::Connect()
+{
+  const auto endpoint = ParseEndpoint(mTarget.mAddress);
+  boost::system::error_code ec;
+  const auto address =
+    endpoint.has_value() ? asio::ip::make_address(endpoint.value().mHost, ec) : asio::ip::address();
+  if (!endpoint.has_value() || ec) {
+    // Reported later, as every other failure is, so that the caller needs no second path.
+    asio::post(mContext, [self = shared_from_this()] {
+      self->Finish(false, "bad address '" + self->mTarget.mAddress + "'");
+    });
+    return;
+  }
+  mSocket.emplace(mContext);
+  mSocket->async_connect({ address, static_cast<std::uint16_t>(endpoint.value().mPort) },
+                         [self = shared_from_this()](boost::system::error_code aError) {
+                           if (self->mEnded) {
+                             return;
+                           }
+                           if (aError) {
+                             self->Finish(false, "connect: " + aError.message());
+                             return;
+                           }
+                           self->mConnected = true;
+                           Prepare(*self->mSocket);
+                           self->Send();
+                         });
+}
+
+void
+Attempt::Send()
+{
+  mSent = true;
+  mSerializer.emplace(mRequest);
+  http::async_write(*mSocket,
+                    *mSerializer,
+                    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+                      // A failed write shows in the read, which may still find an early answer.
+                      self->mAllWritten = !aError;
+                    });
+  ReadHead();
+}
+
+void
+Attempt::ReadHead()
+{
+  mParser.emplace();
+  mParser->header_limit(kMostHeaderBytes);
+  mParser->body_limit(std::numeric_limits<std::uint64_t>::max()); // bounded by who collects it
+  if (mRequest.method() == http::verb::head) {
+    mParser->skip(true);
+  }
+  http::async_read_header(
+    *mSocket,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+      if (self->mEnded) {
+        return;
+      }
+      if (aError) {
+        self->Finish(false, "head: " + aError.message());
+        return;
+      }
+      self->OnHead();
+    });
+}
+
+void
+Attempt::OnHead()
+{
+  constexpr int kFirstFinal = 200;
+  if (mParser->get().result_int() < kFirstFinal) {
+    ReadHead(); // an interim answer; the final one follows
+    return;
+  }
+  mEvents.mOnHead(static_cast<int>(mParser->get().result_int()), mParser->get().base());
+}
+
+void
+Attempt::ReadMore()
+{
+  if (mEnded) {
+    return;
+  }
+  if (mParser->is_done()) {
+    Finish(true, "");
+    return;
+  }
+  mParser->get().body().data = mPiece.data();
+  mParser->get().body().size = mPiece.size();
+  http::async_read_some(*mSocket,
+                        mBuffer,
+                        *mParser,
+                        [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+                          if (!self->mEnded) {
+                            self->OnPiece(aError);
+                          }
+                        });
+}
+
+void
+Attempt::OnPiece(boost::system::error_code aError)
+{
+  if (aError == http::error::need_buffer) {
+    aError = {};
+  }
+  const std::size_t n = mPiece.size() - mParser->get().body().size;
+  if (aError) {
+    Finish(false, "body: " + aError.message());
+    return;
+  }
+  if (n == 0) {
+    ReadMore();
+    return;
+  }
+  mEvents.mOnBody({ mPiece.data(), n });
+}
+
+void
+Attempt::Cancel()
+{
+  if (mEnded) {
+    return;
+  }
+  mEnded = true;
+  mEvents = {};
+  if (mSocket) {
+    CloseNow(*mSocket);
+  }
+}
+
+void
+Attempt::Finish(bool aComplete, const std::string& aWhy)
+{
+  if (mEnded) {
+    return;
+  }
+  mEnded = true;
+  AttemptEnd end;
+  end.mComplete = aComplete;
+  end.mMayHaveRun = mSent;
+  end.mWhy = aWhy;
+  if (aComplete) {
+    KeepConnection();
+  } else if (mSocket) {
+    CloseNow(*mSocket);
+  }
+  const AttemptEvents events = std::exchange(mEvents, {});
+  events.mOnEnd(end);
+}
+
+void
+Attempt::KeepConnection()
+{
+  // Bytes after the answer belong to no request; what is left of ours would be taken for the next.
+  if (mParser->keep_alive() && mBuffer.size() == 0 && mAllWritten) {
+    mPool->Put(mTarget.mEngine, std::move(*mSocket), mKeepAlive);
+    return;
+  }
+  CloseNow(*mSocket);
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/attempt.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// @brief One sending of one request to one engine, and its answer as it comes.
+#pragma once
+
+#include "connection_pool.hpp"
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/relay/dialect.hpp"
+
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pepperbay {
+
+using UpstreamRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// How an attempt ended.
+struct AttemptEnd
+{
+  bool mComplete = false; ///< the whole answer came, in the form of the protocol
+  /// False only with proof: no byte of the request left this process.
+  bool mMayHaveRun = true;
+  std::string mWhy; ///< what went wrong; empty when complete
+};
+
+struct AttemptEvents
+{
+  /// The head of the answer. Call `ReadMore()` for its body.
+  std::function<void(int aStatus, const HeaderFields& aFields)> mOnHead;
+  /// A piece of the body. Call `ReadMore()` for the next.
+  std::function<void(std::string_view aBytes)> mOnBody;
+  /// Exactly once, last; not after `Cancel()`.
+  std::function<void(const AttemptEnd&)> mOnEnd;
+};
+
+struct AttemptTarget
+{
+  std::string mEngine;
+  std::string mAddress; ///< IP:port
+};
+
+/// A request on its way. Not for several threads; kept alive by its own operations.
+class Attempt : public std::enable_shared_from_this<Attempt>
+{
+public:
+  Attempt(boost::asio::io_context& aContext, ConnectionPool* aPool, AttemptTarget aTarget);
+
+  /// @param aFresh use a connection of its own. On a kept one an engine's close may cross the
+  /// request, and then nobody can tell whether it ran.
+  void Start(UpstreamRequest aRequest, bool aFresh, AttemptEvents aEvents);
+  /// Read on. Not before the last piece was handled.
+  void ReadMore();
+  /// Give up: the engine sees its connection close.
+  void Cancel();
+
+  const AttemptTarget& Target() const { return mTarget; }
+  /// @return whether a byte of the request may have left.
+  bool MayHaveRun() const { return mSent; }
+  /// @return whether the connection to the engine stands.
+  bool Connected() const { return mConnected; }
+  /// How long the engine said that it keeps the connection; set it before the end.
+  void SetKeepAlive(std::optional<Duration> aKeepAlive) { mKeepAlive = aKeepAlive; }
+
+private:
+  void Connect();
+  void Send();
+  void ReadHead();
+  void OnHead();
+  void OnPiece(boost::system::error_code aError);
+  void Finish(bool aComplete, const std::string& aWhy);
+  void KeepConnection();
+
+  boost::asio::io_context& mContext;
+  ConnectionPool* mPool;
+  AttemptTarget mTarget;
+  AttemptEvents mEvents;
+  std::optional<Socket> mSocket;
+  UpstreamRequest mRequest;
+  std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>>
+    mSerializer;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> mParser;
+  std::array<char, 8192> mPiece{};
+  std::optional<Duration> mKeepAlive;
+  bool mSent = false;
+  bool mConnected = false;
+  bool mAllWritten = false;
+  bool mEnded = false;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/connection_pool.cpp
@@ -0,0 +1,74 @@
+#include "connection_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+
+ConnectionPool::ConnectionPool(const ConnectionPoolOptions& aOptions, NowFn aNow)
+  : mOptions(aOptions)
+  , mNow(std::move(aNow))
+{
+}
+
+std::optional<Socket>
+ConnectionPool::Take(const std::string& aEngine)
+{
+  const auto idle = mIdle.find(aEngine);
+  if (idle == mIdle.end()) {
+    return std::nullopt;
+  }
+  std::optional<Socket> found;
+  while (!found && !idle->second.empty()) {
+    // The one used last is the likeliest to live.
+    Idle last = std::move(idle->second.back());
+    idle->second.pop_back();
+    if (mNow() < last.mUntil && Peek(last.mSocket) == PeekResult::kQuiet) {
+      found = std::move(last.mSocket);
+    }
+  }
+  if (idle->second.empty()) {
+    mIdle.erase(idle);
+  }
+  return found;
+}
+
+void
+ConnectionPool::Put(const std::string& aEngine, Socket aSocket, std::optional<Duration> aKeepAlive)
+{
+  const Duration keep = aKeepAlive ? *aKeepAlive - mOptions.mMargin : mOptions.mIdle;
+  if (keep <= Duration::zero()) {
+    return;
+  }
+  auto& idle = mIdle[aEngine];
+  if (idle.size() >= mOptions.mIdlePerEngine) {
+    return;
+  }
+  idle.push_back({ std::move(aSocket), mNow() + keep });
+}
+
+void
+ConnectionPool::Tick()
+{
+  const TimePoint now = mNow();
+  for (auto it = mIdle.begin(); it != mIdle.end();) {
+    auto& idle = it->second;
+    idle.erase(std::remove_if(idle.begin(),
+                              idle.end(),
+                              [now](const Idle& aIdle) { return now >= aIdle.mUntil; }),
+               idle.end());
+    it = idle.empty() ? mIdle.erase(it) : std::next(it);
+  }
+}
+
+std::size_t
+ConnectionPool::Size() const
+{
+  std::size_t n = 0;
+  for (const auto& [engine, idle] : mIdle) {
+    n += idle.size();
+  }
+  return n;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/event_splitter.cpp
@@ -0,0 +1,76 @@
+#include "pepperbay/relay/event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pepperbay {
+namespace {
+
+constexpr std::size_t kCompactAt = 4096; // bytes taken before the buffer is moved together
+
+/// @return the offset after the empty line that ends an event; npos when there is none yet.
+std::size_t
+EndOfEvent(std::string_view aBytes)
+{
+  constexpr std::string_view kUnix = "\n\n";
+  constexpr std::string_view kInternet = "\r\n\r\n";
+  const std::size_t shortEnd = aBytes.find(kUnix);
+  const std::size_t longEnd = aBytes.find(kInternet);
+  if (shortEnd == std::string_view::npos && longEnd == std::string_view::npos) {
+    return std::string_view::npos;
+  }
+  return shortEnd < longEnd ? shortEnd + kUnix.size() : longEnd + kInternet.size();
+}
+
+std::optional<std::uint64_t>
+IdOf(std::string_view aEvent)
+{
+  constexpr std::string_view kField = "id:";
+  std::size_t begin = 0;
+  while (begin < aEvent.size()) {
+    const std::size_t end = std::min(aEvent.find('\n', begin), aEvent.size());
+    std::string_view line = aEvent.substr(begin, end - begin);
+    begin = end + 1;
+    if (line.substr(0, kField.size()) != kField) {
+      continue;
+    }
+    line.remove_prefix(kField.size());
+    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+    std::uint64_t id = 0;
+    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (parsed.ec == std::errc() && parsed.ptr != line.data()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<StreamEvent>
+EventSplitter::Next()
+{
+  const std::string_view rest = std::string_view(mBytes).substr(mTaken);
+  const std::size_t end = EndOfEvent(rest);
+  if (end == std::string_view::npos) {
+    if (mTaken > kCompactAt) {
+      mBytes.erase(0, mTaken);
+      mTaken = 0;
+    }
+    return std::nullopt;
+  }
+  StreamEvent event;
+  event.mBytes = std::string(rest.substr(0, end));
+  event.mId = IdOf(event.mBytes);
+  mTaken += end;
+  return event;
+}
+
+void
+EventSplitter::Reset()
+{
+  mBytes.clear();
+  mTaken = 0;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/exchange.cpp
@@ -0,0 +1,659 @@
+#include "exchange.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace pepperbay {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kServerFailure = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// Connections that did not stand, after which a request is refused: they cost no engine anything,
+/// but each takes time from the caller.
+constexpr int kMostConnectFailures = 3;
+/// An engine gets this much less than what is left, so that its own answer at the deadline comes
+/// back before the caller leaves.
+constexpr std::chrono::milliseconds kDeadlineMargin{ 20 };
+/// Bytes of an answer that is collected whole before it is passed on; plain answers are small.
+constexpr std::size_t kMostWholeBytes = 16U << 20U;
+constexpr int kLeastUrgent = 9;
+
+/// Headers that concern one connection only.
+const std::array<const char*, 9> kHopByHop = { "Connection",
+                                               "Keep-Alive",
+                                               "Proxy-Authenticate",
+                                               "Proxy-Authorization",
+                                               "Proxy-Connection",
+                                               "TE",
+                                               "Trailer",
+                                               "Transfer-Encoding",
+                                               "Upgrade" };
+
+void
+DropHopByHop(HeaderFields* aFields)
+{
+  // Headers that the Connection header names concern this connection only, too.
+  std::vector<std::string> named;
+  for (const auto& it : http::token_list((*aFields)[http::field::connection])) {
+    named.emplace_back(it);
+  }
+  for (const auto& it : named) {
+    aFields->erase(it);
+  }
+  for (const char* it : kHopByHop) {
+    aFields->erase(it);
+  }
+}
+
+std::string
+Seconds(Duration aDuration)
+{
+  std::ostringstream text;
+  text << std::chrono::duration<double>(aDuration).count();
+  return text.str();
+}
+
+std::string
+Millis(Duration aDuration)
+{
+  return std::to_string(ToMs(aDuration).count());
+}
+
+} // namespace
+
+Exchange::Exchange(RelayCore* aCore,
+                   CallerSide* aCaller,
+                   CallerRequest aRequest,
+                   TimePoint aArrived)
+  : mCore(aCore)
+  , mCaller(aCaller)
+  , mRequest(std::move(aRequest))
+  , mArrived(aArrived)
+{
+}
+
+void
+Exchange::Start()
+{
+  ++mCore->mCounters.mRequests;
+  ++mCore->mCounters.mOpen;
+  const auto plan = mCore->mPlan;
+  if (!plan || !plan->mRoutes) {
+    Refuse("no_configuration");
+    return;
+  }
+  const auto facts = mCore->mDialect.mReadRequest(mRequest.base());
+  if (!facts.has_value()) {
+    Answer(kBadRequest, "bad_request", facts.error().mDetail);
+    return;
+  }
+  mFacts = facts.value();
+  mLastEvent = mFacts.mLastEvent;
+  mRoutes = plan->mRoutes;
+  const auto text = [](boost::beast::string_view aView) {
+    return std::string_view(aView.data(), aView.size());
+  };
+  mRoute = mRoutes->Find(text(mRequest[http::field::host]), text(mRequest.target()));
+  if (mRoute == nullptr) {
+    Answer(kNotFound, "no_route", "no route matches this host and path");
+    return;
+  }
+  mPriority = mRoute->mPriority;
+  mDeadlineAt = mArrived + std::min(mFacts.mDeadline.value_or(mRoute->mTimeout), mRoute->mTimeout);
+  if (!CheckCustomer(*plan)) {
+    return;
+  }
+  mService = mRoutes->PickService(*mRoute, Hash64(mFacts.mId));
+  if (mService == nullptr) {
+    Refuse("no_service");
+    return;
+  }
+  mCore->BudgetOf(mService->mName).OnRequest();
+  if (!ChooseTarget()) {
+    Refuse(mWhyNoTarget);
+    return;
+  }
+  SendToEngine();
+}
+
+bool
+Exchange::CheckCustomer(const TrafficPlan& aPlan)
+{
+  if (mRoute->mPublic || !mRoutes->NeedsKeys()) {
+    return true;
+  }
+  if (mCore->Now() >= aPlan.mKeysValidUntil) {
+    // The configuration could have taken the key away without this node having heard of it.
+    Refuse("keys_out_of_date");
+    return false;
+  }
+  const CustomerSpec* customer = mRoutes->CustomerOf(mFacts.mKey);
+  if (customer == nullptr) {
+    Answer(kUnauthorized, "unknown_key", "the key belongs to no customer");
+    return false;
+  }
+  mCustomer = customer->mName;
+  mPriority = customer->mPriority.value_or(mPriority);
+  return true;
+}
+
+bool
+Exchange::ChooseTarget()
+{
+  const auto plan = mCore->mPlan;
+  const TimePoint now = mCore->Now();
+  if (!mService->mPool) {
+    const EngineTarget* engine = mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, now);
+    mWhyNoTarget = "no_engine";
+    if (engine != nullptr) {
+      mTarget = { engine->mId, engine->mAddress };
+    }
+    return engine != nullptr;
+  }
+  const auto choice = mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, mTried, now);
+  mWhyNoTarget = choice.mFull ? "replicas_full" : "no_replica";
+  if (choice.mReplica == nullptr) {
+    return false;
+  }
+  mTarget = { choice.mReplica->mHead.mId, choice.mReplica->mHead.mAddress };
+  mEpoch = choice.mReplica->mEpoch;
+  return true;
+}
+
+bool
+Exchange::HasTarget()
+{
+  const AttemptTarget kept = mTarget;
+  const std::uint64_t epoch = mEpoch;
+  const bool has = ChooseTarget();
+  mTarget = kept;
+  mEpoch = epoch;
+  return has;
+}
+
+UpstreamRequest
+Exchange::MakeUpstreamRequest() const
+{
+  UpstreamRequest request(mRequest);
+  DropHopByHop(&request);
+  request.erase(http::field::expect);
+  RequestStamp stamp;
+  stamp.mDeadline = std::max<Duration>(Left() - kDeadlineMargin, std::chrono::milliseconds(1));
+  stamp.mEngine = mTarget.mEngine;
+  stamp.mCustomer = mCustomer;
+  stamp.mLastEvent = mLastEvent;
+  if (mService->mPool) {
+    stamp.mUrgency = std::clamp(mPriority, 0, kLeastUrgent);
+  }
+  mCore->mDialect.mStampRequest(stamp, &request);
+  const bool hadBody =
+    !mRequest.body().empty() || mRequest.has_content_length() || mRequest.chunked();
+  if (hadBody) {
+    request.content_length(request.body().size());
+  }
+  return request;
+}
+
+void
+Exchange::SendToEngine()
+{
+  const std::uint64_t serial = ++mAttemptSerial;
+  mTried.insert(mTarget.mEngine);
+  mPhase = Phase::kWaiting;
+  mWriting = false;
+  mBody.clear();
+  mSplitter.Reset();
+  mSentAt = mCore->Now();
+  ++mCore->mCounters.mAttempts;
+  mCore->mBalancer.OnStart(mTarget.mEngine);
+  mAttempt = std::make_shared<Attempt>(mCore->mContext, &mCore->mConnections, mTarget);
+  AttemptEvents events;
+  // A dropped attempt reports nothing; the serial guards the one that is being replaced.
+  const auto current = [self = shared_from_this(), serial] {
+    return self->mAttemptSerial == serial && self->mPhase != Phase::kOver;
+  };
+  events.mOnHead = [self = shared_from_this(), current](int aStatus, const HeaderFields& aFields) {
+    if (current()) {
+      self->OnHead(aStatus, aFields);
+    }
+  };
+  events.mOnBody = [self = shared_from_this(), current](std::string_view aBytes) {
+    if (current()) {
+      self->OnBody(aBytes);
+    }
+  };
+  events.mOnEnd = [self = shared_from_this(), current](const AttemptEnd& aEnd) {
+    if (current()) {
+      self->OnEnd(aEnd);
+    }
+  };
+  ++mSent;
+  mAttempt->Start(MakeUpstreamRequest(), !mRoute->Repeatable(), std::move(events));
+}
+
+void
+Exchange::OnHead(int aStatus, const HeaderFields& aFields)
+{
+  const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
+  if (!facts.mRequestId.empty() && facts.mRequestId != mFacts.mId) {
+    ++mCore->mCounters.mForeignAnswers;
+    OnFailure("foreign_answer", true);
+    return;
+  }
+  if (facts.mNotRun) {
+    if (facts.mOtherEngine) {
+      mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
+    }
+    OnFailure(facts.mOtherEngine ? "other_engine" : "engine_refused", false);
+    return;
+  }
+  if (!facts.mSealed) {
+    OnFailure("unsealed_answer", true);
+    return;
+  }
+  mMayHaveRun = true;
+  mAttempt->SetKeepAlive(facts.mKeepAlive);
+  const bool events = mRoute->mKind == RequestKind::kStream && aStatus == kOk;
+  if (!events && mStreamStarted) {
+    OnFailure("resume_refused", true);
+    return;
+  }
+  mPhase = events ? Phase::kEvents : Phase::kWhole;
+  if (!mStreamStarted) {
+    mStatus = aStatus;
+    mFields = aFields;
+    DropHopByHop(&mFields);
+  }
+  mAttempt->ReadMore();
+}
+
+void
+Exchange::OnBody(std::string_view aBytes)
+{
+  if (mPhase == Phase::kEvents) {
+    PassEvents(aBytes);
+    return;
+  }
+  mBody.append(aBytes);
+  if (mBody.size() > kMostWholeBytes) {
+    OnFailure("answer_too_long", true);
+    return;
+  }
+  mAttempt->ReadMore();
+}
+
+void
+Exchange::PassEvents(std::string_view aBytes)
+{
+  mSplitter.Feed(aBytes);
+  if (mSplitter.PartialBytes() > kMostWholeBytes) {
+    OnFailure("event_too_long", true);
+    return;
+  }
+  std::string ready;
+  while (auto event = mSplitter.Next()) {
+    if (event->mId && mLastEvent && *event->mId <= *mLastEvent) {
+      continue; // the caller has it
+    }
+    if (event->mId) {
+      mLastEvent = event->mId;
+    }
+    ready += event->mBytes;
+  }
+  if (ready.empty()) {
+    mAttempt->ReadMore();
+    return;
+  }
+  const TimePoint now = mCore->Now();
+  if (!mWriting) {
+    mWriting = true;
+    mCore->mStalls.OnWriting(mTarget.mEngine, now);
+  } else {
+    mCore->mStalls.OnEvent(mTarget.mEngine, now);
+  }
+  if (!mStreamStarted) {
+    mStreamStarted = true;
+    mFields.erase(http::field::content_length);
+    mCaller->StartStream(mStatus, mFields);
+  }
+  const std::uint64_t serial = mAttemptSerial;
+  mCaller->Push(ready, [self = shared_from_this(), serial] {
+    if (self->mAttemptSerial == serial && self->mAttempt) {
+      self->mAttempt->ReadMore();
+    }
+  });
+}
+
+void
+Exchange::OnEnd(const AttemptEnd& aEnd)
+{
+  if (!aEnd.mComplete) {
+    OnFailure(aEnd.mWhy, aEnd.mMayHaveRun);
+    return;
+  }
+  if (mPhase == Phase::kWhole) {
+    OnWholeAnswer();
+    return;
+  }
+  if (mSplitter.HasPartial()) {
+    OnFailure("stream ended inside an event", true);
+    return;
+  }
+  mCore->mBalancer.OnAnswer(mTarget.mEngine);
+  ++mCore->mCounters.mAnswered;
+  if (!mStreamStarted) {
+    // A stream without any event; its end says that it is whole.
+    mStreamStarted = true;
+    mFields.erase(http::field::content_length);
+    mCaller->StartStream(mStatus, mFields);
+  }
+  LogEnd("answered", "");
+  CallerSide* caller = mCaller;
+  Over();
+  caller->EndStream();
+}
+
+void
+Exchange::OnWholeAnswer()
+{
+  CallerAnswer answer;
+  static_cast<HeaderFields&>(answer.base()) = mFields;
+  answer.result(static_cast<unsigned>(mStatus));
+  answer.body() = std::move(mBody);
+  if (mRequest.method() != http::verb::head) {
+    answer.content_length(answer.body().size());
+  }
+  // An engine's own failure of a request that may run again: another engine may do better.
+  const bool again = mStatus >= kServerFailure && mRoute->Repeatable() && !mFallback &&
+                     mSent < mRoute->mMaxAttempts && HasTarget() &&
+                     mCore->BudgetOf(mService->mName).TakeRetry();
+  if (again) {
+    mFallback = std::move(answer);
+    DropAttempt();
+    ChooseTarget();
+    CountRetryAndSend();
+    return;
+  }
+  mCore->mBalancer.OnAnswer(mTarget.mEngine);
+  ++mCore->mCounters.mAnswered;
+  LogEnd("answered", "");
+  CallerSide* caller = mCaller;
+  Over();
+  caller->SendWhole(std::move(answer));
+}
+
+void
+Exchange::OnFailure(const std::string& aWhy, bool aMayHaveRun)
+{
+  mCore->Log("attempt_failed",
+             { { "request", mFacts.mId },
+               { "engine", mTarget.mEngine },
+               { "reason", aWhy },
+               { "after_ms", Millis(mCore->Now() - mSentAt) },
+               { "may_have_run", aMayHaveRun ? "true" : "false" },
+               { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" } });
+  const bool reached = mAttempt && mAttempt->Connected();
+  mMayHaveRun = mMayHaveRun || aMayHaveRun;
+  if (aMayHaveRun || !reached) {
+    mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
+  }
+  DropAttempt();
+  if (!reached) {
+    // No engine was asked, so nothing is spent but time.
+    --mSent;
+    ++mConnectFailures;
+  }
+  RequestProgress progress;
+  progress.mRepeatable = mRoute->Repeatable();
+  progress.mMayHaveRun = mMayHaveRun;
+  progress.mAnswerBegun = mStreamStarted;
+  progress.mSent = mSent;
+  progress.mMostSent = mRoute->mMaxAttempts;
+  progress.mLeft = Left();
+  progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
+  progress.mHasBudget = mSent == 0 || mCore->BudgetOf(mService->mName).Left() >= 1.0;
+  switch (AfterFailure(progress)) {
+    case FailureStep::kSendAgain:
+      ChooseTarget();
+      if (mSent > 0) {
+        mCore->BudgetOf(mService->mName).TakeRetry();
+        CountRetryAndSend();
+      } else {
+        SendToEngine();
+      }
+      return;
+    case FailureStep::kRefuse:
+      Refuse(aWhy);
+      return;
+    case FailureStep::kFail:
+      if (mFallback) {
+        ++mCore->mCounters.mAnswered;
+        LogEnd("answered", "second attempt failed");
+        CallerSide* caller = mCaller;
+        Over();
+        caller->SendWhole(std::move(*mFallback));
+        return;
+      }
+      Answer(kBadGateway, aWhy, "the engine's answer was lost; whether it ran is unknown");
+      return;
+    case FailureStep::kCut:
+      ++mCore->mCounters.mCut;
+      ++mCore->mCounters.mReasons[aWhy];
+      LogEnd("cut", aWhy);
+      CallerSide* caller = mCaller;
+      Over();
+      caller->Break();
+      return;
+  }
+}
+
+void
+Exchange::CountRetryAndSend()
+{
+  ++mCore->mCounters.mSecondAttempts;
+  if (mStreamStarted) {
+    ++mCore->mCounters.mResumes;
+  }
+  SendToEngine();
+}
+
+void
+Exchange::DropAttempt()
+{
+  if (!mAttempt) {
+    return;
+  }
+  ++mAttemptSerial;
+  if (!mAttempt->Connected()) {
+    ++mCore->mCounters.mConnects;
+  }
+  mAttempt->Cancel();
+  mAttempt.reset();
+  mCore->mBalancer.OnEnd(mTarget.mEngine);
+  if (mWriting) {
+    mWriting = false;
+    mCore->mStalls.OnDone(mTarget.mEngine);
+  }
+}
+
+void
+Exchange::Tick()
+{
+  if (mPhase == Phase::kOver || !mAttempt) {
+    return;
+  }
+  const TimePoint now = mCore->Now();
+  if (now >= mDeadlineAt) {
+    const bool mayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
+    DropAttempt();
+    if (mStreamStarted) {
+      ++mCore->mCounters.mCut;
+      ++mCore->mCounters.mReasons["deadline"];
+      LogEnd("cut", "deadline");
+      CallerSide* caller = mCaller;
+      Over();
+      caller->Break();
+    } else if (mayHaveRun) {
+      Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
+    } else {
+      Refuse("deadline");
+    }
+    return;
+  }
+  if (!mAttempt->Connected()) {
+    if (now - mSentAt > mCore->mOptions.mConnectTimeout) {
+      OnFailure("connect: no answer", false);
+    }
+    return;
+  }
+  if (mRoute->mKind == RequestKind::kSafe) {
+    const Duration most =
+      std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
+    if (mPhase == Phase::kWaiting && mSent < mRoute->mMaxAttempts && now - mSentAt > most &&
+        HasTarget() && mCore->BudgetOf(mService->mName).Left() >= 1.0) {
+      OnFailure("slow", true);
+    }
+    return;
+  }
+  if (!mRoute->Repeatable() || !mService->mPool) {
+    return;
+  }
+  // The replica stands still: go on elsewhere while the caller still waits.
+  bool lost = mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent;
+  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
+  if (replicas != mCore->mPlan->mReplicas.end()) {
+    for (const auto& it : replicas->second) {
+      if (it.mHead.mId == mTarget.mEngine) {
+        lost = lost || it.mLost || it.mEpoch != mEpoch;
+      }
+    }
+  }
+  if (lost && mSent < mRoute->mMaxAttempts && HasTarget() &&
+      mCore->BudgetOf(mService->mName).Left() >= 1.0) {
+    OnFailure("replica_lost", true);
+  }
+}
+
+void
+Exchange::OnCallerGone()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  ++mCore->mCounters.mCallerGone;
+  LogEnd("caller_gone", "");
+  DropAttempt();
+  Over();
+}
+
+void
+Exchange::GiveUp()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  const bool mayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
+  DropAttempt();
+  if (mStreamStarted) {
+    CallerSide* caller = mCaller;
+    Over();
+    caller->Break();
+  } else if (mayHaveRun) {
+    Answer(kBadGateway, "stopping", "this node stops; whether the request ran is unknown");
+  } else {
+    Refuse("stopping");
+  }
+}
+
+void
+Exchange::Answer(int aStatus, const std::string& aReason, const std::string& aDetail)
+{
+  auto& counters = mCore->mCounters;
+  if (aStatus == kUnavailable) {
+    ++counters.mRefused;
+  } else if (aStatus >= kServerFailure) {
+    ++counters.mFailed;
+  } else {
+    ++counters.mInvalid;
+  }
+  ++counters.mReasons[aReason];
+  CallerAnswer answer;
+  answer.result(static_cast<unsigned>(aStatus));
+  answer.set(http::field::content_type, "application/json");
+  if (aStatus == kUnavailable) {
+    answer.set(http::field::retry_after, Seconds(mCore->mOptions.mRetryAfter));
+  }
+  const nlohmann::json body = {
+    { "error",
+      { { "reason", aReason }, { "detail", aDetail }, { "ran", mMayHaveRun ? "unknown" : "no" } } }
+  };
+  answer.body() = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  answer.prepare_payload();
+  LogEnd(aStatus == kUnavailable ? "refused" : "failed", aReason);
+  CallerSide* caller = mCaller;
+  Over();
+  if (caller != nullptr) {
+    caller->SendWhole(std::move(answer));
+  }
+}
+
+void
+Exchange::Refuse(const std::string& aReason)
+{
+  Answer(kUnavailable, aReason, "the request has not run; come back later");
+}
+
+void
+Exchange::Over()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  mPhase = Phase::kOver;
+  if (mAttempt) {
+    // Its answer was whole; only the counts are left to settle.
+    mCore->mBalancer.OnEnd(mTarget.mEngine);
+    if (mWriting) {
+      mCore->mStalls.OnDone(mTarget.mEngine);
+    }
+    mAttempt.reset();
+  }
+  mCaller = nullptr;
+  --mCore->mCounters.mOpen;
+  mCore->mExchanges.erase(shared_from_this());
+}
+
+void
+Exchange::LogEnd(const char* aOutcome, const std::string& aReason) const
+{
+  const bool good = std::string_view(aOutcome) == "answered" && mSent <= 1;
+  if (good) {
+    return; // counted; a line for each would drown the others
+  }
+  mCore->Log("request",
+             { { "request", mFacts.mId },
+               { "outcome", aOutcome },
+               { "reason", aReason },
+               { "route", mRoute != nullptr ? mRoute->mName : "" },
+               { "engine", mTarget.mEngine },
+               { "sent", std::to_string(mSent) },
+               { "config", mRoutes ? std::to_string(mRoutes->Version()) : "" },
+               { "model", mFacts.mModel },
+               { "after_ms", Millis(mCore->Now() - mArrived) } });
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/exchange.hpp
@@ -0,0 +1,115 @@
+/// @file
+/// @brief One request of a caller: routed, sent to an engine, perhaps to a second, answered once.
+#pragma once
+
+#include "attempt.hpp"
+#include "pepperbay/dispatch/failure_step.hpp"
+#include "pepperbay/relay/event_splitter.hpp"
+#include "relay_core.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace pepperbay {
+
+using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using CallerAnswer = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// The way back to the caller. One of `SendWhole()`, or `StartStream()` with `Push()`es and one of
+/// `EndStream()` and `Break()`.
+class CallerSide
+{
+public:
+  virtual ~CallerSide() = default;
+  virtual void SendWhole(CallerAnswer aAnswer) = 0;
+  virtual void StartStream(int aStatus, const HeaderFields& aFields) = 0;
+  /// @param aDone called when the bytes have gone out and more may follow
+  virtual void Push(const std::string& aBytes, std::function<void()> aDone) = 0;
+  virtual void EndStream() = 0;
+  /// Cut the connection, so that the answer cannot look complete.
+  virtual void Break() = 0;
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(RelayCore* aCore, CallerSide* aCaller, CallerRequest aRequest, TimePoint aArrived);
+
+  void Start();
+  /// The caller has closed its connection: stop the work at the engine.
+  void OnCallerGone();
+  /// Do what is due by time; called every tick.
+  void Tick();
+  /// The process is about to end.
+  void GiveUp();
+
+private:
+  enum class Phase
+  {
+    kWaiting, ///< sent to an engine, no answer yet
+    kWhole,   ///< an answer is being collected
+    kEvents,  ///< events are passed on as they come
+    kOver,
+  };
+
+  bool CheckCustomer(const TrafficPlan& aPlan);
+  /// @return false when there is no engine to send to now; `mWhyNoTarget` says why
+  bool ChooseTarget();
+  bool HasTarget();
+  void SendToEngine();
+  UpstreamRequest MakeUpstreamRequest() const;
+  Duration Left() const { return mDeadlineAt - mCore->Now(); }
+
+  void OnHead(int aStatus, const HeaderFields& aFields);
+  void OnBody(std::string_view aBytes);
+  void OnEnd(const AttemptEnd& aEnd);
+  void OnWholeAnswer();
+  void PassEvents(std::string_view aBytes);
+
+  /// The attempt came to nothing.
+  void OnFailure(const std::string& aWhy, bool aMayHaveRun);
+  void DropAttempt();
+  void CountRetryAndSend();
+
+  void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
+  void Refuse(const std::string& aReason);
+  void Over();
+  void LogEnd(const char* aOutcome, const std::string& aReason) const;
+
+  RelayCore* mCore;
+  CallerSide* mCaller; ///< null once the caller has gone
+  CallerRequest mRequest;
+  TimePoint mArrived;
+  TimePoint mDeadlineAt{};
+  RequestFacts mFacts;
+  std::shared_ptr<const RouteTable> mRoutes; ///< keeps mRoute and mService alive
+  const Route* mRoute = nullptr;
+  const ServiceSpec* mService = nullptr;
+  std::string mCustomer;
+  int mPriority = 0;
+
+  Phase mPhase = Phase::kWaiting;
+  std::shared_ptr<Attempt> mAttempt;
+  std::uint64_t mAttemptSerial = 0; ///< events of dropped attempts are ignored
+  AttemptTarget mTarget;
+  std::uint64_t mEpoch = 0; ///< of the replica that the request was sent to
+  TimePoint mSentAt{};
+  std::set<std::string> mTried;
+  std::string mWhyNoTarget;
+  int mSent = 0;
+  int mConnectFailures = 0;
+  bool mMayHaveRun = false;
+  bool mWriting = false; ///< this attempt has given an event
+
+  int mStatus = 0;
+  HeaderFields mFields;
+  std::string mBody;
+  EventSplitter mSplitter;
+  std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
+  bool mStreamStarted = false;             ///< the caller has the head
+  /// An engine's own failure, kept while a second engine is asked.
+  std::optional<CallerAnswer> mFallback;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/relay.cpp
@@ -0,0 +1,226 @@
+#include "pepperbay/relay/relay.hpp"
+
+#include "exchange.hpp"
+#include "pepperbay/settings/settings.hpp"
+#include "relay_core.hpp"
+#include "session.hpp"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+#include <vector>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+
+RelayCore::RelayCore(asio::io_context& aContext,
+                     RelayOptions aOptions,
+                     Dialect aDialect,
+                     RelayHooks aHooks)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mDialect(std::move(aDialect))
+  , mHooks(std::move(aHooks))
+  , mBalancer(BalancerOptions{ mOptions.mDataCentre })
+  , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
+{
+}
+
+void
+RelayCore::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
+{
+  mPlan = std::move(aPlan);
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetBurst(mOptions.mRetrySlack / std::max(1, mPlan->mNodes));
+  }
+}
+
+RetryBudget&
+RelayCore::BudgetOf(const std::string& aService)
+{
+  const auto it = mBudgets.find(aService);
+  if (it != mBudgets.end()) {
+    return it->second;
+  }
+  const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
+  const RetryBudget::Options options{ mOptions.mRetryShare, mOptions.mRetrySlack / nodes };
+  return mBudgets.emplace(aService, RetryBudget(options)).first->second;
+}
+
+void
+RelayCore::Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const
+{
+  if (mHooks.mLog) {
+    mHooks.mLog(aEvent, aFields);
+  }
+}
+
+namespace {
+
+using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>,
+                                         asio::io_context::executor_type>;
+
+/// Ticks between two looks at idle connections.
+constexpr unsigned kSessionTicks = 10;
+
+class RelayImpl : public Relay
+{
+public:
+  RelayImpl(asio::io_context& aContext, RelayOptions aOptions, Dialect aDialect, RelayHooks aHooks)
+    : mCore(aContext, std::move(aOptions), std::move(aDialect), std::move(aHooks))
+    , mAcceptor(aContext)
+    , mTimer(aContext)
+  {
+  }
+
+  Result<void> Listen()
+  {
+    const auto endpoint = ParseEndpoint(mCore.mOptions.mCallers);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    try {
+      const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.value().mHost),
+                                            static_cast<std::uint16_t>(endpoint.value().mPort));
+      mAcceptor.open(address.protocol());
+      mAcceptor.set_option(Acceptor::reuse_address(true));
+      mAcceptor.bind(address);
+      mAcceptor.listen(kBacklog);
+    } catch (const boost::system::system_error& error) {
+      return Error{
+        Errc::kUnavailable, "relay.listen", mCore.mOptions.mCallers, error.code().message()
+      };
+    }
+    Accept();
+    Tick();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) override
+  {
+    mCore.SetPlan(std::move(aPlan));
+  }
+
+  std::unordered_map<std::string, int> InFlight() const override { return mCore.mBalancer.Own(); }
+
+  const RelayCounters& Counters() const override { return mCore.mCounters; }
+
+  void BeginStop(std::function<void()> aDone) override
+  {
+    if (mCore.mStopping) {
+      return;
+    }
+    mCore.mStopping = true;
+    mStopAt = mCore.Now();
+    mStopped = std::move(aDone);
+  }
+
+private:
+  static constexpr int kBacklog = 1024; // connections that wait to be taken up
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](boost::system::error_code aError, Socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        const auto session = std::make_shared<Session>(&mCore, std::move(aSocket));
+        mCore.mSessions.insert(session);
+        session->Start();
+      } else {
+        mCore.Log("accept_failed", { { "detail", aError.message() } });
+      }
+      Accept();
+    });
+  }
+
+  void Tick()
+  {
+    mTimer.expires_after(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(mCore.mOptions.mTick));
+    mTimer.async_wait([this](boost::system::error_code aError) {
+      if (aError) {
+        return;
+      }
+      OnTick();
+      Tick();
+    });
+  }
+
+  void OnTick()
+  {
+    const TimePoint now = mCore.Now();
+    for (const auto& it : mCore.mStalls.Suspects(now)) {
+      mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
+    }
+    // Copies, since an exchange that ends leaves the set.
+    const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
+                                                           mCore.mExchanges.end());
+    for (const auto& it : exchanges) {
+      it->Tick();
+    }
+    if (++mTicks % kSessionTicks == 0) {
+      const std::vector<std::shared_ptr<Session>> sessions(mCore.mSessions.begin(),
+                                                           mCore.mSessions.end());
+      for (const auto& it : sessions) {
+        it->Tick();
+      }
+      mCore.mConnections.Tick();
+    }
+    if (mCore.mStopping) {
+      TickStop(now);
+    }
+  }
+
+  void TickStop(TimePoint aNow)
+  {
+    const Duration since = aNow - mStopAt;
+    if (!mStopped || since < mCore.mOptions.mStopGrace) {
+      return;
+    }
+    const std::vector<std::shared_ptr<Session>> sessions(mCore.mSessions.begin(),
+                                                         mCore.mSessions.end());
+    for (const auto& it : sessions) {
+      it->CloseWhenIdle();
+    }
+    const bool last = since >= mCore.mOptions.mStopMost;
+    if (last) {
+      const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
+                                                             mCore.mExchanges.end());
+      for (const auto& it : exchanges) {
+        it->GiveUp();
+      }
+    }
+    if (mCore.mSessions.empty() || last) {
+      std::exchange(mStopped, nullptr)();
+    }
+  }
+
+  RelayCore mCore;
+  Acceptor mAcceptor;
+  Timer mTimer;
+  unsigned mTicks = 0;
+  TimePoint mStopAt{};
+  std::function<void()> mStopped;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Relay>>
+Relay::Open(asio::io_context& aContext, RelayOptions aOptions, Dialect aDialect, RelayHooks aHooks)
+{
+  auto relay = std::make_unique<RelayImpl>(
+    aContext, std::move(aOptions), std::move(aDialect), std::move(aHooks));
+  const auto listening = relay->Listen();
+  if (!listening.has_value()) {
+    return listening.error();
+  }
+  return std::unique_ptr<Relay>(std::move(relay));
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// @brief What all requests of one relay share. Used by the relay's thread only.
+#pragma once
+
+#include "connection_pool.hpp"
+#include "pepperbay/admission/retry_budget.hpp"
+#include "pepperbay/relay/relay.hpp"
+
+#include <set>
+
+namespace pepperbay {
+
+class Exchange;
+class Session;
+
+struct RelayCore
+{
+  RelayCore(boost::asio::io_context& aContext,
+            RelayOptions aOptions,
+            Dialect aDialect,
+            RelayHooks aHooks);
+
+  TimePoint Now() const { return mOptions.mNow(); }
+  /// Take up a new plan; the share of the retry budget follows the number of nodes.
+  void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
+  /// Second attempts left for a service.
+  RetryBudget& BudgetOf(const std::string& aService);
+  void Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const;
+
+  boost::asio::io_context& mContext;
+  RelayOptions mOptions;
+  Dialect mDialect;
+  RelayHooks mHooks;
+  std::shared_ptr<const TrafficPlan> mPlan;
+  Balancer mBalancer;
+  StallDetector mStalls;
+  std::map<std::string, RetryBudget> mBudgets; ///< by service
+  ConnectionPool mConnections;
+  RelayCounters mCounters;
+  std::set<std::shared_ptr<Session>> mSessions;
+  std::set<std::shared_ptr<Exchange>> mExchanges;
+  bool mStopping = false;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/sockets.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// @brief The socket type of the relay, and what every one of its connections is set to.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace pepperbay {
+
+using Socket =
+  boost::asio::basic_stream_socket<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
+
+/// What shows on a connection that should be silent.
+enum class PeekResult
+{
+  kQuiet,
+  kBytes,
+  kClosed,
+};
+
+/// Look at a connection without taking anything from it.
+PeekResult
+Peek(Socket& aSocket);
+
+/// Send small messages at once, and notice a peer that is cut off.
+///
+/// A peer behind a partition answers nothing, so without a limit on unacknowledged bytes a write
+/// would be retried for minutes and the connection be taken for a good one.
+void
+Prepare(Socket& aSocket);
+
+/// Close without waiting; errors do not matter any more.
+void
+CloseNow(Socket& aSocket);
+
+} // namespace pepperbay
