Planner: one spare stands in for two models

Cause: a second loss in a domain waited 12 to 16 s for weights, since its spare stood ready for the other model. Change: a spare that stands ready for one model is told to stage the other's weights, which does not undo the 200 ms join of its last group. Engines that stage count as spares of that model. Tests: ASpareStandsReadyForEachModel failed while both spares of a domain took the same model.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -127,6 +127,12 @@
     std::uint64_t mEpoch = 0;
     bool mReady = false;
   };
+  /// Weights on their way to an engine's host.
+  struct Staging
+  {
+    std::string mModel;
+    TimePoint mSince{};
+  };
   /// What an engine said when it was asked.
   struct ReportedPlace
   {
@@ -182,6 +188,7 @@
   /// @return whether by its own word an engine is in a replica other than the named one.
   bool IsElsewhere(const EngineRecord& aEngine, const std::string& aGroup) const;
   void Dismiss(const EngineRecord& aEngine);
+  void StageOther(const EngineRecord& aEngine, const std::string& aModel);
   /// @return whether a join to another group than this may still be carried out at the engine.
   bool InDoubt(const std::string& aEngine, const std::string& aGroup) const;
   Duration JoinTime(const EngineRecord& aEngine, const std::string& aModel) const;
@@ -198,7 +205,7 @@
   std::map<std::string, PlannedReplica> mReplicas;
   std::map<std::string, Spare> mSpares;
   std::map<std::string, Pending> mPending;
-  std::map<std::string, TimePoint> mStagedAt;     ///< engines told to stage, until they have
+  std::map<std::string, Staging> mStaging;        ///< engines told to stage, until they have
   std::map<std::string, std::string> mLastModel;  ///< of the last group that an engine was in
   std::map<std::string, std::uint64_t> mAccepted; ///< orders that an engine has accepted
   std::map<std::string, ReportedPlace> mReported;
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -50,7 +50,7 @@
   mReplicas.clear();
   mSpares.clear();
   mPending.clear();
-  mStagedAt.clear();
+  mStaging.clear();
   mUnanswering.clear();
   mLostJoins.clear();
   mAccepted.clear();
@@ -465,9 +465,9 @@
   if (aEngine.HasStaged(aModel)) {
     return model->mWarmupTime;
   }
-  const auto staged = mStagedAt.find(aEngine.mId);
-  if (staged != mStagedAt.end()) {
-    return std::max<Duration>(model->mLoadTime - (mView->mNow - staged->second),
+  const auto staging = mStaging.find(aEngine.mId);
+  if (staging != mStaging.end() && staging->second.mModel == aModel) {
+    return std::max<Duration>(model->mLoadTime - (mView->mNow - staging->second.mSince),
                               model->mWarmupTime);
   }
   return model->mLoadTime;
@@ -661,7 +661,12 @@
     const auto spare = mSpares.find(id);
     if (spare != mSpares.end()) {
       ++standby[engine.mDomain][spare->second.mModel];
-    } else if (mStagedAt.count(id) == 0) {
+      continue;
+    }
+    const auto staging = mStaging.find(id);
+    if (staging != mStaging.end()) {
+      ++standby[engine.mDomain][staging->second.mModel];
+    } else {
       idle.push_back(&engine);
     }
   }
@@ -684,16 +689,16 @@
       order.mEngine = it->mId;
       order.mModel = model;
       if (Give(order)) {
-        mStagedAt[it->mId] = mView->mNow;
+        mStaging[it->mId] = { model, mView->mNow };
       }
       continue;
     }
     mSpares[it->mId] = { model, NextEpoch(), false };
   }
-  for (auto it = mStagedAt.begin(); it != mStagedAt.end();) {
+  for (auto it = mStaging.begin(); it != mStaging.end();) {
     const EngineRecord* engine = Find(it->first);
-    const bool staged = engine == nullptr || !engine->mStagedModels.empty();
-    it = staged ? mStagedAt.erase(it) : std::next(it);
+    const bool staged = engine == nullptr || engine->HasStaged(it->second.mModel);
+    it = staged ? mStaging.erase(it) : std::next(it);
   }
   for (auto it = mSpares.begin(); it != mSpares.end();) {
     if (Find(it->first) == nullptr) {
@@ -701,6 +706,9 @@
       continue;
     }
     Spare& spare = it->second;
+    if (spare.mReady && IsFree(*Find(it->first)) && Usable(it->first)) {
+      StageOther(*Find(it->first), spare.mModel);
+    }
     if (!spare.mReady && Usable(it->first) && IsFree(*Find(it->first)) && !InDoubt(it->first, "")) {
       GroupOrder order;
       order.mKind = GroupOrderKind::kJoin;
@@ -716,6 +724,30 @@
   }
 }
 
+void
+GroupPlanner::StageOther(const EngineRecord& aEngine, const std::string& aModel)
+{
+  // A spare joins the model of its last group in 200 ms whatever its host holds. So the weights on
+  // the host can be those of another model, and one spare stands in for two.
+  for (const auto& it : mView->mPool->mModels) {
+    if (it.mName == aModel || aEngine.HasStaged(it.mName) || mStaging.count(aEngine.mId) != 0) {
+      continue;
+    }
+    if (!MayLoad()) {
+      return;
+    }
+    GroupOrder order;
+    order.mKind = GroupOrderKind::kStage;
+    order.mFence = mView->mFence;
+    order.mEngine = aEngine.mId;
+    order.mModel = it.mName;
+    if (Give(order)) {
+      mStaging[aEngine.mId] = { it.mName, mView->mNow };
+    }
+    return;
+  }
+}
+
 void
 GroupPlanner::Dismiss(const EngineRecord& aEngine)
 {
