Balance prompts over replicas; nodes tell each other of prompts sent

Cause: with no fault at all a fifth of the long answers were late, by a pause over 250 ms: a pass of a replica reads its waiting prompts between the steps of those that write, so two long prompts that meet in one replica stop every stream there, while its neighbours have none. Requests in progress say nothing of it, and heartbeats every 200 ms are too old.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -78,6 +78,8 @@
     mAsk;
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSend;
   std::function<void(std::shared_ptr<const TrafficPlan>)> mPublish;
+  /// Another node has sent prompts.
+  std::function<void(std::vector<SentPrompt>)> mOnPrompts;
   std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
 };
 
@@ -109,6 +111,8 @@
   void OnSuspect(const std::string& aHead, Duration aSilence);
   /// This node's requests in progress, by engine.
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
+  /// This node has sent prompts: tell the others now.
+  void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   /// Fail readiness and give the lease back.
   void BeginStop();
 
--- a/include/pepperbay/relay/dialect.hpp
+++ b/include/pepperbay/relay/dialect.hpp
@@ -22,6 +22,7 @@
   std::optional<Duration> mDeadline;       ///< how long the caller waits
   std::string mKey;                        ///< of its customer; empty: none
   std::string mModel;                      ///< empty: the request asks for no model
+  double mPromptTokens = 0;                ///< to be read before the first event; 0: not said
   std::optional<std::uint64_t> mLastEvent; ///< the caller has the events up to this one
 };
 
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pepperbay {
 
@@ -71,6 +72,9 @@
 {
   /// A replica's head has been silent; any thread's business but the relay's.
   std::function<void(const std::string& aHead, Duration aSilence)> mOnSuspect;
+  /// Prompts sent since the last call, at most one call a tick. The other nodes should hear of them
+  /// at once: two long prompts that meet in one replica hold up every stream there.
+  std::function<void(std::vector<SentPrompt>)> mOnPrompts;
   /// A line for the log; see log.hpp.
   std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
 };
@@ -86,6 +90,8 @@
 
   // All of these on the relay's own thread.
   virtual void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) = 0;
+  /// Prompts that other nodes have sent.
+  virtual void AddPrompts(const std::vector<SentPrompt>& aPrompts) = 0;
   /// Requests of this node in progress, by engine.
   virtual std::unordered_map<std::string, int> InFlight() const = 0;
   virtual const RelayCounters& Counters() const = 0;
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -19,9 +19,21 @@
   /// Requests that may wait at a replica beyond its slots, as a share of the slots. A wait longer
   /// than a caller's patience with a silent stream (two seconds) is a wasted place.
   double mQueueShare = 0.5;
-  /// A replica of another data centre counts as having so many requests more in progress. Each
-  /// request more slows a step by about a hundredth; bytes between data centres are paid for.
-  int mRemoteCost = 2;
+  /// What counts against a replica, as time that a request's first event waits there. One request
+  /// more in progress slows each of the handful of steps before it by a hundredth.
+  Duration mCrowdCost = std::chrono::microseconds(1500);
+  /// A request that finds no free slot waits for one to end: an answer takes about a second, and a
+  /// replica has some tens of slots.
+  Duration mQueueCost = std::chrono::milliseconds(60);
+  /// Another data centre: a round trip, and bytes that are paid for.
+  Duration mRemoteCost = std::chrono::milliseconds(4);
+  /// A replica whose events come this many times slower than the fastest of its model's is slow,
+  /// as one member that runs slow makes it. Full replicas differ by less than half.
+  double mSlowRatio = 2.0;
+  Duration mSlowCost = std::chrono::milliseconds(300);
+  /// Without an event for so long, what was known of a replica's pace is forgotten, so that a few
+  /// requests find out whether it has recovered.
+  Duration mPaceMemory = std::chrono::seconds(3);
 };
 
 /// Counts of requests in progress by engine and the choice by them. Not for several threads.
@@ -40,6 +52,12 @@
   /// An engine answered; old faults are forgotten sooner the more it answers.
   void OnAnswer(const std::string& aEngine);
 
+  /// A prompt was sent to a replica, by this node or another, that takes so long to read. Prompts
+  /// are read one after the other, between the steps of those that write.
+  void OnPrompt(const std::string& aHead, Duration aWork, TimePoint aNow);
+  /// Two events of one stream came so far apart.
+  void OnPause(const std::string& aHead, Duration aPause, TimePoint aNow);
+
   /// Requests in progress of this node, by engine.
   const std::unordered_map<std::string, int>& Own() const { return mOwn; }
 
@@ -57,7 +75,7 @@
     bool mFull = false; ///< there are replicas, but each has all that it should hold
   };
 
-  /// The replica of a model with the least in progress.
+  /// The replica of a model where a request's first event is expected soonest.
   ReplicaChoice PickReplica(const TrafficPlan& aPlan,
                             const ServiceSpec& aService,
                             const std::string& aModel,
@@ -67,10 +85,26 @@
 private:
   int InFlight(const TrafficPlan& aPlan, const std::string& aEngine) const;
   bool RecentFault(const std::string& aEngine, TimePoint aNow) const;
+  /// The mean pause between events, or zero when it is not known.
+  Duration PauseOf(const std::string& aHead, TimePoint aNow) const;
+  Duration CostOf(const TrafficPlan& aPlan,
+                  const PoolReplica& aReplica,
+                  int aSlots,
+                  Duration aFastest,
+                  TimePoint aNow) const;
+
+  struct Pace
+  {
+    Duration mPause{ 0 };
+    int mSamples = 0;
+    TimePoint mLast{};
+  };
 
   BalancerOptions mOptions;
   std::unordered_map<std::string, int> mOwn;
   std::unordered_map<std::string, TimePoint> mFaultAt;
+  std::unordered_map<std::string, TimePoint> mReadsUntil; ///< prompts sent to a head
+  std::unordered_map<std::string, Pace> mPaces;
 };
 
 } // namespace pepperbay
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -33,6 +33,13 @@
   bool mLost = false;
 };
 
+/// A prompt that a node has sent to a replica.
+struct SentPrompt
+{
+  std::string mHead;
+  Duration mWork{ 0 }; ///< the time to read it
+};
+
 struct TrafficPlan
 {
   std::shared_ptr<const RouteTable> mRoutes; ///< null until a configuration is known
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -49,6 +49,8 @@
   void PutOwnRecord();
   void OnBeat(const std::string& aBytes);
   void SendBeat();
+  void TakePrompts(const proto::NodeBeat& aBeat);
+  void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   void OnSuspect(const std::string& aHead, Duration aSilence);
   void AskMembers(const std::string& aHead);
   void OnEngineChange(const EngineRecord& aEngine, bool aLost);
@@ -79,7 +81,9 @@
   std::uint64_t mNewsFrom = 0; ///< lease record of the holder that told the news
   TimePoint mNewsAt{};
   std::unordered_map<std::string, int> mInFlight;
-  std::map<std::string, TimePoint> mSuspects; ///< heads that this node finds silent
+  std::map<std::string, TimePoint> mSuspects;               ///< heads that this node finds silent
+  std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
+  std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
   std::uint64_t mPlannedFence = 0;
   std::uint64_t mPublishedRevision = 0;
   bool mChanged = true;
@@ -460,6 +464,12 @@
     return;
   }
   const TimePoint now = Now();
+  if (beat.prompts_only()) {
+    if (mPeers.IsCurrent(beat)) {
+      TakePrompts(beat);
+    }
+    return;
+  }
   if (!mPeers.OnBeat(beat, now)) {
     return;
   }
@@ -492,6 +502,49 @@
   }
 }
 
+void
+Coordinator::Impl::TakePrompts(const proto::NodeBeat& aBeat)
+{
+  if (mShortIdsOf != mDirectory.Revision()) {
+    mShortIdsOf = mDirectory.Revision();
+    mShortIds.clear();
+    for (const auto& [id, engine] : mDirectory.Engines()) {
+      mShortIds[ShortId(id)] = id;
+    }
+  }
+  std::vector<SentPrompt> prompts;
+  for (const auto& it : aBeat.prompts()) {
+    const auto id = mShortIds.find(it.engine());
+    if (id != mShortIds.end()) {
+      prompts.push_back({ id->second, std::chrono::microseconds(it.work_us()) });
+    }
+  }
+  if (!prompts.empty() && mHooks.mOnPrompts) {
+    mHooks.mOnPrompts(std::move(prompts));
+  }
+}
+
+void
+Coordinator::Impl::TellPrompts(const std::vector<SentPrompt>& aPrompts)
+{
+  proto::NodeBeat beat;
+  beat.set_node(mOptions.mNode);
+  beat.set_incarnation(mOptions.mIncarnation);
+  beat.set_prompts_only(true);
+  for (const auto& it : aPrompts) {
+    auto* prompt = beat.add_prompts();
+    prompt->set_engine(ShortId(it.mHead));
+    prompt->set_work_us(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(it.mWork).count()));
+  }
+  const std::string bytes = beat.SerializeAsString();
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    if (mPeers.Alive(peer, Now())) {
+      mHooks.mSend(peer.mAddress, bytes);
+    }
+  }
+}
+
 void
 Coordinator::Impl::SendBeat()
 {
@@ -646,6 +699,12 @@
   mImpl->mTraffic = mImpl->mTraffic || aTraffic;
 }
 
+void
+Coordinator::TellPrompts(const std::vector<SentPrompt>& aPrompts)
+{
+  mImpl->TellPrompts(aPrompts);
+}
+
 void
 Coordinator::BeginStop()
 {
--- a/src/pepperbay/coordinator/peer_book.cpp
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -35,15 +35,22 @@
 bool
 PeerBook::OnBeat(const proto::NodeBeat& aBeat, TimePoint aNow)
 {
-  const auto it = mPeers.find(aBeat.node());
-  if (it == mPeers.end() || it->second.mIncarnation != aBeat.incarnation()) {
+  if (!IsCurrent(aBeat)) {
     return false;
   }
-  it->second.mHeard = aNow;
-  it->second.mBeat = aBeat;
+  KnownPeer& peer = mPeers[aBeat.node()];
+  peer.mHeard = aNow;
+  peer.mBeat = aBeat;
   return true;
 }
 
+bool
+PeerBook::IsCurrent(const proto::NodeBeat& aBeat) const
+{
+  const auto it = mPeers.find(aBeat.node());
+  return it != mPeers.end() && it->second.mIncarnation == aBeat.incarnation();
+}
+
 bool
 PeerBook::Alive(const KnownPeer& aPeer, TimePoint aNow) const
 {
--- a/src/pepperbay/coordinator/peer_book.hpp
+++ b/src/pepperbay/coordinator/peer_book.hpp
@@ -32,6 +32,9 @@
   /// @return whether the heartbeat counts: it is of a known peer's present start
   bool OnBeat(const proto::NodeBeat& aBeat, TimePoint aNow);
 
+  /// @return whether a message is of a known peer's present start
+  bool IsCurrent(const proto::NodeBeat& aBeat) const;
+
   bool Alive(const KnownPeer& aPeer, TimePoint aNow) const;
   /// Nodes at work, this one included.
   int AliveCount(TimePoint aNow) const;
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -238,6 +238,10 @@
     hooks.mOnSuspect = [this](const std::string& aHead, Duration aSilence) {
       asio::post(mControl, [this, aHead, aSilence] { mCoordinator->OnSuspect(aHead, aSilence); });
     };
+    hooks.mOnPrompts = [this](std::vector<SentPrompt> aPrompts) {
+      asio::post(mControl,
+                 [this, prompts = std::move(aPrompts)] { mCoordinator->TellPrompts(prompts); });
+    };
     hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
       LogEvent(aEvent, aFields);
     };
@@ -259,6 +263,9 @@
     hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
       LogEvent(aEvent, aFields);
     };
+    hooks.mOnPrompts = [this](std::vector<SentPrompt> aPrompts) {
+      asio::post(mTraffic, [this, prompts = std::move(aPrompts)] { mRelay->AddPrompts(prompts); });
+    };
     mLink->Connect(&hooks);
     return hooks;
   }
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -246,9 +246,25 @@
     }
   };
   ++mSent;
+  NotePrompt();
   mAttempt->Start(MakeUpstreamRequest(), !mRoute->Repeatable(), std::move(events));
 }
 
+void
+Exchange::NotePrompt()
+{
+  if (!mService->mPool || mFacts.mPromptTokens <= 0) {
+    return;
+  }
+  const EnginePool& pool = *mService->mPool;
+  const ModelSpec* model = pool.FindModel(mFacts.mModel);
+  const double seconds = mFacts.mPromptTokens / std::max(1.0, pool.mPromptTokensPerSecond) *
+                         (model == nullptr ? 1.0 : model->mPace);
+  const auto work = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  mCore->mBalancer.OnPrompt(mTarget.mEngine, work, mCore->Now());
+  mCore->mPrompts.push_back({ mTarget.mEngine, work });
+}
+
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
@@ -328,7 +344,9 @@
     mCore->mStalls.OnWriting(mTarget.mEngine, now);
   } else {
     mCore->mStalls.OnEvent(mTarget.mEngine, now);
+    mCore->mBalancer.OnPause(mTarget.mEngine, now - mLastEventAt, now);
   }
+  mLastEventAt = now;
   if (!mStreamStarted) {
     mStreamStarted = true;
     mFields.erase(http::field::content_length);
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -58,6 +58,7 @@
   bool ChooseTarget();
   bool HasTarget();
   void SendToEngine();
+  void NotePrompt();
   UpstreamRequest MakeUpstreamRequest() const;
   Duration Left() const { return mDeadlineAt - mCore->Now(); }
 
@@ -95,6 +96,7 @@
   AttemptTarget mTarget;
   std::uint64_t mEpoch = 0; ///< of the replica that the request was sent to
   TimePoint mSentAt{};
+  TimePoint mLastEventAt{}; ///< of this attempt
   std::set<std::string> mTried;
   std::string mWhyNoTarget;
   int mSent = 0;
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -105,6 +105,13 @@
     mCore.SetPlan(std::move(aPlan));
   }
 
+  void AddPrompts(const std::vector<SentPrompt>& aPrompts) override
+  {
+    for (const auto& it : aPrompts) {
+      mCore.mBalancer.OnPrompt(it.mHead, it.mWork, mCore.Now());
+    }
+  }
+
   std::unordered_map<std::string, int> InFlight() const override { return mCore.mBalancer.Own(); }
 
   const RelayCounters& Counters() const override { return mCore.mCounters; }
@@ -158,6 +165,9 @@
     for (const auto& it : mCore.mStalls.Suspects(now)) {
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
+    if (!mCore.mPrompts.empty() && mCore.mHooks.mOnPrompts) {
+      mCore.mHooks.mOnPrompts(std::exchange(mCore.mPrompts, {}));
+    }
     // Copies, since an exchange that ends leaves the set.
     const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                            mCore.mExchanges.end());
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -37,6 +37,7 @@
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
   RelayCounters mCounters;
+  std::vector<SentPrompt> mPrompts; ///< sent since the last tick
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
   bool mStopping = false;
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -79,7 +79,7 @@
     options.mLeaveSilent = seconds(20);
     mAddress = options.mCallers;
     auto relay = Relay::Open(
-      mContext, options, TestDialect(), { [](const std::string&, Duration) {}, nullptr });
+      mContext, options, TestDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
     Configuration configuration;
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -1,5 +1,6 @@
 #include "pepperbay/routing/balancer.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -71,6 +72,62 @@
   return best;
 }
 
+void
+Balancer::OnPrompt(const std::string& aHead, Duration aWork, TimePoint aNow)
+{
+  TimePoint& until = mReadsUntil[aHead];
+  until = std::max(until, aNow) + aWork;
+}
+
+void
+Balancer::OnPause(const std::string& aHead, Duration aPause, TimePoint aNow)
+{
+  constexpr int kWeight = 16; // of the past: about half a second of a busy replica
+  Pace& pace = mPaces[aHead];
+  if (aNow - pace.mLast > mOptions.mPaceMemory) {
+    pace = Pace{};
+  }
+  pace.mLast = aNow;
+  const int weight = std::min(pace.mSamples, kWeight);
+  pace.mPause = (pace.mPause * weight + aPause) / (weight + 1);
+  ++pace.mSamples;
+}
+
+Duration
+Balancer::PauseOf(const std::string& aHead, TimePoint aNow) const
+{
+  constexpr int kLeastSamples = 8;
+  const auto it = mPaces.find(aHead);
+  const bool known = it != mPaces.end() && it->second.mSamples >= kLeastSamples &&
+                     aNow - it->second.mLast <= mOptions.mPaceMemory;
+  return known ? it->second.mPause : Duration::zero();
+}
+
+Duration
+Balancer::CostOf(const TrafficPlan& aPlan,
+                 const PoolReplica& aReplica,
+                 int aSlots,
+                 Duration aFastest,
+                 TimePoint aNow) const
+{
+  const std::string& head = aReplica.mHead.mId;
+  const int inFlight = InFlight(aPlan, head);
+  Duration cost = mOptions.mCrowdCost * inFlight;
+  cost += mOptions.mQueueCost * std::max(0, inFlight + 1 - aSlots);
+  const auto reads = mReadsUntil.find(head);
+  if (reads != mReadsUntil.end()) {
+    cost += std::max(Duration::zero(), reads->second - aNow);
+  }
+  if (aReplica.mHead.mDataCentre != mOptions.mDataCentre) {
+    cost += mOptions.mRemoteCost;
+  }
+  const Duration pause = PauseOf(head, aNow);
+  if (pause > Duration::zero() && pause > aFastest * mOptions.mSlowRatio) {
+    cost += mOptions.mSlowCost;
+  }
+  return cost;
+}
+
 Balancer::ReplicaChoice
 Balancer::PickReplica(const TrafficPlan& aPlan,
                       const ServiceSpec& aService,
@@ -83,21 +140,29 @@
   if (replicas == aPlan.mReplicas.end() || !aService.mPool) {
     return choice;
   }
-  const int most = static_cast<int>(aService.mPool->mSlots * (1.0 + mOptions.mQueueShare));
-  std::tuple<bool, int, bool> bestRank;
+  const int slots = aService.mPool->mSlots;
+  const int most = static_cast<int>(slots * (1.0 + mOptions.mQueueShare));
+  Duration fastest = Duration::max();
+  for (const auto& it : replicas->second) {
+    const Duration pause = PauseOf(it.mHead.mId, aNow);
+    if (it.mModel == aModel && pause > Duration::zero()) {
+      fastest = std::min(fastest, pause);
+    }
+  }
+  if (fastest == Duration::max()) {
+    fastest = Duration::zero(); // nothing is known, and so nothing is slow
+  }
+  std::tuple<bool, Duration> bestRank;
   for (const auto& it : replicas->second) {
     if (it.mModel != aModel || it.mSuspended || it.mLost || aTried.count(it.mHead.mId) != 0) {
       continue;
     }
-    const int inFlight = InFlight(aPlan, it.mHead.mId);
-    if (inFlight >= most) {
+    if (InFlight(aPlan, it.mHead.mId) >= most) {
       choice.mFull = true;
       continue;
     }
-    const bool remote = it.mHead.mDataCentre != mOptions.mDataCentre;
-    const std::tuple<bool, int, bool> rank{ RecentFault(it.mHead.mId, aNow),
-                                            inFlight + (remote ? mOptions.mRemoteCost : 0),
-                                            remote };
+    const std::tuple<bool, Duration> rank{ RecentFault(it.mHead.mId, aNow),
+                                           CostOf(aPlan, it, slots, fastest, aNow) };
     if (choice.mReplica == nullptr || rank < bestRank) {
       choice.mReplica = &it;
       bestRank = rank;
--- a/src/pepperbay/routing/balancer_test.cpp
+++ b/src/pepperbay/routing/balancer_test.cpp
@@ -87,6 +87,53 @@
   EXPECT_EQ(pool.Pick(), "a");
 }
 
+/// Pattern: prompts of two thousand tokens arrive at random; two that meet in one replica hold up
+/// every stream there for a quarter of a second, while its neighbours have none to read.
+TEST(Balancer, PromptsDoNotMeetInOneReplica)
+{
+  PoolOfThree pool;
+  std::map<std::string, int> picked;
+  for (int i = 0; i < 3; ++i) {
+    const std::string head = pool.Pick();
+    pool.mBalancer.OnPrompt(head, std::chrono::milliseconds(36), pool.mClock.Now());
+    ++picked[head];
+  }
+  EXPECT_EQ(picked.size(), 3U);
+}
+
+/// What another node has sent counts like this node's own, until it has been read.
+TEST(Balancer, APromptOfAnotherNodeCountsUntilItIsRead)
+{
+  PoolOfThree pool;
+  pool.mBalancer.OnPrompt("a", std::chrono::milliseconds(36), pool.mClock.Now());
+  EXPECT_NE(pool.Pick(), "a");
+  pool.mClock.Advance(std::chrono::milliseconds(40));
+  EXPECT_EQ(pool.Pick(), "a");
+}
+
+/// Pattern: one member of a replica runs several times slower, and with it the whole replica.
+TEST(Balancer, ASlowReplicaIsAvoidedAndTriedAgain)
+{
+  PoolOfThree pool;
+  for (int i = 0; i < 10; ++i) {
+    pool.mBalancer.OnPause("a", std::chrono::milliseconds(250), pool.mClock.Now());
+    pool.mBalancer.OnPause("b", std::chrono::milliseconds(55), pool.mClock.Now());
+    pool.mBalancer.OnPause("c", std::chrono::milliseconds(60), pool.mClock.Now());
+  }
+  pool.mPlan.mOthersInFlight = { { "b", 3 }, { "c", 3 } };
+  EXPECT_NE(pool.Pick(), "a");
+  pool.mClock.Advance(seconds(4));
+  EXPECT_EQ(pool.Pick(), "a");
+}
+
+TEST(Balancer, AReplicaWithoutAFreeSlotComesLast)
+{
+  PoolOfThree pool;
+  pool.mPlan.mOthersInFlight = { { "a", 4 }, { "b", 3 }, { "c", 4 } };
+  pool.mBalancer.OnPrompt("b", std::chrono::milliseconds(30), pool.mClock.Now());
+  EXPECT_EQ(pool.Pick(), "b");
+}
+
 TEST(Balancer, APlainServiceGoesToTheLeastBusyAndTheFaultyLast)
 {
   PoolOfThree pool;
