--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -31,6 +31,7 @@
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
 pepperbay_library(coordinator SOURCES coordinator.cpp engine_doubts.cpp peer_book.cpp plan_builder.cpp
+                  TESTS coordinator_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
