Relay: a request leaves a replica that formed anew under another head

Ruled out: the stall detector, which had told the holder after 180 ms. Change: the replica is looked up by its name; a later epoch means that what ran there does not go on. Test: AReplicaThatFormedAnewUnderAnotherHeadIsLeft fails on the version before.

--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -175,6 +175,7 @@
   }
   mTarget = { choice.mReplica->mHead.mId, choice.mReplica->mHead.mAddress };
   mEpoch = choice.mReplica->mEpoch;
+  mGroup = choice.mReplica->mGroup;
   return true;
 }
 
@@ -183,9 +184,11 @@
 {
   const AttemptTarget kept = mTarget;
   const std::uint64_t epoch = mEpoch;
+  const std::string group = mGroup;
   const bool has = ChooseTarget();
   mTarget = kept;
   mEpoch = epoch;
+  mGroup = group;
   return has;
 }
 
@@ -555,21 +558,29 @@
     return;
   }
   // The replica stands still: go on elsewhere while the caller still waits.
-  bool lost = mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent;
-  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
-  if (replicas != mCore->mPlan->mReplicas.end()) {
-    for (const auto& it : replicas->second) {
-      if (it.mHead.mId == mTarget.mEngine) {
-        lost = lost || it.mLost || it.mEpoch != mEpoch;
-      }
-    }
-  }
+  const bool lost =
+    mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent || ReplicaLost();
   if (lost && mSent < mRoute->mMaxAttempts && HasTarget() &&
       mCore->BudgetOf(mService->mName).Left() >= 1.0) {
     OnFailure("replica_lost", true);
   }
 }
 
+bool
+Exchange::ReplicaLost() const
+{
+  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
+  if (replicas == mCore->mPlan->mReplicas.end()) {
+    return false;
+  }
+  const auto it =
+    std::find_if(replicas->second.begin(),
+                 replicas->second.end(),
+                 [this](const PoolReplica& aReplica) { return aReplica.mGroup == mGroup; });
+  // Formed anew, perhaps under another head: what was in progress there does not go on.
+  return it != replicas->second.end() && (it->mLost || it->mEpoch > mEpoch);
+}
+
 void
 Exchange::OnCallerGone()
 {
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -71,6 +71,7 @@
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
   void DropAttempt();
+  bool ReplicaLost() const;
   void CountRetryAndSend();
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
@@ -94,7 +95,8 @@
   std::shared_ptr<Attempt> mAttempt;
   std::uint64_t mAttemptSerial = 0; ///< events of dropped attempts are ignored
   AttemptTarget mTarget;
-  std::uint64_t mEpoch = 0; ///< of the replica that the request was sent to
+  std::string mGroup;       ///< the replica that the request was sent to
+  std::uint64_t mEpoch = 0; ///< of that replica
   TimePoint mSentAt{};
   TimePoint mLastEventAt{}; ///< of this attempt
   std::set<std::string> mTried;
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -343,6 +343,36 @@
   EXPECT_FALSE(Has(answer, "\r\n0\r\n\r\n")) << answer; // no end that looks complete
 }
 
+/// Symptom: a request whose first event has not come waits until its connection times out.
+/// Sequence: the head of its replica dies silently; the replica forms anew under another head.
+/// Cause: the request looked for its old head among the replicas and, not finding it, waited on.
+TEST_F(RelayTest, AReplicaThatFormedAnewUnderAnotherHeadIsLeft)
+{
+  std::promise<void> began;
+  RawEngine silent([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    began.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine other([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) +
+                      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+  });
+  Serve({ &silent, &other });
+  mPlan.mReplicas["pool"][1].mSuspended = true; // the first request goes to the first replica
+  Publish();
+  std::future<std::string> answer =
+    std::async(std::launch::async, [this] { return Ask(Post("/stream/", "x", "Model: m\r\n")); });
+  began.get_future().wait();
+  auto& replicas = mPlan.mReplicas["pool"];
+  replicas[1].mSuspended = false;
+  replicas[0].mHead = replicas[1].mHead;
+  replicas[0].mEpoch += 1;
+  Publish();
+  EXPECT_EQ(StatusOf(answer.get()), 200);
+}
+
 /// A caller that leaves ends the work at the engine: its connection closes.
 TEST_F(RelayTest, ACallerThatLeavesStopsTheWork)
 {
