Keyed log: a read held to its end shows how fresh the view is

Cause: with the store down for 5 s, requests with a key were refused 1.3 s after its start and up to 2 s after its return: a read without news counted from when it was sent, and the first read after the outage was held for its whole wait. Ruled out: the margin to the bound (0.7 of 5 s). Change: an empty read that was held to its end counts from its end; the first read after a failure is not held. The margin grows to 1.2 s, since a store that drops its history may tell held reads nothing for a second.

--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -96,7 +96,7 @@
   void AskNewest();
   void AskTail();
   void OnPage(Result<KeyedPage> aPage, TimePoint aSent);
-  void OnTail(Result<KeyedTail> aTail, TimePoint aSent);
+  void OnTail(Result<KeyedTail> aTail, TimePoint aSent, Duration aWait);
   void OnFailure(const Error& aError);
   void OnSuccess();
 
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -37,8 +37,9 @@
 constexpr std::size_t kMostDatagram = 65536;
 /// Share of the second attempts that nodes spend; the rest covers nodes that miscount each other.
 constexpr double kRetryCaution = 0.8;
-/// Keys are distrusted this long before the bound, the time from the check to the engine.
-constexpr std::chrono::milliseconds kRevokeMargin{ 700 };
+/// Keys are distrusted this long before the bound: the time from the check to the engine, and one
+/// second in which a store that drops its history may tell held reads nothing.
+constexpr std::chrono::milliseconds kRevokeMargin{ 1200 };
 
 using Timer = asio::steady_timer;
 using Udp = asio::ip::udp;
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -42,8 +42,10 @@
 KeyedFollower::AskTail()
 {
   const TimePoint sent = mNow();
-  mHooks.mRead(mNext, mOptions.mWait, [this, sent](Result<KeyedTail> aTail) {
-    OnTail(std::move(aTail), sent);
+  // After an outage nothing may be new for long, and how old the view is must be known at once.
+  const Duration wait = mLost ? Duration::zero() : mOptions.mWait;
+  mHooks.mRead(mNext, wait, [this, sent, wait](Result<KeyedTail> aTail) {
+    OnTail(std::move(aTail), sent, wait);
   });
 }
 
@@ -79,7 +81,7 @@
 }
 
 void
-KeyedFollower::OnTail(Result<KeyedTail> aTail, TimePoint aSent)
+KeyedFollower::OnTail(Result<KeyedTail> aTail, TimePoint aSent, Duration aWait)
 {
   mAsking = false;
   if (!aTail.has_value()) {
@@ -95,9 +97,11 @@
   const KeyedTail& tail = aTail.value();
   mNext = tail.mNext;
   mDue = mNow() + mOptions.mPause;
-  // The answer shows the end as it was when the log answered, which was not before the call.
+  // The answer shows the end as it was when the log answered, which was not before the call. A
+  // read without news that was held to its end says that there was none all the while.
+  const bool held = tail.mRecords.empty() && mNow() - aSent >= aWait;
   if (tail.mNext >= tail.mEnd) {
-    mAsOf = std::max(mAsOf, aSent);
+    mAsOf = std::max(mAsOf, held ? aSent + aWait : aSent);
   }
   for (const auto& it : tail.mRecords) {
     mEvents.mOnRecord(it);
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -122,6 +122,73 @@
   EXPECT_GT(reader.mFollower.AsOf(), fresh);
 }
 
+/// A follower whose reads the test answers by hand.
+struct HeldReads
+{
+  HeldReads()
+    : mFollower({ seconds(1) }, Hooks(), Events(), mClock.Hook())
+  {
+  }
+
+  KeyedLogHooks Hooks()
+  {
+    KeyedLogHooks hooks;
+    hooks.mNewest = [](const std::string&, const std::function<void(Result<KeyedPage>)>& aDone) {
+      aDone(KeyedPage{});
+    };
+    hooks.mRead =
+      [this](std::uint64_t, Duration aWait, std::function<void(Result<KeyedTail>)> aDone) {
+        mWait = aWait;
+        mDone = std::move(aDone);
+      };
+    return hooks;
+  }
+
+  static KeyedFollowerEvents Events()
+  {
+    return { [](const auto&) {}, [](const auto&) {}, [] {}, [](const Error&) {} };
+  }
+
+  ManualClock mClock;
+  Duration mWait{ -1 };
+  std::function<void(Result<KeyedTail>)> mDone;
+  KeyedFollower mFollower;
+};
+
+/// Symptom: soon after the store is lost, keys are refused though they were confirmed a moment ago.
+/// Cause: a read that was held for its whole wait without news counted from when it was sent.
+TEST(KeyedFollower, AReadHeldToItsEndShowsThatNothingCameAllTheWhile)
+{
+  HeldReads reads;
+  reads.mFollower.Tick();
+  reads.mFollower.Tick();
+  const TimePoint sent = reads.mClock.Now();
+  reads.mClock.Advance(milliseconds(1004));
+  reads.mDone(KeyedTail{});
+  EXPECT_EQ(reads.mFollower.AsOf(), sent + seconds(1));
+  reads.mFollower.Tick();
+  const TimePoint again = reads.mClock.Now();
+  reads.mClock.Advance(milliseconds(300)); // answered early: nothing is known of the rest
+  reads.mDone(KeyedTail{});
+  EXPECT_EQ(reads.mFollower.AsOf(), again);
+}
+
+/// Symptom: keys are refused for a whole wait after the store has come back.
+/// Cause: the first read after the outage was held as all others are.
+TEST(KeyedFollower, TheFirstReadAfterAnOutageIsNotHeld)
+{
+  HeldReads reads;
+  reads.mFollower.Tick();
+  reads.mFollower.Tick();
+  reads.mDone(Error{ Errc::kUnavailable, "log.read", "store", "" });
+  reads.mClock.Advance(seconds(1));
+  reads.mFollower.Tick();
+  EXPECT_EQ(reads.mWait, Duration::zero());
+  reads.mDone(KeyedTail{});
+  reads.mFollower.Tick();
+  EXPECT_EQ(reads.mWait, seconds(1));
+}
+
 /// Whatever happens to the log, a follower that can read it ends with what it holds.
 RC_GTEST_PROP(KeyedFollower, EndsWithWhatTheLogHolds, ())
 {
