--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -77,6 +77,16 @@
   set_tests_properties(${name}_test PROPERTIES TIMEOUT 600)
 endforeach()
 
+# The users' platform as a stand-in, and the whole path before it with real processes.
+add_executable(pepperbay_fake_platform platform/fake/main.cpp platform/fake/fake_store.cpp
+                                       platform/fake/fake_engine_farm.cpp)
+target_link_libraries(pepperbay_fake_platform PRIVATE pepperbay_platform absl::flags
+                      absl::flags_parse pepperbay_warnings)
+pepperbay_test(edge_path_test ${CMAKE_SOURCE_DIR}/platform/edge_path_test.cpp pepperbay_cluster)
+target_compile_definitions(
+  edge_path_test PRIVATE PEPPERBAY_FAKE_PLATFORM="$<TARGET_FILE:pepperbay_fake_platform>")
+add_dependencies(edge_path_test pepperbay pepperbay_fake_platform)
+
 # Measurements; run by scripts/bench_*.sh, never by tests.
 add_executable(pepperbay_load bench/load.cpp)
 target_link_libraries(pepperbay_load PRIVATE pepperbay_http nlohmann_json::nlohmann_json absl::flags
--- a/scripts/bench_recovery.sh
+++ b/scripts/bench_recovery.sh
@@ -32,7 +32,7 @@
 done
 holder() { curl -fsS "http://$1/dump" | grep -o '"leases":{[^}]*}' | grep -o '"holder":"[^"]*"' | cut -d'"' -f4; }
 restart() { # INDEX: start a node again and wait until it is ready
-  build/pepperbay serve --config "$work/node-levis-$(($1 + 1)).yaml" 2>>"$work/nodes.log" &
+  build/pepperbay serve --config "$work/node-levis-$(($1 + 1)).yaml" >>"$work/nodes.log" 2>&1 &
   NODE_PIDS[$1]=$!
   pids+=($!)
   wait_until "node $1 is ready" curl -fsS "http://${ADMINS[$1]%:*}:8080/readyz"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,7 +20,7 @@
   scripts/node_settings.sh "levis-$i" levis "127.0.0.1$i" 127.0.0.11 127.0.0.12 127.0.0.13 \
     >"$work/node$i.yaml"
   build/pepperbay check-config --config "$work/node$i.yaml"
-  build/pepperbay serve --config "$work/node$i.yaml" 2>"$work/node$i.log" &
+  build/pepperbay serve --config "$work/node$i.yaml" >"$work/node$i.log" 2>&1 &
   pids+=($!)
 done
 for i in 1 2 3; do wait_until "node $i is ready" ready "127.0.0.1$i"; done
@@ -57,6 +57,44 @@
 curl -sS http://127.0.0.11:8080/v1/chat/completions -H 'X-Customer: school' -d '{"model": 7}'
 echo
 
+say "the users' platform (stand-ins): a store, five engines, one node before them"
+build/pepperbay_fake_platform --address=127.0.0.3 --port=7100 >"$work/platform.log" 2>&1 &
+platform=$!
+pids+=("$platform")
+cat >"$work/edge.yaml" <<'YAML'
+name: edge-1
+data_centre: levis
+callers: 127.0.0.21:8080
+admin: 127.0.0.21:8081
+ready_path: /ready
+peers: 127.0.0.21:8082
+store: 127.0.0.3:7100
+YAML
+build/pepperbay edge --config "$work/edge.yaml" >"$work/edge.log" 2>&1 &
+edge=$!
+pids+=("$edge")
+chat() {
+  curl -fsSN http://127.0.0.21:8080/chat/1 -H 'Host: kitchen.example' \
+    -H 'X-Pepperbay-Request-Id: demo' -H 'X-Pepperbay-Model: m' -H 'Authorization: Token key-1' -d '{}'
+}
+wait_until "a replica has formed and serves" chat
+chat >"$work/answer"
+head -n 6 "$work/answer"
+
+say "a member of the replica dies; the node forms it anew with a spare"
+curl -fsS http://127.0.0.3:7099/serving && echo
+curl -fsS -X POST "http://127.0.0.3:7099/kill?engine=$(curl -fsS http://127.0.0.3:7099/serving | tr -d '[]"' | cut -d, -f3)" >/dev/null
+wait_until "it serves again" chat
+curl -fsS http://127.0.0.21:8081/state | grep -A 12 '"replicas"'
+curl -fsS http://127.0.0.3:7099/serving && echo
+grep -h 'event=replica' "$work/edge.log" | tail -n 2
+for pid in "$edge" "$platform"; do
+  kill -TERM "$pid"
+  wait "$pid"
+  echo "process $pid: exit code $?"
+done
+pids=("${pids[@]:0:4}")
+
 say "the nodes stop on SIGTERM and exit with 0"
 for pid in "${pids[@]:1}"; do kill -TERM "$pid"; done
 for pid in "${pids[@]:1}"; do
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -34,7 +34,7 @@
     ip=127.0.$((1 + (i - 1) / 200)).$((10 + (i - 1) % 200))
     scripts/node_settings.sh "$2-$i" "$2" "$ip" >"$work/node-$2-$i.yaml"
     [ -z "${3:-}" ] || cat "$3" >>"$work/node-$2-$i.yaml"
-    build/pepperbay serve --config "$work/node-$2-$i.yaml" 2>>"$work/nodes.log" &
+    build/pepperbay serve --config "$work/node-$2-$i.yaml" >>"$work/nodes.log" 2>&1 &
     pids+=($!)
     NODE_PIDS+=($!)
     NODES="$NODES${NODES:+,}$ip:8080"
