node/ becomes control/, gateway/ and a node/ that only wires

Cause: src/pepperbay/node held 4,500 lines of three jobs in one target. Change: files moved to two targets of their own, includes and mutants follow; no line of logic changed.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -22,11 +22,18 @@
                   PACKAGES cppzmq)
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
-pepperbay_library(node SOURCES claim_desk.cpp host_watch.cpp drain_ledger.cpp holder.cpp traffic_view.cpp controller.cpp controller_peers.cpp
-                  controller_hosts.cpp dump.cpp platform.cpp publish_file.cpp gateway.cpp gateway_claims.cpp gateway_attempts.cpp gateway_relays.cpp request.cpp node.cpp metrics.cpp
+pepperbay_library(control SOURCES claim_desk.cpp controller.cpp controller_hosts.cpp
+                                  controller_peers.cpp drain_ledger.cpp dump.cpp holder.cpp
+                                  host_watch.cpp traffic_view.cpp
                   TESTS claim_desk_test.cpp
-                  USES log settings journal state lease membership placement admission routing dispatch
-                       wire http
+                  USES log settings journal state lease membership placement admission routing
+                       dispatch wire
+                  PACKAGES nlohmann_json::nlohmann_json)
+pepperbay_library(gateway SOURCES gateway.cpp gateway_attempts.cpp gateway_claims.cpp
+                                  gateway_relays.cpp request.cpp
+                  USES control settings dispatch http PACKAGES nlohmann_json::nlohmann_json)
+pepperbay_library(node SOURCES metrics.cpp node.cpp platform.cpp publish_file.cpp
+                  USES control gateway log settings wire http
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
--- a/include/pepperbay/node/controller.hpp
+++ b/include/pepperbay/control/controller.hpp
@@ -7,10 +7,10 @@
 
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
+#include "pepperbay/control/traffic_view.hpp"
 #include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/journal/follower.hpp"
 #include "pepperbay/membership/roster.hpp"
-#include "pepperbay/node/traffic_view.hpp"
 #include "pepperbay/placement/orders.hpp"
 #include "pepperbay/settings/settings.hpp"
 #include "pepperbay/state/fold.hpp"
--- a/include/pepperbay/node/gateway.hpp
+++ b/include/pepperbay/gateway/gateway.hpp
@@ -5,10 +5,10 @@
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
+#include "pepperbay/control/traffic_view.hpp"
 #include "pepperbay/dispatch/claims.hpp"
 #include "pepperbay/http/client.hpp"
 #include "pepperbay/http/server.hpp"
-#include "pepperbay/node/traffic_view.hpp"
 #include "pepperbay/settings/settings.hpp"
 
 #include <array>
--- a/include/pepperbay/node/metrics.hpp
+++ b/include/pepperbay/node/metrics.hpp
@@ -2,8 +2,8 @@
 /// @brief Counters and gauges in the text form that Prometheus reads.
 #pragma once
 
-#include "pepperbay/node/controller.hpp"
-#include "pepperbay/node/gateway.hpp"
+#include "pepperbay/control/controller.hpp"
+#include "pepperbay/gateway/gateway.hpp"
 #include "pepperbay/wire/peer_link.hpp"
 
 #include <string>
--- a/include/pepperbay/node/platform.hpp
+++ b/include/pepperbay/node/platform.hpp
@@ -9,8 +9,8 @@
 /// - engine: `GET /state`, `POST /orders`, JSON.
 #pragma once
 
+#include "pepperbay/control/controller.hpp"
 #include "pepperbay/http/client.hpp"
-#include "pepperbay/node/controller.hpp"
 
 #include <functional>
 #include <string>
--- a/include/pepperbay/node/publish_file.hpp
+++ b/include/pepperbay/node/publish_file.hpp
@@ -2,7 +2,7 @@
 /// @brief What operators publish, from YAML.
 #pragma once
 
-#include "pepperbay/node/controller.hpp"
+#include "pepperbay/control/controller.hpp"
 #include "pepperbay/settings/yaml_reader.hpp"
 
 #include <string>
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -73,11 +73,11 @@
 mutant "no retry budget" $s/admission/retry_budget.cpp \
   's/if \(mLeft < 1.0\)/if (false)/' dispatch_attempt_test '*RetriesStay*'
 mutant "last claim wins" $s/dispatch/claims.cpp \
-  's/if \(it == mClaims.end\(\) \&\& mVoid/if (mVoid/' node_claim_desk_test '*NoKeyIsDispatchedTwice*'
+  's/if \(it == mClaims.end\(\) \&\& mVoid/if (mVoid/' control_claim_desk_test '*NoKeyIsDispatchedTwice*'
 mutant "an abandoned claim may win" $s/dispatch/claims.cpp \
-  's/mVoid.count\(record.claim_id\(\)\) == 0/true/' node_claim_desk_test '*AnAbandonedClaim*'
-mutant "a claim told taken may win" $s/node/claim_desk.cpp \
-  's/if \(verdict.mStanding != ClaimStanding::kWon\)/if (false)/' node_claim_desk_test '*ToldTaken*:*TakenByNobody*'
+  's/mVoid.count\(record.claim_id\(\)\) == 0/true/' control_claim_desk_test '*AnAbandonedClaim*'
+mutant "a claim told taken may win" $s/control/claim_desk.cpp \
+  's/if \(verdict.mStanding != ClaimStanding::kWon\)/if (false)/' control_claim_desk_test '*ToldTaken*:*TakenByNobody*'
 mutant "shares of the hosts that are up" $s/placement/survey.cpp \
   's/static_cast<double>\(mIn.mHosts.size\(\)\)/static_cast<double>(mUsable)/' placement_planner_test '*BelowItsShare*'
 mutant "no bound on waiting" $s/admission/admission.cpp \
@@ -88,17 +88,17 @@
   's/it->second.mApplied >= mOwnJoin/true/' membership_membership_test '*Shortened*'
 mutant "long heartbeats as datagrams" $s/wire/peer_link.cpp \
   's/aBytes.size\(\) <= kMaxDatagramBytes/true/' wire_peer_link_test '*TooLong*'
-mutant "owner trusts its memory, not the log" $s/node/claim_desk.cpp \
-  's/partition.mCaughtUp \&\& aFirst.value\(\) == partition.mFold.Next\(\)/true/' node_claim_desk_test '*ReadsThemAtOnce*'
+mutant "owner trusts its memory, not the log" $s/control/claim_desk.cpp \
+  's/partition.mCaughtUp \&\& aFirst.value\(\) == partition.mFold.Next\(\)/true/' control_claim_desk_test '*ReadsThemAtOnce*'
 mutant "allowance counted anew" $s/admission/admission.cpp \
   's/others \+ mBase;/others + mRunning.size();/; s/const std::size_t lent = mBase \+/const std::size_t lent = mRunning.size() +/; s/mBase \+ free\)\);/mRunning.size() + free));/' \
   admission_admission_test '*SharesHold*'
 mutant "entering a closed replica" $s/routing/router.cpp \
   's/if \(mClosed.load\(\)\)/if (false)/' routing_router_test '*ClosingSees*'
-mutant "drain does not ask the nodes" $s/node/drain_ledger.cpp \
+mutant "drain does not ask the nodes" $s/control/drain_ledger.cpp \
   's/report->second > 0/false/; s/return false;/continue;/' stops_test '*CutOff*:*CutsNoAnswer*'
-mutant "cut-off node goes on" $s/node/traffic_view.cpp \
+mutant "cut-off node goes on" $s/control/traffic_view.cpp \
   's/return heard \* 2 >= known.*/return true;/' control_faults_test '*cut_from_log_and_peers*'
-mutant "stop spreads by the log alone" $s/node/controller_peers.cpp \
+mutant "stop spreads by the log alone" $s/control/controller_peers.cpp \
   's/for \(const auto\& it : aHeartbeat.drains\(\)\)/for (const auto\& it : proto::Heartbeat().drains())/' stops_test '*WhileTheLogIsOut*'
 exit $bad
--- a/src/pepperbay/node/controller_impl.hpp
+++ b/src/pepperbay/control/controller_impl.hpp
@@ -3,7 +3,7 @@
 /// controller_hosts.cpp, traffic_view.cpp and dump.cpp.
 #pragma once
 
-#include "pepperbay/node/controller.hpp"
+#include "pepperbay/control/controller.hpp"
 
 #include "claim_desk.hpp"
 #include "drain_ledger.hpp"
--- a/src/pepperbay/node/traffic_view.cpp
+++ b/src/pepperbay/control/traffic_view.cpp
@@ -1,4 +1,4 @@
-#include "pepperbay/node/traffic_view.hpp"
+#include "pepperbay/control/traffic_view.hpp"
 
 #include "controller_impl.hpp"
 
--- a/src/pepperbay/node/gateway_impl.hpp
+++ b/src/pepperbay/gateway/gateway_impl.hpp
@@ -8,7 +8,7 @@
 /// never before.
 #pragma once
 
-#include "pepperbay/node/gateway.hpp"
+#include "pepperbay/gateway/gateway.hpp"
 
 #include "job.hpp"
 #include "request.hpp"
--- a/src/pepperbay/node/job.hpp
+++ b/src/pepperbay/gateway/job.hpp
@@ -4,8 +4,8 @@
 
 #include "request.hpp"
 
+#include "pepperbay/control/traffic_view.hpp"
 #include "pepperbay/http/server.hpp"
-#include "pepperbay/node/traffic_view.hpp"
 
 #include <memory>
 #include <mutex>
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -1,9 +1,9 @@
 #include "pepperbay/node/node.hpp"
 
 #include "pepperbay/base/ids.hpp"
+#include "pepperbay/control/controller.hpp"
+#include "pepperbay/gateway/gateway.hpp"
 #include "pepperbay/log/log.hpp"
-#include "pepperbay/node/controller.hpp"
-#include "pepperbay/node/gateway.hpp"
 #include "pepperbay/node/metrics.hpp"
 #include "pepperbay/node/platform.hpp"
 #include "pepperbay/node/publish_file.hpp"
