--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,8 +1,8 @@
 # The layers of docs/DESIGN.md, lowest first. Libraries marked pure take the time as an argument and
 # link neither sockets nor threads.
 pepperbay_library(base SOURCES clock.cpp error.cpp hash.cpp ids.cpp PACKAGES xxhash)
-pepperbay_library(log SOURCES log.cpp line_budget.cpp USES base PACKAGES PkgConfig::LOG4)
-pepperbay_library(settings SOURCES settings.cpp edge_settings.cpp yaml_reader.cpp TESTS settings_test.cpp USES base
+pepperbay_library(log SOURCES log.cpp line_budget.cpp TESTS line_budget_test.cpp USES base PACKAGES PkgConfig::LOG4)
+pepperbay_library(settings SOURCES settings.cpp edge_settings.cpp yaml_reader.cpp TESTS settings_test.cpp edge_settings_test.cpp USES base
                   PACKAGES yaml-cpp)
 pepperbay_library(journal SOURCES appender.cpp follower.cpp keyed_log.cpp
                   TESTS journal_test.cpp keyed_log_test.cpp USES base proto) # pure
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -15,6 +15,7 @@
   std::string mDataCentre;
   std::string mCallers;   ///< IP:port for callers
   std::string mAdmin;     ///< IP:port for the balancer's question, metrics and the state dump
+  std::string mMetrics;   ///< IP:port for metrics and the dump besides; empty: mAdmin only
   std::string mReadyPath; ///< where the balancer asks whether this node takes connections
   std::string mPeers;     ///< IP:port (UDP) where this node hears the others
   std::string mStore;     ///< IP:port of the platform's store
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -1,5 +1,6 @@
 #include "edge_metrics.hpp"
 
+#include <limits>
 #include <map>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
@@ -58,6 +59,26 @@
   return family;
 }
 
+MetricFamily
+Histogram(const char* aName, const char* aHelp, const LatencyHistogram& aHistogram)
+{
+  MetricFamily family = Family(aName, aHelp, MetricType::Histogram);
+  ClientMetric metric;
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < aHistogram.mCounts.size(); ++i) {
+    sum += aHistogram.mCounts[i];
+    const bool last = i == LatencyHistogram::kBounds.size();
+    const double bound = last
+                           ? std::numeric_limits<double>::infinity()
+                           : std::chrono::duration<double>(LatencyHistogram::kBounds.at(i)).count();
+    metric.histogram.bucket.push_back({ sum, bound });
+  }
+  metric.histogram.sample_count = sum;
+  metric.histogram.sample_sum = std::chrono::duration<double>(aHistogram.mSum).count();
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
 } // namespace
 
 std::string
@@ -86,6 +107,9 @@
     Counter("bad_registrations_total", "Not understood", control.mBadRegistrations),
     Counter("bad_messages_total", "Of peers, not understood", control.mBadMessages),
     Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
+    Histogram(
+      "first_event_seconds", "From a request to its stream's first event", relay.mFirstEvent),
+    Histogram("whole_answer_seconds", "From a request to a whole answer", relay.mWholeAnswer),
     Counter("log_lines_left_out_total", "Not written", aFigures.mLinesLeftOut),
   };
   return prometheus::TextSerializer().Serialize(families);
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -59,6 +59,7 @@
   ~EdgeNodeImpl() override
   {
     mAdmin.reset();
+    mMetricsServer.reset();
     mControl.stop();
     mTraffic.stop();
     for (auto* it : { &mControlThread, &mTrafficThread }) {
@@ -171,7 +172,16 @@
 
   Result<void> OpenAdmin()
   {
-    const auto endpoint = ParseEndpoint(mSettings.mAdmin);
+    const auto admin = ServeAdmin(mSettings.mAdmin, &mAdmin);
+    if (!admin.has_value() || mSettings.mMetrics.empty()) {
+      return admin;
+    }
+    return ServeAdmin(mSettings.mMetrics, &mMetricsServer);
+  }
+
+  Result<void> ServeAdmin(const std::string& aAddress, std::unique_ptr<HttpServer>* aServer)
+  {
+    const auto endpoint = ParseEndpoint(aAddress);
     HttpServerOptions options;
     options.mAddress = endpoint.value().mHost;
     options.mPort = endpoint.value().mPort;
@@ -182,7 +192,7 @@
     if (!server.has_value()) {
       return server.error();
     }
-    mAdmin = std::move(server.value());
+    *aServer = std::move(server.value());
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -347,6 +357,7 @@
   std::unique_ptr<Relay> mRelay;
   std::unique_ptr<Coordinator> mCoordinator;
   std::unique_ptr<HttpServer> mAdmin;
+  std::unique_ptr<HttpServer> mMetricsServer;
   std::thread mControlThread;
   std::thread mTrafficThread;
   std::mutex mFiguresMutex;
--- a/src/pepperbay/main/edge.cpp
+++ b/src/pepperbay/main/edge.cpp
@@ -82,7 +82,12 @@
   std::signal(SIGTERM, &OnStop);
   std::signal(SIGINT, &OnStop);
   std::signal(SIGHUP, &OnReload);
-  LogEvent("started", { { "file", file }, { "data_centre", report.mSettings.mDataCentre } });
+  LogEvent("started",
+           { { "file", file },
+             { "data_centre", report.mSettings.mDataCentre },
+             { "callers", report.mSettings.mCallers },
+             { "admin", report.mSettings.mAdmin },
+             { "peers", report.mSettings.mPeers } });
   gEdge->Wait([&file] { CheckReloaded(file); });
   LogEvent("stopped");
   // Nothing is left to write back, and the libraries' threads would be waited for: a call that the
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -351,6 +351,7 @@
   }
   mLastEventAt = now;
   if (!mStreamStarted) {
+    mCore->mCounters.mFirstEvent.Observe(now - mArrived);
     mStreamStarted = true;
     mFields.erase(http::field::content_length);
     mCaller->StartStream(mStatus, mFields);
@@ -414,6 +415,7 @@
     return;
   }
   mCore->mBalancer.OnAnswer(mTarget.mEngine);
+  mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
   LogEnd("answered", "");
   CallerSide* caller = mCaller;
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -16,7 +16,6 @@
 void
 ReadEndpoint(YamlReader& aReader, const char* aKey, std::string* aValue)
 {
-  aReader.Require(aKey);
   aReader.Read(aKey, aValue);
   const auto endpoint = ParseEndpoint(*aValue);
   if (!aValue->empty() && !endpoint.has_value()) {
@@ -27,13 +26,15 @@
 void
 ReadAll(YamlReader& aReader, EdgeSettings& aSettings)
 {
-  for (const char* it : { "name", "data_centre", "ready_path" }) {
+  for (const char* it :
+       { "name", "data_centre", "ready_path", "callers", "admin", "peers", "store" }) {
     aReader.Require(it);
   }
   aReader.Read("name", &aSettings.mName);
   aReader.Read("data_centre", &aSettings.mDataCentre);
   ReadEndpoint(aReader, "callers", &aSettings.mCallers);
   ReadEndpoint(aReader, "admin", &aSettings.mAdmin);
+  ReadEndpoint(aReader, "metrics", &aSettings.mMetrics);
   ReadEndpoint(aReader, "peers", &aSettings.mPeers);
   ReadEndpoint(aReader, "store", &aSettings.mStore);
   aReader.Read("ready_path", &aSettings.mReadyPath);
--- /dev/null
+++ b/src/pepperbay/settings/edge_settings_test.cpp
@@ -0,0 +1,61 @@
+#include "pepperbay/settings/edge_settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+const char* const kGood = R"(name: n1
+data_centre: levis
+callers: 127.0.0.1:8080
+admin: 127.0.0.1:8081
+ready_path: /ready
+peers: 127.0.0.1:8082
+store: 127.0.0.1:8083
+)";
+
+TEST(EdgeSettings, ReadsAGoodFile)
+{
+  const auto report =
+    ParseEdgeSettings("e.yaml", std::string(kGood) + "revoke_within: 5000ms\nretry_slack: 134\n");
+  ASSERT_TRUE(report.mProblems.empty()) << ToString(report.mProblems.front());
+  EXPECT_EQ(report.mSettings.mStore, "127.0.0.1:8083");
+  EXPECT_EQ(report.mSettings.mRevokeWithin, std::chrono::seconds(5));
+  EXPECT_EQ(report.mSettings.mRetrySlack, 134);
+}
+
+struct BadLine
+{
+  const char* mAdded;
+  const char* mKey;
+  const char* mSays;
+};
+
+TEST(EdgeSettings, NamesWhatIsWrongAndWhere)
+{
+  const std::vector<BadLine> cases = {
+    { "colour: red\n", "colour", "allowed: " },
+    { "revoke_within: 5\n", "revoke_within", "unit" },
+    { "revoke_within: 1ms\n", "revoke_within", "1s to 10min" },
+    { "retry_share: 2\n", "retry_share", "0 to 1" },
+    { "metrics: here\n", "metrics", "IP:port" },
+  };
+  for (const auto& it : cases) {
+    const auto report = ParseEdgeSettings("e.yaml", std::string(kGood) + it.mAdded);
+    ASSERT_EQ(report.mProblems.size(), 1U) << it.mAdded;
+    EXPECT_EQ(report.mProblems[0].mKey, it.mKey);
+    EXPECT_EQ(report.mProblems[0].mLine, 8);
+    EXPECT_NE(report.mProblems[0].mText.find(it.mSays), std::string::npos)
+      << report.mProblems[0].mText;
+  }
+}
+
+TEST(EdgeSettings, NamesWhatIsMissing)
+{
+  const auto report = ParseEdgeSettings("e.yaml", "name: n1\n");
+  EXPECT_EQ(report.mProblems.size(), 6U);
+  EXPECT_FALSE(ParseEdgeSettings("e.yaml", ": [").mProblems.empty());
+}
+
+} // namespace
+} // namespace pepperbay
