Large files split by what they do; state that nothing reads dropped

Change: orders, repair and spares of the planner, peers and pools of the coordinator, ends of an exchange in files of their own; no logic.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -13,7 +13,8 @@
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp TESTS router_test.cpp route_table_test.cpp balancer_test.cpp USES base) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
-                          group_planner.cpp
+                          group_planner.cpp group_planner_orders.cpp
+                          group_planner_repair.cpp group_planner_spares.cpp
                   TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
@@ -37,11 +38,13 @@
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
-pepperbay_library(coordinator SOURCES coordinator.cpp engine_doubts.cpp peer_book.cpp plan_builder.cpp
+pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_peers.cpp coordinator_pools.cpp
+                                      engine_doubts.cpp peer_book.cpp plan_builder.cpp
                   TESTS coordinator_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
+                                exchange_ends.cpp
                                 relay.cpp session.cpp sockets.cpp
                   TESTS event_splitter_test.cpp relay_test.cpp
                   USES settings membership admission routing dispatch
--- a/include/pepperbay/lease/log_lease.hpp
+++ b/include/pepperbay/lease/log_lease.hpp
@@ -83,7 +83,6 @@
   NowFn mNow;
   LeaseKeeper mKeeper;
   proto::LeaseState mState;
-  bool mKnown = false; ///< the log was read once
   bool mMustRead = true;
   bool mBusy = false;
   bool mLost = false;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -105,8 +105,6 @@
   GroupPlanner() = default;
   explicit GroupPlanner(GroupPlannerOptions aOptions);
 
-  /// Forget what orders were given; a new tenure begins.
-  void Reset();
   /// @return the orders to give now. Report the answer of each with OnAnswer().
   std::vector<GroupOrder> Plan(const GroupView& aView);
   void OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow);
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -62,8 +62,6 @@
   std::uint64_t mAttempts = 0;   ///< requests sent to engines
   std::uint64_t mSecondAttempts = 0;
   std::uint64_t mResumes = 0;        ///< of these, streams that went on elsewhere
-  std::uint64_t mConnects = 0;       ///< connections opened to engines
-  std::uint64_t mBudgetSpent = 0;    ///< second attempts not made for want of budget
   std::uint64_t mForeignAnswers = 0; ///< of another request; dropped
   std::uint64_t mOpen = 0;           ///< requests in progress
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -0,0 +1,71 @@
+/// @file
+/// @brief The state of a coordinator; its parts are in files by what they do.
+#pragma once
+
+#include "engine_doubts.hpp"
+#include "peer_book.hpp"
+#include "pepperbay/coordinator/coordinator.hpp"
+#include "plan_builder.hpp"
+
+namespace pepperbay {
+
+struct Coordinator::Impl
+{
+  Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks);
+
+  TimePoint Now() const { return mHooks.mNow(); }
+  void Tick();
+  void OnConfiguration(const KeyedRecord& aRecord);
+  void OnEngine(const KeyedRecord& aRecord);
+  void OnEngineList(const std::vector<KeyedRecord>& aRecords);
+  void OnNode(const KeyedRecord& aRecord);
+  void PutOwnRecord();
+  void OnBeat(const std::string& aBytes);
+  void SendBeat();
+  void TakePrompts(const proto::NodeBeat& aBeat);
+  void TellPrompts(const std::vector<SentPrompt>& aPrompts);
+  void OnSuspect(const std::string& aHead, Duration aSilence);
+  void AskMembers(const std::string& aHead);
+  void OnEngineChange(const EngineRecord& aEngine, bool aLost);
+  void PlanPools();
+  void AskAsPlanned(const GroupPlanner& aPlanner);
+  void Publish();
+  bool MayOrder() const;
+  int InFlightEverywhere(const std::string& aEngine) const;
+  std::unordered_map<std::string, int> OthersInFlight() const;
+  KeyedFollowerEvents Events(const char* aName,
+                             std::function<void(const std::vector<KeyedRecord>&)> aOnList,
+                             std::function<void(const KeyedRecord&)> aOnRecord);
+  std::string Dump() const;
+
+  CoordinatorOptions mOptions;
+  CoordinatorHooks mHooks;
+  CoordinatorCounters mCounters;
+  KeyedFollower mConfigFollower;
+  KeyedFollower mEngineFollower;
+  KeyedFollower mNodeFollower;
+  LogLease mLease;
+  EngineDirectory mDirectory;
+  EngineDoubts mDoubts;
+  PeerBook mPeers;
+  std::shared_ptr<const RouteTable> mRoutes;
+  std::map<std::string, GroupPlanner> mPlanners; ///< by service
+  std::map<std::string, proto::ReplicaNews> mNews;
+  TimePoint mNewsAt{};
+  std::unordered_map<std::string, int> mInFlight;
+  std::map<std::string, TimePoint> mSuspects;               ///< heads that this node finds silent
+  std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
+  std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
+  std::uint64_t mPlannedFence = 0;
+  std::uint64_t mPublishedRevision = 0;
+  bool mChanged = true;
+  bool mTraffic = false;
+  bool mStopping = false;
+  bool mRecordWritten = false;
+  bool mRecordOnItsWay = false;
+  TimePoint mBeatDue{};
+  TimePoint mPublishDue{};
+  TimePoint mEngineReadDue{};
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -0,0 +1,201 @@
+#include "coordinator_impl.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+
+void
+Coordinator::Impl::OnNode(const KeyedRecord& aRecord)
+{
+  proto::NodeRecord record;
+  if (!aRecord.mValue) {
+    mPeers.OnGone(aRecord.mKey);
+  } else if (record.ParseFromString(*aRecord.mValue)) {
+    mPeers.OnRecord(record, Now());
+  } else {
+    ++mCounters.mBadMessages;
+  }
+}
+
+void
+Coordinator::Impl::PutOwnRecord()
+{
+  if (mRecordWritten || mRecordOnItsWay) {
+    return;
+  }
+  mRecordOnItsWay = true;
+  proto::NodeRecord record;
+  record.set_node(mOptions.mNode);
+  record.set_incarnation(mOptions.mIncarnation);
+  record.set_address(mOptions.mAddress);
+  mHooks.mPutNode(mOptions.mNode, record.SerializeAsString(), [this](const Result<void>& aResult) {
+    mRecordOnItsWay = false;
+    mRecordWritten = aResult.has_value();
+  });
+}
+
+int
+Coordinator::Impl::InFlightEverywhere(const std::string& aEngine) const
+{
+  const auto own = mInFlight.find(aEngine);
+  int n = own == mInFlight.end() ? 0 : own->second;
+  const std::uint32_t id = ShortId(aEngine);
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    if (!mPeers.Alive(peer, Now())) {
+      continue;
+    }
+    for (const auto& it : peer.mBeat.loads()) {
+      n += it.engine() == id ? static_cast<int>(it.in_flight()) : 0;
+    }
+  }
+  return n;
+}
+
+std::unordered_map<std::string, int>
+Coordinator::Impl::OthersInFlight() const
+{
+  std::unordered_map<std::uint32_t, int> counts;
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    if (!mPeers.Alive(peer, Now())) {
+      continue;
+    }
+    for (const auto& it : peer.mBeat.loads()) {
+      counts[it.engine()] += static_cast<int>(it.in_flight());
+    }
+  }
+  std::unordered_map<std::string, int> inFlight;
+  for (const auto& [id, engine] : mDirectory.Engines()) {
+    const auto it = counts.find(ShortId(id));
+    if (it != counts.end()) {
+      inFlight[id] = it->second;
+    }
+  }
+  return inFlight;
+}
+
+void
+Coordinator::Impl::OnBeat(const std::string& aBytes)
+{
+  proto::NodeBeat beat;
+  if (!beat.ParseFromString(aBytes)) {
+    ++mCounters.mBadMessages;
+    return;
+  }
+  const TimePoint now = Now();
+  if (beat.prompts_only()) {
+    if (mPeers.IsCurrent(beat)) {
+      TakePrompts(beat);
+    }
+    return;
+  }
+  if (!mPeers.OnBeat(beat, now)) {
+    return;
+  }
+  ++mCounters.mBeats;
+  mTraffic = mTraffic || beat.traffic();
+  const std::uint64_t before = mLease.Newest().last();
+  mLease.OnHint(beat.lease());
+  const bool fromHolder = beat.lease().holder() == beat.node() &&
+                          beat.lease().incarnation() == beat.incarnation() &&
+                          beat.lease().last() >= before && !MayOrder();
+  if (fromHolder && beat.replicas_size() > 0) {
+    mNews.clear();
+    for (const auto& it : beat.replicas()) {
+      mNews[it.group()] = it;
+    }
+    mNewsAt = now;
+    mChanged = true;
+  }
+  if (!MayOrder()) {
+    return;
+  }
+  for (const auto& suspect : beat.suspects()) {
+    for (const auto& [id, engine] : mDirectory.Engines()) {
+      if (ShortId(id) == suspect.engine()) {
+        AskMembers(id);
+        break;
+      }
+    }
+  }
+}
+
+void
+Coordinator::Impl::TakePrompts(const proto::NodeBeat& aBeat)
+{
+  if (mShortIdsOf != mDirectory.Revision()) {
+    mShortIdsOf = mDirectory.Revision();
+    mShortIds.clear();
+    for (const auto& [id, engine] : mDirectory.Engines()) {
+      mShortIds[ShortId(id)] = id;
+    }
+  }
+  std::vector<SentPrompt> prompts;
+  for (const auto& it : aBeat.prompts()) {
+    const auto id = mShortIds.find(it.engine());
+    if (id != mShortIds.end()) {
+      prompts.push_back({ id->second, std::chrono::microseconds(it.work_us()) });
+    }
+  }
+  if (!prompts.empty() && mHooks.mOnPrompts) {
+    mHooks.mOnPrompts(std::move(prompts));
+  }
+}
+
+void
+Coordinator::Impl::TellPrompts(const std::vector<SentPrompt>& aPrompts)
+{
+  proto::NodeBeat beat;
+  beat.set_node(mOptions.mNode);
+  beat.set_incarnation(mOptions.mIncarnation);
+  beat.set_prompts_only(true);
+  for (const auto& it : aPrompts) {
+    auto* prompt = beat.add_prompts();
+    prompt->set_engine(ShortId(it.mHead));
+    prompt->set_work_us(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(it.mWork).count()));
+  }
+  const std::string bytes = beat.SerializeAsString();
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    if (mPeers.Alive(peer, Now())) {
+      mHooks.mSend(peer.mAddress, bytes);
+    }
+  }
+}
+
+void
+Coordinator::Impl::SendBeat()
+{
+  const TimePoint now = Now();
+  mBeatDue = now + mOptions.mBeat;
+  proto::NodeBeat beat;
+  beat.set_node(mOptions.mNode);
+  beat.set_incarnation(mOptions.mIncarnation);
+  *beat.mutable_lease() = mLease.Newest();
+  for (const auto& [id, n] : mInFlight) {
+    auto* load = beat.add_loads();
+    load->set_engine(ShortId(id));
+    load->set_in_flight(static_cast<std::uint32_t>(n));
+  }
+  for (auto it = mSuspects.begin(); it != mSuspects.end();) {
+    if (now - it->second > mOptions.mBeat) {
+      it = mSuspects.erase(it);
+      continue;
+    }
+    beat.add_suspects()->set_engine(ShortId(it->first));
+    ++it;
+  }
+  if (MayOrder()) {
+    for (const auto& [name, news] : mNews) {
+      *beat.add_replicas() = news;
+    }
+  }
+  beat.set_config_version(mRoutes ? mRoutes->Version() : 0);
+  beat.set_traffic(mTraffic);
+  beat.set_stopping(mStopping);
+  const std::string bytes = beat.SerializeAsString();
+  for (const auto& it : mPeers.Addresses(now)) {
+    mHooks.mSend(it, bytes);
+  }
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -0,0 +1,158 @@
+#include "coordinator_impl.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+
+bool
+Coordinator::Impl::MayOrder() const
+{
+  if (mStopping || !mRoutes) {
+    return false;
+  }
+  // While nobody can reach the log nobody can take the lease over either, and engines refuse the
+  // orders of whoever has been overtaken; repairs must not wait for the store.
+  return mLease.Held() || (mLease.LastIsMine() && mLease.LogLost());
+}
+
+void
+Coordinator::Impl::PlanPools()
+{
+  if (!MayOrder()) {
+    return;
+  }
+  if (mPlannedFence != mLease.Fence()) {
+    mPlannedFence = mLease.Fence();
+    mPlanners.clear();
+    mHooks.mLog("lease_taken", { { "fence", std::to_string(mPlannedFence) } });
+  }
+  for (const auto& service : mRoutes->Services()) {
+    if (!service.mPool) {
+      continue;
+    }
+    GroupPlanner& planner =
+      mPlanners.emplace(service.mName, GroupPlanner(mOptions.mPlanner)).first->second;
+    GroupView view;
+    view.mEngines = &mDirectory.Engines();
+    view.mService = service.mName;
+    view.mPool = &*service.mPool;
+    view.mNow = Now();
+    view.mFence = mLease.Fence();
+    view.mTraffic = mTraffic;
+    view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
+    view.mInFlight = [this](const std::string& aHead) { return InFlightEverywhere(aHead); };
+    const auto orders = planner.Plan(view);
+    AskAsPlanned(planner);
+    for (const auto& order : orders) {
+      mHooks.mOrder(
+        order, mOptions.mOrderTimeout, [this, order, name = service.mName](OrderAnswer aAnswer) {
+          ++mCounters.mOrders[std::string(ToString(order.mKind)) + "_" + ToString(aAnswer)];
+          mHooks.mLog("order",
+                      { { "kind", ToString(order.mKind) },
+                        { "engine", order.mEngine },
+                        { "group", order.mGroup },
+                        { "epoch", std::to_string(order.mEpoch) },
+                        { "model", order.mModel },
+                        { "fence", std::to_string(order.mFence) },
+                        { "answer", ToString(aAnswer) } });
+          if (aAnswer == OrderAnswer::kStale) {
+            mLease.Doubt();
+          }
+          const auto it = mPlanners.find(name);
+          if (it != mPlanners.end() && order.mFence == mPlannedFence) {
+            it->second.OnAnswer(order, aAnswer, Now());
+          }
+        });
+    }
+    for (auto& news : NewsOf(planner.Replicas(), Now(), service.mPool->mFormTime)) {
+      proto::ReplicaNews& known = mNews[news.group()];
+      const bool same =
+        known.epoch() == news.epoch() && known.open() == news.open() && known.lost() == news.lost();
+      if (!same) {
+        mHooks.mLog("replica",
+                    { { "group", news.group() },
+                      { "epoch", std::to_string(news.epoch()) },
+                      { "model", news.model() },
+                      { "open", news.open() ? "true" : "false" },
+                      { "lost", news.lost() ? "true" : "false" },
+                      { "why", planner.Replicas().at(news.group()).mWhy } });
+        known = std::move(news);
+        mChanged = true;
+        mBeatDue = Now(); // peers must hear of it at once
+      }
+    }
+    for (auto it = mNews.begin(); it != mNews.end();) {
+      it = planner.Replicas().count(it->first) == 0 ? mNews.erase(it) : std::next(it);
+    }
+  }
+  mNewsAt = Now();
+}
+
+void
+Coordinator::Impl::AskAsPlanned(const GroupPlanner& aPlanner)
+{
+  for (const auto& [id, engine] : aPlanner.Wanted()) {
+    mDoubts.AskOnce(engine);
+  }
+  for (const auto& id : aPlanner.Unanswering()) {
+    const EngineRecord* engine = mDirectory.Find(id);
+    if (engine != nullptr && !mDoubts.IsLost(id)) {
+      mDoubts.AskOnce(*engine);
+    }
+  }
+}
+
+void
+Coordinator::Impl::OnSuspect(const std::string& aHead, Duration aSilence)
+{
+  mSuspects[aHead] = Now();
+  mHooks.mLog("suspect",
+              { { "head", aHead }, { "silent_ms", std::to_string(ToMs(aSilence).count()) } });
+  if (MayOrder()) {
+    AskMembers(aHead);
+  } else {
+    mBeatDue = Now(); // the holder must hear of it at once
+  }
+}
+
+void
+Coordinator::Impl::AskMembers(const std::string& aHead)
+{
+  for (const auto& [name, planner] : mPlanners) {
+    for (const auto& [group, replica] : planner.Replicas()) {
+      if (replica.mMembers.front() != aHead || replica.mPhase != ReplicaPhase::kOpen) {
+        continue;
+      }
+      for (const auto& it : replica.mMembers) {
+        if (const EngineRecord* engine = mDirectory.Find(it)) {
+          mDoubts.Ask(*engine);
+        }
+      }
+    }
+  }
+}
+
+void
+Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, bool aLost)
+{
+  mChanged = true;
+  mHooks.mLog(aLost ? "engine_lost" : "engine_back",
+              { { "engine", aEngine.mId }, { "domain", aEngine.mDomain } });
+  const auto planner = mPlanners.find(aEngine.mService);
+  if (!aLost) {
+    if (planner != mPlanners.end()) {
+      planner->second.Forgive(aEngine.mId);
+    }
+    return;
+  }
+  ++mCounters.mLostEngines;
+  // Domains go dark whole: the next repair must not choose a spare that is gone as well.
+  for (const auto& [id, engine] : mDirectory.Engines()) {
+    const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aEngine.mDomain;
+    if (neighbour && id != aEngine.mId && !mDoubts.IsLost(id)) {
+      mDoubts.Ask(engine);
+    }
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/lease/log_lease.cpp
+++ b/src/pepperbay/lease/log_lease.cpp
@@ -44,7 +44,6 @@
     return;
   }
   mState = aState;
-  mKnown = true;
   mMustRead = false;
   mKeeper.OnFolded(&mState, mNow());
 }
@@ -98,7 +97,6 @@
   if (offset > mState.last()) {
     mState.set_last(offset); // a foreign record at the end still moves the end
   }
-  mKnown = true;
   mKeeper.OnClaimDone();
   mKeeper.OnFolded(&mState, mNow());
 }
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -0,0 +1,222 @@
+#include "group_planner_constants.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+
+void
+GroupPlanner::Drive(PlannedReplica& aReplica)
+{
+  if (aReplica.mPhase != ReplicaPhase::kForming && aReplica.mPhase != ReplicaPhase::kOpening) {
+    return;
+  }
+  NoteReadiness(aReplica);
+  GroupOrder order;
+  order.mFence = mView->mFence;
+  order.mGroup = aReplica.mName;
+  order.mEpoch = aReplica.mEpoch;
+  if (aReplica.mReady.size() < aReplica.mMembers.size()) {
+    order.mKind = GroupOrderKind::kJoin;
+    order.mModel = aReplica.mModel;
+    order.mMembers = aReplica.mMembers;
+    for (const auto& it : aReplica.mMembers) {
+      if (aReplica.mReady.count(it) == 0) {
+        order.mEngine = it;
+        Give(order);
+      }
+    }
+    return;
+  }
+  aReplica.mPhase = ReplicaPhase::kOpening;
+  order.mKind = GroupOrderKind::kOpen;
+  order.mEngine = aReplica.mMembers.front();
+  Give(order);
+}
+
+void
+GroupPlanner::NoteReadiness(PlannedReplica& aReplica)
+{
+  for (const auto& it : aReplica.mMembers) {
+    const EngineRecord* engine = Find(it);
+    const GroupPlace& place = engine->mGroup;
+    if (place.mName == aReplica.mName && place.mEpoch == aReplica.mEpoch &&
+        (place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen)) {
+      aReplica.mReady.insert(it);
+    }
+  }
+}
+
+bool
+GroupPlanner::Give(GroupOrder aOrder)
+{
+  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
+  if (pending.mWaiting || mView->mNow < pending.mDue) {
+    return false;
+  }
+  const EngineRecord* engine = Find(aOrder.mEngine);
+  if (engine == nullptr) {
+    return false;
+  }
+  if (aOrder.mKind == GroupOrderKind::kJoin && !Guard(aOrder)) {
+    return false;
+  }
+  pending.mWaiting = true;
+  pending.mLoads =
+    aOrder.mKind == GroupOrderKind::kJoin && JoinTime(*engine, aOrder.mModel) > kRejoinTime;
+  aOrder.mAddress = engine->mAddress;
+  mOrders.push_back(std::move(aOrder));
+  return true;
+}
+
+bool
+GroupPlanner::Guard(GroupOrder& aOrder)
+{
+  // Two holders can be at work for a moment, one of them with orders still on their way, and
+  // registrations are a little old. Decided on such a view, a join could take an engine out of a
+  // replica that has just opened. The engine itself refuses it when it has accepted any order that
+  // this holder does not know of. A repeat of a join that was answered needs no guard: it changes
+  // nothing.
+  std::uint64_t& given = mJoinsGiven[aOrder.mEngine];
+  if (given == aOrder.mEpoch) {
+    return true;
+  }
+  if (IsElsewhere(*Find(aOrder.mEngine), aOrder.mGroup)) {
+    const auto replica = mReplicas.find(aOrder.mGroup);
+    if (replica != mReplicas.end()) {
+      replica->second.mPhase = ReplicaPhase::kBroken;
+      replica->second.mSince = mView->mNow;
+      replica->second.mNotBefore = mView->mNow + mOptions.mStalePause;
+      replica->second.mWhy = aOrder.mEngine + " is in another replica";
+    }
+    return false;
+  }
+  const auto accepted = mAccepted.find(aOrder.mEngine);
+  if (accepted == mAccepted.end()) {
+    mWanted[aOrder.mEngine] = *Find(aOrder.mEngine);
+    return false;
+  }
+  aOrder.mAccepted = accepted->second;
+  given = aOrder.mEpoch;
+  return true;
+}
+
+void
+GroupPlanner::OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow)
+{
+  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
+  pending.mWaiting = false;
+  NoteAccepted(aOrder, aAnswer);
+  if (aAnswer == OrderAnswer::kNone) {
+    pending.mDue = aNow; // at once again: the effect may be there or not
+    if (aOrder.mKind == GroupOrderKind::kJoin && !IsSpareGroup(aOrder.mGroup)) {
+      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aNow + mOptions.mLateOrder };
+    }
+    if (++pending.mUnanswered >= mOptions.mMostUnanswered) {
+      mUnanswering.insert(aOrder.mEngine);
+      pending.mUnanswered = 0;
+    }
+    return;
+  }
+  pending.mUnanswered = 0;
+  pending.mDue = aNow + RepeatAfter(aOrder, aAnswer, pending.mLoads);
+  const auto replica = mReplicas.find(aOrder.mGroup);
+  const bool current = replica != mReplicas.end() && replica->second.mEpoch == aOrder.mEpoch;
+  if (aAnswer == OrderAnswer::kOtherEngine) {
+    mUnanswering.insert(aOrder.mEngine);
+    return;
+  }
+  if (aAnswer == OrderAnswer::kStale && current) {
+    // Something newer was ordered there; form anew under a later epoch.
+    replica->second.mPhase = ReplicaPhase::kBroken;
+    replica->second.mSince = aNow;
+    replica->second.mNotBefore = aNow + mOptions.mStalePause;
+    replica->second.mWhy = "an order was refused as stale by " + aOrder.mEngine;
+    return;
+  }
+  if (aOrder.mKind == GroupOrderKind::kLeave) {
+    mReported.erase(aOrder.mEngine);
+    mLeftAt[aOrder.mEngine] = aNow;
+    return;
+  }
+  if (aOrder.mKind == GroupOrderKind::kJoin) {
+    const bool holds = aAnswer == OrderAnswer::kHolds;
+    if (aAnswer == OrderAnswer::kBegun || holds) {
+      mLostJoins.erase(aOrder.mEngine);
+      // Its registration will say so a little later; until then it must not count as free.
+      mReported[aOrder.mEngine] = { { aOrder.mGroup, aOrder.mEpoch, 0, GroupPhase::kJoining },
+                                    aNow };
+      mLeftAt.erase(aOrder.mEngine);
+    }
+    if (holds) {
+      mLastModel[aOrder.mEngine] = aOrder.mModel;
+    }
+    if (holds && current) {
+      replica->second.mReady.insert(aOrder.mEngine);
+    }
+    const auto spare = mSpares.find(aOrder.mEngine);
+    if (holds && spare != mSpares.end() && spare->second.mEpoch == aOrder.mEpoch) {
+      spare->second.mReady = true;
+    }
+    return;
+  }
+  const bool accepted = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
+  if (aOrder.mKind == GroupOrderKind::kOpen && current && accepted &&
+      replica->second.mPhase == ReplicaPhase::kOpening) {
+    replica->second.mPhase = ReplicaPhase::kOpen;
+    replica->second.mSince = aNow;
+    replica->second.mWhy.clear();
+  }
+}
+
+void
+GroupPlanner::NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer)
+{
+  const auto known = mAccepted.find(aOrder.mEngine);
+  const bool refused = aAnswer == OrderAnswer::kNotNow && aOrder.mKind == GroupOrderKind::kJoin;
+  if (aAnswer == OrderAnswer::kBegun && known != mAccepted.end()) {
+    ++known->second;
+  } else if (aAnswer == OrderAnswer::kNone || refused) {
+    mAccepted.erase(aOrder.mEngine); // unknown until it is asked
+  }
+  if (aAnswer == OrderAnswer::kNone || refused) {
+    mJoinsGiven.erase(aOrder.mEngine);
+  }
+}
+
+Duration
+GroupPlanner::RepeatAfter(const GroupOrder& aOrder, OrderAnswer aAnswer, bool aLoads) const
+{
+  if (aOrder.mKind == GroupOrderKind::kOpen) {
+    return mOptions.mRepeatOpen;
+  }
+  if (aOrder.mKind == GroupOrderKind::kJoin && aAnswer == OrderAnswer::kBegun) {
+    return aLoads ? mOptions.mAskLoaded : mOptions.mAskJoined;
+  }
+  return mOptions.mRepeat;
+}
+
+void
+GroupPlanner::OnReport(const std::string& aEngine, const EngineReport& aReport, TimePoint aNow)
+{
+  mAccepted[aEngine] = aReport.mAccepted;
+  mAnsweredAt[aEngine] = aNow;
+  const auto left = mLeftAt.find(aEngine);
+  if (left == mLeftAt.end() || aNow - left->second >= mOptions.mReportLife) {
+    mReported[aEngine] = { aReport.mGroup, aNow };
+  }
+  const GroupPlace& place = aReport.mGroup;
+  const auto it = mReplicas.find(place.mName);
+  const bool ready = place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen;
+  if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready) {
+    it->second.mReady.insert(aEngine);
+  }
+}
+
+void
+GroupPlanner::Forgive(const std::string& aEngine)
+{
+  mUnanswering.erase(aEngine);
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -0,0 +1,202 @@
+#include "group_planner_constants.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pepperbay {
+
+void
+GroupPlanner::RepairBroken()
+{
+  std::vector<std::string> done;
+  for (auto& [name, replica] : mReplicas) {
+    if (replica.mPhase != ReplicaPhase::kBroken || mView->mNow < replica.mNotBefore) {
+      continue;
+    }
+    const bool anyListed =
+      std::any_of(replica.mMembers.begin(), replica.mMembers.end(), [this](const std::string& it) {
+        return Find(it) != nullptr;
+      });
+    // Members that wait for a spare that does not come are worth more in another replica.
+    const bool hopeless = mView->mNow - replica.mSince >= mOptions.mGiveUpAfter;
+    if (!anyListed || (!Repair(replica) && hopeless && AnyUsable(replica))) {
+      done.push_back(name);
+    }
+  }
+  for (const auto& it : done) {
+    mReplicas.erase(it);
+  }
+}
+
+bool
+GroupPlanner::AnyUsable(const PlannedReplica& aReplica) const
+{
+  return std::any_of(aReplica.mMembers.begin(),
+                     aReplica.mMembers.end(),
+                     [this](const std::string& aMember) { return Usable(aMember); });
+}
+
+bool
+GroupPlanner::Repair(PlannedReplica& aReplica)
+{
+  const ModelSpec* model = mView->mPool->FindModel(aReplica.mModel);
+  if (model == nullptr) {
+    return false;
+  }
+  std::vector<std::string> members;
+  for (const auto& it : aReplica.mMembers) {
+    const bool here =
+      Usable(it) && !InOtherReplica(it, aReplica.mName) && !IsElsewhere(*Find(it), aReplica.mName);
+    if (here && members.size() < model->mSize) {
+      members.push_back(it);
+    }
+  }
+  if (members.empty()) {
+    return false; // nothing to keep together; its engines are free once they are back
+  }
+  const auto free = FreeEngines(aReplica.mDomain, aReplica.mModel, aReplica.mName);
+  for (const auto* it : free) {
+    if (members.size() < model->mSize) {
+      members.push_back(it->mId);
+    }
+  }
+  const auto head =
+    std::find_if(members.begin(), members.end(), [this](const std::string& aMember) {
+      return FindListed(aMember) != nullptr;
+    });
+  if (members.size() < model->mSize || head == members.end()) {
+    aReplica.mWhy = "no spare in domain " + aReplica.mDomain;
+    return false;
+  }
+  std::iter_swap(members.begin(), head);
+  Begin(aReplica, std::move(members));
+  return true;
+}
+
+void
+GroupPlanner::Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers)
+{
+  for (const auto& it : aMembers) {
+    mSpares.erase(it);
+    mPending.erase(it + " join");
+  }
+  aReplica.mMembers = std::move(aMembers);
+  aReplica.mEpoch = NextEpoch();
+  aReplica.mPhase = ReplicaPhase::kForming;
+  aReplica.mReady.clear();
+  aReplica.mSince = mView->mNow;
+  aReplica.mLeavingSince.reset();
+  mPending.erase(aReplica.mMembers.front() + " open");
+}
+
+void
+GroupPlanner::FormNew()
+{
+  if (mView->mNow - mLastNew < mOptions.mSettle) {
+    return;
+  }
+  struct Domain
+  {
+    std::size_t mAll = 0;
+    std::size_t mFree = 0;
+  };
+  std::map<std::string, Domain> domains;
+  std::size_t all = 0;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (!Usable(engine) || engine.mDomain.empty()) {
+      continue;
+    }
+    ++all;
+    ++domains[engine.mDomain].mAll;
+    domains[engine.mDomain].mFree += IsFree(engine) && !InDoubt(id, "") ? 1 : 0;
+  }
+  std::map<std::string, std::size_t> have;
+  for (const auto& [name, replica] : mReplicas) {
+    have[replica.mModel] += replica.mPhase != ReplicaPhase::kBroken || AnyUsable(replica) ? 1 : 0;
+  }
+  for (auto& [name, domain] : domains) {
+    const auto reserve =
+      static_cast<std::size_t>(std::ceil(static_cast<double>(domain.mAll) * mOptions.mSpareShare));
+    for (;;) {
+      // The model that is furthest below its share of the engines, of those that fit.
+      const ModelSpec* best = nullptr;
+      double bestRatio = 0;
+      for (const auto& it : mView->mPool->mModels) {
+        const double due = it.mShare * static_cast<double>(all) / static_cast<double>(it.mSize);
+        const double ratio = static_cast<double>(have[it.mName]) / std::max(due, 1e-9);
+        if (domain.mFree >= it.mSize + reserve && (best == nullptr || ratio < bestRatio)) {
+          best = &it;
+          bestRatio = ratio;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      PlannedReplica replica;
+      replica.mName = "r" + std::to_string(mView->mFence) + "-" + std::to_string(++mNames);
+      replica.mModel = best->mName;
+      replica.mDomain = name;
+      std::vector<std::string> members;
+      for (const auto* it : FreeEngines(name, best->mName, replica.mName)) {
+        if (members.size() < best->mSize) {
+          members.push_back(it->mId);
+        }
+      }
+      Begin(replica, std::move(members));
+      domain.mFree -= best->mSize;
+      ++have[best->mName];
+      mReplicas[replica.mName] = std::move(replica);
+    }
+  }
+}
+
+std::vector<const EngineRecord*>
+GroupPlanner::FreeEngines(const std::string& aDomain,
+                          const std::string& aModel,
+                          const std::string& aGroup) const
+{
+  std::vector<std::pair<Duration, const EngineRecord*>> ranked;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    const bool free = IsFree(engine) || (!InReplica(id) && !IsElsewhere(engine, aGroup));
+    if (engine.mDomain == aDomain && Usable(engine) && free && !InDoubt(id, aGroup)) {
+      ranked.emplace_back(JoinTime(engine, aModel), &engine);
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  std::vector<const EngineRecord*> free;
+  free.reserve(ranked.size());
+  for (const auto& it : ranked) {
+    free.push_back(it.second);
+  }
+  return free;
+}
+
+Duration
+GroupPlanner::JoinTime(const EngineRecord& aEngine, const std::string& aModel) const
+{
+  const ModelSpec* model = mView->mPool->FindModel(aModel);
+  if (model == nullptr) {
+    return Duration::max();
+  }
+  const auto last = mLastModel.find(aEngine.mId);
+  const auto spare = mSpares.find(aEngine.mId);
+  if (last != mLastModel.end() && last->second == aModel &&
+      (spare == mSpares.end() || spare->second.mReady)) {
+    return kRejoinTime;
+  }
+  if (aEngine.HasStaged(aModel)) {
+    return model->mWarmupTime;
+  }
+  const auto staging = mStaging.find(aEngine.mId);
+  if (staging != mStaging.end() && staging->second.mModel == aModel) {
+    return std::max<Duration>(model->mLoadTime - (mView->mNow - staging->second.mSince),
+                              model->mWarmupTime);
+  }
+  return model->mLoadTime;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -0,0 +1,172 @@
+#include "group_planner_constants.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+
+void
+GroupPlanner::CareForSpares()
+{
+  std::map<std::string, std::map<std::string, int>> standby; // domain and model to spares
+  std::vector<const EngineRecord*> idle;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (!Usable(engine) || engine.mDomain.empty() || InReplica(id)) {
+      continue;
+    }
+    if (!IsFree(engine)) {
+      Dismiss(engine);
+      continue;
+    }
+    const auto spare = mSpares.find(id);
+    if (spare != mSpares.end()) {
+      ++standby[engine.mDomain][spare->second.mModel];
+      continue;
+    }
+    const auto staging = mStaging.find(id);
+    if (staging != mStaging.end()) {
+      ++standby[engine.mDomain][staging->second.mModel];
+    } else {
+      idle.push_back(&engine);
+    }
+  }
+  if (mView->mNow - mLastNew < mOptions.mSettle && !mView->mTraffic) {
+    return;
+  }
+  for (const auto* it : idle) {
+    const std::string model = SpareModelFor(*it, standby[it->mDomain]);
+    if (model.empty()) {
+      continue;
+    }
+    ++standby[it->mDomain][model];
+    if (!it->HasStaged(model)) {
+      if (!MayLoad()) {
+        continue;
+      }
+      GroupOrder order;
+      order.mKind = GroupOrderKind::kStage;
+      order.mFence = mView->mFence;
+      order.mEngine = it->mId;
+      order.mModel = model;
+      if (Give(order)) {
+        mStaging[it->mId] = { model, mView->mNow };
+      }
+      continue;
+    }
+    mSpares[it->mId] = { model, NextEpoch(), false };
+  }
+  for (auto it = mStaging.begin(); it != mStaging.end();) {
+    const EngineRecord* engine = Find(it->first);
+    const bool staged = engine == nullptr || engine->HasStaged(it->second.mModel);
+    it = staged ? mStaging.erase(it) : std::next(it);
+  }
+  for (auto it = mSpares.begin(); it != mSpares.end();) {
+    if (Find(it->first) == nullptr) {
+      it = mSpares.erase(it);
+      continue;
+    }
+    Spare& spare = it->second;
+    if (spare.mReady && IsFree(*Find(it->first)) && Usable(it->first)) {
+      StageOther(*Find(it->first), spare.mModel);
+    }
+    if (!spare.mReady && Usable(it->first) && IsFree(*Find(it->first)) && !InDoubt(it->first, "")) {
+      GroupOrder order;
+      order.mKind = GroupOrderKind::kJoin;
+      order.mFence = mView->mFence;
+      order.mEngine = it->first;
+      order.mGroup = kSparePrefix + it->first;
+      order.mEpoch = spare.mEpoch;
+      order.mModel = spare.mModel;
+      order.mMembers = { it->first };
+      Give(order);
+    }
+    ++it;
+  }
+}
+
+void
+GroupPlanner::StageOther(const EngineRecord& aEngine, const std::string& aModel)
+{
+  // A spare joins the model of its last group in 200 ms whatever its host holds. So the weights on
+  // the host can be those of another model, and one spare stands in for two.
+  for (const auto& it : mView->mPool->mModels) {
+    if (it.mName == aModel || aEngine.HasStaged(it.mName) || mStaging.count(aEngine.mId) != 0) {
+      continue;
+    }
+    if (!MayLoad()) {
+      return;
+    }
+    GroupOrder order;
+    order.mKind = GroupOrderKind::kStage;
+    order.mFence = mView->mFence;
+    order.mEngine = aEngine.mId;
+    order.mModel = it.mName;
+    if (Give(order)) {
+      mStaging[aEngine.mId] = { it.mName, mView->mNow };
+    }
+    return;
+  }
+}
+
+void
+GroupPlanner::Dismiss(const EngineRecord& aEngine)
+{
+  // It was replaced while nobody could reach it, and by its own word it still belongs to a replica
+  // that may serve. To order it elsewhere now would have it in two at once.
+  mSpares.erase(aEngine.mId);
+  GroupOrder order;
+  order.mKind = GroupOrderKind::kLeave;
+  order.mFence = mView->mFence;
+  order.mEngine = aEngine.mId;
+  order.mGroup = PlaceOf(aEngine).mName;
+  order.mEpoch = PlaceOf(aEngine).mEpoch;
+  Give(order);
+}
+
+std::string
+GroupPlanner::SpareModelFor(const EngineRecord& aEngine,
+                            const std::map<std::string, int>& aStandby) const
+{
+  // A spare is worth most for the model whose members in its domain are most likely to be lost,
+  // which is the one with the most members for each spare that it has.
+  std::map<std::string, std::size_t> members;
+  for (const auto& [name, replica] : mReplicas) {
+    if (replica.mDomain == aEngine.mDomain) {
+      members[replica.mModel] += replica.mMembers.size();
+    }
+  }
+  std::string best;
+  double bestWorth = 0;
+  std::size_t bestSize = 0; // of equals the smaller model's: no model goes without a spare
+  for (const auto& it : mView->mPool->mModels) {
+    const auto n = members.find(it.mName);
+    const auto have = aStandby.find(it.mName);
+    constexpr double kStagedWorth = 1.5; // a load saved outweighs a little evenness
+    double worth = n == members.end() ? it.mShare : static_cast<double>(n->second);
+    worth /= 1.0 + (have == aStandby.end() ? 0 : have->second);
+    worth *= aEngine.HasStaged(it.mName) ? kStagedWorth : 1.0;
+    if (worth > bestWorth || (worth == bestWorth && it.mSize < bestSize)) {
+      best = it.mName;
+      bestWorth = worth;
+      bestSize = it.mSize;
+    }
+  }
+  return best;
+}
+
+bool
+GroupPlanner::MayLoad()
+{
+  const TimePoint now = mView->mNow;
+  mLoads.erase(std::remove_if(mLoads.begin(),
+                              mLoads.end(),
+                              [now](TimePoint aBegun) { return now - aBegun >= kLoadWindow; }),
+               mLoads.end());
+  if (mView->mTraffic && static_cast<double>(mLoads.size()) + 1 > mView->mPool->mLoadsPerSecond) {
+    return false;
+  }
+  mLoads.push_back(now);
+  return true;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/exchange_constants.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// @brief Statuses that the relay answers with itself.
+#pragma once
+
+namespace pepperbay {
+
+constexpr int kServerFailure = 500; ///< and above: the server's own failures
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -0,0 +1,284 @@
+#include "exchange.hpp"
+#include "exchange_constants.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace pepperbay {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Connections that did not stand, after which a request is refused: they cost no engine anything,
+/// but each takes time from the caller.
+constexpr int kMostConnectFailures = 3;
+
+std::string
+Seconds(Duration aDuration)
+{
+  std::ostringstream text;
+  text << std::chrono::duration<double>(aDuration).count();
+  return text.str();
+}
+
+std::string
+Millis(Duration aDuration)
+{
+  return std::to_string(ToMs(aDuration).count());
+}
+
+} // namespace
+
+void
+Exchange::Tick()
+{
+  if (mPhase == Phase::kOver || !mAttempt) {
+    return;
+  }
+  const TimePoint now = mCore->Now();
+  if (now >= mDeadlineAt) {
+    const bool mayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
+    DropAttempt();
+    if (mStreamStarted) {
+      ++mCore->mCounters.mCut;
+      ++mCore->mCounters.mReasons["deadline"];
+      LogEnd("cut", "deadline");
+      CallerSide* caller = mCaller;
+      Over();
+      caller->Break();
+    } else if (mayHaveRun) {
+      Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
+    } else {
+      Refuse("deadline");
+    }
+    return;
+  }
+  if (!mAttempt->Connected()) {
+    if (now - mSentAt > mCore->mOptions.mConnectTimeout) {
+      OnFailure("connect: no answer", false);
+    }
+    return;
+  }
+  if (mRoute->mKind == RequestKind::kSafe) {
+    const Duration most =
+      std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
+    if (mPhase == Phase::kWaiting && mSent < mRoute->mMaxAttempts && now - mSentAt > most &&
+        HasTarget() && mCore->BudgetOf(mService->mName).Left() >= 1.0) {
+      OnFailure("slow", true);
+    }
+    return;
+  }
+  if (!mRoute->Repeatable() || !mService->mPool) {
+    return;
+  }
+  // The replica stands still: go on elsewhere while the caller still waits.
+  const bool lost =
+    mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent || ReplicaLost();
+  if (lost && mSent < mRoute->mMaxAttempts && HasTarget() &&
+      mCore->BudgetOf(mService->mName).Left() >= 1.0) {
+    OnFailure("replica_lost", true);
+  }
+}
+
+bool
+Exchange::ReplicaLost() const
+{
+  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
+  if (replicas == mCore->mPlan->mReplicas.end()) {
+    return false;
+  }
+  const auto it =
+    std::find_if(replicas->second.begin(),
+                 replicas->second.end(),
+                 [this](const PoolReplica& aReplica) { return aReplica.mGroup == mGroup; });
+  // Formed anew, perhaps under another head: what was in progress there does not go on.
+  return it != replicas->second.end() && (it->mLost || it->mEpoch > mEpoch);
+}
+
+void
+Exchange::OnFailure(const std::string& aWhy, bool aMayHaveRun)
+{
+  mCore->Log("attempt_failed",
+             { { "request", mFacts.mId },
+               { "engine", mTarget.mEngine },
+               { "reason", aWhy },
+               { "after_ms", Millis(mCore->Now() - mSentAt) },
+               { "may_have_run", aMayHaveRun ? "true" : "false" },
+               { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" } });
+  const bool reached = mAttempt && mAttempt->Connected();
+  mMayHaveRun = mMayHaveRun || aMayHaveRun;
+  if (aMayHaveRun || !reached) {
+    mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
+  }
+  DropAttempt();
+  if (!reached) {
+    // No engine was asked, so nothing is spent but time.
+    --mSent;
+    ++mConnectFailures;
+  }
+  RequestProgress progress;
+  progress.mRepeatable = mRoute->Repeatable();
+  progress.mMayHaveRun = mMayHaveRun;
+  progress.mAnswerBegun = mStreamStarted;
+  progress.mSent = mSent;
+  progress.mMostSent = mRoute->mMaxAttempts;
+  progress.mLeft = Left();
+  progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
+  progress.mHasBudget = mSent == 0 || mCore->BudgetOf(mService->mName).Left() >= 1.0;
+  switch (AfterFailure(progress)) {
+    case FailureStep::kSendAgain:
+      ChooseTarget();
+      if (mSent > 0) {
+        mCore->BudgetOf(mService->mName).TakeRetry();
+        CountRetryAndSend();
+      } else {
+        SendToEngine();
+      }
+      return;
+    case FailureStep::kRefuse:
+      Refuse(aWhy);
+      return;
+    case FailureStep::kFail:
+      if (mFallback) {
+        ++mCore->mCounters.mAnswered;
+        LogEnd("answered", "second attempt failed");
+        CallerSide* caller = mCaller;
+        Over();
+        caller->SendWhole(std::move(*mFallback));
+        return;
+      }
+      Answer(kBadGateway, aWhy, "the engine's answer was lost; whether it ran is unknown");
+      return;
+    case FailureStep::kCut:
+      ++mCore->mCounters.mCut;
+      ++mCore->mCounters.mReasons[aWhy];
+      LogEnd("cut", aWhy);
+      CallerSide* caller = mCaller;
+      Over();
+      caller->Break();
+      return;
+  }
+}
+
+void
+Exchange::CountRetryAndSend()
+{
+  ++mCore->mCounters.mSecondAttempts;
+  if (mStreamStarted) {
+    ++mCore->mCounters.mResumes;
+  }
+  SendToEngine();
+}
+
+void
+Exchange::Answer(int aStatus, const std::string& aReason, const std::string& aDetail)
+{
+  auto& counters = mCore->mCounters;
+  if (aStatus == kUnavailable) {
+    ++counters.mRefused;
+  } else if (aStatus >= kServerFailure) {
+    ++counters.mFailed;
+  } else {
+    ++counters.mInvalid;
+  }
+  ++counters.mReasons[aReason];
+  CallerAnswer answer;
+  answer.result(static_cast<unsigned>(aStatus));
+  answer.set(http::field::content_type, "application/json");
+  if (aStatus == kUnavailable) {
+    answer.set(http::field::retry_after, Seconds(mCore->mOptions.mRetryAfter));
+  }
+  const nlohmann::json body = {
+    { "error",
+      { { "reason", aReason }, { "detail", aDetail }, { "ran", mMayHaveRun ? "unknown" : "no" } } }
+  };
+  answer.body() = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  answer.prepare_payload();
+  LogEnd(aStatus == kUnavailable ? "refused" : "failed", aReason);
+  CallerSide* caller = mCaller;
+  Over();
+  if (caller != nullptr) {
+    caller->SendWhole(std::move(answer));
+  }
+}
+
+void
+Exchange::Refuse(const std::string& aReason)
+{
+  Answer(kUnavailable, aReason, "the request has not run; come back later");
+}
+
+void
+Exchange::Over()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  mPhase = Phase::kOver;
+  if (mAttempt) {
+    // Its answer was whole; only the counts are left to settle.
+    mCore->mBalancer.OnEnd(mTarget.mEngine);
+    if (mWriting) {
+      mCore->mStalls.OnDone(mTarget.mEngine);
+    }
+    mAttempt.reset();
+  }
+  mCaller = nullptr;
+  --mCore->mCounters.mOpen;
+  mCore->mExchanges.erase(shared_from_this());
+}
+
+void
+Exchange::LogEnd(const char* aOutcome, const std::string& aReason) const
+{
+  const bool good = std::string_view(aOutcome) == "answered" && mSent <= 1;
+  if (good) {
+    return; // counted; a line for each would drown the others
+  }
+  mCore->Log("request",
+             { { "request", mFacts.mId },
+               { "outcome", aOutcome },
+               { "reason", aReason },
+               { "route", mRoute != nullptr ? mRoute->mName : "" },
+               { "engine", mTarget.mEngine },
+               { "sent", std::to_string(mSent) },
+               { "config", mRoutes ? std::to_string(mRoutes->Version()) : "" },
+               { "model", mFacts.mModel },
+               { "after_ms", Millis(mCore->Now() - mArrived) } });
+}
+
+void
+Exchange::GiveUp()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  const bool mayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
+  DropAttempt();
+  if (mStreamStarted) {
+    CallerSide* caller = mCaller;
+    Over();
+    caller->Break();
+  } else if (mayHaveRun) {
+    Answer(kBadGateway, "stopping", "this node stops; whether the request ran is unknown");
+  } else {
+    Refuse("stopping");
+  }
+}
+
+void
+Exchange::OnCallerGone()
+{
+  if (mPhase == Phase::kOver) {
+    return;
+  }
+  ++mCore->mCounters.mCallerGone;
+  LogEnd("caller_gone", "");
+  DropAttempt();
+  Over();
+}
+
+} // namespace pepperbay
