Lint findings of the last files

Change: as the linter asks; the raw engine ends the test when it cannot listen. No logic of the product changed.

--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
+#include <cstdlib>
 #include <functional>
 #include <mutex>
 #include <netinet/in.h>
@@ -103,6 +104,7 @@
 {
 public:
   using Script = std::function<void(RawConnection&)>;
+  static constexpr int kBacklog = 16;
 
   explicit RawEngine(Script aScript)
     : mScript(std::move(aScript))
@@ -111,8 +113,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    ::listen(mListener, 16);
+    if (::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+        ::listen(mListener, kBacklog) != 0) {
+      std::abort(); // a test without its engine would prove nothing
+    }
     socklen_t size = sizeof(address);
     ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
     mAddress = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -64,11 +64,11 @@
   }
 
   /// A log's hooks that fail while the store is down for the node.
-  KeyedLogHooks Guarded(KeyedLogHooks aHooks, const TestNode& aNode)
+  KeyedLogHooks Guarded(const KeyedLogHooks& aHooks, const TestNode& aNode)
   {
     KeyedLogHooks guarded;
     guarded.mNewest = [this, aHooks, &aNode](const std::string& aAfter,
-                                             std::function<void(Result<KeyedPage>)> aDone) {
+                                             const std::function<void(Result<KeyedPage>)>& aDone) {
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "log.newest", "store", "" });
         return;
@@ -77,7 +77,7 @@
     };
     guarded.mRead = [this, aHooks, &aNode](std::uint64_t aFrom,
                                            Duration aWait,
-                                           std::function<void(Result<KeyedTail>)> aDone) {
+                                           const std::function<void(Result<KeyedTail>)>& aDone) {
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "log.read", "store", "" });
         return;
@@ -91,17 +91,18 @@
   {
     const LogLeaseHooks hooks = mLeaseLog.Hooks();
     LogLeaseHooks guarded;
-    guarded.mAppend = [this, hooks, &aNode](std::uint64_t aEnd,
-                                            const std::string& aRecord,
-                                            std::function<void(Result<ConditionalAppend>)> aDone) {
-      if (aNode.mStoreDown || mStoreDown) {
-        aDone(Error{ Errc::kUnavailable, "lease.append", "store", "" });
-        return;
-      }
-      hooks.mAppend(aEnd, aRecord, aDone);
-    };
+    guarded.mAppend =
+      [this, hooks, &aNode](std::uint64_t aEnd,
+                            const std::string& aRecord,
+                            const std::function<void(Result<ConditionalAppend>)>& aDone) {
+        if (aNode.mStoreDown || mStoreDown) {
+          aDone(Error{ Errc::kUnavailable, "lease.append", "store", "" });
+          return;
+        }
+        hooks.mAppend(aEnd, aRecord, aDone);
+      };
     guarded.mRead = [this, hooks, &aNode](std::uint64_t aFrom,
-                                          std::function<void(Result<LeaseTail>)> aDone) {
+                                          const std::function<void(Result<LeaseTail>)>& aDone) {
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "lease.read", "store", "" });
         return;
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -46,8 +46,9 @@
 bool
 HasLost(const StandingGroup& aGroup, const std::function<bool(const std::string&)>& aLost)
 {
-  return std::any_of(
-    aGroup.mMembers.begin(), aGroup.mMembers.end(), [&](const auto* it) { return aLost(it->mId); });
+  return std::any_of(aGroup.mMembers.begin(), aGroup.mMembers.end(), [&](const auto* aMember) {
+    return aLost(aMember->mId);
+  });
 }
 
 std::vector<PoolReplica>
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -172,7 +172,7 @@
 
   Result<void> OpenAdmin()
   {
-    const auto admin = ServeAdmin(mSettings.mAdmin, &mAdmin);
+    auto admin = ServeAdmin(mSettings.mAdmin, &mAdmin);
     if (!admin.has_value() || mSettings.mMetrics.empty()) {
       return admin;
     }
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -16,9 +16,9 @@
       continue;
     }
     const bool anyListed =
-      std::any_of(replica.mMembers.begin(), replica.mMembers.end(), [this](const std::string& it) {
-        return Find(it) != nullptr;
-      });
+      std::any_of(replica.mMembers.begin(),
+                  replica.mMembers.end(),
+                  [this](const std::string& aMember) { return Find(aMember) != nullptr; });
     // Members that wait for a spare that does not come are worth more in another replica.
     const bool hopeless = mView->mNow - replica.mSince >= mOptions.mGiveUpAfter;
     if (!anyListed || (!Repair(replica) && hopeless && AnyUsable(replica))) {
--- a/src/pepperbay/routing/route_table_test.cpp
+++ b/src/pepperbay/routing/route_table_test.cpp
@@ -119,7 +119,9 @@
     archive += table.PickService(route, hash)->mName == "archive" ? 1 : 0;
     EXPECT_EQ(table.PickService(route, hash), table.PickService(route, hash));
   }
-  EXPECT_NEAR(archive, kRequests / 10, kRequests / 50);
+  constexpr double kShare = 0.1;
+  constexpr double kSpread = 0.02;
+  EXPECT_NEAR(archive, kRequests * kShare, kRequests * kSpread);
 }
 
 } // namespace
