Coordinator: the news of two pools no longer overwrite each other

Cause: the holder kept the news of all replicas by group name alone, planners of two pools gave the same names (r<fence>-<n>), and the loop over the pools dropped all names that its own planner did not have. Ruled out: the route table and the traffic plan, which key replicas by pool already.

Change: a replica's name ends with its pool's; PlanPools is split into planning, sending orders, telling and forgetting news, and forgetting looks at all pools.

Test: NewsOfTwoPoolsReachesTheOtherNodes.

--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -41,11 +41,14 @@
     std::uint64_t mAccepted = 0; ///< orders
   };
 
-  void Add(const std::string& aId, const std::string& aDomain, const std::string& aStaged = "")
+  void Add(const std::string& aId,
+           const std::string& aDomain,
+           const std::string& aStaged = "",
+           const std::string& aService = "pool")
   {
     Engine engine;
     engine.mRecord.mId = aId;
-    engine.mRecord.mService = "pool";
+    engine.mRecord.mService = aService;
     engine.mRecord.mAddress = "10.0.0.1:80";
     engine.mRecord.mDomain = aDomain;
     if (!aStaged.empty()) {
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -171,6 +171,8 @@
   bool Repair(PlannedReplica& aReplica);
   bool AnyUsable(const PlannedReplica& aReplica) const;
   void FormNew();
+  /// @return a replica's name that no other holder of the lease and no other pool gives.
+  std::string NewName();
   void CareForSpares();
   std::string SpareModelFor(const EngineRecord& aEngine,
                             const std::map<std::string, int>& aStandby) const;
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -28,6 +28,12 @@
   void AskMembers(const std::string& aHead);
   void OnEngineChange(const EngineRecord& aEngine, bool aLost);
   void PlanPools();
+  void PlanPool(const ServiceSpec& aService);
+  void SendOrder(const GroupOrder& aOrder, const std::string& aService);
+  /// Note for the other nodes what has changed of one pool's replicas.
+  void TellNews(const GroupPlanner& aPlanner, Duration aFormTime);
+  /// Drop what is known of replicas that no pool has any more.
+  void ForgetNews();
   void AskAsPlanned(const GroupPlanner& aPlanner);
   void Publish();
   bool MayOrder() const;
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -1,5 +1,6 @@
 #include "coordinator_impl.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pepperbay {
@@ -27,65 +28,91 @@
     mHooks.mLog("lease_taken", { { "fence", std::to_string(mPlannedFence) } });
   }
   for (const auto& service : mRoutes->Services()) {
-    if (!service.mPool) {
-      continue;
+    if (service.mPool) {
+      PlanPool(service);
     }
-    GroupPlanner& planner =
-      mPlanners.emplace(service.mName, GroupPlanner(mOptions.mPlanner)).first->second;
-    GroupView view;
-    view.mEngines = &mDirectory.Engines();
-    view.mService = service.mName;
-    view.mPool = &*service.mPool;
-    view.mNow = Now();
-    view.mFence = mLease.Fence();
-    view.mTraffic = mTraffic;
-    view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
-    view.mInFlight = [this](const std::string& aHead) { return InFlightEverywhere(aHead); };
-    const auto orders = planner.Plan(view);
-    AskAsPlanned(planner);
-    for (const auto& order : orders) {
-      mHooks.mOrder(
-        order, mOptions.mOrderTimeout, [this, order, name = service.mName](OrderAnswer aAnswer) {
-          ++mCounters.mOrders[std::string(ToString(order.mKind)) + "_" + ToString(aAnswer)];
-          mHooks.mLog("order",
-                      { { "kind", ToString(order.mKind) },
-                        { "engine", order.mEngine },
-                        { "group", order.mGroup },
-                        { "epoch", std::to_string(order.mEpoch) },
-                        { "model", order.mModel },
-                        { "fence", std::to_string(order.mFence) },
-                        { "answer", ToString(aAnswer) } });
-          if (aAnswer == OrderAnswer::kStale) {
-            mLease.Doubt();
-          }
-          const auto it = mPlanners.find(name);
-          if (it != mPlanners.end() && order.mFence == mPlannedFence) {
-            it->second.OnAnswer(order, aAnswer, Now());
-          }
-        });
+  }
+  ForgetNews();
+  mNewsAt = Now();
+}
+
+void
+Coordinator::Impl::PlanPool(const ServiceSpec& aService)
+{
+  GroupPlanner& planner =
+    mPlanners.emplace(aService.mName, GroupPlanner(mOptions.mPlanner)).first->second;
+  GroupView view;
+  view.mEngines = &mDirectory.Engines();
+  view.mService = aService.mName;
+  view.mPool = &*aService.mPool;
+  view.mNow = Now();
+  view.mFence = mLease.Fence();
+  view.mTraffic = mTraffic;
+  view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
+  view.mInFlight = [this](const std::string& aHead) { return InFlightEverywhere(aHead); };
+  const auto orders = planner.Plan(view);
+  AskAsPlanned(planner);
+  for (const auto& it : orders) {
+    SendOrder(it, aService.mName);
+  }
+  TellNews(planner, aService.mPool->mFormTime);
+}
+
+void
+Coordinator::Impl::SendOrder(const GroupOrder& aOrder, const std::string& aService)
+{
+  mHooks.mOrder(aOrder, mOptions.mOrderTimeout, [this, aOrder, aService](OrderAnswer aAnswer) {
+    ++mCounters.mOrders[std::string(ToString(aOrder.mKind)) + "_" + ToString(aAnswer)];
+    mHooks.mLog("order",
+                { { "kind", ToString(aOrder.mKind) },
+                  { "engine", aOrder.mEngine },
+                  { "group", aOrder.mGroup },
+                  { "epoch", std::to_string(aOrder.mEpoch) },
+                  { "model", aOrder.mModel },
+                  { "fence", std::to_string(aOrder.mFence) },
+                  { "answer", ToString(aAnswer) } });
+    if (aAnswer == OrderAnswer::kStale) {
+      mLease.Doubt();
     }
-    for (auto& news : NewsOf(planner.Replicas(), Now(), service.mPool->mFormTime)) {
-      proto::ReplicaNews& known = mNews[news.group()];
-      const bool same =
-        known.epoch() == news.epoch() && known.open() == news.open() && known.lost() == news.lost();
-      if (!same) {
-        mHooks.mLog("replica",
-                    { { "group", news.group() },
-                      { "epoch", std::to_string(news.epoch()) },
-                      { "model", news.model() },
-                      { "open", news.open() ? "true" : "false" },
-                      { "lost", news.lost() ? "true" : "false" },
-                      { "why", planner.Replicas().at(news.group()).mWhy } });
-        known = std::move(news);
-        mChanged = true;
-        mBeatDue = Now(); // peers must hear of it at once
-      }
+    const auto it = mPlanners.find(aService);
+    if (it != mPlanners.end() && aOrder.mFence == mPlannedFence) {
+      it->second.OnAnswer(aOrder, aAnswer, Now());
     }
-    for (auto it = mNews.begin(); it != mNews.end();) {
-      it = planner.Replicas().count(it->first) == 0 ? mNews.erase(it) : std::next(it);
+  });
+}
+
+void
+Coordinator::Impl::TellNews(const GroupPlanner& aPlanner, Duration aFormTime)
+{
+  for (auto& news : NewsOf(aPlanner.Replicas(), Now(), aFormTime)) {
+    proto::ReplicaNews& known = mNews[news.group()];
+    const bool same =
+      known.epoch() == news.epoch() && known.open() == news.open() && known.lost() == news.lost();
+    if (same) {
+      continue;
     }
+    mHooks.mLog("replica",
+                { { "group", news.group() },
+                  { "epoch", std::to_string(news.epoch()) },
+                  { "model", news.model() },
+                  { "open", news.open() ? "true" : "false" },
+                  { "lost", news.lost() ? "true" : "false" },
+                  { "why", aPlanner.Replicas().at(news.group()).mWhy } });
+    known = std::move(news);
+    mChanged = true;
+    mBeatDue = Now(); // peers must hear of it at once
+  }
+}
+
+void
+Coordinator::Impl::ForgetNews()
+{
+  for (auto it = mNews.begin(); it != mNews.end();) {
+    const bool planned = std::any_of(mPlanners.begin(), mPlanners.end(), [&](const auto& aPlanner) {
+      return aPlanner.second.Replicas().count(it->first) != 0;
+    });
+    it = planned ? std::next(it) : mNews.erase(it);
   }
-  mNewsAt = Now();
 }
 
 void
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -121,7 +121,7 @@
     hooks.mNodeLog = Guarded(mNodeLog.Hooks(), aNode);
     hooks.mLeaseLog = GuardedLease(aNode);
     hooks.mConfigKey = "config";
-    hooks.mDecodeConfiguration = [](const std::string& aBody) -> Result<Configuration> {
+    hooks.mDecodeConfiguration = [this](const std::string& aBody) -> Result<Configuration> {
       if (aBody == "bad") {
         return Error{ Errc::kInvalid, "configuration.decode", "store", "bad" };
       }
@@ -131,6 +131,10 @@
       pool.mName = "pool";
       pool.mPool = OneModel();
       configuration.mServices = { pool };
+      if (mTwoPools) {
+        pool.mName = "second";
+        configuration.mServices.push_back(pool);
+      }
       return configuration;
     };
     hooks.mDecodeEngine = [this](const std::string& aId,
@@ -175,7 +179,9 @@
     hooks.mOnPrompts = [&aNode](std::vector<SentPrompt> aPrompts) {
       aNode.mPrompts.insert(aNode.mPrompts.end(), aPrompts.begin(), aPrompts.end());
     };
-    hooks.mLog = [](const char*, const std::map<std::string, std::string>&) {};
+    hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& /*aFields*/) {
+      ++mLines[aEvent];
+    };
     return hooks;
   }
 
@@ -225,10 +231,10 @@
     return mNodes.front();
   }
 
-  static int Usable(const TestNode& aNode)
+  static int Usable(const TestNode& aNode, const char* aPool = "pool")
   {
     int n = 0;
-    for (const auto& it : aNode.mPlan->mReplicas.at("pool")) {
+    for (const auto& it : aNode.mPlan->mReplicas.at(aPool)) {
       n += it.mSuspended || it.mLost ? 0 : 1;
     }
     return n;
@@ -244,8 +250,10 @@
   std::vector<std::function<void()>> mLater;
   std::deque<TestNode> mNodes;
   std::map<GroupOrderKind, int> mOrders;
+  std::map<std::string, int> mLines; ///< log lines of all nodes by event
   std::uint64_t mIncarnations = 0;
   bool mStoreDown = false;
+  bool mTwoPools = false; ///< the configuration has the pools "pool" and "second"
 };
 
 TEST_F(CoordinatorTest, OneNodeOrdersAndAllRoute)
@@ -291,6 +299,38 @@
   EXPECT_EQ(Usable(Holder()), 1);
 }
 
+/// Symptom: nodes that do not give the orders send requests to a replica that is broken, though the
+/// holder knows; each round logs every replica as new.
+/// Sequence: two pools; the members of one pool's replica die while the registrations still
+/// name them.
+/// Cause: the news of one pool's replicas was dropped when the other pool's was put together, and
+/// both pools called their replicas by the same names.
+TEST_F(CoordinatorTest, NewsOfTwoPoolsReachesTheOtherNodes)
+{
+  mTwoPools = true;
+  for (const char* it : { "f0", "f1", "f2", "f3" }) {
+    mPool.Add(it, "d2", "", "second");
+  }
+  AddNode("a");
+  AddNode("b");
+  Run(seconds(12));
+  TestNode& holder = Holder();
+  TestNode& other = &holder == &mNodes[0] ? mNodes[1] : mNodes[0];
+  ASSERT_EQ(Usable(other, "pool"), 1);
+  ASSERT_EQ(Usable(other, "second"), 1);
+  const std::string head = other.mPlan->mReplicas.at("pool").front().mHead.mId;
+  for (auto& [id, engine] : mPool.Engines()) {
+    engine.mAlive = id == head || engine.mRecord.mService != "pool";
+  }
+  holder.mCoordinator->OnSuspect(head, milliseconds(200));
+  Run(milliseconds(400));
+  EXPECT_EQ(Usable(other, "pool"), 0);
+  EXPECT_EQ(Usable(other, "second"), 1);
+  const int lines = mLines["replica"];
+  Run(seconds(1));
+  EXPECT_EQ(mLines["replica"], lines) << "nothing has changed";
+}
+
 /// Symptom: a replica is dark for as long as the store is.
 /// Cause: its repair waited for a lease that nobody could renew.
 TEST_F(CoordinatorTest, TheLastHolderRepairsWhileTheStoreIsDown)
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -91,6 +91,13 @@
   mPending.erase(aReplica.mMembers.front() + " open");
 }
 
+std::string
+GroupPlanner::NewName()
+{
+  return "r" + std::to_string(mView->mFence) + "-" + std::to_string(++mNames) + "-" +
+         mView->mService;
+}
+
 void
 GroupPlanner::FormNew()
 {
@@ -135,7 +142,7 @@
         break;
       }
       PlannedReplica replica;
-      replica.mName = "r" + std::to_string(mView->mFence) + "-" + std::to_string(++mNames);
+      replica.mName = NewName();
       replica.mModel = best->mName;
       replica.mDomain = name;
       std::vector<std::string> members;
