Coordinator: ask members whose registration lapsed as soon as the others

Cause: AskMembers looked members up among the registered engines only. A member that lives but is listed no more (the store was away, or its entry lapsed) was asked only by the planner's round, and counted as lost 900 ms after its last answer. Ruled out: the planner's own view, which keeps such members and treats them as usable while they answer.

Change: members are found among the registered engines and then among the planners' members; a lost one that nobody lists is asked again as long as it is a member.

Test: AMemberWhoseRegistrationLapsedIsAskedLikeTheOthers fails on the version before (the replica still takes requests 200 ms after the suspicion) and passes now.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -114,6 +114,8 @@
   const std::map<std::string, EngineRecord>& Wanted() const { return mWanted; }
 
   const std::map<std::string, PlannedReplica>& Replicas() const { return mReplicas; }
+  /// Members of the replicas, as they were listed last; some may be listed no more.
+  const std::map<std::string, EngineRecord>& Members() const { return mKnown; }
   /// Engines that left orders unanswered; they count as lost until they are heard again.
   const std::set<std::string>& Unanswering() const { return mUnanswering; }
   void Forgive(const std::string& aEngine);
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -185,7 +185,7 @@
   }
   mDirectory.Tick(now);
   if (MayOrder()) {
-    mDoubts.Tick(mDirectory.Engines());
+    mDoubts.Tick([this](const std::string& aEngine) { return FindEngine(aEngine); });
   }
   PlanPools();
   if (now >= mBeatDue) {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -26,6 +26,8 @@
   void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   void OnSuspect(const std::string& aHead, Duration aSilence);
   void AskMembers(const std::string& aHead);
+  /// @return a registered engine, or a member of a replica whose registration has lapsed.
+  const EngineRecord* FindEngine(const std::string& aEngine) const;
   void OnEngineChange(const EngineRecord& aEngine, bool aLost);
   void PlanPools();
   void PlanPool(const ServiceSpec& aService);
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -151,7 +151,7 @@
         continue;
       }
       for (const auto& it : replica.mMembers) {
-        if (const EngineRecord* engine = mDirectory.Find(it)) {
+        if (const EngineRecord* engine = FindEngine(it)) {
           mDoubts.Ask(*engine);
         }
       }
@@ -159,6 +159,21 @@
   }
 }
 
+const EngineRecord*
+Coordinator::Impl::FindEngine(const std::string& aEngine) const
+{
+  if (const EngineRecord* engine = mDirectory.Find(aEngine)) {
+    return engine;
+  }
+  for (const auto& [name, planner] : mPlanners) {
+    const auto it = planner.Members().find(aEngine);
+    if (it != planner.Members().end()) {
+      return &it->second;
+    }
+  }
+  return nullptr;
+}
+
 void
 Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, bool aLost)
 {
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -331,6 +331,33 @@
   EXPECT_EQ(mLines["replica"], lines) << "nothing has changed";
 }
 
+/// Symptom: requests go for most of a second to a replica that has lost a member.
+/// Sequence: a member's registration lapses, though it lives and answers; later it dies, and a node
+/// finds the head silent.
+/// Cause: only members that are registered were asked at once.
+TEST_F(CoordinatorTest, AMemberWhoseRegistrationLapsedIsAskedLikeTheOthers)
+{
+  TestNode& node = AddNode("a");
+  Run(seconds(10));
+  const std::string head = node.mPlan->mReplicas.at("pool").front().mHead.mId;
+  std::string member;
+  for (auto& [id, engine] : mPool.Engines()) {
+    const bool spare = engine.mRecord.mGroup.mName != mPool.At(head).mRecord.mGroup.mName;
+    engine.mAlive = !spare; // no repair can hide what is asked here
+    if (!spare && id != head) {
+      member = id;
+    }
+  }
+  mPool.At(member).mListed = false;
+  mEngineLog.Put(member, std::nullopt);
+  Run(seconds(4));
+  ASSERT_EQ(Usable(node), 1) << "it answers";
+  mPool.At(member).mAlive = false;
+  node.mCoordinator->OnSuspect(head, milliseconds(200));
+  Run(milliseconds(200));
+  EXPECT_EQ(Usable(node), 0);
+}
+
 /// Symptom: a replica is dark for as long as the store is.
 /// Cause: its repair waited for a lease that nobody could renew.
 TEST_F(CoordinatorTest, TheLastHolderRepairsWhileTheStoreIsDown)
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -81,7 +81,7 @@
 }
 
 void
-EngineDoubts::Tick(const EngineMap& aEngines)
+EngineDoubts::Tick(const std::function<const EngineRecord*(const std::string&)>& aFind)
 {
   for (auto it = mAskedOnce.begin(); it != mAskedOnce.end();) {
     const bool old = mHooks.mNow() - it->second >= mOptions.mAskState;
@@ -89,13 +89,13 @@
   }
   std::vector<const EngineRecord*> again;
   for (auto it = mLost.begin(); it != mLost.end();) {
-    const auto engine = aEngines.find(it->first);
-    if (engine == aEngines.end()) {
+    const EngineRecord* engine = aFind(it->first);
+    if (engine == nullptr) {
       it = mLost.erase(it);
       continue;
     }
     if (mHooks.mNow() - it->second >= mOptions.mAskAgain) {
-      again.push_back(&engine->second);
+      again.push_back(engine);
     }
     ++it;
   }
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -48,8 +48,9 @@
   /// Ask an engine for its state, at most once in mAskState. No answer says nothing.
   void AskOnce(const EngineRecord& aEngine);
   bool IsLost(const std::string& aEngine) const { return mLost.count(aEngine) != 0; }
-  /// Ask lost engines that are still registered again; forget those that are not.
-  void Tick(const EngineMap& aEngines);
+  /// Ask lost engines again; forget those that nobody needs any more.
+  /// @param aFind an engine that is still registered or a member of a replica, or none
+  void Tick(const std::function<const EngineRecord*(const std::string&)>& aFind);
   std::uint64_t Asked() const { return mAsked; }
   const std::map<std::string, TimePoint>& Lost() const { return mLost; }
 
