--- a/fakes/fake_lease_log.hpp
+++ b/fakes/fake_lease_log.hpp
@@ -30,7 +30,6 @@
     if (result.mAppended) {
       mRecords.push_back(aRecord);
     }
-    result.mEnd = mRecords.size();
     return result;
   }
 
--- a/include/pepperbay/lease/log_lease.hpp
+++ b/include/pepperbay/lease/log_lease.hpp
@@ -21,7 +21,6 @@
 struct ConditionalAppend
 {
   bool mAppended = false; ///< false: the log ends elsewhere
-  std::uint64_t mEnd = 0; ///< where the log ends now
 };
 
 /// The records of the lease's log from an offset on.
--- a/include/pepperbay/settings/settings.hpp
+++ b/include/pepperbay/settings/settings.hpp
@@ -120,4 +120,8 @@
 Result<Endpoint>
 ParseEndpoint(const std::string& aText);
 
+/// Note a problem at a key whose value is no IP:port.
+void
+CheckEndpoint(YamlReader& aReader, const std::string& aKey, const std::string& aValue);
+
 } // namespace pepperbay
--- a/include/pepperbay/settings/yaml_reader.hpp
+++ b/include/pepperbay/settings/yaml_reader.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
 std::string
 ToString(const YamlProblem& aProblem);
 
+/// @return what a file holds; a problem in the list when it cannot be read.
+std::optional<std::string>
+ReadTextFile(const std::string& aFile, std::vector<YamlProblem>* aProblems);
+
 /// @return a duration from a number with a unit: `us`, `ms`, `s`, `min` or `h`.
 Result<Duration>
 ParseDuration(const std::string& aText);
@@ -83,4 +88,12 @@
   std::unique_ptr<Impl> mImpl;
 };
 
+/// Read one text whole: every key by `aRead`, then a problem for each key that it did not ask for.
+/// @param aName stands for the file in problems
+void
+ReadYaml(const std::string& aName,
+         const std::string& aText,
+         std::vector<YamlProblem>* aProblems,
+         const std::function<void(YamlReader&)>& aRead);
+
 } // namespace pepperbay
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -181,19 +181,16 @@
     std::cerr << "publish takes one FILE\n";
     return kExitUsage;
   }
-  const std::ifstream file(aWords[0]);
-  if (!file) {
-    std::cerr << aWords[0] << ": cannot be read\n";
-    return kExitBadInput;
+  PublishFile checked;
+  const auto text = ReadTextFile(aWords[0], &checked.mProblems);
+  if (text) {
+    checked = ParsePublishFile(aWords[0], *text);
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  const PublishFile checked = ParsePublishFile(aWords[0], text.str());
   if (!checked.mProblems.empty()) {
     PrintProblems(checked.mProblems, aOptions.mJson);
     return kExitBadInput;
   }
-  const HttpFetched fetched = Ask(aOptions, "POST", "/publish", text.str());
+  const HttpFetched fetched = Ask(aOptions, "POST", "/publish", *text);
   const int answered = CheckAnswer(fetched);
   if (answered != kExitOk) {
     return answered;
--- a/src/pepperbay/node/publish_file.cpp
+++ b/src/pepperbay/node/publish_file.cpp
@@ -4,7 +4,6 @@
 
 #include <cmath>
 #include <limits>
-#include <yaml-cpp/yaml.h>
 
 namespace pepperbay {
 namespace {
@@ -86,26 +85,19 @@
 ParsePublishFile(const std::string& aName, const std::string& aText)
 {
   PublishFile file;
-  YAML::Node root;
-  try {
-    root = YAML::Load(aText);
-  } catch (const YAML::Exception& ec) {
-    file.mProblems.push_back({ aName, ec.mark.line + 1, "", "not YAML: " + ec.msg });
-    return file;
-  }
-  YamlReader reader(aName, root, "", &file.mProblems);
-  reader.Each("profiles", [&](YamlReader& aIn) { ReadProfile(aIn, &file.mItems); });
-  reader.Each("customers", [&](YamlReader& aIn) { ReadCustomer(aIn, &file.mItems); });
-  reader.Each("services", [&](YamlReader& aIn) { ReadService(aIn, &file.mItems); });
   std::vector<std::string> removed;
-  reader.Read("remove", &removed);
+  ReadYaml(aName, aText, &file.mProblems, [&](YamlReader& aReader) {
+    aReader.Each("profiles", [&](YamlReader& aIn) { ReadProfile(aIn, &file.mItems); });
+    aReader.Each("customers", [&](YamlReader& aIn) { ReadCustomer(aIn, &file.mItems); });
+    aReader.Each("services", [&](YamlReader& aIn) { ReadService(aIn, &file.mItems); });
+    aReader.Read("remove", &removed);
+  });
   for (auto& it : removed) {
     PublishItem item;
     item.mKey = std::move(it);
     item.mRemove = true;
     file.mItems.push_back(std::move(item));
   }
-  reader.Finish();
   if (file.mItems.empty() && file.mProblems.empty()) {
     file.mProblems.push_back({ aName, 0, "", "names no profile, customer or service" });
   }
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -1,9 +1,5 @@
 #include "pepperbay/settings/edge_settings.hpp"
 
-#include <fstream>
-#include <sstream>
-#include <yaml-cpp/yaml.h>
-
 namespace pepperbay {
 namespace {
 
@@ -17,9 +13,8 @@
 ReadEndpoint(YamlReader& aReader, const char* aKey, std::string* aValue)
 {
   aReader.Read(aKey, aValue);
-  const auto endpoint = ParseEndpoint(*aValue);
-  if (!aValue->empty() && !endpoint.has_value()) {
-    aReader.Problem(aKey, endpoint.error().mDetail);
+  if (!aValue->empty()) {
+    CheckEndpoint(aReader, aKey, *aValue);
   }
 }
 
@@ -54,31 +49,18 @@
 ParseEdgeSettings(const std::string& aName, const std::string& aText)
 {
   EdgeSettingsReport report;
-  YAML::Node root;
-  try {
-    root = YAML::Load(aText);
-  } catch (const YAML::Exception& ec) {
-    report.mProblems.push_back({ aName, ec.mark.line + 1, "", "not YAML: " + ec.msg });
-    return report;
-  }
-  YamlReader reader(aName, root, "", &report.mProblems);
-  ReadAll(reader, report.mSettings);
-  reader.Finish();
+  ReadYaml(aName, aText, &report.mProblems, [&](YamlReader& aReader) {
+    ReadAll(aReader, report.mSettings);
+  });
   return report;
 }
 
 EdgeSettingsReport
 LoadEdgeSettings(const std::string& aFile)
 {
-  const std::ifstream file(aFile);
-  if (!file) {
-    EdgeSettingsReport report;
-    report.mProblems.push_back({ aFile, 0, "", "cannot be read" });
-    return report;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseEdgeSettings(aFile, text.str());
+  EdgeSettingsReport report;
+  const auto text = ReadTextFile(aFile, &report.mProblems);
+  return text ? ParseEdgeSettings(aFile, *text) : report;
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/settings/settings.cpp
+++ b/src/pepperbay/settings/settings.cpp
@@ -1,9 +1,6 @@
 #include "pepperbay/settings/settings.hpp"
 
 #include <arpa/inet.h>
-#include <fstream>
-#include <sstream>
-#include <yaml-cpp/yaml.h>
 
 namespace pepperbay {
 namespace {
@@ -15,15 +12,6 @@
 
 constexpr int kMostPort = 65535;
 
-void
-CheckEndpoint(YamlReader& aReader, const std::string& aKey, const std::string& aValue)
-{
-  const auto endpoint = ParseEndpoint(aValue);
-  if (!endpoint.has_value()) {
-    aReader.Problem(aKey, endpoint.error().mDetail);
-  }
-}
-
 void
 ReadPlace(YamlReader& aReader, PlaceSettings& aPlace)
 {
@@ -166,42 +154,38 @@
   return endpoint;
 }
 
+void
+CheckEndpoint(YamlReader& aReader, const std::string& aKey, const std::string& aValue)
+{
+  const auto endpoint = ParseEndpoint(aValue);
+  if (!endpoint.has_value()) {
+    aReader.Problem(aKey, endpoint.error().mDetail);
+  }
+}
+
 SettingsReport
 ParseSettings(const std::string& aName, const std::string& aText)
 {
   SettingsReport report;
-  YAML::Node root;
-  try {
-    root = YAML::Load(aText);
-  } catch (const YAML::Exception& ec) {
-    report.mProblems.push_back({ aName, ec.mark.line + 1, "", "not YAML: " + ec.msg });
-    return report;
-  }
   Settings& settings = report.mSettings;
-  YamlReader reader(aName, root, "", &report.mProblems);
-  reader.Require("node");
-  reader.Require("platform");
-  reader.Section("node", [&](YamlReader& aIn) { ReadPlace(aIn, settings.mPlace); });
-  reader.Section("platform", [&](YamlReader& aIn) { ReadPlatform(aIn, settings.mPlatform); });
-  reader.Section("control", [&](YamlReader& aIn) { ReadControl(aIn, settings.mControl); });
-  reader.Section("placement", [&](YamlReader& aIn) { ReadPlacement(aIn, settings.mPlacement); });
-  reader.Section("requests", [&](YamlReader& aIn) { ReadRequests(aIn, settings.mRequests); });
-  reader.Finish();
+  ReadYaml(aName, aText, &report.mProblems, [&](YamlReader& aReader) {
+    aReader.Require("node");
+    aReader.Require("platform");
+    aReader.Section("node", [&](YamlReader& aIn) { ReadPlace(aIn, settings.mPlace); });
+    aReader.Section("platform", [&](YamlReader& aIn) { ReadPlatform(aIn, settings.mPlatform); });
+    aReader.Section("control", [&](YamlReader& aIn) { ReadControl(aIn, settings.mControl); });
+    aReader.Section("placement", [&](YamlReader& aIn) { ReadPlacement(aIn, settings.mPlacement); });
+    aReader.Section("requests", [&](YamlReader& aIn) { ReadRequests(aIn, settings.mRequests); });
+  });
   return report;
 }
 
 SettingsReport
 LoadSettings(const std::string& aFile)
 {
-  const std::ifstream file(aFile);
-  if (!file) {
-    SettingsReport report;
-    report.mProblems.push_back({ aFile, 0, "", "cannot be read" });
-    return report;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseSettings(aFile, text.str());
+  SettingsReport report;
+  const auto text = ReadTextFile(aFile, &report.mProblems);
+  return text ? ParseSettings(aFile, *text) : report;
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/settings/yaml_reader.cpp
+++ b/src/pepperbay/settings/yaml_reader.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cmath>
 #include <cstdlib>
+#include <fstream>
 #include <set>
 #include <sstream>
 #include <yaml-cpp/yaml.h>
@@ -311,4 +312,35 @@
   }
 }
 
+std::optional<std::string>
+ReadTextFile(const std::string& aFile, std::vector<YamlProblem>* aProblems)
+{
+  const std::ifstream file(aFile);
+  if (!file) {
+    aProblems->push_back({ aFile, 0, "", "cannot be read" });
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+ReadYaml(const std::string& aName,
+         const std::string& aText,
+         std::vector<YamlProblem>* aProblems,
+         const std::function<void(YamlReader&)>& aRead)
+{
+  YAML::Node root;
+  try {
+    root = YAML::Load(aText);
+  } catch (const YAML::Exception& ec) {
+    aProblems->push_back({ aName, ec.mark.line + 1, "", "not YAML: " + ec.msg });
+    return;
+  }
+  YamlReader reader(aName, root, "", aProblems);
+  aRead(reader);
+  reader.Finish();
+}
+
 } // namespace pepperbay
