dispatch: one rule for what follows a failed attempt

Cause: the product's own path (Delivery) and the relay (AfterFailure) each decided whether a request may be sent again. The two agreed but for the margin before the deadline, and only Delivery said why it gave up.

Change: Delivery asks AfterFailure; WhyNotAgain names the obstacle for both, and the relay logs it as not_again in attempt_failed. Delivery now gives up 40 ms before the deadline like the relay. Ruled out: a third module that wraps both; the states they keep really differ.

Tests: the properties of both stay as they were and pass (NeverRepeatsAndNeverLies, WhatMayHaveRunIsNeverSentAgain..., the fault tables of requests and stops); new property ARequestThatIsNotSentAgainHasAReason.

--- a/include/pepperbay/dispatch/failure_step.hpp
+++ b/include/pepperbay/dispatch/failure_step.hpp
@@ -4,6 +4,8 @@
 
 #include "pepperbay/base/clock.hpp"
 
+#include <string>
+
 namespace pepperbay {
 
 /// How far a request has come when an attempt fails.
@@ -33,4 +35,8 @@
 FailureStep
 AfterFailure(const RequestProgress& aProgress);
 
+/// @return what forbids another attempt, for the log; empty when nothing does.
+std::string
+WhyNotAgain(const RequestProgress& aProgress);
+
 } // namespace pepperbay
--- a/src/pepperbay/dispatch/attempt.cpp
+++ b/src/pepperbay/dispatch/attempt.cpp
@@ -1,5 +1,7 @@
 #include "pepperbay/dispatch/attempt.hpp"
 
+#include "pepperbay/dispatch/failure_step.hpp"
+
 namespace pepperbay {
 
 const char*
@@ -46,22 +48,21 @@
   }
   const bool proved = !aFailure.mByteLeft || aFailure.mBackEndSaysNotRun;
   mMayHaveRun = mMayHaveRun || !proved;
-  if (mRequest.mUnrepeatable && mMayHaveRun) {
-    return Finish(aFailure.mDetail);
-  }
-  if (aNow >= mRequest.mDeadline) {
-    return Finish("deadline passed; last: " + aFailure.mDetail);
-  }
   const bool began = mTokens > 0;
-  if (began && !aFailure.mCanResume && mRequest.mStreams) {
-    return Finish("cut short and the engine cannot resume: " + aFailure.mDetail);
-  }
-  if (mAttempts >= mRequest.mMostAttempts) {
-    return Finish("all attempts failed; last: " + aFailure.mDetail);
-  }
-  if (!aBudget->TakeRetry()) {
-    return Finish("too many retries are under way; last: " + aFailure.mDetail);
+  const bool callerHasPart = began && mRequest.mStreams;
+  RequestProgress progress;
+  progress.mRepeatable = !mRequest.mUnrepeatable && (!callerHasPart || aFailure.mCanResume);
+  progress.mMayHaveRun = mMayHaveRun || began;
+  progress.mAnswerBegun = callerHasPart;
+  progress.mSent = mAttempts;
+  progress.mMostSent = mRequest.mMostAttempts;
+  progress.mLeft = mRequest.mDeadline - aNow;
+  progress.mHasTarget = true; // looked for by whoever makes the attempt
+  progress.mHasBudget = aBudget->Left() >= 1.0;
+  if (AfterFailure(progress) != FailureStep::kSendAgain) {
+    return Finish(WhyNotAgain(progress) + ("; last: " + aFailure.mDetail));
   }
+  aBudget->TakeRetry();
   if (began && aFailure.mCanResume) {
     return { NextStep::kResume, Ran::kUnknown, aFailure.mDetail };
   }
--- a/src/pepperbay/dispatch/failure_step.cpp
+++ b/src/pepperbay/dispatch/failure_step.cpp
@@ -7,13 +7,31 @@
 constexpr Duration kLeastUsefulTime = std::chrono::milliseconds(40);
 }
 
+std::string
+WhyNotAgain(const RequestProgress& aProgress)
+{
+  if (aProgress.mMayHaveRun && !aProgress.mRepeatable) {
+    return "it may have run and cannot be sent again";
+  }
+  if (aProgress.mSent >= aProgress.mMostSent) {
+    return "all attempts failed";
+  }
+  if (aProgress.mLeft <= kLeastUsefulTime) {
+    return "no time is left for another attempt";
+  }
+  if (!aProgress.mHasTarget) {
+    return "no other engine can take it";
+  }
+  if (!aProgress.mHasBudget) {
+    return "too many second attempts are under way";
+  }
+  return "";
+}
+
 FailureStep
 AfterFailure(const RequestProgress& aProgress)
 {
-  const bool may = aProgress.mRepeatable || !aProgress.mMayHaveRun;
-  const bool can = aProgress.mSent < aProgress.mMostSent && aProgress.mHasTarget &&
-                   aProgress.mHasBudget && aProgress.mLeft > kLeastUsefulTime;
-  if (may && can) {
+  if (WhyNotAgain(aProgress).empty()) {
     return FailureStep::kSendAgain;
   }
   if (aProgress.mAnswerBegun) {
--- a/src/pepperbay/dispatch/failure_step_test.cpp
+++ b/src/pepperbay/dispatch/failure_step_test.cpp
@@ -32,6 +32,12 @@
   }
 }
 
+RC_GTEST_PROP(FailureStep, ARequestThatIsNotSentAgainHasAReason, ())
+{
+  const RequestProgress progress = AnyProgress();
+  RC_ASSERT(WhyNotAgain(progress).empty() == (AfterFailure(progress) == FailureStep::kSendAgain));
+}
+
 RC_GTEST_PROP(FailureStep, NotRunIsSaidOnlyWithProof, ())
 {
   const RequestProgress progress = AnyProgress();
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -101,13 +101,6 @@
 void
 Exchange::OnFailure(const std::string& aWhy, bool aMayHaveRun)
 {
-  mCore->Log("attempt_failed",
-             { { "request", mFacts.mId },
-               { "engine", mTarget.mEngine },
-               { "reason", aWhy },
-               { "after_ms", Millis(mCore->Now() - mSentAt) },
-               { "may_have_run", aMayHaveRun ? "true" : "false" },
-               { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" } });
   const bool reached = mAttempt && mAttempt->Connected();
   mMayHaveRun = mMayHaveRun || aMayHaveRun;
   if (aMayHaveRun || !reached) {
@@ -128,6 +121,14 @@
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
   progress.mHasBudget = mSent == 0 || mCore->BudgetOf(mService->mName).Left() >= 1.0;
+  mCore->Log("attempt_failed",
+             { { "request", mFacts.mId },
+               { "engine", mTarget.mEngine },
+               { "reason", aWhy },
+               { "after_ms", Millis(mCore->Now() - mSentAt) },
+               { "may_have_run", aMayHaveRun ? "true" : "false" },
+               { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
+               { "not_again", WhyNotAgain(progress) } });
   switch (AfterFailure(progress)) {
     case FailureStep::kSendAgain:
       ChooseTarget();
