Planner: joins that bring weights keep to the store's rate

Cause: MayLoad counted only staged weights. A join of an engine without the weights loads them as well, and after the whole pool has restarted all replicas ask for theirs at once. Ruled out: the lead time before the first request, in which loads do not count.

Change: a join that has to load waits for its turn under the same rate, in the order of the replicas, so that the first replicas are whole while others wait; a repeat is not counted again, nor a join for which the weights are on their way. The fake pool joins with weights on their way as the engines do.

Test: LoadsKeepToTheRateWhileRequestsComeIn.

--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -61,6 +61,8 @@
   std::map<std::string, Engine>& Engines() { return mEngines; }
   const EnginePool& Pool() const { return mPool; }
   const std::vector<std::string>& Violations() const { return mViolations; }
+  /// When weights began to be loaded from their store.
+  const std::vector<TimePoint>& Loads() const { return mLoads; }
 
   /// What the platform lists.
   EngineMap Listed() const
@@ -220,6 +222,10 @@
       takes = std::chrono::milliseconds(200);
     } else if (aEngine.mRecord.HasStaged(aOrder.mModel)) {
       takes = model->mWarmupTime;
+    } else if (aEngine.mStaging == aOrder.mModel) {
+      takes = aEngine.mStagedAt - aNow + model->mWarmupTime; // the weights are on their way
+    } else {
+      mLoads.push_back(aNow);
     }
     aEngine.mSeenEpoch = aOrder.mEpoch;
     aEngine.mMembers = aOrder.mMembers;
@@ -271,6 +277,9 @@
     if (aEngine.mRecord.HasStaged(aOrder.mModel)) {
       return OrderAnswer::kHolds;
     }
+    if (aEngine.mStaging != aOrder.mModel) {
+      mLoads.push_back(aNow);
+    }
     aEngine.mStaging = aOrder.mModel;
     aEngine.mStagedAt = aNow + model->mLoadTime;
     return OrderAnswer::kBegun;
@@ -287,6 +296,7 @@
   std::map<std::string, Engine> mEngines;
   std::set<std::string> mWereReady;
   std::vector<std::string> mViolations;
+  std::vector<TimePoint> mLoads;
 };
 
 } // namespace pepperbay
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -194,12 +194,15 @@
   /// @return whether a join to another group than this may still be carried out at the engine.
   bool InDoubt(const std::string& aEngine, const std::string& aGroup) const;
   Duration JoinTime(const EngineRecord& aEngine, const std::string& aModel) const;
+  Duration LoadTime(const std::string& aModel) const;
   bool InReplica(const std::string& aEngine) const { return InOtherReplica(aEngine, ""); }
   bool InOtherReplica(const std::string& aEngine, const std::string& aName) const;
   void Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
   bool Guard(GroupOrder& aOrder);
+  /// @return whether a join may begin now, should it have to bring weights from their store.
+  bool MayBringWeights(const GroupOrder& aOrder);
   Duration RepeatAfter(const GroupOrder& aOrder, OrderAnswer aAnswer, bool aLoads) const;
   bool MayLoad();
 
@@ -218,7 +221,8 @@
   std::map<std::string, TimePoint> mAnsweredAt;
   std::map<std::string, LostJoin> mLostJoins; ///< by engine
   std::set<std::string> mUnanswering;
-  std::vector<TimePoint> mLoads; ///< begun in the last second
+  std::vector<TimePoint> mLoads;                     ///< begun in the last second
+  std::map<std::string, std::uint64_t> mLoadCounted; ///< by engine: epoch of the join that loads
   std::uint64_t mCounter = 0;
   std::uint64_t mNames = 0;
   std::size_t mSeenEngines = 0;
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -58,7 +58,7 @@
   if (engine == nullptr) {
     return false;
   }
-  if (aOrder.mKind == GroupOrderKind::kJoin && !Guard(aOrder)) {
+  if (aOrder.mKind == GroupOrderKind::kJoin && !(MayBringWeights(aOrder) && Guard(aOrder))) {
     return false;
   }
   pending.mWaiting = true;
@@ -69,6 +69,29 @@
   return true;
 }
 
+bool
+GroupPlanner::MayBringWeights(const GroupOrder& aOrder)
+{
+  // After a whole domain or more has restarted, the joins of its replicas would begin as many loads
+  // as there are engines at once; the store of weights then serves none of them in time. Counted
+  // one by one in the order of the replicas, the first replicas are whole while others still wait.
+  const EngineRecord& engine = *Find(aOrder.mEngine);
+  const auto staging = mStaging.find(aOrder.mEngine);
+  const bool onItsWay = staging != mStaging.end() && staging->second.mModel == aOrder.mModel;
+  if (onItsWay || JoinTime(engine, aOrder.mModel) < LoadTime(aOrder.mModel)) {
+    return true;
+  }
+  std::uint64_t& counted = mLoadCounted[aOrder.mEngine];
+  if (counted == aOrder.mEpoch) {
+    return true; // a repeat
+  }
+  if (!MayLoad()) {
+    return false;
+  }
+  counted = aOrder.mEpoch;
+  return true;
+}
+
 bool
 GroupPlanner::Guard(GroupOrder& aOrder)
 {
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -182,6 +182,13 @@
   return free;
 }
 
+Duration
+GroupPlanner::LoadTime(const std::string& aModel) const
+{
+  const ModelSpec* model = mView->mPool->FindModel(aModel);
+  return model == nullptr ? Duration::max() : model->mLoadTime;
+}
+
 Duration
 GroupPlanner::JoinTime(const EngineRecord& aEngine, const std::string& aModel) const
 {
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -372,6 +372,43 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
+/// Symptom: the store of weights is asked for more loads than it bears, and all of them get slow.
+/// Sequence: the whole pool restarts empty while requests come in.
+/// Cause: weights that a join brings were not counted against the rate, only staged ones.
+TEST(GroupPlanner, LoadsKeepToTheRateWhileRequestsComeIn)
+{
+  World world(6);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  for (auto& [id, engine] : world.mPool.Engines()) {
+    engine.mListed = false;
+    world.Kill(id);
+  }
+  world.Run(planner, seconds(3));
+  const TimePoint back = world.Now();
+  for (std::size_t d = 0; d < 6; ++d) {
+    for (std::size_t i = 0; i < 11; ++i) {
+      world.mPool.Add("n" + std::to_string(d) + "-" + std::to_string(i), "d" + std::to_string(d));
+    }
+  }
+  world.Run(planner, seconds(60));
+  constexpr seconds kWindow{ 5 };
+  const auto& loads = world.mPool.Loads();
+  const auto most =
+    static_cast<std::size_t>(world.mPool.Pool().mLoadsPerSecond * kWindow.count()) + 1;
+  for (auto first = loads.begin(); first != loads.end(); ++first) {
+    if (*first < back) {
+      continue;
+    }
+    const auto last =
+      std::find_if(first, loads.end(), [&](TimePoint aAt) { return aAt - *first >= kWindow; });
+    ASSERT_LE(static_cast<std::size_t>(last - first), most);
+  }
+  EXPECT_EQ(world.mPool.Serving("big"), 6U);
+  EXPECT_EQ(world.mPool.Serving("small"), 6U);
+}
+
 /// Under any order of losses, returns, leaving, lost and late answers and two holders at once: no
 /// replica serves that is not whole under its epoch and list, and no engine joins another replica
 /// while one that it has not left serves. And once faults end, every replica stands again.
