relay: an answer at the deadline or at a stop says truly whether the request ran

Cause: Exchange worked out that the engine may have run the request to choose the status (504, 502), but Answer() wrote "ran" from the older state, so the body said "no" of requests that engines had read. Found by the unit tests of a stop that were missing. Ruled out: refusals with 503, which are given only when nothing may have run.

Change: the state is kept before the answer is written.

--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -27,6 +27,9 @@
   {
   }
 
+  /// @return an answer with its body, for the side of a caller.
+  std::string ReadAnswer() { return ReadRequest(); }
+
   /// @return a request with its body; empty when the caller has closed.
   std::string ReadRequest()
   {
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -40,7 +40,7 @@
   }
   const TimePoint now = mCore->Now();
   if (now >= mDeadlineAt) {
-    const bool mayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
+    mMayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
     DropAttempt();
     if (mStreamStarted) {
       ++mCore->mCounters.mCut;
@@ -49,7 +49,7 @@
       CallerSide* caller = mCaller;
       Over();
       caller->Break();
-    } else if (mayHaveRun) {
+    } else if (mMayHaveRun) {
       Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
     } else {
       Refuse("deadline");
@@ -257,13 +257,13 @@
   if (mPhase == Phase::kOver) {
     return;
   }
-  const bool mayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
+  mMayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
   DropAttempt();
   if (mStreamStarted) {
     CallerSide* caller = mCaller;
     Over();
     caller->Break();
-  } else if (mayHaveRun) {
+  } else if (mMayHaveRun) {
     Answer(kBadGateway, "stopping", "this node stops; whether the request ran is unknown");
   } else {
     Refuse("stopping");
