--- /dev/null
+++ b/scripts/mutants/shared_pool.sh
@@ -0,0 +1,78 @@
+# Mechanisms of a node before a shared pool, in the order of the rules that they keep; read by
+# scripts/mutants.sh.
+# shellcheck shell=bash disable=SC2154
+relay=$s/relay
+groups=$s/placement
+mutant "answers without a seal pass" $relay/exchange.cpp \
+  's/if \(!facts.mSealed\)/if (false)/' relay_relay_test '*OnlyAWholeAnswer*'
+mutant "another request's answer passes" $relay/exchange.cpp \
+  's/if \(!facts.mRequestId.empty\(\) \&\& .*/if (false) {/' relay_relay_test '*OnlyAWholeAnswer*'
+mutant "answers cut short pass" $relay/exchange.cpp \
+  's/if \(!aEnd.mComplete\)/if (false)/' relay_relay_test '*OnlyAWholeAnswer*'
+mutant "a kept connection with bytes on it is used" $relay/connection_pool.cpp \
+  's/Peek\(last.mSocket\) == PeekResult::kQuiet/true/' relay_relay_test '*ALateAnswer*'
+mutant "a caller names its customer" platform/dialect.cpp \
+  's/\{ kKey, kCustomer, kEngine/{ kKey, kEngine/' platform_decode_test '*TakesOut*'
+mutant "the key is passed on" platform/dialect.cpp \
+  's/\{ kKey, kCustomer, kEngine/{ kCustomer, kEngine/' platform_decode_test '*TakesOut*'
+mutant "what may have run is sent again" $s/dispatch/failure_step.cpp \
+  's/if \(aProgress.mMayHaveRun \&\& !aProgress.mRepeatable\)/if (false)/' \
+  dispatch_failure_step_test '*NeverSentAgain*'
+mutant "not run said without proof, to a caller of the relay" $s/dispatch/failure_step.cpp \
+  's/aProgress.mMayHaveRun \? FailureStep::kFail : FailureStep::kRefuse/FailureStep::kRefuse/' \
+  dispatch_failure_step_test '*OnlyWithProof*'
+mutant "the body of a late answer says not run" $relay/exchange_ends.cpp \
+  's/mMayHaveRun = mMayHaveRun \|\| mAttempt->MayHaveRun\(\);/const bool m = mAttempt->MayHaveRun();/; s/\} else if \(mMayHaveRun\) \{/} else if (true) {/' \
+  relay_relay_test 'StopTest.ARequestWithout*'
+mutant "no configuration counts as no route" $relay/exchange.cpp \
+  's/Refuse\("no_configuration"\)/Answer(kNotFound, "no_route", "")/' relay_relay_test '*WithoutAConfiguration*'
+mutant "second attempts without a budget" $relay/exchange_ends.cpp \
+  's/progress.mHasBudget = .*/progress.mHasBudget = true;/' relay_relay_test '*WithinTheBudget*'
+mutant "the caller's deadline is passed on as it came" $relay/exchange.cpp \
+  's/std::max<Duration>\(Left\(\) - kDeadlineMargin, /std::max<Duration>(mDeadlineAt - mArrived, /' \
+  relay_relay_test '*LessTime*'
+mutant "a caller that left is not noticed" $relay/session.cpp \
+  's/Peek\(self->mSocket\) == PeekResult::kClosed/false/' relay_relay_test '*ACallerThatLeaves*'
+mutant "late requests are taken in a stop" $relay/relay.cpp \
+  's/mCore.mTakesRequests = false/mCore.mTakesRequests = true/' relay_relay_test '*RefusesWhatComesLate*'
+mutant "a member that leaves is not swapped" $groups/group_planner.cpp \
+  's/      leaving = true;/      leaving = false;/' placement_group_planner_test '*LeavingMember*'
+mutant "a head without registration stays" $groups/group_planner.cpp \
+  's/leaving = leaving \|\| FindListed.*/;/' placement_group_planner_test '*HandsOver*'
+mutant "an older configuration is taken" $s/coordinator/coordinator.cpp \
+  's/configuration.value\(\).mVersion <= mRoutes->Version\(\)/false/' \
+  coordinator_coordinator_test '*OnlyGoesForward*'
+mutant "keys are trusted for ever" $relay/exchange.cpp \
+  's/mCore->Now\(\) >= aPlan.mKeysValidUntil/false/' relay_relay_test '*KeysThatMay*'
+mutant "the age of a configuration is not counted" $s/coordinator/coordinator.cpp \
+  's/mConfigFollower.AsOf\(\) \+ mOptions.mKeysTrusted/now + mOptions.mKeysTrusted/' \
+  coordinator_coordinator_test '*KeysAreTrusted*'
+mutant "requests do not name their engine" platform/dialect.cpp \
+  's/aFields.set\(kEngine, .*/;/' platform_decode_test '*TakesOut*'
+mutant "doubled events are passed on" $relay/exchange.cpp \
+  's/\*event->mId <= \*mLastEvent/false/' relay_relay_test '*AfterItsLastWholeEvent*'
+mutant "a stream that ends inside an event is whole" $relay/exchange.cpp \
+  's/if \(mSplitter.HasPartial\(\)\)/if (false)/' relay_relay_test '*EndsInsideAnEvent*'
+mutant "standing replicas are not learnt" $groups/group_planner.cpp \
+  's/^    Adopt\(name, members\);/    (void)members;/' placement_group_planner_test '*LeavesStanding*'
+mutant "an adopted replica counts as new" $groups/group_planner.cpp \
+  's/mSince = mView->mNow - mView->mPool->mFormTime/mSince = mView->mNow/' \
+  placement_group_planner_test '*HasServedForLong*'
+mutant "a head opens before its members are ready" $groups/group_planner_orders.cpp \
+  's/aReplica.mReady.size\(\) < aReplica.mMembers.size\(\)/aReplica.mReady.empty()/' \
+  placement_group_planner_test '*NeverServes*'
+mutant "an engine's own word is not looked at" $groups/group_planner.cpp \
+  's/return !group.empty\(\) \&\& !IsSpareGroup\(group\) \&\& group != aGroup;/return false;/' \
+  placement_group_planner_test '*LeavesFirst*:*NeverServes*'
+mutant "joins without a guard" $groups/group_planner_orders.cpp \
+  's/aOrder.mAccepted = accepted->second;/;/' placement_group_planner_test '*NeverServes*'
+mutant "late joins are forgotten" $groups/group_planner.cpp \
+  's/return it != mLostJoins.end\(\) .*/return false;/' placement_group_planner_test '*NeverServes*'
+mutant "loads of joins are not counted" $groups/group_planner_orders.cpp \
+  's/MayBringWeights\(aOrder\) \&\& Guard/Guard/' placement_group_planner_test '*LoadsKeep*'
+mutant "a lease is held without its record" $s/lease/log_lease.cpp \
+  's/if \(!aResult.value\(\).mAppended\)/if (false)/' lease_log_lease_test '*NeverHeldTwice*'
+mutant "any node gives orders" $s/coordinator/coordinator_pools.cpp \
+  's/return mLease.Held\(\) \|\| .*/return true;/' coordinator_coordinator_test '*OneNodeOrders*'
+mutant "a silent member is not asked" $s/coordinator/coordinator_pools.cpp \
+  's/mDoubts.Ask\(\*engine\);/;/' coordinator_coordinator_test '*TakesOverAndRepairs*'
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -30,6 +30,9 @@
     facts.mId = text(aFields, "Req");
     facts.mModel = text(aFields, "Model");
     facts.mKey = text(aFields, "Key");
+    if (const std::string left = text(aFields, "Left-Ms"); !left.empty()) {
+      facts.mDeadline = std::chrono::milliseconds(std::stoi(left));
+    }
     if (!text(aFields, "Bad").empty()) {
       return Error{ Errc::kInvalid, "request.decode", "caller", "bad" };
     }
@@ -39,6 +42,7 @@
     aFields->erase("Key");
     aFields->set("Engine", aStamp.mEngine);
     aFields->set("Customer", aStamp.mCustomer);
+    aFields->set("Left-Ms", std::to_string(ToMs(aStamp.mDeadline).count()));
     if (aStamp.mLastEvent) {
       aFields->set("Last", std::to_string(*aStamp.mLastEvent));
     }
@@ -345,6 +349,48 @@
   EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
 }
 
+/// An orderly end of the connection inside an event does not make the stream complete.
+TEST_F(RelayTest, AStreamThatEndsInsideAnEventIsBrokenOff)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) +
+                      "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: a\n\nid: 2" +
+                      "\r\n0\r\n\r\n");
+  });
+  Serve({ &engine });
+  const std::string answer = Ask(Post("/stream/", "x", "Model: m\r\n"));
+  EXPECT_TRUE(Has(answer, "data: a")) << answer;
+  EXPECT_FALSE(Has(answer, "\r\n0\r\n\r\n")) << answer;
+}
+
+/// Symptom: engines work on for callers that have long given up.
+/// Cause: the caller's deadline was passed on as it came, not as what is left of it.
+TEST_F(RelayTest, AnEngineIsGivenLessTimeThanTheCaller)
+{
+  std::string seen;
+  RawEngine engine([&](RawConnection& aConnection) {
+    seen = aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/", "Left-Ms: 9000\r\n"))), 200);
+  const std::size_t at = seen.find("Left-Ms: ");
+  ASSERT_NE(at, std::string::npos) << seen;
+  EXPECT_LT(std::stoi(seen.substr(at + 9)), 9000);
+}
+
+/// Callers are not told that there is no such route by a node that knows no routes yet.
+TEST_F(RelayTest, ANodeWithoutAConfigurationRefuses)
+{
+  RawEngine engine([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  Serve({ &engine });
+  mPlan.mRoutes = nullptr;
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "x", "Key: k1\r\n"))), 503);
+  EXPECT_EQ(engine.Connections(), 0);
+}
+
 TEST_F(RelayTest, AStreamThatCannotGoOnIsBrokenOff)
 {
   RawEngine engine([](RawConnection& aConnection) {
