pool-status and check-edge: operators see the nodes before a shared pool side by side

Cause: on the shared pool an operator had only /state of one node and /metrics; who leads, which node is behind and why a replica does not serve had to be put together by hand. check-config knew only the settings of the product's own path.

Change: a pure library status reads state dumps and writes one report (ready, configuration and its age, store, peers, lease; each replica with phase, time in it, members, reason; lost engines; two holders or none; nodes that are behind). Commands pool-status and check-edge. The state dump names readiness, lost engines and time in phase, and has a file of its own.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -38,8 +38,8 @@
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
-pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_peers.cpp coordinator_pools.cpp
-                                      engine_doubts.cpp peer_book.cpp plan_builder.cpp
+pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
+                                      coordinator_pools.cpp engine_doubts.cpp peer_book.cpp plan_builder.cpp
                   TESTS coordinator_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
@@ -51,6 +51,8 @@
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
                   USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
+pepperbay_library(status SOURCES pool_status.cpp TESTS pool_status_test.cpp
+                  USES base PACKAGES nlohmann_json::nlohmann_json) # pure
 add_library(pepperbay_platform STATIC platform/decode.cpp platform/dialect.cpp
                                       platform/engine_client.cpp platform/link.cpp
                                       platform/store_client.cpp platform/store_codec.cpp)
@@ -60,9 +62,9 @@
 pepperbay_test(platform_decode_test ${CMAKE_SOURCE_DIR}/platform/decode_test.cpp pepperbay_platform)
 
 add_executable(pepperbay src/pepperbay/main/main.cpp src/pepperbay/main/commands.cpp
-               src/pepperbay/main/edge.cpp)
+               src/pepperbay/main/edge.cpp src/pepperbay/main/edge_commands.cpp)
 target_include_directories(pepperbay PRIVATE src)
-target_link_libraries(pepperbay PRIVATE pepperbay_node pepperbay_platform absl::flags absl::flags_parse
+target_link_libraries(pepperbay PRIVATE pepperbay_node pepperbay_platform pepperbay_status absl::flags absl::flags_parse
                       absl::flags_usage pepperbay_warnings)
 
 if(NOT PEPPERBAY_TESTS)
@@ -104,6 +106,10 @@
 add_executable(pepperbay_bench_placement bench/placement.cpp)
 target_link_libraries(pepperbay_bench_placement PRIVATE pepperbay_placement absl::flags
                       absl::flags_parse pepperbay_warnings)
+add_executable(pepperbay_bench_relay bench/relay.cpp)
+target_include_directories(pepperbay_bench_relay PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(pepperbay_bench_relay PRIVATE pepperbay_relay pepperbay_http absl::flags
+                      absl::flags_parse pepperbay_warnings)
 add_executable(pepperbay_bench_routing bench/routing.cpp)
 target_link_libraries(pepperbay_bench_routing PRIVATE pepperbay_routing pepperbay_admission
                       absl::flags absl::flags_parse pepperbay_warnings)
--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -67,6 +67,21 @@
     ::setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
   }
 
+  /// Read past a piece of text. @return false when the connection ends first
+  bool ReadUntil(std::string_view aText)
+  {
+    for (;;) {
+      const std::size_t at = mBytes.find(aText);
+      if (at != std::string::npos) {
+        mBytes.erase(0, at + aText.size());
+        return true;
+      }
+      if (!ReadSome()) {
+        return false;
+      }
+    }
+  }
+
   /// Wait until the caller closes. @return the bytes that came before
   std::string ReadToEnd()
   {
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -4,7 +4,6 @@
 #include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace pepperbay {
@@ -194,6 +193,12 @@
   Publish();
 }
 
+bool
+Coordinator::Impl::IsReady() const
+{
+  return !mStopping && mRoutes && mEngineFollower.HasList();
+}
+
 void
 Coordinator::Impl::Publish()
 {
@@ -217,47 +222,6 @@
   mHooks.mPublish(BuildPlan(sources));
 }
 
-std::string
-Coordinator::Impl::Dump() const
-{
-  using Json = nlohmann::json;
-  Json replicas = Json::array();
-  for (const auto& [service, planner] : mPlanners) {
-    for (const auto& [name, it] : planner.Replicas()) {
-      replicas.push_back({ { "name", name },
-                           { "service", service },
-                           { "epoch", it.mEpoch },
-                           { "model", it.mModel },
-                           { "domain", it.mDomain },
-                           { "members", it.mMembers },
-                           { "phase", ToString(it.mPhase) },
-                           { "why", it.mWhy } });
-    }
-  }
-  Json peers = Json::array();
-  for (const auto& [name, it] : mPeers.Peers()) {
-    peers.push_back({ { "node", name },
-                      { "address", it.mAddress },
-                      { "alive", mPeers.Alive(it, Now()) },
-                      { "configuration", it.mBeat.config_version() } });
-  }
-  const Json dump = { { "node", mOptions.mNode },
-                      { "incarnation", mOptions.mIncarnation },
-                      { "holds_lease", mLease.Held() },
-                      { "lease",
-                        { { "holder", mLease.Newest().holder() },
-                          { "fence", mLease.Newest().fence() },
-                          { "log_lost", mLease.LogLost() } } },
-                      { "configuration",
-                        { { "version", mRoutes ? mRoutes->Version() : 0 },
-                          { "age_ms", ToMs(Now() - mConfigFollower.AsOf()).count() } } },
-                      { "engines", mDirectory.Engines().size() },
-                      { "lost_engines", mDoubts.Lost().size() },
-                      { "replicas", replicas },
-                      { "peers", peers } };
-  return dump.dump(2);
-}
-
 Coordinator::Coordinator(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mImpl(std::make_unique<Impl>(std::move(aOptions), std::move(aHooks)))
 {
@@ -307,7 +271,7 @@
 bool
 Coordinator::IsReady() const
 {
-  return !mImpl->mStopping && mImpl->mRoutes && mImpl->mEngineFollower.HasList();
+  return mImpl->IsReady();
 }
 
 bool
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -0,0 +1,65 @@
+#include "coordinator_impl.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace pepperbay {
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+DumpReplica(const std::string& aService, const PlannedReplica& aReplica, TimePoint aNow)
+{
+  return { { "name", aReplica.mName },
+           { "service", aService },
+           { "epoch", aReplica.mEpoch },
+           { "model", aReplica.mModel },
+           { "domain", aReplica.mDomain },
+           { "members", aReplica.mMembers },
+           { "phase", ToString(aReplica.mPhase) },
+           { "since_ms", ToMs(aNow - aReplica.mSince).count() },
+           { "why", aReplica.mPhase == ReplicaPhase::kOpen ? "" : aReplica.mWhy } };
+}
+
+} // namespace
+
+std::string
+Coordinator::Impl::Dump() const
+{
+  Json replicas = Json::array();
+  for (const auto& [service, planner] : mPlanners) {
+    for (const auto& [name, it] : planner.Replicas()) {
+      replicas.push_back(DumpReplica(service, it, Now()));
+    }
+  }
+  Json peers = Json::array();
+  for (const auto& [name, it] : mPeers.Peers()) {
+    peers.push_back({ { "node", name },
+                      { "address", it.mAddress },
+                      { "alive", mPeers.Alive(it, Now()) },
+                      { "configuration", it.mBeat.config_version() } });
+  }
+  Json lost = Json::array();
+  for (const auto& [engine, asked] : mDoubts.Lost()) {
+    lost.push_back(engine);
+  }
+  const Json dump = { { "node", mOptions.mNode },
+                      { "incarnation", mOptions.mIncarnation },
+                      { "ready", IsReady() },
+                      { "stopping", mStopping },
+                      { "holds_lease", mLease.Held() },
+                      { "lease",
+                        { { "holder", mLease.Newest().holder() },
+                          { "fence", mLease.Newest().fence() },
+                          { "log_lost", mLease.LogLost() } } },
+                      { "configuration",
+                        { { "version", mRoutes ? mRoutes->Version() : 0 },
+                          { "age_ms", ToMs(Now() - mConfigFollower.AsOf()).count() } } },
+                      { "engines", mDirectory.Engines().size() },
+                      { "lost_engines", lost },
+                      { "replicas", replicas },
+                      { "peers", peers } };
+  return dump.dump(2);
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -39,6 +39,7 @@
   void AskAsPlanned(const GroupPlanner& aPlanner);
   void Publish();
   bool MayOrder() const;
+  bool IsReady() const;
   int InFlightEverywhere(const std::string& aEngine) const;
   std::unordered_map<std::string, int> OthersInFlight() const;
   KeyedFollowerEvents Events(const char* aName,
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "edge_commands.hpp"
 #include "pepperbay/http/client.hpp"
 #include "pepperbay/log/log.hpp"
 #include "pepperbay/node/node.hpp"
@@ -7,7 +8,6 @@
 
 #include <array>
 #include <csignal>
-#include <fstream>
 #include <functional>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
@@ -92,31 +92,10 @@
   if (read != kExitOk) {
     return read;
   }
-  if (aOptions.mJson) {
-    std::cout << R"({"problems":[]})"
-              << "\n";
-  } else {
-    std::cout << aOptions.mConfig << ": good\n";
-  }
+  PrintGood(aOptions.mConfig, aOptions.mJson);
   return kExitOk;
 }
 
-/// One call to a node's admin address.
-HttpFetched
-Ask(const CommandOptions& aOptions,
-    const std::string& aMethod,
-    const std::string& aPath,
-    const std::string& aBody)
-{
-  const auto client = HttpClient::Create();
-  HttpCall call;
-  call.mMethod = aMethod;
-  call.mUrl = "http://" + aOptions.mAdmin + aPath;
-  call.mBody = aBody;
-  call.mTimeout = std::chrono::seconds(aOptions.mTimeoutSeconds);
-  return client->FetchAndWait(std::move(call));
-}
-
 /// @return kExitOk, or why there is no answer, after saying so.
 int
 CheckAnswer(const HttpFetched& aFetched)
@@ -348,7 +327,7 @@
   int (*mRun)(const Words&, const CommandOptions&);
 };
 
-constexpr std::array<Command, 8> kCommands{ {
+constexpr std::array<Command, 10> kCommands{ {
   { "serve",
     "--config FILE",
     "run a node until SIGTERM or SIGINT",
@@ -362,6 +341,18 @@
     "readiness\n"
     "fails first, requests in progress end. SIGHUP checks the file again.\n",
     &Edge },
+  { "check-edge",
+    "[--config FILE]",
+    "check the settings of a node before a shared pool",
+    "Each problem names file, line, key and what is allowed.\n",
+    &CheckEdge },
+  { "pool-status",
+    "[IP:port ...]",
+    "show the nodes before a shared pool side by side, and its replicas",
+    "The addresses are those of /state; without any, the one of --admin is asked. Shown are each\n"
+    "node's configuration and its age, whether it reaches the store, who holds the lease, and for\n"
+    "each replica its members and why it does not serve.\n",
+    &PoolStatus },
   { "check-config",
     "--config FILE",
     "check a settings file and say each thing that is wrong",
@@ -391,6 +382,32 @@
 
 } // namespace
 
+HttpFetched
+Ask(const CommandOptions& aOptions,
+    const std::string& aMethod,
+    const std::string& aPath,
+    const std::string& aBody)
+{
+  const auto client = HttpClient::Create();
+  HttpCall call;
+  call.mMethod = aMethod;
+  call.mUrl = "http://" + aOptions.mAdmin + aPath;
+  call.mBody = aBody;
+  call.mTimeout = std::chrono::seconds(aOptions.mTimeoutSeconds);
+  return client->FetchAndWait(std::move(call));
+}
+
+void
+PrintGood(const std::string& aFile, bool aJson)
+{
+  if (aJson) {
+    std::cout << R"({"problems":[]})"
+              << "\n";
+  } else {
+    std::cout << aFile << ": good\n";
+  }
+}
+
 void
 PrintProblems(const std::vector<YamlProblem>& aProblems, bool aJson)
 {
--- a/src/pepperbay/main/commands.hpp
+++ b/src/pepperbay/main/commands.hpp
@@ -2,6 +2,7 @@
 /// @brief The command line: `serve` and the operator's commands.
 #pragma once
 
+#include "pepperbay/http/client.hpp"
 #include "pepperbay/settings/yaml_reader.hpp"
 
 #include <string>
@@ -35,6 +36,17 @@
 int
 RunCommand(const std::vector<std::string>& aWords, const CommandOptions& aOptions);
 
+/// One call to a node's admin address.
+HttpFetched
+Ask(const CommandOptions& aOptions,
+    const std::string& aMethod,
+    const std::string& aPath,
+    const std::string& aBody);
+
+/// Say that a file has nothing wrong.
+void
+PrintGood(const std::string& aFile, bool aJson);
+
 /// Serve before a shared pool of engines until SIGTERM or SIGINT.
 int
 RunEdge(const CommandOptions& aOptions);
--- a/src/pepperbay/main/edge.cpp
+++ b/src/pepperbay/main/edge.cpp
@@ -1,4 +1,4 @@
-#include "commands.hpp"
+#include "edge_commands.hpp"
 #include "pepperbay/edge/edge_node.hpp"
 #include "pepperbay/log/log.hpp"
 #include "platform/link.hpp"
@@ -11,9 +11,6 @@
 namespace pepperbay {
 namespace {
 
-/// Where a platform says which settings file to read, when the command line does not.
-constexpr const char* kSettingsVariable = "PEPPERBAY_SETTINGS";
-
 EdgeNode* gEdge = nullptr; // NOLINT: the signal handlers have no other way to it
 
 void
@@ -28,16 +25,6 @@
   gEdge->RequestReload();
 }
 
-std::string
-SettingsFile(const CommandOptions& aOptions)
-{
-  if (!aOptions.mConfig.empty()) {
-    return aOptions.mConfig;
-  }
-  const char* file = std::getenv(kSettingsVariable); // NOLINT: before any thread starts
-  return file == nullptr ? "" : file;
-}
-
 /// The settings of a running node do not change; a new file is checked and told, and takes force
 /// at the next start.
 void
@@ -58,22 +45,18 @@
 int
 RunEdge(const CommandOptions& aOptions)
 {
-  const std::string file = SettingsFile(aOptions);
-  if (file.empty()) {
-    std::cerr << "--config FILE or " << kSettingsVariable << " is needed\n";
-    return kExitUsage;
-  }
-  const EdgeSettingsReport report = LoadEdgeSettings(file);
-  if (!report.mProblems.empty()) {
-    PrintProblems(report.mProblems, aOptions.mJson);
-    return kExitBadInput;
+  std::string file;
+  EdgeSettings settings;
+  const int read = ReadEdgeSettings(aOptions, &file, &settings);
+  if (read != kExitOk) {
+    return read;
   }
-  StartLogging(report.mSettings.mName);
+  StartLogging(settings.mName);
   // Few arenas: values made on one thread are freed on another, and each arena keeps its own peak.
   constexpr int kArenas = 2;
   mallopt(M_ARENA_MAX, kArenas);
   std::signal(SIGPIPE, SIG_IGN);
-  auto node = EdgeNode::Start(report.mSettings, &platform::MakePlatformLink);
+  auto node = EdgeNode::Start(settings, &platform::MakePlatformLink);
   if (!node.has_value()) {
     std::cerr << ToString(node.error()) << "\n";
     return kExitUnreachable;
@@ -84,10 +67,10 @@
   std::signal(SIGHUP, &OnReload);
   LogEvent("started",
            { { "file", file },
-             { "data_centre", report.mSettings.mDataCentre },
-             { "callers", report.mSettings.mCallers },
-             { "admin", report.mSettings.mAdmin },
-             { "peers", report.mSettings.mPeers } });
+             { "data_centre", settings.mDataCentre },
+             { "callers", settings.mCallers },
+             { "admin", settings.mAdmin },
+             { "peers", settings.mPeers } });
   gEdge->Wait([&file] { CheckReloaded(file); });
   LogEvent("stopped");
   // Nothing is left to write back, and the libraries' threads would be waited for: a call that the
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -621,6 +621,30 @@
   mAnswer.set_value();
 }
 
+/// The same when the second answer comes after the connection has been kept.
+TEST_F(RelayTest, AnAnswerThatComesOnAKeptConnectionSpoilsIt)
+{
+  std::promise<void> answered;
+  std::promise<void> late;
+  std::atomic<bool> first{ true };
+  RawEngine engine([&](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+      if (first.exchange(false)) {
+        answered.get_future().wait();
+        aConnection.Write(std::string(kHead) + "Content-Length: 3\r\n\r\nbad");
+        late.set_value();
+      }
+    }
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  answered.set_value();
+  late.get_future().wait();
+  const std::string answer = Ask(Get("/safe/"));
+  EXPECT_TRUE(Has(answer, "\r\n\r\nok")) << answer;
+}
+
 /// A connection on which an engine puts a second answer is not used for the next request.
 TEST_F(RelayTest, ALateAnswerIsNotTakenForTheNext)
 {
--- /dev/null
+++ b/src/pepperbay/status/pool_status.cpp
@@ -0,0 +1,180 @@
+#include "pepperbay/status/pool_status.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace pepperbay {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kNameWidth = 24;
+constexpr int kNumberWidth = 10;
+constexpr double kMsPerSecond = 1000;
+
+ReplicaStatus
+ReadReplica(const Json& aJson)
+{
+  ReplicaStatus replica;
+  replica.mName = aJson.at("name").get<std::string>();
+  replica.mService = aJson.at("service").get<std::string>();
+  replica.mModel = aJson.at("model").get<std::string>();
+  replica.mDomain = aJson.at("domain").get<std::string>();
+  replica.mPhase = aJson.at("phase").get<std::string>();
+  replica.mWhy = aJson.at("why").get<std::string>();
+  replica.mEpoch = aJson.at("epoch").get<std::uint64_t>();
+  replica.mMembers = aJson.at("members").get<std::vector<std::string>>();
+  replica.mSince = std::chrono::milliseconds(aJson.at("since_ms").get<std::int64_t>());
+  return replica;
+}
+
+NodeStatus
+ReadNode(const Json& aJson)
+{
+  NodeStatus node;
+  node.mNode = aJson.at("node").get<std::string>();
+  node.mReady = aJson.at("ready").get<bool>();
+  node.mHoldsLease = aJson.at("holds_lease").get<bool>();
+  const Json& lease = aJson.at("lease");
+  node.mLeaseHolder = lease.at("holder").get<std::string>();
+  node.mFence = lease.at("fence").get<std::uint64_t>();
+  node.mStoreReachable = !lease.at("log_lost").get<bool>();
+  const Json& configuration = aJson.at("configuration");
+  node.mConfiguration = configuration.at("version").get<std::uint64_t>();
+  node.mConfigurationAge =
+    std::chrono::milliseconds(configuration.at("age_ms").get<std::int64_t>());
+  node.mEngines = aJson.at("engines").get<std::size_t>();
+  node.mLostEngines = aJson.at("lost_engines").get<std::vector<std::string>>();
+  for (const auto& it : aJson.at("replicas")) {
+    node.mReplicas.push_back(ReadReplica(it));
+  }
+  for (const auto& it : aJson.at("peers")) {
+    ++node.mPeers;
+    node.mPeersAlive += it.at("alive").get<bool>() ? 1 : 0;
+  }
+  return node;
+}
+
+std::string
+Seconds(Duration aDuration)
+{
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1)
+       << static_cast<double>(ToMs(aDuration).count()) / kMsPerSecond << " s";
+  return text.str();
+}
+
+template<class Value>
+void
+Column(std::ostream& aOut, const Value& aValue, int aWidth)
+{
+  aOut << std::left << std::setw(aWidth) << aValue << " ";
+}
+
+void
+WriteNodes(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
+{
+  Column(aOut, "NODE", kNameWidth);
+  for (const char* it : { "READY", "CONFIG", "AGE", "STORE", "PEERS", "LEASE" }) {
+    Column(aOut, it, kNumberWidth);
+  }
+  aOut << "\n";
+  for (const auto& asked : aNodes) {
+    if (!asked.mStatus.has_value()) {
+      Column(aOut, asked.mAddress, kNameWidth);
+      aOut << "no answer: " << ToString(asked.mStatus.error()) << "\n";
+      continue;
+    }
+    const NodeStatus& it = asked.mStatus.value();
+    Column(aOut, it.mNode, kNameWidth);
+    Column(aOut, it.mReady ? "yes" : "no", kNumberWidth);
+    Column(aOut, it.mConfiguration, kNumberWidth);
+    Column(aOut, Seconds(it.mConfigurationAge), kNumberWidth);
+    Column(aOut, it.mStoreReachable ? "reached" : "lost", kNumberWidth);
+    Column(aOut, std::to_string(it.mPeersAlive) + " of " + std::to_string(it.mPeers), kNumberWidth);
+    aOut << (it.mHoldsLease ? "holds it" : "of " + it.mLeaseHolder) << ", fence " << it.mFence
+         << "\n";
+  }
+}
+
+void
+WriteReplicas(std::ostream& aOut, const NodeStatus& aHolder)
+{
+  aOut << "\nreplicas, as " << aHolder.mNode << " plans them; " << aHolder.mEngines << " engines, "
+       << aHolder.mLostEngines.size() << " lost\n";
+  for (const auto& it : aHolder.mReplicas) {
+    aOut << "  ";
+    Column(aOut, it.mName, kNameWidth);
+    Column(aOut, it.mModel, kNumberWidth);
+    Column(aOut, it.mDomain, kNumberWidth);
+    Column(aOut, it.mPhase, kNumberWidth);
+    aOut << "for " << Seconds(it.mSince) << ", epoch " << it.mEpoch;
+    if (it.mPhase != "open") {
+      aOut << ": " << (it.mWhy.empty() ? "on its way" : it.mWhy);
+    }
+    aOut << "\n    members";
+    for (const auto& member : it.mMembers) {
+      aOut << " " << member;
+    }
+    aOut << "\n";
+  }
+  for (const auto& it : aHolder.mLostEngines) {
+    aOut << "  lost: " << it << "\n";
+  }
+}
+
+void
+WriteDoubts(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
+{
+  std::size_t holders = 0;
+  std::uint64_t newest = 0;
+  for (const auto& it : aNodes) {
+    if (it.mStatus.has_value()) {
+      holders += it.mStatus.value().mHoldsLease ? 1 : 0;
+      newest = std::max(newest, it.mStatus.value().mConfiguration);
+    }
+  }
+  if (holders == 0) {
+    aOut << "\nnone of these nodes holds the lease: no replica is repaired by them\n";
+  } else if (holders > 1) {
+    aOut << "\n"
+         << holders << " nodes hold the lease by their own account; they were not asked at "
+         << "the same moment, and engines refuse the orders of the lower fence\n";
+  }
+  for (const auto& it : aNodes) {
+    if (it.mStatus.has_value() && it.mStatus.value().mConfiguration < newest) {
+      aOut << it.mStatus.value().mNode << " is behind: configuration "
+           << it.mStatus.value().mConfiguration << " of " << newest << "\n";
+    }
+  }
+}
+
+} // namespace
+
+Result<NodeStatus>
+ParseNodeStatus(const std::string& aAddress, const std::string& aDump)
+{
+  try {
+    return ReadNode(Json::parse(aDump));
+  } catch (const Json::exception& error) {
+    return Error{ Errc::kInvalid, "status.read", aAddress, error.what() };
+  }
+}
+
+std::string
+PoolReport(const std::vector<AskedNode>& aNodes)
+{
+  std::ostringstream out;
+  WriteNodes(out, aNodes);
+  for (const auto& it : aNodes) {
+    if (it.mStatus.has_value() && it.mStatus.value().mHoldsLease) {
+      WriteReplicas(out, it.mStatus.value());
+    }
+  }
+  WriteDoubts(out, aNodes);
+  return out.str();
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/status/pool_status_test.cpp
@@ -0,0 +1,74 @@
+#include "pepperbay/status/pool_status.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+std::string
+Dump(const std::string& aNode, bool aHolds, int aConfiguration)
+{
+  const std::string replicas = R"([{"name":"r3-1-pool","service":"pool","epoch":300001,"model":"m",
+    "domain":"d1","members":["i-1","i-2"],"phase":"open","why":"","since_ms":61000},
+    {"name":"r3-2-pool","service":"pool","epoch":300007,"model":"m","domain":"d2",
+    "members":["i-3","i-4"],"phase":"broken","why":"no spare in domain d2","since_ms":2500}])";
+  return R"({"node":")" + aNode + R"(","incarnation":5,"ready":true,"holds_lease":)" +
+         (aHolds ? "true" : "false") +
+         R"(,"lease":{"holder":"n1","fence":3,"log_lost":false},"configuration":{"version":)" +
+         std::to_string(aConfiguration) +
+         R"(,"age_ms":140},"engines":11,"lost_engines":["i-9"],"replicas":)" +
+         (aHolds ? replicas : "[]") +
+         R"(,"peers":[{"node":"n1","address":"a","alive":true,"configuration":7}]})";
+}
+
+AskedNode
+Asked(const std::string& aNode, bool aHolds, int aConfiguration)
+{
+  return { aNode, ParseNodeStatus(aNode, Dump(aNode, aHolds, aConfiguration)) };
+}
+
+bool
+Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+TEST(PoolStatus, SaysWhoHoldsTheLeaseAndWhyAReplicaDoesNotServe)
+{
+  const std::string text = PoolReport({ Asked("n1", true, 7), Asked("n2", false, 7) });
+  EXPECT_TRUE(Has(text, "holds it, fence 3")) << text;
+  EXPECT_TRUE(Has(text, "of n1, fence 3"));
+  EXPECT_TRUE(Has(text, "for 2.5 s, epoch 300007: no spare in domain d2"));
+  EXPECT_TRUE(Has(text, "members i-3 i-4"));
+  EXPECT_TRUE(Has(text, "lost: i-9"));
+  EXPECT_FALSE(Has(text, "behind"));
+}
+
+TEST(PoolStatus, SaysWhatDoesNotFitTogether)
+{
+  const Error silent{ Errc::kTimeout, "http.get", "10.0.0.3:8081", "no answer" };
+  const std::string text =
+    PoolReport({ Asked("n1", true, 7), Asked("n2", true, 6), { "10.0.0.3:8081", silent } });
+  EXPECT_TRUE(Has(text, "2 nodes hold the lease")) << text;
+  EXPECT_TRUE(Has(text, "n2 is behind: configuration 6 of 7"));
+  EXPECT_TRUE(Has(text, "no answer: "));
+  EXPECT_TRUE(Has(PoolReport({ Asked("n2", false, 7) }), "none of these nodes holds the lease"));
+}
+
+TEST(PoolStatus, ADumpThatCannotBeReadIsAnErrorThatNamesTheNode)
+{
+  for (const char* it : { "", "[]", "{}", R"({"node":3})" }) {
+    const auto status = ParseNodeStatus("10.0.0.1:8081", it);
+    ASSERT_FALSE(status.has_value()) << it;
+    EXPECT_EQ(status.error().mPeer, "10.0.0.1:8081");
+  }
+}
+
+RC_GTEST_PROP(PoolStatus, AnyBytesAreSurvived, (const std::string& aBytes))
+{
+  RC_ASSERT(!ParseNodeStatus("n", aBytes).has_value());
+}
+
+} // namespace
+} // namespace pepperbay
