edge: SIGHUP puts new bounds and budgets in force

Cause: a reload only checked the file and said "at the next start", also for what a running node can take up: how long keys are trusted, the time for a stop, the budget of second attempts.

Change: EdgeNode::Apply tunes the coordinator and the relay on their own threads; the log line reload names the values in force and the keys that wait for the next start; a file with a problem changes nothing, as before.

The calls did not exist before.

--- a/include/pepperbay/admission/retry_budget.hpp
+++ b/include/pepperbay/admission/retry_budget.hpp
@@ -31,6 +31,8 @@
   double Left() const { return mLeft; }
   /// The most that may be saved up has changed, with the number of nodes that share it.
   void SetBurst(double aBurst);
+  /// What one request earns has changed, by new settings.
+  void SetShare(double aShare) { mOptions.mShare = aShare; }
 
 private:
   Options mOptions;
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -115,6 +115,8 @@
   void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   /// Fail readiness and give the lease back.
   void BeginStop();
+  /// How long keys are trusted after the configuration was last known to be the newest.
+  void SetKeysTrusted(Duration aTrusted);
 
   bool IsReady() const;
   bool HoldsLease() const;
--- a/include/pepperbay/edge/edge_node.hpp
+++ b/include/pepperbay/edge/edge_node.hpp
@@ -43,6 +43,8 @@
   virtual void RequestStop() = 0;
   /// The settings file may have changed. Safe in a signal handler.
   virtual void RequestReload() = 0;
+  /// Take up bounds and budgets of new settings; see KeysForNextStart() for what does not change.
+  virtual void Apply(const EdgeSettings& aSettings) = 0;
   /// Wait until the node has stopped.
   /// @param aReload called on this thread after each RequestReload()
   virtual void Wait(const std::function<void()>& aReload) = 0;
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -49,6 +49,14 @@
   NowFn mNow = &BootClock::now;
 };
 
+/// What may change while a relay runs; the meaning is that of RelayOptions.
+struct RelayTuning
+{
+  double mRetryShare = 0.2;
+  double mRetrySlack = 100;
+  Duration mStopMost = std::chrono::milliseconds(7200);
+};
+
 /// Counts since the start; see docs/OPERATIONS.md.
 struct RelayCounters
 {
@@ -91,6 +99,7 @@
 
   // All of these on the relay's own thread.
   virtual void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) = 0;
+  virtual void Tune(const RelayTuning& aTuning) = 0;
   /// Prompts that other nodes have sent.
   virtual void AddPrompts(const std::vector<SentPrompt>& aPrompts) = 0;
   /// Requests of this node in progress, by engine.
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -30,6 +30,10 @@
   int mRetrySlack = 100;
 };
 
+/// @return the keys that differ and that a running node cannot take up; the others it can.
+std::vector<std::string>
+KeysForNextStart(const EdgeSettings& aRunning, const EdgeSettings& aNew);
+
 struct EdgeSettingsReport
 {
   EdgeSettings mSettings;
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -268,6 +268,12 @@
   mImpl->mBeatDue = mImpl->Now();
 }
 
+void
+Coordinator::SetKeysTrusted(Duration aTrusted)
+{
+  mImpl->mOptions.mKeysTrusted = aTrusted;
+}
+
 bool
 Coordinator::IsReady() const
 {
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -113,6 +113,14 @@
     Wake();
   }
 
+  void Apply(const EdgeSettings& aSettings) override
+  {
+    asio::post(mControl, [this, trusted = aSettings.mRevokeWithin - kRevokeMargin] {
+      mCoordinator->SetKeysTrusted(trusted);
+    });
+    asio::post(mTraffic, [this, tuning = TuningOf(aSettings)] { mRelay->Tune(tuning); });
+  }
+
   void Wait(const std::function<void()>& aReload) override
   {
     bool stopping = false;
@@ -227,12 +235,20 @@
     RelayOptions options;
     options.mCallers = mSettings.mCallers;
     options.mDataCentre = mSettings.mDataCentre;
-    options.mRetryShare = mSettings.mRetryShare * kRetryCaution;
-    options.mRetrySlack = mSettings.mRetrySlack * kRetryCaution;
-    options.mStopMost = mSettings.mStopWithin - kStopMargin;
+    const RelayTuning tuning = TuningOf(mSettings);
+    options.mRetryShare = tuning.mRetryShare;
+    options.mRetrySlack = tuning.mRetrySlack;
+    options.mStopMost = tuning.mStopMost;
     return options;
   }
 
+  static RelayTuning TuningOf(const EdgeSettings& aSettings)
+  {
+    return { aSettings.mRetryShare * kRetryCaution,
+             aSettings.mRetrySlack * kRetryCaution,
+             aSettings.mStopWithin - kStopMargin };
+  }
+
   CoordinatorOptions MakeCoordinatorOptions() const
   {
     CoordinatorOptions options;
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -339,7 +339,8 @@
     "run a node before a shared pool of engines",
     "Without --config the file is the one that PEPPERBAY_SETTINGS names. SIGTERM ends it: "
     "readiness\n"
-    "fails first, requests in progress end. SIGHUP checks the file again.\n",
+    "fails first, requests in progress end. SIGHUP reads the file again: bounds and budgets take\n"
+    "force, addresses and names at the next start.\n",
     &Edge },
   { "check-edge",
     "[--config FILE]",
--- a/src/pepperbay/main/edge.cpp
+++ b/src/pepperbay/main/edge.cpp
@@ -25,19 +25,29 @@
   gEdge->RequestReload();
 }
 
-/// The settings of a running node do not change; a new file is checked and told, and takes force
-/// at the next start.
+/// Read the settings again. A file with a problem changes nothing.
 void
-CheckReloaded(const std::string& aFile)
+Reload(const std::string& aFile, const EdgeSettings& aRunning)
 {
   const EdgeSettingsReport report = LoadEdgeSettings(aFile);
-  if (report.mProblems.empty()) {
-    LogEvent("reload", { { "file", aFile }, { "in_force", "at the next start" } });
-    return;
-  }
   for (const auto& it : report.mProblems) {
     LogWarning("reload_refused", { { "problem", ToString(it) } });
   }
+  if (!report.mProblems.empty()) {
+    return;
+  }
+  gEdge->Apply(report.mSettings);
+  std::string later;
+  for (const auto& it : KeysForNextStart(aRunning, report.mSettings)) {
+    later += (later.empty() ? "" : ",") + it;
+  }
+  LogEvent("reload",
+           { { "file", aFile },
+             { "revoke_within", FormatDuration(report.mSettings.mRevokeWithin) },
+             { "stop_within", FormatDuration(report.mSettings.mStopWithin) },
+             { "retry_share", std::to_string(report.mSettings.mRetryShare) },
+             { "retry_slack", std::to_string(report.mSettings.mRetrySlack) },
+             { "at_the_next_start", later } });
 }
 
 } // namespace
@@ -71,7 +81,7 @@
              { "callers", settings.mCallers },
              { "admin", settings.mAdmin },
              { "peers", settings.mPeers } });
-  gEdge->Wait([&file] { CheckReloaded(file); });
+  gEdge->Wait([&file, &settings] { Reload(file, settings); });
   LogEvent("stopped");
   // Nothing is left to write back, and the libraries' threads would be waited for: a call that the
   // store holds open keeps its thread for seconds, and the platform kills what is late.
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -33,10 +33,29 @@
 {
   mPlan = std::move(aPlan);
   for (auto& [service, budget] : mBudgets) {
-    budget.SetBurst(mOptions.mRetrySlack / std::max(1, mPlan->mNodes));
+    budget.SetBurst(SlackOfThisNode());
   }
 }
 
+void
+RelayCore::Tune(const RelayTuning& aTuning)
+{
+  mOptions.mRetryShare = aTuning.mRetryShare;
+  mOptions.mRetrySlack = aTuning.mRetrySlack;
+  mOptions.mStopMost = aTuning.mStopMost;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetShare(mOptions.mRetryShare);
+    budget.SetBurst(SlackOfThisNode());
+  }
+}
+
+double
+RelayCore::SlackOfThisNode() const
+{
+  const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
+  return mOptions.mRetrySlack / nodes;
+}
+
 RetryBudget&
 RelayCore::BudgetOf(const std::string& aService)
 {
@@ -44,8 +63,7 @@
   if (it != mBudgets.end()) {
     return it->second;
   }
-  const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
-  const RetryBudget::Options options{ mOptions.mRetryShare, mOptions.mRetrySlack / nodes };
+  const RetryBudget::Options options{ mOptions.mRetryShare, SlackOfThisNode() };
   return mBudgets.emplace(aService, RetryBudget(options)).first->second;
 }
 
@@ -105,6 +123,8 @@
     mCore.SetPlan(std::move(aPlan));
   }
 
+  void Tune(const RelayTuning& aTuning) override { mCore.Tune(aTuning); }
+
   void AddPrompts(const std::vector<SentPrompt>& aPrompts) override
   {
     for (const auto& it : aPrompts) {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -23,8 +23,11 @@
   TimePoint Now() const { return mOptions.mNow(); }
   /// Take up a new plan; the share of the retry budget follows the number of nodes.
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
+  void Tune(const RelayTuning& aTuning);
   /// Second attempts left for a service.
   RetryBudget& BudgetOf(const std::string& aService);
+  /// The part of the slack that this node may spend.
+  double SlackOfThisNode() const;
   void Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const;
 
   boost::asio::io_context& mContext;
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -518,6 +518,28 @@
             kRequests + static_cast<int>(counters.mSecondAttempts));
 }
 
+/// New settings count for what comes next, also for services that have a budget already.
+TEST_F(RelayTest, ANewBudgetTakesForceWhileItRuns)
+{
+  const auto breaks = [](RawConnection& aConnection) { aConnection.ReadRequest(); };
+  RawEngine first(breaks);
+  RawEngine second(breaks);
+  RelayOptions options;
+  options.mRetryShare = 1;
+  options.mRetrySlack = 100;
+  Serve({ &first, &second }, options);
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 502);
+  EXPECT_EQ(Counters().mSecondAttempts, 1U);
+  std::promise<void> tuned;
+  asio::post(mContext, [&] {
+    mRelay->Tune({ 0, 0, seconds(7) });
+    tuned.set_value();
+  });
+  tuned.get_future().wait();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 502);
+  EXPECT_EQ(Counters().mSecondAttempts, 1U);
+}
+
 /// A relay that is asked to stop while one request is in progress, with a paused clock.
 class StopTest : public RelayTest
 {
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -1,5 +1,7 @@
 #include "pepperbay/settings/edge_settings.hpp"
 
+#include <array>
+
 namespace pepperbay {
 namespace {
 
@@ -45,6 +47,31 @@
 
 } // namespace
 
+std::vector<std::string>
+KeysForNextStart(const EdgeSettings& aRunning, const EdgeSettings& aNew)
+{
+  struct Field
+  {
+    const char* mKey;
+    std::string EdgeSettings::*mValue;
+  };
+  constexpr std::array<Field, 8> kFixed{ { { "name", &EdgeSettings::mName },
+                                           { "data_centre", &EdgeSettings::mDataCentre },
+                                           { "callers", &EdgeSettings::mCallers },
+                                           { "admin", &EdgeSettings::mAdmin },
+                                           { "metrics", &EdgeSettings::mMetrics },
+                                           { "ready_path", &EdgeSettings::mReadyPath },
+                                           { "peers", &EdgeSettings::mPeers },
+                                           { "store", &EdgeSettings::mStore } } };
+  std::vector<std::string> keys;
+  for (const auto& it : kFixed) {
+    if (aRunning.*it.mValue != aNew.*it.mValue) {
+      keys.emplace_back(it.mKey);
+    }
+  }
+  return keys;
+}
+
 EdgeSettingsReport
 ParseEdgeSettings(const std::string& aName, const std::string& aText)
 {
--- a/src/pepperbay/settings/edge_settings_test.cpp
+++ b/src/pepperbay/settings/edge_settings_test.cpp
@@ -57,5 +57,17 @@
   EXPECT_FALSE(ParseEdgeSettings("e.yaml", ": [").mProblems.empty());
 }
 
+TEST(EdgeSettings, NamesTheKeysThatARunningNodeCannotTakeUp)
+{
+  EdgeSettings running;
+  EdgeSettings next = running;
+  next.mRetryShare = 0.5;
+  next.mRevokeWithin = std::chrono::seconds(9);
+  EXPECT_TRUE(KeysForNextStart(running, next).empty());
+  next.mStore = "10.0.0.9:1";
+  next.mName = "other";
+  EXPECT_EQ(KeysForNextStart(running, next), (std::vector<std::string>{ "name", "store" }));
+}
+
 } // namespace
 } // namespace pepperbay
