coordinator: a node that the store turns away learns configuration and freshness from peers

Cause: a node could show how fresh its keys are only by its own reads.

Change: a node whose last proof is older than a held read asks in its heartbeat with its own clock's time; an answer names the question, so the peer's view is at least as new as the moment the question left, less the age that the peer states. Words of peers chain but never grow younger than a real read. A peer with a newer configuration sends it on in one datagram.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -39,7 +39,8 @@
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
-                                      coordinator_pools.cpp engine_doubts.cpp peer_book.cpp plan_builder.cpp
+                                      coordinator_pools.cpp engine_doubts.cpp freshness_book.cpp
+                                      peer_book.cpp plan_builder.cpp
                   TESTS coordinator_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -78,6 +78,7 @@
               },
               [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
+  , mFreshness(mOptions.mNode, mOptions.mIncarnation)
 {
 }
 
@@ -118,6 +119,7 @@
   const std::uint64_t version = configuration.value().mVersion;
   const std::size_t routes = configuration.value().mRoutes.size();
   mRoutes = std::make_shared<RouteTable>(std::move(configuration.value()));
+  mConfiguration = *aRecord.mValue;
   mChanged = true;
   mHooks.mLog("configuration",
               { { "version", std::to_string(version) }, { "routes", std::to_string(routes) } });
@@ -217,7 +219,7 @@
   sources.mNews = now - mNewsAt < kNewsLife ? &mNews : &kNoNews;
   sources.mLost = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
   sources.mOthersInFlight = OthersInFlight();
-  sources.mKeysValidUntil = mConfigFollower.AsOf() + mOptions.mKeysTrusted;
+  sources.mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
   sources.mNodes = mPeers.AliveCount(now);
   mHooks.mPublish(BuildPlan(sources));
 }
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "engine_doubts.hpp"
+#include "freshness_book.hpp"
 #include "peer_book.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
@@ -22,6 +23,13 @@
   void PutOwnRecord();
   void OnBeat(const std::string& aBytes);
   void SendBeat();
+  /// @return when the configuration was the newest, by the store or by a peer.
+  TimePoint ConfigurationAsOf() const;
+  std::uint64_t ConfigurationVersion() const { return mRoutes ? mRoutes->Version() : 0; }
+  /// @return whether the store has been silent for longer than a held read takes.
+  bool AsksFreshness() const;
+  /// Give a peer that asks and has an older configuration the one in force here.
+  void PassConfiguration(const proto::NodeBeat& aAsker);
   void TakePrompts(const proto::NodeBeat& aBeat);
   void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   void OnSuspect(const std::string& aHead, Duration aSilence);
@@ -57,7 +65,9 @@
   EngineDirectory mDirectory;
   EngineDoubts mDoubts;
   PeerBook mPeers;
+  FreshnessBook mFreshness;
   std::shared_ptr<const RouteTable> mRoutes;
+  std::string mConfiguration; ///< that mRoutes was made from, as the operator wrote it
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
   std::map<std::string, proto::ReplicaNews> mNews;
   TimePoint mNewsAt{};
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -1,8 +1,13 @@
 #include "coordinator_impl.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pepperbay {
+namespace {
+/// A configuration travels in one datagram, which holds 65,507 bytes with its headers.
+constexpr std::size_t kMostPassedBytes = 60000;
+}
 
 void
 Coordinator::Impl::OnNode(const KeyedRecord& aRecord)
@@ -88,9 +93,19 @@
     }
     return;
   }
+  if (!beat.configuration().empty()) {
+    if (mPeers.IsCurrent(beat)) {
+      OnConfiguration({ mHooks.mConfigKey, beat.configuration() });
+    }
+    return;
+  }
   if (!mPeers.OnBeat(beat, now)) {
     return;
   }
+  mFreshness.OnBeat(beat, ConfigurationVersion(), now);
+  if (beat.asks_freshness_at_ns() != 0 && beat.config_version() < ConfigurationVersion()) {
+    PassConfiguration(beat);
+  }
   ++mCounters.mBeats;
   mTraffic = mTraffic || beat.traffic();
   const std::uint64_t before = mLease.Newest().last();
@@ -119,6 +134,33 @@
   }
 }
 
+TimePoint
+Coordinator::Impl::ConfigurationAsOf() const
+{
+  return std::max(mConfigFollower.AsOf(), mFreshness.AsOf());
+}
+
+bool
+Coordinator::Impl::AsksFreshness() const
+{
+  // A read that is held to its end tells twice in this time that nothing is new.
+  return Now() - mConfigFollower.AsOf() > mOptions.mConfigWait + mOptions.mBeat;
+}
+
+void
+Coordinator::Impl::PassConfiguration(const proto::NodeBeat& aAsker)
+{
+  const auto peer = mPeers.Peers().find(aAsker.node());
+  if (peer == mPeers.Peers().end() || mConfiguration.size() > kMostPassedBytes) {
+    return;
+  }
+  proto::NodeBeat beat;
+  beat.set_node(mOptions.mNode);
+  beat.set_incarnation(mOptions.mIncarnation);
+  beat.set_configuration(mConfiguration);
+  mHooks.mSend(peer->second.mAddress, beat.SerializeAsString());
+}
+
 void
 Coordinator::Impl::TakePrompts(const proto::NodeBeat& aBeat)
 {
@@ -189,7 +231,8 @@
       *beat.add_replicas() = news;
     }
   }
-  beat.set_config_version(mRoutes ? mRoutes->Version() : 0);
+  beat.set_config_version(ConfigurationVersion());
+  mFreshness.Fill(&beat, AsksFreshness(), ConfigurationAsOf(), now);
   beat.set_traffic(mTraffic);
   beat.set_stopping(mStopping);
   const std::string bytes = beat.SerializeAsString();
--- /dev/null
+++ b/src/pepperbay/coordinator/freshness_book.cpp
@@ -0,0 +1,75 @@
+#include "freshness_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+/// A node that still asks does so with each heartbeat, every 200 ms; one that is silent for this
+/// long has found the store again or is gone.
+constexpr std::chrono::seconds kQuestionLife{ 1 };
+
+std::uint64_t
+ToNs(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(0, aDuration.count()));
+}
+
+Duration
+FromNs(std::uint64_t aNs)
+{
+  return Duration(static_cast<Duration::rep>(aNs));
+}
+
+} // namespace
+
+FreshnessBook::FreshnessBook(std::string aSelf, std::uint64_t aIncarnation)
+  : mSelf(std::move(aSelf))
+  , mIncarnation(aIncarnation)
+{
+}
+
+void
+FreshnessBook::OnBeat(const proto::NodeBeat& aBeat, std::uint64_t aVersion, TimePoint aNow)
+{
+  if (aBeat.asks_freshness_at_ns() != 0) {
+    mQuestions[aBeat.node()] = { aBeat.incarnation(), aBeat.asks_freshness_at_ns(), aNow };
+  }
+  if (aBeat.config_version() > aVersion) {
+    return; // what is in force here is older than what the peer speaks of
+  }
+  for (const auto& it : aBeat.freshness()) {
+    if (it.node() != mSelf || it.incarnation() != mIncarnation) {
+      continue;
+    }
+    const TimePoint answered = TimePoint(FromNs(it.asked_at_ns())) + FromNs(it.held_ns());
+    const TimePoint asOf = answered - FromNs(aBeat.config_age_ns());
+    if (answered <= aNow) {
+      mAsOf = std::max(mAsOf, asOf);
+    }
+  }
+}
+
+void
+FreshnessBook::Fill(proto::NodeBeat* aBeat, bool aAsk, TimePoint aAsOf, TimePoint aNow)
+{
+  if (aAsk) {
+    aBeat->set_asks_freshness_at_ns(ToNs(aNow.time_since_epoch()));
+  }
+  aBeat->set_config_age_ns(ToNs(aNow - aAsOf));
+  for (auto it = mQuestions.begin(); it != mQuestions.end();) {
+    if (aNow - it->second.mReceived >= kQuestionLife) {
+      it = mQuestions.erase(it);
+      continue;
+    }
+    auto* answer = aBeat->add_freshness();
+    answer->set_node(it->first);
+    answer->set_incarnation(it->second.mIncarnation);
+    answer->set_asked_at_ns(it->second.mAskedAtNs);
+    answer->set_held_ns(ToNs(aNow - it->second.mReceived));
+    ++it;
+  }
+}
+
+} // namespace pepperbay
