platform: the fakes of the store are held to one contract with its client

Cause: the product's tests rest on hand-written logs (FakeKeyedLog, FakeLeaseLog), and nothing showed that the platform's client and store keep what these promise. The stand-in of the store knew one fault (down) and neither pages nor deleted records.

Change: a typed contract test runs the same seven cases against the fakes and against StoreClient before FakeStore over HTTP: pages, tails, deleted records, outages, appends at the end only, calls lost before and after their effect, late calls. FakeStore decides a fate for each call and pages and trims.

Found: nothing that the fakes promise and the client does not keep.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -91,9 +91,14 @@
 endforeach()
 
 # The users' platform as a stand-in, and the whole path before it with real processes.
-add_executable(pepperbay_fake_platform platform/fake/main.cpp platform/fake/fake_store.cpp
-                                       platform/fake/fake_engine_farm.cpp)
-target_link_libraries(pepperbay_fake_platform PRIVATE pepperbay_platform absl::flags
+add_library(pepperbay_platform_fakes STATIC platform/fake/fake_store.cpp
+                                            platform/fake/fake_engine_farm.cpp)
+target_link_libraries(pepperbay_platform_fakes PUBLIC pepperbay_platform)
+target_link_libraries(pepperbay_platform_fakes PRIVATE pepperbay_warnings)
+pepperbay_test(platform_store_contract_test ${CMAKE_SOURCE_DIR}/platform/store_contract_test.cpp
+               pepperbay_platform_fakes)
+add_executable(pepperbay_fake_platform platform/fake/main.cpp)
+target_link_libraries(pepperbay_fake_platform PRIVATE pepperbay_platform_fakes absl::flags
                       absl::flags_parse pepperbay_warnings)
 pepperbay_test(edge_path_test ${CMAKE_SOURCE_DIR}/platform/edge_path_test.cpp pepperbay_cluster)
 target_compile_definitions(
