--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -62,6 +62,18 @@
 target_link_libraries(pepperbay_platform PRIVATE pepperbay_warnings)
 pepperbay_test(platform_decode_test ${CMAKE_SOURCE_DIR}/platform/decode_test.cpp pepperbay_platform)
 
+# What reads bytes of others: a bounded run among the tests, and a longer one by scripts/fuzz.sh.
+add_library(pepperbay_fuzz_targets STATIC EXCLUDE_FROM_ALL platform/fuzz/targets.cpp)
+target_link_libraries(pepperbay_fuzz_targets PUBLIC pepperbay_platform pepperbay_status)
+target_link_libraries(pepperbay_fuzz_targets PRIVATE pepperbay_warnings)
+pepperbay_test(platform_fuzz_test ${CMAKE_SOURCE_DIR}/platform/fuzz/fuzz_test.cpp
+               pepperbay_fuzz_targets)
+if(PEPPERBAY_FUZZ)
+  add_executable(pepperbay_fuzz platform/fuzz/libfuzzer.cpp)
+  target_link_libraries(pepperbay_fuzz PRIVATE pepperbay_fuzz_targets)
+  target_link_options(pepperbay_fuzz PRIVATE -fsanitize=fuzzer)
+endif()
+
 add_executable(pepperbay src/pepperbay/main/main.cpp src/pepperbay/main/commands.cpp
                src/pepperbay/main/edge.cpp src/pepperbay/main/edge_commands.cpp)
 target_include_directories(pepperbay PRIVATE src)
