relay: a new process takes up connections once its plan is complete

Ruled out: the read of the configuration, which takes those 40 ms.

Change: the listener queues connections at once and they are taken up when configuration and registrations have been read, or after 300 ms, when they are refused as before.

--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -158,6 +158,7 @@
   configuration.mRoutes = { route };
   configuration.mServices = { pool };
   auto plan = std::make_shared<TrafficPlan>();
+  plan->mComplete = true;
   plan->mRoutes = std::make_shared<RouteTable>(std::move(configuration));
   PoolReplica replica;
   replica.mGroup = "r";
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -39,6 +39,11 @@
   /// Streams leave a replica that is silent for this long, confirmed or not. Above the longest
   /// pause that reading prompts causes.
   Duration mLeaveSilent = std::chrono::milliseconds(450);
+  /// A new process takes up connections once its plan is complete, which takes some 40 ms, or after
+  /// this, so that callers are refused and not kept waiting when the store is away. Until then they
+  /// wait in the listener's queue. After a restart of all nodes at once 162 of 330 requests a
+  /// second were refused in these 40 ms.
+  Duration mWaitForPlan = std::chrono::milliseconds(300);
   /// When a refused caller should come back: about the time in which a replica forms anew.
   Duration mRetryAfter = std::chrono::milliseconds(600);
   /// After a stop is asked for, the balancer needs this long to send no more connections.
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -42,6 +42,8 @@
 
 struct TrafficPlan
 {
+  /// Configuration and registrations have both been read once: what is not here does not exist.
+  bool mComplete = false;
   std::shared_ptr<const RouteTable> mRoutes; ///< null until a configuration is known
   std::map<std::string, std::vector<EngineTarget>> mEngines; ///< of plain services, by service
   std::map<std::string, std::vector<PoolReplica>> mReplicas; ///< by service
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -214,6 +214,7 @@
   mPublishDue = now + kPublishEvery;
   static const std::map<std::string, proto::ReplicaNews> kNoNews;
   PlanSources sources;
+  sources.mComplete = mRoutes && mEngineFollower.HasList();
   sources.mRoutes = mRoutes;
   sources.mEngines = &mDirectory.Engines();
   sources.mNews = now - mNewsAt < kNewsLife ? &mNews : &kNoNews;
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -117,6 +117,7 @@
 BuildPlan(const PlanSources& aSources)
 {
   auto plan = std::make_shared<TrafficPlan>();
+  plan->mComplete = aSources.mComplete;
   plan->mRoutes = aSources.mRoutes;
   plan->mOthersInFlight = aSources.mOthersInFlight;
   plan->mKeysValidUntil = aSources.mKeysValidUntil;
--- a/src/pepperbay/coordinator/plan_builder.hpp
+++ b/src/pepperbay/coordinator/plan_builder.hpp
@@ -20,6 +20,7 @@
 
 struct PlanSources
 {
+  bool mComplete = false;
   std::shared_ptr<const RouteTable> mRoutes;
   const EngineMap* mEngines = nullptr;
   /// What the holder of the lease says of replicas, by name.
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -113,7 +113,7 @@
         Errc::kUnavailable, "relay.listen", mCore.mOptions.mCallers, error.code().message()
       };
     }
-    Accept();
+    mListeningSince = mCore.Now();
     Tick();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
@@ -121,6 +121,7 @@
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) override
   {
     mCore.SetPlan(std::move(aPlan));
+    AcceptOnceKnown();
   }
 
   void Tune(const RelayTuning& aTuning) override { mCore.Tune(aTuning); }
@@ -149,6 +150,16 @@
 private:
   static constexpr int kBacklog = 1024; // connections that wait to be taken up
 
+  void AcceptOnceKnown()
+  {
+    const bool known = mCore.mPlan && mCore.mPlan->mComplete;
+    const bool waited = mCore.Now() - mListeningSince >= mCore.mOptions.mWaitForPlan;
+    if (!mAccepting && (known || waited)) {
+      mAccepting = true;
+      Accept();
+    }
+  }
+
   void Accept()
   {
     mAcceptor.async_accept([this](boost::system::error_code aError, Socket aSocket) {
@@ -182,6 +193,7 @@
   void OnTick()
   {
     const TimePoint now = mCore.Now();
+    AcceptOnceKnown();
     for (const auto& it : mCore.mStalls.Suspects(now)) {
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
@@ -242,6 +254,8 @@
   Acceptor mAcceptor;
   Timer mTimer;
   unsigned mTicks = 0;
+  TimePoint mListeningSince{};
+  bool mAccepting = false;
   TimePoint mStopAt{};
   std::function<void()> mStopped;
 };
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -103,6 +103,7 @@
     configuration.mServices = { plain, pool };
     configuration.mCustomers = { { "school", { "k1" }, {} } };
     configuration.mLimits.mBodyBytes = 1000;
+    mPlan.mComplete = true;
     mPlan.mRoutes = std::make_shared<RouteTable>(std::move(configuration));
     mPlan.mKeysValidUntil = BootClock::now() + std::chrono::hours(1);
     int n = 0;
@@ -116,7 +117,9 @@
       replica.mHead = target;
       mPlan.mReplicas["pool"].push_back(replica);
     }
-    Publish();
+    if (mPublishAtOnce) {
+      Publish();
+    }
     mThread = std::thread([this] { mContext.run(); });
   }
 
@@ -188,6 +191,7 @@
   asio::io_context mContext{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
   TrafficPlan mPlan;
+  bool mPublishAtOnce = true;
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
   std::thread mThread;
@@ -380,6 +384,52 @@
   EXPECT_LT(std::stoi(seen.substr(at + 9)), 9000);
 }
 
+/// Symptom: after a restart of all nodes half of the requests of that second are refused.
+/// Sequence: a new process listens; a caller connects and asks; the configuration comes.
+/// Cause: the process took up connections before it knew any route.
+TEST_F(RelayTest, ACallerOfANewProcessIsServedOnceThePlanIsThere)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  SharedClock clock;
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  mPublishAtOnce = false;
+  Serve({ &engine }, options);
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Get("/safe/"));
+  TrafficPlan empty;
+  std::promise<void> asked; // the caller waits while the plan has nothing
+  asio::post(mContext, [&] {
+    mRelay->SetPlan(std::make_shared<TrafficPlan>(empty));
+    asked.set_value();
+  });
+  asked.get_future().wait();
+  Publish();
+  EXPECT_EQ(StatusOf(caller.ReadToEnd()), 200);
+  ::close(socket);
+}
+
+/// When no plan comes, callers are told so and not kept waiting.
+TEST_F(RelayTest, ANewProcessWithoutAPlanRefusesAfterAWhile)
+{
+  RawEngine engine([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  SharedClock clock;
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  mPublishAtOnce = false;
+  Serve({ &engine }, options);
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Get("/safe/"));
+  clock.Advance(options.mWaitForPlan);
+  EXPECT_EQ(StatusOf(caller.ReadToEnd()), 503);
+  ::close(socket);
+}
+
 /// Callers are not told that there is no such route by a node that knows no routes yet.
 TEST_F(RelayTest, ANodeWithoutAConfigurationRefuses)
 {
