bench/pools: an emulator of the pool for policies of spares and of choosing replicas

The emulator drives the product's own planner, balancer, failure rule and retry budget in virtual time, with engines and callers as models (the association's sizes, times and kinds of requests), a seeded schedule of losses, and prints time to whole, stranded engine-seconds, loads, shares on time, refused and cut, nines, worst second.

Change besides: GroupPlannerOptions::mSpares (idle, staged, standby, standby for all; the default is what was there).

--- /dev/null
+++ b/bench/pools/stream_load.cpp
@@ -0,0 +1,319 @@
+#include "stream_load.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace pepperbay::pools {
+namespace {
+
+constexpr double kStepSeconds = std::chrono::duration<double>(PoolWorld::kStep).count();
+/// Prompts may take this much of an engine's time while others write there: up to 2,048 tokens a
+/// step, 36 ms, beside some 8 ms of the step itself.
+constexpr double kPromptShare = 0.82;
+constexpr double kEventsSpread = 0.7;
+constexpr int kMostSent = 2;
+constexpr double kRetryShare = 0.16; // the users' budget of 0.2 with the product's caution
+constexpr double kRetrySlack = 100;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::array<RequestSpec, 3> kSpecs{ {
+  { "m0", 32.9, 1420, 0.85, 4030, 28.7, milliseconds(400), milliseconds(250), seconds(8) },
+  { "m1", 88.2, 674, 0.75, 2340, 30.8, milliseconds(250), milliseconds(200), seconds(6) },
+  { "m0", 27.2, 1960, 1.0, 5880, 3.8, milliseconds(400), milliseconds(250), seconds(5) },
+} };
+
+} // namespace
+
+StreamLoad::StreamLoad(LoadOptions aOptions, PoolWorld* aWorld)
+  : mOptions(aOptions)
+  , mWorld(aWorld)
+  , mRandom(aOptions.mSeed)
+  , mBalancer({})
+  , mBudget({ kRetryShare, kRetrySlack })
+{
+  mService.mName = "pool";
+  mService.mPool = mWorld->Pool();
+}
+
+void
+StreamLoad::Step()
+{
+  MakePlan();
+  Arrive();
+  for (const auto& [name, replica] : mWorld->Planned()) {
+    Replica& state = mReplicas[replica.mMembers.front()];
+    if (mWorld->IsWhole(replica)) {
+      state.mStillSince = TimePoint{};
+      Work(replica, state);
+    } else if (state.mStillSince == TimePoint{}) {
+      state.mStillSince = mWorld->Now();
+    }
+  }
+  for (auto& [head, state] : mReplicas) {
+    if (state.mStillSince != TimePoint{} &&
+        mWorld->Now() - state.mStillSince >= mOptions.mLeaveSilent) {
+      LeaveStill(head, state);
+    }
+  }
+}
+
+void
+StreamLoad::MakePlan()
+{
+  mPlan.mReplicas["pool"].clear();
+  std::set<std::string> heads;
+  for (const auto& [name, replica] : mWorld->Planned()) {
+    PoolReplica target;
+    target.mGroup = name;
+    target.mEpoch = replica.mEpoch;
+    target.mModel = replica.mModel;
+    target.mHead = { replica.mMembers.front(), "", "" };
+    target.mSuspended = replica.mPhase != ReplicaPhase::kOpen;
+    heads.insert(target.mHead.mId);
+    mPlan.mReplicas["pool"].push_back(std::move(target));
+  }
+  // A head that is gone from the plan stands still for good.
+  for (auto& [head, state] : mReplicas) {
+    if (heads.count(head) == 0 && state.mStillSince == TimePoint{}) {
+      state.mStillSince = mWorld->Now();
+    }
+  }
+}
+
+void
+StreamLoad::Arrive()
+{
+  std::vector<Stream> back;
+  for (auto it = mAway.begin(); it != mAway.end();) {
+    if (mWorld->Now() < it->first) {
+      ++it;
+      continue;
+    }
+    back.push_back(it->second);
+    it = mAway.erase(it);
+  }
+  for (auto& it : back) {
+    Send(std::move(it));
+  }
+  std::size_t engines = 0;
+  for (const auto& [name, replica] : mWorld->Planned()) {
+    engines += replica.mMembers.size();
+  }
+  std::poisson_distribution<int> arrivals(mOptions.mRate * static_cast<double>(engines) *
+                                          kStepSeconds);
+  std::discrete_distribution<std::size_t> kind{ kSpecs[0].mWeight,
+                                                kSpecs[1].mWeight,
+                                                kSpecs[2].mWeight };
+  for (int n = arrivals(mRandom); n > 0; --n) {
+    Stream stream;
+    const RequestSpec& spec = kSpecs[kind(mRandom)];
+    stream.mSpec = &spec;
+    stream.mArrived = mWorld->Now();
+    stream.mPrompt = std::min(spec.mMost, LogNormal(spec.mPrompt, spec.mSpread));
+    stream.mEventsLeft = std::max(1.0, LogNormal(spec.mEvents, kEventsSpread));
+    ++mResult.mAsked;
+    mBudget.OnRequest();
+    Send(std::move(stream));
+  }
+}
+
+double
+StreamLoad::LogNormal(double aMean, double aSpread)
+{
+  std::lognormal_distribution<double> draw(std::log(aMean) - aSpread * aSpread / 2, aSpread);
+  return draw(mRandom);
+}
+
+const PoolReplica*
+StreamLoad::Choose(const Stream& aStream)
+{
+  if (mOptions.mChoice == Choice::kBalancer) {
+    return mBalancer
+      .PickReplica(mPlan, mService, aStream.mSpec->mModel, aStream.mTried, mWorld->Now())
+      .mReplica;
+  }
+  std::vector<const PoolReplica*> fit;
+  for (const auto& it : mPlan.mReplicas["pool"]) {
+    const auto state = mReplicas.find(it.mHead.mId);
+    const std::size_t n = state == mReplicas.end() ? 0 : state->second.mStreams.size();
+    const auto most = static_cast<std::size_t>(mService.mPool->mSlots * 3 / 2);
+    const bool tried = aStream.mTried.count(it.mHead.mId) != 0;
+    if (!it.mSuspended && it.mModel == aStream.mSpec->mModel && n < most && !tried) {
+      fit.push_back(&it);
+    }
+  }
+  if (fit.empty()) {
+    return nullptr;
+  }
+  if (mOptions.mChoice == Choice::kRoundRobin) {
+    return fit[mTurn++ % fit.size()];
+  }
+  return *std::min_element(fit.begin(), fit.end(), [this](const auto* aLeft, const auto* aRight) {
+    return mReplicas[aLeft->mHead.mId].mStreams.size() <
+           mReplicas[aRight->mHead.mId].mStreams.size();
+  });
+}
+
+void
+StreamLoad::Send(Stream aStream)
+{
+  const PoolReplica* replica = Choose(aStream);
+  if (replica == nullptr) {
+    Refuse(std::move(aStream));
+    return;
+  }
+  ++aStream.mSent;
+  aStream.mTried.insert(replica->mHead.mId);
+  aStream.mPromptLeft = aStream.mPrompt;
+  const std::string& head = replica->mHead.mId;
+  mBalancer.OnStart(head);
+  const double seconds = aStream.mPrompt / mService.mPool->mPromptTokensPerSecond;
+  mBalancer.OnPrompt(head,
+                     std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)),
+                     mWorld->Now());
+  mReplicas[head].mStreams.push_back(std::move(aStream));
+}
+
+void
+StreamLoad::Refuse(Stream aStream)
+{
+  if (aStream.mCameBack || aStream.mBegun) {
+    mResult.mRefused += aStream.mBegun ? 0 : 1;
+    mResult.mCut += aStream.mBegun ? 1 : 0;
+    CountEnd(aStream, false);
+    return;
+  }
+  aStream.mCameBack = true;
+  mAway.emplace_back(mWorld->Now() + mOptions.mComesBack, std::move(aStream));
+}
+
+void
+StreamLoad::Work(const PlannedReplica& aReplica, Replica& aState)
+{
+  if (aState.mStreams.empty()) {
+    return;
+  }
+  const EnginePool& pool = *mService.mPool;
+  const double pace = pool.FindModel(aReplica.mModel)->mPace;
+  const auto slots = static_cast<std::size_t>(pool.mSlots);
+  const std::size_t active = std::min(aState.mStreams.size(), slots);
+  std::size_t writers = 0;
+  double backlog = 0;
+  for (std::size_t i = 0; i < active; ++i) {
+    writers += aState.mStreams[i].mPromptLeft <= 0 ? 1 : 0;
+    backlog += aState.mStreams[i].mPromptLeft;
+  }
+  const double rate = pool.mPromptTokensPerSecond / pace;
+  const double share = writers == 0 ? 1.0 : kPromptShare;
+  double tokens = std::min(backlog, rate * kStepSeconds * share);
+  const double reading = tokens / rate;
+  const double step =
+    pace * std::chrono::duration<double>(pool.mStepTime +
+                                         pool.mStepTimePerRequest * static_cast<int>(writers))
+             .count();
+  aState.mProgress += writers == 0 ? 0 : (kStepSeconds - reading) / step / pool.mStepsPerEvent;
+  const double events = std::floor(aState.mProgress);
+  aState.mProgress -= events;
+  const TimePoint now = mWorld->Now() + PoolWorld::kStep;
+  std::vector<Stream> left;
+  for (std::size_t i = 0; i < aState.mStreams.size(); ++i) {
+    Stream& it = aState.mStreams[i];
+    if (i >= active) {
+      left.push_back(std::move(it));
+      continue;
+    }
+    if (it.mPromptLeft > 0) {
+      const double part = std::min(it.mPromptLeft, tokens);
+      tokens -= part;
+      it.mPromptLeft -= part;
+      left.push_back(std::move(it));
+      continue;
+    }
+    if (events == 0) {
+      left.push_back(std::move(it));
+      continue;
+    }
+    if (!it.mBegun) {
+      it.mBegun = true;
+      it.mLate = now - it.mArrived > it.mSpec->mObjective;
+    } else if (now - it.mLastEvent > it.mSpec->mLongestPause) {
+      it.mLate = true;
+    }
+    it.mLastEvent = now;
+    it.mEventsLeft -= events;
+    if (it.mEventsLeft > 0) {
+      left.push_back(std::move(it));
+    } else {
+      mBalancer.OnEnd(aReplica.mMembers.front());
+      End(it, false);
+    }
+  }
+  if (events > 0) {
+    mBalancer.OnPause(aReplica.mMembers.front(), now - aState.mLastEvent, now);
+    aState.mLastEvent = now;
+  }
+  aState.mStreams = std::move(left);
+}
+
+void
+StreamLoad::LeaveStill(const std::string& aHead, Replica& aState)
+{
+  std::vector<Stream> streams;
+  streams.swap(aState.mStreams);
+  for (auto& it : streams) {
+    mBalancer.OnEnd(aHead);
+    RequestProgress progress;
+    progress.mRepeatable = true;
+    progress.mMayHaveRun = true;
+    progress.mAnswerBegun = it.mBegun;
+    progress.mSent = it.mSent;
+    progress.mMostSent = kMostSent;
+    progress.mLeft = it.mSpec->mDeadline - (mWorld->Now() - it.mArrived);
+    progress.mHasTarget = Choose(it) != nullptr;
+    progress.mHasBudget = mBudget.Left() >= 1;
+    if (AfterFailure(progress) != FailureStep::kSendAgain) {
+      End(it, true);
+      continue;
+    }
+    mBudget.TakeRetry();
+    ++mResult.mResumed;
+    Send(std::move(it));
+  }
+}
+
+void
+StreamLoad::End(const Stream& aStream, bool aCut)
+{
+  const bool onTime = !aCut && !aStream.mLate;
+  mResult.mCut += aCut ? 1 : 0;
+  mResult.mOnTime += onTime ? 1 : 0;
+  mResult.mLate += !aCut && aStream.mLate ? 1 : 0;
+  CountEnd(aStream, onTime);
+}
+
+void
+StreamLoad::CountEnd(const Stream& aStream, bool aOnTime)
+{
+  auto& [asked, onTime] =
+    mSeconds[std::chrono::duration_cast<std::chrono::seconds>(aStream.mArrived.time_since_epoch())
+               .count()];
+  ++asked;
+  onTime += aOnTime ? 1 : 0;
+}
+
+LoadResult
+StreamLoad::Result() const
+{
+  LoadResult result = mResult;
+  for (const auto& [second, counts] : mSeconds) {
+    const double share = static_cast<double>(counts.second) /
+                         static_cast<double>(std::max<std::size_t>(1, counts.first));
+    result.mWorstSecond = std::min(result.mWorstSecond, share);
+  }
+  return result;
+}
+
+} // namespace pepperbay::pools
--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -128,6 +128,11 @@
 target_include_directories(pepperbay_bench_relay PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(pepperbay_bench_relay PRIVATE pepperbay_relay pepperbay_http absl::flags
                       absl::flags_parse pepperbay_warnings)
+add_executable(pepperbay_bench_pools bench/pools/main.cpp bench/pools/pool_world.cpp
+                                     bench/pools/stream_load.cpp)
+target_include_directories(pepperbay_bench_pools PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(pepperbay_bench_pools PRIVATE pepperbay_placement pepperbay_routing
+                      pepperbay_dispatch absl::flags absl::flags_parse pepperbay_warnings)
 add_executable(pepperbay_bench_routing bench/routing.cpp)
 target_link_libraries(pepperbay_bench_routing PRIVATE pepperbay_routing pepperbay_admission
                       absl::flags absl::flags_parse pepperbay_warnings)
--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -126,6 +126,19 @@
     }
   }
 
+  bool Alive(const std::string& aId) const
+  {
+    const auto it = mEngines.find(aId);
+    return it != mEngines.end() && it->second.mAlive;
+  }
+
+  /// @return whether a head serves by now, every member alive and in its group.
+  bool ServesWhole(const std::string& aHead, TimePoint aNow) const
+  {
+    const auto it = mEngines.find(aHead);
+    return it != mEngines.end() && Serves(it->second) && aNow >= it->second.mServesAt;
+  }
+
   /// Replicas that really serve: the head is open and every member is alive and in it.
   std::size_t Serving(const std::string& aModel) const
   {
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -16,11 +16,22 @@
 
 namespace pepperbay {
 
+/// How free engines of a domain are kept ready to replace lost members. `bench/pools` measures what
+/// each is worth.
+enum class SparePolicy
+{
+  kIdle,          ///< as they are: a replacement loads the weights first
+  kStaged,        ///< with the weights of one model on their host
+  kStandby,       ///< joined alone to a group of one model: 200 ms away from a replica of it
+  kStandbyForAll, ///< the same, with the weights of another model on their host
+};
+
 struct GroupPlannerOptions
 {
   /// Engines of a fabric domain kept free to replace lost members, as a share, rounded up. With
   /// none, each loss darkens a replica for a whole load of weights.
   double mSpareShare = 0.1;
+  SparePolicy mSpares = SparePolicy::kStandbyForAll;
   /// An order to open that came before the head was ready is given again after this; the replica
   /// is dark meanwhile.
   Duration mRepeatOpen = std::chrono::milliseconds(25);
--- a/src/pepperbay/placement/group_planner_spares.cpp
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -30,7 +30,8 @@
       idle.push_back(&engine);
     }
   }
-  if (mView->mNow - mLastNew < mOptions.mSettle && !mView->mTraffic) {
+  const bool settled = mView->mNow - mLastNew >= mOptions.mSettle || mView->mTraffic;
+  if (!settled || mOptions.mSpares == SparePolicy::kIdle) {
     return;
   }
   for (const auto* it : idle) {
@@ -53,7 +54,9 @@
       }
       continue;
     }
-    mSpares[it->mId] = { model, NextEpoch(), false };
+    if (mOptions.mSpares != SparePolicy::kStaged) {
+      mSpares[it->mId] = { model, NextEpoch(), false };
+    }
   }
   for (auto it = mStaging.begin(); it != mStaging.end();) {
     const EngineRecord* engine = Find(it->first);
@@ -66,7 +69,8 @@
       continue;
     }
     Spare& spare = it->second;
-    if (spare.mReady && IsFree(*Find(it->first)) && Usable(it->first)) {
+    const bool forAll = mOptions.mSpares == SparePolicy::kStandbyForAll;
+    if (forAll && spare.mReady && IsFree(*Find(it->first)) && Usable(it->first)) {
       StageOther(*Find(it->first), spare.mModel);
     }
     if (!spare.mReady && Usable(it->first) && IsFree(*Find(it->first)) && !InDoubt(it->first, "")) {
