planner: engines are found in replicas by an index

Change: a map from engine to the replicas that it is planned for, kept in step where a replica is adopted, begun and given up. bench/pools prints the mean time of a round and can play one policy.

The same replicas form (figures of the policies unchanged); the planner's tests and its property pass.

--- a/bench/pools/main.cpp
+++ b/bench/pools/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(int, seeds, 3, "schedules of losses and requests; the figures are over all of them");
 ABSL_FLAG(double, rate, pepperbay::pools::LoadOptions().mRate, "requests a second and engine");
 ABSL_FLAG(int, loss_every_ms, 3000, "for 66 engines; a larger pool loses as many an engine");
+ABSL_FLAG(std::string, policy, "", "only policies whose name has this in it");
 ABSL_FLAG(bool, csv, false, "comma-separated values");
 
 namespace {
@@ -44,6 +45,7 @@
   double mStranded = 0;
   std::size_t mLosses = 0;
   std::size_t mLoads = 0;
+  double mRoundMs = 0; ///< of the planner, mean of the last schedule
 };
 
 void
@@ -90,6 +92,7 @@
   aFigures.mStranded += world.StrandedEngineSeconds();
   aFigures.mLosses += world.Losses();
   aFigures.mLoads += world.Loads() - before;
+  aFigures.mRoundMs = std::chrono::duration<double, std::milli>(world.RoundTime()).count();
 }
 
 void
@@ -103,9 +106,10 @@
   const auto ended = static_cast<double>(load.mOnTime + load.mLate + load.mRefused + load.mCut);
   const double unserved = static_cast<double>(load.mRefused + load.mCut) / ended;
   const double nines = -std::log10(std::max(unserved, 1e-6));
-  const char* line = absl::GetFlag(FLAGS_csv)
-                       ? "%s,%zu,%.2f,%.2f,%.0f,%zu,%zu,%.4f,%.4f,%.4f,%.2f,%.3f\n"
-                       : "%-34s %6zu %7.2f %7.2f %9.0f %6zu %8zu %8.4f %8.4f %8.4f %6.2f %7.3f\n";
+  const char* line =
+    absl::GetFlag(FLAGS_csv)
+      ? "%s,%zu,%.2f,%.2f,%.0f,%zu,%zu,%.4f,%.4f,%.4f,%.2f,%.3f,%.2f\n"
+      : "%-34s %6zu %7.2f %7.2f %9.0f %6zu %8zu %8.4f %8.4f %8.4f %6.2f %7.3f %8.2f\n";
   std::printf(line,
               aPolicy.mName,
               aFigures.mLosses,
@@ -118,7 +122,8 @@
               static_cast<double>(load.mRefused) / ended,
               static_cast<double>(load.mCut) / ended,
               nines,
-              load.mWorstSecond);
+              load.mWorstSecond,
+              aFigures.mRoundMs);
 }
 
 } // namespace
@@ -138,8 +143,8 @@
     { "the same, round robin", SparePolicy::kStandbyForAll, share, Choice::kRoundRobin },
   };
   const char* head = absl::GetFlag(FLAGS_csv)
-                       ? "%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s\n"
-                       : "%-34s %6s %7s %7s %9s %6s %8s %8s %8s %8s %6s %7s\n";
+                       ? "%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s\n"
+                       : "%-34s %6s %7s %7s %9s %6s %8s %8s %8s %8s %6s %7s %8s\n";
   std::printf(head,
               "policy",
               "losses",
@@ -152,8 +157,12 @@
               "refused",
               "cut",
               "nines",
-              "worst s");
+              "worst s",
+              "round ms");
   for (const auto& policy : policies) {
+    if (std::string(policy.mName).find(absl::GetFlag(FLAGS_policy)) == std::string::npos) {
+      continue;
+    }
     Figures figures;
     for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
       Play(policy, static_cast<std::uint32_t>(seed), figures);
--- a/bench/pools/pool_world.cpp
+++ b/bench/pools/pool_world.cpp
@@ -85,7 +85,10 @@
     return it != mDied.end() && Now() - it->second >= mOptions.mFoundAfter;
   };
   view.mInFlight = [](const std::string&) { return 0; };
+  const auto before = std::chrono::steady_clock::now();
   const auto orders = mPlanner.Plan(view);
+  mPlanning += std::chrono::steady_clock::now() - before;
+  ++mRounds;
   const auto wanted = mPlanner.Wanted();
   for (const auto& [id, engine] : wanted) {
     if (mPool.At(id).mAlive) {
--- a/bench/pools/pool_world.hpp
+++ b/bench/pools/pool_world.hpp
@@ -56,6 +56,8 @@
   /// Seconds that live engines spent in replicas that did not serve.
   double StrandedEngineSeconds() const { return mStranded; }
   std::size_t Losses() const { return mLosses; }
+  /// Mean time that one round of the planner takes on this machine.
+  Duration RoundTime() const { return mRounds == 0 ? Duration::zero() : mPlanning / mRounds; }
 
   static constexpr Duration kStep = std::chrono::milliseconds(20);
 
@@ -86,6 +88,8 @@
   std::size_t mAdded = 0;
   std::size_t mLosses = 0;
   double mStranded = 0;
+  Duration mPlanning{ 0 };
+  std::int64_t mRounds = 0;
 };
 
 } // namespace pepperbay::pools
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pepperbay {
@@ -208,6 +209,9 @@
   Duration LoadTime(const std::string& aModel) const;
   bool InReplica(const std::string& aEngine) const { return InOtherReplica(aEngine, ""); }
   bool InOtherReplica(const std::string& aEngine, const std::string& aName) const;
+  /// Keep mReplicasOf in step with a replica's members.
+  void AddToIndex(const PlannedReplica& aReplica);
+  void RemoveFromIndex(const PlannedReplica& aReplica);
   void Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
@@ -219,6 +223,9 @@
 
   GroupPlannerOptions mOptions;
   std::map<std::string, PlannedReplica> mReplicas;
+  /// Engine to the names of replicas that it is planned for. Looking through all replicas for each
+  /// engine of a round made a round's time grow with the square of the pool.
+  std::unordered_map<std::string, std::set<std::string>> mReplicasOf;
   std::map<std::string, Spare> mSpares;
   std::map<std::string, Pending> mPending;
   std::map<std::string, Staging> mStaging;        ///< engines told to stage, until they have
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -220,6 +220,7 @@
   const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
   replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
+  AddToIndex(replica);
   mReplicas[aName] = std::move(replica);
 }
 
@@ -304,11 +305,31 @@
 bool
 GroupPlanner::InOtherReplica(const std::string& aEngine, const std::string& aName) const
 {
-  return std::any_of(mReplicas.begin(), mReplicas.end(), [&](const auto& aReplica) {
-    const auto& members = aReplica.second.mMembers;
-    return aReplica.first != aName &&
-           std::find(members.begin(), members.end(), aEngine) != members.end();
-  });
+  const auto it = mReplicasOf.find(aEngine);
+  return it != mReplicasOf.end() && it->second.size() > it->second.count(aName);
+}
+
+void
+GroupPlanner::AddToIndex(const PlannedReplica& aReplica)
+{
+  for (const auto& it : aReplica.mMembers) {
+    mReplicasOf[it].insert(aReplica.mName);
+  }
+}
+
+void
+GroupPlanner::RemoveFromIndex(const PlannedReplica& aReplica)
+{
+  for (const auto& it : aReplica.mMembers) {
+    const auto names = mReplicasOf.find(it);
+    if (names == mReplicasOf.end()) {
+      continue;
+    }
+    names->second.erase(aReplica.mName);
+    if (names->second.empty()) {
+      mReplicasOf.erase(names);
+    }
+  }
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -26,7 +26,9 @@
     }
   }
   for (const auto& it : done) {
-    mReplicas.erase(it);
+    const auto replica = mReplicas.find(it);
+    RemoveFromIndex(replica->second);
+    mReplicas.erase(replica);
   }
 }
 
@@ -82,7 +84,9 @@
     mSpares.erase(it);
     mPending.erase(it + " join");
   }
+  RemoveFromIndex(aReplica);
   aReplica.mMembers = std::move(aMembers);
+  AddToIndex(aReplica);
   aReplica.mEpoch = NextEpoch();
   aReplica.mPhase = ReplicaPhase::kForming;
   aReplica.mReady.clear();
