--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -24,7 +24,8 @@
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
 pepperbay_library(control SOURCES claim_desk.cpp controller.cpp controller_hosts.cpp
-                                  controller_peers.cpp drain_ledger.cpp dump.cpp holder.cpp
+                                  controller_messages.cpp controller_peers.cpp
+                                  controller_usage.cpp drain_ledger.cpp dump.cpp holder.cpp
                                   host_watch.cpp traffic_view.cpp
                   TESTS claim_desk_test.cpp
                   USES log settings journal state lease membership placement admission routing
@@ -47,7 +48,7 @@
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
                                 exchange_ends.cpp
                                 relay.cpp session.cpp sockets.cpp
-                  TESTS event_splitter_test.cpp relay_test.cpp
+                  TESTS event_splitter_test.cpp relay_test.cpp relay_stop_test.cpp
                   USES settings membership admission routing dispatch
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
--- a/scripts/mutants/own_path.sh
+++ b/scripts/mutants/own_path.sh
@@ -66,5 +66,5 @@
   's/report->second > 0/false/; s/return false;/continue;/' stops_test '*CutOff*:*CutsNoAnswer*'
 mutant "cut-off node goes on" $s/control/traffic_view.cpp \
   's/return heard \* 2 >= known.*/return true;/' control_faults_test '*cut_from_log_and_peers*'
-mutant "stop spreads by the log alone" $s/control/controller_peers.cpp \
+mutant "stop spreads by the log alone" $s/control/controller_messages.cpp \
   's/for \(const auto\& it : aHeartbeat.drains\(\)\)/for (const auto\& it : proto::Heartbeat().drains())/' stops_test '*WhileTheLogIsOut*'
--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -23,7 +23,7 @@
   dispatch_failure_step_test '*OnlyWithProof*'
 mutant "the body of a late answer says not run" $relay/exchange_ends.cpp \
   's/mMayHaveRun = mMayHaveRun \|\| mAttempt->MayHaveRun\(\);/const bool m = mAttempt->MayHaveRun();/; s/\} else if \(mMayHaveRun\) \{/} else if (true) {/' \
-  relay_relay_test 'StopTest.ARequestWithout*'
+  relay_relay_stop_test '*ARequestWithout*'
 mutant "no configuration counts as no route" $relay/exchange.cpp \
   's/Refuse\("no_configuration"\)/Answer(kNotFound, "no_route", "")/' relay_relay_test '*WithoutAConfiguration*'
 mutant "second attempts without a budget" $relay/exchange_ends.cpp \
@@ -34,7 +34,7 @@
 mutant "a caller that left is not noticed" $relay/session.cpp \
   's/Peek\(self->mSocket\) == PeekResult::kClosed/false/' relay_relay_test '*ACallerThatLeaves*'
 mutant "late requests are taken in a stop" $relay/relay.cpp \
-  's/mCore.mTakesRequests = false/mCore.mTakesRequests = true/' relay_relay_test '*RefusesWhatComesLate*'
+  's/mCore.mTakesRequests = false/mCore.mTakesRequests = true/' relay_relay_stop_test '*RefusesWhatComesLate*'
 mutant "a member that leaves is not swapped" $groups/group_planner.cpp \
   's/      leaving = true;/      leaving = false;/' placement_group_planner_test '*LeavingMember*'
 mutant "a head without registration stays" $groups/group_planner.cpp \
--- /dev/null
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -0,0 +1,232 @@
+/// @file
+/// @brief A relay before hand-written engines, for its tests.
+#pragma once
+
+#include "fakes/raw_engine.hpp"
+#include "pepperbay/relay/relay.hpp"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <memory>
+#include <sstream>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+
+using std::chrono::seconds;
+
+/// Headers of a made-up platform: `Req` names the request, `Seal` vouches, `Not-Run` states it.
+inline Dialect
+TestDialect()
+{
+  Dialect dialect;
+  const auto text = [](const HeaderFields& aFields, const char* aName) {
+    const auto value = aFields[aName];
+    return std::string(value.data(), value.size());
+  };
+  dialect.mReadRequest = [text](const HeaderFields& aFields) -> Result<RequestFacts> {
+    RequestFacts facts;
+    facts.mId = text(aFields, "Req");
+    facts.mModel = text(aFields, "Model");
+    facts.mKey = text(aFields, "Key");
+    if (const std::string left = text(aFields, "Left-Ms"); !left.empty()) {
+      facts.mDeadline = std::chrono::milliseconds(std::stoi(left));
+    }
+    if (!text(aFields, "Bad").empty()) {
+      return Error{ Errc::kInvalid, "request.decode", "caller", "bad" };
+    }
+    return facts;
+  };
+  dialect.mStampRequest = [](const RequestStamp& aStamp, HeaderFields* aFields) {
+    aFields->erase("Key");
+    aFields->set("Engine", aStamp.mEngine);
+    aFields->set("Customer", aStamp.mCustomer);
+    aFields->set("Left-Ms", std::to_string(ToMs(aStamp.mDeadline).count()));
+    if (aStamp.mLastEvent) {
+      aFields->set("Last", std::to_string(*aStamp.mLastEvent));
+    }
+  };
+  dialect.mReadAnswer = [text](int /*aStatus*/, const HeaderFields& aFields) {
+    AnswerFacts facts;
+    facts.mSealed = !text(aFields, "Seal").empty();
+    facts.mNotRun = !text(aFields, "Not-Run").empty();
+    facts.mRequestId = text(aFields, "Req");
+    return facts;
+  };
+  return dialect;
+}
+
+inline Route
+MakeRoute(const std::string& aPrefix, RequestKind aKind, const std::string& aService)
+{
+  Route route;
+  route.mName = aPrefix;
+  route.mHost = "h";
+  route.mPathPrefix = aPrefix;
+  route.mKind = aKind;
+  route.mResumable = aKind == RequestKind::kStream;
+  route.mMaxAttempts = aKind == RequestKind::kUnrepeatable ? 1 : 2;
+  route.mTimeout = seconds(20);
+  route.mObjective = seconds(20); // no second attempt for slowness in these tests
+  route.mSplit = { { aService, 1.0 } };
+  return route;
+}
+
+/// A relay on a thread of its own before engines of the test.
+class RelayTest : public testing::Test
+{
+protected:
+  void Serve(const std::vector<RawEngine*>& aEngines, RelayOptions options = {})
+  {
+    options.mCallers = "127.0.0.1:" + std::to_string(FreePort());
+    options.mLeaveSilent = seconds(20);
+    mAddress = options.mCallers;
+    auto relay = Relay::Open(
+      mContext, options, TestDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
+    ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
+    mRelay = std::move(relay.value());
+    Configuration configuration;
+    configuration.mVersion = 1;
+    configuration.mRoutes = { MakeRoute("/safe/", RequestKind::kSafe, "plain"),
+                              MakeRoute("/once/", RequestKind::kUnrepeatable, "plain"),
+                              MakeRoute("/stream/", RequestKind::kStream, "pool") };
+    for (auto& it : configuration.mRoutes) {
+      it.mPublic = it.mName != "/once/";
+    }
+    ServiceSpec plain;
+    plain.mName = "plain";
+    ServiceSpec pool;
+    pool.mName = "pool";
+    pool.mPool.emplace();
+    pool.mPool->mSlots = 8;
+    configuration.mServices = { plain, pool };
+    configuration.mCustomers = { { "school", { "k1" }, {} } };
+    configuration.mLimits.mBodyBytes = 1000;
+    mPlan.mComplete = true;
+    mPlan.mRoutes = std::make_shared<RouteTable>(std::move(configuration));
+    mPlan.mKeysValidUntil = BootClock::now() + std::chrono::hours(1);
+    int n = 0;
+    for (const auto* it : aEngines) {
+      const std::string id = "e" + std::to_string(n++);
+      const EngineTarget target{ id, it->Address(), "" };
+      mPlan.mEngines["plain"].push_back(target);
+      PoolReplica replica;
+      replica.mGroup = "r" + id;
+      replica.mModel = "m";
+      replica.mHead = target;
+      mPlan.mReplicas["pool"].push_back(replica);
+    }
+    if (mPublishAtOnce) {
+      Publish();
+    }
+    mThread = std::thread([this] { mContext.run(); });
+  }
+
+  void Publish()
+  {
+    asio::post(mContext,
+               [this, plan = std::make_shared<TrafficPlan>(mPlan)] { mRelay->SetPlan(plan); });
+  }
+
+  RelayCounters Counters()
+  {
+    std::promise<RelayCounters> promise;
+    asio::post(mContext, [&] { promise.set_value(mRelay->Counters()); });
+    return promise.get_future().get();
+  }
+
+  void TearDown() override
+  {
+    mContext.stop();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+    mRelay.reset();
+  }
+
+  static int FreePort()
+  {
+    const RawEngine port([](RawConnection&) {});
+    return std::stoi(port.Address().substr(port.Address().find(':') + 1));
+  }
+
+  int Connect() const
+  {
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(mAddress.substr(mAddress.find(':') + 1))));
+    EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return socket;
+  }
+
+  /// Send one request and read until the relay closes.
+  std::string Ask(const std::string& aRequest) const
+  {
+    const int socket = Connect();
+    RawConnection connection(socket);
+    connection.Write(aRequest);
+    std::string answer = connection.ReadToEnd();
+    ::close(socket);
+    return answer;
+  }
+
+  static std::string Get(const std::string& aPath, const std::string& aHeaders = "")
+  {
+    return "GET " + aPath + " HTTP/1.1\r\nHost: h\r\nReq: q1\r\nConnection: close\r\n" + aHeaders +
+           "\r\n";
+  }
+
+  static std::string Post(const std::string& aPath,
+                          const std::string& aBody,
+                          const std::string& aHeaders = "")
+  {
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nReq: q1\r\nConnection: close\r\n" + aHeaders +
+           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
+  TrafficPlan mPlan;
+  bool mPublishAtOnce = true;
+  std::unique_ptr<Relay> mRelay;
+  std::string mAddress;
+  std::thread mThread;
+};
+
+/// A clock that stands still until the test moves it, from any thread.
+class SharedClock
+{
+public:
+  void Advance(Duration aBy) { mSince += aBy.count(); }
+  NowFn Hook()
+  {
+    return [this] { return mStart + Duration(mSince.load()); };
+  }
+
+private:
+  const TimePoint mStart = BootClock::now();
+  std::atomic<Duration::rep> mSince{ 0 };
+};
+
+inline constexpr const char* kHead = "HTTP/1.1 200 OK\r\nReq: q1\r\nSeal: s\r\n";
+
+inline bool
+Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+inline int
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/relay_stop_test.cpp
@@ -0,0 +1,110 @@
+#include "relay_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+/// A relay that is asked to stop while one request is in progress, with a paused clock.
+class StopTest : public RelayTest
+{
+protected:
+  void ServeAndBegin()
+  {
+    mEngine = std::make_unique<RawEngine>([this](RawConnection& aConnection) {
+      aConnection.ReadRequest();
+      mBegan.set_value();
+      mAnswer.get_future().wait();
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+    });
+    RelayOptions options;
+    options.mNow = mClock.Hook();
+    Serve({ mEngine.get() }, options);
+    mInProgress =
+      std::async(std::launch::async, [this] { return Ask(Post("/once/", "x", "Key: k1\r\n")); });
+    mBegan.get_future().wait();
+  }
+
+  void BeginStop()
+  {
+    std::promise<void> asked;
+    asio::post(mContext, [&] {
+      mRelay->BeginStop([this] { mStopped.set_value(); });
+      asked.set_value();
+    });
+    asked.get_future().wait();
+  }
+
+  static std::string KeptGet(const std::string& aPath)
+  {
+    return "GET " + aPath + " HTTP/1.1\r\nHost: h\r\nReq: q1\r\n\r\n";
+  }
+
+  SharedClock mClock;
+  std::unique_ptr<RawEngine> mEngine;
+  std::promise<void> mBegan;
+  std::promise<void> mAnswer;
+  std::promise<void> mStopped;
+  std::future<std::string> mInProgress;
+};
+
+/// Symptom: callers lose answers when a node is stopped.
+/// Sequence: one request is in progress, one connection idle, and on one half a request has come.
+/// Cause: the process ended before its balancer had stopped sending, or took on what it could not
+/// finish.
+TEST_F(StopTest, AnswersWhatIsInProgressAndRefusesWhatComesLate)
+{
+  ServeAndBegin();
+  const int idle = Connect();
+  RawConnection idleSide(idle);
+  idleSide.Write(KeptGet("/nowhere/"));
+  EXPECT_TRUE(Has(idleSide.ReadAnswer(), " 404 "));
+  const int half = Connect();
+  RawConnection halfSide(half);
+  const std::string next = KeptGet("/safe/");
+  halfSide.Write(KeptGet("/nowhere/") + next.substr(0, next.size() - 2));
+  EXPECT_TRUE(Has(halfSide.ReadAnswer(), " 404 "));
+  BeginStop();
+  EXPECT_EQ(StatusOf(Ask(Get("/nowhere/"))), 404); // the balancer may still send
+  mClock.Advance(RelayOptions().mStopGrace);
+  EXPECT_EQ(idleSide.ReadToEnd(), ""); // closed
+  halfSide.Write(next.substr(next.size() - 2));
+  const std::string late = halfSide.ReadToEnd();
+  EXPECT_EQ(StatusOf(late), 503) << late;
+  EXPECT_TRUE(Has(late, "\"ran\":\"no\""));
+  EXPECT_TRUE(Has(late, "Retry-After: "));
+  EXPECT_EQ(mEngine->Connections(), 1);
+  mAnswer.set_value();
+  EXPECT_EQ(StatusOf(mInProgress.get()), 200);
+  ::close(half);
+  ::close(idle);
+  mStopped.get_future().wait();
+}
+
+/// Symptom: the body of an answer at the deadline said that the request had not run, and it had.
+/// Sequence: the engine has read the request and is silent until the deadline.
+/// Cause: that it may have run was found out for the status only, and the body told the old state.
+TEST_F(StopTest, ARequestWithoutAnAnswerInTimeIsSaidToBeUnknown)
+{
+  ServeAndBegin();
+  mClock.Advance(seconds(20)); // the route's timeout
+  const std::string answer = mInProgress.get();
+  EXPECT_EQ(StatusOf(answer), 504);
+  EXPECT_TRUE(Has(answer, "\"ran\":\"unknown\"")) << answer;
+  mAnswer.set_value();
+}
+
+/// A process that is about to be killed tells its last callers what it knows. Before, the body said
+/// "not run" of requests that engines had read.
+TEST_F(StopTest, WhatDoesNotEndInTimeIsAnsweredBeforeTheProcessEnds)
+{
+  ServeAndBegin();
+  BeginStop();
+  mClock.Advance(RelayOptions().mStopMost);
+  const std::string answer = mInProgress.get();
+  EXPECT_EQ(StatusOf(answer), 502);
+  EXPECT_TRUE(Has(answer, "\"ran\":\"unknown\""));
+  mStopped.get_future().wait();
+  mAnswer.set_value();
+}
+
+} // namespace
+} // namespace pepperbay
