Revert "coordinator: a node that starts while the store turns it away learns the state from other nodes"

Without seeds nothing uses the code, so all of it goes. What stays open: a node that starts while the store turns it away refuses until it is let in (docs/OPERATIONS.md names it).

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -39,11 +39,10 @@
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
-pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_bootstrap.cpp coordinator_dump.cpp
-                                      coordinator_peers.cpp
+pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp engine_doubts.cpp freshness_book.cpp
-                                      peer_book.cpp plan_builder.cpp registration_parts.cpp
-                  TESTS coordinator_test.cpp registration_parts_test.cpp
+                                      peer_book.cpp plan_builder.cpp
+                  TESTS coordinator_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -27,8 +27,6 @@
   std::string mNode;
   std::uint64_t mIncarnation = 0;
   std::string mAddress; ///< where this node hears its peers
-  /// Where some other nodes hear, to learn the state from when the store turns this one away.
-  std::vector<std::string> mSeeds;
   Duration mBeat = std::chrono::milliseconds(200);
   /// A peer that is silent for this long does not count as a node at work.
   Duration mPeerSilence = std::chrono::milliseconds(1200);
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -19,9 +19,7 @@
   std::string mReadyPath; ///< where the balancer asks whether this node takes connections
   std::string mPeers;     ///< IP:port (UDP) where this node hears the others
   std::string mStore;     ///< IP:port of the platform's store
-  std::vector<std::string>
-    mSeeds;          ///< IP:port of other nodes; they hear at their IP, port of mPeers
-  int mMemoryMb = 0; ///< the process is killed beyond it; 0: not said
+  int mMemoryMb = 0;      ///< the process is killed beyond it; 0: not said
 
   /// A key that was taken away must be refused this long after the store's acknowledgement.
   Duration mRevokeWithin = std::chrono::seconds(5);
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -79,7 +79,6 @@
               [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
-  , mStarted(mHooks.mNow())
 {
 }
 
@@ -131,10 +130,8 @@
 {
   if (!aRecord.mValue) {
     mDirectory.Remove(aRecord.mKey, Now());
-    mRegistrations.erase(aRecord.mKey);
     return;
   }
-  mRegistrations[aRecord.mKey] = *aRecord.mValue;
   auto engine = mHooks.mDecodeEngine(aRecord.mKey, *aRecord.mValue);
   if (!engine.has_value()) {
     ++mCounters.mBadRegistrations;
@@ -152,12 +149,10 @@
 Coordinator::Impl::OnEngineList(const std::vector<KeyedRecord>& aRecords)
 {
   std::vector<EngineRecord> engines;
-  mRegistrations.clear();
   for (const auto& it : aRecords) {
     if (!it.mValue) {
       continue;
     }
-    mRegistrations[it.mKey] = *it.mValue;
     auto engine = mHooks.mDecodeEngine(it.mKey, *it.mValue);
     if (engine.has_value()) {
       engines.push_back(std::move(engine.value()));
@@ -203,7 +198,7 @@
 bool
 Coordinator::Impl::IsReady() const
 {
-  return !mStopping && mRoutes && KnowsEngines();
+  return !mStopping && mRoutes && mEngineFollower.HasList();
 }
 
 void
@@ -219,14 +214,14 @@
   mPublishDue = now + kPublishEvery;
   static const std::map<std::string, proto::ReplicaNews> kNoNews;
   PlanSources sources;
-  sources.mComplete = mRoutes && KnowsEngines();
+  sources.mComplete = mRoutes && mEngineFollower.HasList();
   sources.mRoutes = mRoutes;
   sources.mEngines = &mDirectory.Engines();
   sources.mNews = now - mNewsAt < kNewsLife ? &mNews : &kNoNews;
   sources.mLost = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
   sources.mOthersInFlight = OthersInFlight();
   sources.mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
-  sources.mNodes = std::max(mPeers.AliveCount(now), AsksState() ? mToldNodes : 0);
+  sources.mNodes = mPeers.AliveCount(now);
   mHooks.mPublish(BuildPlan(sources));
 }
 
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -7,7 +7,6 @@
 #include "peer_book.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
-#include "registration_parts.hpp"
 
 namespace pepperbay {
 
@@ -29,14 +28,8 @@
   std::uint64_t ConfigurationVersion() const { return mRoutes ? mRoutes->Version() : 0; }
   /// @return whether the store has been silent for longer than a held read takes.
   bool AsksFreshness() const;
-  /// Send the configuration in force here to a node that has an older one.
-  void SendConfiguration(const std::string& aAddress);
-  void TakeNews(const google::protobuf::RepeatedPtrField<proto::ReplicaNews>& aReplicas);
-  /// @return whether the store has never been reached and there are nodes to ask.
-  bool AsksState() const;
-  void AskState();
-  void AnswerState(const proto::NodeBeat& aAsker);
-  void OnState(const proto::NodeBeat& aBeat);
+  /// Give a peer that asks and has an older configuration the one in force here.
+  void PassConfiguration(const proto::NodeBeat& aAsker);
   void TakePrompts(const proto::NodeBeat& aBeat);
   void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   void OnSuspect(const std::string& aHead, Duration aSilence);
@@ -55,8 +48,6 @@
   void Publish();
   bool MayOrder() const;
   bool IsReady() const;
-  /// @return whether the registrations have been read, from the store or from a peer.
-  bool KnowsEngines() const { return mEngineFollower.HasList() || !mRegistrations.empty(); }
   int InFlightEverywhere(const std::string& aEngine) const;
   std::unordered_map<std::string, int> OthersInFlight() const;
   KeyedFollowerEvents Events(const char* aName,
@@ -80,9 +71,6 @@
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
   std::map<std::string, proto::ReplicaNews> mNews;
   TimePoint mNewsAt{};
-  RawRegistrations mRegistrations; ///< as read last, from the store or a peer
-  PartCollector mParts;
-  int mToldNodes = 0; ///< nodes at work by the word of a node that was asked for the state
   std::unordered_map<std::string, int> mInFlight;
   std::map<std::string, TimePoint> mSuspects;               ///< heads that this node finds silent
   std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
@@ -94,7 +82,6 @@
   bool mStopping = false;
   bool mRecordWritten = false;
   bool mRecordOnItsWay = false;
-  TimePoint mStarted{};
   TimePoint mBeatDue{};
   TimePoint mPublishDue{};
   TimePoint mEngineReadDue{};
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -93,16 +93,8 @@
     }
     return;
   }
-  if (beat.has_asks_state()) {
-    AnswerState(beat);
-    return;
-  }
-  if (beat.has_state()) {
-    OnState(beat);
-    return;
-  }
   if (!beat.configuration().empty()) {
-    if (mPeers.IsCurrent(beat) || AsksState()) {
+    if (mPeers.IsCurrent(beat)) {
       OnConfiguration({ mHooks.mConfigKey, beat.configuration() });
     }
     return;
@@ -112,7 +104,7 @@
   }
   mFreshness.OnBeat(beat, ConfigurationVersion(), now);
   if (beat.asks_freshness_at_ns() != 0 && beat.config_version() < ConfigurationVersion()) {
-    SendConfiguration(mPeers.Peers().at(beat.node()).mAddress);
+    PassConfiguration(beat);
   }
   ++mCounters.mBeats;
   mTraffic = mTraffic || beat.traffic();
@@ -122,7 +114,12 @@
                           beat.lease().incarnation() == beat.incarnation() &&
                           beat.lease().last() >= before && !MayOrder();
   if (fromHolder && beat.replicas_size() > 0) {
-    TakeNews(beat.replicas());
+    mNews.clear();
+    for (const auto& it : beat.replicas()) {
+      mNews[it.group()] = it;
+    }
+    mNewsAt = now;
+    mChanged = true;
   }
   if (!MayOrder()) {
     return;
@@ -151,27 +148,17 @@
 }
 
 void
-Coordinator::Impl::TakeNews(const google::protobuf::RepeatedPtrField<proto::ReplicaNews>& aReplicas)
+Coordinator::Impl::PassConfiguration(const proto::NodeBeat& aAsker)
 {
-  mNews.clear();
-  for (const auto& it : aReplicas) {
-    mNews[it.group()] = it;
-  }
-  mNewsAt = Now();
-  mChanged = true;
-}
-
-void
-Coordinator::Impl::SendConfiguration(const std::string& aAddress)
-{
-  if (mConfiguration.size() > kMostPassedBytes) {
+  const auto peer = mPeers.Peers().find(aAsker.node());
+  if (peer == mPeers.Peers().end() || mConfiguration.size() > kMostPassedBytes) {
     return;
   }
   proto::NodeBeat beat;
   beat.set_node(mOptions.mNode);
   beat.set_incarnation(mOptions.mIncarnation);
   beat.set_configuration(mConfiguration);
-  mHooks.mSend(aAddress, beat.SerializeAsString());
+  mHooks.mSend(peer->second.mAddress, beat.SerializeAsString());
 }
 
 void
@@ -248,9 +235,6 @@
   mFreshness.Fill(&beat, AsksFreshness(), ConfigurationAsOf(), now);
   beat.set_traffic(mTraffic);
   beat.set_stopping(mStopping);
-  if (AsksState()) {
-    AskState();
-  }
   const std::string bytes = beat.SerializeAsString();
   for (const auto& it : mPeers.Addresses(now)) {
     mHooks.mSend(it, bytes);
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -51,7 +51,7 @@
 
   void Configure(const std::string& aVersion) { mConfigLog.Put("config", aVersion); }
 
-  TestNode& AddNode(const std::string& aName, std::vector<std::string> aSeeds = {})
+  TestNode& AddNode(const std::string& aName)
   {
     mNodes.emplace_back();
     TestNode& node = mNodes.back();
@@ -60,7 +60,6 @@
     options.mNode = aName;
     options.mIncarnation = ++mIncarnations;
     options.mAddress = aName;
-    options.mSeeds = std::move(aSeeds);
     node.mCoordinator = std::make_unique<Coordinator>(options, HooksOf(node));
     return node;
   }
@@ -467,53 +466,6 @@
   EXPECT_EQ(cut.mPlan->mRoutes->Version(), 5U);
 }
 
-/// Symptom: a node that starts while the store turns it away refuses every caller until it is let
-/// in, though its neighbours serve.
-/// Sequence: two nodes are at work; a third starts without the store, with a seed in its settings.
-TEST_F(CoordinatorTest, ANodeThatStartsWithoutTheStoreLearnsTheStateFromASeed)
-{
-  AddNode("a");
-  AddNode("b");
-  Run(seconds(10));
-  TestNode& late = AddNode("c", { "a" });
-  late.mStoreDown = true;
-  Run(seconds(1));
-  EXPECT_TRUE(late.mCoordinator->IsReady());
-  EXPECT_TRUE(late.mPlan->mComplete);
-  EXPECT_EQ(Usable(late), 1);
-  EXPECT_GT(late.mPlan->mKeysValidUntil, mClock.Now());
-  EXPECT_EQ(late.mPlan->mNodes, 3); // second attempts are shared out over all nodes
-  // What changes reaches it.
-  const std::string head = late.mPlan->mReplicas.at("pool").front().mHead.mId;
-  mPool.At(head).mRecord.mLeaving = true;
-  Run(seconds(3));
-  EXPECT_NE(late.mPlan->mReplicas.at("pool").front().mHead.mId, head);
-  Configure("4");
-  Run(seconds(1));
-  EXPECT_EQ(late.mPlan->mRoutes->Version(), 4U);
-  late.mStoreDown = false;
-  Run(seconds(1));
-  EXPECT_EQ(Usable(late), 1);
-}
-
-/// A state that was long on its way is not taken: what it names may be gone.
-TEST_F(CoordinatorTest, ALateStateIsNotTaken)
-{
-  AddNode("a");
-  Run(seconds(10));
-  TestNode& late = AddNode("c", { "a" });
-  late.mStoreDown = true;
-  late.mAlive = false; // the answer does not arrive
-  Run(milliseconds(200));
-  late.mCoordinator->Tick();
-  Run(milliseconds(40));
-  const std::string state = mLastSent["c"];
-  ASSERT_FALSE(state.empty());
-  Run(seconds(5));
-  late.mCoordinator->OnBeat(state);
-  EXPECT_FALSE(late.mCoordinator->IsReady());
-}
-
 TEST_F(CoordinatorTest, PromptsReachTheOtherNodesAtOnce)
 {
   TestNode& a = AddNode("a");
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -44,21 +44,6 @@
 using Timer = asio::steady_timer;
 using Udp = asio::ip::udp;
 
-/// All nodes hear their peers at the same port.
-std::vector<std::string>
-SeedsOf(const EdgeSettings& aSettings)
-{
-  const auto own = ParseEndpoint(aSettings.mPeers);
-  std::vector<std::string> seeds;
-  for (const auto& it : aSettings.mSeeds) {
-    const auto seed = ParseEndpoint(it);
-    if (own.has_value() && seed.has_value()) {
-      seeds.push_back(seed.value().mHost + ":" + std::to_string(own.value().mPort));
-    }
-  }
-  return seeds;
-}
-
 class EdgeNodeImpl : public EdgeNode
 {
 public:
@@ -270,7 +255,6 @@
     options.mNode = mSettings.mName;
     options.mIncarnation = NewIncarnation();
     options.mAddress = mSettings.mPeers;
-    options.mSeeds = SeedsOf(mSettings);
     options.mKeysTrusted = mSettings.mRevokeWithin - kRevokeMargin;
     return options;
   }
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -34,10 +34,6 @@
   ReadEndpoint(aReader, "metrics", &aSettings.mMetrics);
   ReadEndpoint(aReader, "peers", &aSettings.mPeers);
   ReadEndpoint(aReader, "store", &aSettings.mStore);
-  aReader.Read("seeds", &aSettings.mSeeds);
-  for (const auto& it : aSettings.mSeeds) {
-    CheckEndpoint(aReader, "seeds", it);
-  }
   aReader.Read("ready_path", &aSettings.mReadyPath);
   if (!aSettings.mReadyPath.empty() && aSettings.mReadyPath.front() != '/') {
     aReader.Problem("ready_path", "must begin with '/'");
