planner: an engine whose address belongs to another start is gone, and a member says where it is

Cause: behind a cut from the store an engine can end and start again under another id while the list still has the old one. Ruled out: naming the engine in the question; the platform's report answers all the same.

Change: an order answered "another engine" makes the id gone for good, as an id is of one start; a member of an open replica whose report names another group, or none, breaks the replica, once the replica has been open for a second (reports are some 200 ms old).

--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -29,6 +29,9 @@
     EngineRecord mRecord;
     bool mAlive = true;
     bool mListed = true;
+    /// Its process has ended and another, with another id, answers at its address; the list still
+    /// has the old one.
+    bool mReborn = false;
     std::string mLastModel;
     std::vector<std::string> mMembers; ///< of its group
     std::string mModel;                ///< that it joins for
@@ -84,6 +87,9 @@
       return OrderAnswer::kNone;
     }
     Engine& engine = it->second;
+    if (engine.mReborn) {
+      return OrderAnswer::kOtherEngine;
+    }
     if (aOrder.mFence < engine.mSeenFence) {
       return OrderAnswer::kStale;
     }
@@ -100,6 +106,9 @@
   {
     const Engine& engine = mEngines.at(aId);
     EngineReport report;
+    if (engine.mReborn) {
+      return report;
+    }
     report.mGroup = engine.mRecord.mGroup;
     report.mAccepted = engine.mAccepted;
     return report;
@@ -178,12 +187,12 @@
 
   bool Serves(const Engine& aHead) const
   {
-    if (!aHead.mAlive || aHead.mRecord.mGroup.mPhase != GroupPhase::kOpen) {
+    if (!aHead.mAlive || aHead.mReborn || aHead.mRecord.mGroup.mPhase != GroupPhase::kOpen) {
       return false;
     }
     for (const auto& it : aHead.mMembers) {
       const auto member = mEngines.find(it);
-      if (member == mEngines.end() || !member->second.mAlive ||
+      if (member == mEngines.end() || !member->second.mAlive || member->second.mReborn ||
           member->second.mRecord.mGroup.mName != aHead.mRecord.mGroup.mName ||
           member->second.mRecord.mGroup.mEpoch != aHead.mRecord.mGroup.mEpoch) {
         return false;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -216,6 +216,8 @@
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
   bool Guard(GroupOrder& aOrder);
+  /// A replica is broken when a member says that it is in none, or in another.
+  void BreakIfElsewhere(const std::string& aEngine, const GroupPlace& aPlace, TimePoint aNow);
   /// @return whether a join may begin now, should it have to bring weights from their store.
   bool MayBringWeights(const GroupOrder& aOrder);
   Duration RepeatAfter(const GroupOrder& aOrder, OrderAnswer aAnswer, bool aLoads) const;
@@ -239,6 +241,9 @@
   std::map<std::string, TimePoint> mAnsweredAt;
   std::map<std::string, LostJoin> mLostJoins; ///< by engine
   std::set<std::string> mUnanswering;
+  /// Engines whose address belongs to another start by that one's own word. An id is of one start,
+  /// so they do not come back; whatever answers questions there is not they.
+  std::set<std::string> mGone;
   std::vector<TimePoint> mLoads;                     ///< begun in the last second
   std::map<std::string, std::uint64_t> mLoadCounted; ///< by engine: epoch of the join that loads
   std::uint64_t mCounter = 0;
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -86,6 +86,10 @@
     }
   }
   mKnown = std::move(members);
+  for (auto it = mGone.begin(); it != mGone.end();) {
+    const bool needed = FindListed(*it) != nullptr || mKnown.count(*it) != 0;
+    it = needed ? std::next(it) : mGone.erase(it);
+  }
   for (auto it = mAnsweredAt.begin(); it != mAnsweredAt.end();) {
     it = mKnown.count(it->first) == 0 ? mAnsweredAt.erase(it) : std::next(it);
   }
@@ -95,7 +99,8 @@
 GroupPlanner::Usable(const EngineRecord& aEngine) const
 {
   return aEngine.mService == mView->mService && !aEngine.mLeaving &&
-         mUnanswering.count(aEngine.mId) == 0 && !mView->mDead(aEngine.mId);
+         mUnanswering.count(aEngine.mId) == 0 && mGone.count(aEngine.mId) == 0 &&
+         !mView->mDead(aEngine.mId);
 }
 
 bool
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -146,7 +146,7 @@
   const auto replica = mReplicas.find(aOrder.mGroup);
   const bool current = replica != mReplicas.end() && replica->second.mEpoch == aOrder.mEpoch;
   if (aAnswer == OrderAnswer::kOtherEngine) {
-    mUnanswering.insert(aOrder.mEngine);
+    mGone.insert(aOrder.mEngine);
     return;
   }
   if (aAnswer == OrderAnswer::kStale && current) {
@@ -234,6 +234,28 @@
   if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready) {
     it->second.mReady.insert(aEngine);
   }
+  BreakIfElsewhere(aEngine, place, aNow);
+}
+
+void
+GroupPlanner::BreakIfElsewhere(const std::string& aEngine, const GroupPlace& aPlace, TimePoint aNow)
+{
+  // A member that has started anew, or was ordered away by another holder, answers and does not
+  // work in the replica any more; its head stands still with every member seemingly alive.
+  const auto names = mReplicasOf.find(aEngine);
+  if (names == mReplicasOf.end()) {
+    return;
+  }
+  for (const auto& name : names->second) {
+    PlannedReplica& replica = mReplicas.at(name);
+    const bool in = aPlace.mName == name && aPlace.mEpoch == replica.mEpoch;
+    const bool settled = aNow - replica.mSince >= 2 * mOptions.mReportLife;
+    if (replica.mPhase == ReplicaPhase::kOpen && settled && !in) {
+      replica.mPhase = ReplicaPhase::kBroken;
+      replica.mSince = aNow;
+      replica.mWhy = aEngine + " says that it is not in it";
+    }
+  }
 }
 
 void
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -372,6 +372,37 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
+/// Symptom: a replica stands still for seconds, a third of all orders go to engines that refuse
+/// them, and a replica without a spare is formed anew four times a second.
+/// Sequence: a member cut off from the store ends and starts again under another id; the list still
+/// has the old one, and the new process answers questions at its address.
+/// Cause: an answer to a question counted as a sign of life of the engine that was meant.
+TEST(GroupPlanner, AnEngineWhoseAddressBelongsToAnotherIsGone)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string gone = world.MemberOf(planner, "big", 2);
+  world.mPool.At(gone).mReborn = true;
+  world.mGiven.clear();
+  int refused = 0;
+  world.mFate = [&](const GroupOrder& aOrder) {
+    refused += aOrder.mEngine == gone ? 1 : 0;
+    return Fate::kArrives;
+  };
+  // The head's streams stand still, and its members are asked.
+  planner.OnReport(gone, world.mPool.Report(gone), world.Now());
+  world.Run(planner, milliseconds(800));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  for (int i = 0; i < 20; ++i) {
+    planner.OnReport(gone, world.mPool.Report(gone), world.Now());
+    planner.Forgive(gone);
+    world.Run(planner, milliseconds(250));
+  }
+  EXPECT_LE(refused, 2);
+  EXPECT_TRUE(world.mPool.Violations().empty());
+}
+
 /// Symptom: the store of weights is asked for more loads than it bears, and all of them get slow.
 /// Sequence: the whole pool restarts empty while requests come in.
 /// Cause: weights that a join brings were not counted against the rate, only staged ones.
