--- a/bench/pools/stream_load.hpp
+++ b/bench/pools/stream_load.hpp
@@ -115,7 +115,6 @@
   LoadResult mResult;
   std::map<std::int64_t, std::pair<std::size_t, std::size_t>> mSeconds; ///< asked, on time
   std::size_t mTurn = 0;
-  double mOwed = 0;
 };
 
 } // namespace pepperbay::pools
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -80,13 +80,13 @@
 class RelayTest : public testing::Test
 {
 protected:
-  void Serve(const std::vector<RawEngine*>& aEngines, RelayOptions options = {})
+  void Serve(const std::vector<RawEngine*>& aEngines, RelayOptions aOptions = {})
   {
-    options.mCallers = "127.0.0.1:" + std::to_string(FreePort());
-    options.mLeaveSilent = seconds(20);
-    mAddress = options.mCallers;
+    aOptions.mCallers = "127.0.0.1:" + std::to_string(FreePort());
+    aOptions.mLeaveSilent = seconds(20);
+    mAddress = aOptions.mCallers;
     auto relay = Relay::Open(
-      mContext, options, TestDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
+      mContext, aOptions, TestDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
     Configuration configuration;
