--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,7 +85,7 @@
 curl -fsS http://127.0.0.3:7099/serving && echo
 curl -fsS -X POST "http://127.0.0.3:7099/kill?engine=$(curl -fsS http://127.0.0.3:7099/serving | tr -d '[]"' | cut -d, -f3)" >/dev/null
 wait_until "it serves again" chat
-curl -fsS http://127.0.0.21:8081/state | grep -A 12 '"replicas"'
+build/pepperbay pool-status 127.0.0.21:8081
 curl -fsS http://127.0.0.3:7099/serving && echo
 grep -h 'event=replica' "$work/edge.log" | tail -n 2
 for pid in "$edge" "$platform"; do
