planner: a new process leaves replicas alone whose members may still register

The process that became the holder had read the list in between, found eleven of twelve replicas "not open" or "without all members", took them for broken and formed them anew with loads of weights: dark from 37 to 47 s. Ruled out: EngineDirectory's own grace, which only helps a process that lived through the outage and knows it.

Tests: LeavesReplicasAloneWhoseMembersMayStillRegister fails with the wait switched off (a mutant of the list) and passes with it; RepairsAReplicaWhoseMemberDoesNotRegisterAgain bounds it.

--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -55,6 +55,9 @@
   's/if \(mSplitter.HasPartial\(\)\)/if (false)/' relay_relay_test '*EndsInsideAnEvent*'
 mutant "standing replicas are not learnt" $groups/group_planner.cpp \
   's/^    Adopt\(name, members\);/    (void)members;/' placement_group_planner_test '*LeavesStanding*'
+mutant "registrations that may still come are not waited for" $groups/group_planner.cpp \
+  's/!whole \&\& mView->mNow - mView->mKnownSince < mOptions.mReturnGrace/false/' \
+  placement_group_planner_test '*MayStillRegister*'
 mutant "an adopted replica counts as new" $groups/group_planner.cpp \
   's/mSince = mView->mNow - mView->mPool->mFormTime/mSince = mView->mNow/' \
   placement_group_planner_test '*HasServedForLong*'
@@ -72,6 +75,9 @@
   's/MayBringWeights\(aOrder\) \&\& Guard/Guard/' placement_group_planner_test '*LoadsKeep*'
 mutant "a lease is held without its record" $s/lease/log_lease.cpp \
   's/if \(!aResult.value\(\).mAppended\)/if (false)/' lease_log_lease_test '*NeverHeldTwice*'
+mutant "an engine that was replaced is forgiven" $groups/group_planner_orders.cpp \
+  's/mGone.insert\(aOrder.mEngine\);/mUnanswering.insert(aOrder.mEngine);/' \
+  placement_group_planner_test '*BelongsToAnother*'
 mutant "any node gives orders" $s/coordinator/coordinator_pools.cpp \
   's/return mLease.Held\(\) \|\| .*/return true;/' coordinator_coordinator_test '*OneNodeOrders*'
 mutant "a silent member is not asked" $s/coordinator/coordinator_pools.cpp \
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -165,6 +165,9 @@
       engines.push_back(*known);
     }
   }
+  if (mKnownSince == TimePoint{}) {
+    mKnownSince = Now();
+  }
   mDirectory.Replace(std::move(engines), Now());
 }
 
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -39,11 +39,16 @@
     Judge(replica);
   }
   RepairBroken();
-  FormNew();
+  // Engines of a replica that is waited for look free, or like strays to be dismissed.
+  if (!mWaitsForReturn) {
+    FormNew();
+  }
   for (auto& [name, replica] : mReplicas) {
     Drive(replica);
   }
-  CareForSpares();
+  if (!mWaitsForReturn) {
+    CareForSpares();
+  }
   mView = nullptr;
   return std::exchange(mOrders, {});
 }
@@ -151,6 +156,7 @@
     mLastNew = mView->mNow;
   }
   mSeenEngines = n;
+  mWaitsForReturn = false;
   for (auto& [name, members] : groups) {
     Adopt(name, members);
   }
@@ -222,6 +228,10 @@
     return; // of a model that the configuration does not have
   }
   const bool whole = members.size() == model->mSize && headListed;
+  if (!whole && mView->mNow - mView->mKnownSince < mOptions.mReturnGrace) {
+    mWaitsForReturn = true;
+    return;
+  }
   const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
   replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
