--- a/bench/pools/main.cpp
+++ b/bench/pools/main.cpp
@@ -30,11 +30,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Replicas form and spares load in this time before the first request.
+constexpr seconds kLead{ 40 };
+
 struct Policy
 {
   const char* mName;
   SparePolicy mSpares;
-  double mSpareShare;
   Choice mChoice;
 };
 
@@ -55,13 +57,12 @@
   WorldOptions options;
   options.mDomains = static_cast<std::size_t>(absl::GetFlag(FLAGS_domains));
   options.mSpares = aPolicy.mSpares;
-  options.mSpareShare = aPolicy.mSpareShare;
   options.mSeed = aSeed;
   options.mLossEvery =
     std::chrono::duration_cast<Duration>(milliseconds(absl::GetFlag(FLAGS_loss_every_ms)) *
                                          kDomainsOfSite / absl::GetFlag(FLAGS_domains));
   PoolWorld world(options);
-  while (world.Now() < TimePoint(std::chrono::hours(1)) + seconds(40)) {
+  for (const TimePoint begun = world.Now(); world.Now() - begun < kLead;) {
     world.Step();
   }
   const std::size_t before = world.Loads();
@@ -132,15 +133,13 @@
 main(int aCount, char** aWords)
 {
   absl::ParseCommandLine(aCount, aWords);
-  const double share = GroupPlannerOptions().mSpareShare;
   const std::vector<Policy> policies = {
-    { "no spares", SparePolicy::kIdle, 0, Choice::kBalancer },
-    { "idle spares", SparePolicy::kIdle, share, Choice::kBalancer },
-    { "staged spares", SparePolicy::kStaged, share, Choice::kBalancer },
-    { "standby of one model", SparePolicy::kStandby, share, Choice::kBalancer },
-    { "standby, other weights staged", SparePolicy::kStandbyForAll, share, Choice::kBalancer },
-    { "the same, least in progress", SparePolicy::kStandbyForAll, share, Choice::kLeast },
-    { "the same, round robin", SparePolicy::kStandbyForAll, share, Choice::kRoundRobin },
+    { "idle spares", SparePolicy::kIdle, Choice::kBalancer },
+    { "staged spares", SparePolicy::kStaged, Choice::kBalancer },
+    { "standby of one model", SparePolicy::kStandby, Choice::kBalancer },
+    { "standby, other weights staged", SparePolicy::kStandbyForAll, Choice::kBalancer },
+    { "the same, least in progress", SparePolicy::kStandbyForAll, Choice::kLeast },
+    { "the same, round robin", SparePolicy::kStandbyForAll, Choice::kRoundRobin },
   };
   const char* head = absl::GetFlag(FLAGS_csv)
                        ? "%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s\n"
--- a/bench/pools/pool_world.cpp
+++ b/bench/pools/pool_world.cpp
@@ -31,7 +31,6 @@
 {
   GroupPlannerOptions options;
   options.mSpares = aOptions.mSpares;
-  options.mSpareShare = aOptions.mSpareShare;
   return options;
 }
 
--- a/bench/pools/pool_world.hpp
+++ b/bench/pools/pool_world.hpp
@@ -15,7 +15,6 @@
   std::size_t mDomains = 6;
   std::size_t mPerDomain = 11;
   SparePolicy mSpares = SparePolicy::kStandbyForAll;
-  double mSpareShare = GroupPlannerOptions().mSpareShare;
   /// One engine that is in a replica dies so often in a pool of 66; oftener in larger ones.
   Duration mLossEvery = std::chrono::milliseconds(3000);
   /// A fresh engine comes this long after.
--- a/include/pepperbay/admission/retry_budget.hpp
+++ b/include/pepperbay/admission/retry_budget.hpp
@@ -29,10 +29,9 @@
   /// @return whether one retry may be made now; it is then spent.
   bool TakeRetry();
   double Left() const { return mLeft; }
-  /// The most that may be saved up has changed, with the number of nodes that share it.
-  void SetBurst(double aBurst);
-  /// What one request earns has changed, by new settings.
-  void SetShare(double aShare) { mOptions.mShare = aShare; }
+  /// The settings or the number of nodes that share the budget have changed. What is saved up
+  /// beyond the new most is gone.
+  void SetOptions(Options aOptions);
 
 private:
   Options mOptions;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -179,6 +179,7 @@
   void NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer);
   void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
   void Judge(PlannedReplica& aReplica);
+  static void Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow);
   void Drive(PlannedReplica& aReplica);
   void NoteReadiness(PlannedReplica& aReplica);
   void RepairBroken();
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -24,13 +24,21 @@
 
 namespace pepperbay {
 
-struct RelayOptions
+/// What may change while a relay runs.
+struct RelayTuning
 {
-  std::string mCallers;    ///< `IP:port` for callers
-  std::string mDataCentre; ///< of this node
   /// Second attempts of all nodes together, as a share of requests and beyond it, in a window.
   double mRetryShare = 0.2;
   double mRetrySlack = 100;
+  /// What still runs is broken off this long after the stop was asked for.
+  Duration mStopMost = std::chrono::milliseconds(7200);
+};
+
+struct RelayOptions
+{
+  std::string mCallers;    ///< `IP:port` for callers
+  std::string mDataCentre; ///< of this node
+  RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
   Duration mConnectTimeout = std::chrono::milliseconds(120);
@@ -48,20 +56,10 @@
   Duration mRetryAfter = std::chrono::milliseconds(600);
   /// After a stop is asked for, the balancer needs this long to send no more connections.
   Duration mStopGrace = std::chrono::milliseconds(2600);
-  /// What still runs is broken off this long after the stop was asked for.
-  Duration mStopMost = std::chrono::milliseconds(7200);
   Duration mTick = std::chrono::milliseconds(20);
   NowFn mNow = &BootClock::now;
 };
 
-/// What may change while a relay runs; the meaning is that of RelayOptions.
-struct RelayTuning
-{
-  double mRetryShare = 0.2;
-  double mRetrySlack = 100;
-  Duration mStopMost = std::chrono::milliseconds(7200);
-};
-
 /// Counts since the start; see docs/OPERATIONS.md.
 struct RelayCounters
 {
--- a/src/pepperbay/admission/retry_budget.cpp
+++ b/src/pepperbay/admission/retry_budget.cpp
@@ -27,10 +27,10 @@
 }
 
 void
-RetryBudget::SetBurst(double aBurst)
+RetryBudget::SetOptions(Options aOptions)
 {
-  mOptions.mBurst = aBurst;
-  mLeft = std::min(mLeft, aBurst);
+  mOptions = aOptions;
+  mLeft = std::min(mLeft, mOptions.mBurst);
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -198,7 +198,7 @@
 bool
 Coordinator::Impl::IsReady() const
 {
-  return !mStopping && mRoutes && mEngineFollower.HasList();
+  return !mStopping && KnowsAll();
 }
 
 void
@@ -214,7 +214,7 @@
   mPublishDue = now + kPublishEvery;
   static const std::map<std::string, proto::ReplicaNews> kNoNews;
   PlanSources sources;
-  sources.mComplete = mRoutes && mEngineFollower.HasList();
+  sources.mComplete = KnowsAll();
   sources.mRoutes = mRoutes;
   sources.mEngines = &mDirectory.Engines();
   sources.mNews = now - mNewsAt < kNewsLife ? &mNews : &kNoNews;
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -48,6 +48,8 @@
   void Publish();
   bool MayOrder() const;
   bool IsReady() const;
+  /// @return whether configuration and registrations have both been read once.
+  bool KnowsAll() const { return mRoutes && mEngineFollower.HasList(); }
   int InFlightEverywhere(const std::string& aEngine) const;
   std::unordered_map<std::string, int> OthersInFlight() const;
   KeyedFollowerEvents Events(const char* aName,
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -235,10 +235,7 @@
     RelayOptions options;
     options.mCallers = mSettings.mCallers;
     options.mDataCentre = mSettings.mDataCentre;
-    const RelayTuning tuning = TuningOf(mSettings);
-    options.mRetryShare = tuning.mRetryShare;
-    options.mRetrySlack = tuning.mRetrySlack;
-    options.mStopMost = tuning.mStopMost;
+    options.mTuning = TuningOf(mSettings);
     return options;
   }
 
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -201,9 +201,7 @@
     const bool same = replica.mEpoch == epoch && replica.mPhase == ReplicaPhase::kOpen &&
                       headListed && replica.mMembers.front() == head.mId;
     if (same && head.mGroup.mPhase == GroupPhase::kBroken) {
-      replica.mPhase = ReplicaPhase::kBroken;
-      replica.mSince = mView->mNow;
-      replica.mWhy = "the head says that it is broken";
+      Break(replica, "the head says that it is broken", mView->mNow);
     }
     return;
   }
@@ -242,10 +240,7 @@
     if (listed && engine->mLeaving && !mView->mDead(it) && mUnanswering.count(it) == 0) {
       leaving = true;
     } else if (!listed || !Usable(*engine)) {
-      aReplica.mPhase = ReplicaPhase::kBroken;
-      aReplica.mSince = mView->mNow;
-      aReplica.mWhy = "lost member " + it;
-      aReplica.mLeavingSince.reset();
+      Break(aReplica, "lost member " + it, mView->mNow);
       return;
     }
   }
@@ -256,9 +251,7 @@
     return;
   }
   if (aReplica.mPhase != ReplicaPhase::kOpen) {
-    aReplica.mPhase = ReplicaPhase::kBroken;
-    aReplica.mSince = mView->mNow;
-    aReplica.mWhy = "a member leaves";
+    Break(aReplica, "a member leaves", mView->mNow);
     return;
   }
   if (!aReplica.mLeavingSince) {
@@ -266,13 +259,19 @@
   }
   const bool idle = mView->mInFlight(aReplica.mMembers.front()) == 0;
   if (idle || mView->mNow - *aReplica.mLeavingSince >= mOptions.mDrainWait) {
-    aReplica.mPhase = ReplicaPhase::kBroken;
-    aReplica.mSince = mView->mNow;
-    aReplica.mWhy = "a member leaves";
-    aReplica.mLeavingSince.reset();
+    Break(aReplica, "a member leaves", mView->mNow);
   }
 }
 
+void
+GroupPlanner::Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow)
+{
+  aReplica.mPhase = ReplicaPhase::kBroken;
+  aReplica.mSince = aNow;
+  aReplica.mWhy = std::move(aWhy);
+  aReplica.mLeavingSince.reset();
+}
+
 bool
 GroupPlanner::IsFree(const EngineRecord& aEngine) const
 {
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -107,10 +107,8 @@
   if (IsElsewhere(*Find(aOrder.mEngine), aOrder.mGroup)) {
     const auto replica = mReplicas.find(aOrder.mGroup);
     if (replica != mReplicas.end()) {
-      replica->second.mPhase = ReplicaPhase::kBroken;
-      replica->second.mSince = mView->mNow;
+      Break(replica->second, aOrder.mEngine + " is in another replica", mView->mNow);
       replica->second.mNotBefore = mView->mNow + mOptions.mStalePause;
-      replica->second.mWhy = aOrder.mEngine + " is in another replica";
     }
     return false;
   }
@@ -151,10 +149,8 @@
   }
   if (aAnswer == OrderAnswer::kStale && current) {
     // Something newer was ordered there; form anew under a later epoch.
-    replica->second.mPhase = ReplicaPhase::kBroken;
-    replica->second.mSince = aNow;
+    Break(replica->second, "an order was refused as stale by " + aOrder.mEngine, aNow);
     replica->second.mNotBefore = aNow + mOptions.mStalePause;
-    replica->second.mWhy = "an order was refused as stale by " + aOrder.mEngine;
     return;
   }
   if (aOrder.mKind == GroupOrderKind::kLeave) {
@@ -251,9 +247,7 @@
     const bool in = aPlace.mName == name && aPlace.mEpoch == replica.mEpoch;
     const bool settled = aNow - replica.mSince >= 2 * mOptions.mReportLife;
     if (replica.mPhase == ReplicaPhase::kOpen && settled && !in) {
-      replica.mPhase = ReplicaPhase::kBroken;
-      replica.mSince = aNow;
-      replica.mWhy = aEngine + " says that it is not in it";
+      Break(replica, aEngine + " says that it is not in it", aNow);
     }
   }
 }
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -366,9 +366,7 @@
     mCaller->StartStream(mStatus, mFields);
   }
   LogEnd("answered", "");
-  CallerSide* caller = mCaller;
-  Over();
-  caller->EndStream();
+  Finish()->EndStream();
 }
 
 void
@@ -396,9 +394,7 @@
   mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
   LogEnd("answered", "");
-  CallerSide* caller = mCaller;
-  Over();
-  caller->SendWhole(std::move(answer));
+  Finish()->SendWhole(std::move(answer));
 }
 
 void
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -76,6 +76,10 @@
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
   void Refuse(const std::string& aReason);
+  /// Break the begun answer off, so that it cannot look complete.
+  void Cut(const std::string& aReason);
+  /// Over(), and @return the way to the caller for the last word; null when the caller has gone.
+  CallerSide* Finish();
   void Over();
   void LogEnd(const char* aOutcome, const std::string& aReason) const;
 
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -43,12 +43,7 @@
     mMayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
     DropAttempt();
     if (mStreamStarted) {
-      ++mCore->mCounters.mCut;
-      ++mCore->mCounters.mReasons["deadline"];
-      LogEnd("cut", "deadline");
-      CallerSide* caller = mCaller;
-      Over();
-      caller->Break();
+      Cut("deadline");
     } else if (mMayHaveRun) {
       Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
     } else {
@@ -146,20 +141,13 @@
       if (mFallback) {
         ++mCore->mCounters.mAnswered;
         LogEnd("answered", "second attempt failed");
-        CallerSide* caller = mCaller;
-        Over();
-        caller->SendWhole(std::move(*mFallback));
+        Finish()->SendWhole(std::move(*mFallback));
         return;
       }
       Answer(kBadGateway, aWhy, "the engine's answer was lost; whether it ran is unknown");
       return;
     case FailureStep::kCut:
-      ++mCore->mCounters.mCut;
-      ++mCore->mCounters.mReasons[aWhy];
-      LogEnd("cut", aWhy);
-      CallerSide* caller = mCaller;
-      Over();
-      caller->Break();
+      Cut(aWhy);
       return;
   }
 }
@@ -199,13 +187,28 @@
   answer.body() = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   answer.prepare_payload();
   LogEnd(aStatus == kUnavailable ? "refused" : "failed", aReason);
-  CallerSide* caller = mCaller;
-  Over();
-  if (caller != nullptr) {
+  if (CallerSide* caller = Finish()) {
     caller->SendWhole(std::move(answer));
   }
 }
 
+void
+Exchange::Cut(const std::string& aReason)
+{
+  ++mCore->mCounters.mCut;
+  ++mCore->mCounters.mReasons[aReason];
+  LogEnd("cut", aReason);
+  Finish()->Break();
+}
+
+CallerSide*
+Exchange::Finish()
+{
+  CallerSide* caller = mCaller;
+  Over();
+  return caller;
+}
+
 void
 Exchange::Refuse(const std::string& aReason)
 {
@@ -260,9 +263,7 @@
   mMayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
   DropAttempt();
   if (mStreamStarted) {
-    CallerSide* caller = mCaller;
-    Over();
-    caller->Break();
+    Cut("stopping");
   } else if (mMayHaveRun) {
     Answer(kBadGateway, "stopping", "this node stops; whether the request ran is unknown");
   } else {
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -33,27 +33,24 @@
 {
   mPlan = std::move(aPlan);
   for (auto& [service, budget] : mBudgets) {
-    budget.SetBurst(SlackOfThisNode());
+    budget.SetOptions(BudgetOfThisNode());
   }
 }
 
 void
 RelayCore::Tune(const RelayTuning& aTuning)
 {
-  mOptions.mRetryShare = aTuning.mRetryShare;
-  mOptions.mRetrySlack = aTuning.mRetrySlack;
-  mOptions.mStopMost = aTuning.mStopMost;
+  mOptions.mTuning = aTuning;
   for (auto& [service, budget] : mBudgets) {
-    budget.SetShare(mOptions.mRetryShare);
-    budget.SetBurst(SlackOfThisNode());
+    budget.SetOptions(BudgetOfThisNode());
   }
 }
 
-double
-RelayCore::SlackOfThisNode() const
+RetryBudget::Options
+RelayCore::BudgetOfThisNode() const
 {
   const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
-  return mOptions.mRetrySlack / nodes;
+  return { mOptions.mTuning.mRetryShare, mOptions.mTuning.mRetrySlack / nodes };
 }
 
 RetryBudget&
@@ -63,8 +60,7 @@
   if (it != mBudgets.end()) {
     return it->second;
   }
-  const RetryBudget::Options options{ mOptions.mRetryShare, SlackOfThisNode() };
-  return mBudgets.emplace(aService, RetryBudget(options)).first->second;
+  return mBudgets.emplace(aService, RetryBudget(BudgetOfThisNode())).first->second;
 }
 
 void
@@ -237,7 +233,7 @@
     for (const auto& it : sessions) {
       it->CloseWhenIdle();
     }
-    const bool last = since >= mCore.mOptions.mStopMost;
+    const bool last = since >= mCore.mOptions.mTuning.mStopMost;
     if (last) {
       const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                              mCore.mExchanges.end());
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -26,8 +26,8 @@
   void Tune(const RelayTuning& aTuning);
   /// Second attempts left for a service.
   RetryBudget& BudgetOf(const std::string& aService);
-  /// The part of the slack that this node may spend.
-  double SlackOfThisNode() const;
+  /// The part of all nodes' budget that this node may spend on a service.
+  RetryBudget::Options BudgetOfThisNode() const;
   void Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const;
 
   boost::asio::io_context& mContext;
--- a/src/pepperbay/relay/relay_stop_test.cpp
+++ b/src/pepperbay/relay/relay_stop_test.cpp
@@ -98,7 +98,7 @@
 {
   ServeAndBegin();
   BeginStop();
-  mClock.Advance(RelayOptions().mStopMost);
+  mClock.Advance(RelayTuning().mStopMost);
   const std::string answer = mInProgress.get();
   EXPECT_EQ(StatusOf(answer), 502);
   EXPECT_TRUE(Has(answer, "\"ran\":\"unknown\""));
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -331,8 +331,8 @@
   RawEngine first(breaks);
   RawEngine second(breaks);
   RelayOptions options;
-  options.mRetryShare = 0.2;
-  options.mRetrySlack = 3;
+  options.mTuning.mRetryShare = 0.2;
+  options.mTuning.mRetrySlack = 3;
   Serve({ &first, &second }, options);
   constexpr int kRequests = 40;
   for (int i = 0; i < kRequests; ++i) {
@@ -352,8 +352,8 @@
   RawEngine first(breaks);
   RawEngine second(breaks);
   RelayOptions options;
-  options.mRetryShare = 1;
-  options.mRetrySlack = 100;
+  options.mTuning.mRetryShare = 1;
+  options.mTuning.mRetrySlack = 100;
   Serve({ &first, &second }, options);
   EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 502);
   EXPECT_EQ(Counters().mSecondAttempts, 1U);
