Split the tests of the coordinator and of the planner of groups from their worlds

The worlds are headers of their own now, and the tests of freshness by peers a program of their own.

--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -46,7 +46,7 @@
   's/mCore->Now\(\) >= aPlan.mKeysValidUntil/false/' relay_relay_test '*KeysThatMay*'
 mutant "the age of a configuration is not counted" $s/coordinator/coordinator.cpp \
   's/mConfigFollower.AsOf\(\) \+ mOptions.mKeysTrusted/now + mOptions.mKeysTrusted/' \
-  coordinator_coordinator_test '*KeysAreTrusted*'
+  coordinator_coordinator_freshness_test '*KeysAreTrusted*'
 mutant "requests do not name their engine" platform/dialect.cpp \
   's/aFields.set\(kEngine, .*/;/' platform_decode_test '*TakesOut*'
 mutant "doubled events are passed on" $relay/exchange.cpp \
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_freshness_test.cpp
@@ -0,0 +1,82 @@
+#include "coordinator_fixture.hpp"
+
+#include <pepperbay.pb.h>
+
+namespace pepperbay {
+namespace {
+
+/// Symptom: a key that was taken away works on at a node that the store turns away.
+/// Sequence: no node reaches the store. Two that vouched for each other could trust keys for ever.
+TEST_F(CoordinatorTest, KeysAreTrustedOnlyWhileTheConfigurationIsFresh)
+{
+  TestNode& a = AddNode("a");
+  TestNode& b = AddNode("b");
+  Run(seconds(2));
+  EXPECT_GT(a.mPlan->mKeysValidUntil, mClock.Now());
+  mStoreDown = true;
+  Run(seconds(5));
+  EXPECT_LT(a.mPlan->mKeysValidUntil, mClock.Now());
+  EXPECT_LT(b.mPlan->mKeysValidUntil, mClock.Now());
+  mStoreDown = false;
+  Run(seconds(1));
+  EXPECT_GT(a.mPlan->mKeysValidUntil, mClock.Now());
+}
+
+/// Symptom: a node refuses every request with a key while its neighbours serve them.
+/// Sequence: the store turns this node away; its peers reach the store and this node. Then the last
+/// of them dies.
+TEST_F(CoordinatorTest, ANodeThatTheStoreTurnsAwayLearnsFreshnessFromPeers)
+{
+  TestNode& cut = AddNode("a");
+  TestNode& fine = AddNode("b");
+  Run(seconds(2));
+  cut.mStoreDown = true;
+  Run(seconds(20));
+  EXPECT_GT(cut.mPlan->mKeysValidUntil, mClock.Now());
+  fine.mAlive = false;
+  Run(seconds(5));
+  EXPECT_LT(cut.mPlan->mKeysValidUntil, mClock.Now());
+}
+
+/// Symptom: a key that was taken away works on at a node that the store turns away.
+/// Sequence: a peer's word is long on its way and arrives when the key is already gone.
+/// Cause: the word was taken as of its receipt.
+TEST_F(CoordinatorTest, ALateWordOfAPeerMakesNothingFresh)
+{
+  TestNode& cut = AddNode("a");
+  TestNode& fine = AddNode("b");
+  Run(seconds(2));
+  cut.mStoreDown = true;
+  Run(seconds(4));
+  fine.mAlive = false;
+  const std::string late = mLastSent["a"];
+  Run(seconds(10));
+  cut.mCoordinator->OnBeat(late);
+  Run(seconds(1));
+  EXPECT_LT(cut.mPlan->mKeysValidUntil, mClock.Now());
+}
+
+/// A new configuration reaches a node that the store turns away, and is not taken from a message of
+/// an earlier start.
+TEST_F(CoordinatorTest, ANodeThatTheStoreTurnsAwayGetsTheConfigurationFromPeers)
+{
+  TestNode& cut = AddNode("a");
+  AddNode("b");
+  Run(seconds(2));
+  cut.mStoreDown = true;
+  Run(seconds(3));
+  Configure("5");
+  Run(seconds(1));
+  EXPECT_EQ(cut.mPlan->mRoutes->Version(), 5U);
+  EXPECT_GT(cut.mPlan->mKeysValidUntil, mClock.Now());
+  proto::NodeBeat old;
+  old.set_node("b");
+  old.set_incarnation(99);
+  old.set_configuration("9");
+  cut.mCoordinator->OnBeat(old.SerializeAsString());
+  Run(milliseconds(200));
+  EXPECT_EQ(cut.mPlan->mRoutes->Version(), 5U);
+}
+
+} // namespace
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -0,0 +1,191 @@
+/// @file
+/// @brief A planner before a fake pool whose orders and answers can be lost or late, for its tests.
+#pragma once
+
+#include "fakes/fake_pool.hpp"
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <deque>
+
+namespace pepperbay {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline EnginePool
+TwoModels()
+{
+  EnginePool pool;
+  pool.mSlots = 26;
+  pool.mFormTime = milliseconds(300);
+  pool.mLoadsPerSecond = 5.5;
+  pool.mModels = { { "big", 6, 0.67, 1.0, seconds(16), milliseconds(1600) },
+                   { "small", 3, 0.33, 0.6, seconds(12), milliseconds(1100) } };
+  return pool;
+}
+
+/// What becomes of one order on its way; drawn by the tests.
+enum class Fate
+{
+  kArrives,
+  kLost,       ///< before it took effect
+  kAnswerLost, ///< after it took effect
+  kLate,       ///< no answer, and carried out seconds later
+};
+
+/// A planner before a fake pool, with a clock that the test moves.
+struct World
+{
+  explicit World(std::size_t aDomains, std::size_t aPerDomain = 11)
+    : mPool(TwoModels())
+  {
+    for (std::size_t d = 0; d < aDomains; ++d) {
+      for (std::size_t i = 0; i < aPerDomain; ++i) {
+        mPool.Add(Name(d, i), "d" + std::to_string(d));
+      }
+    }
+  }
+
+  static std::string Name(std::size_t aDomain, std::size_t aIndex)
+  {
+    return "e" + std::to_string(aDomain) + "-" + std::to_string(aIndex);
+  }
+
+  TimePoint Now() { return mClock.Now(); }
+
+  void Round(GroupPlanner& aPlanner, std::uint64_t aFence)
+  {
+    if (mLag.empty() || mLag.back().first != Now()) {
+      mLag.emplace_back(Now(), mPool.Listed());
+    }
+    while (mLag.size() > 1 && Now() - mLag[1].first >= mListLag) {
+      mLag.pop_front();
+    }
+    if (mReports.empty() || mReports.back().first != Now()) {
+      KeepReports();
+    }
+    const EngineMap& listed = mLag.front().second;
+    GroupView view;
+    view.mEngines = &listed;
+    view.mService = "pool";
+    view.mPool = &mPool.Pool();
+    view.mNow = Now();
+    view.mFence = aFence;
+    view.mTraffic = mTraffic;
+    view.mDead = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
+    view.mInFlight = [this](const std::string&) { return mInFlight; };
+    if (++mRounds % 35 == 0) { // about every 700 ms whoever left orders unanswered is asked
+      const auto unanswering = aPlanner.Unanswering();
+      for (const auto& it : unanswering) {
+        if (mPool.At(it).mAlive) {
+          aPlanner.Forgive(it);
+        }
+      }
+    }
+    const auto orders = aPlanner.Plan(view);
+    const auto wanted = aPlanner.Wanted();
+    for (const auto& [it, engine] : wanted) {
+      if (mPool.At(it).mAlive && mFound.count(it) == 0) {
+        aPlanner.OnReport(it, OldReport(it), Now());
+      }
+    }
+    for (const auto& order : orders) {
+      ++mGiven[order.mKind];
+      switch (mFate ? mFate(order) : Fate::kArrives) {
+        case Fate::kArrives:
+          aPlanner.OnAnswer(order, mPool.Order(order, Now()), Now());
+          break;
+        case Fate::kLost:
+          aPlanner.OnAnswer(order, OrderAnswer::kNone, Now());
+          break;
+        case Fate::kAnswerLost:
+          mPool.Order(order, Now());
+          aPlanner.OnAnswer(order, OrderAnswer::kNone, Now());
+          break;
+        case Fate::kLate:
+          mLate.emplace_back(Now() + seconds(4), order);
+          aPlanner.OnAnswer(order, OrderAnswer::kNone, Now());
+          break;
+      }
+    }
+  }
+
+  /// What an engine says of itself is as of some time ago.
+  EngineReport OldReport(const std::string& aEngine)
+  {
+    const auto& reports = mReports.front().second;
+    const auto it = reports.find(aEngine);
+    return it == reports.end() ? EngineReport{} : it->second;
+  }
+
+  void KeepReports()
+  {
+    std::map<std::string, EngineReport> reports;
+    for (const auto& [id, engine] : mPool.Engines()) {
+      reports[id] = mPool.Report(id);
+    }
+    mReports.emplace_back(Now(), std::move(reports));
+    while (mReports.size() > 1 && Now() - mReports[1].first >= mReportLag) {
+      mReports.pop_front();
+    }
+  }
+
+  void Step(Duration aBy = milliseconds(20))
+  {
+    mClock.Advance(aBy);
+    for (auto it = mLate.begin(); it != mLate.end();) {
+      if (Now() < it->first) {
+        ++it;
+        continue;
+      }
+      mPool.Order(it->second, Now());
+      it = mLate.erase(it);
+    }
+    mPool.Advance(Now());
+  }
+
+  void Run(GroupPlanner& aPlanner,
+           Duration aFor,
+           std::uint64_t aFence = 1,
+           Duration aStep = milliseconds(20))
+  {
+    for (const TimePoint end = Now() + aFor; Now() < end;) {
+      Round(aPlanner, aFence);
+      Step(aStep);
+    }
+  }
+
+  /// The engine dies; the platform still lists it, and it is found not to answer at once.
+  void Kill(const std::string& aEngine)
+  {
+    mPool.At(aEngine).mAlive = false;
+    mFound.insert(aEngine);
+  }
+
+  std::string MemberOf(const GroupPlanner& aPlanner, const std::string& aModel, std::size_t aRank)
+  {
+    for (const auto& [name, replica] : aPlanner.Replicas()) {
+      if (replica.mModel == aModel && replica.mPhase == ReplicaPhase::kOpen) {
+        return replica.mMembers[aRank];
+      }
+    }
+    return "";
+  }
+
+  ManualClock mClock;
+  /// Registrations come to the holder so late.
+  Duration mListLag = milliseconds(40);
+  std::deque<std::pair<TimePoint, EngineMap>> mLag;
+  FakePool mPool;
+  Duration mReportLag = milliseconds(200);
+  std::deque<std::pair<TimePoint, std::map<std::string, EngineReport>>> mReports;
+  std::set<std::string> mFound;
+  std::function<Fate(const GroupOrder&)> mFate;
+  std::vector<std::pair<TimePoint, GroupOrder>> mLate;
+  std::map<GroupOrderKind, int> mGiven;
+  int mInFlight = 0;
+  int mRounds = 0;
+  bool mTraffic = false;
+};
+
+} // namespace pepperbay
