Engines that start again under their id; registrations of other writers

Nothing read the field; leaving, suspicion, faults, joins, accepted orders and membership were kept by id. A registration that could not be read left in force what stood there before, an unknown state counted as ready, and missing fields had defaults. Change: `born` is decoded once; the directory takes nothing of a former start; the planner forgets what it knew of an engine that starts again, breaks its replica and has it back as a free engine; questions, reports and answers to orders of a former start are dropped; the nodes' news names the head's start; traffic forgets faults, pace and kept connections and gives up attempts that a restarted engine can no longer answer. A record that names no engine takes out that key only, with one bounded line.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -15,6 +15,7 @@
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
+                          group_planner_starts.cpp
                   TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
@@ -40,9 +41,10 @@
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
-                                      coordinator_pools.cpp engine_doubts.cpp freshness_book.cpp
+                                      coordinator_pools.cpp coordinator_registrations.cpp
+                                      engine_doubts.cpp freshness_book.cpp
                                       peer_book.cpp plan_builder.cpp
-                  TESTS coordinator_test.cpp coordinator_freshness_test.cpp
+                  TESTS coordinator_test.cpp coordinator_freshness_test.cpp coordinator_registrations_test.cpp engine_doubts_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -51,6 +51,7 @@
   {
     Engine engine;
     engine.mRecord.mId = aId;
+    engine.mRecord.mBorn = WallTime(std::chrono::seconds(1));
     engine.mRecord.mService = aService;
     engine.mRecord.mAddress = "10.0.0.1:80";
     engine.mRecord.mDomain = aDomain;
@@ -60,6 +61,19 @@
     mEngines[aId] = std::move(engine);
   }
 
+  /// The engine starts again under its id: it keeps the weights on its host and nothing else.
+  void Restart(const std::string& aId, WallTime aBorn)
+  {
+    Engine& old = mEngines.at(aId);
+    Engine engine;
+    engine.mRecord = old.mRecord;
+    engine.mRecord.mBorn = aBorn;
+    engine.mRecord.mLeaving = false;
+    engine.mRecord.mLoadedModels.clear();
+    engine.mRecord.mGroup = GroupPlace{};
+    old = std::move(engine);
+  }
+
   Engine& At(const std::string& aId) { return mEngines.at(aId); }
   std::map<std::string, Engine>& Engines() { return mEngines; }
   const EnginePool& Pool() const { return mPool; }
@@ -109,6 +123,7 @@
     if (engine.mReborn) {
       return report;
     }
+    report.mBorn = engine.mRecord.mBorn;
     report.mGroup = engine.mRecord.mGroup;
     report.mAccepted = engine.mAccepted;
     return report;
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -92,7 +92,9 @@
   std::uint64_t mBeats = 0;
   std::uint64_t mBadMessages = 0;
   std::uint64_t mBadConfigurations = 0;
-  std::uint64_t mBadRegistrations = 0;
+  std::uint64_t mBadRegistrations = 0; ///< entries that name no engine
+  std::uint64_t mRestarts = 0;         ///< engines that started again under their id
+  std::uint64_t mFormerStarts = 0;     ///< words of a start that has been replaced; not taken
 };
 
 class Coordinator
--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,7 +38,9 @@
 /// One start of an engine, as it registered itself.
 struct EngineRecord
 {
-  std::string mId; ///< of this start; a restart has another
+  std::string mId; ///< an engine may start again under the id that it had
+  /// Of this start. Two starts under one id share nothing but the weights on their host.
+  WallTime mBorn{};
   std::string mService;
   std::string mAddress; ///< IP:port
   std::string mDataCentre;
@@ -54,13 +57,21 @@
 /// The engines now registered, by id.
 using EngineMap = std::map<std::string, EngineRecord>;
 
+/// What a registration says against what was known of the engine.
+enum class EngineNews
+{
+  kSameStart,   ///< first heard of, or the start that was known
+  kNewStart,    ///< the engine has started again; nothing known of it holds any more
+  kFormerStart, ///< written by a start that has been replaced, and not taken
+};
+
 /// Keeps the list through gaps of the store.
 ///
 /// Registrations of engines that live may lapse while the store is away, and are back shortly after
 /// its return. An engine that vanishes from the list around an outage is therefore kept for
 /// `mReturnGrace`; without that, the whole pool would be dropped with the first answer of the store
 /// and every request refused until the engines have registered again. An engine that said that it
-/// leaves stays leaving for good.
+/// leaves stays leaving for the rest of that start.
 class EngineDirectory
 {
 public:
@@ -68,17 +79,22 @@
   {
     /// Registrations are back within about two seconds of the store's return.
     Duration mReturnGrace = std::chrono::milliseconds(2200);
+    /// A write of a former start may be carried out some ten seconds late; until then the start of
+    /// an engine that is no longer listed is remembered, so that it does not count as new.
+    Duration mRememberStarts = std::chrono::seconds(60);
   };
 
   EngineDirectory() = default;
   explicit EngineDirectory(Options aOptions);
 
   /// A registration came or changed.
-  void Put(EngineRecord aEngine, TimePoint aNow);
+  EngineNews Put(EngineRecord aEngine, TimePoint aNow);
   /// A registration was removed.
   void Remove(const std::string& aId, TimePoint aNow);
-  /// The whole list was read again.
-  void Replace(std::vector<EngineRecord> aEngines, TimePoint aNow);
+  /// A registration was overwritten by what names no engine: drop it, outage or not.
+  void Withdraw(const std::string& aId, TimePoint aNow);
+  /// The whole list was read again: drop whatever is not in it.
+  void KeepOnly(const std::set<std::string>& aIds, TimePoint aNow);
   /// The store answers again after it did not.
   void OnStoreBack(TimePoint aNow);
   /// Drop what was kept through an outage and has not come back. @return whether any was
@@ -86,12 +102,23 @@
 
   const EngineMap& Engines() const { return mEngines; }
   const EngineRecord* Find(const std::string& aId) const;
+  /// @return the newest start known of an engine, listed or not; default when none was stated.
+  WallTime NewestStart(const std::string& aId) const;
   /// Grows with each change.
   std::uint64_t Revision() const { return mRevision; }
 
 private:
+  struct Start
+  {
+    WallTime mBorn{};
+    TimePoint mLastListed{};
+  };
+
+  void Drop(const std::string& aId, TimePoint aNow);
+
   Options mOptions;
   EngineMap mEngines;
+  std::map<std::string, Start> mStarts; ///< of engines that state one
   std::map<std::string, TimePoint> mMissing; ///< kept until then
   TimePoint mDoubtUntil{};                   ///< removals before this are held back
   std::uint64_t mRevision = 0;
--- a/include/pepperbay/placement/group_order.hpp
+++ b/include/pepperbay/placement/group_order.hpp
@@ -33,6 +33,7 @@
   std::uint64_t mEpoch = 0;
   std::string mModel;
   std::vector<std::string> mMembers; ///< ids; the first is the head
+  WallTime mBorn{};                  ///< the start of the engine that the order is meant for
   /// The engine refuses the order unless it has accepted exactly so many orders in its life.
   std::optional<std::uint64_t> mAccepted;
 };
@@ -54,6 +55,7 @@
 /// What an engine says of itself when asked; some hundred milliseconds old.
 struct EngineReport
 {
+  WallTime mBorn{}; ///< the start that speaks
   GroupPlace mGroup;
   std::vector<std::string> mLoadedModels;
   std::vector<std::string> mStagedModels;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -64,6 +64,9 @@
   /// cut off from the store and come back, or leave without a word; in the second case its end
   /// shows as any other loss does.
   Duration mUnlistedAnswers = std::chrono::milliseconds(900);
+  /// What was known of an engine that is neither listed nor in a replica is forgotten after this; a
+  /// late order of ours could no longer reach it.
+  Duration mForgetAfter = std::chrono::seconds(30);
   /// Pause after an order was refused as stale. Another holder may be at work; its word or the
   /// log's comes within that time.
   Duration mStalePause = std::chrono::milliseconds(200);
@@ -105,6 +108,7 @@
   std::vector<std::string> mMembers; ///< the first is the head
   ReplicaPhase mPhase = ReplicaPhase::kForming;
   std::set<std::string> mReady;           ///< members that were ready under this epoch
+  std::set<std::string> mRestarted;       ///< members that started again and know nothing of it
   TimePoint mSince{};                     ///< of the phase
   std::optional<TimePoint> mLeavingSince; ///< a member leaves
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
@@ -157,6 +161,12 @@
     std::string mGroup;
     TimePoint mUntil{};
   };
+  /// One start of an engine.
+  struct Start
+  {
+    WallTime mBorn{};
+    TimePoint mLastSeen{};
+  };
   /// Orders in progress and their spacing, by engine and kind.
   struct Pending
   {
@@ -174,6 +184,13 @@
   void RememberMembers();
   std::uint64_t NextEpoch();
 
+  /// Notice engines that have started again, and forget those that are long gone.
+  void NoteStarts();
+  void NoteStart(const std::string& aEngine, WallTime aBorn, TimePoint aNow);
+  /// Nothing that was known of an engine holds any more.
+  void ForgetStart(const std::string& aEngine, TimePoint aNow);
+  /// @return false for what a start that has been replaced said or was told.
+  bool OfNewestStart(const std::string& aEngine, WallTime aBorn) const;
   void LearnStanding();
   void WantUnknown();
   void NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer);
@@ -234,6 +251,9 @@
   std::map<std::string, Staging> mStaging;        ///< engines told to stage, until they have
   std::map<std::string, std::string> mLastModel;  ///< of the last group that an engine was in
   std::map<std::string, std::uint64_t> mAccepted; ///< orders that an engine has accepted
+  /// Engines that were supposed to have accepted no order yet, without being asked. Once each: one
+  /// that has, and looks new all the same, would be sent a join that it refuses for ever.
+  std::set<std::string> mTakenForNew;
   std::map<std::string, ReportedPlace> mReported;
   std::map<std::string, TimePoint> mLeftAt;         ///< engines that have left a replica
   std::map<std::string, std::uint64_t> mJoinsGiven; ///< epoch of the last join given
@@ -242,9 +262,11 @@
   std::map<std::string, TimePoint> mAnsweredAt;
   std::map<std::string, LostJoin> mLostJoins; ///< by engine
   std::set<std::string> mUnanswering;
-  /// Engines whose address belongs to another start by that one's own word. An id is of one start,
-  /// so they do not come back; whatever answers questions there is not they.
+  /// Engines whose address belongs to another engine by that one's own word. They come back only
+  /// by starting again; until then, whatever answers questions there is not they.
   std::set<std::string> mGone;
+  std::unordered_map<std::string, Start> mStarts; ///< the newest known, by engine
+  TimePoint mForgetDue{};
   std::vector<TimePoint> mLoads;                     ///< begun in the last second
   std::map<std::string, std::uint64_t> mLoadCounted; ///< by engine: epoch of the join that loads
   std::uint64_t mCounter = 0;
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -52,6 +52,9 @@
   /// An engine answered; old faults are forgotten sooner the more it answers.
   void OnAnswer(const std::string& aEngine);
 
+  /// The engine has started again: its faults, its pace and what it had to read are of the past.
+  void Forget(const std::string& aEngine);
+
   /// A prompt was sent to a replica, by this node or another, that takes so long to read. Prompts
   /// are read one after the other, between the steps of those that write.
   void OnPrompt(const std::string& aHead, Duration aWork, TimePoint aNow);
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -15,9 +15,10 @@
 /// An engine that takes requests.
 struct EngineTarget
 {
-  std::string mId; ///< of one start; a request names it, so that no other engine runs it
+  std::string mId; ///< a request names it, so that no other engine runs it
   std::string mAddress;
   std::string mDataCentre;
+  WallTime mBorn{}; ///< of its start
 };
 
 /// A replica that serves, reached through its head.
@@ -48,6 +49,8 @@
   std::map<std::string, std::vector<EngineTarget>> mEngines; ///< of plain services, by service
   std::map<std::string, std::vector<PoolReplica>> mReplicas; ///< by service
   std::unordered_map<std::string, int> mOthersInFlight;      ///< engine to requests of other nodes
+  /// The newest start of every listed engine that states one.
+  std::unordered_map<std::string, WallTime> mStarts;
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -70,11 +70,7 @@
             { mHooks.mNow,
               mHooks.mAsk,
               [this](const EngineRecord& aEngine, const EngineReport& aReport) {
-                const auto planner = mPlanners.find(aEngine.mService);
-                if (planner != mPlanners.end()) {
-                  planner->second.OnReport(aEngine.mId, aReport, Now());
-                  planner->second.Forgive(aEngine.mId);
-                }
+                OnReport(aEngine, aReport);
               },
               [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
@@ -125,49 +121,6 @@
               { { "version", std::to_string(version) }, { "routes", std::to_string(routes) } });
 }
 
-void
-Coordinator::Impl::OnEngine(const KeyedRecord& aRecord)
-{
-  if (!aRecord.mValue) {
-    mDirectory.Remove(aRecord.mKey, Now());
-    return;
-  }
-  auto engine = mHooks.mDecodeEngine(aRecord.mKey, *aRecord.mValue);
-  if (!engine.has_value()) {
-    ++mCounters.mBadRegistrations;
-    mHooks.mLog("registration_refused", { { "error", ToString(engine.error()) } });
-    return;
-  }
-  const EngineRecord* known = mDirectory.Find(aRecord.mKey);
-  if (engine.value().mLeaving && (known == nullptr || !known->mLeaving)) {
-    mHooks.mLog("engine_leaves", { { "engine", aRecord.mKey } });
-  }
-  mDirectory.Put(std::move(engine.value()), Now());
-}
-
-void
-Coordinator::Impl::OnEngineList(const std::vector<KeyedRecord>& aRecords)
-{
-  std::vector<EngineRecord> engines;
-  for (const auto& it : aRecords) {
-    if (!it.mValue) {
-      continue;
-    }
-    auto engine = mHooks.mDecodeEngine(it.mKey, *it.mValue);
-    if (engine.has_value()) {
-      engines.push_back(std::move(engine.value()));
-      continue;
-    }
-    ++mCounters.mBadRegistrations;
-    mHooks.mLog("registration_refused", { { "error", ToString(engine.error()) } });
-    // What it said before stays in force.
-    if (const EngineRecord* known = mDirectory.Find(it.mKey)) {
-      engines.push_back(*known);
-    }
-  }
-  mDirectory.Replace(std::move(engines), Now());
-}
-
 void
 Coordinator::Impl::Tick()
 {
--- a/src/pepperbay/coordinator/coordinator_fixture.hpp
+++ b/src/pepperbay/coordinator/coordinator_fixture.hpp
@@ -141,6 +141,9 @@
     };
     hooks.mDecodeEngine = [this](const std::string& aId,
                                  const std::string& /*aBody*/) -> Result<EngineRecord> {
+      if (mUnreadable.count(aId) != 0) {
+        return Error{ Errc::kInvalid, "engine.decode", aId, "odd" };
+      }
       return mPool.At(aId).mRecord;
     };
     hooks.mPutNode = [this](const std::string& aKey,
@@ -195,7 +198,8 @@
       const GroupPlace& place = engine.mRecord.mGroup;
       const std::string state = place.mName + std::to_string(place.mEpoch) +
                                 ToString(place.mPhase) +
-                                std::to_string(engine.mRecord.mStagedModels.size()) +
+                                std::to_string(engine.mRecord.mStagedModels.size()) + "@" +
+                                std::to_string(engine.mRecord.mBorn.time_since_epoch().count()) +
                                 (engine.mRecord.mLeaving ? "leaving" : "");
       const bool lists = engine.mAlive && engine.mListed;
       if (lists && mRegistered[id] != state) {
@@ -255,6 +259,7 @@
   std::map<GroupOrderKind, int> mOrders;
   std::map<std::string, std::string> mLastSent; ///< messages by address
   std::map<std::string, int> mLines;            ///< log lines of all nodes by event
+  std::set<std::string> mUnreadable; ///< registrations that cannot be read, by key
   std::uint64_t mIncarnations = 0;
   bool mStoreDown = false;
   bool mTwoPools = false; ///< the configuration has the pools "pool" and "second"
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -19,6 +19,8 @@
   void OnConfiguration(const KeyedRecord& aRecord);
   void OnEngine(const KeyedRecord& aRecord);
   void OnEngineList(const std::vector<KeyedRecord>& aRecords);
+  void TakeEngine(EngineRecord aEngine);
+  void OnReport(const EngineRecord& aEngine, const EngineReport& aReport);
   void OnNode(const KeyedRecord& aRecord);
   void PutOwnRecord();
   void OnBeat(const std::string& aBytes);
@@ -65,6 +67,9 @@
   KeyedFollower mNodeFollower;
   LogLease mLease;
   EngineDirectory mDirectory;
+  /// Keys of registrations that name no engine, with the reason that was logged; an entry that is
+  /// written again and again gives one line.
+  std::map<std::string, std::string> mRefusedEntries;
   EngineDoubts mDoubts;
   PeerBook mPeers;
   FreshnessBook mFreshness;
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -84,7 +84,10 @@
 void
 Coordinator::Impl::TellNews(const GroupPlanner& aPlanner, Duration aFormTime)
 {
-  for (auto& news : NewsOf(aPlanner.Replicas(), Now(), aFormTime)) {
+  const auto bornOf = [this](const std::string& aEngine) {
+    return mDirectory.NewestStart(aEngine);
+  };
+  for (auto& news : NewsOf(aPlanner.Replicas(), bornOf, Now(), aFormTime)) {
     proto::ReplicaNews& known = mNews[news.group()];
     const bool same =
       known.epoch() == news.epoch() && known.open() == news.open() && known.lost() == news.lost();
@@ -190,7 +193,8 @@
   ++mCounters.mLostEngines;
   // Domains go dark whole: the next repair must not choose a spare that is gone as well.
   for (const auto& [id, engine] : mDirectory.Engines()) {
-    const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aEngine.mDomain;
+    const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aEngine.mDomain &&
+                           engine.mService == aEngine.mService;
     if (neighbour && id != aEngine.mId && !mDoubts.IsLost(id)) {
       mDoubts.Ask(engine);
     }
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_registrations.cpp
@@ -0,0 +1,93 @@
+#include "coordinator_impl.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+
+void
+Coordinator::Impl::OnEngine(const KeyedRecord& aRecord)
+{
+  if (!aRecord.mValue) {
+    mRefusedEntries.erase(aRecord.mKey);
+    mDirectory.Remove(aRecord.mKey, Now());
+    return;
+  }
+  auto engine = mHooks.mDecodeEngine(aRecord.mKey, *aRecord.mValue);
+  if (engine.has_value()) {
+    mRefusedEntries.erase(aRecord.mKey);
+    TakeEngine(std::move(engine.value()));
+    return;
+  }
+  // The log takes records of other writers. Such a record says nothing of an engine, not even that
+  // what stood there before still holds; sending requests by it would be a guess. An engine that
+  // lives writes its own record again.
+  ++mCounters.mBadRegistrations;
+  mDirectory.Withdraw(aRecord.mKey, Now());
+  std::string reason = ToString(engine.error());
+  std::string& told = mRefusedEntries[aRecord.mKey];
+  if (told != reason) {
+    mHooks.mLog("registration_refused", { { "key", aRecord.mKey }, { "error", reason } });
+    told = std::move(reason);
+  }
+}
+
+void
+Coordinator::Impl::TakeEngine(EngineRecord aEngine)
+{
+  const std::string id = aEngine.mId;
+  const EngineRecord* known = mDirectory.Find(id);
+  const bool leavesNow = aEngine.mLeaving && (known == nullptr || !known->mLeaving);
+  if (mRoutes && mRoutes->FindService(aEngine.mService) == nullptr && known == nullptr) {
+    // Kept, since a later configuration may name the service; nothing is sent there until then.
+    mHooks.mLog("engine_without_service", { { "engine", id }, { "service", aEngine.mService } });
+  }
+  switch (mDirectory.Put(std::move(aEngine), Now())) {
+    case EngineNews::kFormerStart:
+      ++mCounters.mFormerStarts;
+      mHooks.mLog("former_start", { { "engine", id }, { "source", "registration" } });
+      return;
+    case EngineNews::kNewStart:
+      ++mCounters.mRestarts;
+      mDoubts.Forget(id);
+      mHooks.mLog("engine_restarted", { { "engine", id } });
+      break;
+    case EngineNews::kSameStart:
+      break;
+  }
+  if (leavesNow) {
+    mHooks.mLog("engine_leaves", { { "engine", id } });
+  }
+}
+
+void
+Coordinator::Impl::OnEngineList(const std::vector<KeyedRecord>& aRecords)
+{
+  std::set<std::string> listed;
+  for (const auto& it : aRecords) {
+    if (it.mValue) {
+      listed.insert(it.mKey);
+      OnEngine(it);
+    }
+  }
+  mDirectory.KeepOnly(listed, Now());
+  for (auto it = mRefusedEntries.begin(); it != mRefusedEntries.end();) {
+    it = listed.count(it->first) == 0 ? mRefusedEntries.erase(it) : std::next(it);
+  }
+}
+
+void
+Coordinator::Impl::OnReport(const EngineRecord& aEngine, const EngineReport& aReport)
+{
+  if (aReport.mBorn < mDirectory.NewestStart(aEngine.mId)) {
+    ++mCounters.mFormerStarts;
+    mHooks.mLog("former_start", { { "engine", aEngine.mId }, { "source", "report" } });
+    return;
+  }
+  const auto planner = mPlanners.find(aEngine.mService);
+  if (planner != mPlanners.end()) {
+    planner->second.OnReport(aEngine.mId, aReport, Now());
+    planner->second.Forgive(aEngine.mId);
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -20,7 +20,7 @@
   if (question.mOpen > 0) {
     return;
   }
-  question = { kQuestions, false };
+  question = { kQuestions, false, aEngine.mBorn };
   const auto lost = mLost.find(aEngine.mId);
   if (lost != mLost.end()) {
     lost->second = mHooks.mNow();
@@ -51,12 +51,20 @@
   });
 }
 
+void
+EngineDoubts::Forget(const std::string& aEngine)
+{
+  mQuestions.erase(aEngine);
+  mLost.erase(aEngine);
+  mAskedOnce.erase(aEngine);
+}
+
 void
 EngineDoubts::OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport)
 {
   const auto it = mQuestions.find(aEngine.mId);
-  if (it == mQuestions.end()) {
-    return;
+  if (it == mQuestions.end() || it->second.mBorn != aEngine.mBorn) {
+    return; // the question was put to a start that has been replaced
   }
   Question& question = it->second;
   --question.mOpen;
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -47,6 +47,8 @@
   void Ask(const EngineRecord& aEngine);
   /// Ask an engine for its state, at most once in mAskState. No answer says nothing.
   void AskOnce(const EngineRecord& aEngine);
+  /// An engine has started again: what was asked of the former start says nothing of this one.
+  void Forget(const std::string& aEngine);
   bool IsLost(const std::string& aEngine) const { return mLost.count(aEngine) != 0; }
   /// Ask lost engines again; forget those that nobody needs any more.
   /// @param aFind an engine that is still registered or a member of a replica, or none
@@ -59,6 +61,7 @@
   {
     int mOpen = 0;
     bool mAnswered = false;
+    WallTime mBorn{}; ///< of the start that is asked
   };
 
   void OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport);
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -35,10 +35,16 @@
   }
 }
 
+std::uint64_t
+BornMs(WallTime aBorn)
+{
+  return static_cast<std::uint64_t>(aBorn.time_since_epoch().count());
+}
+
 EngineTarget
 TargetOf(const EngineRecord& aEngine)
 {
-  return { aEngine.mId, aEngine.mAddress, aEngine.mDataCentre };
+  return { aEngine.mId, aEngine.mAddress, aEngine.mDataCentre, aEngine.mBorn };
 }
 
 /// @return whether a member is known not to answer. That one is no longer listed says little: the
@@ -93,6 +99,9 @@
     if (known || head == byShortId.end()) {
       continue;
     }
+    if (BornMs(head->second->mBorn) > news.head_born_ms()) {
+      continue; // of before the head started again: it is in no replica now
+    }
     PoolReplica target;
     target.mGroup = name;
     target.mEpoch = news.epoch();
@@ -126,6 +135,9 @@
     return plan;
   }
   for (const auto& [id, engine] : *aSources.mEngines) {
+    if (engine.mBorn != WallTime{}) {
+      plan->mStarts[id] = engine.mBorn;
+    }
     const ServiceSpec* service = plan->mRoutes->FindService(engine.mService);
     if (service != nullptr && !service->mPool && !engine.mLeaving) {
       plan->mEngines[engine.mService].push_back(TargetOf(engine));
@@ -140,7 +152,10 @@
 }
 
 std::vector<proto::ReplicaNews>
-NewsOf(const std::map<std::string, PlannedReplica>& aReplicas, TimePoint aNow, Duration aFormTime)
+NewsOf(const std::map<std::string, PlannedReplica>& aReplicas,
+       const std::function<WallTime(const std::string& aEngine)>& aBornOf,
+       TimePoint aNow,
+       Duration aFormTime)
 {
   std::vector<proto::ReplicaNews> all;
   for (const auto& [name, replica] : aReplicas) {
@@ -149,6 +164,7 @@
     news.set_epoch(replica.mEpoch);
     news.set_model(replica.mModel);
     news.set_head(ShortId(replica.mMembers.front()));
+    news.set_head_born_ms(BornMs(aBornOf(replica.mMembers.front())));
     // The head serves a while after it has accepted the order to open.
     news.set_open(replica.mPhase == ReplicaPhase::kOpen && !replica.mLeavingSince &&
                   aNow - replica.mSince >= aFormTime);
--- a/src/pepperbay/coordinator/plan_builder.hpp
+++ b/src/pepperbay/coordinator/plan_builder.hpp
@@ -38,7 +38,11 @@
 BuildPlan(const PlanSources& aSources);
 
 /// What the holder tells of its replicas.
+/// @param aBornOf the newest start of an engine
 std::vector<proto::ReplicaNews>
-NewsOf(const std::map<std::string, PlannedReplica>& aReplicas, TimePoint aNow, Duration aFormTime);
+NewsOf(const std::map<std::string, PlannedReplica>& aReplicas,
+       const std::function<WallTime(const std::string& aEngine)>& aBornOf,
+       TimePoint aNow,
+       Duration aFormTime);
 
 } // namespace pepperbay
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -1,7 +1,6 @@
 #include "pepperbay/membership/engine_directory.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace pepperbay {
 
@@ -36,15 +35,31 @@
 {
 }
 
-void
-EngineDirectory::Put(EngineRecord aEngine, TimePoint /*aNow*/)
+EngineNews
+EngineDirectory::Put(EngineRecord aEngine, TimePoint aNow)
 {
+  const WallTime newest = NewestStart(aEngine.mId);
+  if (aEngine.mBorn < newest) {
+    return EngineNews::kFormerStart;
+  }
+  const bool again = newest != WallTime{} && aEngine.mBorn > newest;
+  if (aEngine.mBorn != WallTime{}) {
+    mStarts[aEngine.mId] = { aEngine.mBorn, aNow };
+  }
   mMissing.erase(aEngine.mId);
   auto& engine = mEngines[aEngine.mId];
-  const bool leaving = engine.mLeaving || aEngine.mLeaving;
+  const bool leaving = aEngine.mLeaving || (engine.mLeaving && !again);
   engine = std::move(aEngine);
   engine.mLeaving = leaving;
   ++mRevision;
+  return again ? EngineNews::kNewStart : EngineNews::kSameStart;
+}
+
+WallTime
+EngineDirectory::NewestStart(const std::string& aId) const
+{
+  const auto it = mStarts.find(aId);
+  return it == mStarts.end() ? WallTime{} : it->second.mBorn;
 }
 
 void
@@ -59,22 +74,35 @@
     mMissing.emplace(aId, mDoubtUntil);
     return;
   }
+  Drop(aId, aNow);
+}
+
+void
+EngineDirectory::Withdraw(const std::string& aId, TimePoint aNow)
+{
+  if (mEngines.count(aId) != 0) {
+    Drop(aId, aNow);
+  }
+}
+
+void
+EngineDirectory::Drop(const std::string& aId, TimePoint aNow)
+{
+  const auto start = mStarts.find(aId);
+  if (start != mStarts.end()) {
+    start->second.mLastListed = aNow;
+  }
   mMissing.erase(aId);
-  mEngines.erase(it);
+  mEngines.erase(aId);
   ++mRevision;
 }
 
 void
-EngineDirectory::Replace(std::vector<EngineRecord> aEngines, TimePoint aNow)
+EngineDirectory::KeepOnly(const std::set<std::string>& aIds, TimePoint aNow)
 {
-  std::set<std::string> listed;
-  for (auto& it : aEngines) {
-    listed.insert(it.mId);
-    Put(std::move(it), aNow);
-  }
   std::vector<std::string> gone;
   for (const auto& [id, engine] : mEngines) {
-    if (listed.count(id) == 0) {
+    if (aIds.count(id) == 0) {
       gone.push_back(id);
     }
   }
@@ -92,18 +120,21 @@
 bool
 EngineDirectory::Tick(TimePoint aNow)
 {
-  bool dropped = false;
-  for (auto it = mMissing.begin(); it != mMissing.end();) {
-    if (aNow < it->second) {
-      ++it;
-      continue;
+  std::vector<std::string> due;
+  for (const auto& [id, until] : mMissing) {
+    if (aNow >= until) {
+      due.push_back(id);
     }
-    mEngines.erase(it->first);
-    it = mMissing.erase(it);
-    ++mRevision;
-    dropped = true;
   }
-  return dropped;
+  for (const auto& it : due) {
+    Drop(it, aNow);
+  }
+  for (auto it = mStarts.begin(); it != mStarts.end();) {
+    const bool old = mEngines.count(it->first) == 0 &&
+                     aNow - it->second.mLastListed >= mOptions.mRememberStarts;
+    it = old ? mStarts.erase(it) : std::next(it);
+  }
+  return !due.empty();
 }
 
 const EngineRecord*
--- a/src/pepperbay/membership/engine_directory_test.cpp
+++ b/src/pepperbay/membership/engine_directory_test.cpp
@@ -28,7 +28,8 @@
   directory.Remove("a", clock.Now());
   EXPECT_EQ(directory.Find("a"), nullptr);
   EXPECT_NE(directory.Find("b"), nullptr);
-  directory.Replace({ Engine("c") }, clock.Now());
+  directory.Put(Engine("c"), clock.Now());
+  directory.KeepOnly({ "c" }, clock.Now());
   EXPECT_EQ(directory.Engines().size(), 1U);
 }
 
@@ -43,7 +44,7 @@
   directory.Put(Engine("a"), clock.Now());
   directory.Put(Engine("b"), clock.Now());
   directory.OnStoreBack(clock.Now());
-  directory.Replace({}, clock.Now());
+  directory.KeepOnly({}, clock.Now());
   EXPECT_EQ(directory.Engines().size(), 2U);
   clock.Advance(seconds(1));
   directory.Put(Engine("a"), clock.Now());
@@ -53,6 +54,62 @@
   EXPECT_EQ(directory.Find("b"), nullptr);
 }
 
+/// Symptom: an engine that started again takes no requests for as long as it lives.
+/// Sequence: it says that it leaves, ends, and starts again under its id.
+/// Cause: leaving was kept by id, though it is one start's.
+TEST(EngineDirectory, ANewStartUnderTheSameIdIsNotLeaving)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  EngineRecord first = Engine("a", true);
+  first.mBorn = WallTime(milliseconds(1000));
+  EXPECT_EQ(directory.Put(first, clock.Now()), EngineNews::kSameStart);
+  EngineRecord second = Engine("a");
+  second.mBorn = WallTime(milliseconds(2000));
+  EXPECT_EQ(directory.Put(second, clock.Now()), EngineNews::kNewStart);
+  EXPECT_FALSE(directory.Find("a")->mLeaving);
+  second.mLeaving = true;
+  directory.Put(second, clock.Now());
+  second.mLeaving = false;
+  EXPECT_EQ(directory.Put(second, clock.Now()), EngineNews::kSameStart);
+  EXPECT_TRUE(directory.Find("a")->mLeaving) << "a start that leaves does so for good";
+}
+
+/// Symptom: an engine that has just started counts as leaving, or as part of a replica that it
+/// knows nothing of.
+/// Sequence: it starts again and registers; a write of its former start is carried out late, also
+/// after the registration of the new one has lapsed.
+/// Cause: whatever came last was believed.
+TEST(EngineDirectory, WhatAFormerStartWroteIsNotTaken)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  EngineRecord former = Engine("a", true);
+  former.mBorn = WallTime(milliseconds(1000));
+  EngineRecord now = Engine("a");
+  now.mBorn = WallTime(milliseconds(2000));
+  directory.Put(now, clock.Now());
+  EXPECT_EQ(directory.Put(former, clock.Now()), EngineNews::kFormerStart);
+  EXPECT_FALSE(directory.Find("a")->mLeaving);
+  directory.Remove("a", clock.Now());
+  clock.Advance(seconds(13));
+  directory.Tick(clock.Now());
+  EXPECT_EQ(directory.Put(former, clock.Now()), EngineNews::kFormerStart);
+  EXPECT_EQ(directory.Find("a"), nullptr);
+  EXPECT_EQ(directory.NewestStart("a"), now.mBorn);
+}
+
+/// A registration that was overwritten by something else is not kept through an outage.
+TEST(EngineDirectory, AWithdrawnRegistrationIsGoneAtOnce)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  directory.Put(Engine("a"), clock.Now());
+  directory.OnStoreBack(clock.Now());
+  directory.Withdraw("a", clock.Now());
+  EXPECT_EQ(directory.Find("a"), nullptr);
+}
+
 TEST(EngineDirectory, OneThatSaidItLeavesIsNotKept)
 {
   ManualClock clock;
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -32,6 +32,7 @@
 {
   mView = &aView;
   mOrders.clear();
+  NoteStarts();
   LearnStanding();
   WantUnknown();
   RememberMembers();
@@ -99,8 +100,8 @@
 GroupPlanner::Usable(const EngineRecord& aEngine) const
 {
   return aEngine.mService == mView->mService && !aEngine.mLeaving &&
-         mUnanswering.count(aEngine.mId) == 0 && mGone.count(aEngine.mId) == 0 &&
-         !mView->mDead(aEngine.mId);
+         OfNewestStart(aEngine.mId, aEngine.mBorn) && mUnanswering.count(aEngine.mId) == 0 &&
+         mGone.count(aEngine.mId) == 0 && !mView->mDead(aEngine.mId);
 }
 
 bool
@@ -127,7 +128,7 @@
     }
     ++n;
     const GroupPlace& place = engine.mGroup;
-    if (place.mName.empty()) {
+    if (place.mName.empty() || !OfNewestStart(id, engine.mBorn)) {
       continue;
     }
     if (!engine.mLoadedModels.empty()) {
@@ -165,7 +166,7 @@
       continue;
     }
     const bool fresh = engine.mGroup.mName.empty() && engine.mStagedModels.empty();
-    if (fresh) {
+    if (fresh && mTakenForNew.insert(id).second) {
       mAccepted[id] = 0; // an engine that has just started; if not, it refuses and is asked
     } else if (Usable(engine)) {
       mWanted[id] = engine;
@@ -223,6 +224,10 @@
   const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
   replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
+  if (known != mReplicas.end()) {
+    // Another holder has formed it anew, perhaps without some members; they are free.
+    RemoveFromIndex(known->second);
+  }
   AddToIndex(replica);
   mReplicas[aName] = std::move(replica);
 }
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -40,6 +40,9 @@
   for (const auto& it : aReplica.mMembers) {
     const EngineRecord* engine = Find(it);
     const GroupPlace& place = engine->mGroup;
+    if (!OfNewestStart(it, engine->mBorn)) {
+      continue;
+    }
     if (place.mName == aReplica.mName && place.mEpoch == aReplica.mEpoch &&
         (place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen)) {
       aReplica.mReady.insert(it);
@@ -65,6 +68,8 @@
   pending.mLoads =
     aOrder.mKind == GroupOrderKind::kJoin && JoinTime(*engine, aOrder.mModel) > kRejoinTime;
   aOrder.mAddress = engine->mAddress;
+  const auto start = mStarts.find(aOrder.mEngine);
+  aOrder.mBorn = start == mStarts.end() ? WallTime{} : start->second.mBorn;
   mOrders.push_back(std::move(aOrder));
   return true;
 }
@@ -125,6 +130,13 @@
 void
 GroupPlanner::OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow)
 {
+  if (!OfNewestStart(aOrder.mEngine, aOrder.mBorn)) {
+    // Only what may still come of it matters: a join without an answer may reach the new start.
+    if (aAnswer == OrderAnswer::kNone && aOrder.mKind == GroupOrderKind::kJoin) {
+      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aNow + mOptions.mLateOrder };
+    }
+    return;
+  }
   Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
   pending.mWaiting = false;
   NoteAccepted(aOrder, aAnswer);
@@ -218,6 +230,10 @@
 void
 GroupPlanner::OnReport(const std::string& aEngine, const EngineReport& aReport, TimePoint aNow)
 {
+  if (!OfNewestStart(aEngine, aReport.mBorn)) {
+    return; // reports are a little old: this one is of before the engine started again
+  }
+  NoteStart(aEngine, aReport.mBorn, aNow);
   mAccepted[aEngine] = aReport.mAccepted;
   mAnsweredAt[aEngine] = aNow;
   const auto left = mLeftAt.find(aEngine);
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -49,8 +49,9 @@
   }
   std::vector<std::string> members;
   for (const auto& it : aReplica.mMembers) {
-    const bool here =
-      Usable(it) && !InOtherReplica(it, aReplica.mName) && !IsElsewhere(*Find(it), aReplica.mName);
+    const bool here = Usable(it) && aReplica.mRestarted.count(it) == 0 &&
+                      !InOtherReplica(it, aReplica.mName) &&
+                      !IsElsewhere(*Find(it), aReplica.mName);
     if (here && members.size() < model->mSize) {
       members.push_back(it);
     }
@@ -90,6 +91,7 @@
   aReplica.mEpoch = NextEpoch();
   aReplica.mPhase = ReplicaPhase::kForming;
   aReplica.mReady.clear();
+  aReplica.mRestarted.clear();
   aReplica.mSince = mView->mNow;
   aReplica.mLeavingSince.reset();
   mPending.erase(aReplica.mMembers.front() + " open");
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_starts.cpp
@@ -0,0 +1,102 @@
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <array>
+
+namespace pepperbay {
+namespace {
+/// Forgetting looks at all engines; once in this time is often enough for what is seconds old.
+constexpr std::chrono::seconds kForgetEvery{ 1 };
+
+constexpr std::array<GroupOrderKind, 4> kOrderKinds = { GroupOrderKind::kJoin,
+                                                        GroupOrderKind::kOpen,
+                                                        GroupOrderKind::kLeave,
+                                                        GroupOrderKind::kStage };
+}
+
+void
+GroupPlanner::NoteStarts()
+{
+  const TimePoint now = mView->mNow;
+  for (const auto& [id, engine] : *mView->mEngines) {
+    if (engine.mService == mView->mService) {
+      NoteStart(id, engine.mBorn, now);
+      mStarts[id].mLastSeen = now;
+    }
+  }
+  if (now < mForgetDue) {
+    return;
+  }
+  mForgetDue = now + kForgetEvery;
+  for (auto it = mStarts.begin(); it != mStarts.end();) {
+    const bool gone = now - it->second.mLastSeen >= mOptions.mForgetAfter && !InReplica(it->first);
+    if (gone) {
+      ForgetStart(it->first, now);
+      mAccepted.erase(it->first);
+      mTakenForNew.erase(it->first);
+      mLostJoins.erase(it->first);
+    }
+    it = gone ? mStarts.erase(it) : std::next(it);
+  }
+}
+
+void
+GroupPlanner::NoteStart(const std::string& aEngine, WallTime aBorn, TimePoint aNow)
+{
+  Start& start = mStarts[aEngine];
+  if (aBorn <= start.mBorn) {
+    return;
+  }
+  const bool again = start.mBorn != WallTime{};
+  start.mBorn = aBorn;
+  if (!again) {
+    return;
+  }
+  // A head whose member has started again goes on taking requests and nothing in it moves; one
+  // would see its streams stand still until it breaks, seconds later. The engine itself is as good
+  // as a new one with weights on its host.
+  ForgetStart(aEngine, aNow);
+}
+
+void
+GroupPlanner::ForgetStart(const std::string& aEngine, TimePoint aNow)
+{
+  mSpares.erase(aEngine);
+  mStaging.erase(aEngine);
+  mLastModel.erase(aEngine);
+  mReported.erase(aEngine);
+  mLeftAt.erase(aEngine);
+  mJoinsGiven.erase(aEngine);
+  mAnsweredAt.erase(aEngine);
+  mLoadCounted.erase(aEngine);
+  mUnanswering.erase(aEngine);
+  mGone.erase(aEngine);
+  for (const auto kind : kOrderKinds) {
+    mPending.erase(aEngine + " " + ToString(kind));
+  }
+  // It has accepted no order yet. If another holder was quicker, it refuses ours and is asked.
+  mAccepted[aEngine] = 0;
+  mTakenForNew.insert(aEngine);
+  // mLostJoins stays: an order to the former start that is carried out late reaches this one.
+  const auto names = mReplicasOf.find(aEngine);
+  if (names == mReplicasOf.end()) {
+    return;
+  }
+  for (const auto& name : names->second) {
+    PlannedReplica& replica = mReplicas.at(name);
+    replica.mRestarted.insert(aEngine);
+    replica.mReady.erase(aEngine);
+    if (replica.mPhase != ReplicaPhase::kBroken) {
+      Break(replica, "member " + aEngine + " started again", aNow);
+    }
+  }
+  mReplicasOf.erase(names);
+}
+
+bool
+GroupPlanner::OfNewestStart(const std::string& aEngine, WallTime aBorn) const
+{
+  const auto it = mStarts.find(aEngine);
+  return it == mStarts.end() || aBorn >= it->second.mBorn;
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -46,6 +46,7 @@
 {
   std::string mEngine;
   std::string mAddress; ///< IP:port
+  WallTime mBorn{};     ///< of the engine's start
 };
 
 /// A request on its way. Not for several threads; kept alive by its own operations.
--- a/src/pepperbay/relay/connection_pool.hpp
+++ b/src/pepperbay/relay/connection_pool.hpp
@@ -38,6 +38,8 @@
   std::optional<Socket> Take(const std::string& aEngine);
   /// @param aKeepAlive what the engine said; none: the default
   void Put(const std::string& aEngine, Socket aSocket, std::optional<Duration> aKeepAlive);
+  /// Close what is kept to an engine.
+  void Forget(const std::string& aEngine) { mIdle.erase(aEngine); }
   /// Close what has been unused for too long.
   void Tick();
   std::size_t Size() const;
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -142,7 +142,7 @@
     const EngineTarget* engine = mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, now);
     mWhyNoTarget = "no_engine";
     if (engine != nullptr) {
-      mTarget = { engine->mId, engine->mAddress };
+      mTarget = { engine->mId, engine->mAddress, engine->mBorn };
     }
     return engine != nullptr;
   }
@@ -151,7 +151,8 @@
   if (choice.mReplica == nullptr) {
     return false;
   }
-  mTarget = { choice.mReplica->mHead.mId, choice.mReplica->mHead.mAddress };
+  const EngineTarget& head = choice.mReplica->mHead;
+  mTarget = { head.mId, head.mAddress, head.mBorn };
   mEpoch = choice.mReplica->mEpoch;
   mGroup = choice.mReplica->mGroup;
   return true;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -72,6 +72,8 @@
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
   void DropAttempt();
   bool ReplicaLost() const;
+  /// @return whether the engine that works on this has started again since: no answer will come.
+  bool EngineRestarted() const;
   void CountRetryAndSend();
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -51,6 +51,10 @@
     }
     return;
   }
+  if (EngineRestarted()) {
+    OnFailure("engine_restarted", mAttempt->MayHaveRun());
+    return;
+  }
   if (!mAttempt->Connected()) {
     if (now - mSentAt > mCore->mOptions.mConnectTimeout) {
       OnFailure("connect: no answer", false);
@@ -78,6 +82,15 @@
   }
 }
 
+bool
+Exchange::EngineRestarted() const
+{
+  // An engine that loses power closes no connection; the caller would wait until its deadline.
+  const auto start = mCore->mPlan->mStarts.find(mTarget.mEngine);
+  return start != mCore->mPlan->mStarts.end() && mTarget.mBorn != WallTime{} &&
+         start->second > mTarget.mBorn;
+}
+
 bool
 Exchange::ReplicaLost() const
 {
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -32,11 +32,25 @@
 RelayCore::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
 {
   mPlan = std::move(aPlan);
+  ForgetReplacedStarts();
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
 }
 
+void
+RelayCore::ForgetReplacedStarts()
+{
+  for (const auto& [engine, born] : mPlan->mStarts) {
+    const auto known = mStarts.find(engine);
+    if (known != mStarts.end() && known->second < born) {
+      mBalancer.Forget(engine);
+      mConnections.Forget(engine);
+    }
+  }
+  mStarts = mPlan->mStarts;
+}
+
 void
 RelayCore::Tune(const RelayTuning& aTuning)
 {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -24,6 +24,8 @@
   /// Take up a new plan; the share of the retry budget follows the number of nodes.
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void Tune(const RelayTuning& aTuning);
+  /// What was learnt from an engine's answers says nothing of it once it has started again.
+  void ForgetReplacedStarts();
   /// Second attempts left for a service.
   RetryBudget& BudgetOf(const std::string& aService);
   /// The part of all nodes' budget that this node may spend on a service.
@@ -35,6 +37,7 @@
   Dialect mDialect;
   RelayHooks mHooks;
   std::shared_ptr<const TrafficPlan> mPlan;
+  std::unordered_map<std::string, WallTime> mStarts; ///< of engines that this node has dealt with
   Balancer mBalancer;
   StallDetector mStalls;
   std::map<std::string, RetryBudget> mBudgets; ///< by service
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -408,5 +408,36 @@
   }
 }
 
+/// Symptom: a caller waits until its deadline for an answer that cannot come.
+/// Sequence: an engine loses power with a request at work, so no connection is closed; it starts
+/// again under its id and registers.
+/// Cause: the request's engine was known by its id, which is in the list as before.
+TEST_F(RelayTest, ARequestAtAnEngineThatStartedAgainGoesElsewhere)
+{
+  std::promise<void> asked;
+  RawEngine silent([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine other([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  mPublishAtOnce = false;
+  Serve({ &silent, &other });
+  const WallTime first(std::chrono::milliseconds(1000));
+  mPlan.mEngines["plain"][0].mBorn = first;
+  mPlan.mStarts["e0"] = first;
+  Publish();
+  auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/")); });
+  asked.get_future().wait();
+  const WallTime second(std::chrono::milliseconds(2000));
+  mPlan.mEngines["plain"][0].mBorn = second;
+  mPlan.mStarts["e0"] = second;
+  Publish();
+  EXPECT_TRUE(Has(answer.get(), "\r\n\r\nok"));
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -29,6 +29,14 @@
   }
 }
 
+void
+Balancer::Forget(const std::string& aEngine)
+{
+  mFaultAt.erase(aEngine);
+  mReadsUntil.erase(aEngine);
+  mPaces.erase(aEngine);
+}
+
 int
 Balancer::InFlight(const TrafficPlan& aPlan, const std::string& aEngine) const
 {
--- a/src/pepperbay/routing/balancer_test.cpp
+++ b/src/pepperbay/routing/balancer_test.cpp
@@ -152,5 +152,21 @@
   EXPECT_EQ(pick({ "x", "y" }), "");
 }
 
+/// Symptom: an engine that has started again gets no requests for seconds.
+/// Sequence: it fails requests, ends and starts again under its id.
+/// Cause: faults were remembered by id.
+TEST(Balancer, FaultsOfAFormerStartAreForgotten)
+{
+  ManualClock clock;
+  Balancer balancer(BalancerOptions{});
+  TrafficPlan plan;
+  plan.mEngines["s"] = { { "a", "", "", {} }, { "b", "", "", {} } };
+  balancer.OnStart("b");
+  balancer.OnFault("a", clock.Now());
+  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, clock.Now())->mId, "b");
+  balancer.Forget("a");
+  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, clock.Now())->mId, "a");
+}
+
 } // namespace
 } // namespace pepperbay
