planner: broken replicas of a domain complete each other; repairs do not begin with engines that load

Change: while requests come in, a repair takes only engines that need no load; empty ones load by themselves, for the model that waits; of two broken replicas of a domain one is given up where its members complete the other, the scarcer model first, after 3 s also where they have to load; new replicas are formed of ready engines, not where a broken one waits, and not of another model than the one that is short; members' hosts get the other model's weights, two loads at a time. The test of a takeover prepares for longer, since staging goes on after the first 40 s; what it asserts is unchanged.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -55,6 +55,17 @@
   /// A broken replica that finds no spare for so long gives its members up. A new engine in its
   /// domain would have loaded the weights by then.
   Duration mGiveUpAfter = std::chrono::seconds(20);
+  /// Broken replicas of a domain without spares complete each other, and engines that have to load
+  /// weights do so by themselves. Off: each waits for engines of its own.
+  bool mJoinSurvivors = true;
+  /// A spare may be about to come free; a second broken replica is given up after this.
+  Duration mWaitForSpare = std::chrono::milliseconds(300);
+  /// After this, one is given up for another although its engines have to load weights for that:
+  /// the domain has lost more than it gets back.
+  Duration mWaitForLoads = std::chrono::seconds(3);
+  /// Loads onto the hosts of members that are under way at once while requests come in. They make
+  /// every other load longer once there are more than the store of weights serves at once.
+  int mLoadsAhead = 2;
   /// A join without an answer may still be carried out this much later.
   Duration mLateOrder = std::chrono::seconds(13);
   /// What an engine says when asked is some 200 ms old, its registration a few tens; a report goes
@@ -200,6 +211,35 @@
   void Drive(PlannedReplica& aReplica);
   void NoteReadiness(PlannedReplica& aReplica);
   void RepairBroken();
+  /// Give a broken replica up where its members complete another that waits in the same domain.
+  void JoinSurvivors();
+  /// @return the replica to be given up; empty: none helps another
+  std::string DonorAmong(std::vector<PlannedReplica*> aWaiting) const;
+  enum class Ready
+  {
+    kAtOnce,     ///< engines that can join without loading weights
+    kAfterLoads, ///< any
+  };
+  /// @return the smallest other replica that has so many engines to give; null for none
+  const PlannedReplica* LeastDonor(const PlannedReplica& aTarget,
+                                   const std::vector<PlannedReplica*>& aWaiting,
+                                   std::size_t aMissing,
+                                   Ready aReady) const;
+  void Drop(const std::string& aName);
+  /// Members that are well and still in the replica.
+  std::vector<std::string> Survivors(const PlannedReplica& aReplica) const;
+  /// @return engines that a broken replica needs beside its survivors; 0 where there are none.
+  std::size_t MissingMembers(const PlannedReplica& aReplica) const;
+  /// @return whether the engine can be part of the model without loading weights.
+  bool IsQuick(const EngineRecord& aEngine, const std::string& aModel) const;
+  /// @return engines in open replicas of a model against its share.
+  double OpenShare(const std::string& aModel) const;
+  /// @return whether a repair may begin with an engine that has to load weights first.
+  bool WaitsForLoads() const;
+  /// @return whether enough free engines of a domain are ready for a new replica of a model.
+  bool EnoughForNew(const std::string& aDomain, const ModelSpec& aModel) const;
+  /// Weights of another model onto the hosts of members, so that survivors can change models.
+  void StageAhead();
   bool Repair(PlannedReplica& aReplica);
   bool AnyUsable(const PlannedReplica& aReplica) const;
   void FormNew();
--- a/src/pepperbay/placement/group_planner_spares.cpp
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -86,6 +86,30 @@
     }
     ++it;
   }
+  StageAhead();
+}
+
+void
+GroupPlanner::StageAhead()
+{
+  if (!mOptions.mJoinSurvivors || mOptions.mSpares != SparePolicy::kStandbyForAll) {
+    return;
+  }
+  const int most = mView->mTraffic ? mOptions.mLoadsAhead : mView->mPool->mLoadsAtOnce;
+  for (const auto& [name, replica] : mReplicas) {
+    if (replica.mPhase != ReplicaPhase::kOpen) {
+      continue;
+    }
+    for (const auto& it : replica.mMembers) {
+      if (static_cast<int>(mStaging.size()) >= most) {
+        return;
+      }
+      const EngineRecord* engine = Find(it);
+      if (engine != nullptr && Usable(*engine) && engine->HasStaged(replica.mModel)) {
+        StageOther(*engine, replica.mModel);
+      }
+    }
+  }
 }
 
 void
@@ -134,9 +158,20 @@
   // A spare is worth most for the model whose members in its domain are most likely to be lost,
   // which is the one with the most members for each spare that it has.
   std::map<std::string, std::size_t> members;
+  std::map<std::string, std::size_t> missing; // in replicas that wait for a spare
   for (const auto& [name, replica] : mReplicas) {
-    if (replica.mDomain == aEngine.mDomain) {
-      members[replica.mModel] += replica.mMembers.size();
+    if (replica.mDomain != aEngine.mDomain) {
+      continue;
+    }
+    members[replica.mModel] += replica.mMembers.size();
+    if (mOptions.mJoinSurvivors) {
+      missing[replica.mModel] += MissingMembers(replica);
+    }
+  }
+  for (const auto& [model, n] : missing) {
+    const auto have = aStandby.find(model);
+    if (n > static_cast<std::size_t>(have == aStandby.end() ? 0 : have->second)) {
+      return model;
     }
   }
   std::string best;
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -6,6 +6,22 @@
 namespace pepperbay {
 namespace {
 
+/// By then every host of two domains holds the weights that it is to hold, one load at a time.
+constexpr seconds kAllStaged{ 500 };
+
+/// The engines of a world that are in no replica.
+std::vector<std::string>
+SparesOf(World& aWorld)
+{
+  std::vector<std::string> spares;
+  for (const auto& [id, engine] : aWorld.mPool.Engines()) {
+    if (engine.mRecord.mGroup.mName.rfind("spare-", 0) == 0) {
+      spares.push_back(id);
+    }
+  }
+  return spares;
+}
+
 TEST(GroupPlanner, FormsEachModelInEachDomainAndKeepsSpares)
 {
   World world(6);
@@ -36,7 +52,7 @@
 {
   World world(2);
   GroupPlanner first;
-  world.Run(first, seconds(40));
+  world.Run(first, kAllStaged, 1, milliseconds(100));
   world.mGiven.clear();
   GroupPlanner second;
   world.mTraffic = true;
@@ -321,6 +337,73 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
+/// Symptom: two replicas of a domain wait for weights for 12 to 24 s, with seven engines that are
+/// well.
+/// Sequence: the spares of a domain are used up; then a replica of each model loses a member.
+/// Cause: each waited for engines of its own, and no host held the other model's weights.
+TEST(GroupPlanner, BrokenReplicasOfADomainCompleteEachOther)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  world.mTraffic = true;
+  for (const auto& it : SparesOf(world)) {
+    world.Kill(it);
+  }
+  world.Kill(world.MemberOf(planner, "big", 3));
+  world.Kill(world.MemberOf(planner, "small", 1));
+  world.Run(planner, seconds(4));
+  EXPECT_EQ(world.mPool.Serving("big") + world.mPool.Serving("small"), 1U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+/// Symptom: a replica that could be whole in a second forms for 16 s.
+/// Sequence: a domain has no spare left and an empty engine comes; a replica loses a member and
+/// takes the empty engine; then a spare comes free.
+/// Cause: a repair began with whatever engine was there, and was not begun again.
+TEST(GroupPlanner, ARepairDoesNotBeginWithAnEngineThatHasToLoad)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  const std::string member = world.MemberOf(planner, "small", 1);
+  const auto spares = SparesOf(world);
+  for (const auto& it : spares) {
+    world.mFound.insert(it); // nobody reaches them for a while
+  }
+  world.Kill(member);
+  world.mPool.Add("empty", "d0");
+  world.Run(planner, seconds(3));
+  EXPECT_EQ(world.mPool.Serving("small"), 0U);
+  world.mFound.erase(spares.front());
+  world.Run(planner, milliseconds(2500));
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+  EXPECT_TRUE(world.mPool.Violations().empty());
+}
+
+/// Symptom: after many losses a domain serves one model only, and that one has places to spare.
+/// Sequence: empty engines come while requests do; the smaller model's few engines are ready first.
+/// Cause: whichever model could be formed at the moment was.
+TEST(GroupPlanner, TheModelThatIsShortGetsItsEnginesFirst)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  for (auto& [id, engine] : world.mPool.Engines()) {
+    engine.mListed = false;
+    world.Kill(id);
+  }
+  world.Run(planner, seconds(2));
+  for (int i = 0; i < 11; ++i) {
+    world.mPool.Add("new" + std::to_string(i), "d0");
+  }
+  world.Run(planner, seconds(60));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+}
+
 /// Symptom: the memory of the holder grows with every engine that there ever was.
 /// Sequence: engines die and others with new ids come, for hours.
 /// Cause: what had been learnt of an engine was kept for good. Seen from outside by an id that is
