--- a/include/pepperbay/base/clock.hpp
+++ b/include/pepperbay/base/clock.hpp
@@ -27,8 +27,8 @@
 
 using TimePoint = BootClock::time_point;
 
-/// A time of day as another program states it. Only for telling two statements of one program apart:
-/// clocks of machines differ and jump. The default stands for "not stated".
+/// A time of day as another program states it. Only for telling two statements of one program
+/// apart: clocks of machines differ and jump. The default stands for "not stated".
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
 /// How code asks for the time. Tests pass `ManualClock::Hook()`.
--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -118,7 +118,7 @@
 
   Options mOptions;
   EngineMap mEngines;
-  std::map<std::string, Start> mStarts; ///< of engines that state one
+  std::map<std::string, Start> mStarts;      ///< of engines that state one
   std::map<std::string, TimePoint> mMissing; ///< kept until then
   TimePoint mDoubtUntil{};                   ///< removals before this are held back
   std::uint64_t mRevision = 0;
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -56,6 +56,8 @@
                         { { "version", ConfigurationVersion() },
                           { "age_ms", ToMs(Now() - ConfigurationAsOf()).count() },
                           { "by_peers", AsksFreshness() } } },
+                      { "store_read_by",
+                        { { "node", mDelegate.Name() }, { "lost", StoreLost() } } },
                       { "engines", mDirectory.Engines().size() },
                       { "lost_engines", lost },
                       { "replicas", replicas },
--- a/src/pepperbay/coordinator/coordinator_fixture.hpp
+++ b/src/pepperbay/coordinator/coordinator_fixture.hpp
@@ -269,13 +269,13 @@
   std::map<GroupOrderKind, int> mOrders;
   std::map<std::string, std::string> mLastSent; ///< messages by address
   std::function<void(const std::string& aAddress, const proto::NodeBeat&)> mOnSend;
-  std::map<std::string, int> mReads;            ///< calls to the store's logs by node
-  std::map<std::string, int> mLines;            ///< log lines of all nodes by event
+  std::map<std::string, int> mReads; ///< calls to the store's logs by node
+  std::map<std::string, int> mLines; ///< log lines of all nodes by event
   std::set<std::string> mUnreadable; ///< registrations that cannot be read, by key
   std::uint64_t mIncarnations = 0;
   bool mStoreDown = false;
   bool mLoseFeeds = false; ///< what delegates pass on does not arrive
-  bool mTwoPools = false; ///< the configuration has the pools "pool" and "second"
+  bool mTwoPools = false;  ///< the configuration has the pools "pool" and "second"
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -300,7 +300,8 @@
   beat.set_traffic(mTraffic);
   beat.set_stopping(mStopping);
   beat.set_store_lost(StoreLost());
-  for (const auto log : { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
+  for (const auto log :
+       { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
   }
   return beat;
--- a/src/pepperbay/coordinator/coordinator_registrations_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations_test.cpp
@@ -33,9 +33,9 @@
   EXPECT_TRUE(mPool.Violations().empty());
 }
 
-/// Symptom: streams at a replica stand still for seconds, requests go to a head that has no replica.
-/// Sequence: a head starts again under its id; its next registration says so.
-/// Cause: the nodes knew an engine by its id alone.
+/// Symptom: streams at a replica stand still for seconds, requests go to a head that has no
+/// replica. Sequence: a head starts again under its id; its next registration says so. Cause: the
+/// nodes knew an engine by its id alone.
 TEST_F(CoordinatorTest, AHeadThatStartedAgainTakesNoRequestsUntilItIsInAReplicaAgain)
 {
   AddNode("a");
--- a/src/pepperbay/coordinator/peer_book.cpp
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -82,10 +82,10 @@
 {
   constexpr int kRatio = 2;
   return aCpuPermille > 0 && std::any_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
-    const KnownPeer& peer = aPeer.second;
-    return peer.mCpuPermille >= kRatio * aCpuPermille && Alive(peer, aNow) &&
-           !peer.mBeat.stopping();
-  });
+           const KnownPeer& peer = aPeer.second;
+           return peer.mCpuPermille >= kRatio * aCpuPermille && Alive(peer, aNow) &&
+                  !peer.mBeat.stopping();
+         });
 }
 
 int
--- a/src/pepperbay/coordinator/peer_book.hpp
+++ b/src/pepperbay/coordinator/peer_book.hpp
@@ -44,7 +44,8 @@
   /// @return whether the heartbeat counts: it is of a known peer's present start
   bool OnBeat(const proto::NodeBeat& aBeat, TimePoint aNow);
 
-  /// Note whether a peer's configuration is older than the one here. @return for how long it has been
+  /// Note whether a peer's configuration is older than the one here. @return for how long it has
+  /// been
   Duration NoteBehind(const std::string& aNode, bool aBehind, TimePoint aNow);
   /// @return whether a message is of a known peer's present start
   bool IsCurrent(const proto::NodeBeat& aBeat) const;
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -104,7 +104,10 @@
     Counter("asks_total", "Questions to engines", control.mAsks),
     Counter("lost_engines_total", "Engines found not to answer", control.mLostEngines),
     Counter("bad_configurations_total", "Not understood", control.mBadConfigurations),
-    Counter("bad_registrations_total", "Not understood", control.mBadRegistrations),
+    Counter("bad_registrations_total", "Name no engine", control.mBadRegistrations),
+    Counter("engine_restarts_total", "Engines that started again", control.mRestarts),
+    Counter("former_starts_total", "Words of replaced starts, not taken", control.mFormerStarts),
+    Counter("feeds_total", "Records of the store passed on by a delegate", control.mFeeds),
     Counter("bad_messages_total", "Of peers, not understood", control.mBadMessages),
     Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
     Histogram(
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -81,10 +81,7 @@
 }
 
 void
-KeyedFollower::OnTail(Result<KeyedTail> aTail,
-                      std::uint64_t aFrom,
-                      TimePoint aSent,
-                      Duration aWait)
+KeyedFollower::OnTail(Result<KeyedTail> aTail, std::uint64_t aFrom, TimePoint aSent, Duration aWait)
 {
   mAsking = false;
   if (!aTail.has_value()) {
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -130,8 +130,8 @@
     Drop(it, aNow);
   }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
-    const bool old = mEngines.count(it->first) == 0 &&
-                     aNow - it->second.mLastListed >= mOptions.mRememberStarts;
+    const bool old =
+      mEngines.count(it->first) == 0 && aNow - it->second.mLastListed >= mOptions.mRememberStarts;
     it = old ? mStarts.erase(it) : std::next(it);
   }
   return !due.empty();
