--- /dev/null
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -0,0 +1,76 @@
+#include "group_planner_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+/// Symptom: two replicas of a domain wait for weights for 12 to 24 s, with seven engines that are
+/// well.
+/// Sequence: the spares of a domain are used up; then a replica of each model loses a member.
+/// Cause: each waited for engines of its own, and no host held the other model's weights.
+TEST(GroupPlannerSurvivors, BrokenReplicasOfADomainCompleteEachOther)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  world.mTraffic = true;
+  for (const auto& it : SparesOf(world)) {
+    world.Kill(it);
+  }
+  world.Kill(world.MemberOf(planner, "big", 3));
+  world.Kill(world.MemberOf(planner, "small", 1));
+  world.Run(planner, seconds(4));
+  EXPECT_EQ(world.mPool.Serving("big") + world.mPool.Serving("small"), 1U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+/// Symptom: a replica that could be whole in a second forms for 16 s.
+/// Sequence: a domain has no spare left and an empty engine comes; a replica loses a member and
+/// takes the empty engine; then a spare comes free.
+/// Cause: a repair began with whatever engine was there, and was not begun again.
+TEST(GroupPlannerSurvivors, ARepairDoesNotBeginWithAnEngineThatHasToLoad)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  const std::string member = world.MemberOf(planner, "small", 1);
+  const auto spares = SparesOf(world);
+  for (const auto& it : spares) {
+    world.mFound.insert(it); // nobody reaches them for a while
+  }
+  world.Kill(member);
+  world.mPool.Add("empty", "d0");
+  world.Run(planner, seconds(3));
+  EXPECT_EQ(world.mPool.Serving("small"), 0U);
+  world.mFound.erase(spares.front());
+  world.Run(planner, milliseconds(2500));
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+  EXPECT_TRUE(world.mPool.Violations().empty());
+}
+
+/// Symptom: after many losses a domain serves one model only, and that one has places to spare.
+/// Sequence: empty engines come while requests do; the smaller model's few engines are ready first.
+/// Cause: whichever model could be formed at the moment was.
+TEST(GroupPlannerSurvivors, TheModelThatIsShortGetsItsEnginesFirst)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  for (auto& [id, engine] : world.mPool.Engines()) {
+    engine.mListed = false;
+    world.Kill(id);
+  }
+  world.Run(planner, seconds(2));
+  for (int i = 0; i < 11; ++i) {
+    world.mPool.Add("new" + std::to_string(i), "d0");
+  }
+  world.Run(planner, seconds(60));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -188,4 +188,20 @@
   bool mTraffic = false;
 };
 
+/// By then every host of two domains holds the weights that it is to hold, one load at a time.
+inline constexpr seconds kAllStaged{ 500 };
+
+/// The engines of a world that are in no replica.
+inline std::vector<std::string>
+SparesOf(World& aWorld)
+{
+  std::vector<std::string> spares;
+  for (const auto& [id, engine] : aWorld.mPool.Engines()) {
+    if (engine.mRecord.mGroup.mName.rfind("spare-", 0) == 0) {
+      spares.push_back(id);
+    }
+  }
+  return spares;
+}
+
 } // namespace pepperbay
