coordinator: one pause of a head is asked about once

Change: the members of a head are asked at most once in 100 ms. Test: coordinator_messages_test OnePauseOfAHeadIsAskedAboutOnce, 12 questions in place of 6 without the change.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -62,6 +62,9 @@
   /// An engine that does not answer within this is taken for lost, if a second question that was
   /// sent at the same moment has no answer either.
   Duration mAskTimeout = std::chrono::milliseconds(110);
+  /// Many nodes have streams at one head and notice the same pause within some 50 ms of each other.
+  /// Their members answer in 5 ms, so each suspicion asked them all once more.
+  Duration mAskHeadAgain = std::chrono::milliseconds(100);
   /// Lost engines that are still registered are asked again after this.
   Duration mAskAgain = std::chrono::milliseconds(700);
   /// An engine is asked for its state at most this often.
--- a/src/pepperbay/coordinator/coordinator_messages_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_messages_test.cpp
@@ -55,6 +55,28 @@
   EXPECT_EQ(told[Holder().mName], 1);
 }
 
+/// Symptom: the members of a replica that works are asked a dozen times for one long pause; each
+/// question is paid for, and the holder is busy with the answers.
+/// Sequence: every node has streams at one head, which reads long prompts; they notice it at once,
+/// the holder too.
+/// Cause: a suspicion was answered by questions, however lately they had been asked.
+TEST_F(ManyNodesTest, OnePauseOfAHeadIsAskedAboutOnce)
+{
+  TestNode& holder = Holder();
+  const std::string head = holder.mPlan->mReplicas.at("pool").front().mHead.mId;
+  const std::uint64_t before = holder.mCoordinator->Counters().mAsks;
+  for (auto& it : mNodes) {
+    it.mCoordinator->OnSuspect(head, milliseconds(200));
+  }
+  Run(milliseconds(60));
+  const std::uint64_t twoToEachOfThree = 6;
+  EXPECT_EQ(holder.mCoordinator->Counters().mAsks - before, twoToEachOfThree);
+  Run(seconds(1));
+  const std::uint64_t later = holder.mCoordinator->Counters().mAsks;
+  holder.mCoordinator->OnSuspect(head, milliseconds(400));
+  EXPECT_EQ(holder.mCoordinator->Counters().mAsks - later, twoToEachOfThree);
+}
+
 /// Symptom: heartbeats are five times as long as usual while the store turns some nodes away.
 /// Sequence: a third of the nodes ask how fresh the others' configuration is.
 /// Cause: every answer stood in every heartbeat.
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -148,6 +148,13 @@
 void
 Coordinator::Impl::AskMembers(const std::string& aHead)
 {
+  const TimePoint now = Now();
+  for (auto it = mHeadsAsked.begin(); it != mHeadsAsked.end();) {
+    it = now - it->second >= mOptions.mAskHeadAgain ? mHeadsAsked.erase(it) : std::next(it);
+  }
+  if (!mHeadsAsked.emplace(aHead, now).second) {
+    return; // its members have just been asked; another node has noticed the same pause
+  }
   for (const auto& [name, planner] : mPlanners) {
     for (const auto& [group, replica] : planner.Replicas()) {
       if (replica.mMembers.front() != aHead || replica.mPhase != ReplicaPhase::kOpen) {
