--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -59,14 +59,7 @@
   GroupPlanner planner;
   world.Run(planner, seconds(40));
   world.mTraffic = true;
-  for (auto& [id, engine] : world.mPool.Engines()) {
-    engine.mListed = false;
-    world.Kill(id);
-  }
-  world.Run(planner, seconds(2));
-  for (int i = 0; i < 11; ++i) {
-    world.mPool.Add("new" + std::to_string(i), "d0");
-  }
+  world.RestartEmpty(planner, 1, seconds(2));
   world.Run(planner, seconds(60));
   EXPECT_EQ(world.mPool.Serving("big"), 1U);
   EXPECT_EQ(world.mPool.Serving("small"), 1U);
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -233,17 +233,7 @@
   GroupPlanner planner;
   world.Run(planner, seconds(40));
   world.mTraffic = true;
-  for (auto& [id, engine] : world.mPool.Engines()) {
-    engine.mListed = false;
-    world.Kill(id);
-  }
-  world.Run(planner, seconds(3));
-  const TimePoint back = world.Now();
-  for (std::size_t d = 0; d < 6; ++d) {
-    for (std::size_t i = 0; i < 11; ++i) {
-      world.mPool.Add("n" + std::to_string(d) + "-" + std::to_string(i), "d" + std::to_string(d));
-    }
-  }
+  const TimePoint back = world.RestartEmpty(planner, 6, seconds(3));
   world.Run(planner, seconds(60));
   constexpr seconds kWindow{ 5 };
   const auto& loads = world.mPool.Loads();
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -162,6 +162,24 @@
     mFound.insert(aEngine);
   }
 
+  /// Every engine ends; after a while as many empty ones come in each domain, under new ids.
+  /// @return when they came
+  TimePoint RestartEmpty(GroupPlanner& aPlanner, std::size_t aDomains, Duration aAfter)
+  {
+    for (auto& [id, engine] : mPool.Engines()) {
+      engine.mListed = false;
+      Kill(id);
+    }
+    Run(aPlanner, aAfter);
+    constexpr std::size_t kPerDomain = 11;
+    for (std::size_t d = 0; d < aDomains; ++d) {
+      for (std::size_t i = 0; i < kPerDomain; ++i) {
+        mPool.Add("n" + std::to_string(d) + "-" + std::to_string(i), "d" + std::to_string(d));
+      }
+    }
+    return Now();
+  }
+
   std::string MemberOf(const GroupPlanner& aPlanner, const std::string& aModel, std::size_t aRank)
   {
     for (const auto& [name, replica] : aPlanner.Replicas()) {
