planner: a pool that states no time for joining with staged weights has ready spares too

Since repairs take only engines that need no load, an engine counts as ready if it joins within the pool's stated warm-up; the test's configuration states none, and a rejoin takes 200 ms. Ruled out: load on the machine (the planner's own test fails the same way, with a paused clock). Change: within the warm-up or a rejoin, whichever is longer. On the users' deployments (1.1 and 1.6 s) no decision changes. Test: group_planner_survivors_test APoolThatStatesNoWarmupHasReadySparesToo, fails without the line (run).

--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -43,7 +43,9 @@
 GroupPlanner::IsQuick(const EngineRecord& aEngine, const std::string& aModel) const
 {
   const ModelSpec* model = mView->mPool->FindModel(aModel);
-  return model != nullptr && JoinTime(aEngine, aModel) <= model->mWarmupTime;
+  // A pool may state no time for joining with the weights on the host, or less than a rejoin takes.
+  return model != nullptr &&
+         JoinTime(aEngine, aModel) <= std::max<Duration>(model->mWarmupTime, kRejoinTime);
 }
 
 bool
--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -50,6 +50,26 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
+/// Symptom: a replica that has lost members is never whole again, with spares that stand ready.
+/// Sequence: the pool's configuration states no time for joining with staged weights; two members
+/// die. Cause: no engine joins in no time, so none counted as ready.
+TEST(GroupPlannerSurvivors, APoolThatStatesNoWarmupHasReadySparesToo)
+{
+  EnginePool pool = TwoModels();
+  for (auto& it : pool.mModels) {
+    it.mWarmupTime = Duration::zero();
+  }
+  World world(1, 11, pool);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  const std::string one = world.MemberOf(planner, "big", 2);
+  world.Kill(world.MemberOf(planner, "big", 3));
+  world.Kill(one);
+  world.Run(planner, seconds(2));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
 /// Symptom: after many losses a domain serves one model only, and that one has places to spare.
 /// Sequence: empty engines come while requests do; the smaller model's few engines are ready first.
 /// Cause: whichever model could be formed at the moment was.
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -36,8 +36,10 @@
 /// A planner before a fake pool, with a clock that the test moves.
 struct World
 {
-  explicit World(std::size_t aDomains, std::size_t aPerDomain = 11)
-    : mPool(TwoModels())
+  explicit World(std::size_t aDomains,
+                 std::size_t aPerDomain = 11,
+                 const EnginePool& aPool = TwoModels())
+    : mPool(aPool)
   {
     for (std::size_t d = 0; d < aDomains; ++d) {
       for (std::size_t i = 0; i < aPerDomain; ++i) {
