--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -96,7 +96,7 @@
   TimePoint mNewsAt{};
   std::unordered_map<std::string, int> mInFlight;
   std::map<std::string, TimePoint> mSuspects;               ///< heads that this node finds silent
-  std::map<std::string, TimePoint> mHeadsAsked; ///< heads whose members were just asked
+  std::map<std::string, TimePoint> mHeadsAsked;             ///< heads whose members were just asked
   std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
   std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
   std::uint64_t mPlannedFence = 0;
