Derive the starts of the last plan; list the nodes at work once a heartbeat

The relay kept a copy of what its last plan says of engines' starts; it compares the two plans now. A node that vouches for others listed and copied the names of all nodes for each peer of each heartbeat, 60 times on 65 nodes; once now.

--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -41,6 +41,9 @@
   Duration mWork{ 0 }; ///< the time to read it
 };
 
+/// The newest start of each engine that states one.
+using EngineStarts = std::unordered_map<std::string, WallTime>;
+
 struct TrafficPlan
 {
   /// Configuration and registrations have both been read once: what is not here does not exist.
@@ -49,8 +52,7 @@
   std::map<std::string, std::vector<EngineTarget>> mEngines; ///< of plain services, by service
   std::map<std::string, std::vector<PoolReplica>> mReplicas; ///< by service
   std::unordered_map<std::string, int> mOthersInFlight;      ///< engine to requests of other nodes
-  /// The newest start of every listed engine that states one.
-  std::unordered_map<std::string, WallTime> mStarts;
+  EngineStarts mStarts;                                      ///< of the listed engines
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -28,7 +28,8 @@
   void SendBeat();
   proto::NodeBeat MakeBeat();
   /// @return whether this node answers another's question for freshness.
-  bool VouchesFor(const std::string& aNode) const;
+  /// @param aAlive names of the nodes at work
+  bool VouchesFor(const std::string& aNode, const std::vector<std::string>& aAlive) const;
   /// Send the holder of the lease a heartbeat out of turn.
   void TellHolder();
   /// @return when the configuration was the newest, by the store or by a peer.
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -171,7 +171,8 @@
     return;
   }
   const auto peer = mPeers.Peers().find(aAsker.node());
-  const bool due = since >= kFeedTime && (since >= kPassersTime || VouchesFor(aAsker.node()));
+  const bool due = since >= kFeedTime &&
+                   (since >= kPassersTime || VouchesFor(aAsker.node(), mPeers.AliveNodes(Now())));
   if (!due) {
     return;
   }
@@ -239,13 +240,14 @@
 }
 
 bool
-Coordinator::Impl::VouchesFor(const std::string& aNode) const
+Coordinator::Impl::VouchesFor(const std::string& aNode,
+                              const std::vector<std::string>& aAlive) const
 {
   // Most nodes ask, since one reads for them; it answers, and a few others in case it is silent.
   if (!AsksFreshness()) {
     return true;
   }
-  const auto some = RendezvousTop(aNode, mPeers.AliveNodes(Now()), kPassers);
+  const auto some = RendezvousTop(aNode, aAlive, kPassers);
   return std::find(some.begin(), some.end(), mOptions.mNode) != some.end();
 }
 
@@ -256,8 +258,9 @@
   mBeatDue = now + mOptions.mBeat;
   const proto::NodeBeat beat = MakeBeat();
   const std::string bytes = beat.SerializeAsString();
+  const auto alive = mPeers.AliveNodes(now);
   for (const auto& it : mPeers.Addresses(now)) {
-    if (!mFreshness.HasAsked(it.mNode) || !VouchesFor(it.mNode)) {
+    if (!mFreshness.HasAsked(it.mNode) || !VouchesFor(it.mNode, alive)) {
       mHooks.mSend(it.mAddress, bytes);
       continue;
     }
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -31,24 +31,25 @@
 void
 RelayCore::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
 {
+  if (mPlan) {
+    ForgetReplacedStarts(mPlan->mStarts, aPlan->mStarts);
+  }
   mPlan = std::move(aPlan);
-  ForgetReplacedStarts();
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
 }
 
 void
-RelayCore::ForgetReplacedStarts()
+RelayCore::ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow)
 {
-  for (const auto& [engine, born] : mPlan->mStarts) {
-    const auto known = mStarts.find(engine);
-    if (known != mStarts.end() && known->second < born) {
+  for (const auto& [engine, born] : aNow) {
+    const auto known = aBefore.find(engine);
+    if (known != aBefore.end() && known->second < born) {
       mBalancer.Forget(engine);
       mConnections.Forget(engine);
     }
   }
-  mStarts = mPlan->mStarts;
 }
 
 void
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -25,7 +25,7 @@
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void Tune(const RelayTuning& aTuning);
   /// What was learnt from an engine's answers says nothing of it once it has started again.
-  void ForgetReplacedStarts();
+  void ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow);
   /// Second attempts left for a service.
   RetryBudget& BudgetOf(const std::string& aService);
   /// The part of all nodes' budget that this node may spend on a service.
@@ -37,7 +37,6 @@
   Dialect mDialect;
   RelayHooks mHooks;
   std::shared_ptr<const TrafficPlan> mPlan;
-  std::unordered_map<std::string, WallTime> mStarts; ///< of engines that this node has dealt with
   Balancer mBalancer;
   StallDetector mStalls;
   std::map<std::string, RetryBudget> mBudgets; ///< by service
