planner: the switch for survivors also holds for giving replicas up

Test: group_planner_survivors_test SwitchedOffNoReplicaIsGivenUpForAnother, fails without the line (run).

--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -28,7 +28,9 @@
   for (const auto& it : done) {
     Drop(it);
   }
-  JoinSurvivors();
+  if (mOptions.mJoinSurvivors) {
+    JoinSurvivors();
+  }
 }
 
 void
--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -25,6 +25,30 @@
   EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
 }
 
+/// Symptom: switched off in a trial, the mechanism seems to be worth nothing.
+/// Sequence: the same losses, with the switch off.
+/// Cause: replicas were given up for each other whatever the switch said.
+TEST(GroupPlannerSurvivors, SwitchedOffNoReplicaIsGivenUpForAnother)
+{
+  World world(1);
+  GroupPlannerOptions options;
+  options.mJoinSurvivors = false;
+  GroupPlanner planner(options);
+  world.Run(planner, seconds(40));
+  world.mTraffic = true;
+  for (const auto& it : SparesOf(world)) {
+    world.Kill(it);
+  }
+  world.Kill(world.MemberOf(planner, "big", 3));
+  world.Kill(world.MemberOf(planner, "small", 1));
+  const auto before = planner.Replicas();
+  world.Run(planner, seconds(5));
+  for (const auto& [name, replica] : before) {
+    ASSERT_EQ(planner.Replicas().count(name), 1U) << name;
+    EXPECT_EQ(planner.Replicas().at(name).mMembers, replica.mMembers);
+  }
+}
+
 /// Symptom: a replica that could be whole in a second forms for 16 s.
 /// Sequence: a domain has no spare left and an empty engine comes; a replica loses a member and
 /// takes the empty engine; then a spare comes free.
