settings: limits of the platform may be fractions, zero or far larger

Ruled out: rounding in the template (it has no arithmetic). Change: numbers of the platform are read as such, with bounds far beyond any host or pool; what has no meaning is still refused with key, line and range.

--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -19,7 +19,7 @@
   std::string mReadyPath; ///< where the balancer asks whether this node takes connections
   std::string mPeers;     ///< IP:port (UDP) where this node hears the others
   std::string mStore;     ///< IP:port of the platform's store
-  int mMemoryMb = 0;      ///< the process is killed beyond it; 0: not said
+  double mMemoryMb = 0;   ///< the process is killed beyond it; 0: not said
   double mCpuCores = 0;   ///< processor that the process may use; 0: not said
 
   /// A key that was taken away must be refused this long after the store's acknowledgement.
@@ -28,7 +28,7 @@
   Duration mStopWithin = std::chrono::seconds(8);
   /// Second attempts of all nodes together: a share of requests, and so many beyond it.
   double mRetryShare = 0.2;
-  int mRetrySlack = 100;
+  double mRetrySlack = 100;
 };
 
 /// @return the keys that differ and that a running node cannot take up; the others it can.
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -5,12 +5,19 @@
 namespace pepperbay {
 namespace {
 
-using std::chrono::minutes;
+using std::chrono::hours;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kMostMemoryMb = 1 << 24;
-constexpr int kMostSlack = 1000000;
-constexpr double kMostCores = 1024;
+// Platforms compute their limits, so fractions, zero and very large numbers are all taken. Each of
+// these bounds is far beyond any host or pool; what exceeds it is a slip of a unit.
+constexpr double kMostMemoryMb = 1e9;
+constexpr double kMostSlack = 1e9;
+constexpr double kMostShare = 100;
+constexpr double kMostCores = 1e5;
+constexpr hours kLongestBound{ 24 };
+/// Below this no request could end between the question for a stop and the end.
+constexpr milliseconds kShortestStop{ 100 };
 
 void
 ReadEndpoint(YamlReader& aReader, const char* aKey, std::string* aValue)
@@ -39,12 +46,12 @@
   if (!aSettings.mReadyPath.empty() && aSettings.mReadyPath.front() != '/') {
     aReader.Problem("ready_path", "must begin with '/'");
   }
-  aReader.Read("memory_mb", &aSettings.mMemoryMb, 0, kMostMemoryMb);
+  aReader.Read("memory_mb", &aSettings.mMemoryMb, 0.0, kMostMemoryMb);
   aReader.Read("cpu_cores", &aSettings.mCpuCores, 0.0, kMostCores);
-  aReader.Read("revoke_within", &aSettings.mRevokeWithin, seconds(1), minutes(10));
-  aReader.Read("stop_within", &aSettings.mStopWithin, seconds(1), minutes(10));
-  aReader.Read("retry_share", &aSettings.mRetryShare, 0.0, 1.0);
-  aReader.Read("retry_slack", &aSettings.mRetrySlack, 0, kMostSlack);
+  aReader.Read("revoke_within", &aSettings.mRevokeWithin, seconds(1), kLongestBound);
+  aReader.Read("stop_within", &aSettings.mStopWithin, kShortestStop, kLongestBound);
+  aReader.Read("retry_share", &aSettings.mRetryShare, 0.0, kMostShare);
+  aReader.Read("retry_slack", &aSettings.mRetrySlack, 0.0, kMostSlack);
 }
 
 } // namespace
