--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -21,6 +21,8 @@
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
 pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp failure_step_test.cpp USES routing admission proto) # pure
+pepperbay_library(places SOURCES place_agent.cpp place_book.cpp TESTS place_agent_test.cpp
+                  USES routing admission proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp peer_link_test.cpp USES base proto
                   PACKAGES cppzmq)
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
@@ -44,8 +46,8 @@
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp coordinator_registrations.cpp
                                       engine_doubts.cpp freshness_book.cpp
-                                      coordinator_logs.cpp log_delegate.cpp
-                                      peer_book.cpp plan_builder.cpp
+                                      coordinator_logs.cpp log_reads.cpp news_book.cpp
+                                      node_tree.cpp peer_book.cpp plan_builder.cpp
                   TESTS coordinator_test.cpp coordinator_freshness_test.cpp coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp engine_doubts_test.cpp
                   USES journal lease membership placement routing
@@ -54,7 +56,7 @@
                                 exchange_ends.cpp
                                 relay.cpp session.cpp sockets.cpp
                   TESTS event_splitter_test.cpp relay_test.cpp relay_stop_test.cpp
-                  USES settings membership admission routing dispatch
+                  USES settings membership admission routing dispatch places
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
                   USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
--- a/examples/status/report.cpp
+++ b/examples/status/report.cpp
@@ -15,6 +15,7 @@
     "configuration":{"version":7,"age_ms":140},"engines":11,"lost_engines":["i-9"],
     "replicas":[{"name":"r3-1-pool","service":"pool","epoch":300007,"model":"m","domain":"d2",
       "members":["i-3","i-4"],"phase":"broken","why":"no spare in domain d2","since_ms":2500}],
+    "delegates":{"followed":"levis-1","followers":4},"news":{"age_ms":0},
     "peers":[{"node":"vanier-1","address":"10.3.0.7:7340","alive":false,"configuration":6}]})";
   const Error silent{ Errc::kTimeout, "status.ask", "10.3.0.7:8081", "no answer in 2 s" };
   std::cout << PoolReport(
--- a/include/pepperbay/base/hash.hpp
+++ b/include/pepperbay/base/hash.hpp
@@ -13,6 +13,11 @@
 std::uint64_t
 Hash64(std::string_view aBytes, std::uint64_t aSeed = 0);
 
+/// @return the lower half of an id's hash. Messages between nodes name engines so: a third of an
+/// id's bytes, and among 10,000 engines one pair in 90 deployments has the same.
+std::uint32_t
+ShortId(std::string_view aId);
+
 /// The members that own a key, best first.
 ///
 /// A member that joins or leaves moves only its own keys. Cost: one hash per member.
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -27,7 +27,8 @@
   std::string mNode;
   std::uint64_t mIncarnation = 0;
   std::string mDataCentre;
-  std::string mAddress; ///< where this node hears its peers
+  std::string mAddress;     ///< where this node hears its peers
+  std::string mDeskAddress; ///< where its place desk hears others; see places/place_agent.hpp
   /// Processor that this process may use, in thousandths of a core; 0: not told.
   int mCpuPermille = 0;
   /// A node with less than half of another's processor waits this much longer for the lease.
@@ -56,7 +57,7 @@
   /// of a node that reads for others, or that has missed what was passed on; and of one that has
   /// nobody to read for it. Replicas are heard of from the holder; each read is a paid call.
   Duration mHolderPause = std::chrono::milliseconds(25);
-  Duration mDelegatePause = std::chrono::milliseconds(250);
+  Duration mReaderPause = std::chrono::milliseconds(250);
   Duration mOtherPause = std::chrono::milliseconds(1000);
   Duration mOrderTimeout = std::chrono::milliseconds(120);
   /// An engine that does not answer within this is taken for lost, if a second question that was
@@ -95,8 +96,6 @@
     mAsk;
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSend;
   std::function<void(std::shared_ptr<const TrafficPlan>)> mPublish;
-  /// Another node has sent prompts.
-  std::function<void(std::vector<SentPrompt>)> mOnPrompts;
   std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
 };
 
@@ -107,7 +106,7 @@
   std::uint64_t mAsks = 0;
   std::uint64_t mLostEngines = 0; ///< times that an engine was found not to answer
   std::uint64_t mBeats = 0;
-  std::uint64_t mFeeds = 0; ///< times that a delegate passed records of the store on
+  std::uint64_t mFeeds = 0; ///< times that another node passed records of the store on
   std::uint64_t mBadMessages = 0;
   std::uint64_t mBadConfigurations = 0;
   std::uint64_t mBadRegistrations = 0; ///< entries that name no engine
@@ -125,14 +124,12 @@
 
   /// Do all that is due; call every few tens of milliseconds.
   void Tick();
-  /// Bytes of one heartbeat of a peer.
-  void OnBeat(const std::string& aBytes);
+  /// Bytes of one message of a peer.
+  void OnMessage(const std::string& aBytes);
   /// A head has been silent towards this node's streams.
   void OnSuspect(const std::string& aHead, Duration aSilence);
-  /// This node's requests in progress, by engine.
+  /// Requests in progress, by engine: this node's own and those that it found places for.
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
-  /// This node has sent prompts: tell the others now.
-  void TellPrompts(const std::vector<SentPrompt>& aPrompts);
   /// Fail readiness and give the lease back.
   void BeginStop();
   /// How long keys are trusted after the configuration was last known to be the newest.
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -9,6 +9,7 @@
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
 #include "pepperbay/membership/stall_detector.hpp"
+#include "pepperbay/places/place_agent.hpp"
 #include "pepperbay/relay/dialect.hpp"
 #include "pepperbay/relay/latency.hpp"
 #include "pepperbay/routing/balancer.hpp"
@@ -38,6 +39,9 @@
 {
   std::string mCallers;    ///< `IP:port` for callers
   std::string mDataCentre; ///< of this node
+  std::string mNode;
+  std::uint64_t mIncarnation = 0;
+  std::string mDeskAddress; ///< `IP:port` (UDP) where place agents hear each other
   RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
@@ -84,9 +88,8 @@
 {
   /// A replica's head has been silent; any thread's business but the relay's.
   std::function<void(const std::string& aHead, Duration aSilence)> mOnSuspect;
-  /// Prompts sent since the last call, at most one call a tick. The other nodes should hear of them
-  /// at once: two long prompts that meet in one replica hold up every stream there.
-  std::function<void(std::vector<SentPrompt>)> mOnPrompts;
+  /// A message to another node's place agent; null where there are no other nodes.
+  std::function<void(const std::string& aAddress, const std::string& aBytes)> mSendToDesk;
   /// A line for the log; see log.hpp.
   std::function<void(const char* aEvent, const std::map<std::string, std::string>& aFields)> mLog;
 };
@@ -103,11 +106,12 @@
   // All of these on the relay's own thread.
   virtual void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) = 0;
   virtual void Tune(const RelayTuning& aTuning) = 0;
-  /// Prompts that other nodes have sent.
-  virtual void AddPrompts(const std::vector<SentPrompt>& aPrompts) = 0;
-  /// Requests of this node in progress, by engine.
+  /// Bytes from another node's place agent.
+  virtual void OnDeskMessage(const std::string& aBytes) = 0;
+  /// Requests in progress, by engine: this node's own and those that it found places for.
   virtual std::unordered_map<std::string, int> InFlight() const = 0;
   virtual const RelayCounters& Counters() const = 0;
+  virtual const PlaceCounters& Places() const = 0;
   /// Answer what is in progress, then call `aDone` once.
   virtual void BeginStop(std::function<void()> aDone) = 0;
 };
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -13,6 +13,9 @@
 struct BalancerOptions
 {
   std::string mDataCentre; ///< of this node; ties go to engines of it
+  /// Other ties are broken by a hash with this seed: nodes that do not see each other's requests
+  /// would all send to the first of many idle engines.
+  std::uint64_t mSeed = 0;
   /// An engine that fails or falls silent draws no first choice for so long. Long enough to span
   /// the usual length of a partial fault, short enough to find its end.
   Duration mFaultMemory = std::chrono::seconds(4);
@@ -71,6 +74,17 @@
                                  const std::set<std::string>& aTried,
                                  TimePoint aNow) const;
 
+  /// Engines that have lately failed requests.
+  std::vector<std::string> Faulty(TimePoint aNow) const;
+
+  /// What is asked of a choice among replicas.
+  struct ReplicaQuery
+  {
+    std::string mModel;
+    std::string mDataCentre;         ///< of the node that sends the request
+    std::set<std::uint32_t> mTried;  ///< heads to leave out, by ShortId()
+    std::set<std::uint32_t> mFaulty; ///< heads that come last
+  };
   /// What a choice among replicas gave.
   struct ReplicaChoice
   {
@@ -84,14 +98,23 @@
                             const std::string& aModel,
                             const std::set<std::string>& aTried,
                             TimePoint aNow) const;
+  ReplicaChoice PickReplica(const TrafficPlan& aPlan,
+                            const ServiceSpec& aService,
+                            const ReplicaQuery& aQuery,
+                            TimePoint aNow) const;
 
 private:
   int InFlight(const TrafficPlan& aPlan, const std::string& aEngine) const;
   bool RecentFault(const std::string& aEngine, TimePoint aNow) const;
   /// The mean pause between events, or zero when it is not known.
   Duration PauseOf(const std::string& aHead, TimePoint aNow) const;
+  /// The shortest mean pause of a model's replicas; zero when none is known.
+  Duration FastestPause(const std::vector<PoolReplica>& aReplicas,
+                        const std::string& aModel,
+                        TimePoint aNow) const;
   Duration CostOf(const TrafficPlan& aPlan,
                   const PoolReplica& aReplica,
+                  const std::string& aDataCentre,
                   int aSlots,
                   Duration aFastest,
                   TimePoint aNow) const;
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -34,11 +34,11 @@
   bool mLost = false;
 };
 
-/// A prompt that a node has sent to a replica.
-struct SentPrompt
+/// A node that finds places for the requests of others; see places/place_agent.hpp.
+struct DeskAddress
 {
-  std::string mHead;
-  Duration mWork{ 0 }; ///< the time to read it
+  std::string mNode;
+  std::string mAddress; ///< `IP:port`, UDP
 };
 
 /// The newest start of each engine that states one.
@@ -51,12 +51,17 @@
   std::shared_ptr<const RouteTable> mRoutes; ///< null until a configuration is known
   std::map<std::string, std::vector<EngineTarget>> mEngines; ///< of plain services, by service
   std::map<std::string, std::vector<PoolReplica>> mReplicas; ///< by service
-  std::unordered_map<std::string, int> mOthersInFlight;      ///< engine to requests of other nodes
-  EngineStarts mStarts;                                      ///< of the listed engines
+  /// Engine to requests that other desks have found places for.
+  std::unordered_map<std::string, int> mOthersInFlight;
+  bool mIsDesk = true;             ///< this node finds places itself
+  std::vector<DeskAddress> mDesks; ///< others that find places for this node, best first
+  std::map<std::string, DeskAddress> mDesksOf; ///< of the other data centres, for a desk
+  EngineStarts mStarts;                        ///< of the listed engines
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
-  int mNodes = 1; ///< nodes that share the work, this one included
+  int mNodes = 1;     ///< nodes that share the work, this one included
+  int mFollowers = 1; ///< of these, nodes whose places this one finds, itself included
 };
 
 } // namespace pepperbay
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -18,9 +18,10 @@
   std::string mMetrics;   ///< IP:port for metrics and the dump besides; empty: mAdmin only
   std::string mReadyPath; ///< where the balancer asks whether this node takes connections
   std::string mPeers;     ///< IP:port (UDP) where this node hears the others
-  std::string mStore;     ///< IP:port of the platform's store
-  double mMemoryMb = 0;   ///< the process is killed beyond it; 0: not said
-  double mCpuCores = 0;   ///< processor that the process may use; 0: not said
+  std::string mDesk;    ///< IP:port (UDP) for questions for places; empty: each node chooses alone
+  std::string mStore;   ///< IP:port of the platform's store
+  double mMemoryMb = 0; ///< the process is killed beyond it; 0: not said
+  double mCpuCores = 0; ///< processor that the process may use; 0: not said
 
   /// A key that was taken away must be refused this long after the store's acknowledgement.
   Duration mRevokeWithin = std::chrono::seconds(5);
--- a/include/pepperbay/status/pool_status.hpp
+++ b/include/pepperbay/status/pool_status.hpp
@@ -40,7 +40,10 @@
   std::vector<std::string> mLostEngines;
   std::vector<ReplicaStatus> mReplicas; ///< of the holder only
   std::size_t mPeers = 0;
-  std::size_t mPeersAlive = 0;
+  std::size_t mPeersAlive = 0; ///< heard lately; most nodes hear their delegates only
+  std::string mDelegate;       ///< that finds places and reads the store for it; itself where none
+  std::size_t mFollowers = 0;  ///< nodes whose delegate it is
+  Duration mNewsAge{ 0 };      ///< since the holder stood by what this node knows of the replicas
 };
 
 /// What came of asking one address.
--- a/src/pepperbay/base/hash.cpp
+++ b/src/pepperbay/base/hash.cpp
@@ -11,6 +11,12 @@
   return XXH64(aBytes.data(), aBytes.size(), aSeed);
 }
 
+std::uint32_t
+ShortId(std::string_view aId)
+{
+  return static_cast<std::uint32_t>(Hash64(aId));
+}
+
 std::vector<std::string>
 RendezvousTop(std::string_view aKey, const std::vector<std::string>& aMembers, std::size_t aCount)
 {
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -9,8 +9,14 @@
 namespace pepperbay {
 namespace {
 
-/// The plan's counts of other nodes' requests are renewed this often without any other change.
+/// Counts of requests that other desks have found places for come with their heartbeats; half of
+/// that. Nodes that find no places for others need only the time up to which keys are trusted,
+/// which moves by seconds.
 constexpr std::chrono::milliseconds kPublishEvery{ 100 };
+constexpr std::chrono::milliseconds kFollowerPublishEvery{ 400 };
+/// The replicas are put together at most this often: it takes half a millisecond before 875
+/// engines, and while a pool forms there is something new at every round.
+constexpr std::chrono::milliseconds kBuildEvery{ 40 };
 /// Most that a challenger's wait is lengthened, so that not all claim a free lease at once.
 constexpr std::chrono::milliseconds kMostStagger{ 120 };
 /// News of a holder that has been silent for this long is not used: the holder may be gone and the
@@ -94,7 +100,7 @@
               [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
-  , mDelegate({ mOptions.mNode, mOptions.mDataCentre, mOptions.mCpuPermille })
+  , mTree({ mOptions.mNode, mOptions.mDataCentre, mOptions.mCpuPermille })
 {
 }
 
@@ -152,8 +158,12 @@
   if (now >= mBeatDue) {
     PutOwnRecord();
   }
+  mTree.Tick(
+    mPeers, { StoreLost(), mStopping, mLease.Newest().holder(), mLease.LastIsMine() }, now);
   FollowLogs();
-  if (!mStopping) {
+  if (!mStopping && (mTree.IsCandidate() || mLease.LastIsMine())) {
+    // All nodes at once at a lease that has ended would be as many calls to the store, and again
+    // every few hundred milliseconds while it is down.
     PreferStronger();
     mLease.Tick();
   }
@@ -188,28 +198,61 @@
   return !mStopping && KnowsAll();
 }
 
+void
+Coordinator::Impl::FillPlan(TrafficPlan* aPlan) const
+{
+  aPlan->mOthersInFlight = OthersInFlight();
+  aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
+  aPlan->mNodes = NodesAtWork();
+  aPlan->mIsDesk = mTree.FollowsItself();
+  aPlan->mDesks.clear();
+  const auto deskOf = [this](const std::string& aNode) {
+    const KnownPeer* peer = mPeers.Find(aNode);
+    return DeskAddress{ aNode, peer == nullptr ? std::string() : peer->mDeskAddress };
+  };
+  for (const auto& it : mTree.Delegates()) {
+    aPlan->mDesks.push_back(deskOf(it));
+  }
+  aPlan->mDesksOf.clear();
+  for (const auto& [scope, delegates] : mTree.OtherDelegates()) {
+    if (!delegates.empty()) {
+      aPlan->mDesksOf[scope] = deskOf(delegates.front());
+    }
+  }
+  aPlan->mFollowers = std::max(1, Followers());
+}
+
 void
 Coordinator::Impl::Publish()
 {
   const TimePoint now = Now();
   const bool changed = mChanged || mDirectory.Revision() != mPublishedRevision;
-  if (!changed && now < mPublishDue) {
+  const bool build = changed && now - mBuilt >= kBuildEvery;
+  if (!build && mPlan && now < mPublishDue) {
+    return;
+  }
+  mPublishDue = now + (mTree.IsUpper() ? kPublishEvery : kFollowerPublishEvery);
+  if (!build && mPlan) {
+    auto plan = std::make_shared<TrafficPlan>(*mPlan);
+    FillPlan(plan.get());
+    mPlan = std::move(plan);
+    mHooks.mPublish(mPlan);
     return;
   }
   mChanged = false;
   mPublishedRevision = mDirectory.Revision();
-  mPublishDue = now + kPublishEvery;
+  mBuilt = now;
   static const std::map<std::string, proto::ReplicaNews> kNoNews;
   PlanSources sources;
   sources.mComplete = KnowsAll();
   sources.mRoutes = mRoutes;
   sources.mEngines = &mDirectory.Engines();
-  sources.mNews = now - mNewsAt < kNewsLife ? &mNews : &kNoNews;
+  sources.mNews = now - mNews.AsOf() < kNewsLife ? &mNews.Replicas() : &kNoNews;
   sources.mLost = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
-  sources.mOthersInFlight = OthersInFlight();
-  sources.mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
-  sources.mNodes = mPeers.AliveCount(now);
-  mHooks.mPublish(BuildPlan(sources));
+  auto plan = BuildPlan(sources);
+  FillPlan(plan.get());
+  mPlan = std::move(plan);
+  mHooks.mPublish(mPlan);
 }
 
 Coordinator::Coordinator(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
@@ -226,9 +269,9 @@
 }
 
 void
-Coordinator::OnBeat(const std::string& aBytes)
+Coordinator::OnMessage(const std::string& aBytes)
 {
-  mImpl->OnBeat(aBytes);
+  mImpl->OnMessage(aBytes);
 }
 
 void
@@ -244,12 +287,6 @@
   mImpl->mTraffic = mImpl->mTraffic || aTraffic;
 }
 
-void
-Coordinator::TellPrompts(const std::vector<SentPrompt>& aPrompts)
-{
-  mImpl->TellPrompts(aPrompts);
-}
-
 void
 Coordinator::BeginStop()
 {
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -34,10 +34,12 @@
   }
   Json peers = Json::array();
   for (const auto& [name, it] : mPeers.Peers()) {
-    peers.push_back({ { "node", name },
-                      { "address", it.mAddress },
-                      { "alive", mPeers.Alive(it, Now()) },
-                      { "configuration", it.mBeat.config_version() } });
+    peers.push_back(
+      { { "node", name },
+        { "address", it.mAddress },
+        { "alive", mPeers.Alive(it, Now()) }, // heard; most nodes hear their delegates only
+        { "relies_on_this", it.mBeat.follows() },
+        { "configuration", it.mBeat.config_version() } });
   }
   Json lost = Json::array();
   for (const auto& [engine, asked] : mDoubts.Lost()) {
@@ -56,8 +58,20 @@
                         { { "version", ConfigurationVersion() },
                           { "age_ms", ToMs(Now() - ConfigurationAsOf()).count() },
                           { "by_peers", AsksFreshness() } } },
+                      { "delegates",
+                        { { "followed", mTree.Followed() },
+                          { "followers", Followers() },
+                          { "heard", mTree.Delegates() },
+                          { "of_other_data_centres", mTree.OtherDelegates() },
+                          { "candidate", mTree.IsCandidate() } } },
+                      { "nodes_at_work", NodesAtWork() },
+                      { "news",
+                        { { "fence", mNews.Fence() },
+                          { "change", mNews.Change() },
+                          { "age_ms", ToMs(Now() - mNews.AsOf()).count() } } },
                       { "store_read_by",
-                        { { "node", mDelegate.Name() }, { "lost", StoreLost() } } },
+                        { { "node", ReadsForItself() ? mOptions.mNode : mTree.Reader() },
+                          { "lost", StoreLost() } } },
                       { "engines", mDirectory.Engines().size() },
                       { "lost_engines", lost },
                       { "replicas", replicas },
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -4,7 +4,9 @@
 
 #include "engine_doubts.hpp"
 #include "freshness_book.hpp"
-#include "log_delegate.hpp"
+#include "log_reads.hpp"
+#include "news_book.hpp"
+#include "node_tree.hpp"
 #include "peer_book.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
@@ -24,23 +26,40 @@
   void OnReport(const EngineRecord& aEngine, const EngineReport& aReport);
   void OnNode(const KeyedRecord& aRecord);
   void PutOwnRecord();
-  void OnBeat(const std::string& aBytes);
+  void OnMessage(const std::string& aBytes);
+  void OnBeat(const proto::PeerMessage& aMessage);
   void SendBeat();
-  proto::NodeBeat MakeBeat();
-  /// @return whether this node answers another's question for freshness.
-  /// @param aAlive names of the nodes at work
-  bool VouchesFor(const std::string& aNode, const std::vector<std::string>& aAlive) const;
-  /// Send the holder of the lease a heartbeat out of turn.
-  void TellHolder();
+  /// What is the same for all who get this heartbeat.
+  proto::Beat MakeBeat();
+  void AddLoads(proto::Beat* aBeat) const;
+  /// @return whether a node needs to know how many requests this one has found places for.
+  bool WantsLoads(const std::string& aNode) const;
+  /// A message that names this node, without a body.
+  proto::PeerMessage NewMessage() const;
+  void SendTo(const std::string& aNode, const std::string& aBytes);
+  /// Nodes that rely on this one, itself included where it does.
+  int Followers() const;
+  /// Nodes before this pool, as far as known; more rather than fewer.
+  int NodesAtWork() const;
+  /// Tell the holder of the lease that a head is silent.
+  void TellHolder(const std::string& aHead);
+  void OnSuspicions(const proto::Suspicions& aSuspicions);
+  /// Ask a node for the news of replicas that are missing here.
+  void AskNews(const std::string& aNode);
+  void AnswerNewsRequest(const proto::PeerMessage& aMessage);
+  /// Take news of the holder and pass them on to the nodes that rely on this one.
+  void OnNews(const proto::PeerMessage& aMessage);
+  /// The holder's own changes, to the delegates.
+  void TellNewsChanges();
   /// @return when the configuration was the newest, by the store or by a peer.
   TimePoint ConfigurationAsOf() const;
   std::uint64_t ConfigurationVersion() const { return mRoutes ? mRoutes->Version() : 0; }
   /// @return whether the store has been silent for longer than a held read takes.
   bool AsksFreshness() const;
   /// Give a peer that asks and has an older configuration the one in force here.
-  void PassConfiguration(const proto::NodeBeat& aAsker);
-  void TakePrompts(const proto::NodeBeat& aBeat);
-  void TellPrompts(const std::vector<SentPrompt>& aPrompts);
+  void PassConfiguration(const std::string& aAsker, const proto::Beat& aBeat);
+  /// The directory's engines by the lower half of the hash of their ids.
+  const std::unordered_map<std::uint32_t, std::string>& ShortIds();
   void OnSuspect(const std::string& aHead, Duration aSilence);
   void AskMembers(const std::string& aHead);
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
@@ -50,11 +69,13 @@
   void PlanPool(const ServiceSpec& aService);
   void SendOrder(const GroupOrder& aOrder, const std::string& aService);
   /// Note for the other nodes what has changed of one pool's replicas.
-  void TellNews(const GroupPlanner& aPlanner, Duration aFormTime);
+  void NoteNews(const GroupPlanner& aPlanner, Duration aFormTime);
   /// Drop what is known of replicas that no pool has any more.
   void ForgetNews();
   void AskAsPlanned(const GroupPlanner& aPlanner);
   void Publish();
+  /// The parts of a plan that change without the replicas.
+  void FillPlan(TrafficPlan* aPlan) const;
   bool MayOrder() const;
   /// Leave the lease to nodes that have the processor for it.
   void PreferStronger();
@@ -65,11 +86,17 @@
   std::unordered_map<std::string, int> OthersInFlight() const;
   /// Follow the logs: from the store, or by what the delegate passes on.
   void FollowLogs();
+  /// @return whether no other node reads the store for this one.
+  bool ReadsForItself() const;
+  void NoteStore();
+  /// @return whether calls to the store's logs have failed for a while.
   bool StoreLost() const;
+  /// Nodes that go by what this one passes on.
+  std::vector<std::string> Dependants() const;
   KeyedFollower& FollowerOf(FollowedLog aLog);
-  /// The delegate passes on what it has read.
+  /// Pass on what was read for other nodes.
   void PassOn(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
-  void TakeFeeds(const proto::NodeBeat& aBeat);
+  void TakeFeed(const proto::LogFeed& aFeed);
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
@@ -89,19 +116,25 @@
   EngineDoubts mDoubts;
   PeerBook mPeers;
   FreshnessBook mFreshness;
-  LogDelegate mDelegate;
+  NodeTree mTree;
+  LogReads mReads;
+  std::optional<TimePoint> mStoreLostSince;
   std::shared_ptr<const RouteTable> mRoutes;
   std::string mConfiguration; ///< that mRoutes was made from, as the operator wrote it
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
-  std::map<std::string, proto::ReplicaNews> mNews;
-  TimePoint mNewsAt{};
+  NewsBook mNews;
+  /// What the last holder told of its replicas, until this one has planned once: its first round
+  /// finds most of them as they were, and logs only what differs.
+  std::map<std::string, proto::ReplicaNews> mFormerNews;
+  std::uint64_t mNewsTold = 0; ///< the last change that was sent out
+  TimePoint mNewsAskDue{};
   std::unordered_map<std::string, int> mInFlight;
-  std::map<std::string, TimePoint> mSuspects;               ///< heads that this node finds silent
   std::map<std::string, TimePoint> mHeadsAsked;             ///< heads whose members were just asked
   std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
   std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
   std::uint64_t mPlannedFence = 0;
   std::uint64_t mPublishedRevision = 0;
+  std::shared_ptr<const TrafficPlan> mPlan; ///< the last that was published
   bool mChanged = true;
   bool mTraffic = false;
   bool mStopping = false;
@@ -110,6 +143,7 @@
   TimePoint mBeatDue{};
   TimePoint mYieldDue{};
   TimePoint mPublishDue{};
+  TimePoint mBuilt{}; ///< when the replicas were last put together
   TimePoint mEngineReadDue{};
 };
 
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -8,14 +8,19 @@
 namespace {
 /// A configuration travels in one datagram, which holds 65,507 bytes with its headers.
 constexpr std::size_t kMostPassedBytes = 60000;
-/// Nodes that vouch for another's configuration without reading the store themselves, and that pass
-/// theirs on.
-constexpr std::size_t kPassers = 3;
 /// A node that has an older configuration gets it passed on once the feed of its delegate has had
-/// time to come, a heartbeat and a round; from every node only after a few heartbeats more. From
-/// every node at once, 23 that asked before 65 got 1,500 copies each 200 ms.
+/// time to come, a heartbeat and a round; from others that it asks only after a few heartbeats
+/// more.
 constexpr std::chrono::milliseconds kFeedTime{ 180 };
 constexpr std::chrono::milliseconds kPassersTime{ 600 };
+/// News that were missed are asked for at most this often: half a heartbeat.
+constexpr std::chrono::milliseconds kAskNewsEvery{ 100 };
+
+std::uint64_t
+ToNs(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(0, aDuration.count()));
+}
 }
 
 void
@@ -25,7 +30,7 @@
   if (!aRecord.mValue) {
     mPeers.OnGone(aRecord.mKey);
   } else if (record.ParseFromString(*aRecord.mValue)) {
-    mPeers.OnRecord(record, Now());
+    mPeers.OnRecord(record);
   } else {
     ++mCounters.mBadMessages;
   }
@@ -42,6 +47,7 @@
   record.set_node(mOptions.mNode);
   record.set_incarnation(mOptions.mIncarnation);
   record.set_address(mOptions.mAddress);
+  record.set_desk_address(mOptions.mDeskAddress);
   record.set_data_centre(mOptions.mDataCentre);
   record.set_cpu_permille(static_cast<std::uint32_t>(mOptions.mCpuPermille));
   mHooks.mPutNode(mOptions.mNode, record.SerializeAsString(), [this](const Result<void>& aResult) {
@@ -72,7 +78,7 @@
 {
   std::unordered_map<std::uint32_t, int> counts;
   for (const auto& [name, peer] : mPeers.Peers()) {
-    if (!mPeers.Alive(peer, Now())) {
+    if (peer.mBeat.loads_size() == 0 || !mPeers.Alive(peer, Now())) {
       continue;
     }
     for (const auto& it : peer.mBeat.loads()) {
@@ -80,6 +86,9 @@
     }
   }
   std::unordered_map<std::string, int> inFlight;
+  if (counts.empty()) {
+    return inFlight;
+  }
   for (const auto& [id, engine] : mDirectory.Engines()) {
     const auto it = counts.find(ShortId(id));
     if (it != counts.end()) {
@@ -90,62 +99,130 @@
 }
 
 void
-Coordinator::Impl::OnBeat(const std::string& aBytes)
+Coordinator::Impl::OnMessage(const std::string& aBytes)
 {
-  proto::NodeBeat beat;
-  if (!beat.ParseFromString(aBytes)) {
+  proto::PeerMessage message;
+  if (!message.ParseFromString(aBytes)) {
     ++mCounters.mBadMessages;
     return;
   }
+  if (!mPeers.IsCurrent(message)) {
+    return; // of an earlier start, or the store has not named the node yet
+  }
+  switch (message.body_case()) {
+    case proto::PeerMessage::kBeat:
+      OnBeat(message);
+      return;
+    case proto::PeerMessage::kNews:
+      OnNews(message);
+      return;
+    case proto::PeerMessage::kNewsRequest:
+      AnswerNewsRequest(message);
+      return;
+    case proto::PeerMessage::kFeed:
+      TakeFeed(message.feed());
+      return;
+    case proto::PeerMessage::kConfiguration:
+      OnConfiguration({ mHooks.mConfigKey, message.configuration() });
+      return;
+    case proto::PeerMessage::kSuspicions:
+      OnSuspicions(message.suspicions());
+      return;
+    case proto::PeerMessage::BODY_NOT_SET:
+      ++mCounters.mBadMessages; // of a newer version
+      return;
+  }
+}
+
+void
+Coordinator::Impl::OnBeat(const proto::PeerMessage& aMessage)
+{
   const TimePoint now = Now();
-  if (beat.prompts_only()) {
-    if (mPeers.IsCurrent(beat)) {
-      TakePrompts(beat);
-    }
-    return;
+  const proto::Beat& beat = aMessage.beat();
+  mPeers.OnBeat(aMessage.node(), beat, now);
+  mFreshness.OnBeat(aMessage, ConfigurationVersion(), now);
+  PassConfiguration(aMessage.node(), beat);
+  ++mCounters.mBeats;
+  mTraffic = mTraffic || beat.traffic();
+  mLease.OnHint(beat.lease());
+  if (mNews.OnNewest(beat, now) && !MayOrder()) {
+    AskNews(aMessage.node());
   }
-  if (beat.feeds_size() > 0) {
-    if (mPeers.IsCurrent(beat)) {
-      TakeFeeds(beat);
-    }
+}
+
+void
+Coordinator::Impl::AskNews(const std::string& aNode)
+{
+  const TimePoint now = Now();
+  if (now < mNewsAskDue) {
     return;
   }
-  if (!beat.configuration().empty()) {
-    if (mPeers.IsCurrent(beat)) {
-      OnConfiguration({ mHooks.mConfigKey, beat.configuration() });
-    }
-    return;
+  mNewsAskDue = now + kAskNewsEvery;
+  proto::PeerMessage message = NewMessage();
+  message.mutable_news_request()->set_fence(mNews.Fence());
+  message.mutable_news_request()->set_after(mNews.Change());
+  SendTo(aNode, message.SerializeAsString());
+}
+
+void
+Coordinator::Impl::AnswerNewsRequest(const proto::PeerMessage& aMessage)
+{
+  const auto& request = aMessage.news_request();
+  proto::PeerMessage message = NewMessage();
+  *message.mutable_news() = mNews.Since(request.fence(), request.after(), Now());
+  SendTo(aMessage.node(), message.SerializeAsString());
+}
+
+void
+Coordinator::Impl::OnNews(const proto::PeerMessage& aMessage)
+{
+  const TimePoint now = Now();
+  if (MayOrder()) {
+    return; // of a holder that has been replaced, or this one learns of its successor by the lease
   }
-  if (!mPeers.OnBeat(beat, now)) {
-    return;
+  switch (mNews.Take(aMessage.news(), now)) {
+    case NewsBook::Taken::kNothing:
+      return;
+    case NewsBook::Taken::kMissing:
+      AskNews(aMessage.node());
+      return;
+    case NewsBook::Taken::kChanged:
+      break;
   }
-  mFreshness.OnBeat(beat, ConfigurationVersion(), now);
-  PassConfiguration(beat);
-  ++mCounters.mBeats;
-  mTraffic = mTraffic || beat.traffic();
-  const std::uint64_t before = mLease.Newest().last();
-  mLease.OnHint(beat.lease());
-  const bool fromHolder = beat.lease().holder() == beat.node() &&
-                          beat.lease().incarnation() == beat.incarnation() &&
-                          beat.lease().last() >= before && !MayOrder();
-  if (fromHolder && beat.replicas_size() > 0) {
-    mNews.clear();
-    for (const auto& it : beat.replicas()) {
-      mNews[it.group()] = it;
+  mChanged = true;
+  proto::PeerMessage message = NewMessage();
+  *message.mutable_news() = aMessage.news();
+  message.mutable_news()->set_age_ns(ToNs(now - mNews.AsOf()));
+  const std::string bytes = message.SerializeAsString();
+  for (const auto& it : mPeers.Correspondents(now)) {
+    if (it != aMessage.node() && mPeers.Find(it)->mBeat.follows()) {
+      SendTo(it, bytes);
     }
-    mNewsAt = now;
-    mChanged = true;
   }
-  if (!MayOrder()) {
+}
+
+void
+Coordinator::Impl::TellNewsChanges()
+{
+  const TimePoint now = Now();
+  mNews.Confirm(now);
+  if (mNews.Change() == mNewsTold) {
     return;
   }
-  for (const auto& suspect : beat.suspects()) {
-    for (const auto& [id, engine] : mDirectory.Engines()) {
-      if (ShortId(id) == suspect.engine()) {
-        AskMembers(id);
-        break;
-      }
-    }
+  proto::PeerMessage message = NewMessage();
+  *message.mutable_news() = mNews.Since(mNews.Fence(), mNewsTold, now);
+  mNewsTold = message.news().to();
+  const std::string bytes = message.SerializeAsString();
+  std::set<std::string> recipients;
+  for (const auto& it : mPeers.Correspondents(now)) {
+    recipients.insert(it);
+  }
+  recipients.insert(mTree.Delegates().begin(), mTree.Delegates().end());
+  for (const auto& [scope, delegates] : mTree.OtherDelegates()) {
+    recipients.insert(delegates.begin(), delegates.end());
+  }
+  for (const auto& it : recipients) {
+    SendTo(it, bytes);
   }
 }
 
@@ -163,28 +240,37 @@
 }
 
 void
-Coordinator::Impl::PassConfiguration(const proto::NodeBeat& aAsker)
+Coordinator::Impl::PassConfiguration(const std::string& aAsker, const proto::Beat& aBeat)
 {
-  const bool behind = aAsker.config_version() < ConfigurationVersion();
-  const Duration since = mPeers.NoteBehind(aAsker.node(), behind, Now());
-  if (!behind || aAsker.asks_freshness_at_ns() == 0 || mConfiguration.size() > kMostPassedBytes) {
+  const bool behind = aBeat.config_version() < ConfigurationVersion();
+  const Duration since = mPeers.NoteBehind(aAsker, behind, Now());
+  if (!behind || aBeat.asks_freshness_at_ns() == 0 || mConfiguration.size() > kMostPassedBytes) {
     return;
   }
-  const auto peer = mPeers.Peers().find(aAsker.node());
-  const bool due = since >= kFeedTime &&
-                   (since >= kPassersTime || VouchesFor(aAsker.node(), mPeers.AliveNodes(Now())));
-  if (!due) {
+  if (since < (aBeat.follows() ? kFeedTime : kPassersTime)) {
     return;
   }
-  proto::NodeBeat beat;
-  beat.set_node(mOptions.mNode);
-  beat.set_incarnation(mOptions.mIncarnation);
-  beat.set_configuration(mConfiguration);
-  mHooks.mSend(peer->second.mAddress, beat.SerializeAsString());
+  proto::PeerMessage message = NewMessage();
+  message.set_configuration(mConfiguration);
+  SendTo(aAsker, message.SerializeAsString());
 }
 
 void
-Coordinator::Impl::TakePrompts(const proto::NodeBeat& aBeat)
+Coordinator::Impl::OnSuspicions(const proto::Suspicions& aSuspicions)
+{
+  if (!MayOrder()) {
+    return;
+  }
+  for (const std::uint32_t engine : aSuspicions.engines()) {
+    const auto id = ShortIds().find(engine);
+    if (id != ShortIds().end()) {
+      AskMembers(id->second);
+    }
+  }
+}
+
+const std::unordered_map<std::uint32_t, std::string>&
+Coordinator::Impl::ShortIds()
 {
   if (mShortIdsOf != mDirectory.Revision()) {
     mShortIdsOf = mDirectory.Revision();
@@ -193,62 +279,71 @@
       mShortIds[ShortId(id)] = id;
     }
   }
-  std::vector<SentPrompt> prompts;
-  for (const auto& it : aBeat.prompts()) {
-    const auto id = mShortIds.find(it.engine());
-    if (id != mShortIds.end()) {
-      prompts.push_back({ id->second, std::chrono::microseconds(it.work_us()) });
-    }
-  }
-  if (!prompts.empty() && mHooks.mOnPrompts) {
-    mHooks.mOnPrompts(std::move(prompts));
-  }
+  return mShortIds;
 }
 
 void
-Coordinator::Impl::TellPrompts(const std::vector<SentPrompt>& aPrompts)
+Coordinator::Impl::TellHolder(const std::string& aHead)
 {
-  proto::NodeBeat beat;
-  beat.set_node(mOptions.mNode);
-  beat.set_incarnation(mOptions.mIncarnation);
-  beat.set_prompts_only(true);
-  for (const auto& it : aPrompts) {
-    auto* prompt = beat.add_prompts();
-    prompt->set_engine(ShortId(it.mHead));
-    prompt->set_work_us(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(it.mWork).count()));
-  }
-  const std::string bytes = beat.SerializeAsString();
-  for (const auto& [name, peer] : mPeers.Peers()) {
-    if (mPeers.Alive(peer, Now())) {
-      mHooks.mSend(peer.mAddress, bytes);
-    }
-  }
+  // Nobody else acts on a suspicion. It is told again while the head is silent, so that whoever has
+  // just taken the lease hears of it as well.
+  proto::PeerMessage message = NewMessage();
+  message.mutable_suspicions()->add_engines(ShortId(aHead));
+  SendTo(mLease.Newest().holder(), message.SerializeAsString());
+}
+
+proto::PeerMessage
+Coordinator::Impl::NewMessage() const
+{
+  proto::PeerMessage message;
+  message.set_node(mOptions.mNode);
+  message.set_incarnation(mOptions.mIncarnation);
+  return message;
 }
 
 void
-Coordinator::Impl::TellHolder()
+Coordinator::Impl::SendTo(const std::string& aNode, const std::string& aBytes)
 {
-  // Nobody else acts on a suspicion. Told to every node at once, the suspicions of one loss made
-  // as many messages as there are pairs of nodes.
-  const auto holder = mPeers.Peers().find(mLease.Newest().holder());
-  if (holder == mPeers.Peers().end() || !mPeers.Alive(holder->second, Now())) {
-    mBeatDue = Now(); // whoever takes the lease must hear of it
-    return;
+  if (const KnownPeer* peer = mPeers.Find(aNode)) {
+    mHooks.mSend(peer->mAddress, aBytes);
+  }
+}
+
+int
+Coordinator::Impl::Followers() const
+{
+  int n = mTree.FollowsItself() ? 1 : 0;
+  for (const auto& it : mPeers.Correspondents(Now())) {
+    n += mPeers.Find(it)->mBeat.follows() ? 1 : 0;
   }
-  mHooks.mSend(holder->second.mAddress, MakeBeat().SerializeAsString());
+  return n;
+}
+
+int
+Coordinator::Impl::NodesAtWork() const
+{
+  const TimePoint now = Now();
+  int n = 0;
+  const KnownPeer* followed = mPeers.Find(mTree.Followed());
+  if (followed != nullptr) {
+    n = static_cast<int>(followed->mBeat.nodes());
+  } else if (mTree.IsUpper()) {
+    n = Followers();
+    for (const auto& [name, peer] : mPeers.Peers()) {
+      n += mPeers.Alive(peer, now) ? static_cast<int>(peer.mBeat.followers()) : 0;
+    }
+  }
+  // A node that hears no delegate must not take all of a shared budget for itself.
+  return n > 0 ? n : static_cast<int>(mPeers.Peers().size()) + 1;
 }
 
 bool
-Coordinator::Impl::VouchesFor(const std::string& aNode,
-                              const std::vector<std::string>& aAlive) const
+Coordinator::Impl::WantsLoads(const std::string& aNode) const
 {
-  // Most nodes ask, since one reads for them; it answers, and a few others in case it is silent.
-  if (!AsksFreshness()) {
-    return true;
+  if (!mTree.IsUpper()) {
+    return false;
   }
-  const auto some = RendezvousTop(aNode, aAlive, kPassers);
-  return std::find(some.begin(), some.end(), mOptions.mNode) != some.end();
+  return aNode == mLease.Newest().holder() || mPeers.Find(aNode)->mBeat.followers() > 0;
 }
 
 void
@@ -256,48 +351,48 @@
 {
   const TimePoint now = Now();
   mBeatDue = now + mOptions.mBeat;
-  const proto::NodeBeat beat = MakeBeat();
-  const std::string bytes = beat.SerializeAsString();
-  const auto alive = mPeers.AliveNodes(now);
-  for (const auto& it : mPeers.Addresses(now)) {
-    if (!mFreshness.HasAsked(it.mNode) || !VouchesFor(it.mNode, alive)) {
-      mHooks.mSend(it.mAddress, bytes);
+  const std::set<std::string> targets = mTree.TakeTargets();
+  std::set<std::string> recipients = targets;
+  for (auto& it : mPeers.Correspondents(now)) {
+    recipients.insert(std::move(it));
+  }
+  proto::PeerMessage message = NewMessage();
+  const proto::Beat common = MakeBeat();
+  for (const auto& it : recipients) {
+    if (mPeers.Find(it) == nullptr) {
       continue;
     }
-    // An answer concerns the node that asked. In every heartbeat, the answers to 23 nodes were
-    // five times as long as all else.
-    proto::NodeBeat own = beat;
-    mFreshness.Answer(it.mNode, &own, now);
-    mHooks.mSend(it.mAddress, own.SerializeAsString());
+    proto::Beat& beat = *message.mutable_beat();
+    beat = common;
+    beat.set_wants_answer(targets.count(it) != 0);
+    beat.set_follows(it == mTree.Followed());
+    mFreshness.Answer(it, &beat, now);
+    if (WantsLoads(it)) {
+      AddLoads(&beat);
+    }
+    SendTo(it, message.SerializeAsString());
   }
 }
 
-proto::NodeBeat
-Coordinator::Impl::MakeBeat()
+void
+Coordinator::Impl::AddLoads(proto::Beat* aBeat) const
 {
-  const TimePoint now = Now();
-  proto::NodeBeat beat;
-  beat.set_node(mOptions.mNode);
-  beat.set_incarnation(mOptions.mIncarnation);
-  *beat.mutable_lease() = mLease.Newest();
+  if (!mTree.FollowsItself() && Followers() == 0) {
+    return; // its places are counted by the desk that granted them
+  }
   for (const auto& [id, n] : mInFlight) {
-    auto* load = beat.add_loads();
+    auto* load = aBeat->add_loads();
     load->set_engine(ShortId(id));
     load->set_in_flight(static_cast<std::uint32_t>(n));
   }
-  for (auto it = mSuspects.begin(); it != mSuspects.end();) {
-    if (now - it->second > mOptions.mBeat) {
-      it = mSuspects.erase(it);
-      continue;
-    }
-    beat.add_suspects()->set_engine(ShortId(it->first));
-    ++it;
-  }
-  if (MayOrder()) {
-    for (const auto& [name, news] : mNews) {
-      *beat.add_replicas() = news;
-    }
-  }
+}
+
+proto::Beat
+Coordinator::Impl::MakeBeat()
+{
+  const TimePoint now = Now();
+  proto::Beat beat;
+  *beat.mutable_lease() = mLease.Newest();
   beat.set_config_version(ConfigurationVersion());
   mFreshness.Fill(&beat, AsksFreshness(), ConfigurationAsOf(), now);
   beat.set_traffic(mTraffic);
@@ -307,6 +402,11 @@
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
   }
+  beat.set_followers(static_cast<std::uint32_t>(Followers()));
+  beat.set_nodes(static_cast<std::uint32_t>(NodesAtWork()));
+  beat.set_news_fence(mNews.Fence());
+  beat.set_news_change(mNews.Change());
+  beat.set_news_age_ns(ToNs(now - mNews.AsOf()));
   return beat;
 }
 
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -25,6 +25,9 @@
   if (mPlannedFence != mLease.Fence()) {
     mPlannedFence = mLease.Fence();
     mPlanners.clear();
+    mFormerNews = mNews.Replicas();
+    mNews.Begin(mPlannedFence, Now());
+    mNewsTold = 0;
     mHooks.mLog("lease_taken", { { "fence", std::to_string(mPlannedFence) } });
   }
   for (const auto& service : mRoutes->Services()) {
@@ -33,7 +36,8 @@
     }
   }
   ForgetNews();
-  mNewsAt = Now();
+  mFormerNews.clear();
+  TellNewsChanges();
 }
 
 void
@@ -55,7 +59,7 @@
   for (const auto& it : orders) {
     SendOrder(it, aService.mName);
   }
-  TellNews(planner, aService.mPool->mFormTime);
+  NoteNews(planner, aService.mPool->mFormTime);
 }
 
 void
@@ -82,15 +86,19 @@
 }
 
 void
-Coordinator::Impl::TellNews(const GroupPlanner& aPlanner, Duration aFormTime)
+Coordinator::Impl::NoteNews(const GroupPlanner& aPlanner, Duration aFormTime)
 {
   const auto bornOf = [this](const std::string& aEngine) {
     return mDirectory.NewestStart(aEngine);
   };
-  for (auto& news : NewsOf(aPlanner.Replicas(), bornOf, Now(), aFormTime)) {
-    proto::ReplicaNews& known = mNews[news.group()];
-    const bool same =
-      known.epoch() == news.epoch() && known.open() == news.open() && known.lost() == news.lost();
+  for (const auto& news : NewsOf(aPlanner.Replicas(), bornOf, Now(), aFormTime)) {
+    if (!mNews.Put(news)) {
+      continue;
+    }
+    mChanged = true;
+    const auto former = mFormerNews.find(news.group());
+    const bool same = former != mFormerNews.end() && former->second.epoch() == news.epoch() &&
+                      former->second.open() == news.open() && former->second.lost() == news.lost();
     if (same) {
       continue;
     }
@@ -101,21 +109,17 @@
                   { "open", news.open() ? "true" : "false" },
                   { "lost", news.lost() ? "true" : "false" },
                   { "why", aPlanner.Replicas().at(news.group()).mWhy } });
-    known = std::move(news);
-    mChanged = true;
-    mBeatDue = Now(); // peers must hear of it at once
   }
 }
 
 void
 Coordinator::Impl::ForgetNews()
 {
-  for (auto it = mNews.begin(); it != mNews.end();) {
-    const bool planned = std::any_of(mPlanners.begin(), mPlanners.end(), [&](const auto& aPlanner) {
-      return aPlanner.second.Replicas().count(it->first) != 0;
+  mNews.KeepOnly([this](const std::string& aGroup) {
+    return std::any_of(mPlanners.begin(), mPlanners.end(), [&](const auto& aPlanner) {
+      return aPlanner.second.Replicas().count(aGroup) != 0;
     });
-    it = planned ? std::next(it) : mNews.erase(it);
-  }
+  });
 }
 
 void
@@ -135,13 +139,12 @@
 void
 Coordinator::Impl::OnSuspect(const std::string& aHead, Duration aSilence)
 {
-  mSuspects[aHead] = Now();
   mHooks.mLog("suspect",
               { { "head", aHead }, { "silent_ms", std::to_string(ToMs(aSilence).count()) } });
   if (MayOrder()) {
     AskMembers(aHead);
   } else {
-    TellHolder();
+    TellHolder(aHead);
   }
 }
 
--- a/src/pepperbay/coordinator/freshness_book.cpp
+++ b/src/pepperbay/coordinator/freshness_book.cpp
@@ -31,20 +31,21 @@
 }
 
 void
-FreshnessBook::OnBeat(const proto::NodeBeat& aBeat, std::uint64_t aVersion, TimePoint aNow)
+FreshnessBook::OnBeat(const proto::PeerMessage& aMessage, std::uint64_t aVersion, TimePoint aNow)
 {
-  if (aBeat.asks_freshness_at_ns() != 0) {
-    mQuestions[aBeat.node()] = { aBeat.incarnation(), aBeat.asks_freshness_at_ns(), aNow };
+  const proto::Beat& beat = aMessage.beat();
+  if (beat.asks_freshness_at_ns() != 0) {
+    mQuestions[aMessage.node()] = { aMessage.incarnation(), beat.asks_freshness_at_ns(), aNow };
   }
-  if (aBeat.config_version() > aVersion) {
+  if (beat.config_version() > aVersion) {
     return; // what is in force here is older than what the peer speaks of
   }
-  for (const auto& it : aBeat.freshness()) {
+  for (const auto& it : beat.freshness()) {
     if (it.node() != mSelf || it.incarnation() != mIncarnation) {
       continue;
     }
     const TimePoint answered = TimePoint(FromNs(it.asked_at_ns())) + FromNs(it.held_ns());
-    const TimePoint asOf = answered - FromNs(aBeat.config_age_ns());
+    const TimePoint asOf = answered - FromNs(beat.config_age_ns());
     if (answered <= aNow) {
       mAsOf = std::max(mAsOf, asOf);
     }
@@ -52,7 +53,7 @@
 }
 
 void
-FreshnessBook::Fill(proto::NodeBeat* aBeat, bool aAsk, TimePoint aAsOf, TimePoint aNow)
+FreshnessBook::Fill(proto::Beat* aBeat, bool aAsk, TimePoint aAsOf, TimePoint aNow)
 {
   if (aAsk) {
     aBeat->set_asks_freshness_at_ns(ToNs(aNow.time_since_epoch()));
@@ -65,7 +66,7 @@
 }
 
 void
-FreshnessBook::Answer(const std::string& aNode, proto::NodeBeat* aBeat, TimePoint aNow) const
+FreshnessBook::Answer(const std::string& aNode, proto::Beat* aBeat, TimePoint aNow) const
 {
   const auto it = mQuestions.find(aNode);
   if (it == mQuestions.end()) {
--- a/src/pepperbay/coordinator/freshness_book.hpp
+++ b/src/pepperbay/coordinator/freshness_book.hpp
@@ -24,15 +24,15 @@
   FreshnessBook(std::string aSelf, std::uint64_t aIncarnation);
 
   /// A peer's heartbeat came; `aVersion` is the configuration in force here.
-  void OnBeat(const proto::NodeBeat& aBeat, std::uint64_t aVersion, TimePoint aNow);
+  void OnBeat(const proto::PeerMessage& aMessage, std::uint64_t aVersion, TimePoint aNow);
 
   /// Add to a heartbeat how old the configuration here is, and the question when this node asks.
   /// @param aAsOf when the configuration here was the newest for certain
-  void Fill(proto::NodeBeat* aBeat, bool aAsk, TimePoint aAsOf, TimePoint aNow);
+  void Fill(proto::Beat* aBeat, bool aAsk, TimePoint aAsOf, TimePoint aNow);
   /// @return whether a node has asked lately
   bool HasAsked(const std::string& aNode) const { return mQuestions.count(aNode) != 0; }
   /// Add the answer to what a node has asked.
-  void Answer(const std::string& aNode, proto::NodeBeat* aBeat, TimePoint aNow) const;
+  void Answer(const std::string& aNode, proto::Beat* aBeat, TimePoint aNow) const;
 
   /// @return when the configuration here was the newest by the word of peers.
   TimePoint AsOf() const { return mAsOf; }
--- a/src/pepperbay/coordinator/peer_book.cpp
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -4,11 +4,6 @@
 #include <utility>
 
 namespace pepperbay {
-namespace {
-/// A silent peer gets heartbeats for this long, so that both ends of a cut find each other again
-/// soon; after it, its next start writes a new record.
-constexpr std::chrono::seconds kWorthSending{ 30 };
-}
 
 PeerBook::PeerBook(std::string aSelf, Duration aSilence)
   : mSelf(std::move(aSelf))
@@ -17,7 +12,7 @@
 }
 
 void
-PeerBook::OnRecord(const proto::NodeRecord& aRecord, TimePoint aNow)
+PeerBook::OnRecord(const proto::NodeRecord& aRecord)
 {
   if (aRecord.node() == mSelf) {
     return;
@@ -26,26 +21,31 @@
   if (aRecord.incarnation() == peer.mIncarnation && aRecord.address() == peer.mAddress) {
     return;
   }
+  peer = KnownPeer{};
   peer.mIncarnation = aRecord.incarnation();
   peer.mAddress = aRecord.address();
+  peer.mDeskAddress = aRecord.desk_address();
   peer.mDataCentre = aRecord.data_centre();
   peer.mCpuPermille = static_cast<int>(aRecord.cpu_permille());
-  peer.mKnown = aNow;
-  peer.mHeard = TimePoint{};
-  peer.mBehindSince.reset();
-  peer.mBeat.Clear();
+  ++mRevision;
 }
 
-bool
-PeerBook::OnBeat(const proto::NodeBeat& aBeat, TimePoint aNow)
+void
+PeerBook::OnGone(const std::string& aNode)
 {
-  if (!IsCurrent(aBeat)) {
-    return false;
-  }
-  KnownPeer& peer = mPeers[aBeat.node()];
+  mPeers.erase(aNode);
+  ++mRevision;
+}
+
+void
+PeerBook::OnBeat(const std::string& aNode, const proto::Beat& aBeat, TimePoint aNow)
+{
+  KnownPeer& peer = mPeers[aNode];
   peer.mHeard = aNow;
+  if (aBeat.wants_answer()) {
+    peer.mWrote = aNow;
+  }
   peer.mBeat = aBeat;
-  return true;
 }
 
 Duration
@@ -65,10 +65,10 @@
 }
 
 bool
-PeerBook::IsCurrent(const proto::NodeBeat& aBeat) const
+PeerBook::IsCurrent(const proto::PeerMessage& aMessage) const
 {
-  const auto it = mPeers.find(aBeat.node());
-  return it != mPeers.end() && it->second.mIncarnation == aBeat.incarnation();
+  const KnownPeer* peer = Find(aMessage.node());
+  return peer != nullptr && peer->mIncarnation == aMessage.incarnation();
 }
 
 bool
@@ -77,6 +77,13 @@
   return aPeer.mHeard != TimePoint{} && aNow - aPeer.mHeard < mSilence;
 }
 
+const KnownPeer*
+PeerBook::Find(const std::string& aNode) const
+{
+  const auto it = mPeers.find(aNode);
+  return it == mPeers.end() ? nullptr : &it->second;
+}
+
 bool
 PeerBook::HasStronger(int aCpuPermille, TimePoint aNow) const
 {
@@ -88,39 +95,16 @@
          });
 }
 
-int
-PeerBook::AliveCount(TimePoint aNow) const
-{
-  int n = 1;
-  for (const auto& [name, peer] : mPeers) {
-    n += Alive(peer, aNow) ? 1 : 0;
-  }
-  return n;
-}
-
 std::vector<std::string>
-PeerBook::AliveNodes(TimePoint aNow) const
-{
-  std::vector<std::string> nodes = { mSelf };
-  for (const auto& [name, peer] : mPeers) {
-    if (Alive(peer, aNow)) {
-      nodes.push_back(name);
-    }
-  }
-  return nodes;
-}
-
-std::vector<PeerAddress>
-PeerBook::Addresses(TimePoint aNow) const
+PeerBook::Correspondents(TimePoint aNow) const
 {
-  std::vector<PeerAddress> addresses;
+  std::vector<std::string> names;
   for (const auto& [name, peer] : mPeers) {
-    const TimePoint last = std::max(peer.mHeard, peer.mKnown);
-    if (aNow - last < kWorthSending) {
-      addresses.push_back({ name, peer.mAddress });
+    if (peer.mWrote != TimePoint{} && aNow - peer.mWrote < mSilence) {
+      names.push_back(name);
     }
   }
-  return addresses;
+  return names;
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -116,21 +116,12 @@
 
 } // namespace
 
-std::uint32_t
-ShortId(const std::string& aEngine)
-{
-  return static_cast<std::uint32_t>(Hash64(aEngine));
-}
-
-std::shared_ptr<const TrafficPlan>
+std::shared_ptr<TrafficPlan>
 BuildPlan(const PlanSources& aSources)
 {
   auto plan = std::make_shared<TrafficPlan>();
   plan->mComplete = aSources.mComplete;
   plan->mRoutes = aSources.mRoutes;
-  plan->mOthersInFlight = aSources.mOthersInFlight;
-  plan->mKeysValidUntil = aSources.mKeysValidUntil;
-  plan->mNodes = aSources.mNodes;
   if (!plan->mRoutes) {
     return plan;
   }
--- a/src/pepperbay/coordinator/plan_builder.hpp
+++ b/src/pepperbay/coordinator/plan_builder.hpp
@@ -14,10 +14,6 @@
 
 namespace pepperbay {
 
-/// The lower half of the hash of an engine's id, as heartbeats carry it.
-std::uint32_t
-ShortId(const std::string& aEngine);
-
 struct PlanSources
 {
   bool mComplete = false;
@@ -26,15 +22,12 @@
   /// What the holder of the lease says of replicas, by name.
   const std::map<std::string, proto::ReplicaNews>* mNews = nullptr;
   std::function<bool(const std::string& aEngine)> mLost;
-  std::unordered_map<std::string, int> mOthersInFlight;
-  TimePoint mKeysValidUntil{};
-  int mNodes = 1;
 };
 
 /// A replica takes requests only while its head is registered and says that it is open, no member
 /// is known to be lost, and the holder, who asks the members, does not say otherwise. The holder's
 /// word goes before older registrations.
-std::shared_ptr<const TrafficPlan>
+std::shared_ptr<TrafficPlan>
 BuildPlan(const PlanSources& aSources);
 
 /// What the holder tells of its replicas.
--- a/src/pepperbay/edge/edge_metrics.hpp
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -13,6 +13,7 @@
 struct EdgeFigures
 {
   RelayCounters mRelay;
+  PlaceCounters mPlaces;
   CoordinatorCounters mCoordinator;
   bool mHoldsLease = false;
   std::uint64_t mLinesLeftOut = 0;
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -45,6 +45,78 @@
 using Timer = asio::steady_timer;
 using Udp = asio::ip::udp;
 
+/// Messages between nodes. Used by the thread of its context, but for `Open()`.
+class DatagramSocket
+{
+public:
+  explicit DatagramSocket(asio::io_context& aContext)
+    : mSocket(aContext)
+  {
+  }
+
+  Result<void> Open(const char* aStep, const std::string& aAddress)
+  {
+    const auto endpoint = ParseEndpoint(aAddress);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    boost::system::error_code ec;
+    const Udp::endpoint address(asio::ip::make_address(endpoint.value().mHost, ec),
+                                static_cast<std::uint16_t>(endpoint.value().mPort));
+    mSocket.open(address.protocol(), ec);
+    if (!ec) {
+      mSocket.bind(address, ec);
+    }
+    if (!ec) {
+      mSocket.non_blocking(true, ec);
+    }
+    if (ec) {
+      return Error{ Errc::kUnavailable, aStep, aAddress, ec.message() };
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void Send(const std::string& aAddress, const std::string& aBytes)
+  {
+    const auto endpoint = ParseEndpoint(aAddress);
+    if (!endpoint.has_value()) {
+      return;
+    }
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
+    // What cannot go out now is out of date at the next heartbeat, or is sent again.
+    mSocket.send_to(
+      asio::buffer(aBytes), { address, static_cast<std::uint16_t>(endpoint.value().mPort) }, 0, ec);
+  }
+
+  void Receive(std::function<void(const std::string& aBytes)> aOnBytes)
+  {
+    mOnBytes = std::move(aOnBytes);
+    ReceiveNext();
+  }
+
+private:
+  void ReceiveNext()
+  {
+    mSocket.async_receive_from(asio::buffer(mDatagram),
+                               mSender,
+                               [this](boost::system::error_code aError, std::size_t aSize) {
+                                 if (aError == asio::error::operation_aborted) {
+                                   return;
+                                 }
+                                 if (!aError) {
+                                   mOnBytes(std::string(mDatagram.data(), aSize));
+                                 }
+                                 ReceiveNext();
+                               });
+  }
+
+  Udp::socket mSocket;
+  Udp::endpoint mSender;
+  std::array<char, kMostDatagram> mDatagram{};
+  std::function<void(const std::string&)> mOnBytes;
+};
+
 class EdgeNodeImpl : public EdgeNode
 {
 public:
@@ -52,7 +124,8 @@
     : mSettings(std::move(aSettings))
     , mControlTimer(mControl)
     , mTrafficTimer(mTraffic)
-    , mPeerSocket(mControl)
+    , mPeers(mControl)
+    , mDesks(mTraffic)
     , mWake(::eventfd(0, EFD_CLOEXEC))
   {
   }
@@ -76,10 +149,16 @@
 
   Result<void> Open(const PlatformLinkFactory& aFactory)
   {
-    const auto peers = OpenPeerSocket();
+    const auto peers = mPeers.Open("peers.listen", mSettings.mPeers);
     if (!peers.has_value()) {
       return peers.error();
     }
+    if (!mSettings.mDesk.empty()) {
+      const auto desks = mDesks.Open("desk.listen", mSettings.mDesk);
+      if (!desks.has_value()) {
+        return desks.error();
+      }
+    }
     mClient = HttpClient::Create();
     mLink = aFactory(mSettings, mClient.get(), [this](std::function<void()> aWork) {
       asio::post(mControl, std::move(aWork));
@@ -94,7 +173,10 @@
     if (!admin.has_value()) {
       return admin.error();
     }
-    ReceiveBeat();
+    mPeers.Receive([this](const std::string& aBytes) { mCoordinator->OnMessage(aBytes); });
+    if (!mSettings.mDesk.empty()) {
+      mDesks.Receive([this](const std::string& aBytes) { mRelay->OnDeskMessage(aBytes); });
+    }
     TickControl();
     TellTraffic();
     mControlThread = std::thread([this] { mControl.run(); });
@@ -157,28 +239,6 @@
     [[maybe_unused]] const ssize_t n = ::write(mWake, &one, sizeof(one));
   }
 
-  Result<void> OpenPeerSocket()
-  {
-    const auto endpoint = ParseEndpoint(mSettings.mPeers);
-    if (!endpoint.has_value()) {
-      return endpoint.error();
-    }
-    boost::system::error_code ec;
-    const Udp::endpoint address(asio::ip::make_address(endpoint.value().mHost, ec),
-                                static_cast<std::uint16_t>(endpoint.value().mPort));
-    mPeerSocket.open(address.protocol(), ec);
-    if (!ec) {
-      mPeerSocket.bind(address, ec);
-    }
-    if (!ec) {
-      mPeerSocket.non_blocking(true, ec);
-    }
-    if (ec) {
-      return Error{ Errc::kUnavailable, "peers.listen", mSettings.mPeers, ec.message() };
-    }
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-  }
-
   Result<void> OpenAdmin()
   {
     auto admin = ServeAdmin(mSettings.mAdmin, &mAdmin);
@@ -236,6 +296,9 @@
     RelayOptions options;
     options.mCallers = mSettings.mCallers;
     options.mDataCentre = mSettings.mDataCentre;
+    options.mNode = mSettings.mName;
+    options.mIncarnation = mIncarnation;
+    options.mDeskAddress = mSettings.mDesk;
     options.mTuning = TuningOf(mSettings);
     return options;
   }
@@ -251,9 +314,10 @@
   {
     CoordinatorOptions options;
     options.mNode = mSettings.mName;
-    options.mIncarnation = NewIncarnation();
+    options.mIncarnation = mIncarnation;
     options.mDataCentre = mSettings.mDataCentre;
     options.mAddress = mSettings.mPeers;
+    options.mDeskAddress = mSettings.mDesk;
     options.mCpuPermille = static_cast<int>(mSettings.mCpuCores * kPermille);
     options.mKeysTrusted = mSettings.mRevokeWithin - kRevokeMargin;
     return options;
@@ -265,10 +329,11 @@
     hooks.mOnSuspect = [this](const std::string& aHead, Duration aSilence) {
       asio::post(mControl, [this, aHead, aSilence] { mCoordinator->OnSuspect(aHead, aSilence); });
     };
-    hooks.mOnPrompts = [this](std::vector<SentPrompt> aPrompts) {
-      asio::post(mControl,
-                 [this, prompts = std::move(aPrompts)] { mCoordinator->TellPrompts(prompts); });
-    };
+    if (!mSettings.mDesk.empty()) {
+      hooks.mSendToDesk = [this](const std::string& aAddress, const std::string& aBytes) {
+        mDesks.Send(aAddress, aBytes);
+      };
+    }
     hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
       LogEvent(aEvent, aFields);
     };
@@ -280,7 +345,7 @@
     CoordinatorHooks hooks;
     hooks.mNow = &BootClock::now;
     hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
-      SendBeat(aAddress, aBytes);
+      mPeers.Send(aAddress, aBytes);
     };
     hooks.mPublish = [this](std::shared_ptr<const TrafficPlan> aPlan) {
       mReady = mCoordinator && mCoordinator->IsReady();
@@ -290,41 +355,10 @@
     hooks.mLog = [](const char* aEvent, const std::map<std::string, std::string>& aFields) {
       LogEvent(aEvent, aFields);
     };
-    hooks.mOnPrompts = [this](std::vector<SentPrompt> aPrompts) {
-      asio::post(mTraffic, [this, prompts = std::move(aPrompts)] { mRelay->AddPrompts(prompts); });
-    };
     mLink->Connect(&hooks);
     return hooks;
   }
 
-  void SendBeat(const std::string& aAddress, const std::string& aBytes)
-  {
-    const auto endpoint = ParseEndpoint(aAddress);
-    if (!endpoint.has_value()) {
-      return;
-    }
-    boost::system::error_code ec;
-    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
-    // A heartbeat that cannot go out now is out of date at the next one.
-    mPeerSocket.send_to(
-      asio::buffer(aBytes), { address, static_cast<std::uint16_t>(endpoint.value().mPort) }, 0, ec);
-  }
-
-  void ReceiveBeat()
-  {
-    mPeerSocket.async_receive_from(asio::buffer(mDatagram),
-                                   mSender,
-                                   [this](boost::system::error_code aError, std::size_t aSize) {
-                                     if (aError == asio::error::operation_aborted) {
-                                       return;
-                                     }
-                                     if (!aError) {
-                                       mCoordinator->OnBeat(std::string(mDatagram.data(), aSize));
-                                     }
-                                     ReceiveBeat();
-                                   });
-  }
-
   void TickControl()
   {
     mControlTimer.expires_after(kControlTick);
@@ -354,6 +388,7 @@
       {
         const std::lock_guard<std::mutex> lock(mFiguresMutex);
         mFigures.mRelay = mRelay->Counters();
+        mFigures.mPlaces = mRelay->Places();
         mFigures.mLinesLeftOut = LinesLeftOut();
       }
       TellTraffic();
@@ -365,9 +400,9 @@
   asio::io_context mTraffic{ 1 };
   Timer mControlTimer;
   Timer mTrafficTimer;
-  Udp::socket mPeerSocket;
-  Udp::endpoint mSender;
-  std::array<char, kMostDatagram> mDatagram{};
+  DatagramSocket mPeers;
+  DatagramSocket mDesks;
+  const std::uint64_t mIncarnation = NewIncarnation(); ///< of this start, for all its messages
   std::unique_ptr<HttpClient> mClient;
   std::unique_ptr<PlatformLink> mLink;
   std::unique_ptr<Relay> mRelay;
--- /dev/null
+++ b/src/pepperbay/places/place_agent.cpp
@@ -0,0 +1,536 @@
+#include "pepperbay/places/place_agent.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+/// A question goes to this many desks at most before a node chooses alone.
+constexpr int kMostDesks = 2;
+/// Parts of the budget of second attempts that desks and nodes without one may spend. A desk that
+/// takes over does not know what the last one spent, so the parts leave room for it.
+constexpr double kDeskPart = 0.6;
+constexpr double kAlonePart = 0.2;
+
+std::uint64_t
+BornMs(WallTime aBorn)
+{
+  return static_cast<std::uint64_t>(aBorn.time_since_epoch().count());
+}
+
+WallTime
+BornOf(std::uint64_t aMs)
+{
+  return WallTime(std::chrono::milliseconds(aMs));
+}
+
+std::uint32_t
+ToUs(Duration aWork)
+{
+  return static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aWork).count());
+}
+
+proto::PlaceAnswer::Outcome
+WireOf(PlaceOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case PlaceOutcome::kGranted:
+      return proto::PlaceAnswer::GRANTED;
+    case PlaceOutcome::kFull:
+      return proto::PlaceAnswer::FULL;
+    case PlaceOutcome::kNoReplica:
+      return proto::PlaceAnswer::NO_REPLICA;
+    case PlaceOutcome::kNoBudget:
+      return proto::PlaceAnswer::NO_BUDGET;
+  }
+  return proto::PlaceAnswer::UNKNOWN;
+}
+
+/// @return nothing where the answer decides nothing.
+std::optional<PlaceOutcome>
+OutcomeOf(proto::PlaceAnswer::Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case proto::PlaceAnswer::GRANTED:
+      return PlaceOutcome::kGranted;
+    case proto::PlaceAnswer::FULL:
+      return PlaceOutcome::kFull;
+    case proto::PlaceAnswer::NO_REPLICA:
+      return PlaceOutcome::kNoReplica;
+    case proto::PlaceAnswer::NO_BUDGET:
+      return PlaceOutcome::kNoBudget;
+    default:
+      return std::nullopt;
+  }
+}
+
+} // namespace
+
+const char*
+ToString(PlaceOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case PlaceOutcome::kGranted:
+      return "granted";
+    case PlaceOutcome::kFull:
+      return "replicas_full";
+    case PlaceOutcome::kNoReplica:
+      return "no_replica";
+    case PlaceOutcome::kNoBudget:
+      return "no_retry_budget";
+  }
+  return "unknown";
+}
+
+PlaceAgent::PlaceAgent(PlaceAgentOptions aOptions, PlaceAgentHooks aHooks, Balancer* aBalancer)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mBalancer(aBalancer)
+  , mBook([this](const std::string& aHead) { mBalancer->OnEnd(aHead); })
+{
+}
+
+void
+PlaceAgent::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
+{
+  mPlan = std::move(aPlan);
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetOptions(BudgetOptions());
+  }
+}
+
+void
+PlaceAgent::SetBudget(double aShare, double aSlack)
+{
+  mOptions.mRetryShare = aShare;
+  mOptions.mRetrySlack = aSlack;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetOptions(BudgetOptions());
+  }
+}
+
+RetryBudget::Options
+PlaceAgent::BudgetOptions() const
+{
+  const double nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
+  const double slack = mOptions.mRetrySlack / nodes;
+  if (!mPlan || mPlan->mIsDesk) {
+    return { mOptions.mRetryShare, slack * kDeskPart * (mPlan ? mPlan->mFollowers : 1) };
+  }
+  // Less than one would never allow any; where the whole slack has one for each node, it may be
+  // one.
+  const double alone = slack * kAlonePart;
+  return { mOptions.mRetryShare, slack >= 2 ? std::max(1.0, alone) : alone };
+}
+
+RetryBudget&
+PlaceAgent::BudgetOf(const std::string& aService)
+{
+  const auto it = mBudgets.find(aService);
+  return it != mBudgets.end()
+           ? it->second
+           : mBudgets.emplace(aService, RetryBudget(BudgetOptions())).first->second;
+}
+
+bool
+PlaceAgent::Draw(const std::string& aService, bool aAgain)
+{
+  RetryBudget& budget = BudgetOf(aService);
+  if (aAgain) {
+    return budget.TakeRetry();
+  }
+  budget.OnRequest();
+  return true;
+}
+
+bool
+PlaceAgent::MayTryAgain(const std::string& aService)
+{
+  return UsableDesk() != nullptr || BudgetOf(aService).Left() >= 1.0;
+}
+
+proto::PlaceMessage
+PlaceAgent::NewMessage() const
+{
+  proto::PlaceMessage message;
+  message.set_node(mOptions.mNode);
+  message.set_incarnation(mOptions.mIncarnation);
+  return message;
+}
+
+const DeskAddress*
+PlaceAgent::UsableDesk() const
+{
+  if (!mPlan || mPlan->mIsDesk || !mHooks.mSend) {
+    return nullptr;
+  }
+  for (const auto& it : mPlan->mDesks) {
+    const auto passOver = mPassOver.find(it.mNode);
+    const bool passed = passOver != mPassOver.end() && Now() < passOver->second;
+    if (!passed && !it.mAddress.empty()) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+void
+PlaceAgent::Ask(const PlaceRequest& aRequest, Done aDone)
+{
+  Pending pending;
+  pending.mRequest = aRequest;
+  pending.mDone = std::move(aDone);
+  AskDesk(++mLastId, std::move(pending));
+}
+
+void
+PlaceAgent::AskDesk(std::uint64_t aId, Pending aPending)
+{
+  const DeskAddress* desk = aPending.mDesksAsked < kMostDesks ? UsableDesk() : nullptr;
+  if (desk == nullptr) {
+    aPending.mDone(ChooseAlone(aPending.mRequest));
+    return;
+  }
+  const PlaceRequest& request = aPending.mRequest;
+  proto::PlaceMessage message = NewMessage();
+  auto* ask = message.mutable_ask();
+  ask->set_id(aId);
+  ask->set_service(request.mService);
+  ask->set_model(request.mModel);
+  ask->set_work_us(ToUs(request.mWork));
+  for (const auto& it : request.mTried) {
+    ask->add_tried(ShortId(it));
+  }
+  for (const auto& it : mBalancer->Faulty(Now())) {
+    ask->add_faulty(ShortId(it));
+  }
+  ask->set_again(request.mAgain);
+  ask->set_data_centre(mOptions.mDataCentre);
+  ask->set_reply_address(mOptions.mAddress);
+  aPending.mDesk = *desk;
+  aPending.mBytes = message.SerializeAsString();
+  aPending.mSent = Now();
+  aPending.mResent = false;
+  ++aPending.mDesksAsked;
+  ++mCounters.mAsked;
+  mHooks.mSend(desk->mAddress, aPending.mBytes);
+  mPending[aId] = std::move(aPending);
+}
+
+PlaceAgent::Choice
+PlaceAgent::Choose(const std::string& aService, const Balancer::ReplicaQuery& aQuery) const
+{
+  Choice choice;
+  const ServiceSpec* service =
+    mPlan && mPlan->mRoutes ? mPlan->mRoutes->FindService(aService) : nullptr;
+  if (service == nullptr) {
+    return choice;
+  }
+  const auto picked = mBalancer->PickReplica(*mPlan, *service, aQuery, Now());
+  choice.mReplica = picked.mReplica;
+  choice.mOutcome = picked.mReplica != nullptr ? PlaceOutcome::kGranted
+                    : picked.mFull             ? PlaceOutcome::kFull
+                                               : PlaceOutcome::kNoReplica;
+  return choice;
+}
+
+Place
+PlaceAgent::ChooseAlone(const PlaceRequest& aRequest)
+{
+  mCounters.mAlone += mPlan && !mPlan->mIsDesk ? 1 : 0;
+  Balancer::ReplicaQuery query{ aRequest.mModel, mOptions.mDataCentre, {}, {} };
+  for (const auto& it : aRequest.mTried) {
+    query.mTried.insert(ShortId(it));
+  }
+  Place place;
+  const Choice choice = Choose(aRequest.mService, query);
+  place.mOutcome = choice.mOutcome;
+  const bool drawn =
+    (aRequest.mAgain && choice.mReplica == nullptr) || Draw(aRequest.mService, aRequest.mAgain);
+  if (!drawn) {
+    place.mOutcome = PlaceOutcome::kNoBudget;
+  }
+  if (place.mOutcome == PlaceOutcome::kGranted) {
+    place.mGroup = choice.mReplica->mGroup;
+    place.mEpoch = choice.mReplica->mEpoch;
+    place.mHead = choice.mReplica->mHead;
+    mBalancer->OnPrompt(place.mHead.mId, aRequest.mWork, Now());
+  }
+  return place;
+}
+
+void
+PlaceAgent::End(const PlaceTicket& aTicket)
+{
+  const auto held = mHeld.find(aTicket.mDesk);
+  if (held != mHeld.end() && held->second.mIds.erase(aTicket.mId) != 0) {
+    held->second.mEnded.push_back(aTicket.mId);
+  }
+}
+
+void
+PlaceAgent::OnMessage(const std::string& aBytes)
+{
+  proto::PlaceMessage message;
+  if (!message.ParseFromString(aBytes)) {
+    ++mCounters.mBadMessages;
+    return;
+  }
+  switch (message.body_case()) {
+    case proto::PlaceMessage::kAsk:
+      OnAsk(message);
+      return;
+    case proto::PlaceMessage::kAnswer:
+      OnAnswer(message);
+      return;
+    case proto::PlaceMessage::kEnds:
+      OnEnds(message);
+      return;
+    case proto::PlaceMessage::kHeld:
+      OnHeld(message);
+      return;
+    case proto::PlaceMessage::BODY_NOT_SET:
+      ++mCounters.mBadMessages; // of a newer version
+      return;
+  }
+}
+
+const PoolReplica*
+PlaceAgent::FindByHead(const std::string& aService, const std::string& aHead) const
+{
+  const auto replicas = mPlan->mReplicas.find(aService);
+  if (replicas == mPlan->mReplicas.end()) {
+    return nullptr;
+  }
+  const auto it = std::find_if(replicas->second.begin(),
+                               replicas->second.end(),
+                               [&](const PoolReplica& aIt) { return aIt.mHead.mId == aHead; });
+  return it == replicas->second.end() ? nullptr : &*it;
+}
+
+void
+PlaceAgent::OnAsk(const proto::PlaceMessage& aMessage)
+{
+  const proto::PlaceAsk& ask = aMessage.ask();
+  const bool passedOn = !ask.asker().empty();
+  const Asker asker = passedOn
+                        ? Asker{ ask.asker(), ask.asker_incarnation(), ask.reply_address() }
+                        : Asker{ aMessage.node(), aMessage.incarnation(), ask.reply_address() };
+  proto::PlaceMessage message = NewMessage();
+  proto::PlaceAnswer* answer = message.mutable_answer();
+  answer->set_id(ask.id());
+  answer->set_desk_address(mOptions.mAddress);
+  const std::string* before = mBook.Find(asker.mNode, asker.mIncarnation, ask.id());
+  const PoolReplica* granted =
+    before != nullptr && mPlan ? FindByHead(ask.service(), *before) : nullptr;
+  if (granted != nullptr) {
+    Grant(*granted, asker, ask, answer); // the answer was lost, or is slow
+    mHooks.mSend(asker.mAddress, message.SerializeAsString());
+    return;
+  }
+  if (!mPlan || !mPlan->mRoutes) {
+    answer->set_outcome(proto::PlaceAnswer::NOT_READY);
+    mHooks.mSend(asker.mAddress, message.SerializeAsString());
+    return;
+  }
+  Balancer::ReplicaQuery query{
+    ask.model(),
+    passedOn ? mOptions.mDataCentre : ask.data_centre(),
+    { ask.tried().begin(), ask.tried().end() },
+    { ask.faulty().begin(), ask.faulty().end() },
+  };
+  Choice choice = Choose(ask.service(), query);
+  const bool refused = ask.again() && choice.mReplica == nullptr;
+  if (!passedOn && !refused && !Draw(ask.service(), ask.again())) {
+    choice = { PlaceOutcome::kNoBudget, nullptr };
+  }
+  const DeskAddress* desk =
+    choice.mReplica != nullptr && !passedOn ? DeskOf(*choice.mReplica) : nullptr;
+  if (desk != nullptr) {
+    PassOn(ask, asker, *desk);
+    return;
+  }
+  answer->set_outcome(WireOf(choice.mOutcome));
+  if (choice.mReplica != nullptr) {
+    Grant(*choice.mReplica, asker, ask, answer);
+  }
+  mHooks.mSend(asker.mAddress, message.SerializeAsString());
+}
+
+void
+PlaceAgent::Grant(const PoolReplica& aReplica,
+                  const Asker& aAsker,
+                  const proto::PlaceAsk& aAsk,
+                  proto::PlaceAnswer* aAnswer)
+{
+  const EngineTarget& head = aReplica.mHead;
+  if (mBook.Find(aAsker.mNode, aAsker.mIncarnation, aAsk.id()) == nullptr) {
+    ++mCounters.mGranted;
+    mBook.Grant(aAsker.mNode, aAsker.mIncarnation, aAsk.id(), head.mId, Now());
+    mBalancer->OnStart(head.mId);
+    mBalancer->OnPrompt(head.mId, std::chrono::microseconds(aAsk.work_us()), Now());
+  }
+  aAnswer->set_outcome(proto::PlaceAnswer::GRANTED);
+  aAnswer->set_group(aReplica.mGroup);
+  aAnswer->set_epoch(aReplica.mEpoch);
+  aAnswer->set_head(head.mId);
+  aAnswer->set_address(head.mAddress);
+  aAnswer->set_head_born_ms(BornMs(head.mBorn));
+}
+
+const DeskAddress*
+PlaceAgent::DeskOf(const PoolReplica& aReplica) const
+{
+  const auto it = mPlan->mDesksOf.find(aReplica.mHead.mDataCentre);
+  return it == mPlan->mDesksOf.end() || it->second.mAddress.empty() ? nullptr : &it->second;
+}
+
+void
+PlaceAgent::PassOn(const proto::PlaceAsk& aAsk, const Asker& aAsker, const DeskAddress& aDesk)
+{
+  proto::PlaceMessage message = NewMessage();
+  *message.mutable_ask() = aAsk;
+  message.mutable_ask()->set_asker(aAsker.mNode);
+  message.mutable_ask()->set_asker_incarnation(aAsker.mIncarnation);
+  ++mCounters.mPassedOn;
+  mHooks.mSend(aDesk.mAddress, message.SerializeAsString());
+}
+
+bool
+PlaceAgent::KnowsBetter(const proto::PlaceAnswer& aAnswer, const std::string& aService) const
+{
+  const auto replicas = mPlan->mReplicas.find(aService);
+  if (replicas == mPlan->mReplicas.end()) {
+    return false;
+  }
+  return std::any_of(
+    replicas->second.begin(), replicas->second.end(), [&](const PoolReplica& aReplica) {
+      return aReplica.mGroup == aAnswer.group() &&
+             (aReplica.mEpoch > aAnswer.epoch() ||
+              (aReplica.mEpoch == aAnswer.epoch() && aReplica.mLost));
+    });
+}
+
+void
+PlaceAgent::OnAnswer(const proto::PlaceMessage& aMessage)
+{
+  const proto::PlaceAnswer& answer = aMessage.answer();
+  const auto outcome = OutcomeOf(answer.outcome());
+  PlaceTicket ticket;
+  if (outcome == PlaceOutcome::kGranted) {
+    ticket = { aMessage.node(), answer.id() };
+    Held& held = mHeld[ticket.mDesk];
+    held.mAddress = answer.desk_address();
+    if (!held.mIds.insert(ticket.mId).second) {
+      return; // the answer came twice, and the place is in use
+    }
+  }
+  const auto it = mPending.find(answer.id());
+  if (it == mPending.end()) {
+    End(ticket); // it came too late
+    return;
+  }
+  Pending pending = std::move(it->second);
+  mPending.erase(it);
+  const bool useless = !outcome || (*outcome == PlaceOutcome::kGranted &&
+                                    KnowsBetter(answer, pending.mRequest.mService));
+  if (useless) {
+    End(ticket);
+    pending.mDone(ChooseAlone(pending.mRequest));
+    return;
+  }
+  Place place;
+  place.mOutcome = *outcome;
+  place.mGroup = answer.group();
+  place.mEpoch = answer.epoch();
+  place.mHead = { answer.head(), answer.address(), "", BornOf(answer.head_born_ms()) };
+  place.mTicket = ticket;
+  if (place.mOutcome == PlaceOutcome::kGranted) {
+    mBalancer->OnPrompt(place.mHead.mId, pending.mRequest.mWork, Now());
+  }
+  pending.mDone(place);
+}
+
+void
+PlaceAgent::OnEnds(const proto::PlaceMessage& aMessage)
+{
+  for (const auto id : aMessage.ends().ids()) {
+    mBook.End(aMessage.node(), aMessage.incarnation(), id);
+  }
+}
+
+void
+PlaceAgent::OnHeld(const proto::PlaceMessage& aMessage)
+{
+  const auto& held = aMessage.held();
+  mBook.KeepOnly(aMessage.node(),
+                 aMessage.incarnation(),
+                 held.up_to(),
+                 { held.ids().begin(), held.ids().end() },
+                 Now());
+}
+
+void
+PlaceAgent::TellEnds()
+{
+  const TimePoint now = Now();
+  const std::uint64_t upTo = mPending.empty() ? mLastId : mPending.begin()->first - 1;
+  for (auto& [desk, held] : mHeld) {
+    if (!held.mEnded.empty()) {
+      proto::PlaceMessage message = NewMessage();
+      for (const auto id : std::exchange(held.mEnded, {})) {
+        message.mutable_ends()->add_ids(id);
+      }
+      mHooks.mSend(held.mAddress, message.SerializeAsString());
+      held.mToldEmpty = false;
+    }
+    const bool quiet = held.mIds.empty() && held.mToldEmpty;
+    if (quiet || now - held.mToldAt < mOptions.mTellHeldEvery) {
+      continue;
+    }
+    proto::PlaceMessage message = NewMessage();
+    message.mutable_held()->set_up_to(upTo);
+    for (const auto id : held.mIds) {
+      message.mutable_held()->add_ids(id);
+    }
+    mHooks.mSend(held.mAddress, message.SerializeAsString());
+    held.mToldAt = now;
+    held.mToldEmpty = held.mIds.empty();
+  }
+}
+
+void
+PlaceAgent::Tick()
+{
+  const TimePoint now = Now();
+  TellEnds();
+  mBook.Tick(now);
+  std::vector<std::uint64_t> late;
+  for (auto& [id, pending] : mPending) {
+    if (now - pending.mSent >= mOptions.mGiveUpAfter) {
+      late.push_back(id);
+    } else if (!pending.mResent && now - pending.mSent >= mOptions.mResendAfter) {
+      pending.mResent = true;
+      ++mCounters.mResent;
+      mHooks.mSend(pending.mDesk.mAddress, pending.mBytes);
+    }
+  }
+  for (const auto id : late) {
+    Pending pending = std::move(mPending.at(id));
+    mPending.erase(id);
+    ++mCounters.mGivenUp;
+    mPassOver[pending.mDesk.mNode] = now + mOptions.mPassOver;
+    // Its answer may have been lost, and the place be kept for nobody.
+    Held& held = mHeld[pending.mDesk.mNode];
+    held.mAddress = pending.mDesk.mAddress;
+    held.mToldEmpty = false;
+    // Under a new number, or a late answer of this desk would be taken for the next one's.
+    AskDesk(++mLastId, std::move(pending));
+  }
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/places/place_agent_test.cpp
@@ -0,0 +1,439 @@
+#include "pepperbay/places/place_agent.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kSlots = 4;
+
+/// Agents of several nodes before replicas of one model, and the messages between them.
+class PlaceWorld
+{
+public:
+  struct Node
+  {
+    std::string mName;
+    std::string mDataCentre;
+    std::unique_ptr<Balancer> mBalancer;
+    std::unique_ptr<PlaceAgent> mAgent;
+    bool mAlive = true;
+  };
+
+  PlaceWorld()
+  {
+    Configuration configuration;
+    configuration.mVersion = 1;
+    ServiceSpec pool;
+    pool.mName = "pool";
+    pool.mPool.emplace();
+    pool.mPool->mSlots = kSlots;
+    pool.mPool->mModels = { { "m", 3, 1.0, 1.0, seconds(16), seconds(1) } };
+    configuration.mServices = { pool };
+    mRoutes = std::make_shared<RouteTable>(std::move(configuration));
+  }
+
+  void AddReplicas(int aCount, const std::string& aDataCentre)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      PoolReplica replica;
+      replica.mGroup = "r" + std::to_string(mReplicas.size());
+      replica.mModel = "m";
+      replica.mEpoch = 1;
+      replica.mHead = { "e" + std::to_string(mReplicas.size()), "10.0.0.1:80", aDataCentre };
+      mReplicas.push_back(replica);
+    }
+  }
+
+  Node& AddNode(const std::string& aName, const std::string& aDataCentre = "a")
+  {
+    mNodes.emplace_back();
+    Node& node = mNodes.back();
+    node.mName = aName;
+    node.mDataCentre = aDataCentre;
+    BalancerOptions balancer;
+    balancer.mDataCentre = aDataCentre;
+    balancer.mSeed = Hash64(aName);
+    node.mBalancer = std::make_unique<Balancer>(balancer);
+    PlaceAgentOptions options;
+    options.mNode = aName;
+    options.mIncarnation = 7;
+    options.mDataCentre = aDataCentre;
+    options.mAddress = aName;
+    PlaceAgentHooks hooks;
+    hooks.mNow = mClock.Hook();
+    hooks.mSend = [this, aName](const std::string& aAddress, const std::string& aBytes) {
+      ++mSent;
+      if (mLoses && mLoses(aName, aAddress)) {
+        return;
+      }
+      mOnTheWay.emplace_back(aAddress, aBytes);
+    };
+    node.mAgent = std::make_unique<PlaceAgent>(options, hooks, node.mBalancer.get());
+    return node;
+  }
+
+  /// Give every node the plan: the named desk finds places, of its data centre.
+  void Publish(const std::map<std::string, std::vector<std::string>>& aDesks)
+  {
+    for (auto& it : mNodes) {
+      TrafficPlan plan;
+      plan.mComplete = true;
+      plan.mRoutes = mRoutes;
+      plan.mReplicas["pool"] = mReplicas;
+      plan.mNodes = static_cast<int>(mNodes.size());
+      const auto& desks = aDesks.at(it.mDataCentre);
+      plan.mIsDesk = desks.front() == it.mName;
+      plan.mFollowers = plan.mIsDesk ? plan.mNodes : 1;
+      for (const auto& desk : desks) {
+        if (desk != it.mName) {
+          plan.mDesks.push_back({ desk, desk });
+        }
+      }
+      for (const auto& [centre, others] : aDesks) {
+        if (plan.mIsDesk && centre != it.mDataCentre) {
+          plan.mDesksOf[centre] = { others.front(), others.front() };
+        }
+      }
+      it.mAgent->SetPlan(std::make_shared<TrafficPlan>(std::move(plan)));
+    }
+  }
+
+  /// Deliver what is on its way, and what that leads to.
+  void Deliver()
+  {
+    while (!mOnTheWay.empty()) {
+      const auto [address, bytes] = std::move(mOnTheWay.front());
+      mOnTheWay.pop_front();
+      for (auto& it : mNodes) {
+        if (it.mName == address && it.mAlive) {
+          it.mAgent->OnMessage(bytes);
+        }
+      }
+    }
+  }
+
+  void Run(Duration aFor)
+  {
+    for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
+      mClock.Advance(milliseconds(20));
+      for (auto& it : mNodes) {
+        if (it.mAlive) {
+          it.mAgent->Tick();
+        }
+      }
+      Deliver();
+    }
+  }
+
+  /// Ask for a place and wait for the answer.
+  Place Ask(Node& aNode, const PlaceRequest& aRequest)
+  {
+    Place place;
+    bool done = false;
+    aNode.mAgent->Ask(aRequest, [&](const Place& aPlace) {
+      EXPECT_FALSE(done) << "answered twice";
+      done = true;
+      place = aPlace;
+    });
+    Deliver();
+    for (int i = 0; i < 10 && !done; ++i) {
+      Run(milliseconds(20));
+    }
+    EXPECT_TRUE(done);
+    return place;
+  }
+
+  Place Ask(Node& aNode)
+  {
+    PlaceRequest request;
+    request.mService = "pool";
+    request.mModel = "m";
+    return Ask(aNode, request);
+  }
+
+  int InProgress(Node& aDesk, const std::string& aHead) const
+  {
+    const auto& own = aDesk.mBalancer->Own();
+    const auto it = own.find(aHead);
+    return it == own.end() ? 0 : it->second;
+  }
+
+  int InProgress(Node& aDesk) const
+  {
+    int n = 0;
+    for (const auto& [head, count] : aDesk.mBalancer->Own()) {
+      n += count;
+    }
+    return n;
+  }
+
+  ManualClock mClock;
+  std::shared_ptr<const RouteTable> mRoutes;
+  std::vector<PoolReplica> mReplicas;
+  std::deque<Node> mNodes;
+  std::deque<std::pair<std::string, std::string>> mOnTheWay; ///< address and bytes
+  std::function<bool(const std::string& aFrom, const std::string& aTo)> mLoses;
+  int mSent = 0;
+};
+
+/// Pattern: many nodes with a few requests each, all at once, before replicas whose places just
+/// suffice. Symptom of failure: engines reject a fifth of the arrivals while places stand free,
+/// since every node picks the replica that seemed emptiest to all.
+TEST(Places, ManyNodesFillAllPlacesAndNoneTwice)
+{
+  PlaceWorld world;
+  world.AddReplicas(12, "a");
+  for (int i = 0; i < 48; ++i) {
+    world.AddNode("n" + std::to_string(i));
+  }
+  world.Publish({ { "a", { "n0" } } });
+  std::map<std::string, int> taken;
+  for (auto& it : world.mNodes) {
+    const Place place = world.Ask(it);
+    ASSERT_EQ(place.mOutcome, PlaceOutcome::kGranted);
+    ++taken[place.mHead.mId];
+    if (&it == &world.mNodes.front()) {
+      it.mBalancer->OnStart(place.mHead.mId); // the desk's own request, counted when it is sent
+    }
+  }
+  EXPECT_EQ(taken.size(), 12U);
+  for (const auto& [head, n] : taken) {
+    EXPECT_EQ(n, kSlots) << head;
+  }
+}
+
+TEST(Places, APlaceIsFreeAgainOnceItIsGivenBack)
+{
+  PlaceWorld world;
+  world.AddReplicas(1, "a");
+  auto& desk = world.AddNode("desk");
+  auto& node = world.AddNode("n");
+  world.Publish({ { "a", { "desk" } } });
+  const Place place = world.Ask(node);
+  ASSERT_EQ(place.mOutcome, PlaceOutcome::kGranted);
+  EXPECT_EQ(place.mTicket.mDesk, "desk");
+  EXPECT_EQ(place.mHead.mAddress, "10.0.0.1:80");
+  EXPECT_EQ(world.InProgress(desk, "e0"), 1);
+  node.mAgent->End(place.mTicket);
+  node.mAgent->End(place.mTicket);
+  world.Run(milliseconds(40));
+  EXPECT_EQ(world.InProgress(desk, "e0"), 0);
+}
+
+/// Symptom: requests wait for seconds after a node that finds places has died.
+/// Sequence: it dies; nodes ask it until their heartbeats show that it is gone.
+/// Cause: a question waited for its answer for ever, or each one for its own timeout.
+TEST(Places, ADeskThatIsSilentCostsOneTimeout)
+{
+  PlaceWorld world;
+  world.AddReplicas(4, "a");
+  auto& first = world.AddNode("first");
+  world.AddNode("second");
+  auto& node = world.AddNode("n");
+  world.Publish({ { "a", { "first", "second" } } });
+  first.mAlive = false;
+  const TimePoint before = world.mClock.Now();
+  EXPECT_EQ(world.Ask(node).mTicket.mDesk, "second");
+  EXPECT_LE(world.mClock.Now() - before, milliseconds(60));
+  const TimePoint later = world.mClock.Now();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(world.Ask(node).mTicket.mDesk, "second");
+  }
+  EXPECT_EQ(world.mClock.Now(), later) << "the silent desk is not asked again at once";
+  EXPECT_EQ(node.mAgent->Counters().mGivenUp, 1U);
+}
+
+/// No desk answers: a node goes by what it knows itself, and nodes that cannot see each other do
+/// not all start with the same replica.
+TEST(Places, NodesWithoutADeskSpreadOverTheReplicas)
+{
+  PlaceWorld world;
+  world.AddReplicas(8, "a");
+  auto& desk = world.AddNode("desk");
+  for (int i = 0; i < 32; ++i) {
+    world.AddNode("n" + std::to_string(i));
+  }
+  world.Publish({ { "a", { "desk" } } });
+  desk.mAlive = false;
+  std::map<std::string, int> taken;
+  for (auto& it : world.mNodes) {
+    if (&it == &desk) {
+      continue;
+    }
+    const Place place = world.Ask(it);
+    ASSERT_EQ(place.mOutcome, PlaceOutcome::kGranted);
+    EXPECT_TRUE(place.mTicket.mDesk.empty());
+    ++taken[place.mHead.mId];
+  }
+  EXPECT_GE(taken.size(), 7U);
+  for (const auto& [head, n] : taken) {
+    EXPECT_LE(n, 10) << head;
+  }
+}
+
+/// Pattern: a domain of one data centre is dark, its places are full, and another data centre has
+/// many. Its desk knows what is taken there; so it grants the place and counts it.
+TEST(Places, AFullDataCentreUsesThePlacesOfAnother)
+{
+  PlaceWorld world;
+  world.AddReplicas(1, "a");
+  world.AddReplicas(2, "b");
+  auto& here = world.AddNode("here", "a");
+  auto& node = world.AddNode("n", "a");
+  auto& there = world.AddNode("there", "b");
+  world.Publish({ { "a", { "here" } }, { "b", { "there" } } });
+  std::map<std::string, int> taken;
+  std::vector<PlaceTicket> elsewhere;
+  for (int i = 0; i < 2 * kSlots; ++i) {
+    const Place place = world.Ask(node);
+    ASSERT_EQ(place.mOutcome, PlaceOutcome::kGranted);
+    ++taken[place.mTicket.mDesk];
+    if (place.mTicket.mDesk == "there") {
+      elsewhere.push_back(place.mTicket);
+    }
+  }
+  EXPECT_GE(taken["here"], kSlots - 1);
+  EXPECT_GE(taken["there"], kSlots - 1);
+  EXPECT_EQ(world.InProgress(there), taken["there"]);
+  EXPECT_EQ(world.InProgress(here), taken["here"]);
+  for (const auto& it : elsewhere) {
+    node.mAgent->End(it);
+  }
+  world.Run(milliseconds(40));
+  EXPECT_EQ(world.InProgress(there), 0);
+}
+
+/// Pattern: a domain goes dark under all nodes at once. Symptom of failure: second attempts are
+/// refused while most of the shared budget is unspent, because each node has a part too small for
+/// the streams that it happens to have there, or they exceed the budget together.
+TEST(Places, TheBudgetOfSecondAttemptsIsOneForAllNodes)
+{
+  PlaceWorld world;
+  world.AddReplicas(40, "a");
+  for (int i = 0; i < 20; ++i) {
+    world.AddNode("n" + std::to_string(i)).mAgent->SetBudget(0.2, 50);
+  }
+  world.Publish({ { "a", { "n0" } } });
+  PlaceRequest request;
+  request.mService = "pool";
+  request.mModel = "m";
+  request.mAgain = true;
+  int granted = 0;
+  for (int i = 0; i < 60; ++i) { // all of them at one node
+    granted += world.Ask(world.mNodes[5], request).mOutcome == PlaceOutcome::kGranted ? 1 : 0;
+  }
+  EXPECT_GE(granted, 25);
+  EXPECT_LE(granted, 50);
+}
+
+/// Symptom: a node sends to a replica that it knows to be lost.
+/// Sequence: the holder's word has reached the node and not yet its desk.
+TEST(Places, ANodeDoesNotTakeAPlaceThatItKnowsToBeLost)
+{
+  PlaceWorld world;
+  world.AddReplicas(2, "a");
+  world.AddNode("desk");
+  auto& node = world.AddNode("n");
+  world.Publish({ { "a", { "desk" } } });
+  TrafficPlan newer;
+  newer.mRoutes = world.mRoutes;
+  newer.mReplicas["pool"] = world.mReplicas;
+  newer.mReplicas["pool"][0].mLost = true;
+  newer.mIsDesk = false;
+  newer.mDesks = { { "desk", "desk" } };
+  node.mAgent->SetPlan(std::make_shared<TrafficPlan>(newer));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(world.Ask(node).mHead.mId, "e1");
+  }
+}
+
+TEST(Places, BytesThatAreNoMessageAreCountedAndDropped)
+{
+  PlaceWorld world;
+  auto& node = world.AddNode("n");
+  node.mAgent->OnMessage("\xff\xff garbage");
+  node.mAgent->OnMessage("");
+  EXPECT_EQ(node.mAgent->Counters().mBadMessages, 2U);
+}
+
+/// Symptom: a desk refuses requests though nothing is in progress; it counts places that nobody
+/// holds, or frees places that are held.
+/// Sequence: messages are lost, doubled and reordered; nodes ask, give back, die and start again.
+/// Property: each question is answered once, and once the network is well a desk counts exactly
+/// what nodes hold.
+RC_GTEST_PROP(PlacesProperty, ADeskCountsWhatIsHeldOnceTheNetworkIsWell, ())
+{
+  PlaceWorld world;
+  world.AddReplicas(5, "a");
+  for (const char* it : { "d1", "d2", "n1", "n2", "n3" }) {
+    world.AddNode(it);
+  }
+  world.Publish({ { "a", { "d1", "d2" } } });
+  std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+  const auto chance = [&](int aPercent) { return static_cast<int>(random() % 100) < aPercent; };
+  bool harmed = true;
+  world.mLoses = [&](const std::string&, const std::string&) { return harmed && chance(25); };
+  std::map<std::string, std::vector<PlaceTicket>> held; // by node
+  std::map<std::string, int> asked;
+  std::map<std::string, int> answered;
+  PlaceRequest request;
+  request.mService = "pool";
+  request.mModel = "m";
+  for (int step = 0; step < 150; ++step) {
+    for (auto& it : world.mNodes) {
+      if (it.mName[0] != 'n') {
+        continue;
+      }
+      if (chance(40)) {
+        ++asked[it.mName];
+        it.mAgent->Ask(request, [&, name = it.mName](const Place& aPlace) {
+          ++answered[name];
+          if (aPlace.mOutcome == PlaceOutcome::kGranted && !aPlace.mTicket.mDesk.empty()) {
+            held[name].push_back(aPlace.mTicket);
+          }
+        });
+      }
+      auto& tickets = held[it.mName];
+      if (!tickets.empty() && chance(45)) {
+        it.mAgent->End(tickets.back());
+        tickets.pop_back();
+      }
+    }
+    if (world.mOnTheWay.size() > 1 && chance(30)) {
+      std::swap(world.mOnTheWay.front(), world.mOnTheWay.back());
+    }
+    if (!world.mOnTheWay.empty() && chance(20)) {
+      world.mOnTheWay.push_back(world.mOnTheWay.front());
+    }
+    if (chance(70)) {
+      world.Run(milliseconds(20));
+    }
+  }
+  harmed = false;
+  world.Run(seconds(5));
+  RC_ASSERT(asked == answered);
+  std::map<std::string, int> expected;
+  for (const auto& [node, tickets] : held) {
+    for (const auto& it : tickets) {
+      ++expected[it.mDesk];
+    }
+  }
+  for (const char* it : { "d1", "d2" }) {
+    auto& desk = *std::find_if(world.mNodes.begin(), world.mNodes.end(), [&](const auto& aNode) {
+      return aNode.mName == it;
+    });
+    RC_ASSERT(world.InProgress(desk) == expected[it]);
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/places/place_book.cpp
@@ -0,0 +1,108 @@
+#include "pepperbay/places/place_book.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+
+PlaceBook::PlaceBook(std::function<void(const std::string& aHead)> aOnFree)
+  : mOnFree(std::move(aOnFree))
+{
+}
+
+void
+PlaceBook::Grant(const std::string& aNode,
+                 std::uint64_t aIncarnation,
+                 std::uint64_t aId,
+                 const std::string& aHead,
+                 TimePoint aNow)
+{
+  Node& node = mNodes[aNode];
+  if (node.mIncarnation != aIncarnation) {
+    FreeAll(node);
+    node.mIncarnation = aIncarnation;
+  }
+  node.mHeard = aNow;
+  node.mHeads[aId] = aHead;
+}
+
+const std::string*
+PlaceBook::Find(const std::string& aNode, std::uint64_t aIncarnation, std::uint64_t aId) const
+{
+  const auto node = mNodes.find(aNode);
+  if (node == mNodes.end() || node->second.mIncarnation != aIncarnation) {
+    return nullptr;
+  }
+  const auto head = node->second.mHeads.find(aId);
+  return head == node->second.mHeads.end() ? nullptr : &head->second;
+}
+
+void
+PlaceBook::End(const std::string& aNode, std::uint64_t aIncarnation, std::uint64_t aId)
+{
+  const auto it = mNodes.find(aNode);
+  if (it == mNodes.end() || it->second.mIncarnation != aIncarnation) {
+    return;
+  }
+  const auto head = it->second.mHeads.find(aId);
+  if (head != it->second.mHeads.end()) {
+    mOnFree(head->second);
+    it->second.mHeads.erase(head);
+  }
+}
+
+void
+PlaceBook::KeepOnly(const std::string& aNode,
+                    std::uint64_t aIncarnation,
+                    std::uint64_t aUpTo,
+                    const std::set<std::uint64_t>& aIds,
+                    TimePoint aNow)
+{
+  const auto node = mNodes.find(aNode);
+  if (node == mNodes.end() || node->second.mIncarnation != aIncarnation) {
+    return;
+  }
+  node->second.mHeard = aNow;
+  auto& heads = node->second.mHeads;
+  for (auto it = heads.begin(); it != heads.end() && it->first <= aUpTo;) {
+    if (aIds.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    mOnFree(it->second);
+    it = heads.erase(it);
+  }
+}
+
+void
+PlaceBook::Tick(TimePoint aNow)
+{
+  for (auto it = mNodes.begin(); it != mNodes.end();) {
+    if (aNow - it->second.mHeard < kForgetNode) {
+      ++it;
+      continue;
+    }
+    FreeAll(it->second);
+    it = mNodes.erase(it);
+  }
+}
+
+std::size_t
+PlaceBook::Size() const
+{
+  std::size_t n = 0;
+  for (const auto& [name, node] : mNodes) {
+    n += node.mHeads.size();
+  }
+  return n;
+}
+
+void
+PlaceBook::FreeAll(Node& aNode)
+{
+  for (const auto& [id, head] : aNode.mHeads) {
+    mOnFree(head);
+  }
+  aNode.mHeads.clear();
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -104,12 +104,10 @@
     Refuse("no_service");
     return;
   }
-  mCore->BudgetOf(mService->mName).OnRequest();
-  if (!ChooseTarget()) {
-    Refuse(mWhyNoTarget);
-    return;
+  if (!mService->mPool) {
+    mCore->BudgetOf(mService->mName).OnRequest();
   }
-  SendToEngine();
+  PlaceAndSend(false, [this](const std::string& aWhy) { Refuse(aWhy); });
 }
 
 bool
@@ -134,41 +132,90 @@
 }
 
 bool
-Exchange::ChooseTarget()
+Exchange::ChooseEngine()
 {
   const auto plan = mCore->mPlan;
-  const TimePoint now = mCore->Now();
+  const EngineTarget* engine =
+    mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, mCore->Now());
+  if (engine != nullptr) {
+    mTarget = { engine->mId, engine->mAddress, engine->mBorn };
+  }
+  return engine != nullptr;
+}
+
+PlaceRequest
+Exchange::MakePlaceRequest(bool aAgain) const
+{
+  const EnginePool& pool = *mService->mPool;
+  const ModelSpec* model = pool.FindModel(mFacts.mModel);
+  const double seconds = std::max(0.0, mFacts.mPromptTokens) /
+                         std::max(1.0, pool.mPromptTokensPerSecond) *
+                         (model == nullptr ? 1.0 : model->mPace);
+  PlaceRequest request;
+  request.mService = mService->mName;
+  request.mModel = mFacts.mModel;
+  request.mWork = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  request.mTried = mTried;
+  request.mAgain = aAgain;
+  return request;
+}
+
+void
+Exchange::TakePlace(const Place& aPlace)
+{
+  mTarget = { aPlace.mHead.mId, aPlace.mHead.mAddress, aPlace.mHead.mBorn };
+  mEpoch = aPlace.mEpoch;
+  mGroup = aPlace.mGroup;
+  mTicket = aPlace.mTicket;
+}
+
+void
+Exchange::PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise)
+{
   if (!mService->mPool) {
-    const EngineTarget* engine = mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, now);
-    mWhyNoTarget = "no_engine";
-    if (engine != nullptr) {
-      mTarget = { engine->mId, engine->mAddress, engine->mBorn };
+    if (!ChooseEngine()) {
+      aOtherwise("no_engine");
+      return;
+    }
+    if (aAgain) {
+      mCore->BudgetOf(mService->mName).TakeRetry();
     }
-    return engine != nullptr;
+    SendToEngine();
+    return;
   }
-  const auto choice = mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, mTried, now);
-  mWhyNoTarget = choice.mFull ? "replicas_full" : "no_replica";
-  if (choice.mReplica == nullptr) {
-    return false;
+  mPhase = Phase::kPlacing;
+  mCore->mPlaces.Ask(MakePlaceRequest(aAgain),
+                     [self = shared_from_this(), aOtherwise](const Place& aPlace) {
+                       if (self->mPhase == Phase::kOver) {
+                         self->mCore->mPlaces.End(aPlace.mTicket); // the caller has left
+                         return;
+                       }
+                       if (aPlace.mOutcome != PlaceOutcome::kGranted) {
+                         aOtherwise(ToString(aPlace.mOutcome));
+                         return;
+                       }
+                       self->TakePlace(aPlace);
+                       self->SendToEngine();
+                     });
+}
+
+bool
+Exchange::HasTarget() const
+{
+  const auto plan = mCore->mPlan;
+  const TimePoint now = mCore->Now();
+  if (!mService->mPool) {
+    return mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, now) != nullptr;
   }
-  const EngineTarget& head = choice.mReplica->mHead;
-  mTarget = { head.mId, head.mAddress, head.mBorn };
-  mEpoch = choice.mReplica->mEpoch;
-  mGroup = choice.mReplica->mGroup;
-  return true;
+  return mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, mTried, now).mReplica !=
+         nullptr;
 }
 
 bool
-Exchange::HasTarget()
+Exchange::HasBudget() const
 {
-  const AttemptTarget kept = mTarget;
-  const std::uint64_t epoch = mEpoch;
-  const std::string group = mGroup;
-  const bool has = ChooseTarget();
-  mTarget = kept;
-  mEpoch = epoch;
-  mGroup = group;
-  return has;
+  return mService->mPool ? mCore->mPlaces.MayTryAgain(mService->mName)
+                         : mCore->BudgetOf(mService->mName).Left() >= 1.0;
 }
 
 UpstreamRequest
@@ -205,6 +252,10 @@
   mSplitter.Reset();
   mSentAt = mCore->Now();
   ++mCore->mCounters.mAttempts;
+  if (mSent > 0) {
+    ++mCore->mCounters.mSecondAttempts;
+    mCore->mCounters.mResumes += mStreamStarted ? 1 : 0;
+  }
   mCore->mBalancer.OnStart(mTarget.mEngine);
   mAttempt = std::make_shared<Attempt>(mCore->mContext, &mCore->mConnections, mTarget);
   AttemptEvents events;
@@ -228,25 +279,9 @@
     }
   };
   ++mSent;
-  NotePrompt();
   mAttempt->Start(MakeUpstreamRequest(), !mRoute->Repeatable(), std::move(events));
 }
 
-void
-Exchange::NotePrompt()
-{
-  if (!mService->mPool || mFacts.mPromptTokens <= 0) {
-    return;
-  }
-  const EnginePool& pool = *mService->mPool;
-  const ModelSpec* model = pool.FindModel(mFacts.mModel);
-  const double seconds = mFacts.mPromptTokens / std::max(1.0, pool.mPromptTokensPerSecond) *
-                         (model == nullptr ? 1.0 : model->mPace);
-  const auto work = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-  mCore->mBalancer.OnPrompt(mTarget.mEngine, work, mCore->Now());
-  mCore->mPrompts.push_back({ mTarget.mEngine, work });
-}
-
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
@@ -382,13 +417,11 @@
   }
   // An engine's own failure of a request that may run again: another engine may do better.
   const bool again = mStatus >= kServerFailure && mRoute->Repeatable() && !mFallback &&
-                     mSent < mRoute->mMaxAttempts && HasTarget() &&
-                     mCore->BudgetOf(mService->mName).TakeRetry();
+                     mSent < mRoute->mMaxAttempts && HasTarget() && HasBudget();
   if (again) {
     mFallback = std::move(answer);
     DropAttempt();
-    ChooseTarget();
-    CountRetryAndSend();
+    PlaceAndSend(true, [this](const std::string&) { AnswerFallback("no second engine"); });
     return;
   }
   mCore->mBalancer.OnAnswer(mTarget.mEngine);
@@ -407,9 +440,15 @@
   ++mAttemptSerial;
   mAttempt->Cancel();
   mAttempt.reset();
+  EndCounts();
+}
+
+void
+Exchange::EndCounts()
+{
   mCore->mBalancer.OnEnd(mTarget.mEngine);
-  if (mWriting) {
-    mWriting = false;
+  mCore->mPlaces.End(std::exchange(mTicket, {}));
+  if (std::exchange(mWriting, false)) {
     mCore->mStalls.OnDone(mTarget.mEngine);
   }
 }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -47,6 +47,7 @@
 private:
   enum class Phase
   {
+    kPlacing, ///< waits for a place at a replica
     kWaiting, ///< sent to an engine, no answer yet
     kWhole,   ///< an answer is being collected
     kEvents,  ///< events are passed on as they come
@@ -54,11 +55,25 @@
   };
 
   bool CheckCustomer(const TrafficPlan& aPlan);
-  /// @return false when there is no engine to send to now; `mWhyNoTarget` says why
-  bool ChooseTarget();
-  bool HasTarget();
+  /// Find an engine and send, or call `aOtherwise` with the reason why there is none.
+  /// @param aAgain draws on the budget of second attempts
+  void PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise);
+  PlaceRequest MakePlaceRequest(bool aAgain) const;
+  /// Take up a place that was granted.
+  void TakePlace(const Place& aPlace);
+  /// An engine of a plain service. @return false when there is none
+  bool ChooseEngine();
+  /// @return whether another engine could take it, as far as this node knows.
+  bool HasTarget() const;
+  /// @return whether the pool bears one more second attempt.
+  bool HasBudget() const;
   void SendToEngine();
-  void NotePrompt();
+  /// Go on at another replica, if there is a place, while the present attempt still stands.
+  void Move(const std::string& aWhy);
+  /// The last attempt has failed: send again, or say so.
+  void AfterAttempt(const std::string& aWhy, RequestProgress aProgress);
+  /// Give back what is counted for the attempt that is over.
+  void EndCounts();
   UpstreamRequest MakeUpstreamRequest() const;
   Duration Left() const { return mDeadlineAt - mCore->Now(); }
 
@@ -74,7 +89,11 @@
   bool ReplicaLost() const;
   /// @return whether the engine that works on this has started again since: no answer will come.
   bool EngineRestarted() const;
-  void CountRetryAndSend();
+  void LogFailedAttempt(const std::string& aWhy,
+                        bool aMayHaveRun,
+                        const std::string& aNotAgain) const;
+  /// Pass on the engine's own failure that was kept.
+  void AnswerFallback(const std::string& aReason);
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
   void Refuse(const std::string& aReason);
@@ -106,7 +125,9 @@
   TimePoint mSentAt{};
   TimePoint mLastEventAt{}; ///< of this attempt
   std::set<std::string> mTried;
-  std::string mWhyNoTarget;
+  PlaceTicket mTicket;        ///< of the present attempt
+  bool mMoving = false;       ///< asks for a place elsewhere
+  TimePoint mMoveNotBefore{}; ///< no place was found just now
   int mSent = 0;
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -15,6 +15,9 @@
 /// Connections that did not stand, after which a request is refused: they cost no engine anything,
 /// but each takes time from the caller.
 constexpr int kMostConnectFailures = 3;
+/// A stream whose replica stands still and that found no place elsewhere asks again after this: a
+/// heartbeat, in which places come free.
+constexpr std::chrono::milliseconds kMoveAgainAfter{ 200 };
 
 std::string
 Seconds(Duration aDuration)
@@ -36,7 +39,7 @@
 Exchange::Tick()
 {
   if (mPhase == Phase::kOver || !mAttempt) {
-    return;
+    return; // a place is found, or is refused, in a few tens of milliseconds
   }
   const TimePoint now = mCore->Now();
   if (now >= mDeadlineAt) {
@@ -65,7 +68,7 @@
     const Duration most =
       std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
     if (mPhase == Phase::kWaiting && mSent < mRoute->mMaxAttempts && now - mSentAt > most &&
-        HasTarget() && mCore->BudgetOf(mService->mName).Left() >= 1.0) {
+        HasTarget() && HasBudget()) {
       OnFailure("slow", true);
     }
     return;
@@ -76,12 +79,36 @@
   // The replica stands still: go on elsewhere while the caller still waits.
   const bool lost =
     mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent || ReplicaLost();
-  if (lost && mSent < mRoute->mMaxAttempts && HasTarget() &&
-      mCore->BudgetOf(mService->mName).Left() >= 1.0) {
-    OnFailure("replica_lost", true);
+  if (lost && mSent < mRoute->mMaxAttempts && now >= mMoveNotBefore && !mMoving && HasTarget()) {
+    Move("replica_lost");
   }
 }
 
+void
+Exchange::Move(const std::string& aWhy)
+{
+  mMoving = true;
+  const std::uint64_t serial = mAttemptSerial;
+  mCore->mPlaces.Ask(MakePlaceRequest(true),
+                     [self = shared_from_this(), serial, aWhy](const Place& aPlace) {
+                       self->mMoving = false;
+                       if (aPlace.mOutcome != PlaceOutcome::kGranted) {
+                         self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
+                         return;
+                       }
+                       if (self->mPhase == Phase::kOver || self->mAttemptSerial != serial) {
+                         self->mCore->mPlaces.End(aPlace.mTicket); // it ended in the meantime
+                         return;
+                       }
+                       self->mMayHaveRun = true;
+                       self->mCore->mBalancer.OnFault(self->mTarget.mEngine, self->mCore->Now());
+                       self->LogFailedAttempt(aWhy, true, "");
+                       self->DropAttempt();
+                       self->TakePlace(aPlace);
+                       self->SendToEngine();
+                     });
+}
+
 bool
 Exchange::EngineRestarted() const
 {
@@ -128,7 +155,16 @@
   progress.mMostSent = mRoute->mMaxAttempts;
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
-  progress.mHasBudget = mSent == 0 || mCore->BudgetOf(mService->mName).Left() >= 1.0;
+  progress.mHasBudget = mSent == 0 || HasBudget();
+  LogFailedAttempt(aWhy, aMayHaveRun, WhyNotAgain(progress));
+  AfterAttempt(aWhy, progress);
+}
+
+void
+Exchange::LogFailedAttempt(const std::string& aWhy,
+                           bool aMayHaveRun,
+                           const std::string& aNotAgain) const
+{
   mCore->Log("attempt_failed",
              { { "request", mFacts.mId },
                { "engine", mTarget.mEngine },
@@ -136,25 +172,27 @@
                { "after_ms", Millis(mCore->Now() - mSentAt) },
                { "may_have_run", aMayHaveRun ? "true" : "false" },
                { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
-               { "not_again", WhyNotAgain(progress) } });
-  switch (AfterFailure(progress)) {
+               { "not_again", aNotAgain } });
+}
+
+void
+Exchange::AfterAttempt(const std::string& aWhy, RequestProgress aProgress)
+{
+  switch (AfterFailure(aProgress)) {
     case FailureStep::kSendAgain:
-      ChooseTarget();
-      if (mSent > 0) {
-        mCore->BudgetOf(mService->mName).TakeRetry();
-        CountRetryAndSend();
-      } else {
-        SendToEngine();
-      }
+      PlaceAndSend(mSent > 0, [this, aWhy, aProgress](const std::string& aNoPlace) {
+        LogFailedAttempt(aWhy, mMayHaveRun, aNoPlace);
+        RequestProgress last = aProgress;
+        last.mHasTarget = false;
+        AfterAttempt(aWhy, last);
+      });
       return;
     case FailureStep::kRefuse:
       Refuse(aWhy);
       return;
     case FailureStep::kFail:
       if (mFallback) {
-        ++mCore->mCounters.mAnswered;
-        LogEnd("answered", "second attempt failed");
-        Finish()->SendWhole(std::move(*mFallback));
+        AnswerFallback("second attempt failed");
         return;
       }
       Answer(kBadGateway, aWhy, "the engine's answer was lost; whether it ran is unknown");
@@ -166,13 +204,11 @@
 }
 
 void
-Exchange::CountRetryAndSend()
+Exchange::AnswerFallback(const std::string& aReason)
 {
-  ++mCore->mCounters.mSecondAttempts;
-  if (mStreamStarted) {
-    ++mCore->mCounters.mResumes;
-  }
-  SendToEngine();
+  ++mCore->mCounters.mAnswered;
+  LogEnd("answered", aReason);
+  Finish()->SendWhole(std::move(*mFallback));
 }
 
 void
@@ -237,10 +273,7 @@
   mPhase = Phase::kOver;
   if (mAttempt) {
     // Its answer was whole; only the counts are left to settle.
-    mCore->mBalancer.OnEnd(mTarget.mEngine);
-    if (mWriting) {
-      mCore->mStalls.OnDone(mTarget.mEngine);
-    }
+    EndCounts();
     mAttempt.reset();
   }
   mCaller = nullptr;
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/relay/relay.hpp"
 
 #include "exchange.hpp"
+#include "pepperbay/base/hash.hpp"
 #include "pepperbay/settings/settings.hpp"
 #include "relay_core.hpp"
 #include "session.hpp"
@@ -15,6 +16,32 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+BalancerOptions
+BalancerOptionsOf(const RelayOptions& aOptions)
+{
+  BalancerOptions options;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mSeed = Hash64(aOptions.mNode);
+  return options;
+}
+
+PlaceAgentOptions
+PlaceOptionsOf(const RelayOptions& aOptions)
+{
+  PlaceAgentOptions options;
+  options.mNode = aOptions.mNode;
+  options.mIncarnation = aOptions.mIncarnation;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mAddress = aOptions.mDeskAddress;
+  options.mRetryShare = aOptions.mTuning.mRetryShare;
+  options.mRetrySlack = aOptions.mTuning.mRetrySlack;
+  return options;
+}
+
+} // namespace
+
 RelayCore::RelayCore(asio::io_context& aContext,
                      RelayOptions aOptions,
                      Dialect aDialect,
@@ -23,7 +50,8 @@
   , mOptions(std::move(aOptions))
   , mDialect(std::move(aDialect))
   , mHooks(std::move(aHooks))
-  , mBalancer(BalancerOptions{ mOptions.mDataCentre })
+  , mBalancer(BalancerOptionsOf(mOptions))
+  , mPlaces(PlaceOptionsOf(mOptions), { mOptions.mNow, mHooks.mSendToDesk }, &mBalancer)
   , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
 {
 }
@@ -35,6 +63,7 @@
     ForgetReplacedStarts(mPlan->mStarts, aPlan->mStarts);
   }
   mPlan = std::move(aPlan);
+  mPlaces.SetPlan(mPlan);
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
@@ -56,6 +85,7 @@
 RelayCore::Tune(const RelayTuning& aTuning)
 {
   mOptions.mTuning = aTuning;
+  mPlaces.SetBudget(aTuning.mRetryShare, aTuning.mRetrySlack);
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
@@ -137,16 +167,12 @@
 
   void Tune(const RelayTuning& aTuning) override { mCore.Tune(aTuning); }
 
-  void AddPrompts(const std::vector<SentPrompt>& aPrompts) override
-  {
-    for (const auto& it : aPrompts) {
-      mCore.mBalancer.OnPrompt(it.mHead, it.mWork, mCore.Now());
-    }
-  }
+  void OnDeskMessage(const std::string& aBytes) override { mCore.mPlaces.OnMessage(aBytes); }
 
   std::unordered_map<std::string, int> InFlight() const override { return mCore.mBalancer.Own(); }
 
   const RelayCounters& Counters() const override { return mCore.mCounters; }
+  const PlaceCounters& Places() const override { return mCore.mPlaces.Counters(); }
 
   void BeginStop(std::function<void()> aDone) override
   {
@@ -208,9 +234,7 @@
     for (const auto& it : mCore.mStalls.Suspects(now)) {
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
-    if (!mCore.mPrompts.empty() && mCore.mHooks.mOnPrompts) {
-      mCore.mHooks.mOnPrompts(std::exchange(mCore.mPrompts, {}));
-    }
+    mCore.mPlaces.Tick();
     // Copies, since an exchange that ends leaves the set.
     const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                            mCore.mExchanges.end());
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -38,11 +38,11 @@
   RelayHooks mHooks;
   std::shared_ptr<const TrafficPlan> mPlan;
   Balancer mBalancer;
+  PlaceAgent mPlaces;
   StallDetector mStalls;
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
   RelayCounters mCounters;
-  std::vector<SentPrompt> mPrompts; ///< sent since the last tick
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
   bool mStopping = false;
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -1,5 +1,7 @@
 #include "pepperbay/routing/balancer.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -64,14 +66,15 @@
     return nullptr;
   }
   const EngineTarget* best = nullptr;
-  std::tuple<bool, int, bool> bestRank;
+  std::tuple<bool, int, bool, std::uint64_t> bestRank;
   for (const auto& it : engines->second) {
     if (aTried.count(it.mId) != 0) {
       continue;
     }
-    const std::tuple<bool, int, bool> rank{ RecentFault(it.mId, aNow),
-                                            InFlight(aPlan, it.mId),
-                                            it.mDataCentre != mOptions.mDataCentre };
+    const std::tuple<bool, int, bool, std::uint64_t> rank{ RecentFault(it.mId, aNow),
+                                                           InFlight(aPlan, it.mId),
+                                                           it.mDataCentre != mOptions.mDataCentre,
+                                                           Hash64(it.mId, mOptions.mSeed) };
     if (best == nullptr || rank < bestRank) {
       best = &it;
       bestRank = rank;
@@ -114,6 +117,7 @@
 Duration
 Balancer::CostOf(const TrafficPlan& aPlan,
                  const PoolReplica& aReplica,
+                 const std::string& aDataCentre,
                  int aSlots,
                  Duration aFastest,
                  TimePoint aNow) const
@@ -126,7 +130,7 @@
   if (reads != mReadsUntil.end()) {
     cost += std::max(Duration::zero(), reads->second - aNow);
   }
-  if (aReplica.mHead.mDataCentre != mOptions.mDataCentre) {
+  if (aReplica.mHead.mDataCentre != aDataCentre) {
     cost += mOptions.mRemoteCost;
   }
   const Duration pause = PauseOf(head, aNow);
@@ -136,12 +140,53 @@
   return cost;
 }
 
+std::vector<std::string>
+Balancer::Faulty(TimePoint aNow) const
+{
+  std::vector<std::string> faulty;
+  for (const auto& [engine, at] : mFaultAt) {
+    if (RecentFault(engine, aNow)) {
+      faulty.push_back(engine);
+    }
+  }
+  return faulty;
+}
+
 Balancer::ReplicaChoice
 Balancer::PickReplica(const TrafficPlan& aPlan,
                       const ServiceSpec& aService,
                       const std::string& aModel,
                       const std::set<std::string>& aTried,
                       TimePoint aNow) const
+{
+  ReplicaQuery query{ aModel, mOptions.mDataCentre, {}, {} };
+  for (const auto& it : aTried) {
+    query.mTried.insert(ShortId(it));
+  }
+  return PickReplica(aPlan, aService, query, aNow);
+}
+
+Duration
+Balancer::FastestPause(const std::vector<PoolReplica>& aReplicas,
+                       const std::string& aModel,
+                       TimePoint aNow) const
+{
+  Duration fastest = Duration::max();
+  for (const auto& it : aReplicas) {
+    const Duration pause = it.mModel == aModel ? PauseOf(it.mHead.mId, aNow) : Duration::zero();
+    if (pause > Duration::zero()) {
+      fastest = std::min(fastest, pause);
+    }
+  }
+  // Where nothing is known nothing is slow.
+  return fastest == Duration::max() ? Duration::zero() : fastest;
+}
+
+Balancer::ReplicaChoice
+Balancer::PickReplica(const TrafficPlan& aPlan,
+                      const ServiceSpec& aService,
+                      const ReplicaQuery& aQuery,
+                      TimePoint aNow) const
 {
   ReplicaChoice choice;
   const auto replicas = aPlan.mReplicas.find(aService.mName);
@@ -150,27 +195,23 @@
   }
   const int slots = aService.mPool->mSlots;
   const int most = static_cast<int>(slots * (1.0 + mOptions.mQueueShare));
-  Duration fastest = Duration::max();
-  for (const auto& it : replicas->second) {
-    const Duration pause = PauseOf(it.mHead.mId, aNow);
-    if (it.mModel == aModel && pause > Duration::zero()) {
-      fastest = std::min(fastest, pause);
-    }
-  }
-  if (fastest == Duration::max()) {
-    fastest = Duration::zero(); // nothing is known, and so nothing is slow
-  }
-  std::tuple<bool, Duration> bestRank;
+  const Duration fastest = FastestPause(replicas->second, aQuery.mModel, aNow);
+  std::tuple<bool, Duration, std::uint64_t> bestRank;
   for (const auto& it : replicas->second) {
-    if (it.mModel != aModel || it.mSuspended || it.mLost || aTried.count(it.mHead.mId) != 0) {
+    const std::string& head = it.mHead.mId;
+    const std::uint32_t id = ShortId(head);
+    if (it.mModel != aQuery.mModel || it.mSuspended || it.mLost || aQuery.mTried.count(id) != 0) {
       continue;
     }
-    if (InFlight(aPlan, it.mHead.mId) >= most) {
+    if (InFlight(aPlan, head) >= most) {
       choice.mFull = true;
       continue;
     }
-    const std::tuple<bool, Duration> rank{ RecentFault(it.mHead.mId, aNow),
-                                           CostOf(aPlan, it, slots, fastest, aNow) };
+    const std::tuple<bool, Duration, std::uint64_t> rank{
+      RecentFault(head, aNow) || aQuery.mFaulty.count(id) != 0,
+      CostOf(aPlan, it, aQuery.mDataCentre, slots, fastest, aNow),
+      Hash64(head, mOptions.mSeed)
+    };
     if (choice.mReplica == nullptr || rank < bestRank) {
       choice.mReplica = &it;
       bestRank = rank;
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -41,6 +41,7 @@
   ReadEndpoint(aReader, "admin", &aSettings.mAdmin);
   ReadEndpoint(aReader, "metrics", &aSettings.mMetrics);
   ReadEndpoint(aReader, "peers", &aSettings.mPeers);
+  ReadEndpoint(aReader, "desk", &aSettings.mDesk);
   ReadEndpoint(aReader, "store", &aSettings.mStore);
   aReader.Read("ready_path", &aSettings.mReadyPath);
   if (!aSettings.mReadyPath.empty() && aSettings.mReadyPath.front() != '/') {
@@ -64,13 +65,14 @@
     const char* mKey;
     std::string EdgeSettings::*mValue;
   };
-  constexpr std::array<Field, 8> kFixed{ { { "name", &EdgeSettings::mName },
+  constexpr std::array<Field, 9> kFixed{ { { "name", &EdgeSettings::mName },
                                            { "data_centre", &EdgeSettings::mDataCentre },
                                            { "callers", &EdgeSettings::mCallers },
                                            { "admin", &EdgeSettings::mAdmin },
                                            { "metrics", &EdgeSettings::mMetrics },
                                            { "ready_path", &EdgeSettings::mReadyPath },
                                            { "peers", &EdgeSettings::mPeers },
+                                           { "desk", &EdgeSettings::mDesk },
                                            { "store", &EdgeSettings::mStore } } };
   std::vector<std::string> keys;
   for (const auto& it : kFixed) {
--- a/src/pepperbay/status/pool_status.cpp
+++ b/src/pepperbay/status/pool_status.cpp
@@ -54,6 +54,10 @@
     ++node.mPeers;
     node.mPeersAlive += it.at("alive").get<bool>() ? 1 : 0;
   }
+  const Json& delegates = aJson.at("delegates");
+  node.mDelegate = delegates.at("followed").get<std::string>();
+  node.mFollowers = delegates.at("followers").get<std::size_t>();
+  node.mNewsAge = std::chrono::milliseconds(aJson.at("news").at("age_ms").get<std::int64_t>());
   return node;
 }
 
@@ -77,10 +81,11 @@
 WriteNodes(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
 {
   Column(aOut, "NODE", kNameWidth);
-  for (const char* it : { "READY", "CONFIG", "AGE", "STORE", "PEERS", "LEASE" }) {
+  for (const char* it : { "READY", "CONFIG", "AGE", "STORE", "PEERS", "NEWS AGE", "FOLLOWERS" }) {
     Column(aOut, it, kNumberWidth);
   }
-  aOut << "\n";
+  Column(aOut, "DELEGATE", kNameWidth);
+  aOut << "LEASE\n";
   for (const auto& asked : aNodes) {
     if (!asked.mStatus.has_value()) {
       Column(aOut, asked.mAddress, kNameWidth);
@@ -94,6 +99,9 @@
     Column(aOut, Seconds(it.mConfigurationAge), kNumberWidth);
     Column(aOut, it.mStoreReachable ? "reached" : "lost", kNumberWidth);
     Column(aOut, std::to_string(it.mPeersAlive) + " of " + std::to_string(it.mPeers), kNumberWidth);
+    Column(aOut, Seconds(it.mNewsAge), kNumberWidth);
+    Column(aOut, it.mFollowers, kNumberWidth);
+    Column(aOut, it.mDelegate == it.mNode ? "itself" : it.mDelegate, kNameWidth);
     aOut << (it.mHoldsLease ? "holds it" : "of " + it.mLeaseHolder) << ", fence " << it.mFence
          << "\n";
   }
