planner: a model with room completes one that is short; fewer calls at a start

Cause, from logs of the small and large sites: a replica of the larger model that lacks one engine waits 12 to 20 s for weights while the smaller model has places that nobody uses; nobody weighed the two. Change: open replicas of a model that keeps 0.7 of its places, or is less full than the other, are closed (their streams end first), and their engines that hold the weights complete the broken one. Up to a quarter of what the store of weights serves is loaded ahead. Nodes wait up to a second for a reader to answer before they read the store themselves, read the list of nodes with pauses, claim the lease only once they know the others; a lease's calls that fail are made less often. Tests: AModelWithRoomCompletesOneThatIsShort and two beside it, the tree's tests with many nodes.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -57,8 +57,13 @@
   /// of a node that reads for others, or that has missed what was passed on; and of one that has
   /// nobody to read for it. Replicas are heard of from the holder; each read is a paid call.
   Duration mHolderPause = std::chrono::milliseconds(25);
-  Duration mReaderPause = std::chrono::milliseconds(250);
+  Duration mReaderPause = std::chrono::milliseconds(400);
   Duration mOtherPause = std::chrono::milliseconds(1000);
+  /// How long the store holds a read of the list of nodes, and the shortest time between two. All
+  /// nodes of a fleet start within a third of a second, each before it hears a delegate; without a
+  /// pause each of their records answered the reads of all, 1,400 calls of 36 nodes in a test.
+  Duration mNodeWait = std::chrono::seconds(20);
+  Duration mNodePause = std::chrono::milliseconds(250);
   Duration mOrderTimeout = std::chrono::milliseconds(120);
   /// An engine that does not answer within this is taken for lost, if a second question that was
   /// sent at the same moment has no answer either.
--- a/include/pepperbay/lease/log_lease.hpp
+++ b/include/pepperbay/lease/log_lease.hpp
@@ -90,6 +90,7 @@
   bool mBusy = false;
   bool mLost = false;
   TimePoint mRetryAt{};
+  Duration mRetry{ 0 }; ///< pause after the last failure
 };
 
 } // namespace pepperbay
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -63,9 +63,15 @@
   /// After this, one is given up for another although its engines have to load weights for that:
   /// the domain has lost more than it gets back.
   Duration mWaitForLoads = std::chrono::seconds(3);
-  /// Loads onto the hosts of members that are under way at once while requests come in. They make
-  /// every other load longer once there are more than the store of weights serves at once.
-  int mLoadsAhead = 2;
+  /// A replica that serves is given up for a broken one of its domain that lacks fewer engines than
+  /// it has, if its model still has room: no more than this part of the places that are left would
+  /// be in use. Fuller than that, callers begin to wait for places.
+  double mRoomToGive = 0.7;
+  /// Loads onto the hosts of members that are under way at once while requests come in: a share of
+  /// what the store of weights serves at once, and at least so many. Beyond that they would make
+  /// the loads longer that a repair waits for.
+  double mLoadsAheadShare = 0.25;
+  int mLeastLoadsAhead = 2;
   /// A join without an answer may still be carried out this much later.
   Duration mLateOrder = std::chrono::seconds(13);
   /// What an engine says when asked is some 200 ms old, its registration a few tens; a report goes
@@ -123,6 +129,7 @@
   TimePoint mSince{};                     ///< of the phase
   std::optional<TimePoint> mLeavingSince; ///< a member leaves
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
+  bool mGivenUp = false;                  ///< its engines are needed by another
   std::string mWhy;                       ///< why it does not serve
 };
 
@@ -166,6 +173,11 @@
     GroupPlace mPlace;
     TimePoint mAt{};
   };
+  struct GivenUp
+  {
+    std::uint64_t mEpoch = 0;
+    TimePoint mAt{};
+  };
   /// A join that was not answered; see InDoubt().
   struct LostJoin
   {
@@ -213,6 +225,15 @@
   void RepairBroken();
   /// Give a broken replica up where its members complete another that waits in the same domain.
   void JoinSurvivors();
+  /// Give up a replica that serves a model with room for a broken one that lacks few engines.
+  void GiveUpServing();
+  /// @return the open replicas to be given up for a broken one; empty where that is not worth it
+  std::vector<PlannedReplica*> ServingDonors(const PlannedReplica& aTarget);
+  /// @return the part of a model's places in use if so many of its open replicas were not there;
+  /// beyond 1 while requests wait, and infinite where none would be left.
+  double PlacesInUse(const std::string& aModel, std::size_t aWithout) const;
+  /// @return engines that a broken replica lacks and that no ready engine of its domain can be.
+  std::size_t LacksReady(const PlannedReplica& aReplica) const;
   /// @return the replica to be given up; empty: none helps another
   std::string DonorAmong(std::vector<PlannedReplica*> aWaiting) const;
   enum class Ready
@@ -286,6 +307,9 @@
   /// Engine to the names of replicas that it is planned for. Looking through all replicas for each
   /// engine of a round made a round's time grow with the square of the pool.
   std::unordered_map<std::string, std::set<std::string>> mReplicasOf;
+  /// Replicas that were given up while they served, by name. Their engines' registrations go on
+  /// naming them until they have left, and taken up again each would serve and be given up anew.
+  std::map<std::string, GivenUp> mGivenUp;
   std::map<std::string, Spare> mSpares;
   std::map<std::string, Pending> mPending;
   std::map<std::string, Staging> mStaging;        ///< engines told to stage, until they have
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -79,7 +79,7 @@
                       [this](const auto& aList) { OnEngineList(aList); },
                       [this](const KeyedRecord& aRecord) { OnEngine(aRecord); }),
                     mHooks.mNow)
-  , mNodeFollower(KeyedFollowerOptions{},
+  , mNodeFollower(KeyedFollowerOptions{ mOptions.mNodeWait, mOptions.mNodePause },
                   mHooks.mNodeLog,
                   Events(
                     FollowedLog::kNodes,
@@ -161,7 +161,8 @@
   mTree.Tick(
     mPeers, { StoreLost(), mStopping, mLease.Newest().holder(), mLease.LastIsMine() }, now);
   FollowLogs();
-  if (!mStopping && (mTree.IsCandidate() || mLease.LastIsMine())) {
+  const bool candidate = mTree.IsCandidate() && mNodeFollower.HasList();
+  if (!mStopping && (candidate || mLease.LastIsMine())) {
     // All nodes at once at a lease that has ended would be as many calls to the store, and again
     // every few hundred milliseconds while it is down.
     PreferStronger();
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -82,7 +82,6 @@
   bool IsReady() const;
   /// @return whether configuration and registrations have both been read once.
   bool KnowsAll() const { return mRoutes && mEngineFollower.HasList(); }
-  int InFlightEverywhere(const std::string& aEngine) const;
   std::unordered_map<std::string, int> OthersInFlight() const;
   /// Follow the logs: from the store, or by what the delegate passes on.
   void FollowLogs();
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -52,7 +52,9 @@
   const TimePoint now = Now();
   NoteStore();
   const KnownPeer* reader = mPeers.Find(mTree.Reader());
-  if (ReadsForItself() || reader == nullptr) {
+  if (mTree.AwaitsReader()) {
+    mReads.ReadNothing();
+  } else if (ReadsForItself() || reader == nullptr) {
     mReads.ReadAll();
   } else {
     const auto& next = reader->mBeat.log_next();
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -56,23 +56,6 @@
   });
 }
 
-int
-Coordinator::Impl::InFlightEverywhere(const std::string& aEngine) const
-{
-  const auto own = mInFlight.find(aEngine);
-  int n = own == mInFlight.end() ? 0 : own->second;
-  const std::uint32_t id = ShortId(aEngine);
-  for (const auto& [name, peer] : mPeers.Peers()) {
-    if (!mPeers.Alive(peer, Now())) {
-      continue;
-    }
-    for (const auto& it : peer.mBeat.loads()) {
-      n += it.engine() == id ? static_cast<int>(it.in_flight()) : 0;
-    }
-  }
-  return n;
-}
-
 std::unordered_map<std::string, int>
 Coordinator::Impl::OthersInFlight() const
 {
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -53,7 +53,15 @@
   view.mFence = mLease.Fence();
   view.mTraffic = mTraffic;
   view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
-  view.mInFlight = [this](const std::string& aHead) { return InFlightEverywhere(aHead); };
+  // Most rounds ask for none, some for every head of the pool.
+  std::optional<std::unordered_map<std::string, int>> others;
+  view.mInFlight = [this, &others](const std::string& aHead) {
+    others = others ? std::move(others) : OthersInFlight();
+    const auto own = mInFlight.find(aHead);
+    const auto there = others->find(aHead);
+    return (own == mInFlight.end() ? 0 : own->second) +
+           (there == others->end() ? 0 : there->second);
+  };
   const auto orders = planner.Plan(view);
   AskAsPlanned(planner);
   for (const auto& it : orders) {
--- a/src/pepperbay/coordinator/log_reads.hpp
+++ b/src/pepperbay/coordinator/log_reads.hpp
@@ -36,6 +36,8 @@
 
   /// Nobody reads for this node.
   void ReadAll() { mReads.fill(true); }
+  /// Somebody may; that will show in a moment.
+  void ReadNothing() { mReads.fill(false); }
   /// Another node reads.
   /// @param aTheirs how far it has read, by its last heartbeat; empty: it did not say
   /// @param aOwn how far this node has been told
--- a/src/pepperbay/coordinator/node_tree.cpp
+++ b/src/pepperbay/coordinator/node_tree.cpp
@@ -199,6 +199,9 @@
     mFollowed = mOptions.mNode;
   }
   ChooseReader(aPeers, aOwn, aNow);
+  const bool readerless = mReader.empty() && !mCandidate;
+  mReaderless = !readerless ? TimePoint{} : mReaderless == TimePoint{} ? aNow : mReaderless;
+  mAwaitsReader = readerless && aNow - mReaderless < mOptions.mAwaitReader;
   mUpper = own || aOwn.mHoldsLease || !aPeers.Correspondents(aNow).empty();
   ChooseOthers(aPeers, aNow);
   if (mUpper && aPeers.Find(aOwn.mHolder) != nullptr) {
--- a/src/pepperbay/coordinator/node_tree.hpp
+++ b/src/pepperbay/coordinator/node_tree.hpp
@@ -38,6 +38,8 @@
   std::size_t mCandidates = 6;
   /// A node that was written to and not heard for this long is passed over: three heartbeats.
   Duration mSilence = std::chrono::milliseconds(650);
+  /// A node waits for an answer of those that may read for it so long, then it reads.
+  Duration mAwaitReader = std::chrono::milliseconds(1000);
   /// One that was passed over is written to again after this.
   Duration mRetry = std::chrono::milliseconds(1000);
   /// Who the delegates are is looked at this often: half a heartbeat.
@@ -71,6 +73,9 @@
   bool FollowsItself() const { return mFollowed == mOptions.mNode; }
   /// The node whose reads of the store this one relies on; empty: this one should read.
   const std::string& Reader() const { return mReader; }
+  /// @return whether a node that may read for this one has yet to answer: reading now would cost a
+  /// call of every node, at a start of all as many as the store bears.
+  bool AwaitsReader() const { return mAwaitsReader; }
   /// @return whether this node talks to the delegates of the other data centres.
   bool IsUpper() const { return mUpper; }
   /// @return whether this node may claim the lease.
@@ -121,6 +126,8 @@
   std::string mReader;
   bool mUpper = false;
   bool mCandidate = true;
+  bool mAwaitsReader = false;
+  TimePoint mReaderless{}; ///< since when there is none; the zero time while there is one
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/lease/log_lease.cpp
+++ b/src/pepperbay/lease/log_lease.cpp
@@ -1,10 +1,14 @@
 #include "pepperbay/lease/log_lease.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pepperbay {
 namespace {
-constexpr std::chrono::milliseconds kRetry{ 100 }; // after a failed call; a fraction of a lease
+/// After a failed call: a fraction of a lease at first, and at most the time that a store that is
+/// back may wait for its first claim. Thirty nodes contend for a lease.
+constexpr std::chrono::milliseconds kRetryFirst{ 100 };
+constexpr std::chrono::milliseconds kRetryMost{ 400 };
 }
 
 LogLease::LogLease(const LeaseOptions& aOptions, LogLeaseHooks aHooks, NowFn aNow)
@@ -158,8 +162,9 @@
 void
 LogLease::Failed()
 {
+  mRetry = mLost ? std::min<Duration>(2 * mRetry, kRetryMost) : Duration(kRetryFirst);
   mLost = true;
-  mRetryAt = mNow() + kRetry;
+  mRetryAt = mNow() + mRetry;
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -188,7 +188,8 @@
       members.push_back(it);
     }
   }
-  if (members.empty()) {
+  const auto givenUp = mGivenUp.find(aName);
+  if (members.empty() || (givenUp != mGivenUp.end() && epoch <= givenUp->second.mEpoch)) {
     return;
   }
   std::sort(members.begin(), members.end(), [](const auto* aLeft, const auto* aRight) {
@@ -250,7 +251,7 @@
     }
   }
   // Requests may not go to an engine whose registration is gone, and they go to the head.
-  leaving = leaving || FindListed(aReplica.mMembers.front()) == nullptr;
+  leaving = leaving || FindListed(aReplica.mMembers.front()) == nullptr || aReplica.mGivenUp;
   if (!leaving) {
     aReplica.mLeavingSince.reset();
     return;
@@ -264,7 +265,9 @@
   }
   const bool idle = mView->mInFlight(aReplica.mMembers.front()) == 0;
   if (idle || mView->mNow - *aReplica.mLeavingSince >= mOptions.mDrainWait) {
-    Break(aReplica, "a member leaves", mView->mNow);
+    Break(aReplica,
+          aReplica.mGivenUp ? "its engines complete another replica" : "a member leaves",
+          mView->mNow);
   }
 }
 
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -12,6 +12,11 @@
 {
   std::vector<std::string> done;
   for (auto& [name, replica] : mReplicas) {
+    if (replica.mPhase == ReplicaPhase::kBroken && replica.mGivenUp) {
+      mGivenUp[name] = { replica.mEpoch, mView->mNow };
+      done.push_back(name);
+      continue;
+    }
     if (replica.mPhase != ReplicaPhase::kBroken || mView->mNow < replica.mNotBefore) {
       continue;
     }
@@ -30,6 +35,9 @@
   }
   if (mOptions.mJoinSurvivors) {
     JoinSurvivors();
+    if (mView->mTraffic) {
+      GiveUpServing();
+    }
   }
 }
 
--- a/src/pepperbay/placement/group_planner_spares.cpp
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -95,7 +95,10 @@
   if (!mOptions.mJoinSurvivors || mOptions.mSpares != SparePolicy::kStandbyForAll) {
     return;
   }
-  const int most = mView->mTraffic ? mOptions.mLoadsAhead : mView->mPool->mLoadsAtOnce;
+  const int atOnce = mView->mPool->mLoadsAtOnce;
+  const int ahead =
+    std::max(mOptions.mLeastLoadsAhead, static_cast<int>(atOnce * mOptions.mLoadsAheadShare));
+  const int most = mView->mTraffic ? ahead : atOnce;
   for (const auto& [name, replica] : mReplicas) {
     if (replica.mPhase != ReplicaPhase::kOpen) {
       continue;
--- a/src/pepperbay/placement/group_planner_starts.cpp
+++ b/src/pepperbay/placement/group_planner_starts.cpp
@@ -27,6 +27,9 @@
     return;
   }
   mForgetDue = now + kForgetEvery;
+  for (auto it = mGivenUp.begin(); it != mGivenUp.end();) {
+    it = now - it->second.mAt >= mOptions.mForgetAfter ? mGivenUp.erase(it) : std::next(it);
+  }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
     const bool gone = now - it->second.mLastSeen >= mOptions.mForgetAfter && !InReplica(it->first);
     if (gone) {
--- a/src/pepperbay/placement/group_planner_survivors.cpp
+++ b/src/pepperbay/placement/group_planner_survivors.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/placement/group_planner.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace pepperbay {
 
@@ -116,6 +117,114 @@
   return best;
 }
 
+double
+GroupPlanner::PlacesInUse(const std::string& aModel, std::size_t aWithout) const
+{
+  std::size_t open = 0;
+  int inUse = 0;
+  for (const auto& [name, replica] : mReplicas) {
+    if (replica.mModel == aModel && replica.mPhase == ReplicaPhase::kOpen &&
+        !replica.mLeavingSince) {
+      ++open;
+      inUse += mView->mInFlight(replica.mMembers.front());
+    }
+  }
+  if (open <= aWithout) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return static_cast<double>(inUse) /
+         (static_cast<double>(open - aWithout) * std::max(1, mView->mPool->mSlots));
+}
+
+std::size_t
+GroupPlanner::LacksReady(const PlannedReplica& aReplica) const
+{
+  const auto free = FreeEngines(aReplica.mDomain, aReplica.mModel, aReplica.mName);
+  const auto ready = std::count_if(free.begin(), free.end(), [&](const EngineRecord* aEngine) {
+    return IsQuick(*aEngine, aReplica.mModel);
+  });
+  const std::size_t missing = MissingMembers(aReplica);
+  return missing - std::min(missing, static_cast<std::size_t>(ready));
+}
+
+std::vector<PlannedReplica*>
+GroupPlanner::ServingDonors(const PlannedReplica& aTarget)
+{
+  const std::size_t survivors = Survivors(aTarget).size();
+  const std::size_t lacks = LacksReady(aTarget);
+  if (lacks == 0) {
+    return {};
+  }
+  struct Candidate
+  {
+    PlannedReplica* mReplica;
+    std::size_t mReady; ///< members that can join the target without a load
+    int mInUse;
+  };
+  std::vector<Candidate> candidates;
+  for (auto& [name, replica] : mReplicas) {
+    if (replica.mDomain != aTarget.mDomain || replica.mModel == aTarget.mModel) {
+      continue;
+    }
+    if (replica.mGivenUp) {
+      return {}; // others are on their way already
+    }
+    if (replica.mPhase != ReplicaPhase::kOpen || replica.mLeavingSince) {
+      continue;
+    }
+    const auto ready =
+      std::count_if(replica.mMembers.begin(), replica.mMembers.end(), [&](const std::string& aId) {
+        const EngineRecord* engine = Find(aId);
+        return engine != nullptr && IsQuick(*engine, aTarget.mModel);
+      });
+    candidates.push_back(
+      { &replica, static_cast<std::size_t>(ready), mView->mInFlight(replica.mMembers.front()) });
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mInUse < aRight.mInUse;
+  });
+  std::vector<PlannedReplica*> donors;
+  std::map<std::string, std::size_t> given; // by model
+  std::size_t gives = 0;
+  std::size_t engines = 0;
+  for (const auto& it : candidates) {
+    const std::string& model = it.mReplica->mModel;
+    const double after = PlacesInUse(model, given[model] + 1);
+    // Beyond its places a model would lose as many callers as the other one gains.
+    const bool hasRoom = after <= mOptions.mRoomToGive ||
+                         (after <= 1.0 && after < PlacesInUse(aTarget.mModel, 0));
+    if (gives >= lacks || it.mReady == 0 || !hasRoom) {
+      continue;
+    }
+    ++given[model];
+    gives += it.mReady;
+    engines += it.mReplica->mMembers.size();
+    donors.push_back(it.mReplica);
+  }
+  // Fewer engines must stand still for it than would otherwise.
+  const bool worth = gives >= lacks && engines < survivors + lacks;
+  return worth ? donors : std::vector<PlannedReplica*>{};
+}
+
+void
+GroupPlanner::GiveUpServing()
+{
+  // Losses fall on the largest replicas first, and one engine short they are as dark as with none:
+  // fifteen engines wait for a sixteenth, 12 to 20 s where their domain has no spare left, while
+  // the smaller model has places that nobody uses. The engines that are left over become spares.
+  for (const auto& [name, target] : mReplicas) {
+    const bool waits = target.mPhase == ReplicaPhase::kBroken && !target.mGivenUp &&
+                       mView->mNow - target.mSince >= mOptions.mWaitForSpare &&
+                       mView->mNow >= target.mNotBefore;
+    if (!waits || mView->mPool->FindModel(target.mModel) == nullptr) {
+      continue;
+    }
+    for (auto* it : ServingDonors(target)) {
+      it->mGivenUp = true;
+    }
+  }
+}
+
 double
 GroupPlanner::OpenShare(const std::string& aModel) const
 {
--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -49,6 +49,81 @@
   }
 }
 
+/// Pattern: losses fall on the largest replicas first; their domain has no spare left, and the
+/// smaller model has places that nobody uses. Symptom of failure: five engines wait 16 s for a
+/// sixth.
+TEST(GroupPlannerSurvivors, AModelWithRoomCompletesOneThatIsShort)
+{
+  World world(3);
+  GroupPlanner planner;
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  world.mTraffic = true;
+  world.mInFlightOf = { { "big", 20 }, { "small", 8 } }; // of 26 at each
+  const std::string lost = world.MemberOf(planner, "big", 3);
+  const std::string domain = world.mPool.At(lost).mRecord.mDomain;
+  for (const auto& it : SparesOf(world)) {
+    if (world.mPool.At(it).mRecord.mDomain == domain) {
+      world.Kill(it);
+    }
+  }
+  world.Kill(lost);
+  world.Run(planner, seconds(5));
+  EXPECT_EQ(world.mPool.Serving("big"), 3U);
+  EXPECT_EQ(world.mPool.Serving("small"), 2U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+  world.Run(planner, seconds(30));
+  EXPECT_EQ(world.mPool.Serving("big"), 3U) << "no flapping";
+  EXPECT_EQ(world.mPool.Serving("small"), 2U);
+}
+
+/// Pattern: the same losses while the smaller model is full, or has one replica only. To give that
+/// up would refuse as many callers as it helps.
+TEST(GroupPlannerSurvivors, AModelWithoutRoomKeepsItsReplicas)
+{
+  for (const std::size_t domains : { std::size_t(3), std::size_t(1) }) {
+    World world(domains);
+    GroupPlanner planner;
+    world.Run(planner, kAllStaged, 1, milliseconds(100));
+    world.mTraffic = true;
+    const int full = 24;
+    world.mInFlightOf = { { "big", 20 }, { "small", domains == 1 ? 1 : full } };
+    const std::string lost = world.MemberOf(planner, "big", 3);
+    for (const auto& it : SparesOf(world)) {
+      world.Kill(it);
+    }
+    world.Kill(lost);
+    world.Run(planner, seconds(5));
+    EXPECT_EQ(world.mPool.Serving("small"), domains);
+  }
+}
+
+/// Pattern: a replica that is given up has streams. It takes no new ones, and its engines leave it
+/// only when they have ended or had their time.
+TEST(GroupPlannerSurvivors, AReplicaThatIsGivenUpEndsItsStreamsFirst)
+{
+  World world(3);
+  GroupPlanner planner;
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  world.mTraffic = true;
+  world.mInFlightOf = { { "big", 20 }, { "small", 8 } };
+  const std::string lost = world.MemberOf(planner, "big", 3);
+  for (const auto& it : SparesOf(world)) {
+    world.Kill(it);
+  }
+  world.Kill(lost);
+  world.mGiven.clear();
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(world.mGiven[GroupOrderKind::kLeave], 0);
+  std::size_t closing = 0;
+  for (const auto& [name, replica] : planner.Replicas()) {
+    closing += replica.mGivenUp && replica.mLeavingSince ? 1 : 0;
+  }
+  EXPECT_EQ(closing, 1U);
+  EXPECT_EQ(world.mPool.Serving("small"), 3U);
+  world.Run(planner, seconds(2));
+  EXPECT_EQ(world.mGiven[GroupOrderKind::kLeave], 3);
+}
+
 /// Symptom: a replica that could be whole in a second forms for 16 s.
 /// Sequence: a domain has no spare left and an empty engine comes; a replica loses a member and
 /// takes the empty engine; then a spare comes free.
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -75,7 +75,10 @@
     view.mFence = aFence;
     view.mTraffic = mTraffic;
     view.mDead = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
-    view.mInFlight = [this](const std::string&) { return mInFlight; };
+    view.mInFlight = [this](const std::string& aHead) {
+      const auto model = mInFlightOf.find(mPool.At(aHead).mModel);
+      return model == mInFlightOf.end() ? mInFlight : model->second;
+    };
     if (++mRounds % 35 == 0) { // about every 700 ms whoever left orders unanswered is asked
       const auto unanswering = aPlanner.Unanswering();
       for (const auto& it : unanswering) {
@@ -203,7 +206,8 @@
   std::function<Fate(const GroupOrder&)> mFate;
   std::vector<std::pair<TimePoint, GroupOrder>> mLate;
   std::map<GroupOrderKind, int> mGiven;
-  int mInFlight = 0;
+  int mInFlight = 0;                      ///< at each head
+  std::map<std::string, int> mInFlightOf; ///< the same by model, where it differs
   int mRounds = 0;
   bool mTraffic = false;
 };
--- a/src/pepperbay/settings/edge_settings_test.cpp
+++ b/src/pepperbay/settings/edge_settings_test.cpp
@@ -31,11 +31,20 @@
 TEST(EdgeSettings, TakesEveryLimitThatHasAMeaning)
 {
   const std::vector<const char*> cases = {
-    "retry_slack: 35.21052631578947\n", "retry_slack: 0\n",     "retry_slack: 4.0e+6\n",
-    "retry_share: 1.5\n",               "retry_share: 0\n",     "memory_mb: 160.5\n",
-    "memory_mb: 3000000\n",             "cpu_cores: 0.12\n",    "cpu_cores: 4096\n",
-    "revoke_within: 86400s\n",          "revoke_within: 2.5s\n", "revoke_within: 1250.5ms\n",
-    "stop_within: 0.5s\n",              "stop_within: 3600s\n",
+    "retry_slack: 35.21052631578947\n",
+    "retry_slack: 0\n",
+    "retry_slack: 4.0e+6\n",
+    "retry_share: 1.5\n",
+    "retry_share: 0\n",
+    "memory_mb: 160.5\n",
+    "memory_mb: 3000000\n",
+    "cpu_cores: 0.12\n",
+    "cpu_cores: 4096\n",
+    "revoke_within: 86400s\n",
+    "revoke_within: 2.5s\n",
+    "revoke_within: 1250.5ms\n",
+    "stop_within: 0.5s\n",
+    "stop_within: 3600s\n",
   };
   for (const char* it : cases) {
     const auto report = ParseEdgeSettings("e.yaml", std::string(kGood) + it);
