bench/fleet: what nodes tell each other, by their number, in virtual time

Cause: CAPACITY's figures for nodes before a pool were worked out; no run showed messages, bytes between data centres or the age of what is known at more than 65 nodes. Change: the coordinators' world of the tests is a class of its own (coordinator_world.hpp), and a measurement runs it at any number of nodes, all well and with all delegates killed, heard no more, or a tenth of the messages lost.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -141,6 +141,10 @@
 target_include_directories(pepperbay_bench_pools PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(pepperbay_bench_pools PRIVATE pepperbay_placement pepperbay_routing
                       pepperbay_dispatch absl::flags absl::flags_parse pepperbay_warnings)
+add_executable(pepperbay_bench_fleet bench/fleet.cpp)
+target_include_directories(pepperbay_bench_fleet PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/src)
+target_link_libraries(pepperbay_bench_fleet PRIVATE pepperbay_coordinator absl::flags absl::flags_parse
+                      pepperbay_warnings)
 add_executable(pepperbay_bench_routing bench/routing.cpp)
 target_link_libraries(pepperbay_bench_routing PRIVATE pepperbay_routing pepperbay_admission
                       absl::flags absl::flags_parse pepperbay_warnings)
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -0,0 +1,284 @@
+/// @file
+/// @brief Coordinators before a fake pool and fake logs, in virtual time.
+#pragma once
+
+#include "fakes/fake_keyed_log.hpp"
+#include "fakes/fake_lease_log.hpp"
+#include "fakes/fake_pool.hpp"
+#include "pepperbay/coordinator/coordinator.hpp"
+
+#include <deque>
+#include <memory>
+
+namespace pepperbay {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline EnginePool
+OneModel()
+{
+  EnginePool pool;
+  pool.mSlots = 8;
+  pool.mFormTime = milliseconds(300);
+  pool.mLoadsPerSecond = 10;
+  pool.mModels = { { "m", 3, 1.0, 1.0, seconds(2), milliseconds(500) } };
+  return pool;
+}
+
+/// A few nodes before one pool, with a store and a clock that the test moves. Configurations are
+/// written as their version number; `bad` is one that cannot be understood.
+class CoordinatorWorld
+{
+public:
+  struct TestNode
+  {
+    std::string mName;
+    std::unique_ptr<Coordinator> mCoordinator;
+    std::shared_ptr<const TrafficPlan> mPlan;
+    bool mStoreDown = false; ///< for this node only
+    bool mAlive = true;
+  };
+
+  /// Five engines in one domain, and a configuration.
+  void AddPool()
+  {
+    for (const char* it : { "e0", "e1", "e2", "e3", "e4" }) {
+      mPool.Add(it, "d");
+    }
+    Configure("1");
+  }
+
+  void Configure(const std::string& aVersion) { mConfigLog.Put("config", aVersion); }
+
+  TestNode& AddNode(const std::string& aName, int aCpuPermille = 0, const char* aDataCentre = "")
+  {
+    mNodes.emplace_back();
+    TestNode& node = mNodes.back();
+    node.mName = aName;
+    CoordinatorOptions options;
+    options.mNode = aName;
+    options.mIncarnation = ++mIncarnations;
+    options.mAddress = aName;
+    options.mDeskAddress = "desk of " + aName;
+    options.mDataCentre = aDataCentre;
+    options.mCpuPermille = aCpuPermille;
+    node.mCoordinator = std::make_unique<Coordinator>(options, HooksOf(node));
+    return node;
+  }
+
+  /// A log's hooks that fail while the store is down for the node.
+  KeyedLogHooks Guarded(const KeyedLogHooks& aHooks, const TestNode& aNode)
+  {
+    KeyedLogHooks guarded;
+    guarded.mNewest = [this, aHooks, &aNode](const std::string& aAfter,
+                                             const std::function<void(Result<KeyedPage>)>& aDone) {
+      if (aNode.mStoreDown || mStoreDown) {
+        aDone(Error{ Errc::kUnavailable, "log.newest", "store", "" });
+        return;
+      }
+      aHooks.mNewest(aAfter, aDone);
+    };
+    guarded.mRead = [this, aHooks, &aNode](std::uint64_t aFrom,
+                                           Duration aWait,
+                                           const std::function<void(Result<KeyedTail>)>& aDone) {
+      ++mReads[aNode.mName];
+      if (aNode.mStoreDown || mStoreDown) {
+        aDone(Error{ Errc::kUnavailable, "log.read", "store", "" });
+        return;
+      }
+      aHooks.mRead(aFrom, aWait, aDone);
+    };
+    return guarded;
+  }
+
+  LogLeaseHooks GuardedLease(const TestNode& aNode)
+  {
+    const LogLeaseHooks hooks = mLeaseLog.Hooks();
+    LogLeaseHooks guarded;
+    guarded.mAppend =
+      [this, hooks, &aNode](std::uint64_t aEnd,
+                            const std::string& aRecord,
+                            const std::function<void(Result<ConditionalAppend>)>& aDone) {
+        if (aNode.mStoreDown || mStoreDown) {
+          aDone(Error{ Errc::kUnavailable, "lease.append", "store", "" });
+          return;
+        }
+        hooks.mAppend(aEnd, aRecord, aDone);
+      };
+    guarded.mRead = [this, hooks, &aNode](std::uint64_t aFrom,
+                                          const std::function<void(Result<LeaseTail>)>& aDone) {
+      if (aNode.mStoreDown || mStoreDown) {
+        aDone(Error{ Errc::kUnavailable, "lease.read", "store", "" });
+        return;
+      }
+      hooks.mRead(aFrom, aDone);
+    };
+    return guarded;
+  }
+
+  CoordinatorHooks HooksOf(TestNode& aNode)
+  {
+    CoordinatorHooks hooks;
+    hooks.mNow = mClock.Hook();
+    hooks.mConfigLog = Guarded(mConfigLog.Hooks(), aNode);
+    hooks.mEngineLog = Guarded(mEngineLog.Hooks(), aNode);
+    hooks.mNodeLog = Guarded(mNodeLog.Hooks(), aNode);
+    hooks.mLeaseLog = GuardedLease(aNode);
+    hooks.mConfigKey = "config";
+    hooks.mDecodeConfiguration = [this](const std::string& aBody) -> Result<Configuration> {
+      if (aBody == "bad") {
+        return Error{ Errc::kInvalid, "configuration.decode", "store", "bad" };
+      }
+      Configuration configuration;
+      configuration.mVersion = std::stoul(aBody);
+      ServiceSpec pool;
+      pool.mName = "pool";
+      pool.mPool = OneModel();
+      configuration.mServices = { pool };
+      if (mTwoPools) {
+        pool.mName = "second";
+        configuration.mServices.push_back(pool);
+      }
+      return configuration;
+    };
+    hooks.mDecodeEngine = [this](const std::string& aId,
+                                 const std::string& /*aBody*/) -> Result<EngineRecord> {
+      if (mUnreadable.count(aId) != 0) {
+        return Error{ Errc::kInvalid, "engine.decode", aId, "odd" };
+      }
+      return mPool.At(aId).mRecord;
+    };
+    hooks.mPutNode = [this](const std::string& aKey,
+                            const std::string& aValue,
+                            const std::function<void(Result<void>)>& aDone) {
+      mNodeLog.Put(aKey, aValue);
+      aDone(BOOST_OUTCOME_V2_NAMESPACE::success());
+    };
+    hooks.mOrder = [this](const GroupOrder& aOrder,
+                          Duration /*aTimeout*/,
+                          const std::function<void(OrderAnswer)>& aDone) {
+      ++mOrders[aOrder.mKind];
+      mLater.push_back([this, aOrder, aDone] { aDone(mPool.Order(aOrder, mClock.Now())); });
+    };
+    hooks.mAsk = [this](const EngineRecord& aEngine,
+                        Duration /*aTimeout*/,
+                        const std::function<void(Result<EngineReport>)>& aDone) {
+      mLater.push_back([this, id = aEngine.mId, aDone] {
+        if (mPool.At(id).mAlive) {
+          aDone(mPool.Report(id));
+        } else {
+          aDone(Error{ Errc::kTimeout, "engine.ask", id, "" });
+        }
+      });
+    };
+    hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
+      mLastSent[aAddress] = aBytes;
+      proto::PeerMessage message;
+      message.ParseFromString(aBytes);
+      if (mOnSend) {
+        mOnSend(aAddress, message);
+      }
+      if ((mLoseFeeds && message.has_feed()) || (mLoses && mLoses(message.node(), aAddress))) {
+        return;
+      }
+      mLater.push_back([this, aAddress, aBytes] { Deliver(aAddress, aBytes); });
+    };
+    hooks.mPublish = [&aNode](std::shared_ptr<const TrafficPlan> aPlan) {
+      aNode.mPlan = std::move(aPlan);
+    };
+    hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& /*aFields*/) {
+      ++mLines[aEvent];
+    };
+    return hooks;
+  }
+
+  void Deliver(const std::string& aAddress, const std::string& aBytes)
+  {
+    for (auto& it : mNodes) {
+      if (it.mName == aAddress && it.mAlive) {
+        it.mCoordinator->OnMessage(aBytes);
+      }
+    }
+  }
+
+  /// Engines register what has changed.
+  void Register()
+  {
+    for (const auto& [id, engine] : mPool.Engines()) {
+      const GroupPlace& place = engine.mRecord.mGroup;
+      const std::string state = place.mName + std::to_string(place.mEpoch) +
+                                ToString(place.mPhase) +
+                                std::to_string(engine.mRecord.mStagedModels.size()) + "@" +
+                                std::to_string(engine.mRecord.mBorn.time_since_epoch().count()) +
+                                (engine.mRecord.mLeaving ? "leaving" : "");
+      const bool lists = engine.mAlive && engine.mListed;
+      if (lists && mRegistered[id] != state) {
+        mRegistered[id] = state;
+        mEngineLog.Put(id, state);
+      }
+    }
+  }
+
+  void Run(Duration aFor)
+  {
+    for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
+      mClock.Advance(milliseconds(20));
+      mPool.Advance(mClock.Now());
+      Register();
+      for (auto& it : mNodes) {
+        if (it.mAlive) {
+          it.mCoordinator->Tick();
+        }
+      }
+      std::vector<std::function<void()>> due;
+      due.swap(mLater);
+      for (const auto& it : due) {
+        it();
+      }
+    }
+  }
+
+  TestNode& Holder()
+  {
+    for (auto& it : mNodes) {
+      if (it.mAlive && it.mCoordinator->HoldsLease()) {
+        return it;
+      }
+    }
+    return mNodes.front();
+  }
+
+  static int Usable(const TestNode& aNode, const char* aPool = "pool")
+  {
+    int n = 0;
+    for (const auto& it : aNode.mPlan->mReplicas.at(aPool)) {
+      n += it.mSuspended || it.mLost ? 0 : 1;
+    }
+    return n;
+  }
+
+  ManualClock mClock;
+  FakePool mPool{ OneModel() };
+  FakeKeyedLog mConfigLog;
+  FakeKeyedLog mEngineLog;
+  FakeKeyedLog mNodeLog;
+  FakeLeaseLog mLeaseLog;
+  std::map<std::string, std::string> mRegistered;
+  std::vector<std::function<void()>> mLater;
+  std::deque<TestNode> mNodes;
+  std::map<GroupOrderKind, int> mOrders;
+  std::map<std::string, std::string> mLastSent; ///< messages by address
+  std::function<void(const std::string& aAddress, const proto::PeerMessage&)> mOnSend;
+  /// Whether a message on its way is lost.
+  std::function<bool(const std::string& aFrom, const std::string& aTo)> mLoses;
+  std::map<std::string, int> mReads; ///< calls to the store's logs by node
+  std::map<std::string, int> mLines; ///< log lines of all nodes by event
+  std::set<std::string> mUnreadable; ///< registrations that cannot be read, by key
+  std::uint64_t mIncarnations = 0;
+  bool mStoreDown = false;
+  bool mLoseFeeds = false; ///< what delegates pass on does not arrive
+  bool mTwoPools = false;  ///< the configuration has the pools "pool" and "second"
+};
+
+} // namespace pepperbay
