--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -45,7 +45,7 @@
 mutant "keys are trusted for ever" $relay/exchange.cpp \
   's/mCore->Now\(\) >= aPlan.mKeysValidUntil/false/' relay_relay_test '*KeysThatMay*'
 mutant "the age of a configuration is not counted" $s/coordinator/coordinator.cpp \
-  's/mConfigFollower.AsOf\(\) \+ mOptions.mKeysTrusted/now + mOptions.mKeysTrusted/' \
+  's/ConfigurationAsOf\(\) \+ mOptions.mKeysTrusted/Now() + mOptions.mKeysTrusted/' \
   coordinator_coordinator_freshness_test '*KeysAreTrusted*'
 mutant "requests do not name their engine" platform/dialect.cpp \
   's/aFields.set\(kEngine, .*/;/' platform_decode_test '*TakesOut*'
@@ -79,3 +79,26 @@
   's/return mLease.Held\(\) \|\| .*/return true;/' coordinator_coordinator_test '*OneNodeOrders*'
 mutant "a silent member is not asked" $s/coordinator/coordinator_pools.cpp \
   's/mDoubts.Ask\(\*engine\);/;/' coordinator_coordinator_test '*TakesOverAndRepairs*'
+mutant "a silent delegate is followed" $s/coordinator/node_tree.cpp \
+  's/aNow - since < mOptions.mSilence \? Standing::kUnknown : Standing::kSilent/Standing::kUnknown/' \
+  coordinator_coordinator_tree_test '*AnotherDelegate*'
+mutant "a freshness answer counts from its receipt" $s/coordinator/freshness_book.cpp \
+  's/answered - FromNs\(beat.config_age_ns\(\)\)/aNow/' \
+  coordinator_coordinator_tree_test '*NeverNewer*'
+mutant "news are not passed on" $s/coordinator/coordinator_peers.cpp \
+  's/it != aMessage.node\(\) && mPeers/false \&\& mPeers/; s/return aBeat.news_fence\(\) > mFence/return false/' \
+  coordinator_coordinator_tree_test '*ALossIsKnown*'
+mutant "a question that comes twice is granted twice" $s/places/place_agent.cpp \
+  's/if \(mBook.Find\(aAsker.mNode, aAsker.mIncarnation, aAsk.id\(\)\) == nullptr\)/if (true)/' \
+  places_place_agent_test '*Property*'
+mutant "an answer that comes twice frees the place" $s/places/place_agent.cpp \
+  's/if \(!held.mIds.insert\(ticket.mId\).second\)/held.mIds.insert(ticket.mId); if (false)/' \
+  places_place_agent_test '*Property*'
+mutant "second attempts of a desk without a budget" $s/places/place_agent.cpp \
+  's/return budget.TakeRetry\(\);/return true;/' places_place_agent_test '*TheBudget*'
+mutant "a full model gives its replicas up" $groups/group_planner_survivors.cpp \
+  's/const bool hasRoom = .*/const bool hasRoom = true \|\|/' \
+  placement_group_planner_survivors_test '*WithoutRoom*'
+mutant "a replica that is given up ends at once" $groups/group_planner.cpp \
+  's/const bool idle = .*/const bool idle = true;/' \
+  placement_group_planner_survivors_test '*EndsItsStreams*'
--- a/src/pepperbay/places/place_agent.cpp
+++ b/src/pepperbay/places/place_agent.cpp
@@ -217,8 +217,10 @@
   aPending.mResent = false;
   ++aPending.mDesksAsked;
   ++mCounters.mAsked;
-  mHooks.mSend(desk->mAddress, aPending.mBytes);
-  mPending[aId] = std::move(aPending);
+  const std::string address = desk->mAddress;
+  const std::string bytes = aPending.mBytes;
+  mPending[aId] = std::move(aPending); // before the answer, which may come within the call
+  mHooks.mSend(address, bytes);
 }
 
 PlaceAgent::Choice
--- a/src/pepperbay/places/place_agent_test.cpp
+++ b/src/pepperbay/places/place_agent_test.cpp
@@ -76,6 +76,9 @@
         return;
       }
       mOnTheWay.emplace_back(aAddress, aBytes);
+      if (mAtOnce) {
+        Deliver();
+      }
     };
     node.mAgent = std::make_unique<PlaceAgent>(options, hooks, node.mBalancer.get());
     return node;
@@ -183,6 +186,7 @@
   std::deque<std::pair<std::string, std::string>> mOnTheWay; ///< address and bytes
   std::function<bool(const std::string& aFrom, const std::string& aTo)> mLoses;
   int mSent = 0;
+  bool mAtOnce = false; ///< messages arrive within the call that sends them
 };
 
 /// Pattern: many nodes with a few requests each, all at once, before replicas whose places just
@@ -335,6 +339,20 @@
   EXPECT_LE(granted, 50);
 }
 
+/// Symptom: a place is granted and given back at once, and its request is never sent.
+/// Sequence: the answer comes before the call that sends the question has returned.
+/// Cause: the question was noted after it was sent.
+TEST(Places, AnAnswerMayComeWithinTheCall)
+{
+  PlaceWorld world;
+  world.AddReplicas(1, "a");
+  world.AddNode("desk");
+  auto& node = world.AddNode("n");
+  world.Publish({ { "a", { "desk" } } });
+  world.mAtOnce = true;
+  EXPECT_EQ(world.Ask(node).mTicket.mDesk, "desk");
+}
+
 /// Symptom: a node sends to a replica that it knows to be lost.
 /// Sequence: the holder's word has reached the node and not yet its desk.
 TEST(Places, ANodeDoesNotTakeAPlaceThatItKnowsToBeLost)
