--- a/src/pepperbay/placement/group_planner_survivors.cpp
+++ b/src/pepperbay/placement/group_planner_survivors.cpp
@@ -191,8 +191,8 @@
     const std::string& model = it.mReplica->mModel;
     const double after = PlacesInUse(model, given[model] + 1);
     // Beyond its places a model would lose as many callers as the other one gains.
-    const bool hasRoom = after <= mOptions.mRoomToGive ||
-                         (after <= 1.0 && after < PlacesInUse(aTarget.mModel, 0));
+    const bool hasRoom =
+      after <= mOptions.mRoomToGive || (after <= 1.0 && after < PlacesInUse(aTarget.mModel, 0));
     if (gives >= lacks || it.mReady == 0 || !hasRoom) {
       continue;
     }
