--- a/src/pepperbay/coordinator/node_tree.hpp
+++ b/src/pepperbay/coordinator/node_tree.hpp
@@ -82,8 +82,6 @@
   bool IsCandidate() const { return mCandidate; }
   /// @return whether a data centre has this node's delegates.
   bool InScope(const std::string& aDataCentre) const;
-  /// @return whether data centres share delegates.
-  bool IsWide() const { return mWide; }
   /// Delegates of the other data centres that are heard, best first; for delegates only.
   const std::map<std::string, std::vector<std::string>>& OtherDelegates() const { return mOthers; }
 
