--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -80,7 +80,7 @@
 mutant "a silent member is not asked" $s/coordinator/coordinator_pools.cpp \
   's/mDoubts.Ask\(\*engine\);/;/' coordinator_coordinator_test '*TakesOverAndRepairs*'
 mutant "a silent delegate is followed" $s/coordinator/node_tree.cpp \
-  's/self \|\| StandingOf\(it, aPeers, aNow\) == Standing::kHeard/true/' \
+  's/standing != Standing::kSilent && //; s/self \|\| StandingOf\(it, aPeers, aNow\) == Standing::kHeard/true/' \
   coordinator_coordinator_tree_test '*AnotherDelegate*'
 mutant "a freshness answer counts from its receipt" $s/coordinator/freshness_book.cpp \
   's/answered - FromNs\(beat.config_age_ns\(\)\)/aNow/' \
