coordinator: whether two words of a replica say the same is asked in one place; an unused count removed

Found in a last reading of the change: the book of news and the holder's log line each compared epoch, open and lost; PlaceBook::Size had no caller. Behaviour is the same.

--- a/include/pepperbay/places/place_book.hpp
+++ b/include/pepperbay/places/place_book.hpp
@@ -47,8 +47,6 @@
                 TimePoint aNow);
   /// Free the places of nodes that are gone.
   void Tick(TimePoint aNow);
-  /// Places granted now.
-  std::size_t Size() const;
 
 private:
   struct Node
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -105,9 +105,7 @@
     }
     mChanged = true;
     const auto former = mFormerNews.find(news.group());
-    const bool same = former != mFormerNews.end() && former->second.epoch() == news.epoch() &&
-                      former->second.open() == news.open() && former->second.lost() == news.lost();
-    if (same) {
+    if (former != mFormerNews.end() && SaysSame(former->second, news)) {
       continue;
     }
     mHooks.mLog("replica",
--- a/src/pepperbay/coordinator/news_book.cpp
+++ b/src/pepperbay/coordinator/news_book.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+bool
+SaysSame(const proto::ReplicaNews& aLeft, const proto::ReplicaNews& aRight)
+{
+  return aLeft.epoch() == aRight.epoch() && aLeft.open() == aRight.open() &&
+         aLeft.lost() == aRight.lost();
+}
+
 void
 NewsBook::Begin(std::uint64_t aFence, TimePoint aNow)
 {
@@ -32,9 +39,7 @@
 NewsBook::Put(proto::ReplicaNews aNews)
 {
   const auto known = mReplicas.find(aNews.group());
-  const bool same = known != mReplicas.end() && known->second.epoch() == aNews.epoch() &&
-                    known->second.open() == aNews.open() && known->second.lost() == aNews.lost();
-  if (same) {
+  if (known != mReplicas.end() && SaysSame(known->second, aNews)) {
     return false;
   }
   aNews.set_change(++mChange);
--- a/src/pepperbay/coordinator/news_book.hpp
+++ b/src/pepperbay/coordinator/news_book.hpp
@@ -17,6 +17,10 @@
 
 namespace pepperbay {
 
+/// @return whether two words of one replica say the same.
+bool
+SaysSame(const proto::ReplicaNews& aLeft, const proto::ReplicaNews& aRight);
+
 /// Of one tenure of the lease at a time. The holder writes, all others take what they are told.
 class NewsBook
 {
--- a/src/pepperbay/places/place_book.cpp
+++ b/src/pepperbay/places/place_book.cpp
@@ -86,16 +86,6 @@
   }
 }
 
-std::size_t
-PlaceBook::Size() const
-{
-  std::size_t n = 0;
-  for (const auto& [name, node] : mNodes) {
-    n += node.mHeads.size();
-  }
-  return n;
-}
-
 void
 PlaceBook::FreeAll(Node& aNode)
 {
