relay, plan: the line of a failed attempt tells what was known of its replica, and how old the word was

The logs could not tell apart whether a stream left an engine that still answered. attempt_failed now has the age of the stream's last event, the head's silence, the epoch that it was sent to and the planned one, and the number and age of the holder's word. The lines of a request have a file of their own. No decision changes.

--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -103,8 +103,11 @@
                             const ReplicaQuery& aQuery,
                             TimePoint aNow) const;
 
-private:
+  /// Requests in progress at an engine: this node's, and those that other desks have found places
+  /// for by the plan.
   int InFlight(const TrafficPlan& aPlan, const std::string& aEngine) const;
+
+private:
   bool RecentFault(const std::string& aEngine, TimePoint aNow) const;
   /// The mean pause between events, or zero when it is not known.
   Duration PauseOf(const std::string& aHead, TimePoint aNow) const;
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -41,6 +41,14 @@
   std::string mAddress; ///< `IP:port`, UDP
 };
 
+/// Which word of the holder of the lease the replicas of a plan go by.
+struct NewsMark
+{
+  std::uint64_t mFence = 0;  ///< the holder's tenure
+  std::uint64_t mChange = 0; ///< the last change that is in the plan
+  TimePoint mAsOf{};         ///< when the holder stood by it
+};
+
 /// The newest start of each engine that states one.
 using EngineStarts = std::unordered_map<std::string, WallTime>;
 
@@ -57,6 +65,7 @@
   std::vector<DeskAddress> mDesks; ///< others that find places for this node, best first
   std::map<std::string, DeskAddress> mDesksOf; ///< of the other data centres, for a desk
   EngineStarts mStarts;                        ///< of the listed engines
+  NewsMark mNews;
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -203,6 +203,7 @@
 Coordinator::Impl::FillPlan(TrafficPlan* aPlan) const
 {
   aPlan->mOthersInFlight = OthersInFlight();
+  aPlan->mNews = { mNews.Fence(), mNews.Change(), mNews.AsOf() };
   aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
   aPlan->mNodes = NodesAtWork();
   aPlan->mIsDesk = mTree.FollowsItself();
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -86,12 +86,16 @@
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
   void DropAttempt();
+  /// @return the replica that the request was sent to, as the plan has it now; null for none.
+  const PoolReplica* ReplicaInPlan() const;
   bool ReplicaLost() const;
   /// @return whether the engine that works on this has started again since: no answer will come.
   bool EngineRestarted() const;
   void LogFailedAttempt(const std::string& aWhy,
                         bool aMayHaveRun,
                         const std::string& aNotAgain) const;
+  /// What is known of the replica of the present attempt, and how old the word of it is.
+  void AddReplicaFields(std::map<std::string, std::string>* aFields) const;
   /// Pass on the engine's own failure that was kept.
   void AnswerFallback(const std::string& aReason);
 
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -27,12 +27,6 @@
   return text.str();
 }
 
-std::string
-Millis(Duration aDuration)
-{
-  return std::to_string(ToMs(aDuration).count());
-}
-
 } // namespace
 
 void
@@ -118,19 +112,26 @@
          start->second > mTarget.mBorn;
 }
 
-bool
-Exchange::ReplicaLost() const
+const PoolReplica*
+Exchange::ReplicaInPlan() const
 {
   const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
   if (replicas == mCore->mPlan->mReplicas.end()) {
-    return false;
+    return nullptr;
   }
   const auto it =
     std::find_if(replicas->second.begin(),
                  replicas->second.end(),
                  [this](const PoolReplica& aReplica) { return aReplica.mGroup == mGroup; });
+  return it == replicas->second.end() ? nullptr : &*it;
+}
+
+bool
+Exchange::ReplicaLost() const
+{
+  const PoolReplica* replica = ReplicaInPlan();
   // Formed anew, perhaps under another head: what was in progress there does not go on.
-  return it != replicas->second.end() && (it->mLost || it->mEpoch > mEpoch);
+  return replica != nullptr && (replica->mLost || replica->mEpoch > mEpoch);
 }
 
 void
@@ -141,7 +142,6 @@
   if (aMayHaveRun || !reached) {
     mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
   }
-  DropAttempt();
   if (!reached) {
     // No engine was asked, so nothing is spent but time.
     --mSent;
@@ -157,24 +157,10 @@
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
   progress.mHasBudget = mSent == 0 || HasBudget();
   LogFailedAttempt(aWhy, aMayHaveRun, WhyNotAgain(progress));
+  DropAttempt();
   AfterAttempt(aWhy, progress);
 }
 
-void
-Exchange::LogFailedAttempt(const std::string& aWhy,
-                           bool aMayHaveRun,
-                           const std::string& aNotAgain) const
-{
-  mCore->Log("attempt_failed",
-             { { "request", mFacts.mId },
-               { "engine", mTarget.mEngine },
-               { "reason", aWhy },
-               { "after_ms", Millis(mCore->Now() - mSentAt) },
-               { "may_have_run", aMayHaveRun ? "true" : "false" },
-               { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
-               { "not_again", aNotAgain } });
-}
-
 void
 Exchange::AfterAttempt(const std::string& aWhy, RequestProgress aProgress)
 {
@@ -281,25 +267,6 @@
   mCore->mExchanges.erase(shared_from_this());
 }
 
-void
-Exchange::LogEnd(const char* aOutcome, const std::string& aReason) const
-{
-  const bool good = std::string_view(aOutcome) == "answered" && mSent <= 1;
-  if (good) {
-    return; // counted; a line for each would drown the others
-  }
-  mCore->Log("request",
-             { { "request", mFacts.mId },
-               { "outcome", aOutcome },
-               { "reason", aReason },
-               { "route", mRoute != nullptr ? mRoute->mName : "" },
-               { "engine", mTarget.mEngine },
-               { "sent", std::to_string(mSent) },
-               { "config", mRoutes ? std::to_string(mRoutes->Version()) : "" },
-               { "model", mFacts.mModel },
-               { "after_ms", Millis(mCore->Now() - mArrived) } });
-}
-
 void
 Exchange::GiveUp()
 {
--- /dev/null
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -0,0 +1,90 @@
+/// @file
+/// @brief The lines that tell what became of a request and of its attempts.
+
+#include "exchange.hpp"
+
+#include <map>
+#include <string_view>
+
+namespace pepperbay {
+namespace {
+
+std::string
+Millis(Duration aDuration)
+{
+  return std::to_string(ToMs(aDuration).count());
+}
+
+const char*
+YesNo(bool aValue)
+{
+  return aValue ? "true" : "false";
+}
+
+} // namespace
+
+void
+Exchange::LogFailedAttempt(const std::string& aWhy,
+                           bool aMayHaveRun,
+                           const std::string& aNotAgain) const
+{
+  std::map<std::string, std::string> fields = {
+    { "request", mFacts.mId },
+    { "engine", mTarget.mEngine },
+    { "reason", aWhy },
+    { "after_ms", Millis(mCore->Now() - mSentAt) },
+    { "may_have_run", YesNo(aMayHaveRun) },
+    { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
+    { "not_again", aNotAgain },
+  };
+  if (mService->mPool) {
+    AddReplicaFields(&fields);
+  }
+  mCore->Log("attempt_failed", fields);
+}
+
+void
+Exchange::AddReplicaFields(std::map<std::string, std::string>* aFields) const
+{
+  const TimePoint now = mCore->Now();
+  const TrafficPlan& plan = *mCore->mPlan;
+  auto& fields = *aFields;
+  fields["group"] = mGroup;
+  fields["epoch"] = std::to_string(mEpoch);
+  fields["desk"] = mTicket.mDesk;
+  fields["in_flight"] = std::to_string(mCore->mBalancer.InFlight(plan, mTarget.mEngine));
+  fields["head_silent_ms"] = Millis(mCore->mStalls.Silence(mTarget.mEngine, now));
+  if (mWriting) {
+    fields["event_age_ms"] = Millis(now - mLastEventAt);
+  }
+  if (const PoolReplica* replica = ReplicaInPlan()) {
+    fields["plan_epoch"] = std::to_string(replica->mEpoch);
+    fields["plan_open"] = YesNo(!replica->mSuspended);
+    fields["plan_lost"] = YesNo(replica->mLost);
+  }
+  if (plan.mNews.mFence != 0) {
+    fields["news"] = std::to_string(plan.mNews.mFence) + "." + std::to_string(plan.mNews.mChange);
+    fields["news_age_ms"] = Millis(now - plan.mNews.mAsOf);
+  }
+}
+
+void
+Exchange::LogEnd(const char* aOutcome, const std::string& aReason) const
+{
+  const bool good = std::string_view(aOutcome) == "answered" && mSent <= 1;
+  if (good) {
+    return; // counted; a line for each would drown the others
+  }
+  mCore->Log("request",
+             { { "request", mFacts.mId },
+               { "outcome", aOutcome },
+               { "reason", aReason },
+               { "route", mRoute != nullptr ? mRoute->mName : "" },
+               { "engine", mTarget.mEngine },
+               { "sent", std::to_string(mSent) },
+               { "config", mRoutes ? std::to_string(mRoutes->Version()) : "" },
+               { "model", mFacts.mModel },
+               { "after_ms", Millis(mCore->Now() - mArrived) } });
+}
+
+} // namespace pepperbay
