Tests that fail: requests leave an engine that still answers

Symptom: a stream is cut in a quiet hour though its engine writes; a safe request gets 502 though its engine answers.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -55,7 +55,7 @@
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
                                 exchange_ends.cpp exchange_log.cpp
                                 relay.cpp session.cpp sockets.cpp
-                  TESTS event_splitter_test.cpp relay_test.cpp relay_stop_test.cpp
+                  TESTS event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp relay_stop_test.cpp
                   USES settings membership admission routing dispatch places
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
--- /dev/null
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -0,0 +1,305 @@
+/// Requests that leave an engine for another while the first may still answer.
+#include "relay_fixture.hpp"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace pepperbay {
+namespace {
+
+constexpr const char* kEventA = "f\r\nid: 1\ndata: a\n\n\r\n";
+constexpr const char* kEventB = "f\r\nid: 2\ndata: b\n\n\r\n";
+constexpr const char* kStreamEnd = "0\r\n\r\n";
+
+std::string
+StreamHead()
+{
+  return std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// A clock that the test moves, and that tells when the relay has looked at it often enough to have
+/// done all that was due.
+class WatchedClock
+{
+public:
+  NowFn Hook()
+  {
+    return [this] {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      ++mLooks;
+      mLooked.notify_all();
+      return mNow;
+    };
+  }
+
+  void Advance(Duration aBy)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mNow += aBy;
+  }
+
+  /// Return once several ticks of the relay have passed.
+  void WaitForTicks()
+  {
+    constexpr std::uint64_t kLooks = 60; // a tick looks at the clock some five times
+    std::unique_lock<std::mutex> lock(mMutex);
+    const std::uint64_t enough = mLooks + kLooks;
+    mLooked.wait(lock, [&] { return mLooks >= enough; });
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mLooked;
+  TimePoint mNow = BootClock::now();
+  std::uint64_t mLooks = 0;
+};
+
+class RelayMoves : public RelayTest
+{
+protected:
+  void Serve(const std::vector<RawEngine*>& aEngines)
+  {
+    RelayOptions options;
+    options.mNow = mClock.Hook();
+    options.mTick = std::chrono::milliseconds(1);
+    RelayTest::Serve(aEngines, options);
+    // The first request goes to the first engine.
+    mPlan.mReplicas["pool"][1].mSuspended = true;
+    auto& plain = mPlan.mEngines["plain"];
+    mSecondPlain = plain.back();
+    plain.pop_back();
+    Publish();
+  }
+
+  /// From here on the second engine takes requests as well.
+  void OfferSecond()
+  {
+    mPlan.mReplicas["pool"][1].mSuspended = false;
+    mPlan.mEngines["plain"].push_back(mSecondPlain);
+    Publish();
+  }
+
+  std::future<std::string> AskStream()
+  {
+    return std::async(std::launch::async,
+                      [this] { return Ask(Post("/stream/", "x", "Model: m\r\n")); });
+  }
+
+  PoolReplica& FirstReplica() { return mPlan.mReplicas["pool"][0]; }
+
+  WatchedClock mClock;
+  EngineTarget mSecondPlain;
+};
+
+/// Symptom: a stream that its engine is writing is cut in a quiet hour, when engines are replaced.
+/// Sequence: a member leaves; the holder plans the replica under a later epoch; the old group still
+/// stands and writes; its streams leave it for other engines, of which most refuse them.
+/// Cause: a later epoch in the plan was read as the end of the old group.
+TEST_F(RelayMoves, AStreamStaysWithAnEngineThatWritesWhileItsReplicaIsPlannedAnew)
+{
+  std::promise<void> began;
+  std::promise<void> planned;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    planned.get_future().wait();
+    aConnection.Write(std::string(kEventB) + kStreamEnd);
+  });
+  RawEngine second([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mEpoch += 1;
+  FirstReplica().mSuspended = true;
+  OfferSecond();
+  mClock.WaitForTicks();
+  planned.set_value();
+  const std::string text = answer.get();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  EXPECT_EQ(second.Connections(), 0);
+}
+
+/// The same where the word is that a member is lost: it may have stopped listening and work on.
+TEST_F(RelayMoves, AStreamStaysWithAnEngineThatWritesWhateverIsSaidOfItsReplica)
+{
+  std::promise<void> began;
+  std::promise<void> said;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    said.get_future().wait();
+    aConnection.Write(std::string(kEventB) + kStreamEnd);
+  });
+  RawEngine second([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  mClock.WaitForTicks();
+  said.set_value();
+  const std::string text = answer.get();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_EQ(second.Connections(), 0);
+}
+
+/// Symptom: a stream is cut though its engine goes on and nobody has failed it.
+/// Sequence: its replica counts as lost and pauses; the stream is sent to a second engine; that one
+/// refuses; the caller's connection is closed, while the first engine has more events.
+/// Cause: the first engine was let go before the second had taken the stream.
+TEST_F(RelayMoves, AStreamThatASecondEngineRefusesGoesOnAtItsFirst)
+{
+  std::promise<void> began;
+  std::promise<void> refused;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    refused.get_future().wait();
+    aConnection.Write(std::string(kEventB) + kStreamEnd);
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    refused.set_value();
+  });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mClock.Advance(seconds(1));
+  OfferSecond();
+  const std::string text = answer.get();
+  EXPECT_EQ(second.Connections(), 1);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// An engine that paused and goes on keeps its stream; the second one is told to stop.
+TEST_F(RelayMoves, AnEngineThatGoesOnWhileASecondIsAskedKeepsItsStream)
+{
+  std::promise<void> began;
+  std::promise<void> asked;
+  std::promise<void> stopped;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    asked.get_future().wait();
+    aConnection.Write(std::string(kEventB) + kStreamEnd);
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead());
+    asked.set_value();
+    aConnection.ReadToEnd();
+    stopped.set_value();
+  });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mClock.Advance(seconds(1));
+  OfferSecond();
+  if (answer.wait_for(seconds(10)) != std::future_status::ready) {
+    mClock.Advance(seconds(20)); // it waits for the second engine: end it by its deadline
+  }
+  const std::string text = answer.get();
+  stopped.get_future().wait();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// A stream whose replica stands still goes on at another engine, and the first is told to stop.
+TEST_F(RelayMoves, AStreamOfAReplicaThatStandsStillGoesOnElsewhere)
+{
+  std::promise<void> began;
+  std::promise<void> left;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    aConnection.ReadToEnd();
+    left.set_value();
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mClock.Advance(seconds(1));
+  OfferSecond();
+  const std::string text = answer.get();
+  left.get_future().wait();
+  EXPECT_TRUE(Has(text, "data: a")) << text;
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Symptom: a safe request fails with 502 though its engine answers in the end.
+/// Sequence: the first engine is slow; the second one is asked and refuses.
+/// Cause: as with streams, the first was let go before the second had taken the request.
+TEST_F(RelayMoves, ASafeRequestThatASecondEngineRefusesIsAnsweredByItsFirst)
+{
+  std::promise<void> asked;
+  std::promise<void> refused;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    refused.get_future().wait();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    refused.set_value();
+  });
+  Serve({ &first, &second });
+  auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/")); });
+  asked.get_future().wait();
+  mClock.WaitForTicks();
+  OfferSecond();
+  mClock.Advance(seconds(12)); // past the part of the objective after which a second is asked
+  const std::string text = answer.get();
+  EXPECT_EQ(second.Connections(), 1);
+  EXPECT_EQ(StatusOf(text), 200) << text;
+}
+
+/// The quicker of two engines answers a safe request; the other is told to stop.
+TEST_F(RelayMoves, ASafeRequestIsAnsweredByTheQuickerOfTwoEngines)
+{
+  std::promise<void> asked;
+  std::promise<void> stopped;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    aConnection.ReadToEnd();
+    stopped.set_value();
+  });
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  Serve({ &first, &second });
+  auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/")); });
+  asked.get_future().wait();
+  mClock.WaitForTicks();
+  OfferSecond();
+  mClock.Advance(seconds(12));
+  EXPECT_EQ(StatusOf(answer.get()), 200);
+  stopped.get_future().wait();
+}
+
+} // namespace
+} // namespace pepperbay
