relay: what an engine does goes before what is said of its replica

Callers saw streams move between engines, and some of them cut, in quiet hours when engines are replaced. Cause: a later epoch in the plan, and a replica that the holder calls broken, were read as the end of what runs there. A head whose streams gave an event within 150 ms is moving, so its streams stay. What is said counts where the head is silent. Ruled out: waiting for news of the opened epoch (a lost replica without a spare is the other half of the cases).

--- a/include/pepperbay/membership/stall_detector.hpp
+++ b/include/pepperbay/membership/stall_detector.hpp
@@ -47,6 +47,9 @@
   /// @return how long no stream of the head has moved; zero when none is being written.
   Duration Silence(const std::string& aHead, TimePoint aNow) const;
 
+  /// @return whether a stream of the head is being written.
+  bool Watches(const std::string& aHead) const { return mHeads.count(aHead) != 0; }
+
   /// @return heads to be suspected now, each at most once in mRepeatAfter.
   std::vector<std::string> Suspects(TimePoint aNow);
 
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -88,7 +88,8 @@
   void DropAttempt();
   /// @return the replica that the request was sent to, as the plan has it now; null for none.
   const PoolReplica* ReplicaInPlan() const;
-  bool ReplicaLost() const;
+  /// @return whether the replica stands still: by what it does first, then by what is said of it.
+  bool StandsStill() const;
   /// @return whether the engine that works on this has started again since: no answer will come.
   bool EngineRestarted() const;
   void LogFailedAttempt(const std::string& aWhy,
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -18,6 +18,10 @@
 /// A stream whose replica stands still and that found no place elsewhere asks again after this: a
 /// heartbeat, in which places come free.
 constexpr std::chrono::milliseconds kMoveAgainAfter{ 200 };
+/// A head that gave any stream an event within this moves, whatever is said of its replica: events
+/// come 50 to 80 ms apart. Members that leave stop listening long before they stop working, and a
+/// replica that is planned anew works on until its engines have joined.
+constexpr std::chrono::milliseconds kMovesWithin{ 150 };
 
 std::string
 Seconds(Duration aDuration)
@@ -71,9 +75,8 @@
     return;
   }
   // The replica stands still: go on elsewhere while the caller still waits.
-  const bool lost =
-    mCore->mStalls.Silence(mTarget.mEngine, now) > mCore->mOptions.mLeaveSilent || ReplicaLost();
-  if (lost && mSent < mRoute->mMaxAttempts && now >= mMoveNotBefore && !mMoving && HasTarget()) {
+  if (StandsStill() && mSent < mRoute->mMaxAttempts && now >= mMoveNotBefore && !mMoving &&
+      HasTarget()) {
     Move("replica_lost");
   }
 }
@@ -127,8 +130,15 @@
 }
 
 bool
-Exchange::ReplicaLost() const
+Exchange::StandsStill() const
 {
+  const Duration silence = mCore->mStalls.Silence(mTarget.mEngine, mCore->Now());
+  if (silence > mCore->mOptions.mLeaveSilent) {
+    return true;
+  }
+  if (mCore->mStalls.Watches(mTarget.mEngine) && silence <= kMovesWithin) {
+    return false;
+  }
   const PoolReplica* replica = ReplicaInPlan();
   // Formed anew, perhaps under another head: what was in progress there does not go on.
   return replica != nullptr && (replica->mLost || replica->mEpoch > mEpoch);
