relay: the first engine is let go only when a second one answers

Callers saw streams cut, and safe requests answered 502, though their engine went on: the second engine, asked because the first was slow or its replica was said to be lost, refused. Cause: the first attempt was dropped before the second was sent, and the refusal was the last attempt that the route allows. Now the second is asked beside the first. For a stream the next event decides: from the first engine, and the second is told to stop; from the second, and the first is. A safe request takes the first good head. A second engine that refuses, fails or cannot be reached leaves the first as it was. So no order of refusal, silence and return loses both. Weighed: not counting a refusal as an attempt (the route's limit is of engines that it is sent to); passing both runs' events on by their numbers (an answer of two runs interleaved). A stream with no attempt left whose replica is said to be lost ends after a second of silence: the caller can come back before it would leave. An engine's own failure of a safe request is kept as before, and the second engine that may already work on it is waited for.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -53,7 +53,7 @@
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
-                                exchange_ends.cpp exchange_log.cpp
+                                exchange_ends.cpp exchange_log.cpp exchange_second.cpp
                                 relay.cpp session.cpp sockets.cpp
                   TESTS event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp relay_stop_test.cpp
                   USES settings membership admission routing dispatch places
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
@@ -131,16 +130,18 @@
   return true;
 }
 
-bool
-Exchange::ChooseEngine()
+std::optional<Sending>
+Exchange::ChooseEngine() const
 {
   const auto plan = mCore->mPlan;
   const EngineTarget* engine =
     mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, mCore->Now());
-  if (engine != nullptr) {
-    mTarget = { engine->mId, engine->mAddress, engine->mBorn };
+  if (engine == nullptr) {
+    return std::nullopt;
   }
-  return engine != nullptr;
+  Sending sending;
+  sending.mTarget = { engine->mId, engine->mAddress, engine->mBorn };
+  return sending;
 }
 
 PlaceRequest
@@ -160,27 +161,30 @@
   return request;
 }
 
-void
-Exchange::TakePlace(const Place& aPlace)
+Sending
+Exchange::SendingTo(const Place& aPlace)
 {
-  mTarget = { aPlace.mHead.mId, aPlace.mHead.mAddress, aPlace.mHead.mBorn };
-  mEpoch = aPlace.mEpoch;
-  mGroup = aPlace.mGroup;
-  mTicket = aPlace.mTicket;
+  Sending sending;
+  sending.mTarget = { aPlace.mHead.mId, aPlace.mHead.mAddress, aPlace.mHead.mBorn };
+  sending.mEpoch = aPlace.mEpoch;
+  sending.mGroup = aPlace.mGroup;
+  sending.mTicket = aPlace.mTicket;
+  return sending;
 }
 
 void
 Exchange::PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise)
 {
   if (!mService->mPool) {
-    if (!ChooseEngine()) {
+    auto sending = ChooseEngine();
+    if (!sending) {
       aOtherwise("no_engine");
       return;
     }
     if (aAgain) {
       mCore->BudgetOf(mService->mName).TakeRetry();
     }
-    SendToEngine();
+    SendToEngine(std::move(*sending));
     return;
   }
   mPhase = Phase::kPlacing;
@@ -194,8 +198,7 @@
                          aOtherwise(ToString(aPlace.mOutcome));
                          return;
                        }
-                       self->TakePlace(aPlace);
-                       self->SendToEngine();
+                       self->SendToEngine(SendingTo(aPlace));
                      });
 }
 
@@ -219,14 +222,14 @@
 }
 
 UpstreamRequest
-Exchange::MakeUpstreamRequest() const
+Exchange::MakeUpstreamRequest(const AttemptTarget& aTarget) const
 {
   UpstreamRequest request(mRequest);
   DropHopByHop(&request);
   request.erase(http::field::expect);
   RequestStamp stamp;
   stamp.mDeadline = std::max<Duration>(Left() - kDeadlineMargin, std::chrono::milliseconds(1));
-  stamp.mEngine = mTarget.mEngine;
+  stamp.mEngine = aTarget.mEngine;
   stamp.mCustomer = mCustomer;
   stamp.mLastEvent = mLastEvent;
   if (mService->mPool) {
@@ -242,68 +245,94 @@
 }
 
 void
-Exchange::SendToEngine()
+Exchange::SendToEngine(Sending aTo)
 {
-  const std::uint64_t serial = ++mAttemptSerial;
-  mTried.insert(mTarget.mEngine);
   mPhase = Phase::kWaiting;
-  mWriting = false;
   mBody.clear();
   mSplitter.Reset();
-  mSentAt = mCore->Now();
+  mCurrent = std::move(aTo);
+  Launch(&mCurrent);
+}
+
+void
+Exchange::Launch(Sending* aSending)
+{
+  const std::uint64_t serial = ++mLastSerial;
+  aSending->mSerial = serial;
+  aSending->mSentAt = mCore->Now();
+  mTried.insert(aSending->mTarget.mEngine);
   ++mCore->mCounters.mAttempts;
   if (mSent > 0) {
     ++mCore->mCounters.mSecondAttempts;
     mCore->mCounters.mResumes += mStreamStarted ? 1 : 0;
   }
-  mCore->mBalancer.OnStart(mTarget.mEngine);
-  mAttempt = std::make_shared<Attempt>(mCore->mContext, &mCore->mConnections, mTarget);
+  ++mSent;
+  mCore->mBalancer.OnStart(aSending->mTarget.mEngine);
+  aSending->mAttempt =
+    std::make_shared<Attempt>(mCore->mContext, &mCore->mConnections, aSending->mTarget);
+  // A sending that was dropped reports nothing; the serial tells apart the two that may stand.
   AttemptEvents events;
-  // A dropped attempt reports nothing; the serial guards the one that is being replaced.
-  const auto current = [self = shared_from_this(), serial] {
-    return self->mAttemptSerial == serial && self->mPhase != Phase::kOver;
-  };
-  events.mOnHead = [self = shared_from_this(), current](int aStatus, const HeaderFields& aFields) {
-    if (current()) {
+  events.mOnHead = [self = shared_from_this(), serial](int aStatus, const HeaderFields& aFields) {
+    if (self->IsCurrent(serial)) {
       self->OnHead(aStatus, aFields);
+    } else if (self->IsNext(serial)) {
+      self->OnNextHead(aStatus, aFields);
     }
   };
-  events.mOnBody = [self = shared_from_this(), current](std::string_view aBytes) {
-    if (current()) {
+  events.mOnBody = [self = shared_from_this(), serial](std::string_view aBytes) {
+    if (self->IsNext(serial)) {
+      self->TakeNext(); // it writes, and the first one has not since it was asked
+    }
+    if (self->IsCurrent(serial)) {
       self->OnBody(aBytes);
     }
   };
-  events.mOnEnd = [self = shared_from_this(), current](const AttemptEnd& aEnd) {
-    if (current()) {
+  events.mOnEnd = [self = shared_from_this(), serial](const AttemptEnd& aEnd) {
+    if (self->IsCurrent(serial)) {
       self->OnEnd(aEnd);
+    } else if (self->IsNext(serial)) {
+      self->OnNextEnd(aEnd);
     }
   };
-  ++mSent;
-  mAttempt->Start(MakeUpstreamRequest(), !mRoute->Repeatable(), std::move(events));
+  aSending->mAttempt->Start(
+    MakeUpstreamRequest(aSending->mTarget), !mRoute->Repeatable(), std::move(events));
+}
+
+std::string
+Exchange::HeadFault(const AnswerFacts& aFacts) const
+{
+  if (!aFacts.mRequestId.empty() && aFacts.mRequestId != mFacts.mId) {
+    return "foreign_answer";
+  }
+  if (aFacts.mNotRun) {
+    return aFacts.mOtherEngine ? "other_engine" : "engine_refused";
+  }
+  return aFacts.mSealed ? "" : "unsealed_answer";
 }
 
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
-  if (!facts.mRequestId.empty() && facts.mRequestId != mFacts.mId) {
+  const std::string fault = HeadFault(facts);
+  if (fault == "foreign_answer") {
     ++mCore->mCounters.mForeignAnswers;
-    OnFailure("foreign_answer", true);
-    return;
   }
-  if (facts.mNotRun) {
-    if (facts.mOtherEngine) {
-      mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
-    }
-    OnFailure(facts.mOtherEngine ? "other_engine" : "engine_refused", false);
-    return;
+  if (facts.mOtherEngine) {
+    mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
   }
-  if (!facts.mSealed) {
-    OnFailure("unsealed_answer", true);
+  if (!fault.empty()) {
+    OnFailure(fault, !facts.mNotRun);
     return;
   }
+  TakeHead(aStatus, aFields, facts);
+}
+
+void
+Exchange::TakeHead(int aStatus, const HeaderFields& aFields, const AnswerFacts& aFacts)
+{
   mMayHaveRun = true;
-  mAttempt->SetKeepAlive(facts.mKeepAlive);
+  mCurrent.mAttempt->SetKeepAlive(aFacts.mKeepAlive);
   const bool events = mRoute->mKind == RequestKind::kStream && aStatus == kOk;
   if (!events && mStreamStarted) {
     OnFailure("resume_refused", true);
@@ -315,7 +344,10 @@
     mFields = aFields;
     DropHopByHop(&mFields);
   }
-  mAttempt->ReadMore();
+  if (mNext && !events && aStatus < kServerFailure) {
+    DropNext("the first engine answers", mNext->mAttempt->MayHaveRun());
+  }
+  mCurrent.mAttempt->ReadMore();
 }
 
 void
@@ -330,7 +362,7 @@
     OnFailure("answer_too_long", true);
     return;
   }
-  mAttempt->ReadMore();
+  mCurrent.mAttempt->ReadMore();
 }
 
 void
@@ -352,28 +384,30 @@
     ready += event->mBytes;
   }
   if (ready.empty()) {
-    mAttempt->ReadMore();
+    mCurrent.mAttempt->ReadMore();
     return;
   }
   const TimePoint now = mCore->Now();
-  if (!mWriting) {
-    mWriting = true;
-    mCore->mStalls.OnWriting(mTarget.mEngine, now);
+  if (mNext) {
+    DropNext("the first engine goes on", mNext->mAttempt->MayHaveRun());
+  }
+  if (!mCurrent.mWriting) {
+    mCurrent.mWriting = true;
+    mCore->mStalls.OnWriting(mCurrent.mTarget.mEngine, now);
   } else {
-    mCore->mStalls.OnEvent(mTarget.mEngine, now);
-    mCore->mBalancer.OnPause(mTarget.mEngine, now - mLastEventAt, now);
+    mCore->mStalls.OnEvent(mCurrent.mTarget.mEngine, now);
+    mCore->mBalancer.OnPause(mCurrent.mTarget.mEngine, now - mCurrent.mLastEventAt, now);
   }
-  mLastEventAt = now;
+  mCurrent.mLastEventAt = now;
   if (!mStreamStarted) {
     mCore->mCounters.mFirstEvent.Observe(now - mArrived);
     mStreamStarted = true;
     mFields.erase(http::field::content_length);
     mCaller->StartStream(mStatus, mFields);
   }
-  const std::uint64_t serial = mAttemptSerial;
-  mCaller->Push(ready, [self = shared_from_this(), serial] {
-    if (self->mAttemptSerial == serial && self->mAttempt) {
-      self->mAttempt->ReadMore();
+  mCaller->Push(ready, [self = shared_from_this(), serial = mCurrent.mSerial] {
+    if (self->IsCurrent(serial)) {
+      self->mCurrent.mAttempt->ReadMore();
     }
   });
 }
@@ -393,7 +427,7 @@
     OnFailure("stream ended inside an event", true);
     return;
   }
-  mCore->mBalancer.OnAnswer(mTarget.mEngine);
+  mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
   ++mCore->mCounters.mAnswered;
   if (!mStreamStarted) {
     // A stream without any event; its end says that it is whole.
@@ -416,15 +450,20 @@
     answer.content_length(answer.body().size());
   }
   // An engine's own failure of a request that may run again: another engine may do better.
-  const bool again = mStatus >= kServerFailure && mRoute->Repeatable() && !mFallback &&
-                     mSent < mRoute->mMaxAttempts && HasTarget() && HasBudget();
-  if (again) {
+  const bool failed = mStatus >= kServerFailure && mRoute->Repeatable() && !mFallback;
+  if (failed && mNext) {
+    mFallback = std::move(answer);
+    Drop(&mCurrent);
+    TakeNext();
+    return;
+  }
+  if (failed && MayAskSecond()) {
     mFallback = std::move(answer);
     DropAttempt();
     PlaceAndSend(true, [this](const std::string&) { AnswerFallback("no second engine"); });
     return;
   }
-  mCore->mBalancer.OnAnswer(mTarget.mEngine);
+  mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
   mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
   LogEnd("answered", "");
@@ -434,22 +473,31 @@
 void
 Exchange::DropAttempt()
 {
-  if (!mAttempt) {
+  Drop(&mCurrent);
+  if (mNext) {
+    Drop(&*mNext);
+    mNext.reset();
+  }
+}
+
+void
+Exchange::Drop(Sending* aSending)
+{
+  if (!aSending->mAttempt) {
     return;
   }
-  ++mAttemptSerial;
-  mAttempt->Cancel();
-  mAttempt.reset();
-  EndCounts();
+  aSending->mAttempt->Cancel();
+  EndCounts(aSending);
 }
 
 void
-Exchange::EndCounts()
+Exchange::EndCounts(Sending* aSending)
 {
-  mCore->mBalancer.OnEnd(mTarget.mEngine);
-  mCore->mPlaces.End(std::exchange(mTicket, {}));
-  if (std::exchange(mWriting, false)) {
-    mCore->mStalls.OnDone(mTarget.mEngine);
+  aSending->mAttempt.reset();
+  mCore->mBalancer.OnEnd(aSending->mTarget.mEngine);
+  mCore->mPlaces.End(std::exchange(aSending->mTicket, {}));
+  if (std::exchange(aSending->mWriting, false)) {
+    mCore->mStalls.OnDone(aSending->mTarget.mEngine);
   }
 }
 
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -31,6 +31,20 @@
   virtual void Break() = 0;
 };
 
+/// One sending of a request to one engine.
+struct Sending
+{
+  std::uint64_t mSerial = 0; ///< events of sendings that were dropped are told apart by it
+  std::shared_ptr<Attempt> mAttempt;
+  AttemptTarget mTarget;
+  std::string mGroup;       ///< the replica that it went to; empty for a plain engine
+  std::uint64_t mEpoch = 0; ///< of that replica
+  PlaceTicket mTicket;
+  TimePoint mSentAt{};
+  TimePoint mLastEventAt{};
+  bool mWriting = false; ///< it has given an event
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -59,25 +73,49 @@
   /// @param aAgain draws on the budget of second attempts
   void PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise);
   PlaceRequest MakePlaceRequest(bool aAgain) const;
-  /// Take up a place that was granted.
-  void TakePlace(const Place& aPlace);
-  /// An engine of a plain service. @return false when there is none
-  bool ChooseEngine();
+  static Sending SendingTo(const Place& aPlace);
+  /// To an engine of a plain service; nothing when there is none.
+  std::optional<Sending> ChooseEngine() const;
   /// @return whether another engine could take it, as far as this node knows.
   bool HasTarget() const;
   /// @return whether the pool bears one more second attempt.
   bool HasBudget() const;
-  void SendToEngine();
-  /// Go on at another replica, if there is a place, while the present attempt still stands.
+  /// Send it there, in place of what was dropped.
+  void SendToEngine(Sending aTo);
+  /// Begin a sending: it counts, and its events go to the current one's or the next one's handlers.
+  void Launch(Sending* aSending);
+  void OnDeadline();
+  /// The connection to an engine did not stand.
+  void NoteUnreached();
+  /// @return whether the request may be sent to another engine.
+  bool MayAskSecond() const;
+  /// Ask a second engine where the first one is silent for too long.
+  void AskSecondIfDue();
+  /// Ask for a place at another replica, and send the request there as well.
   void Move(const std::string& aWhy);
+  /// Send a request that may run again to another plain engine as well.
+  void AskSecondEngine();
+
+  // The second engine that is asked while the first still stands.
+  void StartNext(Sending aTo, const std::string& aWhy);
+  void OnNextHead(int aStatus, const HeaderFields& aFields);
+  void OnNextEnd(const AttemptEnd& aEnd);
+  /// The second engine came to nothing; the first goes on.
+  void DropNext(const std::string& aWhy, bool aMayHaveRun);
+  /// The second engine has the request from here on.
+  void TakeNext();
   /// The last attempt has failed: send again, or say so.
   void AfterAttempt(const std::string& aWhy, RequestProgress aProgress);
-  /// Give back what is counted for the attempt that is over.
-  void EndCounts();
-  UpstreamRequest MakeUpstreamRequest() const;
+  /// Give back what is counted for a sending that is over.
+  void EndCounts(Sending* aSending);
+  UpstreamRequest MakeUpstreamRequest(const AttemptTarget& aTarget) const;
   Duration Left() const { return mDeadlineAt - mCore->Now(); }
 
   void OnHead(int aStatus, const HeaderFields& aFields);
+  /// @return why an answer with this head is not one to pass on; empty when it is.
+  std::string HeadFault(const AnswerFacts& aFacts) const;
+  /// The current engine's answer begins.
+  void TakeHead(int aStatus, const HeaderFields& aFields, const AnswerFacts& aFacts);
   void OnBody(std::string_view aBytes);
   void OnEnd(const AttemptEnd& aEnd);
   void OnWholeAnswer();
@@ -86,17 +124,30 @@
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
   void DropAttempt();
-  /// @return the replica that the request was sent to, as the plan has it now; null for none.
-  const PoolReplica* ReplicaInPlan() const;
+  /// Close a sending's connection, so that its engine stops, and give back its counts.
+  void Drop(Sending* aSending);
+  /// @return the replica that a sending went to, as the plan has it now; null for none.
+  const PoolReplica* ReplicaInPlan(const Sending& aSending) const;
   /// @return whether the replica stands still: by what it does first, then by what is said of it.
   bool StandsStill() const;
+  /// @return whether the plan speaks against the replica; it may still answer.
+  bool SaidToBeLost() const;
+  bool IsCurrent(std::uint64_t aSerial) const
+  {
+    return mPhase != Phase::kOver && mCurrent.mAttempt && mCurrent.mSerial == aSerial;
+  }
+  bool IsNext(std::uint64_t aSerial) const
+  {
+    return mPhase != Phase::kOver && mNext && mNext->mSerial == aSerial;
+  }
   /// @return whether the engine that works on this has started again since: no answer will come.
   bool EngineRestarted() const;
-  void LogFailedAttempt(const std::string& aWhy,
+  void LogFailedAttempt(const Sending& aSending,
+                        const std::string& aWhy,
                         bool aMayHaveRun,
                         const std::string& aNotAgain) const;
   /// What is known of the replica of the present attempt, and how old the word of it is.
-  void AddReplicaFields(std::map<std::string, std::string>* aFields) const;
+  void AddReplicaFields(const Sending& aSending, std::map<std::string, std::string>* aFields) const;
   /// Pass on the engine's own failure that was kept.
   void AnswerFallback(const std::string& aReason);
 
@@ -122,21 +173,16 @@
   int mPriority = 0;
 
   Phase mPhase = Phase::kWaiting;
-  std::shared_ptr<Attempt> mAttempt;
-  std::uint64_t mAttemptSerial = 0; ///< events of dropped attempts are ignored
-  AttemptTarget mTarget;
-  std::string mGroup;       ///< the replica that the request was sent to
-  std::uint64_t mEpoch = 0; ///< of that replica
-  TimePoint mSentAt{};
-  TimePoint mLastEventAt{}; ///< of this attempt
+  Sending mCurrent;             ///< whose answer the caller gets
+  std::optional<Sending> mNext; ///< asked as well, in case the current one stands still
+  std::string mNextWhy;         ///< why it was asked
+  std::uint64_t mLastSerial = 0;
   std::set<std::string> mTried;
-  PlaceTicket mTicket;        ///< of the present attempt
   bool mMoving = false;       ///< asks for a place elsewhere
-  TimePoint mMoveNotBefore{}; ///< no place was found just now
+  TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
   int mSent = 0;
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
-  bool mWriting = false; ///< this attempt has given an event
 
   int mStatus = 0;
   HeaderFields mFields;
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -15,13 +15,6 @@
 /// Connections that did not stand, after which a request is refused: they cost no engine anything,
 /// but each takes time from the caller.
 constexpr int kMostConnectFailures = 3;
-/// A stream whose replica stands still and that found no place elsewhere asks again after this: a
-/// heartbeat, in which places come free.
-constexpr std::chrono::milliseconds kMoveAgainAfter{ 200 };
-/// A head that gave any stream an event within this moves, whatever is said of its replica: events
-/// come 50 to 80 ms apart. Members that leave stop listening long before they stop working, and a
-/// replica that is planned anew works on until its engines have joined.
-constexpr std::chrono::milliseconds kMovesWithin{ 150 };
 
 std::string
 Seconds(Duration aDuration)
@@ -36,126 +29,88 @@
 void
 Exchange::Tick()
 {
-  if (mPhase == Phase::kOver || !mAttempt) {
+  if (mPhase == Phase::kOver || !mCurrent.mAttempt) {
     return; // a place is found, or is refused, in a few tens of milliseconds
   }
   const TimePoint now = mCore->Now();
   if (now >= mDeadlineAt) {
-    mMayHaveRun = mMayHaveRun || mAttempt->MayHaveRun();
-    DropAttempt();
-    if (mStreamStarted) {
-      Cut("deadline");
-    } else if (mMayHaveRun) {
-      Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
-    } else {
-      Refuse("deadline");
-    }
+    OnDeadline();
     return;
   }
   if (EngineRestarted()) {
-    OnFailure("engine_restarted", mAttempt->MayHaveRun());
+    OnFailure("engine_restarted", mCurrent.mAttempt->MayHaveRun());
     return;
   }
-  if (!mAttempt->Connected()) {
-    if (now - mSentAt > mCore->mOptions.mConnectTimeout) {
-      OnFailure("connect: no answer", false);
-    }
-    return;
+  const auto unconnected = [&](const Sending& aSending) {
+    return !aSending.mAttempt->Connected() &&
+           now - aSending.mSentAt > mCore->mOptions.mConnectTimeout;
+  };
+  if (mNext && unconnected(*mNext)) {
+    DropNext("connect: no answer", false);
   }
-  if (mRoute->mKind == RequestKind::kSafe) {
-    const Duration most =
-      std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
-    if (mPhase == Phase::kWaiting && mSent < mRoute->mMaxAttempts && now - mSentAt > most &&
-        HasTarget() && HasBudget()) {
-      OnFailure("slow", true);
+  if (!mCurrent.mAttempt->Connected()) {
+    if (unconnected(mCurrent)) {
+      OnFailure("connect: no answer", false);
     }
     return;
   }
-  if (!mRoute->Repeatable() || !mService->mPool) {
-    return;
-  }
-  // The replica stands still: go on elsewhere while the caller still waits.
-  if (StandsStill() && mSent < mRoute->mMaxAttempts && now >= mMoveNotBefore && !mMoving &&
-      HasTarget()) {
-    Move("replica_lost");
-  }
+  AskSecondIfDue();
 }
 
 void
-Exchange::Move(const std::string& aWhy)
+Exchange::OnDeadline()
 {
-  mMoving = true;
-  const std::uint64_t serial = mAttemptSerial;
-  mCore->mPlaces.Ask(MakePlaceRequest(true),
-                     [self = shared_from_this(), serial, aWhy](const Place& aPlace) {
-                       self->mMoving = false;
-                       if (aPlace.mOutcome != PlaceOutcome::kGranted) {
-                         self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
-                         return;
-                       }
-                       if (self->mPhase == Phase::kOver || self->mAttemptSerial != serial) {
-                         self->mCore->mPlaces.End(aPlace.mTicket); // it ended in the meantime
-                         return;
-                       }
-                       self->mMayHaveRun = true;
-                       self->mCore->mBalancer.OnFault(self->mTarget.mEngine, self->mCore->Now());
-                       self->LogFailedAttempt(aWhy, true, "");
-                       self->DropAttempt();
-                       self->TakePlace(aPlace);
-                       self->SendToEngine();
-                     });
+  mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
+  DropAttempt();
+  if (mStreamStarted) {
+    Cut("deadline");
+  } else if (mMayHaveRun) {
+    Answer(kGatewayTimeout, "deadline", "no answer in time; whether it ran is unknown");
+  } else {
+    Refuse("deadline");
+  }
 }
 
 bool
 Exchange::EngineRestarted() const
 {
   // An engine that loses power closes no connection; the caller would wait until its deadline.
-  const auto start = mCore->mPlan->mStarts.find(mTarget.mEngine);
-  return start != mCore->mPlan->mStarts.end() && mTarget.mBorn != WallTime{} &&
-         start->second > mTarget.mBorn;
+  const AttemptTarget& target = mCurrent.mTarget;
+  const auto start = mCore->mPlan->mStarts.find(target.mEngine);
+  return start != mCore->mPlan->mStarts.end() && target.mBorn != WallTime{} &&
+         start->second > target.mBorn;
 }
 
 const PoolReplica*
-Exchange::ReplicaInPlan() const
+Exchange::ReplicaInPlan(const Sending& aSending) const
 {
   const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
   if (replicas == mCore->mPlan->mReplicas.end()) {
     return nullptr;
   }
-  const auto it =
-    std::find_if(replicas->second.begin(),
-                 replicas->second.end(),
-                 [this](const PoolReplica& aReplica) { return aReplica.mGroup == mGroup; });
+  const auto it = std::find_if(
+    replicas->second.begin(), replicas->second.end(), [&aSending](const PoolReplica& aReplica) {
+      return aReplica.mGroup == aSending.mGroup;
+    });
   return it == replicas->second.end() ? nullptr : &*it;
 }
 
-bool
-Exchange::StandsStill() const
-{
-  const Duration silence = mCore->mStalls.Silence(mTarget.mEngine, mCore->Now());
-  if (silence > mCore->mOptions.mLeaveSilent) {
-    return true;
-  }
-  if (mCore->mStalls.Watches(mTarget.mEngine) && silence <= kMovesWithin) {
-    return false;
-  }
-  const PoolReplica* replica = ReplicaInPlan();
-  // Formed anew, perhaps under another head: what was in progress there does not go on.
-  return replica != nullptr && (replica->mLost || replica->mEpoch > mEpoch);
-}
-
 void
 Exchange::OnFailure(const std::string& aWhy, bool aMayHaveRun)
 {
-  const bool reached = mAttempt && mAttempt->Connected();
+  const bool reached = mCurrent.mAttempt && mCurrent.mAttempt->Connected();
   mMayHaveRun = mMayHaveRun || aMayHaveRun;
   if (aMayHaveRun || !reached) {
-    mCore->mBalancer.OnFault(mTarget.mEngine, mCore->Now());
+    mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
   }
   if (!reached) {
-    // No engine was asked, so nothing is spent but time.
-    --mSent;
-    ++mConnectFailures;
+    NoteUnreached();
+  }
+  if (mNext) {
+    LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, "");
+    Drop(&mCurrent);
+    TakeNext();
+    return;
   }
   RequestProgress progress;
   progress.mRepeatable = mRoute->Repeatable();
@@ -166,18 +121,26 @@
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
   progress.mHasBudget = mSent == 0 || HasBudget();
-  LogFailedAttempt(aWhy, aMayHaveRun, WhyNotAgain(progress));
+  LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, WhyNotAgain(progress));
   DropAttempt();
   AfterAttempt(aWhy, progress);
 }
 
+void
+Exchange::NoteUnreached()
+{
+  // No engine was asked, so nothing is spent but time.
+  --mSent;
+  ++mConnectFailures;
+}
+
 void
 Exchange::AfterAttempt(const std::string& aWhy, RequestProgress aProgress)
 {
   switch (AfterFailure(aProgress)) {
     case FailureStep::kSendAgain:
       PlaceAndSend(mSent > 0, [this, aWhy, aProgress](const std::string& aNoPlace) {
-        LogFailedAttempt(aWhy, mMayHaveRun, aNoPlace);
+        LogFailedAttempt(mCurrent, aWhy, mMayHaveRun, aNoPlace);
         RequestProgress last = aProgress;
         last.mHasTarget = false;
         AfterAttempt(aWhy, last);
@@ -267,11 +230,11 @@
     return;
   }
   mPhase = Phase::kOver;
-  if (mAttempt) {
+  if (mCurrent.mAttempt) {
     // Its answer was whole; only the counts are left to settle.
-    EndCounts();
-    mAttempt.reset();
+    EndCounts(&mCurrent);
   }
+  DropAttempt();
   mCaller = nullptr;
   --mCore->mCounters.mOpen;
   mCore->mExchanges.erase(shared_from_this());
@@ -283,7 +246,7 @@
   if (mPhase == Phase::kOver) {
     return;
   }
-  mMayHaveRun = mMayHaveRun || (mAttempt && mAttempt->MayHaveRun());
+  mMayHaveRun = mMayHaveRun || (mCurrent.mAttempt && mCurrent.mAttempt->MayHaveRun());
   DropAttempt();
   if (mStreamStarted) {
     Cut("stopping");
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -24,40 +24,42 @@
 } // namespace
 
 void
-Exchange::LogFailedAttempt(const std::string& aWhy,
+Exchange::LogFailedAttempt(const Sending& aSending,
+                           const std::string& aWhy,
                            bool aMayHaveRun,
                            const std::string& aNotAgain) const
 {
   std::map<std::string, std::string> fields = {
     { "request", mFacts.mId },
-    { "engine", mTarget.mEngine },
+    { "engine", aSending.mTarget.mEngine },
     { "reason", aWhy },
-    { "after_ms", Millis(mCore->Now() - mSentAt) },
+    { "after_ms", Millis(mCore->Now() - aSending.mSentAt) },
     { "may_have_run", YesNo(aMayHaveRun) },
     { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
     { "not_again", aNotAgain },
   };
   if (mService->mPool) {
-    AddReplicaFields(&fields);
+    AddReplicaFields(aSending, &fields);
   }
   mCore->Log("attempt_failed", fields);
 }
 
 void
-Exchange::AddReplicaFields(std::map<std::string, std::string>* aFields) const
+Exchange::AddReplicaFields(const Sending& aSending,
+                           std::map<std::string, std::string>* aFields) const
 {
   const TimePoint now = mCore->Now();
   const TrafficPlan& plan = *mCore->mPlan;
   auto& fields = *aFields;
-  fields["group"] = mGroup;
-  fields["epoch"] = std::to_string(mEpoch);
-  fields["desk"] = mTicket.mDesk;
-  fields["in_flight"] = std::to_string(mCore->mBalancer.InFlight(plan, mTarget.mEngine));
-  fields["head_silent_ms"] = Millis(mCore->mStalls.Silence(mTarget.mEngine, now));
-  if (mWriting) {
-    fields["event_age_ms"] = Millis(now - mLastEventAt);
+  fields["group"] = aSending.mGroup;
+  fields["epoch"] = std::to_string(aSending.mEpoch);
+  fields["desk"] = aSending.mTicket.mDesk;
+  fields["in_flight"] = std::to_string(mCore->mBalancer.InFlight(plan, aSending.mTarget.mEngine));
+  fields["head_silent_ms"] = Millis(mCore->mStalls.Silence(aSending.mTarget.mEngine, now));
+  if (aSending.mWriting) {
+    fields["event_age_ms"] = Millis(now - aSending.mLastEventAt);
   }
-  if (const PoolReplica* replica = ReplicaInPlan()) {
+  if (const PoolReplica* replica = ReplicaInPlan(aSending)) {
     fields["plan_epoch"] = std::to_string(replica->mEpoch);
     fields["plan_open"] = YesNo(!replica->mSuspended);
     fields["plan_lost"] = YesNo(replica->mLost);
@@ -80,7 +82,7 @@
                { "outcome", aOutcome },
                { "reason", aReason },
                { "route", mRoute != nullptr ? mRoute->mName : "" },
-               { "engine", mTarget.mEngine },
+               { "engine", mCurrent.mTarget.mEngine },
                { "sent", std::to_string(mSent) },
                { "config", mRoutes ? std::to_string(mRoutes->Version()) : "" },
                { "model", mFacts.mModel },
--- /dev/null
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -0,0 +1,188 @@
+/// @file
+/// @brief A second engine is asked while the first still stands: one of them answers the caller.
+///
+/// An engine that is silent, or of whose replica something is said, may go on all the same; and the
+/// second one may refuse. A request that had left its first engine by then would be lost to both.
+/// So the first is let go only when the second gives an answer, and the second when the first does.
+
+#include "exchange.hpp"
+#include "exchange_constants.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+/// A stream whose replica stands still and that found no place elsewhere asks again after this: a
+/// heartbeat, in which places come free.
+constexpr std::chrono::milliseconds kMoveAgainAfter{ 200 };
+/// A head that gave any stream an event within this moves, whatever is said of its replica: events
+/// come 50 to 80 ms apart. Members that leave stop listening long before they stop working, and a
+/// replica that is planned anew works on until its engines have joined.
+constexpr std::chrono::milliseconds kMovesWithin{ 150 };
+
+/// A stream that may be sent to no more engines, and whose replica is said to be lost, is ended
+/// after this without an event: callers leave after two seconds, and can come back sooner.
+constexpr std::chrono::seconds kHopelessAfter{ 1 };
+
+} // namespace
+
+bool
+Exchange::MayAskSecond() const
+{
+  return mSent < mRoute->mMaxAttempts && HasTarget() && HasBudget();
+}
+
+void
+Exchange::AskSecondIfDue()
+{
+  if (mNext || mMoving) {
+    return;
+  }
+  const TimePoint now = mCore->Now();
+  if (mRoute->mKind == RequestKind::kSafe) {
+    const Duration most =
+      std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
+    if (mPhase == Phase::kWaiting && now - mCurrent.mSentAt > most && now >= mMoveNotBefore &&
+        MayAskSecond()) {
+      AskSecondEngine();
+    }
+    return;
+  }
+  if (!mRoute->Repeatable() || !mService->mPool || !StandsStill()) {
+    return;
+  }
+  if (mSent >= mRoute->mMaxAttempts) {
+    const TimePoint last = mCurrent.mWriting ? mCurrent.mLastEventAt : mCurrent.mSentAt;
+    if (SaidToBeLost() && now - last > kHopelessAfter) {
+      OnFailure("replica_lost", true);
+    }
+  } else if (now >= mMoveNotBefore && HasTarget()) {
+    Move("replica_lost");
+  }
+}
+
+bool
+Exchange::SaidToBeLost() const
+{
+  const PoolReplica* replica = ReplicaInPlan(mCurrent);
+  // Lost, or formed anew, perhaps under another head.
+  return replica != nullptr && (replica->mLost || replica->mEpoch > mCurrent.mEpoch);
+}
+
+bool
+Exchange::StandsStill() const
+{
+  const Duration silence = mCore->mStalls.Silence(mCurrent.mTarget.mEngine, mCore->Now());
+  if (silence > mCore->mOptions.mLeaveSilent) {
+    return true;
+  }
+  if (mCore->mStalls.Watches(mCurrent.mTarget.mEngine) && silence <= kMovesWithin) {
+    return false;
+  }
+  return SaidToBeLost();
+}
+
+void
+Exchange::Move(const std::string& aWhy)
+{
+  mMoving = true;
+  mCore->mPlaces.Ask(
+    MakePlaceRequest(true),
+    [self = shared_from_this(), serial = mCurrent.mSerial, aWhy](const Place& aPlace) {
+      self->mMoving = false;
+      if (aPlace.mOutcome != PlaceOutcome::kGranted) {
+        self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
+        return;
+      }
+      if (!self->IsCurrent(serial) || !self->StandsStill()) {
+        self->mCore->mPlaces.End(aPlace.mTicket); // it ended, or goes on, in the meantime
+        return;
+      }
+      self->StartNext(SendingTo(aPlace), aWhy);
+    });
+}
+
+void
+Exchange::AskSecondEngine()
+{
+  auto sending = ChooseEngine();
+  if (!sending) {
+    return;
+  }
+  mCore->BudgetOf(mService->mName).TakeRetry();
+  StartNext(std::move(*sending), "slow");
+}
+
+void
+Exchange::StartNext(Sending aTo, const std::string& aWhy)
+{
+  mNext = std::move(aTo);
+  mNextWhy = aWhy;
+  Launch(&*mNext);
+}
+
+void
+Exchange::OnNextHead(int aStatus, const HeaderFields& aFields)
+{
+  const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
+  const bool events = mRoute->mKind == RequestKind::kStream && mStreamStarted;
+  std::string fault = HeadFault(facts);
+  if (fault.empty() && (aStatus >= kServerFailure || (events && aStatus != kOk))) {
+    fault = "the second engine failed";
+  }
+  if (!fault.empty()) {
+    if (!facts.mNotRun || facts.mOtherEngine) {
+      mCore->mBalancer.OnFault(mNext->mTarget.mEngine, mCore->Now());
+    }
+    DropNext(fault, !facts.mNotRun);
+    return;
+  }
+  if (events) {
+    // The caller has the first engine's head. Which of the two goes on shows by the next event.
+    mNext->mAttempt->SetKeepAlive(facts.mKeepAlive);
+    mNext->mAttempt->ReadMore();
+    return;
+  }
+  TakeNext();
+  TakeHead(aStatus, aFields, facts);
+}
+
+void
+Exchange::OnNextEnd(const AttemptEnd& aEnd)
+{
+  DropNext(aEnd.mComplete ? "the second engine had no more events" : aEnd.mWhy, aEnd.mMayHaveRun);
+}
+
+void
+Exchange::DropNext(const std::string& aWhy, bool aMayHaveRun)
+{
+  const bool reached = mNext->mAttempt->Connected();
+  mMayHaveRun = mMayHaveRun || aMayHaveRun;
+  LogFailedAttempt(*mNext, aWhy, aMayHaveRun, "");
+  Drop(&*mNext);
+  mNext.reset();
+  mMoveNotBefore = mCore->Now() + kMoveAgainAfter;
+  if (!reached) {
+    NoteUnreached();
+  }
+}
+
+void
+Exchange::TakeNext()
+{
+  if (mCurrent.mAttempt) {
+    mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
+    mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
+    LogFailedAttempt(mCurrent, mNextWhy, true, "");
+  }
+  Drop(&mCurrent);
+  mCurrent = std::move(*mNext);
+  mNext.reset();
+  mBody.clear();
+  mSplitter.Reset();
+  mPhase = mStreamStarted ? Phase::kEvents : Phase::kWaiting;
+}
+
+} // namespace pepperbay
