Tests that fail: replicas are formed anew while their streams are written

Symptom: streams are reset in quiet hours, up to 21 of them at once; replicas that were just formed anew stop serving again.

--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -48,6 +48,31 @@
   EXPECT_EQ(Usable(Holder()), 1);
 }
 
+/// Symptom: some twenty streams are reset at once in a quiet hour.
+/// Sequence: a replica's head leaves, its registration goes; it works on for streams of several
+/// nodes; within a tenth of a second its replica is formed anew, which ends them.
+/// Cause: the requests that other nodes have in progress were counted for listed engines only, so
+/// the head passed for idle.
+TEST_F(CoordinatorTest, RequestsOfOtherNodesCountAtAHeadThatIsNoLongerListed)
+{
+  AddNode("a");
+  AddNode("b");
+  Run(seconds(10));
+  TestNode& holder = Holder();
+  TestNode& other = &holder == &mNodes.front() ? mNodes.back() : mNodes.front();
+  const std::string head = holder.mPlan->mReplicas.at("pool").front().mHead.mId;
+  other.mCoordinator->SetInFlight({ { head, 4 } }, true);
+  Run(seconds(1));
+  mPool.At(head).mListed = false;
+  mEngineLog.Put(head, std::nullopt);
+  mOrders.clear();
+  Run(seconds(1));
+  EXPECT_EQ(mOrders[GroupOrderKind::kJoin], 0);
+  other.mCoordinator->SetInFlight({}, true);
+  Run(seconds(2));
+  EXPECT_NE(holder.mPlan->mReplicas.at("pool").front().mHead.mId, head);
+}
+
 /// Symptom: dozens of engines that live are taken for lost just after a takeover, and the pool
 /// falls apart.
 /// Sequence: nodes of an eighth and of half a core share the work; one of the small ones takes the
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_leaving_test.cpp
@@ -0,0 +1,102 @@
+/// Replicas whose members leave, while their streams are still being written.
+#include "group_planner_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+/// Orders to join that an engine was given.
+int
+JoinsOf(const World& aWorld, const std::string& aEngine)
+{
+  const auto it = aWorld.mJoins.find(aEngine);
+  return it == aWorld.mJoins.end() ? 0 : it->second;
+}
+
+/// Symptom: streams are reset in a quiet hour, when engines are replaced.
+/// Sequence: a member says that it leaves; its replica takes no new requests; after 1.6 s, with
+/// streams in progress, the other members are told to join anew, which ends the group and them.
+/// Cause: the wait for what is in progress had a bound far below the time that a stream takes, and
+/// below the time for which a leaving engine works on.
+TEST(GroupPlannerLeaving, WhatIsInProgressEndsBeforeTheMembersJoinAnew)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string head = world.MemberOf(planner, "big", 0);
+  const std::string leaving = world.MemberOf(planner, "big", 2);
+  const int before = JoinsOf(world, head);
+  world.mInFlight = 2;
+  world.mPool.At(leaving).mRecord.mLeaving = true;
+  world.Run(planner, seconds(5));
+  EXPECT_EQ(JoinsOf(world, head), before);
+  world.mInFlight = 0;
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  EXPECT_NE(world.MemberOf(planner, "big", 2), leaving);
+}
+
+/// A count that never falls, of a node that hangs say, does not hold the replica for ever.
+TEST(GroupPlannerLeaving, WhatDoesNotEndIsNotWaitedForLongerThanAnEngineWorksOn)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string leaving = world.MemberOf(planner, "big", 2);
+  world.mInFlight = 2;
+  world.mPool.At(leaving).mRecord.mLeaving = true;
+  world.Run(planner, seconds(10));
+  EXPECT_NE(world.MemberOf(planner, "big", 2), leaving);
+}
+
+/// Symptom: as above, without any word of leaving.
+/// Sequence: a member leaves without a word: its registration goes, later it stops listening, and
+/// works on for its head's streams; it does not answer questions; the replica forms anew.
+/// Cause: an engine that does not listen was taken for one that does not work.
+TEST(GroupPlannerLeaving, AMemberThatOnlyStoppedListeningEndsItsStreamsFirst)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string head = world.MemberOf(planner, "big", 0);
+  const std::string silent = world.MemberOf(planner, "big", 3);
+  const int before = JoinsOf(world, head);
+  world.mInFlight = 2;
+  world.Kill(silent);
+  world.Run(planner, seconds(2));
+  EXPECT_EQ(JoinsOf(world, head), before);
+  world.mInFlight = 0;
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
+/// Symptom: a replica that was formed anew without one leaving engine stops serving again seconds
+/// later, and refuses all that it is sent until that is found out.
+/// Sequence: two members leave without a word, one after the other; when the first stops listening,
+/// the replica is formed anew with the second, though a spare is ready.
+/// Cause: an engine that is no longer listed was as good a member as any while it answered.
+TEST(GroupPlannerLeaving, ASpareGoesBeforeAMemberThatIsNoLongerListed)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.mTraffic = true;
+  world.Run(planner, seconds(100));
+  const std::string first = world.MemberOf(planner, "small", 1);
+  const std::string second = world.MemberOf(planner, "small", 2);
+  ASSERT_GE(SparesOf(world).size(), 2U);
+  world.mPool.At(first).mListed = false;
+  world.mPool.At(second).mListed = false;
+  world.Run(planner, seconds(1));
+  world.Kill(first);
+  world.Run(planner, seconds(2));
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+  for (const auto& [name, replica] : planner.Replicas()) {
+    for (const auto& it : replica.mMembers) {
+      EXPECT_NE(it, second) << name;
+    }
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -96,6 +96,7 @@
     }
     for (const auto& order : orders) {
       ++mGiven[order.mKind];
+      mJoins[order.mEngine] += order.mKind == GroupOrderKind::kJoin ? 1 : 0;
       switch (mFate ? mFate(order) : Fate::kArrives) {
         case Fate::kArrives:
           aPlanner.OnAnswer(order, mPool.Order(order, Now()), Now());
@@ -206,6 +207,7 @@
   std::function<Fate(const GroupOrder&)> mFate;
   std::vector<std::pair<TimePoint, GroupOrder>> mLate;
   std::map<GroupOrderKind, int> mGiven;
+  std::map<std::string, int> mJoins; ///< given, by engine
   int mInFlight = 0;                      ///< at each head
   std::map<std::string, int> mInFlightOf; ///< the same by model, where it differs
   int mRounds = 0;
