placement: a replica is formed anew once nothing runs there, or it stands still

An engine that leaves, with a word or without, stops listening first and works on for its head's streams. Now a replica that is to lose a member takes no new requests and is formed anew when nothing is in progress there; at once when a member does not answer and nodes say that the head's streams stand still (it died); and after 8 s in any case, the longest that callers wait for a stream, below the 10 s for which engines work on. Ruled out: a longer fixed wait (idle replicas would stand for it). Tests of survivors that had streams which never end now say how long theirs last (1.6 s); their expectations are the same.

--- a/bench/pools/pool_world.cpp
+++ b/bench/pools/pool_world.cpp
@@ -84,6 +84,7 @@
     return it != mDied.end() && Now() - it->second >= mOptions.mFoundAfter;
   };
   view.mInFlight = [](const std::string&) { return 0; };
+  view.mStandsStill = [](const std::string&) { return true; };
   const auto before = std::chrono::steady_clock::now();
   const auto orders = mPlanner.Plan(view);
   mPlanning += std::chrono::steady_clock::now() - before;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -46,9 +46,9 @@
   Duration mAskLoaded = std::chrono::milliseconds(1500);
   /// Orders without an answer, in a row, after which an engine counts as lost.
   int mMostUnanswered = 3;
-  /// Requests at a replica with a leaving member get this long to end before the member is
-  /// replaced. Engines serve on for longer than that after they said that they leave.
-  Duration mDrainWait = std::chrono::milliseconds(1600);
+  /// Requests at a replica that loses a member get this long to end before it is formed anew: the
+  /// longest that callers wait for a stream. Engines that leave work on for longer than that.
+  Duration mDrainMost = std::chrono::seconds(8);
   /// The first replicas are formed once no engine has registered for this long: those of one
   /// domain register within a short time of each other.
   Duration mSettle = std::chrono::milliseconds(600);
@@ -102,6 +102,8 @@
   std::function<bool(const std::string& aEngine)> mDead;
   /// Requests of all nodes in progress at a head.
   std::function<int(const std::string& aHead)> mInFlight;
+  /// Nodes say that the streams of a head stand still.
+  std::function<bool(const std::string& aHead)> mStandsStill;
 };
 
 enum class ReplicaPhase
@@ -127,7 +129,8 @@
   std::set<std::string> mReady;           ///< members that were ready under this epoch
   std::set<std::string> mRestarted;       ///< members that started again and know nothing of it
   TimePoint mSince{};                     ///< of the phase
-  std::optional<TimePoint> mLeavingSince; ///< a member leaves
+  std::optional<TimePoint> mLeavingSince; ///< a member leaves; what is in progress may end
+  bool mMemberLost = false;               ///< a member does not answer; it may work on
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
   bool mGivenUp = false;                  ///< its engines are needed by another
   std::string mWhy;                       ///< why it does not serve
@@ -219,6 +222,12 @@
   void NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer);
   void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
   void Judge(PlannedReplica& aReplica);
+  /// @return a member that is not there or does not answer; empty for none.
+  std::string LostMember(const PlannedReplica& aReplica) const;
+  /// @return whether a replica is to take no new requests although all its members answer.
+  bool IsToLeave(const PlannedReplica& aReplica) const;
+  /// @return whether a replica that takes no new requests still has some in progress.
+  bool WorksOn(const PlannedReplica& aReplica) const;
   static void Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow);
   void Drive(PlannedReplica& aReplica);
   void NoteReadiness(PlannedReplica& aReplica);
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -61,6 +61,8 @@
   /// The directory's engines by the lower half of the hash of their ids.
   const std::unordered_map<std::uint32_t, std::string>& ShortIds();
   void OnSuspect(const std::string& aHead, Duration aSilence);
+  /// A node's streams at a head stand still.
+  void OnSilentHead(const std::string& aHead);
   void AskMembers(const std::string& aHead);
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
   const EngineRecord* FindEngine(const std::string& aEngine) const;
@@ -128,7 +130,8 @@
   std::uint64_t mNewsTold = 0; ///< the last change that was sent out
   TimePoint mNewsAskDue{};
   std::unordered_map<std::string, int> mInFlight;
-  std::map<std::string, TimePoint> mHeadsAsked;             ///< heads whose members were just asked
+  std::map<std::string, TimePoint> mSilentHeads; ///< heads whose streams stand still, as last told
+  std::map<std::string, TimePoint> mHeadsAsked;  ///< heads whose members were just asked
   std::unordered_map<std::uint32_t, std::string> mShortIds; ///< of the directory's engines
   std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
   std::uint64_t mPlannedFence = 0;
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -247,7 +247,7 @@
   for (const std::uint32_t engine : aSuspicions.engines()) {
     const auto id = ShortIds().find(engine);
     if (id != ShortIds().end()) {
-      AskMembers(id->second);
+      OnSilentHead(id->second);
     }
   }
 }
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -4,6 +4,10 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+/// A head's silence is told every 200 ms while it lasts; one word of it may be lost.
+constexpr std::chrono::milliseconds kSilenceHolds{ 500 };
+}
 
 bool
 Coordinator::Impl::MayOrder() const
@@ -62,6 +66,10 @@
     return (own == mInFlight.end() ? 0 : own->second) +
            (there == others->end() ? 0 : there->second);
   };
+  view.mStandsStill = [this](const std::string& aHead) {
+    const auto it = mSilentHeads.find(aHead);
+    return it != mSilentHeads.end() && Now() - it->second < kSilenceHolds;
+  };
   const auto orders = planner.Plan(view);
   AskAsPlanned(planner);
   for (const auto& it : orders) {
@@ -148,16 +156,26 @@
   mHooks.mLog("suspect",
               { { "head", aHead }, { "silent_ms", std::to_string(ToMs(aSilence).count()) } });
   if (MayOrder()) {
-    AskMembers(aHead);
+    OnSilentHead(aHead);
   } else {
     TellHolder(aHead);
   }
 }
 
+void
+Coordinator::Impl::OnSilentHead(const std::string& aHead)
+{
+  mSilentHeads[aHead] = Now();
+  AskMembers(aHead);
+}
+
 void
 Coordinator::Impl::AskMembers(const std::string& aHead)
 {
   const TimePoint now = Now();
+  for (auto it = mSilentHeads.begin(); it != mSilentHeads.end();) {
+    it = now - it->second >= kSilenceHolds ? mSilentHeads.erase(it) : std::next(it);
+  }
   for (auto it = mHeadsAsked.begin(); it != mHeadsAsked.end();) {
     it = now - it->second >= mOptions.mAskHeadAgain ? mHeadsAsked.erase(it) : std::next(it);
   }
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -159,7 +159,7 @@
     // The head serves a while after it has accepted the order to open.
     news.set_open(replica.mPhase == ReplicaPhase::kOpen && !replica.mLeavingSince &&
                   aNow - replica.mSince >= aFormTime);
-    news.set_lost(replica.mPhase == ReplicaPhase::kBroken);
+    news.set_lost(replica.mPhase == ReplicaPhase::kBroken || replica.mMemberLost);
     all.push_back(std::move(news));
   }
   return all;
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -233,44 +233,77 @@
   mReplicas[aName] = std::move(replica);
 }
 
-void
-GroupPlanner::Judge(PlannedReplica& aReplica)
+std::string
+GroupPlanner::LostMember(const PlannedReplica& aReplica) const
 {
-  if (aReplica.mPhase == ReplicaPhase::kBroken) {
-    return;
-  }
-  bool leaving = false;
   for (const auto& it : aReplica.mMembers) {
     const EngineRecord* engine = Find(it);
-    const bool listed = engine != nullptr;
-    if (listed && engine->mLeaving && !mView->mDead(it) && mUnanswering.count(it) == 0) {
-      leaving = true;
-    } else if (!listed || !Usable(*engine)) {
-      Break(aReplica, "lost member " + it, mView->mNow);
-      return;
+    const bool answers = !mView->mDead(it) && mUnanswering.count(it) == 0;
+    const bool leaves = engine != nullptr && engine->mLeaving && answers;
+    if (engine == nullptr || (!leaves && !Usable(*engine))) {
+      return it;
     }
   }
+  return "";
+}
+
+bool
+GroupPlanner::IsToLeave(const PlannedReplica& aReplica) const
+{
   // Requests may not go to an engine whose registration is gone, and they go to the head.
-  leaving = leaving || FindListed(aReplica.mMembers.front()) == nullptr || aReplica.mGivenUp;
-  if (!leaving) {
+  if (aReplica.mGivenUp || FindListed(aReplica.mMembers.front()) == nullptr) {
+    return true;
+  }
+  return std::any_of(
+    aReplica.mMembers.begin(), aReplica.mMembers.end(), [this](const std::string& aMember) {
+      const EngineRecord* engine = Find(aMember);
+      return engine != nullptr && engine->mLeaving;
+    });
+}
+
+void
+GroupPlanner::Judge(PlannedReplica& aReplica)
+{
+  if (aReplica.mPhase == ReplicaPhase::kBroken) {
+    return;
+  }
+  const std::string lost = LostMember(aReplica);
+  aReplica.mMemberLost = !lost.empty();
+  if (lost.empty() && !IsToLeave(aReplica)) {
     aReplica.mLeavingSince.reset();
     return;
   }
+  std::string why = "a member leaves";
+  if (!lost.empty()) {
+    why = "lost member " + lost;
+  } else if (aReplica.mGivenUp) {
+    why = "its engines complete another replica";
+  }
   if (aReplica.mPhase != ReplicaPhase::kOpen) {
-    Break(aReplica, "a member leaves", mView->mNow);
+    Break(aReplica, std::move(why), mView->mNow);
     return;
   }
   if (!aReplica.mLeavingSince) {
     aReplica.mLeavingSince = mView->mNow;
+    aReplica.mWhy = why;
   }
-  const bool idle = mView->mInFlight(aReplica.mMembers.front()) == 0;
-  if (idle || mView->mNow - *aReplica.mLeavingSince >= mOptions.mDrainWait) {
-    Break(aReplica,
-          aReplica.mGivenUp ? "its engines complete another replica" : "a member leaves",
-          mView->mNow);
+  if (!WorksOn(aReplica)) {
+    Break(aReplica, std::move(why), mView->mNow);
   }
 }
 
+bool
+GroupPlanner::WorksOn(const PlannedReplica& aReplica) const
+{
+  // The first member that joins anew ends the group, and with it every stream that is being
+  // written there. A member that has stopped listening works on for its head until that has
+  // nothing in progress; one that has died shows by streams that stand still.
+  const std::string& head = aReplica.mMembers.front();
+  const bool standsStill = aReplica.mMemberLost && mView->mStandsStill(head);
+  const bool waited = mView->mNow - *aReplica.mLeavingSince >= mOptions.mDrainMost;
+  return mView->mInFlight(head) > 0 && !standsStill && !waited;
+}
+
 void
 GroupPlanner::Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow)
 {
--- a/src/pepperbay/placement/group_planner_leaving_test.cpp
+++ b/src/pepperbay/placement/group_planner_leaving_test.cpp
@@ -63,7 +63,7 @@
   const std::string silent = world.MemberOf(planner, "big", 3);
   const int before = JoinsOf(world, head);
   world.mInFlight = 2;
-  world.Kill(silent);
+  world.StopListening(silent);
   world.Run(planner, seconds(2));
   EXPECT_EQ(JoinsOf(world, head), before);
   world.mInFlight = 0;
@@ -71,6 +71,18 @@
   EXPECT_EQ(world.mPool.Serving("big"), 1U);
 }
 
+/// A member that has died shows by streams that stand still; nothing is waited for then.
+TEST(GroupPlannerLeaving, AMemberWhoseReplicaStandsStillIsReplacedAtOnce)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mInFlight = 2;
+  world.Kill(world.MemberOf(planner, "big", 3));
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
 /// Symptom: a replica that was formed anew without one leaving engine stops serving again seconds
 /// later, and refuses all that it is sent until that is found out.
 /// Sequence: two members leave without a word, one after the other; when the first stops listening,
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -122,6 +122,7 @@
   aReplica.mRestarted.clear();
   aReplica.mSince = mView->mNow;
   aReplica.mLeavingSince.reset();
+  aReplica.mMemberLost = false;
   mPending.erase(aReplica.mMembers.front() + " open");
 }
 
--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -59,6 +59,7 @@
   world.Run(planner, kAllStaged, 1, milliseconds(100));
   world.mTraffic = true;
   world.mInFlightOf = { { "big", 20 }, { "small", 8 } }; // of 26 at each
+  world.mStreamsLast = milliseconds(1600);
   const std::string lost = world.MemberOf(planner, "big", 3);
   const std::string domain = world.mPool.At(lost).mRecord.mDomain;
   for (const auto& it : SparesOf(world)) {
@@ -106,6 +107,7 @@
   world.Run(planner, kAllStaged, 1, milliseconds(100));
   world.mTraffic = true;
   world.mInFlightOf = { { "big", 20 }, { "small", 8 } };
+  world.mStreamsLast = milliseconds(1600);
   const std::string lost = world.MemberOf(planner, "big", 3);
   for (const auto& it : SparesOf(world)) {
     world.Kill(it);
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -5,6 +5,7 @@
 #include "fakes/fake_pool.hpp"
 #include "pepperbay/placement/group_planner.hpp"
 
+#include <algorithm>
 #include <deque>
 
 namespace pepperbay {
@@ -75,10 +76,14 @@
     view.mFence = aFence;
     view.mTraffic = mTraffic;
     view.mDead = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
-    view.mInFlight = [this](const std::string& aHead) {
+    view.mInFlight = [this, &aPlanner](const std::string& aHead) {
+      if (mStreamsLast && TakesNoneSince(aPlanner, aHead) >= *mStreamsLast) {
+        return 0;
+      }
       const auto model = mInFlightOf.find(mPool.At(aHead).mModel);
       return model == mInFlightOf.end() ? mInFlight : model->second;
     };
+    view.mStandsStill = [this](const std::string& aHead) { return StandsStill(aHead); };
     if (++mRounds % 35 == 0) { // about every 700 ms whoever left orders unanswered is asked
       const auto unanswering = aPlanner.Unanswering();
       for (const auto& it : unanswering) {
@@ -161,6 +166,29 @@
     }
   }
 
+  /// @return whether nothing moves at a head, as nodes would say: a member of its group has died.
+  bool StandsStill(const std::string& aHead)
+  {
+    const auto& members = mPool.At(aHead).mMembers;
+    return std::any_of(members.begin(), members.end(), [this](const std::string& aMember) {
+      return !mPool.At(aMember).mAlive;
+    });
+  }
+
+  /// @return for how long the planner has kept new requests from the replica of a head.
+  Duration TakesNoneSince(const GroupPlanner& aPlanner, const std::string& aHead)
+  {
+    for (const auto& [name, replica] : aPlanner.Replicas()) {
+      if (replica.mMembers.front() == aHead && replica.mLeavingSince) {
+        return Now() - *replica.mLeavingSince;
+      }
+    }
+    return Duration::zero();
+  }
+
+  /// The engine stops listening and answers no question; it works on for its group.
+  void StopListening(const std::string& aEngine) { mFound.insert(aEngine); }
+
   /// The engine dies; the platform still lists it, and it is found not to answer at once.
   void Kill(const std::string& aEngine)
   {
@@ -208,7 +236,9 @@
   std::vector<std::pair<TimePoint, GroupOrder>> mLate;
   std::map<GroupOrderKind, int> mGiven;
   std::map<std::string, int> mJoins; ///< given, by engine
-  int mInFlight = 0;                      ///< at each head
+  int mInFlight = 0;                 ///< at each head
+  /// Requests at a head that takes no new ones have ended after this; without it they never do.
+  std::optional<Duration> mStreamsLast;
   std::map<std::string, int> mInFlightOf; ///< the same by model, where it differs
   int mRounds = 0;
   bool mTraffic = false;
