coordinator: requests of other nodes count at a head that is no longer listed

Callers saw some twenty streams reset within a tenth of a second of an engine's leaving. The members of replicas are looked up as well, as they were listed last. Other places that go from a short hash to an engine: ShortIds() for suspicions has the same gap and follows with the word of refusals; news name heads that must be listed to take requests.

--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -72,10 +72,20 @@
   if (counts.empty()) {
     return inFlight;
   }
-  for (const auto& [id, engine] : mDirectory.Engines()) {
-    const auto it = counts.find(ShortId(id));
+  const auto add = [&](const std::string& aEngine) {
+    const auto it = counts.find(ShortId(aEngine));
     if (it != counts.end()) {
-      inFlight[id] = it->second;
+      inFlight[aEngine] = it->second;
+    }
+  };
+  for (const auto& [id, engine] : mDirectory.Engines()) {
+    add(id);
+  }
+  // A head whose registration is gone works on; without a count of its requests it would pass for
+  // idle, and its replica be formed anew under them.
+  for (const auto& [service, planner] : mPlanners) {
+    for (const auto& [id, engine] : planner.Members()) {
+      add(id);
     }
   }
   return inFlight;
