placement: a spare goes before a member that is no longer listed

Callers saw replicas that had just been formed anew refuse everything seconds later. Cause: a member whose registration was gone was as good as any while it answered; 10 of 59 traced formations had one, and each of these was lost within 4.2 s. Such an engine is now taken into a new formation only where no listed one is ready. It may as well be cut off from the store and live on (so it stays a member of a replica that serves, and is taken where nothing else is there).

--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -74,10 +74,18 @@
     return false;
   }
   std::vector<std::string> members = Survivors(aReplica);
-  members.resize(std::min(members.size(), model->mSize));
   if (members.empty()) {
     return false; // nothing to keep together; its engines are free once they are back
   }
+  // An engine whose registration is gone may be about to stop listening; seconds later its head
+  // would refuse everything. It is taken where there is no other.
+  const auto unlisted =
+    std::stable_partition(members.begin(), members.end(), [this](const std::string& aMember) {
+      return FindListed(aMember) != nullptr;
+    });
+  const std::vector<std::string> inNeed(unlisted, members.end());
+  members.erase(unlisted, members.end());
+  members.resize(std::min(members.size(), model->mSize));
   const auto free = FreeEngines(aReplica.mDomain, aReplica.mModel, aReplica.mName);
   for (const auto* it : free) {
     // An engine that has to load weights would hold the others for so long; it loads by itself, as
@@ -87,6 +95,11 @@
       members.push_back(it->mId);
     }
   }
+  for (const auto& it : inNeed) {
+    if (members.size() < model->mSize) {
+      members.push_back(it);
+    }
+  }
   const auto head =
     std::find_if(members.begin(), members.end(), [this](const std::string& aMember) {
       return FindListed(aMember) != nullptr;
