Test that fails: a head that refuses is chosen again and again

One head refuses 11 to 96 requests within a second (traced: a member of its replica has stopped listening; the holder finds out after 0.6 to 0.9 s). Each refusal takes one of the attempts that the route allows.

--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -301,5 +301,33 @@
   stopped.get_future().wait();
 }
 
+/// Symptom: one head refuses dozens of requests in a row; each loses time and one of its attempts.
+/// Sequence: a member of its replica stops listening, so the head takes nothing new; nobody has
+/// noticed, and the head with the least in progress is chosen again and again.
+/// Cause: a refusal taught the node nothing of the head.
+TEST_F(RelayMoves, AHeadThatHasRefusedIsNotAskedAgainAtOnce)
+{
+  RawEngine refuses([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  RawEngine serves([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA + kStreamEnd);
+  });
+  Serve({ &refuses, &serves });
+  OfferSecond();
+  constexpr int kRequests = 10;
+  for (int i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(StatusOf(Ask(Post("/stream/", "x", "Model: m\r\n"))), 200);
+  }
+  EXPECT_LE(refuses.Connections(), 1);
+  mClock.Advance(seconds(1));
+  for (int i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(StatusOf(Ask(Post("/stream/", "x", "Model: m\r\n"))), 200);
+  }
+  EXPECT_LE(refuses.Connections(), 2) << "asked once more, after a pause";
+}
+
 } // namespace
 } // namespace pepperbay
