A head that refuses is not asked again at once, and the holder asks its members

Callers lost time and attempts at a head that takes nothing: 11 to 96 refusals within a second, until the holder had found out by itself that a member of its replica had stopped listening. Cause: a refusal taught nobody anything. Now a refusal keeps the head from being chosen for 100 ms, twice as long each time it refuses again (up to 800 ms); questions for places name such heads, so the desk passes over them for all its nodes; and the holder is told and asks the members at once. A head that takes a request again is forgiven. Heads that are no longer listed are found by their short hash among the members of replicas. Ruled out: full heads (1 to 41 requests counted there, of 26 slots and 52 that wait).

--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -177,8 +177,9 @@
     RelayOptions options;
     options.mCallers = Address();
     options.mLeaveSilent = std::chrono::seconds(20);
-    auto relay = Relay::Open(
-      mContext, options, PlainDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
+    RelayHooks hooks;
+    hooks.mOnSuspect = [](const std::string&, Duration) {};
+    auto relay = Relay::Open(mContext, options, PlainDialect(), std::move(hooks));
     if (!relay.has_value()) {
       std::fprintf(stderr, "%s\n", ToString(relay.error()).c_str());
       std::exit(1);
--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -11,7 +11,8 @@
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp engine_directory.cpp
                           stall_detector.cpp
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
-pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp TESTS router_test.cpp route_table_test.cpp balancer_test.cpp USES base) # pure
+pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
+                  TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp USES base) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -133,6 +133,8 @@
   void OnMessage(const std::string& aBytes);
   /// A head has been silent towards this node's streams.
   void OnSuspect(const std::string& aHead, Duration aSilence);
+  /// A head refuses this node's requests.
+  void OnRefused(const std::string& aHead);
   /// Requests in progress, by engine: this node's own and those that it found places for.
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
   /// Fail readiness and give the lease back.
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -88,6 +88,8 @@
 {
   /// A replica's head has been silent; any thread's business but the relay's.
   std::function<void(const std::string& aHead, Duration aSilence)> mOnSuspect;
+  /// A replica's head refuses requests; told once a pause, see RefusalBook.
+  std::function<void(const std::string& aHead)> mOnRefused;
   /// A message to another node's place agent; null where there are no other nodes.
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSendToDesk;
   /// A line for the log; see log.hpp.
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -2,6 +2,7 @@
 /// @brief Which engine or replica a request goes to, from what is in progress there. Pure.
 #pragma once
 
+#include "pepperbay/routing/refusal_book.hpp"
 #include "pepperbay/routing/traffic_plan.hpp"
 
 #include <set>
@@ -55,6 +56,10 @@
   /// An engine answered; old faults are forgotten sooner the more it answers.
   void OnAnswer(const std::string& aEngine);
 
+  /// Heads that take nothing at the moment are not chosen.
+  RefusalBook& Refusals() { return mRefusals; }
+  const RefusalBook& Refusals() const { return mRefusals; }
+
   /// The engine has started again: its faults, its pace and what it had to read are of the past.
   void Forget(const std::string& aEngine);
 
@@ -89,7 +94,7 @@
   struct ReplicaChoice
   {
     const PoolReplica* mReplica = nullptr;
-    bool mFull = false; ///< there are replicas, but each has all that it should hold
+    bool mFull = false; ///< there are replicas, but each has all that it should hold, or refuses
   };
 
   /// The replica of a model where a request's first event is expected soonest.
@@ -134,6 +139,7 @@
   std::unordered_map<std::string, TimePoint> mFaultAt;
   std::unordered_map<std::string, TimePoint> mReadsUntil; ///< prompts sent to a head
   std::unordered_map<std::string, Pace> mPaces;
+  RefusalBook mRefusals;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -282,6 +282,12 @@
   mImpl->OnSuspect(aHead, aSilence);
 }
 
+void
+Coordinator::OnRefused(const std::string& aHead)
+{
+  mImpl->OnRefused(aHead);
+}
+
 void
 Coordinator::SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic)
 {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -41,8 +41,8 @@
   int Followers() const;
   /// Nodes before this pool, as far as known; more rather than fewer.
   int NodesAtWork() const;
-  /// Tell the holder of the lease that a head is silent.
-  void TellHolder(const std::string& aHead);
+  /// Tell the holder of the lease what this node's streams and requests show of heads.
+  void TellHolder(const proto::Suspicions& aSuspicions);
   void OnSuspicions(const proto::Suspicions& aSuspicions);
   /// Ask a node for the news of replicas that are missing here.
   void AskNews(const std::string& aNode);
@@ -60,7 +60,10 @@
   void PassConfiguration(const std::string& aAsker, const proto::Beat& aBeat);
   /// The directory's engines by the lower half of the hash of their ids.
   const std::unordered_map<std::uint32_t, std::string>& ShortIds();
+  /// @return a listed engine, or a member of a replica, by the short hash of its id; empty for none
+  std::string EngineOf(std::uint32_t aShortId);
   void OnSuspect(const std::string& aHead, Duration aSilence);
+  void OnRefused(const std::string& aHead);
   /// A node's streams at a head stand still.
   void OnSilentHead(const std::string& aHead);
   void AskMembers(const std::string& aHead);
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -254,12 +254,35 @@
   if (!MayOrder()) {
     return;
   }
-  for (const std::uint32_t engine : aSuspicions.engines()) {
-    const auto id = ShortIds().find(engine);
-    if (id != ShortIds().end()) {
-      OnSilentHead(id->second);
+  for (const std::uint32_t it : aSuspicions.engines()) {
+    const std::string head = EngineOf(it);
+    if (!head.empty()) {
+      OnSilentHead(head);
     }
   }
+  for (const std::uint32_t it : aSuspicions.refusing()) {
+    const std::string head = EngineOf(it);
+    if (!head.empty()) {
+      AskMembers(head);
+    }
+  }
+}
+
+std::string
+Coordinator::Impl::EngineOf(std::uint32_t aShortId)
+{
+  const auto listed = ShortIds().find(aShortId);
+  if (listed != ShortIds().end()) {
+    return listed->second;
+  }
+  for (const auto& [service, planner] : mPlanners) {
+    for (const auto& [id, engine] : planner.Members()) {
+      if (ShortId(id) == aShortId) {
+        return id;
+      }
+    }
+  }
+  return "";
 }
 
 const std::unordered_map<std::uint32_t, std::string>&
@@ -276,12 +299,12 @@
 }
 
 void
-Coordinator::Impl::TellHolder(const std::string& aHead)
+Coordinator::Impl::TellHolder(const proto::Suspicions& aSuspicions)
 {
-  // Nobody else acts on a suspicion. It is told again while the head is silent, so that whoever has
-  // just taken the lease hears of it as well.
+  // Nobody else acts on a suspicion. It is told again while it lasts, so that whoever has just
+  // taken the lease hears of it as well.
   proto::PeerMessage message = NewMessage();
-  message.mutable_suspicions()->add_engines(ShortId(aHead));
+  *message.mutable_suspicions() = aSuspicions;
   SendTo(mLease.Newest().holder(), message.SerializeAsString());
 }
 
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -1,4 +1,5 @@
 #include "coordinator_impl.hpp"
+#include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -157,9 +158,26 @@
               { { "head", aHead }, { "silent_ms", std::to_string(ToMs(aSilence).count()) } });
   if (MayOrder()) {
     OnSilentHead(aHead);
-  } else {
-    TellHolder(aHead);
+    return;
+  }
+  proto::Suspicions suspicions;
+  suspicions.add_engines(ShortId(aHead));
+  TellHolder(suspicions);
+}
+
+void
+Coordinator::Impl::OnRefused(const std::string& aHead)
+{
+  // A member that stops listening makes its head refuse; only the holder knows the members. Asked
+  // at once, its absence shows in a tenth of a second in place of most of one.
+  mHooks.mLog("refused", { { "head", aHead } });
+  if (MayOrder()) {
+    AskMembers(aHead);
+    return;
   }
+  proto::Suspicions suspicions;
+  suspicions.add_refusing(ShortId(aHead));
+  TellHolder(suspicions);
 }
 
 void
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -48,6 +48,32 @@
   EXPECT_EQ(Usable(Holder()), 1);
 }
 
+/// Symptom: a head refuses everything for most of a second before its replica is closed.
+/// Sequence: a member leaves without a word and stops listening; its head refuses; a node that does
+/// not hold the lease, and whose word of the head is all there is, says so.
+/// Cause: the holder waited until the member had not answered its rare questions for long.
+TEST_F(CoordinatorTest, TheMembersOfAHeadThatRefusesAreAskedAtOnce)
+{
+  AddNode("a");
+  AddNode("b");
+  Run(seconds(10));
+  TestNode& holder = Holder();
+  TestNode& other = &holder == &mNodes.front() ? mNodes.back() : mNodes.front();
+  const std::string head = holder.mPlan->mReplicas.at("pool").front().mHead.mId;
+  const std::string member = mPool.At(head).mMembers.back();
+  other.mCoordinator->SetInFlight({ { head, 4 } }, true);
+  Run(milliseconds(500));
+  mPool.At(head).mListed = false; // no longer found by its short hash among the listed
+  mEngineLog.Put(head, std::nullopt);
+  Run(milliseconds(500));
+  mPool.At(member).mAlive = false;
+  EXPECT_EQ(mLines["engine_lost"], 0);
+  other.mCoordinator->OnRefused(head);
+  Run(milliseconds(100));
+  EXPECT_EQ(mLines["engine_lost"], 1);
+  EXPECT_EQ(Usable(other), 0);
+}
+
 /// Symptom: some twenty streams are reset at once in a quiet hour.
 /// Sequence: a replica's head leaves, its registration goes; it works on for streams of several
 /// nodes; within a tenth of a second its replica is formed anew, which ends them.
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -329,6 +329,9 @@
     hooks.mOnSuspect = [this](const std::string& aHead, Duration aSilence) {
       asio::post(mControl, [this, aHead, aSilence] { mCoordinator->OnSuspect(aHead, aSilence); });
     };
+    hooks.mOnRefused = [this](const std::string& aHead) {
+      asio::post(mControl, [this, aHead] { mCoordinator->OnRefused(aHead); });
+    };
     if (!mSettings.mDesk.empty()) {
       hooks.mSendToDesk = [this](const std::string& aAddress, const std::string& aBytes) {
         mDesks.Send(aAddress, aBytes);
--- a/src/pepperbay/places/place_agent.cpp
+++ b/src/pepperbay/places/place_agent.cpp
@@ -208,6 +208,9 @@
   for (const auto& it : mBalancer->Faulty(Now())) {
     ask->add_faulty(ShortId(it));
   }
+  for (const auto it : mBalancer->Refusals().Refusing(Now())) {
+    ask->add_refusing(it);
+  }
   ask->set_again(request.mAgain);
   ask->set_data_centre(mOptions.mDataCentre);
   ask->set_reply_address(mOptions.mAddress);
@@ -339,6 +342,9 @@
     mHooks.mSend(asker.mAddress, message.SerializeAsString());
     return;
   }
+  for (const auto it : ask.refusing()) {
+    mBalancer->Refusals().OnTold(it, Now());
+  }
   Balancer::ReplicaQuery query{
     ask.model(),
     passedOn ? mOptions.mDataCentre : ask.data_centre(),
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -310,6 +310,26 @@
   return aFacts.mSealed ? "" : "unsealed_answer";
 }
 
+void
+Exchange::NoteHead(const Sending& aSending, const AnswerFacts& aFacts)
+{
+  const std::string& engine = aSending.mTarget.mEngine;
+  if (aFacts.mOtherEngine) {
+    mCore->mBalancer.OnFault(engine, mCore->Now());
+    return;
+  }
+  if (!mService->mPool) {
+    return;
+  }
+  RefusalBook& refusals = mCore->mBalancer.Refusals();
+  if (!aFacts.mNotRun) {
+    refusals.OnTaken(engine, aSending.mSentAt);
+  } else if (refusals.OnRefused(engine, aSending.mSentAt, mCore->Now()) &&
+             mCore->mHooks.mOnRefused) {
+    mCore->mHooks.mOnRefused(engine);
+  }
+}
+
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
@@ -318,9 +338,7 @@
   if (fault == "foreign_answer") {
     ++mCore->mCounters.mForeignAnswers;
   }
-  if (facts.mOtherEngine) {
-    mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
-  }
+  NoteHead(mCurrent, facts);
   if (!fault.empty()) {
     OnFailure(fault, !facts.mNotRun);
     return;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -112,6 +112,8 @@
   Duration Left() const { return mDeadlineAt - mCore->Now(); }
 
   void OnHead(int aStatus, const HeaderFields& aFields);
+  /// What the head of an answer says of the engine that gave it.
+  void NoteHead(const Sending& aSending, const AnswerFacts& aFacts);
   /// @return why an answer with this head is not one to pass on; empty when it is.
   std::string HeadFault(const AnswerFacts& aFacts) const;
   /// The current engine's answer begins.
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -132,8 +132,9 @@
   if (fault.empty() && (aStatus >= kServerFailure || (events && aStatus != kOk))) {
     fault = "the second engine failed";
   }
+  NoteHead(*mNext, facts);
   if (!fault.empty()) {
-    if (!facts.mNotRun || facts.mOtherEngine) {
+    if (!facts.mNotRun) {
       mCore->mBalancer.OnFault(mNext->mTarget.mEngine, mCore->Now());
     }
     DropNext(fault, !facts.mNotRun);
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -85,8 +85,9 @@
     aOptions.mCallers = "127.0.0.1:" + std::to_string(FreePort());
     aOptions.mLeaveSilent = seconds(20);
     mAddress = aOptions.mCallers;
-    auto relay = Relay::Open(
-      mContext, aOptions, TestDialect(), { [](const std::string&, Duration) {}, nullptr, nullptr });
+    RelayHooks hooks;
+    hooks.mOnSuspect = [](const std::string&, Duration) {};
+    auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
     Configuration configuration;
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -37,6 +37,7 @@
   mFaultAt.erase(aEngine);
   mReadsUntil.erase(aEngine);
   mPaces.erase(aEngine);
+  mRefusals.Forget(aEngine);
 }
 
 int
@@ -203,7 +204,7 @@
     if (it.mModel != aQuery.mModel || it.mSuspended || it.mLost || aQuery.mTried.count(id) != 0) {
       continue;
     }
-    if (InFlight(aPlan, head) >= most) {
+    if (InFlight(aPlan, head) >= most || mRefusals.Refuses(id, aNow)) {
       choice.mFull = true;
       continue;
     }
--- /dev/null
+++ b/src/pepperbay/routing/refusal_book.cpp
@@ -0,0 +1,66 @@
+#include "pepperbay/routing/refusal_book.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+
+RefusalBook::RefusalBook(RefusalOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool
+RefusalBook::OnRefused(const std::string& aHead, TimePoint aSentAt, TimePoint aNow)
+{
+  Refusal& refusal = mRefusals[ShortId(aHead)];
+  if (aSentAt < refusal.mUntil) {
+    return false;
+  }
+  refusal.mPause = std::clamp(refusal.mPause * 2, mOptions.mFirstPause, mOptions.mMostPause);
+  refusal.mUntil = aNow + refusal.mPause;
+  return true;
+}
+
+void
+RefusalBook::OnTaken(const std::string& aHead, TimePoint aSentAt)
+{
+  const auto it = mRefusals.find(ShortId(aHead));
+  if (it != mRefusals.end() && aSentAt >= it->second.mUntil) {
+    mRefusals.erase(it);
+  }
+}
+
+void
+RefusalBook::OnTold(std::uint32_t aHead, TimePoint aNow)
+{
+  mRefusals[aHead].mToldUntil = aNow + mOptions.mToldPause;
+}
+
+void
+RefusalBook::Forget(const std::string& aHead)
+{
+  mRefusals.erase(ShortId(aHead));
+}
+
+bool
+RefusalBook::Refuses(std::uint32_t aHead, TimePoint aNow) const
+{
+  const auto it = mRefusals.find(aHead);
+  return it != mRefusals.end() && aNow < std::max(it->second.mUntil, it->second.mToldUntil);
+}
+
+std::vector<std::uint32_t>
+RefusalBook::Refusing(TimePoint aNow) const
+{
+  std::vector<std::uint32_t> refusing;
+  for (const auto& [head, refusal] : mRefusals) {
+    if (aNow < refusal.mUntil) {
+      refusing.push_back(head);
+    }
+  }
+  return refusing;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/routing/refusal_book_test.cpp
@@ -0,0 +1,76 @@
+#include "pepperbay/routing/refusal_book.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RefusalBookTest : public testing::Test
+{
+protected:
+  bool Refuses() const { return mBook.Refuses(ShortId(mHead), mNow); }
+  /// A request is sent and refused at once.
+  bool Refuse() { return mBook.OnRefused(mHead, mNow, mNow); }
+
+  const std::string mHead = "h";
+  TimePoint mNow = TimePoint(std::chrono::hours(1));
+  RefusalBook mBook;
+};
+
+TEST_F(RefusalBookTest, AHeadIsAskedAgainAfterAPauseThatDoublesUpToABound)
+{
+  for (const int ms : { 100, 200, 400, 800, 800 }) {
+    EXPECT_TRUE(Refuse());
+    mNow += milliseconds(ms - 1);
+    EXPECT_TRUE(Refuses()) << ms;
+    mNow += milliseconds(1);
+    EXPECT_FALSE(Refuses()) << ms;
+  }
+}
+
+/// Requests that were on their way when the first one was refused lengthen nothing.
+TEST_F(RefusalBookTest, RefusalsOfRequestsSentBeforeAreNoNews)
+{
+  const TimePoint sent = mNow;
+  mNow += milliseconds(5);
+  EXPECT_TRUE(mBook.OnRefused(mHead, sent, mNow));
+  EXPECT_FALSE(mBook.OnRefused(mHead, sent + milliseconds(2), mNow + milliseconds(2)));
+  mNow += milliseconds(100);
+  EXPECT_FALSE(Refuses());
+}
+
+/// What a head took before it refused says nothing; what it takes after the pause clears it.
+TEST_F(RefusalBookTest, AHeadThatTakesARequestAgainIsForgiven)
+{
+  Refuse();
+  mBook.OnTaken(mHead, mNow - milliseconds(50));
+  EXPECT_TRUE(Refuses());
+  mNow += milliseconds(100);
+  mBook.OnTaken(mHead, mNow);
+  Refuse();
+  mNow += milliseconds(100);
+  EXPECT_FALSE(Refuses()) << "the pause is a first one again";
+}
+
+TEST_F(RefusalBookTest, AnotherNodesWordHoldsForAMomentAndIsNotPassedOn)
+{
+  mBook.OnTold(ShortId(mHead), mNow);
+  EXPECT_TRUE(Refuses());
+  EXPECT_TRUE(mBook.Refusing(mNow).empty());
+  mNow += milliseconds(100);
+  EXPECT_FALSE(Refuses());
+}
+
+TEST_F(RefusalBookTest, AHeadThatStartedAgainIsAsGoodAsAny)
+{
+  Refuse();
+  mBook.Forget(mHead);
+  EXPECT_FALSE(Refuses());
+}
+
+} // namespace
+} // namespace pepperbay
