placement: a new holder leaves a replica that works with an unlisted member alone

Callers saw streams reset when the lease changed hands while a member's registration was gone (it leaves without a word, or is cut off from the store). Cause: the new holder sees such a replica without all its members and told the rest to join anew, whatever ran there. A replica whose head says that it is open is taken over as open; the missing member makes it one that takes no new requests and is formed anew when nothing runs there. When the member is listed again the replica is whole as it was, with no order given.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -222,7 +222,7 @@
   void NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer);
   void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
   void Judge(PlannedReplica& aReplica);
-  /// @return a member that is not there or does not answer; empty for none.
+  /// @return a member that is not there or does not answer, for people; empty for none.
   std::string LostMember(const PlannedReplica& aReplica) const;
   /// @return whether a replica is to take no new requests although all its members answer.
   bool IsToLeave(const PlannedReplica& aReplica) const;
@@ -297,6 +297,7 @@
   Duration LoadTime(const std::string& aModel) const;
   bool InReplica(const std::string& aEngine) const { return InOtherReplica(aEngine, ""); }
   bool InOtherReplica(const std::string& aEngine, const std::string& aName) const;
+  void SetMembers(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   /// Keep mReplicasOf in step with a replica's members.
   void AddToIndex(const PlannedReplica& aReplica);
   void RemoveFromIndex(const PlannedReplica& aReplica);
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -6,6 +6,21 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+
+std::vector<std::string>
+IdsOf(const std::vector<const EngineRecord*>& aEngines)
+{
+  std::vector<std::string> ids;
+  ids.reserve(aEngines.size());
+  for (const auto* it : aEngines) {
+    ids.push_back(it->mId);
+  }
+  return ids;
+}
+
+} // namespace
+
 const char*
 ToString(ReplicaPhase aPhase)
 {
@@ -174,6 +189,14 @@
   }
 }
 
+void
+GroupPlanner::SetMembers(PlannedReplica& aReplica, std::vector<std::string> aMembers)
+{
+  RemoveFromIndex(aReplica);
+  aReplica.mMembers = std::move(aMembers);
+  AddToIndex(aReplica);
+}
+
 void
 GroupPlanner::Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers)
 {
@@ -204,6 +227,8 @@
                       headListed && replica.mMembers.front() == head.mId;
     if (same && head.mGroup.mPhase == GroupPhase::kBroken) {
       Break(replica, "the head says that it is broken", mView->mNow);
+    } else if (same && members.size() > replica.mMembers.size()) {
+      SetMembers(replica, IdsOf(members)); // one whose registration had lapsed is back
     }
     return;
   }
@@ -214,16 +239,16 @@
   replica.mDomain = head.mDomain;
   // It has been so for an unknown time; a head that says it is open serves already.
   replica.mSince = mView->mNow - mView->mPool->mFormTime;
-  for (const auto* it : members) {
-    replica.mMembers.push_back(it->mId);
-  }
+  replica.mMembers = IdsOf(members);
   const ModelSpec* model = mView->mPool->FindModel(replica.mModel);
   if (model == nullptr) {
     return; // of a model that the configuration does not have
   }
   const bool whole = members.size() == model->mSize && headListed;
   const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
-  replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
+  // A head that says it is open works on without a member that is not listed, until it says
+  // otherwise; Judge() finds the member missing.
+  replica.mPhase = headListed && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
   if (known != mReplicas.end()) {
     // Another holder has formed it anew, perhaps without some members; they are free.
@@ -244,7 +269,9 @@
       return it;
     }
   }
-  return "";
+  const ModelSpec* model = mView->mPool->FindModel(aReplica.mModel);
+  const bool all = model == nullptr || aReplica.mMembers.size() >= model->mSize;
+  return all ? "" : "that is not listed";
 }
 
 bool
--- a/src/pepperbay/placement/group_planner_leaving_test.cpp
+++ b/src/pepperbay/placement/group_planner_leaving_test.cpp
@@ -106,6 +106,29 @@
   EXPECT_GT(JoinsOf(world, head), joins);
 }
 
+/// The engine was only cut off from the store: its replica serves on as it was.
+TEST(GroupPlannerLeaving, AMemberThatIsListedAgainMakesItsReplicaWhole)
+{
+  World world(1);
+  GroupPlanner before;
+  world.Run(before, seconds(40));
+  const std::string head = world.MemberOf(before, "big", 0);
+  const std::string member = world.MemberOf(before, "big", 3);
+  world.mPool.At(member).mListed = false;
+  world.mInFlight = 2;
+  world.Run(before, milliseconds(200));
+  const int joins = JoinsOf(world, head);
+  GroupPlanner after;
+  world.Run(after, seconds(1), 2);
+  world.mPool.At(member).mListed = true;
+  world.Run(after, milliseconds(200), 2);
+  world.mInFlight = 0;
+  world.Run(after, seconds(2), 2);
+  EXPECT_EQ(JoinsOf(world, head), joins);
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  EXPECT_EQ(world.MemberOf(after, "big", 0), head);
+}
+
 /// Symptom: a replica that was formed anew without one leaving engine stops serving again seconds
 /// later, and refuses all that it is sent until that is found out.
 /// Sequence: two members leave without a word, one after the other; when the first stops listening,
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -126,9 +126,7 @@
     mSpares.erase(it);
     mPending.erase(it + " join");
   }
-  RemoveFromIndex(aReplica);
-  aReplica.mMembers = std::move(aMembers);
-  AddToIndex(aReplica);
+  SetMembers(aReplica, std::move(aMembers));
   aReplica.mEpoch = NextEpoch();
   aReplica.mPhase = ReplicaPhase::kForming;
   aReplica.mReady.clear();
