placement: a join that is repeated while it is in progress is counted once

What callers saw: a repair took 250 ms longer, with the replica dark, for members that had loaded weights for a join before.

Cause: such a join is asked for again until it is done, and answered as begun each time. The next guarded join named a count that was too high and was refused.

Ruled out: engines that refuse because the old replica still works (in the test its members are idle, and the same join with the right count is taken). Why it holds: a join without a guard is given only after one of the same epoch was answered, so only a guarded one can begin something.

--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -205,7 +205,11 @@
 {
   const auto known = mAccepted.find(aOrder.mEngine);
   const bool refused = aAnswer == OrderAnswer::kNotNow && aOrder.mKind == GroupOrderKind::kJoin;
-  if (aAnswer == OrderAnswer::kBegun && known != mAccepted.end()) {
+  // A join that is still in progress is answered as begun again, and the engine does not count it. A
+  // count above the engine's own has each later join refused, or passes the guard of an engine that
+  // has meanwhile taken an order of another holder. Only the first join of an epoch has a guard.
+  const bool repeated = aOrder.mKind == GroupOrderKind::kJoin && !aOrder.mAccepted;
+  if (aAnswer == OrderAnswer::kBegun && !repeated && known != mAccepted.end()) {
     ++known->second;
   } else if (aAnswer == OrderAnswer::kNone || refused) {
     mAccepted.erase(aOrder.mEngine); // unknown until it is asked
