--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -82,6 +82,7 @@
                   { "epoch", std::to_string(aOrder.mEpoch) },
                   { "model", aOrder.mModel },
                   { "fence", std::to_string(aOrder.mFence) },
+                  { "expects", aOrder.mAccepted ? std::to_string(*aOrder.mAccepted) : "" },
                   { "answer", ToString(aAnswer) } });
     if (aAnswer == OrderAnswer::kStale) {
       mLease.Doubt();
