placement: what is known of an engine and what its answers prove, in one place

What callers saw: a head that took streams and in which nothing moved, as a member had joined another replica.

Cause: the planner kept the place that an engine stated for half a second, and the count of orders that went with it for good. With registrations that stood still (the store was away), a member counted as what it had registered before its last join, and the join of another replica passed the engine's own guard. Its head was told to leave the epoch of the old registration, answered that this holds, and that was read as left.

Now EngineState holds one pair for each start, the newest place and the count that belongs to it, and says what each answer proves. A registration counts when it changes to a newer place. An order to open or stage may be a repeat that is not counted, so the engine is asked, once its word is of after it. A broken replica lets a member go that says that it is elsewhere, as that is now known for longer than half a second.

Why it holds: a place is left only by an answer of the engine that names that place and count, or by its report of a later one; and a pair of a place and a count that is older than the engine's own is refused by the engine.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -12,13 +12,13 @@
                           stall_detector.cpp
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp TESTS router_test.cpp route_table_test.cpp balancer_test.cpp USES base) # pure
-pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
+pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp engine_state.cpp
                           group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
                           group_planner_starts.cpp group_planner_survivors.cpp
                   TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp
                         group_planner_starts_test.cpp group_planner_survivors_test.cpp
-                        group_planner_places_test.cpp USES state membership routing) # pure
+                        group_planner_places_test.cpp engine_state_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
 pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp failure_step_test.cpp USES routing admission proto) # pure
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -5,6 +5,7 @@
 /// holder needs nothing from the last one, and a replica that serves is left alone.
 #pragma once
 
+#include "pepperbay/placement/engine_state.hpp"
 #include "pepperbay/placement/group_order.hpp"
 #include "pepperbay/routing/route_table.hpp"
 
@@ -74,9 +75,6 @@
   int mLeastLoadsAhead = 2;
   /// A join without an answer may still be carried out this much later.
   Duration mLateOrder = std::chrono::seconds(13);
-  /// What an engine says when asked is some 200 ms old, its registration a few tens; a report goes
-  /// before an older registration only for so long, and never before a later leaving.
-  Duration mReportLife = std::chrono::milliseconds(500);
   /// A member whose registration is gone is kept while it answers at least this often. It may be
   /// cut off from the store and come back, or leave without a word; in the second case its end
   /// shows as any other loss does.
@@ -167,12 +165,6 @@
     std::string mModel;
     TimePoint mSince{};
   };
-  /// What an engine said when it was asked.
-  struct ReportedPlace
-  {
-    GroupPlace mPlace;
-    TimePoint mAt{};
-  };
   struct GivenUp
   {
     std::uint64_t mEpoch = 0;
@@ -182,6 +174,7 @@
   struct LostJoin
   {
     std::string mGroup;
+    std::uint64_t mEpoch = 0;
     TimePoint mUntil{};
   };
   /// One start of an engine.
@@ -216,7 +209,6 @@
   bool OfNewestStart(const std::string& aEngine, WallTime aBorn) const;
   void LearnStanding();
   void WantUnknown();
-  void NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer);
   void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
   void Judge(PlannedReplica& aReplica);
   static void Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow);
@@ -276,10 +268,12 @@
                                                const std::string& aGroup) const;
   /// @return whether an engine is in no replica, neither by plan nor by its own word.
   bool IsFree(const EngineRecord& aEngine) const;
-  /// The newer of what an engine registered and what it said when asked.
+  /// The newest place that is known of an engine, by whichever of its words.
   const GroupPlace& PlaceOf(const EngineRecord& aEngine) const;
   /// @return whether by its own word an engine is in a replica other than the named one.
   bool IsElsewhere(const EngineRecord& aEngine, const std::string& aGroup) const;
+  /// @return whether an engine is planned for broken replicas only, and by its own word elsewhere.
+  bool IsAwayFromItsReplicas(const EngineRecord& aEngine) const;
   void Dismiss(const EngineRecord& aEngine);
   void StageOther(const EngineRecord& aEngine, const std::string& aModel);
   /// @return whether a join to another group than this may still be carried out at the engine.
@@ -295,6 +289,9 @@
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
   bool Guard(GroupOrder& aOrder);
+  /// Let the engine refuse an order if it is not in the state that is known of it.
+  /// @return false while that is not known; the engine is asked.
+  bool NameAccepted(GroupOrder& aOrder);
   /// A replica is broken when a member says that it is in none, or in another.
   void BreakIfElsewhere(const std::string& aEngine, const GroupPlace& aPlace, TimePoint aNow);
   /// @return whether a join may begin now, should it have to bring weights from their store.
@@ -312,15 +309,12 @@
   std::map<std::string, GivenUp> mGivenUp;
   std::map<std::string, Spare> mSpares;
   std::map<std::string, Pending> mPending;
-  std::map<std::string, Staging> mStaging;        ///< engines told to stage, until they have
-  std::map<std::string, std::string> mLastModel;  ///< of the last group that an engine was in
-  std::map<std::string, std::uint64_t> mAccepted; ///< orders that an engine has accepted
+  std::map<std::string, Staging> mStaging;              ///< engines told to stage, until they have
+  std::map<std::string, std::string> mLastModel;        ///< of the last group that an engine was in
+  std::unordered_map<std::string, EngineState> mStates; ///< of the newest starts, by engine
   /// Engines that were supposed to have accepted no order yet, without being asked. Once each: one
   /// that has, and looks new all the same, would be sent a join that it refuses for ever.
   std::set<std::string> mTakenForNew;
-  std::map<std::string, ReportedPlace> mReported;
-  std::map<std::string, TimePoint> mLeftAt;         ///< engines that have left a replica
-  std::map<std::string, std::uint64_t> mJoinsGiven; ///< epoch of the last join given
   std::map<std::string, EngineRecord> mWanted;
   std::map<std::string, EngineRecord> mKnown; ///< members, as they were listed last
   std::map<std::string, TimePoint> mAnsweredAt;
--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -65,7 +65,22 @@
   's/return !group.empty\(\) \&\& !IsSpareGroup\(group\) \&\& group != aGroup;/return false;/' \
   placement_group_planner_test '*LeavesFirst*:*NeverServes*'
 mutant "joins without a guard" $groups/group_planner_orders.cpp \
-  's/aOrder.mAccepted = accepted->second;/;/' placement_group_planner_test '*NeverServes*'
+  's/  return NameAccepted\(aOrder\);/  return true;/' placement_group_planner_test '*NeverServes*'
+mutant "a leave of an older epoch counts as left" $groups/engine_state.cpp \
+  's/  if \(IsIn\(aOrder.mGroup, aOrder.mEpoch\)\) \{/  if (true) {/' \
+  placement_engine_state_test '*OlderEpoch*'
+mutant "an old registration comes back" $groups/engine_state.cpp \
+  's/aPlace.mEpoch > std::max\(mLeft, mPlace.mEpoch\)/true/' placement_engine_state_test '*StandsStill*'
+mutant "a leave that names no number proves that one has left" $groups/engine_state.cpp \
+  's/aOrder.mAccepted \? OrderProof::kDone : OrderProof::kAlreadySo;/OrderProof::kDone;/; s/\*aOrder.mAccepted \+ 1;/aOrder.mAccepted.value_or(mAccepted) + 1;/' \
+  placement_engine_state_test '*WithoutANumber*'
+mutant "an open that is in progress is counted again" $groups/engine_state.cpp \
+  's/Doubt\(mAccepted \+ 1, aNow\);/++mAccepted;/' placement_engine_state_test '*AnOpen*'
+mutant "a number that was refused is taken again" $groups/engine_state.cpp \
+  's/\*aOrder.mAccepted \+ 1 : mAccepted/0 : 0/' placement_engine_state_test '*WasRefused*'
+mutant "a late answer brings a membership back" $groups/engine_state.cpp \
+  's/aOrder.mEpoch < mPlace.mEpoch \|\| aOrder.mEpoch <= mLeft/false/' \
+  placement_engine_state_test '*LateAnswer*'
 mutant "late joins are forgotten" $groups/group_planner.cpp \
   's/return it != mLostJoins.end\(\) .*/return false;/' placement_group_planner_test '*NeverServes*'
 mutant "loads of joins are not counted" $groups/group_planner_orders.cpp \
--- /dev/null
+++ b/src/pepperbay/placement/engine_state.cpp
@@ -0,0 +1,201 @@
+#include "pepperbay/placement/engine_state.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+
+const char*
+ToString(OrderProof aProof)
+{
+  switch (aProof) {
+    case OrderProof::kDone:
+      return "done";
+    case OrderProof::kAccepted:
+      return "accepted";
+    case OrderProof::kAlreadySo:
+      return "already_so";
+    case OrderProof::kIgnored:
+      return "ignored";
+    case OrderProof::kRefused:
+      return "refused";
+    case OrderProof::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+EngineState
+EngineState::JustStarted()
+{
+  EngineState state;
+  state.mExact = true;
+  return state;
+}
+
+bool
+EngineState::IsIn(const std::string& aGroup, std::uint64_t aEpoch) const
+{
+  return mPlace.mName == aGroup && mPlace.mEpoch == aEpoch;
+}
+
+std::optional<std::uint64_t>
+EngineState::Accepted() const
+{
+  return mExact ? std::optional(mAccepted) : std::nullopt;
+}
+
+bool
+EngineState::ShouldAsk(TimePoint aNow) const
+{
+  return !mExact && aNow >= mAskFrom;
+}
+
+OrderProof
+EngineState::ProofOf(const GroupOrder& aOrder, OrderAnswer aAnswer) const
+{
+  if (aAnswer == OrderAnswer::kNone) {
+    return OrderProof::kUnknown;
+  }
+  if (aAnswer != OrderAnswer::kBegun && aAnswer != OrderAnswer::kHolds) {
+    return OrderProof::kRefused;
+  }
+  switch (aOrder.mKind) {
+    case GroupOrderKind::kJoin:
+      return ProofOfJoin(aOrder, aAnswer);
+    case GroupOrderKind::kLeave:
+      return ProofOfLeave(aOrder);
+    case GroupOrderKind::kOpen:
+    case GroupOrderKind::kStage:
+      break;
+  }
+  // One that is still in progress is answered as begun again.
+  return aAnswer == OrderAnswer::kBegun ? OrderProof::kAccepted : OrderProof::kAlreadySo;
+}
+
+OrderProof
+EngineState::ProofOfJoin(const GroupOrder& aOrder, OrderAnswer aAnswer) const
+{
+  if (aOrder.mEpoch < mPlace.mEpoch || aOrder.mEpoch <= mLeft) {
+    return OrderProof::kIgnored; // a late answer; the engine has been elsewhere since
+  }
+  // A join that names a number is given only where the engine is not in that membership with it.
+  return aAnswer == OrderAnswer::kBegun && aOrder.mAccepted ? OrderProof::kDone
+                                                            : OrderProof::kAlreadySo;
+}
+
+OrderProof
+EngineState::ProofOfLeave(const GroupOrder& aOrder) const
+{
+  // An engine answers alike whether it has left by this order, had left before, or is in a newer
+  // membership, which the order does not concern. Taken as left in the last case, it would be
+  // ordered elsewhere while it serves.
+  if (IsIn(aOrder.mGroup, aOrder.mEpoch)) {
+    return aOrder.mAccepted ? OrderProof::kDone : OrderProof::kAlreadySo;
+  }
+  return mPlace.mName.empty() ? OrderProof::kAlreadySo : OrderProof::kIgnored;
+}
+
+OrderProof
+EngineState::OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow)
+{
+  const OrderProof proof = ProofOf(aOrder, aAnswer);
+  switch (proof) {
+    case OrderProof::kDone:
+      // The engine had accepted exactly the number that the order names, so it was where it was
+      // known to be with that number, and is where the order has it now.
+      Apply(aOrder);
+      mAccepted = *aOrder.mAccepted + 1;
+      mExact = true;
+      break;
+    case OrderProof::kAccepted:
+      Doubt(mAccepted + 1, aNow);
+      mAskFrom = mLeastUntil;
+      break;
+    case OrderProof::kAlreadySo:
+      if (MovesEngine(aOrder)) {
+        Apply(aOrder);
+        Doubt(mAccepted, aNow);
+      }
+      break;
+    case OrderProof::kRefused:
+      OnRefused(aOrder, aNow);
+      break;
+    case OrderProof::kUnknown:
+      Doubt(mAccepted, aNow);
+      break;
+    case OrderProof::kIgnored:
+      break;
+  }
+  return proof;
+}
+
+bool
+EngineState::MovesEngine(const GroupOrder& aOrder) const
+{
+  const bool in = IsIn(aOrder.mGroup, aOrder.mEpoch);
+  return (aOrder.mKind == GroupOrderKind::kJoin && !in) ||
+         (aOrder.mKind == GroupOrderKind::kLeave && in);
+}
+
+void
+EngineState::Apply(const GroupOrder& aOrder)
+{
+  if (aOrder.mKind == GroupOrderKind::kLeave) {
+    mLeft = std::max(mLeft, mPlace.mEpoch);
+    mPlace = GroupPlace{};
+    return;
+  }
+  const auto rank = std::find(aOrder.mMembers.begin(), aOrder.mMembers.end(), aOrder.mEngine);
+  mPlace = { aOrder.mGroup,
+             aOrder.mEpoch,
+             static_cast<int>(rank - aOrder.mMembers.begin()),
+             GroupPhase::kJoining };
+}
+
+void
+EngineState::OnRefused(const GroupOrder& aOrder, TimePoint aNow)
+{
+  const bool moves =
+    aOrder.mKind == GroupOrderKind::kJoin || aOrder.mKind == GroupOrderKind::kLeave;
+  const bool outdated = mExact && aOrder.mAccepted && *aOrder.mAccepted < mAccepted;
+  if (moves && !outdated) {
+    Doubt(aOrder.mAccepted ? *aOrder.mAccepted + 1 : mAccepted, aNow);
+  }
+}
+
+void
+EngineState::Doubt(std::uint64_t aLeast, TimePoint aNow)
+{
+  mExact = false;
+  mLeast = std::max(aNow < mLeastUntil ? mLeast : 0, aLeast);
+  mLeastUntil = aNow + kReportAge;
+  mAskFrom = aNow;
+}
+
+void
+EngineState::OnReport(const GroupPlace& aPlace, std::uint64_t aAccepted, TimePoint aNow)
+{
+  const bool fewer = mExact ? aAccepted < mAccepted : aNow < mLeastUntil && aAccepted < mLeast;
+  const bool older = !aPlace.mName.empty() && aPlace.mEpoch < mPlace.mEpoch;
+  if (fewer || older) {
+    return; // of before what is known
+  }
+  mPlace = aPlace;
+  mAccepted = aAccepted;
+  mExact = true;
+}
+
+void
+EngineState::OnRegistration(const GroupPlace& aPlace)
+{
+  if (aPlace.mName == mRegistered.mName && aPlace.mEpoch == mRegistered.mEpoch) {
+    return; // it says what it said before, which may have been long ago
+  }
+  mRegistered = aPlace;
+  if (!aPlace.mName.empty() && aPlace.mEpoch > std::max(mLeft, mPlace.mEpoch)) {
+    mPlace = aPlace;
+    mExact = false;
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -128,7 +128,10 @@
     }
     ++n;
     const GroupPlace& place = engine.mGroup;
-    if (place.mName.empty() || !OfNewestStart(id, engine.mBorn)) {
+    // A registration that stands still would bring back a replica that its engines have left.
+    const GroupPlace& newest = PlaceOf(engine);
+    const bool outdated = place.mName != newest.mName || place.mEpoch != newest.mEpoch;
+    if (place.mName.empty() || outdated || !OfNewestStart(id, engine.mBorn)) {
       continue;
     }
     if (!engine.mLoadedModels.empty()) {
@@ -162,12 +165,12 @@
 {
   mWanted.clear();
   for (const auto& [id, engine] : *mView->mEngines) {
-    if (engine.mService != mView->mService || mAccepted.count(id) != 0) {
+    if (engine.mService != mView->mService || !mStates[id].ShouldAsk(mView->mNow)) {
       continue;
     }
     const bool fresh = engine.mGroup.mName.empty() && engine.mStagedModels.empty();
     if (fresh && mTakenForNew.insert(id).second) {
-      mAccepted[id] = 0; // an engine that has just started; if not, it refuses and is asked
+      mStates[id] = EngineState::JustStarted(); // if it has not, it refuses and is asked
     } else if (Usable(engine)) {
       mWanted[id] = engine;
     }
@@ -289,11 +292,8 @@
 const GroupPlace&
 GroupPlanner::PlaceOf(const EngineRecord& aEngine) const
 {
-  const auto reported = mReported.find(aEngine.mId);
-  const bool newer = reported != mReported.end() &&
-                     reported->second.mPlace.mEpoch > aEngine.mGroup.mEpoch &&
-                     mView->mNow - reported->second.mAt < mOptions.mReportLife;
-  return newer ? reported->second.mPlace : aEngine.mGroup;
+  const auto it = mStates.find(aEngine.mId);
+  return it == mStates.end() ? aEngine.mGroup : it->second.Place();
 }
 
 bool
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -64,6 +64,9 @@
   if (aOrder.mKind == GroupOrderKind::kJoin && !(MayBringWeights(aOrder) && Guard(aOrder))) {
     return false;
   }
+  if (aOrder.mKind == GroupOrderKind::kLeave && !NameAccepted(aOrder)) {
+    return false;
+  }
   pending.mWaiting = true;
   pending.mLoads =
     aOrder.mKind == GroupOrderKind::kJoin && JoinTime(*engine, aOrder.mModel) > kRejoinTime;
@@ -103,10 +106,10 @@
   // Two holders can be at work for a moment, one of them with orders still on their way, and
   // registrations are a little old. Decided on such a view, a join could take an engine out of a
   // replica that has just opened. The engine itself refuses it when it has accepted any order that
-  // this holder does not know of. A repeat of a join that was answered needs no guard: it changes
+  // this holder does not know of. A repeat of a join that it has taken needs no guard: it changes
   // nothing.
-  std::uint64_t& given = mJoinsGiven[aOrder.mEngine];
-  if (given == aOrder.mEpoch) {
+  const EngineState& state = mStates[aOrder.mEngine];
+  if (state.IsIn(aOrder.mGroup, aOrder.mEpoch)) {
     return true;
   }
   if (IsElsewhere(*Find(aOrder.mEngine), aOrder.mGroup)) {
@@ -117,14 +120,17 @@
     }
     return false;
   }
-  const auto accepted = mAccepted.find(aOrder.mEngine);
-  if (accepted == mAccepted.end()) {
+  return NameAccepted(aOrder);
+}
+
+bool
+GroupPlanner::NameAccepted(GroupOrder& aOrder)
+{
+  aOrder.mAccepted = mStates[aOrder.mEngine].Accepted();
+  if (!aOrder.mAccepted) {
     mWanted[aOrder.mEngine] = *Find(aOrder.mEngine);
-    return false;
   }
-  aOrder.mAccepted = accepted->second;
-  given = aOrder.mEpoch;
-  return true;
+  return aOrder.mAccepted.has_value();
 }
 
 void
@@ -133,17 +139,17 @@
   if (!OfNewestStart(aOrder.mEngine, aOrder.mBorn)) {
     // Only what may still come of it matters: a join without an answer may reach the new start.
     if (aAnswer == OrderAnswer::kNone && aOrder.mKind == GroupOrderKind::kJoin) {
-      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aNow + mOptions.mLateOrder };
+      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aOrder.mEpoch, aNow + mOptions.mLateOrder };
     }
     return;
   }
   Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
   pending.mWaiting = false;
-  NoteAccepted(aOrder, aAnswer);
+  mStates[aOrder.mEngine].OnAnswer(aOrder, aAnswer, aNow);
   if (aAnswer == OrderAnswer::kNone) {
     pending.mDue = aNow; // at once again: the effect may be there or not
     if (aOrder.mKind == GroupOrderKind::kJoin && !IsSpareGroup(aOrder.mGroup)) {
-      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aNow + mOptions.mLateOrder };
+      mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aOrder.mEpoch, aNow + mOptions.mLateOrder };
     }
     if (++pending.mUnanswered >= mOptions.mMostUnanswered) {
       mUnanswering.insert(aOrder.mEngine);
@@ -166,18 +172,15 @@
     return;
   }
   if (aOrder.mKind == GroupOrderKind::kLeave) {
-    mReported.erase(aOrder.mEngine);
-    mLeftAt[aOrder.mEngine] = aNow;
-    return;
+    return; // what follows from it, its state knows
   }
   if (aOrder.mKind == GroupOrderKind::kJoin) {
     const bool holds = aAnswer == OrderAnswer::kHolds;
     if (aAnswer == OrderAnswer::kBegun || holds) {
-      mLostJoins.erase(aOrder.mEngine);
-      // Its registration will say so a little later; until then it must not count as free.
-      mReported[aOrder.mEngine] = { { aOrder.mGroup, aOrder.mEpoch, 0, GroupPhase::kJoining },
-                                    aNow };
-      mLeftAt.erase(aOrder.mEngine);
+      const auto lost = mLostJoins.find(aOrder.mEngine);
+      if (lost != mLostJoins.end() && lost->second.mEpoch <= aOrder.mEpoch) {
+        mLostJoins.erase(lost);
+      }
     }
     if (holds) {
       mLastModel[aOrder.mEngine] = aOrder.mModel;
@@ -200,25 +203,6 @@
   }
 }
 
-void
-GroupPlanner::NoteAccepted(const GroupOrder& aOrder, OrderAnswer aAnswer)
-{
-  const auto known = mAccepted.find(aOrder.mEngine);
-  const bool refused = aAnswer == OrderAnswer::kNotNow && aOrder.mKind == GroupOrderKind::kJoin;
-  // A join that is still in progress is answered as begun again, and the engine does not count it. A
-  // count above the engine's own has each later join refused, or passes the guard of an engine that
-  // has meanwhile taken an order of another holder. Only the first join of an epoch has a guard.
-  const bool repeated = aOrder.mKind == GroupOrderKind::kJoin && !aOrder.mAccepted;
-  if (aAnswer == OrderAnswer::kBegun && !repeated && known != mAccepted.end()) {
-    ++known->second;
-  } else if (aAnswer == OrderAnswer::kNone || refused) {
-    mAccepted.erase(aOrder.mEngine); // unknown until it is asked
-  }
-  if (aAnswer == OrderAnswer::kNone || refused) {
-    mJoinsGiven.erase(aOrder.mEngine);
-  }
-}
-
 Duration
 GroupPlanner::RepeatAfter(const GroupOrder& aOrder, OrderAnswer aAnswer, bool aLoads) const
 {
@@ -238,12 +222,8 @@
     return; // reports are a little old: this one is of before the engine started again
   }
   NoteStart(aEngine, aReport.mBorn, aNow);
-  mAccepted[aEngine] = aReport.mAccepted;
+  mStates[aEngine].OnReport(aReport.mGroup, aReport.mAccepted, aNow);
   mAnsweredAt[aEngine] = aNow;
-  const auto left = mLeftAt.find(aEngine);
-  if (left == mLeftAt.end() || aNow - left->second >= mOptions.mReportLife) {
-    mReported[aEngine] = { aReport.mGroup, aNow };
-  }
   const GroupPlace& place = aReport.mGroup;
   const auto it = mReplicas.find(place.mName);
   const bool ready = place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen;
@@ -265,7 +245,7 @@
   for (const auto& name : names->second) {
     PlannedReplica& replica = mReplicas.at(name);
     const bool in = aPlace.mName == name && aPlace.mEpoch == replica.mEpoch;
-    const bool settled = aNow - replica.mSince >= 2 * mOptions.mReportLife;
+    const bool settled = aNow - replica.mSince >= 2 * EngineState::kReportAge;
     if (replica.mPhase == ReplicaPhase::kOpen && settled && !in) {
       Break(replica, aEngine + " says that it is not in it", aNow);
     }
--- a/src/pepperbay/placement/group_planner_spares.cpp
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -11,13 +11,16 @@
   std::map<std::string, std::map<std::string, int>> standby; // domain and model to spares
   std::vector<const EngineRecord*> idle;
   for (const auto& [id, engine] : *mView->mEngines) {
-    if (!Usable(engine) || engine.mDomain.empty() || InReplica(id)) {
+    if (!Usable(engine) || engine.mDomain.empty()) {
       continue;
     }
-    if (!IsFree(engine)) {
+    if (InReplica(id) ? IsAwayFromItsReplicas(engine) : !IsFree(engine)) {
       Dismiss(engine);
       continue;
     }
+    if (InReplica(id)) {
+      continue;
+    }
     const auto spare = mSpares.find(id);
     if (spare != mSpares.end()) {
       ++standby[engine.mDomain][spare->second.mModel];
@@ -139,6 +142,17 @@
   }
 }
 
+bool
+GroupPlanner::IsAwayFromItsReplicas(const EngineRecord& aEngine) const
+{
+  // A broken replica that lacks engines would keep one that can join only after it has left
+  // another.
+  const auto& names = mReplicasOf.at(aEngine.mId);
+  return std::all_of(names.begin(), names.end(), [&](const std::string& aName) {
+    return mReplicas.at(aName).mPhase == ReplicaPhase::kBroken && IsElsewhere(aEngine, aName);
+  });
+}
+
 void
 GroupPlanner::Dismiss(const EngineRecord& aEngine)
 {
--- a/src/pepperbay/placement/group_planner_starts.cpp
+++ b/src/pepperbay/placement/group_planner_starts.cpp
@@ -21,6 +21,9 @@
     if (engine.mService == mView->mService) {
       NoteStart(id, engine.mBorn, now);
       mStarts[id].mLastSeen = now;
+      if (OfNewestStart(id, engine.mBorn)) {
+        mStates[id].OnRegistration(engine.mGroup);
+      }
     }
   }
   if (now < mForgetDue) {
@@ -34,7 +37,7 @@
     const bool gone = now - it->second.mLastSeen >= mOptions.mForgetAfter && !InReplica(it->first);
     if (gone) {
       ForgetStart(it->first, now);
-      mAccepted.erase(it->first);
+      mStates.erase(it->first);
       mTakenForNew.erase(it->first);
       mLostJoins.erase(it->first);
     }
@@ -66,9 +69,6 @@
   mSpares.erase(aEngine);
   mStaging.erase(aEngine);
   mLastModel.erase(aEngine);
-  mReported.erase(aEngine);
-  mLeftAt.erase(aEngine);
-  mJoinsGiven.erase(aEngine);
   mAnsweredAt.erase(aEngine);
   mLoadCounted.erase(aEngine);
   mUnanswering.erase(aEngine);
@@ -77,7 +77,7 @@
     mPending.erase(aEngine + " " + ToString(kind));
   }
   // It has accepted no order yet. If another holder was quicker, it refuses ours and is asked.
-  mAccepted[aEngine] = 0;
+  mStates[aEngine] = EngineState::JustStarted();
   mTakenForNew.insert(aEngine);
   // mLostJoins stays: an order to the former start that is carried out late reaches this one.
   const auto names = mReplicasOf.find(aEngine);
