coordinator: tests of readers of the store that hear nothing; three fail

Nodes go by an older configuration for up to 5.5 s, and by an older registration for up to 5.6 s (aim: 2 s), when the store falls silent towards the node that reads for the others and towards the one that is chosen next; all of them refuse requests with keys meanwhile. A node that the store was silent to once is passed over as a reader for good. What such a node hears from the store is played by a new fake: reads are held, and calls on a silent line run out after their timeout.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -48,7 +48,8 @@
                                       engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp log_reads.cpp news_book.cpp
                                       node_tree.cpp peer_book.cpp plan_builder.cpp
-                  TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_messages_test.cpp
+                  TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_readers_test.cpp
+                        coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp engine_doubts_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
--- /dev/null
+++ b/fakes/fake_store_line.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// @brief One node's way to the store for tests: reads are held, calls on a silent line run out.
+#pragma once
+
+#include "fakes/fake_keyed_log.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace pepperbay {
+
+/// Answers calls as a store over a connection does: at the next Advance(), a read without news when
+/// its time is over. What is under way when the line falls silent gets no answer any more.
+class FakeStoreLine
+{
+public:
+  /// A caller waits so long beyond the time that a read may be held.
+  static constexpr std::chrono::milliseconds kTimeout{ 1000 };
+
+  explicit FakeStoreLine(NowFn aNow)
+    : mNow(std::move(aNow))
+  {
+  }
+
+  KeyedLogHooks Hooks(FakeKeyedLog* aLog)
+  {
+    KeyedLogHooks hooks;
+    hooks.mNewest = [this, aLog](const std::string& aAfter,
+                                 const std::function<void(Result<KeyedPage>)>& aDone) {
+      Call call = NewCall(Duration::zero());
+      call.mAnswers = [] { return true; };
+      call.mAnswer = [aLog, aAfter, aDone] { aLog->Hooks().mNewest(aAfter, aDone); };
+      call.mRunsOut = [aDone] { aDone(Error{ Errc::kTimeout, "log.newest", "store", "" }); };
+      mCalls.push_back(std::move(call));
+    };
+    hooks.mRead = [this, aLog](std::uint64_t aFrom,
+                               Duration aWait,
+                               const std::function<void(Result<KeyedTail>)>& aDone) {
+      Call call = NewCall(aWait);
+      call.mAnswers = [aLog, aFrom] { return aLog->mEnd > aFrom || aLog->mFirst > aFrom; };
+      call.mAnswer = [aLog, aFrom, aDone] { aLog->Hooks().mRead(aFrom, Duration::zero(), aDone); };
+      call.mRunsOut = [aDone] { aDone(Error{ Errc::kTimeout, "log.read", "store", "" }); };
+      mCalls.push_back(std::move(call));
+    };
+    return hooks;
+  }
+
+  void SetSilent(bool aSilent)
+  {
+    mSilent = aSilent;
+    for (auto& it : mCalls) {
+      it.mLost = it.mLost || aSilent;
+    }
+  }
+  bool Silent() const { return mSilent; }
+
+  /// Answer what is due.
+  void Advance()
+  {
+    const TimePoint now = mNow();
+    std::vector<Call> calls;
+    calls.swap(mCalls); // an answer may lead to the next call
+    for (auto& it : calls) {
+      if (it.mLost && now >= it.mHeldUntil + kTimeout) {
+        it.mRunsOut();
+      } else if (!it.mLost && (it.mAnswers() || now >= it.mHeldUntil)) {
+        it.mAnswer();
+      } else {
+        mCalls.push_back(std::move(it));
+      }
+    }
+  }
+
+private:
+  struct Call
+  {
+    TimePoint mHeldUntil{};
+    bool mLost = false;
+    std::function<bool()> mAnswers; ///< there is something to say before the time is over
+    std::function<void()> mAnswer;
+    std::function<void()> mRunsOut;
+  };
+
+  Call NewCall(Duration aWait) const
+  {
+    Call call;
+    call.mHeldUntil = mNow() + aWait;
+    call.mLost = mSilent;
+    return call;
+  }
+
+  NowFn mNow;
+  bool mSilent = false;
+  std::vector<Call> mCalls;
+};
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -0,0 +1,207 @@
+#include "coordinator_world.hpp"
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace pepperbay {
+namespace {
+
+/// A change that the store has acknowledged is in force everywhere within this.
+constexpr milliseconds kInForce{ 2000 };
+constexpr milliseconds kStep{ 20 };
+/// Longest that the store holds a read; what happens may fall anywhere into one.
+constexpr milliseconds kLongestHold{ 1600 };
+
+/// Nodes of three small data centres, of which one reads the store for all; reads are held.
+class ReadersWorld : public CoordinatorWorld
+{
+public:
+  ReadersWorld()
+  {
+    AddPool();
+    mPool.Add(kLeaver, "another domain");
+    mHoldsReads = true;
+    std::vector<std::string> names;
+    for (const char* centre : { "a", "b", "c" }) {
+      for (int i = 0; i < 3; ++i) {
+        names.push_back(centre + std::to_string(i));
+        AddNode(names.back(), 0, centre);
+      }
+    }
+    mRanked = RendezvousTop("delegates", names, names.size());
+    Run(seconds(10));
+  }
+
+  /// The node that comes so many places behind the reader in the order of readers.
+  TestNode& Ranked(std::size_t aIndex)
+  {
+    return *std::find_if(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+      return aNode.mName == mRanked[aIndex];
+    });
+  }
+
+  /// The store falls silent towards the first of that order.
+  void Silence(std::size_t aCount)
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      Ranked(i).mLine->SetSilent(true);
+    }
+    Run(kStep);
+  }
+
+  /// A node that no fault touches.
+  static bool Calm(const TestNode& aNode) { return aNode.mAlive && !aNode.mLine->Silent(); }
+
+  /// Run until something holds for all calm nodes. @return for how long that took
+  milliseconds TimeUntil(const std::function<bool(const TestNode&)>& aHolds)
+  {
+    const TimePoint begin = mClock.Now();
+    const auto done = [&] {
+      return std::all_of(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+        return !Calm(aNode) || aHolds(aNode);
+      });
+    };
+    std::set<std::string> refusing; // requests with keys, for want of a configuration they trust
+    while (!done() && mClock.Now() - begin < 4 * kInForce) {
+      Run(kStep);
+      for (const auto& it : mNodes) {
+        if (Calm(it) && it.mPlan->mKeysValidUntil <= mClock.Now()) {
+          refusing.insert(it.mName);
+        }
+      }
+    }
+    EXPECT_TRUE(refusing.empty()) << refusing.size() << " nodes trust no key";
+    return ToMs(mClock.Now() - begin);
+  }
+
+  /// Take a key away. @return when all calm nodes know
+  milliseconds ConfigurationDelay()
+  {
+    Configure(std::to_string(++mVersion));
+    return TimeUntil(
+      [this](const TestNode& aNode) { return aNode.mPlan->mRoutes->Version() == mVersion; });
+  }
+
+  /// An engine says that it leaves. @return when all calm nodes know
+  milliseconds LeaveDelay()
+  {
+    mPool.At(kLeaver).mRecord.mLeaving = true;
+    return TimeUntil(
+      [](const TestNode& aNode) { return aNode.mLines.count("engine_leaves") != 0; });
+  }
+
+  int Reads() const
+  {
+    int n = 0;
+    for (const auto& [name, reads] : mReads) {
+      n += reads;
+    }
+    return n;
+  }
+
+  static constexpr const char* kLeaver = "x";
+  std::vector<std::string> mRanked;
+  std::uint64_t mVersion = 1;
+};
+
+/// Symptom: nodes that reach the store and each other go by an older configuration for seconds:
+/// a key that was taken away works, a new route is not found.
+/// Sequence: the store falls silent towards the node that reads for the others, and towards those
+/// that would be chosen next; then the configuration changes. Each reader in turn waits until its
+/// call has run out before it says that it cannot read.
+/// Cause: a node that could tell that its configuration was old waited for its reader.
+TEST(ReadersTest, AConfigurationIsInForceInTimeBehindReadersThatHearNothing)
+{
+  for (const std::size_t silent : { 1, 2, 3 }) {
+    for (milliseconds phase{ 0 }; phase < kLongestHold; phase += milliseconds(200)) {
+      SCOPED_TRACE(std::to_string(silent) + " silent, phase " + std::to_string(phase.count()));
+      ReadersWorld world;
+      world.Run(phase);
+      world.Silence(silent);
+      EXPECT_LT(world.ConfigurationDelay().count(), kInForce.count());
+      world.Run(milliseconds(700));
+      EXPECT_LT(world.ConfigurationDelay().count(), kInForce.count());
+    }
+  }
+}
+
+/// Symptom: requests reach an engine seconds after it has said that it leaves.
+/// Sequence and cause: as above, with the log of registrations.
+TEST(ReadersTest, ALeavingEngineIsKnownInTimeBehindReadersThatHearNothing)
+{
+  for (const std::size_t silent : { 1, 2, 3 }) {
+    for (milliseconds phase{ 0 }; phase < kLongestHold; phase += milliseconds(200)) {
+      SCOPED_TRACE(std::to_string(silent) + " silent, phase " + std::to_string(phase.count()));
+      ReadersWorld world;
+      world.Run(phase);
+      world.Silence(silent);
+      EXPECT_LT(world.LeaveDelay().count(), kInForce.count());
+    }
+  }
+}
+
+/// Symptom: as above.
+/// Sequence: the reader ends, and the store is silent towards the next; or the reader is heard by
+/// nobody while it hears all, and reads on.
+TEST(ReadersTest, AConfigurationIsInForceInTimeWhileTheReaderIsReplaced)
+{
+  for (milliseconds phase{ 0 }; phase < kLongestHold; phase += milliseconds(200)) {
+    SCOPED_TRACE("phase " + std::to_string(phase.count()));
+    ReadersWorld ended;
+    ended.Run(phase);
+    ended.Ranked(0).mAlive = false;
+    ended.Ranked(1).mLine->SetSilent(true);
+    EXPECT_LT(ended.ConfigurationDelay().count(), kInForce.count());
+
+    ReadersWorld unheard;
+    unheard.Run(phase);
+    unheard.mLoses = [&](const std::string& aFrom, const std::string&) {
+      return aFrom == unheard.mRanked[0];
+    };
+    EXPECT_LT(unheard.ConfigurationDelay().count(), kInForce.count());
+  }
+}
+
+/// Symptom: as above.
+/// Sequence: the store was silent towards a node for a while, and answers it again. Later it falls
+/// silent towards all others that may read.
+/// Cause: a node that relied on another made no call that could show that the store was back, and
+/// was passed over as a reader for good.
+TEST(ReadersTest, ANodeThatTheStoreAnswersAgainMayReadAgain)
+{
+  ReadersWorld world;
+  world.Silence(1);
+  world.Run(seconds(10));
+  world.Ranked(0).mLine->SetSilent(false);
+  world.Run(seconds(10));
+  EXPECT_NE(world.Ranked(0).mCoordinator->Dump().find(R"("lost": false)"), std::string::npos);
+}
+
+/// What the nodes' own looks at the store may cost: nothing while the reader is well, and few calls
+/// while nobody reaches the store.
+TEST(ReadersTest, NodesThatAreToldMakeNoCallsAndOnesThatAreNotMakeFew)
+{
+  ReadersWorld world;
+  world.Run(seconds(10)); // the pool has formed
+  world.mReads.clear();
+  world.Run(seconds(10));
+  const std::string holder = world.Holder().mName;
+  for (const auto& it : world.mNodes) {
+    const bool reads = it.mName == world.mRanked[0] || it.mName == holder;
+    EXPECT_TRUE(reads || world.mReads[it.mName] == 0) << it.mName << " " << world.mReads[it.mName];
+  }
+  RecordProperty("calm_reads_in_10_s", world.Reads());
+  for (auto& it : world.mNodes) {
+    it.mLine->SetSilent(true);
+  }
+  world.mReads.clear();
+  world.Run(seconds(10));
+  constexpr int kCallsPerSecond = 40; // of all nodes together
+  RecordProperty("outage_reads_in_10_s", world.Reads());
+  EXPECT_LE(world.Reads(), kCallsPerSecond * 10);
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -5,6 +5,7 @@
 #include "fakes/fake_keyed_log.hpp"
 #include "fakes/fake_lease_log.hpp"
 #include "fakes/fake_pool.hpp"
+#include "fakes/fake_store_line.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 
 #include <deque>
@@ -38,6 +39,8 @@
     std::shared_ptr<const TrafficPlan> mPlan;
     bool mStoreDown = false; ///< for this node only
     bool mAlive = true;
+    std::unique_ptr<FakeStoreLine> mLine; ///< used where reads are held
+    std::map<std::string, int> mLines;    ///< log lines by event
   };
 
   /// Five engines in one domain, and a configuration.
@@ -56,6 +59,7 @@
     mNodes.emplace_back();
     TestNode& node = mNodes.back();
     node.mName = aName;
+    node.mLine = std::make_unique<FakeStoreLine>(mClock.Hook());
     CoordinatorOptions options;
     options.mNode = aName;
     options.mIncarnation = ++mIncarnations;
@@ -68,26 +72,27 @@
   }
 
   /// A log's hooks that fail while the store is down for the node.
-  KeyedLogHooks Guarded(const KeyedLogHooks& aHooks, const TestNode& aNode)
+  KeyedLogHooks Guarded(FakeKeyedLog* aLog, const TestNode& aNode)
   {
+    const KeyedLogHooks hooks = mHoldsReads ? aNode.mLine->Hooks(aLog) : aLog->Hooks();
     KeyedLogHooks guarded;
-    guarded.mNewest = [this, aHooks, &aNode](const std::string& aAfter,
-                                             const std::function<void(Result<KeyedPage>)>& aDone) {
+    guarded.mNewest = [this, hooks, &aNode](const std::string& aAfter,
+                                            const std::function<void(Result<KeyedPage>)>& aDone) {
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "log.newest", "store", "" });
         return;
       }
-      aHooks.mNewest(aAfter, aDone);
+      hooks.mNewest(aAfter, aDone);
     };
-    guarded.mRead = [this, aHooks, &aNode](std::uint64_t aFrom,
-                                           Duration aWait,
-                                           const std::function<void(Result<KeyedTail>)>& aDone) {
+    guarded.mRead = [this, hooks, &aNode](std::uint64_t aFrom,
+                                          Duration aWait,
+                                          const std::function<void(Result<KeyedTail>)>& aDone) {
       ++mReads[aNode.mName];
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "log.read", "store", "" });
         return;
       }
-      aHooks.mRead(aFrom, aWait, aDone);
+      hooks.mRead(aFrom, aWait, aDone);
     };
     return guarded;
   }
@@ -100,7 +105,7 @@
       [this, hooks, &aNode](std::uint64_t aEnd,
                             const std::string& aRecord,
                             const std::function<void(Result<ConditionalAppend>)>& aDone) {
-        if (aNode.mStoreDown || mStoreDown) {
+        if (aNode.mStoreDown || mStoreDown || aNode.mLine->Silent()) {
           aDone(Error{ Errc::kUnavailable, "lease.append", "store", "" });
           return;
         }
@@ -108,7 +113,7 @@
       };
     guarded.mRead = [this, hooks, &aNode](std::uint64_t aFrom,
                                           const std::function<void(Result<LeaseTail>)>& aDone) {
-      if (aNode.mStoreDown || mStoreDown) {
+      if (aNode.mStoreDown || mStoreDown || aNode.mLine->Silent()) {
         aDone(Error{ Errc::kUnavailable, "lease.read", "store", "" });
         return;
       }
@@ -121,9 +126,9 @@
   {
     CoordinatorHooks hooks;
     hooks.mNow = mClock.Hook();
-    hooks.mConfigLog = Guarded(mConfigLog.Hooks(), aNode);
-    hooks.mEngineLog = Guarded(mEngineLog.Hooks(), aNode);
-    hooks.mNodeLog = Guarded(mNodeLog.Hooks(), aNode);
+    hooks.mConfigLog = Guarded(&mConfigLog, aNode);
+    hooks.mEngineLog = Guarded(&mEngineLog, aNode);
+    hooks.mNodeLog = Guarded(&mNodeLog, aNode);
     hooks.mLeaseLog = GuardedLease(aNode);
     hooks.mConfigKey = "config";
     hooks.mDecodeConfiguration = [this](const std::string& aBody) -> Result<Configuration> {
@@ -187,8 +192,10 @@
     hooks.mPublish = [&aNode](std::shared_ptr<const TrafficPlan> aPlan) {
       aNode.mPlan = std::move(aPlan);
     };
-    hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& /*aFields*/) {
+    hooks.mLog = [this, &aNode](const char* aEvent,
+                                const std::map<std::string, std::string>& /*aFields*/) {
       ++mLines[aEvent];
+      ++aNode.mLines[aEvent];
     };
     return hooks;
   }
@@ -227,6 +234,7 @@
       mPool.Advance(mClock.Now());
       Register();
       for (auto& it : mNodes) {
+        it.mLine->Advance();
         if (it.mAlive) {
           it.mCoordinator->Tick();
         }
@@ -277,8 +285,9 @@
   std::set<std::string> mUnreadable; ///< registrations that cannot be read, by key
   std::uint64_t mIncarnations = 0;
   bool mStoreDown = false;
-  bool mLoseFeeds = false; ///< what delegates pass on does not arrive
-  bool mTwoPools = false;  ///< the configuration has the pools "pool" and "second"
+  bool mLoseFeeds = false;  ///< what delegates pass on does not arrive
+  bool mHoldsReads = false; ///< for nodes that are added from now on
+  bool mTwoPools = false;   ///< the configuration has the pools "pool" and "second"
 };
 
 } // namespace pepperbay
