coordinator: a node whose view of the store is too old looks itself; a late answer counts like a failed one

Callers got 404 on new routes, were served with keys that had been taken away, and were refused for want of a configuration that the node trusts, by nodes that nothing was wrong with, for up to five seconds.

Cause: one node reads the store for all. Cut from the store, it found that out only when its call had run out (1.5 s held and 1 s beyond), then after 0.3 s and a heartbeat the others chose the next one, which might be cut as well and found out by the same long call. Every node knew all the while how old its configuration was, and did nothing about it. Registrations went the same way: they had no age at all, and a freshness answer of a peer that had just read the configuration hid how old they were.

Why this holds: a node's own clock bounds its view, by answers that name its question. Past 1.2 s (registrations 1.6 s) it reads both logs, once; while that fails, after 0.4 s and then twice the time up to 5 s. It depends on no other node's finding out. Heartbeats state ages of the logs beside offsets; an age counts only for a node that has all that the offset names. Reads are held 0.7 s (registrations 0.6 s) in place of 1.5 s, so that views behind a reader that is well stay below the bound with a heartbeat lost. A reader whose answer is 0.3 s late says at once that it cannot read; one that begins to read makes its first call without a hold. A node that the store was silent to asks it again now and then, else it was passed over as a reader for good.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -47,12 +47,22 @@
   /// Keys of a configuration older than this are not trusted. Below the time within which a key
   /// that was taken away must be refused, by the time that a request takes to reach an engine.
   Duration mKeysTrusted = std::chrono::milliseconds(4300);
-  /// How long the store holds a read of the configuration: the freshness of keys follows from it.
-  Duration mConfigWait = std::chrono::milliseconds(1500);
+  /// How long the store holds a read of the configuration. It bounds how old the configuration of a
+  /// node whose reader is well may seem: this, and a heartbeat with its answer.
+  Duration mConfigWait = std::chrono::milliseconds(700);
+  /// A node whose configuration was the newest so long ago, as far as it can show, reads the store
+  /// itself: above what it is while the reader is well and one heartbeat is lost, and well below
+  /// the time in which a configuration must be in force everywhere. Registrations may be older by
+  /// the pause between two reads of them.
+  Duration mLookAfter = std::chrono::milliseconds(1200);
+  /// While the store does not answer that either, it is asked again after the first of these, and
+  /// then after twice the time up to the second. In an outage all nodes do so.
+  Duration mLookAgainFirst = std::chrono::milliseconds(400);
+  Duration mLookAgainMost = std::chrono::seconds(5);
   /// How long the store holds a read of registrations. A connection that has gone silent shows by
-  /// a read that is not answered after it, so it is well below the time in which a node must stop
-  /// sending to an engine that leaves.
-  Duration mEngineWait = std::chrono::milliseconds(1500);
+  /// a read that is not answered after it and a second more, which together have to be below the
+  /// time in which a node must stop sending to an engine that leaves.
+  Duration mEngineWait = std::chrono::milliseconds(600);
   /// Shortest time between two reads of registrations: of the holder, whose repairs wait for them;
   /// of a node that reads for others, or that has missed what was passed on; and of one that has
   /// nobody to read for it. Replicas are heard of from the holder; each read is a paid call.
@@ -112,6 +122,7 @@
   std::uint64_t mLostEngines = 0; ///< times that an engine was found not to answer
   std::uint64_t mBeats = 0;
   std::uint64_t mFeeds = 0; ///< times that another node passed records of the store on
+  std::uint64_t mLooks = 0; ///< reads of the store because what others told was too old
   std::uint64_t mBadMessages = 0;
   std::uint64_t mBadConfigurations = 0;
   std::uint64_t mBadRegistrations = 0; ///< entries that name no engine
--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -64,6 +64,9 @@
   Duration mPause{ 0 };                      ///< shortest time between two reads
   Duration mRetryFirst = std::chrono::milliseconds(50); ///< pause after a failed call
   Duration mRetryMost = std::chrono::milliseconds(400); ///< it doubles up to this
+  /// A view that is older than this is brought up to date by a read that is not held: a held one
+  /// without news would say only at its end whether the log answers at all.
+  Duration mMostGap = Duration::max();
 };
 
 /// Follows one keyed log: the list first, then records as they come; the list again whenever
@@ -102,6 +105,8 @@
   bool HasList() const { return mHasList; }
   /// @return whether the last call failed.
   bool Lost() const { return mLost; }
+  /// @return whether the log should have answered the call under way by now.
+  bool Overdue() const { return mAsking && mNow() > mAnswerDue; }
 
 private:
   void AskNewest();
@@ -125,6 +130,7 @@
   std::uint64_t mNext = 0;
   TimePoint mAsOf{};
   TimePoint mDue{};
+  TimePoint mAnswerDue{}; ///< of the call under way: end of the time that it may be held
   Duration mRetry{ 0 };
 };
 
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -44,6 +44,19 @@
   return "unknown";
 }
 
+/// @param aBetween pause between two reads that the owner of the follower keeps
+KeyedFollowerOptions
+HeldReads(Duration aWait, Duration aPause, Duration aBetween = Duration::zero())
+{
+  /// A store that is slow still answers within this.
+  constexpr std::chrono::milliseconds kSlow{ 300 };
+  KeyedFollowerOptions options;
+  options.mWait = aWait;
+  options.mPause = aPause;
+  options.mMostGap = aWait + aBetween + kSlow;
+  return options;
+}
+
 LeaseOptions
 LeaseOptionsOf(const CoordinatorOptions& aOptions)
 {
@@ -61,7 +74,7 @@
 Coordinator::Impl::Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
-  , mConfigFollower(KeyedFollowerOptions{ mOptions.mConfigWait, std::chrono::milliseconds(50) },
+  , mConfigFollower(HeldReads(mOptions.mConfigWait, std::chrono::milliseconds(50)),
                     mHooks.mConfigLog,
                     Events(
                       FollowedLog::kConfiguration,
@@ -72,7 +85,7 @@
                       },
                       [this](const KeyedRecord& aRecord) { OnConfiguration(aRecord); }),
                     mHooks.mNow)
-  , mEngineFollower(KeyedFollowerOptions{ mOptions.mEngineWait },
+  , mEngineFollower(HeldReads(mOptions.mEngineWait, Duration::zero(), mOptions.mReaderPause),
                     mHooks.mEngineLog,
                     Events(
                       FollowedLog::kEngines,
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -53,8 +53,12 @@
   void TellNewsChanges();
   /// @return when the configuration was the newest, by the store or by a peer.
   TimePoint ConfigurationAsOf() const;
+  /// @return when all that was in a log was known, by the store or by a peer.
+  TimePoint LogAsOf(FollowedLog aLog);
+  LogOffsets OwnOffsets() const;
   std::uint64_t ConfigurationVersion() const { return mRoutes ? mRoutes->Version() : 0; }
-  /// @return whether the store has been silent for longer than a held read takes.
+  /// @return whether peers are asked: another reads, or the store has been silent for longer than a
+  /// held read takes.
   bool AsksFreshness() const;
   /// Give a peer that asks and has an older configuration the one in force here.
   void PassConfiguration(const std::string& aAsker, const proto::Beat& aBeat);
@@ -83,11 +87,16 @@
   /// @return whether configuration and registrations have both been read once.
   bool KnowsAll() const { return mRoutes && mEngineFollower.HasList(); }
   std::unordered_map<std::string, int> OthersInFlight() const;
+  /// Log who reads the store for this node when that changes.
+  void LogReader();
   /// Follow the logs: from the store, or by what the delegate passes on.
   void FollowLogs();
   /// @return whether no other node reads the store for this one.
   bool ReadsForItself() const;
   void NoteStore();
+  /// @return whether to read the store now though another node reads it for this one: what is known
+  /// by that node is too old.
+  bool LooksItself();
   /// @return whether calls to the store's logs have failed for a while.
   bool StoreLost() const;
   /// Nodes that go by what this one passes on.
@@ -118,6 +127,10 @@
   NodeTree mTree;
   LogReads mReads;
   std::optional<TimePoint> mStoreLostSince;
+  bool mToldStoreLost = false; ///< what the last heartbeats said
+  std::string mToldReader;     ///< the last that was logged
+  TimePoint mLookDue{};
+  Duration mLookPause{ 0 };
   std::shared_ptr<const RouteTable> mRoutes;
   std::string mConfiguration; ///< that mRoutes was made from, as the operator wrote it
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -1,5 +1,7 @@
 #include "coordinator_impl.hpp"
 
+#include <algorithm>
+
 namespace pepperbay {
 namespace {
 /// Feeds travel in one datagram each; what is longer, the others read themselves.
@@ -23,6 +25,18 @@
   return mNodeFollower;
 }
 
+TimePoint
+Coordinator::Impl::LogAsOf(FollowedLog aLog)
+{
+  return std::max(FollowerOf(aLog).AsOf(), mFreshness.LogAsOf(aLog));
+}
+
+LogOffsets
+Coordinator::Impl::OwnOffsets() const
+{
+  return { mConfigFollower.Next(), mEngineFollower.Next(), mNodeFollower.Next() };
+}
+
 bool
 Coordinator::Impl::StoreLost() const
 {
@@ -38,12 +52,62 @@
 void
 Coordinator::Impl::NoteStore()
 {
-  const bool lost = mConfigFollower.Lost() || mEngineFollower.Lost();
+  // A call that is late counts like one that failed: a connection that is cut gives no answer for
+  // as long as a call may last, and until then nobody else would read.
+  const bool late = mConfigFollower.Overdue() || mEngineFollower.Overdue();
+  const bool lost = late || mConfigFollower.Lost() || mEngineFollower.Lost();
   if (!lost) {
     mStoreLostSince.reset();
   } else if (!mStoreLostSince) {
     mStoreLostSince = Now();
   }
+  if (StoreLost() != mToldStoreLost) {
+    mToldStoreLost = StoreLost();
+    mBeatDue = Now(); // the others choose another reader
+  }
+}
+
+bool
+Coordinator::Impl::LooksItself()
+{
+  const TimePoint now = Now();
+  const Duration age = now - ConfigurationAsOf();
+  const Duration enginesAge = now - LogAsOf(FollowedLog::kEngines);
+  const bool old =
+    age >= mOptions.mLookAfter || enginesAge >= mOptions.mLookAfter + mOptions.mReaderPause;
+  // A node that the store has not answered makes no call that could show that it does again.
+  if (!old && !StoreLost()) {
+    mLookPause = Duration::zero();
+    mLookDue = now;
+    return false;
+  }
+  if (mReads.Reads(FollowedLog::kConfiguration) || now < mLookDue) {
+    return false;
+  }
+  mLookPause = std::clamp(2 * mLookPause, mOptions.mLookAgainFirst, mOptions.mLookAgainMost);
+  mLookDue = now + mLookPause;
+  ++mCounters.mLooks;
+  if (old) {
+    mHooks.mLog("store_looked_at",
+                { { "configuration_age_ms", std::to_string(ToMs(age).count()) },
+                  { "engines_age_ms", std::to_string(ToMs(enginesAge).count()) },
+                  { "version", std::to_string(ConfigurationVersion()) },
+                  { "reader", mTree.Reader() } });
+  }
+  return true;
+}
+
+void
+Coordinator::Impl::LogReader()
+{
+  const std::string& reader = ReadsForItself() ? mOptions.mNode : mTree.Reader();
+  if (mTree.AwaitsReader() || reader == mToldReader) {
+    return;
+  }
+  mToldReader = reader;
+  mHooks.mLog("store_reader",
+              { { "reader", reader },
+                { "age_ms", std::to_string(ToMs(Now() - ConfigurationAsOf()).count()) } });
 }
 
 void
@@ -51,6 +115,7 @@
 {
   const TimePoint now = Now();
   NoteStore();
+  LogReader();
   const KnownPeer* reader = mPeers.Find(mTree.Reader());
   if (mTree.AwaitsReader()) {
     mReads.ReadNothing();
@@ -58,19 +123,21 @@
     mReads.ReadAll();
   } else {
     const auto& next = reader->mBeat.log_next();
-    mReads.RelyOn({ next.begin(), next.end() },
-                  { mConfigFollower.Next(), mEngineFollower.Next(), mNodeFollower.Next() },
-                  now);
-  }
-  for (const auto log : { FollowedLog::kConfiguration, FollowedLog::kNodes }) {
-    KeyedFollower& follower = FollowerOf(log);
-    if (!follower.HasList() || mReads.Reads(log)) {
-      follower.Tick();
-    }
+    mReads.RelyOn({ next.begin(), next.end() }, OwnOffsets(), now);
+  }
+  // The reader may be cut from the store and not know it yet, and so may the next ones; nodes that
+  // waited for each in turn would go by an older configuration, or send to engines that have left,
+  // for seconds.
+  const bool looks = LooksItself();
+  if (!mConfigFollower.HasList() || looks || mReads.Reads(FollowedLog::kConfiguration)) {
+    mConfigFollower.Tick();
+  }
+  if (!mNodeFollower.HasList() || mReads.Reads(FollowedLog::kNodes)) {
+    mNodeFollower.Tick();
   }
   const bool holder = mLease.LastIsMine();
   const bool reads = holder || mReads.Reads(FollowedLog::kEngines);
-  if (!mEngineFollower.HasList() || (reads && now >= mEngineReadDue)) {
+  if (!mEngineFollower.HasList() || looks || (reads && now >= mEngineReadDue)) {
     const bool alone = ReadsForItself() && Dependants().empty();
     const Duration pause = alone ? mOptions.mOtherPause : mOptions.mReaderPause;
     mEngineReadDue = now + (holder ? mOptions.mHolderPause : pause);
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -123,7 +123,7 @@
   const TimePoint now = Now();
   const proto::Beat& beat = aMessage.beat();
   mPeers.OnBeat(aMessage.node(), beat, now);
-  mFreshness.OnBeat(aMessage, ConfigurationVersion(), now);
+  mFreshness.OnBeat(aMessage, ConfigurationVersion(), OwnOffsets(), now);
   PassConfiguration(aMessage.node(), beat);
   ++mCounters.mBeats;
   mTraffic = mTraffic || beat.traffic();
@@ -218,8 +218,10 @@
 bool
 Coordinator::Impl::AsksFreshness() const
 {
-  // A read that is held to its end tells twice in this time that nothing is new.
-  return Now() - mConfigFollower.AsOf() > mOptions.mConfigWait + mOptions.mBeat;
+  // What another node reads for this one is only as new as its word. A read of its own that is held
+  // to its end tells twice in this time that nothing is new.
+  return !ReadsForItself() ||
+         Now() - mConfigFollower.AsOf() > mOptions.mConfigWait + mOptions.mBeat;
 }
 
 void
@@ -384,6 +386,7 @@
   for (const auto log :
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
+    beat.add_log_age_ns(ToNs(now - LogAsOf(log)));
   }
   beat.set_followers(static_cast<std::uint32_t>(Followers()));
   beat.set_nodes(static_cast<std::uint32_t>(NodesAtWork()));
--- a/src/pepperbay/coordinator/freshness_book.cpp
+++ b/src/pepperbay/coordinator/freshness_book.cpp
@@ -31,23 +31,42 @@
 }
 
 void
-FreshnessBook::OnBeat(const proto::PeerMessage& aMessage, std::uint64_t aVersion, TimePoint aNow)
+FreshnessBook::OnBeat(const proto::PeerMessage& aMessage,
+                      std::uint64_t aVersion,
+                      const LogOffsets& aOwn,
+                      TimePoint aNow)
 {
   const proto::Beat& beat = aMessage.beat();
   if (beat.asks_freshness_at_ns() != 0) {
     mQuestions[aMessage.node()] = { aMessage.incarnation(), beat.asks_freshness_at_ns(), aNow };
   }
-  if (beat.config_version() > aVersion) {
-    return; // what is in force here is older than what the peer speaks of
-  }
   for (const auto& it : beat.freshness()) {
     if (it.node() != mSelf || it.incarnation() != mIncarnation) {
       continue;
     }
     const TimePoint answered = TimePoint(FromNs(it.asked_at_ns())) + FromNs(it.held_ns());
-    const TimePoint asOf = answered - FromNs(beat.config_age_ns());
-    if (answered <= aNow) {
-      mAsOf = std::max(mAsOf, asOf);
+    if (answered > aNow) {
+      continue;
+    }
+    NoteLogs(beat, aOwn, answered);
+    if (beat.config_version() <= aVersion) { // else the peer speaks of a newer one
+      mAsOf = std::max(mAsOf, answered - FromNs(beat.config_age_ns()));
+    }
+  }
+}
+
+void
+FreshnessBook::NoteLogs(const proto::Beat& aBeat, const LogOffsets& aOwn, TimePoint aAnswered)
+{
+  const bool told = aBeat.log_age_ns_size() == static_cast<int>(kFollowedLogs) &&
+                    aBeat.log_next_size() == static_cast<int>(kFollowedLogs);
+  if (!told) {
+    return; // of an older version
+  }
+  for (std::size_t i = 0; i < kFollowedLogs; ++i) {
+    if (aBeat.log_next(static_cast<int>(i)) <= aOwn[i]) { // else it speaks of records unknown here
+      const Duration age = FromNs(aBeat.log_age_ns(static_cast<int>(i)));
+      mLogAsOf[i] = std::max(mLogAsOf[i], aAnswered - age);
     }
   }
 }
--- a/src/pepperbay/coordinator/freshness_book.hpp
+++ b/src/pepperbay/coordinator/freshness_book.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief How fresh the configuration is by the word of other nodes. Pure.
+/// @brief How fresh the configuration and the logs are by the word of other nodes. Pure.
 ///
 /// A node that the store turns away cannot know whether a key has been taken away since its last
 /// read, and has to refuse all requests with keys a few seconds later. Its peers often reach the
@@ -9,8 +9,10 @@
 /// peer states.
 #pragma once
 
+#include "log_reads.hpp"
 #include "pepperbay/base/clock.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <pepperbay.pb.h>
@@ -23,8 +25,13 @@
 public:
   FreshnessBook(std::string aSelf, std::uint64_t aIncarnation);
 
-  /// A peer's heartbeat came; `aVersion` is the configuration in force here.
-  void OnBeat(const proto::PeerMessage& aMessage, std::uint64_t aVersion, TimePoint aNow);
+  /// A peer's heartbeat came.
+  /// @param aVersion of the configuration in force here
+  /// @param aOwn how far this node has been told of each log
+  void OnBeat(const proto::PeerMessage& aMessage,
+              std::uint64_t aVersion,
+              const LogOffsets& aOwn,
+              TimePoint aNow);
 
   /// Add to a heartbeat how old the configuration here is, and the question when this node asks.
   /// @param aAsOf when the configuration here was the newest for certain
@@ -36,8 +43,13 @@
 
   /// @return when the configuration here was the newest by the word of peers.
   TimePoint AsOf() const { return mAsOf; }
+  /// @return when all that was in a log was known here by the word of peers.
+  TimePoint LogAsOf(FollowedLog aLog) const { return mLogAsOf[static_cast<std::size_t>(aLog)]; }
 
 private:
+  /// @param aAnswered a moment before which the peer did not speak
+  void NoteLogs(const proto::Beat& aBeat, const LogOffsets& aOwn, TimePoint aAnswered);
+
   struct Question
   {
     std::uint64_t mIncarnation = 0;
@@ -49,6 +61,7 @@
   std::uint64_t mIncarnation;
   std::map<std::string, Question> mQuestions; ///< by node
   TimePoint mAsOf{};
+  std::array<TimePoint, kFollowedLogs> mLogAsOf{};
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -34,6 +34,7 @@
 KeyedFollower::AskNewest()
 {
   const TimePoint sent = mNow();
+  mAnswerDue = sent;
   const std::string after = mList.empty() ? std::string() : mList.back().mKey;
   mHooks.mNewest(after, [this, sent](Result<KeyedPage> aPage) { OnPage(std::move(aPage), sent); });
 }
@@ -42,8 +43,11 @@
 KeyedFollower::AskTail()
 {
   const TimePoint sent = mNow();
-  // After an outage nothing may be new for long, and how old the view is must be known at once.
-  const Duration wait = mLost ? Duration::zero() : mOptions.mWait;
+  // After an outage, or a while without own reads, nothing may be new for long, and how old the
+  // view is must be known at once.
+  const bool atOnce = mLost || sent - mAsOf > mOptions.mMostGap;
+  const Duration wait = atOnce ? Duration::zero() : mOptions.mWait;
+  mAnswerDue = sent + wait;
   mHooks.mRead(mNext, wait, [this, from = mNext, sent, wait](Result<KeyedTail> aTail) {
     OnTail(std::move(aTail), from, sent, wait);
   });
@@ -96,17 +100,17 @@
   OnSuccess();
   const KeyedTail& tail = aTail.value();
   mDue = mNow() + mOptions.mPause;
-  if (tail.mNext < mNext) {
-    return; // another node's word was quicker than this answer
-  }
-  // Records that were fed in the meantime are told again; what they lead to is the same.
-  mNext = tail.mNext;
   // The answer shows the end as it was when the log answered, which was not before the call. A
   // read without news that was held to its end says that there was none all the while.
   const bool held = tail.mRecords.empty() && mNow() - aSent >= aWait;
-  if (tail.mNext >= tail.mEnd) {
+  if (std::max(mNext, tail.mNext) >= tail.mEnd) {
     mAsOf = std::max(mAsOf, held ? aSent + aWait : aSent);
   }
+  if (tail.mNext < mNext) {
+    return; // another node's word was quicker than this answer
+  }
+  // Records that were fed in the meantime are told again; what they lead to is the same.
+  mNext = tail.mNext;
   if (mEvents.mOnTail && !tail.mRecords.empty()) {
     mEvents.mOnTail(aFrom, tail);
   }
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/journal/keyed_log.hpp"
 
 #include "fakes/fake_keyed_log.hpp"
+#include "fakes/fake_store_line.hpp"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -71,6 +72,94 @@
   EXPECT_EQ(reader.mSeen, log.mNewest);
 }
 
+/// A follower over a line that holds reads.
+struct HeldReader
+{
+  void Run(Duration aFor, bool aReads)
+  {
+    for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
+      mClock.Advance(milliseconds(20));
+      mLine.Advance();
+      if (aReads) {
+        mFollower.Tick();
+      }
+    }
+  }
+
+  static KeyedFollowerOptions Options()
+  {
+    KeyedFollowerOptions options;
+    options.mWait = milliseconds(700);
+    options.mMostGap = milliseconds(1000);
+    return options;
+  }
+
+  static KeyedFollowerEvents Events()
+  {
+    KeyedFollowerEvents events;
+    events.mOnList = [](const auto&) {};
+    events.mOnRecord = [](const auto&) {};
+    events.mOnBack = [] {};
+    events.mOnLost = [](const Error&) {};
+    return events;
+  }
+
+  ManualClock mClock;
+  FakeKeyedLog mLog;
+  FakeStoreLine mLine{ mClock.Hook() };
+  KeyedFollower mFollower{ Options(), mLine.Hooks(&mLog), Events(), mClock.Hook() };
+};
+
+/// Symptom: a node that takes over reading finds out only after a whole held read that the log does
+/// not answer it, or that its view is fresh.
+TEST(KeyedFollower, AReadAfterAWhileWithoutAnyIsNotHeld)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.Run(seconds(3), false);
+  reader.Run(milliseconds(60), true);
+  EXPECT_LE(reader.mClock.Now() - reader.mFollower.AsOf(), milliseconds(60));
+}
+
+/// Symptom: a node goes on relying on a connection that was cut until its call has run out.
+TEST(KeyedFollower, ACallIsOverdueOnceItsHoldIsOver)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mLine.SetSilent(true);
+  reader.Run(milliseconds(760), true);
+  EXPECT_TRUE(reader.mFollower.Overdue());
+  EXPECT_FALSE(reader.mFollower.Lost()) << "the call is still under way";
+  reader.mLine.SetSilent(false);
+  reader.Run(seconds(2), true);
+  EXPECT_FALSE(reader.mFollower.Overdue());
+}
+
+/// Symptom: a node that was told of a record sooner than it read it asks again and again, since its
+/// view seems old.
+/// Sequence: a read leaves; a record comes by another node; the answer of before that record comes.
+TEST(KeyedFollower, AnAnswerThatAFeedOvertookStillShowsHowOldTheViewIs)
+{
+  ManualClock clock;
+  std::function<void(Result<KeyedTail>)> answer;
+  KeyedLogHooks hooks;
+  hooks.mNewest = [](const std::string&, const auto& aDone) { aDone(KeyedPage{}); };
+  hooks.mRead = [&](std::uint64_t, Duration, const auto& aDone) { answer = aDone; };
+  KeyedFollower follower(HeldReader::Options(), hooks, HeldReader::Events(), clock.Hook());
+  follower.Tick();
+  clock.Advance(seconds(1));
+  follower.Tick();
+  const TimePoint sent = clock.Now();
+  clock.Advance(milliseconds(100));
+  KeyedTail fed;
+  fed.mRecords = { { "a", "2" } };
+  fed.mNext = fed.mEnd = 1;
+  EXPECT_TRUE(follower.Feed(0, fed));
+  answer(KeyedTail{});
+  EXPECT_EQ(follower.AsOf(), sent);
+  EXPECT_EQ(follower.Next(), 1U);
+}
+
 /// Symptom: an engine that registered while the list was being read is never seen.
 /// Sequence: page one, a new record with a key before page two, page two, then reads from the end.
 /// Cause: reading went on from the end that the last page gave.
