pool-status, metrics, state: who reads the store for a node, how old its registrations are, own looks

Of the late nodes one could see the age of the configuration, not of whom it was, how old the registrations were, nor whether the node had asked the store itself. pool-status has the columns ENG. AGE and READER; /state the offsets and ages of both logs, by any word and by own reads; metrics looks_total.

--- a/include/pepperbay/status/pool_status.hpp
+++ b/include/pepperbay/status/pool_status.hpp
@@ -41,7 +41,9 @@
   std::vector<ReplicaStatus> mReplicas; ///< of the holder only
   std::size_t mPeers = 0;
   std::size_t mPeersAlive = 0; ///< heard lately; most nodes hear their delegates only
-  std::string mDelegate;       ///< that finds places and reads the store for it; itself where none
+  std::string mDelegate;       ///< that finds places for it; itself where none
+  std::string mReader;         ///< that reads the store for it; itself where none
+  Duration mEnginesAge{ 0 };   ///< since all registrations were known to it for certain
   std::size_t mFollowers = 0;  ///< nodes whose delegate it is
   Duration mNewsAge{ 0 };      ///< since the holder stood by what this node knows of the replicas
 };
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -30,20 +30,6 @@
          static_cast<int>(kMostStagger.count());
 }
 
-const char*
-NameOf(FollowedLog aLog)
-{
-  switch (aLog) {
-    case FollowedLog::kConfiguration:
-      return "configuration";
-    case FollowedLog::kEngines:
-      return "engines";
-    case FollowedLog::kNodes:
-      return "nodes";
-  }
-  return "unknown";
-}
-
 /// @param aBetween pause between two reads that the owner of the follower keeps
 KeyedFollowerOptions
 HeldReads(Duration aWait, Duration aPause, Duration aBetween = Duration::zero())
@@ -71,6 +57,20 @@
 
 } // namespace
 
+const char*
+NameOf(FollowedLog aLog)
+{
+  switch (aLog) {
+    case FollowedLog::kConfiguration:
+      return "configuration";
+    case FollowedLog::kEngines:
+      return "engines";
+    case FollowedLog::kNodes:
+      return "nodes";
+  }
+  return "unknown";
+}
+
 Coordinator::Impl::Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 std::string
-Coordinator::Impl::Dump() const
+Coordinator::Impl::Dump()
 {
   Json replicas = Json::array();
   for (const auto& [service, planner] : mPlanners) {
@@ -45,6 +45,14 @@
   for (const auto& [engine, asked] : mDoubts.Lost()) {
     lost.push_back(engine);
   }
+  Json logs = Json::object();
+  for (const auto log : { FollowedLog::kConfiguration, FollowedLog::kEngines }) {
+    const KeyedFollower& follower = FollowerOf(log);
+    logs[NameOf(log)] = { { "next", follower.Next() },
+                          { "age_ms", ToMs(Now() - LogAsOf(log)).count() },
+                          { "own_read_age_ms", ToMs(Now() - follower.AsOf()).count() },
+                          { "reads", mReads.Reads(log) } };
+  }
   const Json dump = { { "node", mOptions.mNode },
                       { "incarnation", mOptions.mIncarnation },
                       { "ready", IsReady() },
@@ -71,7 +79,9 @@
                           { "age_ms", ToMs(Now() - mNews.AsOf()).count() } } },
                       { "store_read_by",
                         { { "node", ReadsForItself() ? mOptions.mNode : mTree.Reader() },
-                          { "lost", StoreLost() } } },
+                          { "lost", StoreLost() },
+                          { "looks", mCounters.mLooks } } },
+                      { "logs", logs },
                       { "engines", mDirectory.Engines().size() },
                       { "lost_engines", lost },
                       { "replicas", replicas },
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -13,6 +13,10 @@
 
 namespace pepperbay {
 
+/// @return the name of a log in lines and dumps.
+const char*
+NameOf(FollowedLog aLog);
+
 struct Coordinator::Impl
 {
   Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks);
@@ -108,7 +112,7 @@
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
-  std::string Dump() const;
+  std::string Dump();
 
   CoordinatorOptions mOptions;
   CoordinatorHooks mHooks;
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -115,6 +115,7 @@
     Counter("engine_restarts_total", "Engines that started again", control.mRestarts),
     Counter("former_starts_total", "Words of replaced starts, not taken", control.mFormerStarts),
     Counter("feeds_total", "Records of the store passed on by a delegate", control.mFeeds),
+    Counter("looks_total", "Reads of the store as what others told was too old", control.mLooks),
     Counter("bad_messages_total", "Of peers, not understood", control.mBadMessages),
     Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
     Histogram(
--- a/src/pepperbay/status/pool_status.cpp
+++ b/src/pepperbay/status/pool_status.cpp
@@ -57,6 +57,9 @@
   const Json& delegates = aJson.at("delegates");
   node.mDelegate = delegates.at("followed").get<std::string>();
   node.mFollowers = delegates.at("followers").get<std::size_t>();
+  node.mReader = aJson.at("store_read_by").at("node").get<std::string>();
+  node.mEnginesAge =
+    std::chrono::milliseconds(aJson.at("logs").at("engines").at("age_ms").get<std::int64_t>());
   node.mNewsAge = std::chrono::milliseconds(aJson.at("news").at("age_ms").get<std::int64_t>());
   return node;
 }
@@ -81,9 +84,11 @@
 WriteNodes(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
 {
   Column(aOut, "NODE", kNameWidth);
-  for (const char* it : { "READY", "CONFIG", "AGE", "STORE", "PEERS", "NEWS AGE", "FOLLOWERS" }) {
+  for (const char* it :
+       { "READY", "CONFIG", "AGE", "ENG. AGE", "STORE", "PEERS", "NEWS AGE", "FOLLOWERS" }) {
     Column(aOut, it, kNumberWidth);
   }
+  Column(aOut, "READER", kNameWidth);
   Column(aOut, "DELEGATE", kNameWidth);
   aOut << "LEASE\n";
   for (const auto& asked : aNodes) {
@@ -97,10 +102,12 @@
     Column(aOut, it.mReady ? "yes" : "no", kNumberWidth);
     Column(aOut, it.mConfiguration, kNumberWidth);
     Column(aOut, Seconds(it.mConfigurationAge), kNumberWidth);
+    Column(aOut, Seconds(it.mEnginesAge), kNumberWidth);
     Column(aOut, it.mStoreReachable ? "reached" : "lost", kNumberWidth);
     Column(aOut, std::to_string(it.mPeersAlive) + " of " + std::to_string(it.mPeers), kNumberWidth);
     Column(aOut, Seconds(it.mNewsAge), kNumberWidth);
     Column(aOut, it.mFollowers, kNumberWidth);
+    Column(aOut, it.mReader == it.mNode ? "itself" : it.mReader, kNameWidth);
     Column(aOut, it.mDelegate == it.mNode ? "itself" : it.mDelegate, kNameWidth);
     aOut << (it.mHoldsLease ? "holds it" : "of " + it.mLeaseHolder) << ", fence " << it.mFence
          << "\n";
--- a/src/pepperbay/status/pool_status_test.cpp
+++ b/src/pepperbay/status/pool_status_test.cpp
@@ -20,6 +20,7 @@
          R"(,"age_ms":140},"engines":11,"lost_engines":["i-9"],"replicas":)" +
          (aHolds ? replicas : "[]") + R"(,"delegates":{"followed":"n1","followers":)" +
          (aNode == "n1" ? "2" : "0") + R"(},"news":{"age_ms":1500},)" +
+         R"("store_read_by":{"node":"n3","lost":false},"logs":{"engines":{"age_ms":2400}},)" +
          R"("peers":[{"node":"n1","address":"a","alive":true,"configuration":7}]})";
 }
 
@@ -57,6 +58,18 @@
   EXPECT_TRUE(Has(text, "1.5 s")) << text;
 }
 
+TEST(PoolStatus, SaysWhoReadsTheStoreForANodeAndHowOldWhatItKnowsIs)
+{
+  const auto status = Asked("n2", false, 7).mStatus;
+  ASSERT_TRUE(status.has_value());
+  EXPECT_EQ(status.value().mReader, "n3");
+  EXPECT_EQ(status.value().mEnginesAge, std::chrono::milliseconds(2400));
+  const std::string text = PoolReport({ Asked("n2", false, 7) });
+  EXPECT_TRUE(Has(text, "READER")) << text;
+  EXPECT_TRUE(Has(text, "n3")) << text;
+  EXPECT_TRUE(Has(text, "2.4 s")) << text;
+}
+
 TEST(PoolStatus, SaysWhatDoesNotFitTogether)
 {
   const Error silent{ Errc::kTimeout, "http.get", "10.0.0.3:8081", "no answer" };
