--- a/scripts/versions.py
+++ b/scripts/versions.py
@@ -32,7 +32,8 @@
 class Node:
     """One start of a node: what it has had in force, and which logs do not answer it."""
 
-    def __init__(self):
+    def __init__(self, started=None):
+        self.started = started
         self.version = 0
         self.lost = set()
 
@@ -44,7 +45,7 @@
     nodes = {}
     for time, name, event, fields in events(path):
         if event == "started":
-            nodes[name] = Node()
+            nodes[name] = Node(time)
         node = nodes.setdefault(name, Node())
         if event in ("store_lost", "store_back"):
             log = LOG_NAME.search(fields)
@@ -55,8 +56,9 @@
         version = int(VERSION.search(fields).group(1))
         first.setdefault(version, time)
         for it, since in first.items():
-            # A node that has just started takes the newest; that says nothing of the older ones.
-            if node.version < it <= version and (node.version or it == version):
+            if node.started and node.started > since:
+                continue  # what came into force before the start says nothing of this node
+            if node.version < it <= version:
                 delay = (time - since).total_seconds() * 1000
                 delays.setdefault(it, {})[name] = (delay, sorted(node.lost))
         node.version = version
--- a/src/pepperbay/coordinator/coordinator_freshness_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_freshness_test.cpp
@@ -1,4 +1,5 @@
 #include "coordinator_fixture.hpp"
+#include "freshness_book.hpp"
 
 #include <pepperbay.pb.h>
 
@@ -78,5 +79,31 @@
   EXPECT_EQ(cut.mPlan->mRoutes->Version(), 5U);
 }
 
+/// Symptom: requests go to an engine that has left, by a node that believes its registrations new.
+/// Sequence: a peer has read a record that has not come here and says that all it knows is new.
+TEST(FreshnessBook, AnAgeOfALogCountsOnlyForWhoHasAllThatItSpeaksOf)
+{
+  const TimePoint asked{ seconds(100) };
+  const TimePoint now = asked + milliseconds(30);
+  proto::PeerMessage message;
+  proto::Beat* beat = message.mutable_beat();
+  for (const std::uint64_t it : { 4U, 9U, 2U }) {
+    beat->add_log_next(it);
+    beat->add_log_age_ms(200);
+  }
+  auto* answer = beat->add_freshness();
+  answer->set_node("self");
+  answer->set_incarnation(3);
+  answer->set_asked_at_ns(static_cast<std::uint64_t>(Duration(seconds(100)).count()));
+  answer->set_held_ns(static_cast<std::uint64_t>(Duration(milliseconds(20)).count()));
+
+  FreshnessBook book("self", 3);
+  book.OnBeat(message, 1, { 4, 8, 2 }, now);
+  EXPECT_EQ(book.LogAsOf(FollowedLog::kConfiguration), asked + milliseconds(20 - 200));
+  EXPECT_EQ(book.LogAsOf(FollowedLog::kEngines), TimePoint{}) << "one record is missing here";
+  book.OnBeat(message, 1, { 4, 9, 2 }, now);
+  EXPECT_EQ(book.LogAsOf(FollowedLog::kEngines), asked + milliseconds(20 - 200));
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -386,7 +386,8 @@
   for (const auto log :
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
-    beat.add_log_age_ns(ToNs(now - LogAsOf(log)));
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - LogAsOf(log));
+    beat.add_log_age_ms(static_cast<std::uint64_t>(age.count()));
   }
   beat.set_followers(static_cast<std::uint32_t>(Followers()));
   beat.set_nodes(static_cast<std::uint32_t>(NodesAtWork()));
--- a/src/pepperbay/coordinator/freshness_book.cpp
+++ b/src/pepperbay/coordinator/freshness_book.cpp
@@ -9,6 +9,8 @@
 /// A node that still asks does so with each heartbeat, every 200 ms; one that is silent for this
 /// long has found the store again or is gone.
 constexpr std::chrono::seconds kQuestionLife{ 1 };
+/// A log that is older than this is as good as not known.
+constexpr std::chrono::milliseconds kOldestLog{ std::chrono::hours(1) };
 
 std::uint64_t
 ToNs(Duration aDuration)
@@ -58,15 +60,17 @@
 void
 FreshnessBook::NoteLogs(const proto::Beat& aBeat, const LogOffsets& aOwn, TimePoint aAnswered)
 {
-  const bool told = aBeat.log_age_ns_size() == static_cast<int>(kFollowedLogs) &&
+  const bool told = aBeat.log_age_ms_size() == static_cast<int>(kFollowedLogs) &&
                     aBeat.log_next_size() == static_cast<int>(kFollowedLogs);
   if (!told) {
     return; // of an older version
   }
   for (std::size_t i = 0; i < kFollowedLogs; ++i) {
-    if (aBeat.log_next(static_cast<int>(i)) <= aOwn[i]) { // else it speaks of records unknown here
-      const Duration age = FromNs(aBeat.log_age_ns(static_cast<int>(i)));
-      mLogAsOf[i] = std::max(mLogAsOf[i], aAnswered - age);
+    const int log = static_cast<int>(i);
+    const std::uint64_t age = aBeat.log_age_ms(log);
+    const bool known = age < static_cast<std::uint64_t>(kOldestLog.count());
+    if (known && aBeat.log_next(log) <= aOwn[i]) { // else it speaks of records unknown here
+      mLogAsOf[i] = std::max(mLogAsOf[i], aAnswered - std::chrono::milliseconds(age));
     }
   }
 }
