--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -133,7 +133,7 @@
   const TimePoint now = Now();
   const proto::Beat& beat = aMessage.beat();
   mPeers.OnBeat(aMessage.node(), beat, now);
-  mFreshness.OnBeat(aMessage, ConfigurationVersion(), now);
+  mFreshness.OnBeat(aMessage, ConfigurationVersion(), OwnOffsets(), now);
   PassConfiguration(aMessage.node(), beat);
   ++mCounters.mBeats;
   mTraffic = mTraffic || beat.traffic();
@@ -228,8 +228,10 @@
 bool
 Coordinator::Impl::AsksFreshness() const
 {
-  // A read that is held to its end tells twice in this time that nothing is new.
-  return Now() - mConfigFollower.AsOf() > mOptions.mConfigWait + mOptions.mBeat;
+  // What another node reads for this one is only as new as its word. A read of its own that is held
+  // to its end tells twice in this time that nothing is new.
+  return !ReadsForItself() ||
+         Now() - mConfigFollower.AsOf() > mOptions.mConfigWait + mOptions.mBeat;
 }
 
 void
@@ -417,6 +419,8 @@
   for (const auto log :
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - LogAsOf(log));
+    beat.add_log_age_ms(static_cast<std::uint64_t>(age.count()));
   }
   beat.set_followers(static_cast<std::uint32_t>(Followers()));
   beat.set_nodes(static_cast<std::uint32_t>(NodesAtWork()));
--- a/src/pepperbay/coordinator/freshness_book.cpp
+++ b/src/pepperbay/coordinator/freshness_book.cpp
@@ -9,6 +9,8 @@
 /// A node that still asks does so with each heartbeat, every 200 ms; one that is silent for this
 /// long has found the store again or is gone.
 constexpr std::chrono::seconds kQuestionLife{ 1 };
+/// A log that is older than this is as good as not known.
+constexpr std::chrono::milliseconds kOldestLog{ std::chrono::hours(1) };
 
 std::uint64_t
 ToNs(Duration aDuration)
@@ -31,23 +33,44 @@
 }
 
 void
-FreshnessBook::OnBeat(const proto::PeerMessage& aMessage, std::uint64_t aVersion, TimePoint aNow)
+FreshnessBook::OnBeat(const proto::PeerMessage& aMessage,
+                      std::uint64_t aVersion,
+                      const LogOffsets& aOwn,
+                      TimePoint aNow)
 {
   const proto::Beat& beat = aMessage.beat();
   if (beat.asks_freshness_at_ns() != 0) {
     mQuestions[aMessage.node()] = { aMessage.incarnation(), beat.asks_freshness_at_ns(), aNow };
   }
-  if (beat.config_version() > aVersion) {
-    return; // what is in force here is older than what the peer speaks of
-  }
   for (const auto& it : beat.freshness()) {
     if (it.node() != mSelf || it.incarnation() != mIncarnation) {
       continue;
     }
     const TimePoint answered = TimePoint(FromNs(it.asked_at_ns())) + FromNs(it.held_ns());
-    const TimePoint asOf = answered - FromNs(beat.config_age_ns());
-    if (answered <= aNow) {
-      mAsOf = std::max(mAsOf, asOf);
+    if (answered > aNow) {
+      continue;
+    }
+    NoteLogs(beat, aOwn, answered);
+    if (beat.config_version() <= aVersion) { // else the peer speaks of a newer one
+      mAsOf = std::max(mAsOf, answered - FromNs(beat.config_age_ns()));
+    }
+  }
+}
+
+void
+FreshnessBook::NoteLogs(const proto::Beat& aBeat, const LogOffsets& aOwn, TimePoint aAnswered)
+{
+  const bool told = aBeat.log_age_ms_size() == static_cast<int>(kFollowedLogs) &&
+                    aBeat.log_next_size() == static_cast<int>(kFollowedLogs);
+  if (!told) {
+    return; // of an older version
+  }
+  for (std::size_t i = 0; i < kFollowedLogs; ++i) {
+    const int log = static_cast<int>(i);
+    const std::uint64_t age = aBeat.log_age_ms(log);
+    const bool known = age < static_cast<std::uint64_t>(kOldestLog.count());
+    if (known && aBeat.log_next(log) <= aOwn[i]) { // else it speaks of records unknown here
+      mLogAsOf[i] = std::max(mLogAsOf[i], aAnswered - std::chrono::milliseconds(age));
     }
   }
 }
