Tests that fail: what a second engine hides, a request that waits at a lost replica, an unlisted head

While a second engine is asked, nothing else is looked at: where it stands still as well, the stream waits until its deadline. A request that has not begun stays at a lost replica as long as another stream is written there. A new holder tells the members of a head whose registration is gone to join anew, under its streams. One more holds already: a member that has started again is not waited for.

--- a/src/pepperbay/placement/group_planner_leaving_test.cpp
+++ b/src/pepperbay/placement/group_planner_leaving_test.cpp
@@ -156,5 +156,38 @@
   }
 }
 
+/// A member that has started again knows nothing of its group: nothing moves there, and nothing is
+/// waited for, although no node sees a stream stand still where all of them wait.
+TEST(GroupPlannerLeaving, AReplicaWhoseMemberHasStartedAgainIsFormedAnewAtOnce)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string member = world.MemberOf(planner, "big", 3);
+  world.mInFlight = 2;
+  world.mPool.Restart(member, WallTime(seconds(100)));
+  world.Run(planner, seconds(4));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
+/// Symptom: streams are reset when another node takes the lease.
+/// Sequence: a head's registration is gone, it works on for its streams; the lease changes hands;
+/// the new holder finds the other members and tells them to join anew.
+/// Cause: a head that is not listed was taken for one that does not work.
+TEST(GroupPlannerLeaving, ANewHolderEndsNothingOfAHeadThatIsNotListed)
+{
+  World world(1);
+  GroupPlanner before;
+  world.Run(before, seconds(40));
+  const std::string member = world.MemberOf(before, "big", 3);
+  world.mPool.At(world.MemberOf(before, "big", 0)).mListed = false;
+  world.mInFlight = 2;
+  world.Run(before, milliseconds(200));
+  const int joins = JoinsOf(world, member);
+  GroupPlanner after;
+  world.Run(after, seconds(2), 2);
+  EXPECT_EQ(JoinsOf(world, member), joins);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -329,5 +329,88 @@
   EXPECT_LE(refuses.Connections(), 2) << "asked once more, after a pause";
 }
 
+/// Symptom: a stream stands still until its deadline, and its caller with it.
+/// Sequence: its replica is lost; a second engine is asked, takes the request and stands still as
+/// well; its replica is lost, too. Nothing ends the stream, which may be sent to no more engines.
+/// Cause: while a second engine was asked, nothing else was looked at.
+TEST_F(RelayMoves, AStreamThatStandsStillAtBothEnginesIsEnded)
+{
+  std::promise<void> began;
+  std::promise<void> asked;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    aConnection.ReadToEnd();
+  });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mClock.Advance(seconds(1));
+  OfferSecond();
+  asked.get_future().wait();
+  mPlan.mReplicas["pool"][1].mLost = true;
+  Publish();
+  for (int i = 0; i < 4; ++i) {
+    mClock.Advance(seconds(1));
+    mClock.WaitForTicks();
+  }
+  EXPECT_EQ(Counters().mCut, 1U);
+  mClock.Advance(seconds(20)); // by its deadline at the latest
+  answer.get();
+}
+
+/// Symptom: a request waits for seconds at a replica that begins nothing new, while others are
+/// free. Sequence: a member stops listening; its head takes a request that it will not begin, and
+/// writes the streams that it has; the replica is said to be lost; the request waits until the last
+/// of these streams ends. Cause: events of other streams were taken for work on a request that has
+/// not begun.
+TEST_F(RelayMoves, ARequestThatWaitsAtALostReplicaIsSentElsewhereThoughOthersAreWritten)
+{
+  std::promise<void> began;
+  std::promise<void> waits;
+  std::promise<void> end;
+  auto ended = end.get_future().share();
+  std::atomic<int> n{ 0 };
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    if (n++ == 0) {
+      aConnection.Write(StreamHead() + kEventA);
+      began.set_value();
+      ended.wait();
+      aConnection.Write(std::string(kEventB) + kStreamEnd);
+      return;
+    }
+    waits.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA + kStreamEnd);
+  });
+  Serve({ &first, &second });
+  auto written = AskStream();
+  began.get_future().wait();
+  auto waiting = AskStream();
+  waits.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  mClock.WaitForTicks();
+  EXPECT_EQ(Counters().mSecondAttempts, 1U);
+  mClock.Advance(seconds(1)); // whatever was found, both end
+  mClock.WaitForTicks();
+  end.set_value();
+  EXPECT_TRUE(Has(written.get(), "data: a"));
+  EXPECT_TRUE(Has(waiting.get(), kStreamEnd));
+}
+
 } // namespace
 } // namespace pepperbay
