relay: a second engine that is lost as well is let go

A stream that a second engine was asked for stood still until its deadline when that one stood still too, or started again: while it was asked nothing else was looked at, neither a third engine nor the end of what is hopeless. Ruled out: the first engine's own end was found before (OnFailure takes the second).

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -131,9 +131,11 @@
   /// @return the replica that a sending went to, as the plan has it now; null for none.
   const PoolReplica* ReplicaInPlan(const Sending& aSending) const;
   /// @return whether the replica stands still: by what it does first, then by what is said of it.
-  bool StandsStill() const;
+  bool StandsStill(const Sending& aSending) const;
   /// @return whether the plan speaks against the replica; it may still answer.
-  bool SaidToBeLost() const;
+  bool SaidToBeLost(const Sending& aSending) const;
+  /// @return whether it stands still, is said to be lost, and has given nothing for long.
+  bool IsHopeless(const Sending& aSending) const;
   bool IsCurrent(std::uint64_t aSerial) const
   {
     return mPhase != Phase::kOver && mCurrent.mAttempt && mCurrent.mSerial == aSerial;
@@ -143,7 +145,7 @@
     return mPhase != Phase::kOver && mNext && mNext->mSerial == aSerial;
   }
   /// @return whether the engine that works on this has started again since: no answer will come.
-  bool EngineRestarted() const;
+  bool EngineRestarted(const Sending& aSending) const;
   void LogFailedAttempt(const Sending& aSending,
                         const std::string& aWhy,
                         bool aMayHaveRun,
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -37,7 +37,10 @@
     OnDeadline();
     return;
   }
-  if (EngineRestarted()) {
+  if (mNext && EngineRestarted(*mNext)) {
+    DropNext("engine_restarted", mNext->mAttempt->MayHaveRun());
+  }
+  if (EngineRestarted(mCurrent)) {
     OnFailure("engine_restarted", mCurrent.mAttempt->MayHaveRun());
     return;
   }
@@ -72,10 +75,10 @@
 }
 
 bool
-Exchange::EngineRestarted() const
+Exchange::EngineRestarted(const Sending& aSending) const
 {
   // An engine that loses power closes no connection; the caller would wait until its deadline.
-  const AttemptTarget& target = mCurrent.mTarget;
+  const AttemptTarget& target = aSending.mTarget;
   const auto start = mCore->mPlan->mStarts.find(target.mEngine);
   return start != mCore->mPlan->mStarts.end() && target.mBorn != WallTime{} &&
          start->second > target.mBorn;
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -37,6 +37,10 @@
 void
 Exchange::AskSecondIfDue()
 {
+  if (mNext && IsHopeless(*mNext)) {
+    // While it is asked, no other engine is, and the first one's end is not looked at either.
+    DropNext("replica_lost", true);
+  }
   if (mNext || mMoving) {
     return;
   }
@@ -50,12 +54,11 @@
     }
     return;
   }
-  if (!mRoute->Repeatable() || !mService->mPool || !StandsStill()) {
+  if (!mRoute->Repeatable() || !mService->mPool || !StandsStill(mCurrent)) {
     return;
   }
   if (mSent >= mRoute->mMaxAttempts) {
-    const TimePoint last = mCurrent.mWriting ? mCurrent.mLastEventAt : mCurrent.mSentAt;
-    if (SaidToBeLost() && now - last > kHopelessAfter) {
+    if (IsHopeless(mCurrent)) {
       OnFailure("replica_lost", true);
     }
   } else if (now >= mMoveNotBefore && HasTarget()) {
@@ -64,24 +67,31 @@
 }
 
 bool
-Exchange::SaidToBeLost() const
+Exchange::IsHopeless(const Sending& aSending) const
+{
+  const TimePoint last = aSending.mWriting ? aSending.mLastEventAt : aSending.mSentAt;
+  return mCore->Now() - last > kHopelessAfter && SaidToBeLost(aSending) && StandsStill(aSending);
+}
+
+bool
+Exchange::SaidToBeLost(const Sending& aSending) const
 {
-  const PoolReplica* replica = ReplicaInPlan(mCurrent);
+  const PoolReplica* replica = ReplicaInPlan(aSending);
   // Lost, or formed anew, perhaps under another head.
-  return replica != nullptr && (replica->mLost || replica->mEpoch > mCurrent.mEpoch);
+  return replica != nullptr && (replica->mLost || replica->mEpoch > aSending.mEpoch);
 }
 
 bool
-Exchange::StandsStill() const
+Exchange::StandsStill(const Sending& aSending) const
 {
-  const Duration silence = mCore->mStalls.Silence(mCurrent.mTarget.mEngine, mCore->Now());
+  const Duration silence = mCore->mStalls.Silence(aSending.mTarget.mEngine, mCore->Now());
   if (silence > mCore->mOptions.mLeaveSilent) {
     return true;
   }
-  if (mCore->mStalls.Watches(mCurrent.mTarget.mEngine) && silence <= kMovesWithin) {
+  if (mCore->mStalls.Watches(aSending.mTarget.mEngine) && silence <= kMovesWithin) {
     return false;
   }
-  return SaidToBeLost();
+  return SaidToBeLost(aSending);
 }
 
 void
@@ -96,7 +106,7 @@
         self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
         return;
       }
-      if (!self->IsCurrent(serial) || !self->StandsStill()) {
+      if (!self->IsCurrent(serial) || !self->StandsStill(self->mCurrent)) {
         self->mCore->mPlaces.End(aPlace.mTicket); // it ended, or goes on, in the meantime
         return;
       }
