relay: a request that has not begun leaves a lost replica though others are written there

It stayed where the head had given any stream an event just now. Ruled out for streams that have begun: their own events show that they go on. The first engine keeps the request until a second one answers, so nothing is lost where it would have begun.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -134,6 +134,8 @@
   bool StandsStill(const Sending& aSending) const;
   /// @return whether the plan speaks against the replica; it may still answer.
   bool SaidToBeLost(const Sending& aSending) const;
+  /// @return whether another engine is to be asked for what this one was sent.
+  bool ShouldLeave(const Sending& aSending) const;
   /// @return whether it stands still, is said to be lost, and has given nothing for long.
   bool IsHopeless(const Sending& aSending) const;
   bool IsCurrent(std::uint64_t aSerial) const
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -54,7 +54,7 @@
     }
     return;
   }
-  if (!mRoute->Repeatable() || !mService->mPool || !StandsStill(mCurrent)) {
+  if (!mRoute->Repeatable() || !mService->mPool || !ShouldLeave(mCurrent)) {
     return;
   }
   if (mSent >= mRoute->mMaxAttempts) {
@@ -66,6 +66,14 @@
   }
 }
 
+bool
+Exchange::ShouldLeave(const Sending& aSending) const
+{
+  // Events of other streams say nothing of one that has not begun: a head may write what it has and
+  // begin nothing more.
+  return StandsStill(aSending) || (!aSending.mWriting && SaidToBeLost(aSending));
+}
+
 bool
 Exchange::IsHopeless(const Sending& aSending) const
 {
@@ -106,7 +114,7 @@
         self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
         return;
       }
-      if (!self->IsCurrent(serial) || !self->StandsStill(self->mCurrent)) {
+      if (!self->IsCurrent(serial) || !self->ShouldLeave(self->mCurrent)) {
         self->mCore->mPlaces.End(aPlace.mTicket); // it ended, or goes on, in the meantime
         return;
       }
