--- a/src/pepperbay/placement/group_planner_places_test.cpp
+++ b/src/pepperbay/placement/group_planner_places_test.cpp
@@ -99,5 +99,21 @@
   EXPECT_EQ(world.mPool.Serving("big"), 3U);
 }
 
+/// Symptom: a free engine never stands ready for a loss, and never gets the weights for it.
+/// Sequence: the order to bring weights onto its host is lost on its way.
+/// Cause: an order that had been given counted as weights on their way, for good.
+TEST(GroupPlannerPlaces, AnOrderToStageThatComesToNothingIsGivenAgain)
+{
+  World world(1);
+  GroupPlanner planner;
+  std::set<std::string> lost;
+  world.mFate = [&lost](const GroupOrder& aOrder) {
+    const bool first = aOrder.mKind == GroupOrderKind::kStage && lost.insert(aOrder.mEngine).second;
+    return first ? Fate::kLost : Fate::kArrives;
+  };
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  EXPECT_EQ(SparesOf(world).size(), 2U);
+}
+
 } // namespace
 } // namespace pepperbay
