placement: an order to stage that is lost or refused is given again

An engine that was told to bring weights onto its host counted as loading them from then on, whatever became of the order, so it never stood ready for a loss.

Cause: an order that was given was taken for what it asks for. Now only one that the engine has taken counts. A refused one is given again after the time in which a load may have ended, and the rate of the store of weights is asked only when the order is due, as each question counts as a load.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -286,6 +286,8 @@
   void AddToIndex(const PlannedReplica& aReplica);
   void RemoveFromIndex(const PlannedReplica& aReplica);
   void Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
+  /// @return whether an order of this kind may be given to the engine now.
+  bool IsDue(const std::string& aEngine, GroupOrderKind aKind) const;
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
   bool Guard(GroupOrder& aOrder);
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -50,6 +50,13 @@
   }
 }
 
+bool
+GroupPlanner::IsDue(const std::string& aEngine, GroupOrderKind aKind) const
+{
+  const auto it = mPending.find(aEngine + " " + ToString(aKind));
+  return it == mPending.end() || (!it->second.mWaiting && mView->mNow >= it->second.mDue);
+}
+
 bool
 GroupPlanner::Give(GroupOrder aOrder)
 {
@@ -145,6 +152,10 @@
   }
   Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
   pending.mWaiting = false;
+  const bool taken = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
+  if (aOrder.mKind == GroupOrderKind::kStage && !taken) {
+    mStaging.erase(aOrder.mEngine); // no weights are known to be on their way; it is told again
+  }
   mStates[aOrder.mEngine].OnAnswer(aOrder, aAnswer, aNow);
   if (aAnswer == OrderAnswer::kNone) {
     pending.mDue = aNow; // at once again: the effect may be there or not
@@ -194,8 +205,7 @@
     }
     return;
   }
-  const bool accepted = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
-  if (aOrder.mKind == GroupOrderKind::kOpen && current && accepted &&
+  if (aOrder.mKind == GroupOrderKind::kOpen && current && taken &&
       replica->second.mPhase == ReplicaPhase::kOpening) {
     replica->second.mPhase = ReplicaPhase::kOpen;
     replica->second.mSince = aNow;
@@ -209,6 +219,9 @@
   if (aOrder.mKind == GroupOrderKind::kOpen) {
     return mOptions.mRepeatOpen;
   }
+  if (aOrder.mKind == GroupOrderKind::kStage) {
+    return mOptions.mAskLoaded; // refused while another load is under way, which takes seconds
+  }
   if (aOrder.mKind == GroupOrderKind::kJoin && aAnswer == OrderAnswer::kBegun) {
     return aLoads ? mOptions.mAskLoaded : mOptions.mAskJoined;
   }
--- a/src/pepperbay/placement/group_planner_spares.cpp
+++ b/src/pepperbay/placement/group_planner_spares.cpp
@@ -44,7 +44,7 @@
     }
     ++standby[it->mDomain][model];
     if (!it->HasStaged(model)) {
-      if (!MayLoad()) {
+      if (!IsDue(it->mId, GroupOrderKind::kStage) || !MayLoad()) {
         continue;
       }
       GroupOrder order;
@@ -127,7 +127,7 @@
     if (it.mName == aModel || aEngine.HasStaged(it.mName) || mStaging.count(aEngine.mId) != 0) {
       continue;
     }
-    if (!MayLoad()) {
+    if (!IsDue(aEngine.mId, GroupOrderKind::kStage) || !MayLoad()) {
       return;
     }
     GroupOrder order;
