Test that fails: a caller that reads slowly gets the bytes of two engines mixed

While an event waits for its caller, the relay reads nothing of the engine, which then passes for silent.

--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -412,5 +412,46 @@
   EXPECT_TRUE(Has(waiting.get(), kStreamEnd));
 }
 
+/// Symptom: a caller that reads slowly gets the bytes of two engines mixed.
+/// Sequence: an event waits for its caller to read; so the relay reads nothing of the engine, which
+/// passes for silent; its replica is said to be lost; a second engine is asked, and its events are
+/// written to the caller in the middle of the first one's.
+/// Cause: the caller's slowness was taken for the engine's silence.
+TEST_F(RelayMoves, AStreamWhoseCallerReadsSlowlyStaysWithItsEngine)
+{
+  constexpr std::size_t kLong = 5000000; // more than the buffers on the way hold
+  std::promise<void> read;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + "4c4b4e\r\nid: 1\ndata: " + std::string(kLong, 'a') +
+                      "\n\n\r\n");
+    read.get_future().wait();
+    aConnection.Write(kStreamEnd);
+  });
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first, &second });
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  while (Counters().mFirstEvent.mCounts[0] == 0) {
+    mClock.WaitForTicks();
+  }
+  FirstReplica().mLost = true;
+  OfferSecond();
+  mClock.Advance(seconds(1));
+  mClock.WaitForTicks();
+  mClock.WaitForTicks();
+  EXPECT_EQ(second.Connections(), 0);
+  read.set_value();
+  const std::string text = caller.ReadToEnd();
+  ::close(socket);
+  const std::size_t begin = text.find("data: ") + 6;
+  EXPECT_EQ(text.find_first_not_of('a', begin) - begin, kLong);
+  EXPECT_TRUE(Has(text, kStreamEnd));
+}
+
 } // namespace
 } // namespace pepperbay
