relay: a caller that reads slowly is not taken for a silent engine

While events were on their way to a slow caller, the relay read nothing of the engine, took it for silent, asked a second one (or sent again, where the engine had started anew), and wrote that one's events to the same socket in the middle of the first one's: a broken answer. Ruled out: overlap from one engine alone, which is read on only when its last bytes have gone out. Nothing else is begun while the caller reads; the deadline and a caller that leaves end it as before. relay_relay_moves_test: the listed test failed before (a second engine asked, the event cut short), all 11 pass now; relay_test 19 and stop_test 3 pass.

--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -423,7 +423,9 @@
     mFields.erase(http::field::content_length);
     mCaller->StartStream(mStatus, mFields);
   }
+  mCallerReads = true;
   mCaller->Push(ready, [self = shared_from_this(), serial = mCurrent.mSerial] {
+    self->mCallerReads = false;
     if (self->IsCurrent(serial)) {
       self->mCurrent.mAttempt->ReadMore();
     }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -196,6 +196,7 @@
   EventSplitter mSplitter;
   std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
   bool mStreamStarted = false;             ///< the caller has the head
+  bool mCallerReads = false;               ///< events are on their way to the caller
   /// An engine's own failure, kept while a second engine is asked.
   std::optional<CallerAnswer> mFallback;
 };
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -37,6 +37,11 @@
     OnDeadline();
     return;
   }
+  if (mCallerReads) {
+    // Nothing is read of the engine meanwhile, so its silence says nothing; and what another one
+    // wrote would come in the middle of what is on its way.
+    return;
+  }
   if (mNext && EngineRestarted(*mNext)) {
     DropNext("engine_restarted", mNext->mAttempt->MayHaveRun());
   }
