relay: an engine's silence is not counted while a slow caller keeps its events back

Callers could see streams reset because of one of them that reads slowly: its node reads nothing more of the engine, says after 180 ms that the head is silent, and with that word a replica whose member has stopped listening would be formed anew under all others' streams. Found by review. A sending is watched only while nothing else holds its events. The test's check failed before (one suspicion). Refusals of heads that are long past are forgotten (test).

--- a/include/pepperbay/routing/refusal_book.hpp
+++ b/include/pepperbay/routing/refusal_book.hpp
@@ -20,6 +20,8 @@
   /// A head that another node says refuses is not chosen for so long; it says so with each question
   /// for a place.
   Duration mToldPause = std::chrono::milliseconds(100);
+  /// Nothing is known of a head any more so long after its last pause.
+  Duration mForgetAfter = std::chrono::seconds(5);
 };
 
 /// When a member of a replica stops listening, its head takes nothing new and works on for what it
@@ -52,6 +54,9 @@
   std::vector<std::uint32_t> Refusing(TimePoint aNow) const;
 
 private:
+  /// Forget what is long past: heads end, and what they refused once says nothing for ever.
+  void DropOld(TimePoint aNow);
+
   struct Refusal
   {
     Duration mPause{ 0 }; ///< zero: only told
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -411,9 +411,7 @@
   }
   if (!mCurrent.mWriting) {
     mCurrent.mWriting = true;
-    mCore->mStalls.OnWriting(mCurrent.mTarget.mEngine, now);
   } else {
-    mCore->mStalls.OnEvent(mCurrent.mTarget.mEngine, now);
     mCore->mBalancer.OnPause(mCurrent.mTarget.mEngine, now - mCurrent.mLastEventAt, now);
   }
   mCurrent.mLastEventAt = now;
@@ -423,15 +421,41 @@
     mFields.erase(http::field::content_length);
     mCaller->StartStream(mStatus, mFields);
   }
-  mCallerReads = true;
-  mCaller->Push(ready, [self = shared_from_this(), serial = mCurrent.mSerial] {
-    self->mCallerReads = false;
+  PushToCaller(ready);
+}
+
+void
+Exchange::PushToCaller(const std::string& aEvents)
+{
+  mPushing = true;
+  // While a slow caller keeps the events back, the engine's silence says nothing of it: counted, it
+  // could have the replica formed anew under the streams of all other callers.
+  Unwatch(&mCurrent);
+  mCaller->Push(aEvents, [self = shared_from_this(), serial = mCurrent.mSerial] {
+    self->mPushing = false;
     if (self->IsCurrent(serial)) {
+      self->Watch(&self->mCurrent);
       self->mCurrent.mAttempt->ReadMore();
     }
   });
 }
 
+void
+Exchange::Watch(Sending* aSending)
+{
+  if (!std::exchange(aSending->mWatched, true)) {
+    mCore->mStalls.OnWriting(aSending->mTarget.mEngine, mCore->Now());
+  }
+}
+
+void
+Exchange::Unwatch(Sending* aSending)
+{
+  if (std::exchange(aSending->mWatched, false)) {
+    mCore->mStalls.OnDone(aSending->mTarget.mEngine);
+  }
+}
+
 void
 Exchange::OnEnd(const AttemptEnd& aEnd)
 {
@@ -516,9 +540,7 @@
   aSending->mAttempt.reset();
   mCore->mBalancer.OnEnd(aSending->mTarget.mEngine);
   mCore->mPlaces.End(std::exchange(aSending->mTicket, {}));
-  if (std::exchange(aSending->mWriting, false)) {
-    mCore->mStalls.OnDone(aSending->mTarget.mEngine);
-  }
+  Unwatch(aSending);
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -43,6 +43,7 @@
   TimePoint mSentAt{};
   TimePoint mLastEventAt{};
   bool mWriting = false; ///< it has given an event
+  bool mWatched = false; ///< its silence counts: nothing else keeps its events back
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -122,6 +123,11 @@
   void OnEnd(const AttemptEnd& aEnd);
   void OnWholeAnswer();
   void PassEvents(std::string_view aBytes);
+  /// Pass events on; nothing more is read of the engine until they have gone out.
+  void PushToCaller(const std::string& aEvents);
+  /// Count a sending's silence from now on, or no longer.
+  void Watch(Sending* aSending);
+  void Unwatch(Sending* aSending);
 
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
@@ -196,7 +202,7 @@
   EventSplitter mSplitter;
   std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
   bool mStreamStarted = false;             ///< the caller has the head
-  bool mCallerReads = false;               ///< events are on their way to the caller
+  bool mPushing = false;                   ///< events are on their way to the caller
   /// An engine's own failure, kept while a second engine is asked.
   std::optional<CallerAnswer> mFallback;
 };
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -37,7 +37,7 @@
     OnDeadline();
     return;
   }
-  if (mCallerReads) {
+  if (mPushing) {
     // Nothing is read of the engine meanwhile, so its silence says nothing; and what another one
     // wrote would come in the middle of what is on its way.
     return;
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -71,7 +71,7 @@
 {
   // Events of other streams say nothing of one that has not begun: a head may write what it has and
   // begin nothing more.
-  return !mCallerReads && (StandsStill(aSending) || (!aSending.mWriting && SaidToBeLost(aSending)));
+  return !mPushing && (StandsStill(aSending) || (!aSending.mWriting && SaidToBeLost(aSending)));
 }
 
 bool
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -86,7 +86,7 @@
     aOptions.mLeaveSilent = seconds(20);
     mAddress = aOptions.mCallers;
     RelayHooks hooks;
-    hooks.mOnSuspect = [](const std::string&, Duration) {};
+    hooks.mOnSuspect = [this](const std::string&, Duration) { ++mSuspects; };
     auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
@@ -196,6 +196,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
   TrafficPlan mPlan;
   bool mPublishAtOnce = true;
+  std::atomic<int> mSuspects{ 0 }; ///< times that a head was said to be silent
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
   std::thread mThread;
--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -445,6 +445,7 @@
   mClock.WaitForTicks();
   mClock.WaitForTicks();
   EXPECT_EQ(second.Connections(), 0);
+  EXPECT_EQ(mSuspects, 0) << "other nodes' streams would pay for it";
   read.set_value();
   const std::string text = caller.ReadToEnd();
   ::close(socket);
--- a/src/pepperbay/routing/refusal_book.cpp
+++ b/src/pepperbay/routing/refusal_book.cpp
@@ -14,6 +14,7 @@
 bool
 RefusalBook::OnRefused(const std::string& aHead, TimePoint aSentAt, TimePoint aNow)
 {
+  DropOld(aNow);
   Refusal& refusal = mRefusals[ShortId(aHead)];
   if (aSentAt < refusal.mUntil) {
     return false;
@@ -32,9 +33,19 @@
   }
 }
 
+void
+RefusalBook::DropOld(TimePoint aNow)
+{
+  for (auto it = mRefusals.begin(); it != mRefusals.end();) {
+    const TimePoint last = std::max(it->second.mUntil, it->second.mToldUntil);
+    it = aNow - last >= mOptions.mForgetAfter ? mRefusals.erase(it) : std::next(it);
+  }
+}
+
 void
 RefusalBook::OnTold(std::uint32_t aHead, TimePoint aNow)
 {
+  DropOld(aNow);
   mRefusals[aHead].mToldUntil = aNow + mOptions.mToldPause;
 }
 
--- a/src/pepperbay/routing/refusal_book_test.cpp
+++ b/src/pepperbay/routing/refusal_book_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 class RefusalBookTest : public testing::Test
 {
@@ -65,6 +66,18 @@
   EXPECT_FALSE(Refuses());
 }
 
+TEST_F(RefusalBookTest, WhatIsLongPastDoesNotLengthenAPause)
+{
+  for (int i = 0; i < 4; ++i) {
+    Refuse();
+    mNow += seconds(1);
+  }
+  mNow += seconds(5);
+  Refuse();
+  mNow += milliseconds(100);
+  EXPECT_FALSE(Refuses());
+}
+
 TEST_F(RefusalBookTest, AHeadThatStartedAgainIsAsGoodAsAny)
 {
   Refuse();
