Test that fails: a replica opens on the word of an engine that is no member

A trace line in a scratch copy: an engine that had ended was asked; at its address another had started, which answered for itself; that word filled the place of a member that still warmed up.

--- a/src/pepperbay/placement/group_planner_places_test.cpp
+++ b/src/pepperbay/placement/group_planner_places_test.cpp
@@ -115,5 +115,28 @@
   EXPECT_EQ(SparesOf(world).size(), 2U);
 }
 
+/// Symptom: a replica serves though one of its members has never been ready.
+/// Sequence: a replica forms; one member still warms up. An engine that has ended is asked for its
+/// state; at its address another has started, which is a member here, and answers that it is ready.
+/// Cause: the ready were counted, not looked at one by one, and a stranger's word counted as well.
+TEST(GroupPlannerPlaces, AWordOfAnEngineThatIsNoMemberMakesNoneReady)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(1)); // loads take longer than that
+  ASSERT_FALSE(planner.Replicas().empty());
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  ASSERT_EQ(replica.mPhase, ReplicaPhase::kForming);
+  ASSERT_TRUE(replica.mReady.empty());
+  EngineReport report;
+  report.mGroup = { replica.mName, replica.mEpoch, 1, GroupPhase::kReady };
+  for (std::size_t i = 0; i < replica.mMembers.size(); ++i) {
+    planner.OnReport("gone-" + std::to_string(i), report, world.Now());
+  }
+  world.mGiven.clear();
+  world.Run(planner, milliseconds(100));
+  EXPECT_EQ(world.mGiven[GroupOrderKind::kOpen], 0);
+}
+
 } // namespace
 } // namespace pepperbay
