placement: a replica opens when each member was ready, and only members' words count

Cause: the ready were counted against the size; a report by an engine that is no member (asked under the id of one that has ended, answered by another at its address) filled the count. Only members enter the set, and it is looked at member by member.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -132,6 +132,11 @@
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
   bool mGivenUp = false;                  ///< its engines are needed by another
   std::string mWhy;                       ///< why it does not serve
+
+  bool HasMember(const std::string& aEngine) const;
+  /// @return whether each member was ready. Numbers do not tell: at the address of an engine that
+  /// has ended another may answer, and be a member here under its own id.
+  bool AllReady() const;
 };
 
 class GroupPlanner
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -37,6 +37,20 @@
   return "unknown";
 }
 
+bool
+PlannedReplica::HasMember(const std::string& aEngine) const
+{
+  return std::find(mMembers.begin(), mMembers.end(), aEngine) != mMembers.end();
+}
+
+bool
+PlannedReplica::AllReady() const
+{
+  return std::all_of(mMembers.begin(), mMembers.end(), [this](const std::string& aMember) {
+    return mReady.count(aMember) != 0;
+  });
+}
+
 GroupPlanner::GroupPlanner(GroupPlannerOptions aOptions)
   : mOptions(aOptions)
 {
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -16,7 +16,7 @@
   order.mFence = mView->mFence;
   order.mGroup = aReplica.mName;
   order.mEpoch = aReplica.mEpoch;
-  if (aReplica.mReady.size() < aReplica.mMembers.size()) {
+  if (!aReplica.AllReady()) {
     order.mKind = GroupOrderKind::kJoin;
     order.mModel = aReplica.mModel;
     order.mMembers = aReplica.mMembers;
@@ -240,7 +240,8 @@
   const GroupPlace& place = aReport.mGroup;
   const auto it = mReplicas.find(place.mName);
   const bool ready = place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen;
-  if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready) {
+  if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready &&
+      it->second.HasMember(aEngine)) {
     it->second.mReady.insert(aEngine);
   }
   BreakIfElsewhere(aEngine, place, aNow);
