--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -14,11 +14,13 @@
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp USES base) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
-                          group_planner.cpp group_planner_orders.cpp
+                          engine_state.cpp group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
                           group_planner_starts.cpp group_planner_survivors.cpp
-                  TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp group_planner_leaving_test.cpp
-                        group_planner_starts_test.cpp group_planner_survivors_test.cpp USES state membership routing) # pure
+                  TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp
+                        group_planner_leaving_test.cpp group_planner_places_test.cpp
+                        group_planner_starts_test.cpp group_planner_survivors_test.cpp
+                        engine_state_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
 pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp failure_step_test.cpp USES routing admission proto) # pure
@@ -49,7 +51,8 @@
                                       engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp log_reads.cpp news_book.cpp
                                       node_tree.cpp peer_book.cpp plan_builder.cpp
-                  TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_messages_test.cpp
+                  TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_readers_test.cpp
+                        coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp engine_doubts_test.cpp
                   USES journal lease membership placement routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -111,8 +111,9 @@
     if (aOrder.mAccepted && *aOrder.mAccepted != engine.mAccepted) {
       return OrderAnswer::kNotNow;
     }
+    const bool was = IsIn(engine, aOrder);
     const OrderAnswer answer = CarryOut(engine, aOrder, aNow);
-    engine.mAccepted += answer == OrderAnswer::kBegun ? 1 : 0;
+    engine.mAccepted += Began(aOrder, answer, was) ? 1 : 0;
     return answer;
   }
 
@@ -174,6 +175,23 @@
   }
 
 private:
+  static bool IsIn(const Engine& aEngine, const GroupOrder& aOrder)
+  {
+    const GroupPlace& place = aEngine.mRecord.mGroup;
+    return place.mName == aOrder.mGroup && place.mEpoch == aOrder.mEpoch;
+  }
+
+  /// @return whether an order began something, which is what an engine counts; a join that is still
+  /// in progress is answered as begun again, and an order to leave is done when it is answered.
+  static bool Began(const GroupOrder& aOrder, OrderAnswer aAnswer, bool aWasIn)
+  {
+    if (aOrder.mKind == GroupOrderKind::kLeave) {
+      return aWasIn;
+    }
+    const bool repeated = aOrder.mKind == GroupOrderKind::kJoin && aWasIn;
+    return aAnswer == OrderAnswer::kBegun && !repeated;
+  }
+
   OrderAnswer CarryOut(Engine& aEngine, const GroupOrder& aOrder, TimePoint aNow)
   {
     switch (aOrder.mKind) {
@@ -233,7 +251,7 @@
   OrderAnswer Join(Engine& aEngine, const GroupOrder& aOrder, TimePoint aNow)
   {
     GroupPlace& place = aEngine.mRecord.mGroup;
-    const bool same = place.mName == aOrder.mGroup && place.mEpoch == aOrder.mEpoch;
+    const bool same = IsIn(aEngine, aOrder);
     if (same && aEngine.mMembers == aOrder.mMembers) {
       return place.mPhase == GroupPhase::kJoining ? OrderAnswer::kBegun : OrderAnswer::kHolds;
     }
@@ -280,7 +298,7 @@
   OrderAnswer Open(Engine& aEngine, const GroupOrder& aOrder, TimePoint aNow)
   {
     GroupPlace& place = aEngine.mRecord.mGroup;
-    if (place.mName != aOrder.mGroup || place.mEpoch != aOrder.mEpoch) {
+    if (!IsIn(aEngine, aOrder)) {
       return OrderAnswer::kStale;
     }
     if (place.mPhase == GroupPhase::kOpen) {
@@ -296,13 +314,13 @@
 
   static OrderAnswer Leave(Engine& aEngine, const GroupOrder& aOrder)
   {
-    GroupPlace& place = aEngine.mRecord.mGroup;
-    if (place.mName != aOrder.mGroup || place.mEpoch != aOrder.mEpoch) {
-      return OrderAnswer::kStale;
+    // It affects no other membership than the one that it names: for any other, what it asks for is
+    // so already.
+    if (IsIn(aEngine, aOrder)) {
+      aEngine.mRecord.mGroup = GroupPlace{};
+      aEngine.mMembers.clear();
     }
-    place = GroupPlace{};
-    aEngine.mMembers.clear();
-    return OrderAnswer::kBegun;
+    return OrderAnswer::kHolds;
   }
 
   OrderAnswer Stage(Engine& aEngine, const GroupOrder& aOrder, TimePoint aNow)
--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -65,7 +65,22 @@
   's/return !group.empty\(\) \&\& !IsSpareGroup\(group\) \&\& group != aGroup;/return false;/' \
   placement_group_planner_test '*LeavesFirst*:*NeverServes*'
 mutant "joins without a guard" $groups/group_planner_orders.cpp \
-  's/aOrder.mAccepted = accepted->second;/;/' placement_group_planner_test '*NeverServes*'
+  's/  return NameAccepted\(aOrder\);/  return true;/' placement_group_planner_test '*NeverServes*'
+mutant "a leave of an older epoch counts as left" $groups/engine_state.cpp \
+  's/  if \(IsIn\(aOrder.mGroup, aOrder.mEpoch\)\) \{/  if (true) {/' \
+  placement_engine_state_test '*OlderEpoch*'
+mutant "an old registration comes back" $groups/engine_state.cpp \
+  's/aPlace.mEpoch > std::max\(mLeft, mPlace.mEpoch\)/true/' placement_engine_state_test '*StandsStill*'
+mutant "a leave that names no number proves that one has left" $groups/engine_state.cpp \
+  's/aOrder.mAccepted \? OrderProof::kDone : OrderProof::kAlreadySo;/OrderProof::kDone;/; s/\*aOrder.mAccepted \+ 1;/aOrder.mAccepted.value_or(mAccepted) + 1;/' \
+  placement_engine_state_test '*WithoutANumber*'
+mutant "an open that is in progress is counted again" $groups/engine_state.cpp \
+  's/Doubt\(mAccepted \+ 1, aNow\);/++mAccepted;/' placement_engine_state_test '*AnOpen*'
+mutant "a number that was refused is taken again" $groups/engine_state.cpp \
+  's/\*aOrder.mAccepted \+ 1 : mAccepted/0 : 0/' placement_engine_state_test '*WasRefused*'
+mutant "a late answer brings a membership back" $groups/engine_state.cpp \
+  's/aOrder.mEpoch < mPlace.mEpoch \|\| aOrder.mEpoch <= mLeft/false/' \
+  placement_engine_state_test '*LateAnswer*'
 mutant "late joins are forgotten" $groups/group_planner.cpp \
   's/return it != mLostJoins.end\(\) .*/return false;/' placement_group_planner_test '*NeverServes*'
 mutant "loads of joins are not counted" $groups/group_planner_orders.cpp \
@@ -85,6 +100,16 @@
 mutant "a freshness answer counts from its receipt" $s/coordinator/freshness_book.cpp \
   's/answered - FromNs\(beat.config_age_ns\(\)\)/aNow/' \
   coordinator_coordinator_tree_test '*NeverNewer*'
+mutant "an age of records that are missing here counts" $s/coordinator/freshness_book.cpp \
+  's/known && aBeat.log_next\(log\) <= aOwn\[i\]/known/' \
+  coordinator_coordinator_freshness_test '*AnAgeOfALog*'
+mutant "a node whose view is old waits for its reader" $s/coordinator/coordinator_logs.cpp \
+  's/const bool looks = LooksItself\(\);/const bool looks = false;/' \
+  coordinator_coordinator_readers_test '*ReadersThatHearNothing*'
+mutant "registrations have no age" $s/coordinator/coordinator_logs.cpp \
+  's/ \|\| enginesAge >= .*;/;/' coordinator_coordinator_readers_test '*ALeavingEngine*'
+mutant "a node that the store did not answer asks no more" $s/coordinator/coordinator_logs.cpp \
+  's/if \(!old && !StoreLost\(\)\)/if (!old)/' coordinator_coordinator_readers_test '*MayReadAgain*'
 mutant "news are not passed on" $s/coordinator/coordinator_peers.cpp \
   's/it != aMessage.node\(\) && mPeers/false \&\& mPeers/; s/return aBeat.news_fence\(\) > mFence/return false/' \
   coordinator_coordinator_tree_test '*ALossIsKnown*'
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -30,18 +30,17 @@
          static_cast<int>(kMostStagger.count());
 }
 
-const char*
-NameOf(FollowedLog aLog)
+/// @param aBetween pause between two reads that the owner of the follower keeps
+KeyedFollowerOptions
+HeldReads(Duration aWait, Duration aPause, Duration aBetween = Duration::zero())
 {
-  switch (aLog) {
-    case FollowedLog::kConfiguration:
-      return "configuration";
-    case FollowedLog::kEngines:
-      return "engines";
-    case FollowedLog::kNodes:
-      return "nodes";
-  }
-  return "unknown";
+  /// A store that is slow still answers within this.
+  constexpr std::chrono::milliseconds kSlow{ 300 };
+  KeyedFollowerOptions options;
+  options.mWait = aWait;
+  options.mPause = aPause;
+  options.mMostGap = aWait + aBetween + kSlow;
+  return options;
 }
 
 LeaseOptions
@@ -58,10 +57,24 @@
 
 } // namespace
 
+const char*
+NameOf(FollowedLog aLog)
+{
+  switch (aLog) {
+    case FollowedLog::kConfiguration:
+      return "configuration";
+    case FollowedLog::kEngines:
+      return "engines";
+    case FollowedLog::kNodes:
+      return "nodes";
+  }
+  return "unknown";
+}
+
 Coordinator::Impl::Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
-  , mConfigFollower(KeyedFollowerOptions{ mOptions.mConfigWait, std::chrono::milliseconds(50) },
+  , mConfigFollower(HeldReads(mOptions.mConfigWait, std::chrono::milliseconds(50)),
                     mHooks.mConfigLog,
                     Events(
                       FollowedLog::kConfiguration,
@@ -72,7 +85,7 @@
                       },
                       [this](const KeyedRecord& aRecord) { OnConfiguration(aRecord); }),
                     mHooks.mNow)
-  , mEngineFollower(KeyedFollowerOptions{ mOptions.mEngineWait },
+  , mEngineFollower(HeldReads(mOptions.mEngineWait, Duration::zero(), mOptions.mReaderPause),
                     mHooks.mEngineLog,
                     Events(
                       FollowedLog::kEngines,
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -6,6 +6,21 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+
+std::vector<std::string>
+IdsOf(const std::vector<const EngineRecord*>& aEngines)
+{
+  std::vector<std::string> ids;
+  ids.reserve(aEngines.size());
+  for (const auto* it : aEngines) {
+    ids.push_back(it->mId);
+  }
+  return ids;
+}
+
+} // namespace
+
 const char*
 ToString(ReplicaPhase aPhase)
 {
@@ -128,7 +143,10 @@
     }
     ++n;
     const GroupPlace& place = engine.mGroup;
-    if (place.mName.empty() || !OfNewestStart(id, engine.mBorn)) {
+    // A registration that stands still would bring back a replica that its engines have left.
+    const GroupPlace& newest = PlaceOf(engine);
+    const bool outdated = place.mName != newest.mName || place.mEpoch != newest.mEpoch;
+    if (place.mName.empty() || outdated || !OfNewestStart(id, engine.mBorn)) {
       continue;
     }
     if (!engine.mLoadedModels.empty()) {
@@ -162,18 +180,26 @@
 {
   mWanted.clear();
   for (const auto& [id, engine] : *mView->mEngines) {
-    if (engine.mService != mView->mService || mAccepted.count(id) != 0) {
+    if (engine.mService != mView->mService || !mStates[id].ShouldAsk(mView->mNow)) {
       continue;
     }
     const bool fresh = engine.mGroup.mName.empty() && engine.mStagedModels.empty();
     if (fresh && mTakenForNew.insert(id).second) {
-      mAccepted[id] = 0; // an engine that has just started; if not, it refuses and is asked
+      mStates[id] = EngineState::JustStarted(); // if it has not, it refuses and is asked
     } else if (Usable(engine)) {
       mWanted[id] = engine;
     }
   }
 }
 
+void
+GroupPlanner::SetMembers(PlannedReplica& aReplica, std::vector<std::string> aMembers)
+{
+  RemoveFromIndex(aReplica);
+  aReplica.mMembers = std::move(aMembers);
+  AddToIndex(aReplica);
+}
+
 void
 GroupPlanner::Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers)
 {
@@ -204,6 +230,8 @@
                       headListed && replica.mMembers.front() == head.mId;
     if (same && head.mGroup.mPhase == GroupPhase::kBroken) {
       Break(replica, "the head says that it is broken", mView->mNow);
+    } else if (same && members.size() > replica.mMembers.size()) {
+      SetMembers(replica, IdsOf(members)); // one whose registration had lapsed is back
     }
     return;
   }
@@ -214,16 +242,16 @@
   replica.mDomain = head.mDomain;
   // It has been so for an unknown time; a head that says it is open serves already.
   replica.mSince = mView->mNow - mView->mPool->mFormTime;
-  for (const auto* it : members) {
-    replica.mMembers.push_back(it->mId);
-  }
+  replica.mMembers = IdsOf(members);
   const ModelSpec* model = mView->mPool->FindModel(replica.mModel);
   if (model == nullptr) {
     return; // of a model that the configuration does not have
   }
   const bool whole = members.size() == model->mSize && headListed;
   const bool open = head.mGroup.mPhase == GroupPhase::kOpen;
-  replica.mPhase = whole && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
+  // A head that says it is open works on without a member that is not listed, until it says
+  // otherwise; Judge() finds the member missing.
+  replica.mPhase = headListed && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
   if (known != mReplicas.end()) {
     // Another holder has formed it anew, perhaps without some members; they are free.
@@ -244,7 +272,9 @@
       return it;
     }
   }
-  return "";
+  const ModelSpec* model = mView->mPool->FindModel(aReplica.mModel);
+  const bool all = model == nullptr || aReplica.mMembers.size() >= model->mSize;
+  return all ? "" : "that is not listed";
 }
 
 bool
@@ -322,11 +352,8 @@
 const GroupPlace&
 GroupPlanner::PlaceOf(const EngineRecord& aEngine) const
 {
-  const auto reported = mReported.find(aEngine.mId);
-  const bool newer = reported != mReported.end() &&
-                     reported->second.mPlace.mEpoch > aEngine.mGroup.mEpoch &&
-                     mView->mNow - reported->second.mAt < mOptions.mReportLife;
-  return newer ? reported->second.mPlace : aEngine.mGroup;
+  const auto it = mStates.find(aEngine.mId);
+  return it == mStates.end() ? aEngine.mGroup : it->second.Place();
 }
 
 bool
