--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -132,6 +132,11 @@
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
   bool mGivenUp = false;                  ///< its engines are needed by another
   std::string mWhy;                       ///< why it does not serve
+
+  bool HasMember(const std::string& aEngine) const;
+  /// @return whether each member was ready. Numbers do not tell: at the address of an engine that
+  /// has ended another may answer, and be a member here under its own id.
+  bool AllReady() const;
 };
 
 class GroupPlanner
@@ -296,6 +301,8 @@
   void AddToIndex(const PlannedReplica& aReplica);
   void RemoveFromIndex(const PlannedReplica& aReplica);
   void Begin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
+  /// @return whether an order of this kind may be given to the engine now.
+  bool IsDue(const std::string& aEngine, GroupOrderKind aKind) const;
   bool Give(GroupOrder aOrder);
   /// Let the engine refuse a join that was decided on an old view of it.
   bool Guard(GroupOrder& aOrder);
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -16,7 +16,7 @@
   order.mFence = mView->mFence;
   order.mGroup = aReplica.mName;
   order.mEpoch = aReplica.mEpoch;
-  if (aReplica.mReady.size() < aReplica.mMembers.size()) {
+  if (!aReplica.AllReady()) {
     order.mKind = GroupOrderKind::kJoin;
     order.mModel = aReplica.mModel;
     order.mMembers = aReplica.mMembers;
@@ -50,6 +50,13 @@
   }
 }
 
+bool
+GroupPlanner::IsDue(const std::string& aEngine, GroupOrderKind aKind) const
+{
+  const auto it = mPending.find(aEngine + " " + ToString(aKind));
+  return it == mPending.end() || (!it->second.mWaiting && mView->mNow >= it->second.mDue);
+}
+
 bool
 GroupPlanner::Give(GroupOrder aOrder)
 {
@@ -145,6 +152,10 @@
   }
   Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
   pending.mWaiting = false;
+  const bool taken = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
+  if (aOrder.mKind == GroupOrderKind::kStage && !taken) {
+    mStaging.erase(aOrder.mEngine); // no weights are known to be on their way; it is told again
+  }
   mStates[aOrder.mEngine].OnAnswer(aOrder, aAnswer, aNow);
   if (aAnswer == OrderAnswer::kNone) {
     pending.mDue = aNow; // at once again: the effect may be there or not
@@ -194,8 +205,7 @@
     }
     return;
   }
-  const bool accepted = aAnswer == OrderAnswer::kBegun || aAnswer == OrderAnswer::kHolds;
-  if (aOrder.mKind == GroupOrderKind::kOpen && current && accepted &&
+  if (aOrder.mKind == GroupOrderKind::kOpen && current && taken &&
       replica->second.mPhase == ReplicaPhase::kOpening) {
     replica->second.mPhase = ReplicaPhase::kOpen;
     replica->second.mSince = aNow;
@@ -209,6 +219,9 @@
   if (aOrder.mKind == GroupOrderKind::kOpen) {
     return mOptions.mRepeatOpen;
   }
+  if (aOrder.mKind == GroupOrderKind::kStage) {
+    return mOptions.mAskLoaded; // refused while another load is under way, which takes seconds
+  }
   if (aOrder.mKind == GroupOrderKind::kJoin && aAnswer == OrderAnswer::kBegun) {
     return aLoads ? mOptions.mAskLoaded : mOptions.mAskJoined;
   }
@@ -227,7 +240,8 @@
   const GroupPlace& place = aReport.mGroup;
   const auto it = mReplicas.find(place.mName);
   const bool ready = place.mPhase == GroupPhase::kReady || place.mPhase == GroupPhase::kOpen;
-  if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready) {
+  if (it != mReplicas.end() && it->second.mEpoch == place.mEpoch && ready &&
+      it->second.HasMember(aEngine)) {
     it->second.mReady.insert(aEngine);
   }
   BreakIfElsewhere(aEngine, place, aNow);
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -43,6 +43,7 @@
   TimePoint mSentAt{};
   TimePoint mLastEventAt{};
   bool mWriting = false; ///< it has given an event
+  bool mWatched = false; ///< its silence counts: nothing else keeps its events back
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -122,6 +123,11 @@
   void OnEnd(const AttemptEnd& aEnd);
   void OnWholeAnswer();
   void PassEvents(std::string_view aBytes);
+  /// Pass events on; nothing more is read of the engine until they have gone out.
+  void PushToCaller(const std::string& aEvents);
+  /// Count a sending's silence from now on, or no longer.
+  void Watch(Sending* aSending);
+  void Unwatch(Sending* aSending);
 
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
@@ -131,9 +137,13 @@
   /// @return the replica that a sending went to, as the plan has it now; null for none.
   const PoolReplica* ReplicaInPlan(const Sending& aSending) const;
   /// @return whether the replica stands still: by what it does first, then by what is said of it.
-  bool StandsStill() const;
+  bool StandsStill(const Sending& aSending) const;
   /// @return whether the plan speaks against the replica; it may still answer.
-  bool SaidToBeLost() const;
+  bool SaidToBeLost(const Sending& aSending) const;
+  /// @return whether another engine is to be asked for what this one was sent.
+  bool ShouldLeave(const Sending& aSending) const;
+  /// @return whether it stands still, is said to be lost, and has given nothing for long.
+  bool IsHopeless(const Sending& aSending) const;
   bool IsCurrent(std::uint64_t aSerial) const
   {
     return mPhase != Phase::kOver && mCurrent.mAttempt && mCurrent.mSerial == aSerial;
@@ -143,7 +153,7 @@
     return mPhase != Phase::kOver && mNext && mNext->mSerial == aSerial;
   }
   /// @return whether the engine that works on this has started again since: no answer will come.
-  bool EngineRestarted() const;
+  bool EngineRestarted(const Sending& aSending) const;
   void LogFailedAttempt(const Sending& aSending,
                         const std::string& aWhy,
                         bool aMayHaveRun,
@@ -192,6 +202,7 @@
   EventSplitter mSplitter;
   std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
   bool mStreamStarted = false;             ///< the caller has the head
+  bool mPushing = false;                   ///< events are on their way to the caller
   /// An engine's own failure, kept while a second engine is asked.
   std::optional<CallerAnswer> mFallback;
 };
--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -329,5 +329,130 @@
   EXPECT_LE(refuses.Connections(), 2) << "asked once more, after a pause";
 }
 
+/// Symptom: a stream stands still until its deadline, and its caller with it.
+/// Sequence: its replica is lost; a second engine is asked, takes the request and stands still as
+/// well; its replica is lost, too. Nothing ends the stream, which may be sent to no more engines.
+/// Cause: while a second engine was asked, nothing else was looked at.
+TEST_F(RelayMoves, AStreamThatStandsStillAtBothEnginesIsEnded)
+{
+  std::promise<void> began;
+  std::promise<void> asked;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA);
+    began.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine second([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    aConnection.ReadToEnd();
+  });
+  Serve({ &first, &second });
+  auto answer = AskStream();
+  began.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mClock.Advance(seconds(1));
+  OfferSecond();
+  asked.get_future().wait();
+  mPlan.mReplicas["pool"][1].mLost = true;
+  Publish();
+  for (int i = 0; i < 4; ++i) {
+    mClock.Advance(seconds(1));
+    mClock.WaitForTicks();
+  }
+  EXPECT_EQ(Counters().mCut, 1U);
+  mClock.Advance(seconds(20)); // by its deadline at the latest
+  answer.get();
+}
+
+/// Symptom: a request waits for seconds at a replica that begins nothing new, while others are
+/// free. Sequence: a member stops listening; its head takes a request that it will not begin, and
+/// writes the streams that it has; the replica is said to be lost; the request waits until the last
+/// of these streams ends. Cause: events of other streams were taken for work on a request that has
+/// not begun.
+TEST_F(RelayMoves, ARequestThatWaitsAtALostReplicaIsSentElsewhereThoughOthersAreWritten)
+{
+  std::promise<void> began;
+  std::promise<void> waits;
+  std::promise<void> end;
+  auto ended = end.get_future().share();
+  std::atomic<int> n{ 0 };
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    if (n++ == 0) {
+      aConnection.Write(StreamHead() + kEventA);
+      began.set_value();
+      ended.wait();
+      aConnection.Write(std::string(kEventB) + kStreamEnd);
+      return;
+    }
+    waits.set_value();
+    aConnection.ReadToEnd();
+  });
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventA + kStreamEnd);
+  });
+  Serve({ &first, &second });
+  auto written = AskStream();
+  began.get_future().wait();
+  auto waiting = AskStream();
+  waits.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  mClock.WaitForTicks();
+  EXPECT_EQ(Counters().mSecondAttempts, 1U);
+  mClock.Advance(seconds(1)); // whatever was found, both end
+  mClock.WaitForTicks();
+  end.set_value();
+  EXPECT_TRUE(Has(written.get(), "data: a"));
+  EXPECT_TRUE(Has(waiting.get(), kStreamEnd));
+}
+
+/// Symptom: a caller that reads slowly gets the bytes of two engines mixed.
+/// Sequence: an event waits for its caller to read; so the relay reads nothing of the engine, which
+/// passes for silent; its replica is said to be lost; a second engine is asked, and its events are
+/// written to the caller in the middle of the first one's.
+/// Cause: the caller's slowness was taken for the engine's silence.
+TEST_F(RelayMoves, AStreamWhoseCallerReadsSlowlyStaysWithItsEngine)
+{
+  constexpr std::size_t kLong = 5000000; // more than the buffers on the way hold
+  std::promise<void> read;
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + "4c4b4e\r\nid: 1\ndata: " + std::string(kLong, 'a') +
+                      "\n\n\r\n");
+    read.get_future().wait();
+    aConnection.Write(kStreamEnd);
+  });
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first, &second });
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  while (Counters().mFirstEvent.mCounts[0] == 0) {
+    mClock.WaitForTicks();
+  }
+  FirstReplica().mLost = true;
+  OfferSecond();
+  mClock.Advance(seconds(1));
+  mClock.WaitForTicks();
+  mClock.WaitForTicks();
+  EXPECT_EQ(second.Connections(), 0);
+  EXPECT_EQ(mSuspects, 0) << "other nodes' streams would pay for it";
+  read.set_value();
+  const std::string text = caller.ReadToEnd();
+  ::close(socket);
+  const std::size_t begin = text.find("data: ") + 6;
+  EXPECT_EQ(text.find_first_not_of('a', begin) - begin, kLong);
+  EXPECT_TRUE(Has(text, kStreamEnd));
+}
+
 } // namespace
 } // namespace pepperbay
