relay: lines of requests and attempts name what their repeats have in common

Cause: a line had only the id of one attempt of the caller, which is new each time, so nobody could tell whether the requests under which engines end are one request. Change: key (customer, host, path with query, body), sent, and answering_ms, the time since the engine began to answer. No decision changes.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -11,6 +11,7 @@
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp engine_directory.cpp
                           stall_detector.cpp
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
+pepperbay_library(quarantine SOURCES request_key.cpp TESTS request_key_test.cpp USES base) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp USES base) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
@@ -60,7 +61,7 @@
                                 exchange_ends.cpp exchange_log.cpp exchange_second.cpp
                                 relay.cpp session.cpp sockets.cpp
                   TESTS event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp relay_stop_test.cpp
-                  USES settings membership admission routing dispatch places
+                  USES settings membership quarantine admission routing dispatch places
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
                   USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
--- /dev/null
+++ b/include/pepperbay/quarantine/request_key.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// @brief Which requests are repeats of one another. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace pepperbay {
+
+/// Stands for a request in all its repeats, whichever node they reach.
+///
+/// The caller has a half of its own, so that no caller can find a body for which the request of
+/// another one is held back.
+struct RequestKey
+{
+  std::uint64_t mCaller = 0;  ///< hash of the customer
+  std::uint64_t mContent = 0; ///< hash of host, path with query, and body
+
+  bool operator==(const RequestKey& aOther) const
+  {
+    return mCaller == aOther.mCaller && mContent == aOther.mContent;
+  }
+  bool operator!=(const RequestKey& aOther) const { return !(*this == aOther); }
+  bool operator<(const RequestKey& aOther) const
+  {
+    return std::tie(mCaller, mContent) < std::tie(aOther.mCaller, aOther.mContent);
+  }
+};
+
+/// For hashed containers.
+struct RequestKeyHash
+{
+  std::size_t operator()(const RequestKey& aKey) const { return aKey.mCaller ^ aKey.mContent; }
+};
+
+/// @param aCustomer whom the request's key belongs to; empty where none is asked for
+/// @param aTarget path and query, as the caller sent them
+/// @param aBody whole, without any transfer encoding
+RequestKey
+KeyOfRequest(std::string_view aCustomer,
+             std::string_view aHost,
+             std::string_view aTarget,
+             std::string_view aBody);
+
+/// @return both halves in hexadecimal, as lines and dumps name a request.
+std::string
+ToString(const RequestKey& aKey);
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/quarantine/request_key_test.cpp
@@ -0,0 +1,34 @@
+#include "pepperbay/quarantine/request_key.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+TEST(RequestKey, IsTheSameForRepeatsAndNoOthers)
+{
+  const RequestKey key = KeyOfRequest("school", "h", "/chat/1?a=2", "body");
+  EXPECT_EQ(key, KeyOfRequest("school", "h", "/chat/1?a=2", "body"));
+  EXPECT_NE(key, KeyOfRequest("kitchen", "h", "/chat/1?a=2", "body"));
+  EXPECT_NE(key, KeyOfRequest("school", "g", "/chat/1?a=2", "body"));
+  EXPECT_NE(key, KeyOfRequest("school", "h", "/chat/1?a=3", "body"));
+  EXPECT_NE(key, KeyOfRequest("school", "h", "/chat/1?a=2", "Body"));
+  EXPECT_NE(KeyOfRequest("", "h", "/chat/1", "2"), KeyOfRequest("", "h", "/chat/12", ""));
+}
+
+/// A caller that could choose a body for any hash would have the request of another held back.
+TEST(RequestKey, KeepsCallersApartWhateverTheySend)
+{
+  EXPECT_EQ(KeyOfRequest("school", "h", "/", "x").mContent,
+            KeyOfRequest("kitchen", "h", "/", "x").mContent);
+  EXPECT_NE(KeyOfRequest("school", "h", "/", "x").mCaller,
+            KeyOfRequest("kitchen", "h", "/", "x").mCaller);
+}
+
+TEST(RequestKey, IsWrittenWithBothHalves)
+{
+  EXPECT_EQ(ToString(RequestKey{ 1, 0xabc }), "00000000000000010000000000000abc");
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -98,6 +98,8 @@
   if (!CheckCustomer(*plan)) {
     return;
   }
+  mKey = KeyOfRequest(
+    mCustomer, text(mRequest[http::field::host]), text(mRequest.target()), mRequest.body());
   mService = mRoutes->PickService(*mRoute, Hash64(mFacts.mId));
   if (mService == nullptr) {
     Refuse("no_service");
@@ -350,6 +352,7 @@
 Exchange::TakeHead(int aStatus, const HeaderFields& aFields, const AnswerFacts& aFacts)
 {
   mMayHaveRun = true;
+  mCurrent.mHeadAt = mCore->Now();
   mCurrent.mAttempt->SetKeepAlive(aFacts.mKeepAlive);
   const bool events = mRoute->mKind == RequestKind::kStream && aStatus == kOk;
   if (!events && mStreamStarted) {
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "attempt.hpp"
 #include "pepperbay/dispatch/failure_step.hpp"
+#include "pepperbay/quarantine/request_key.hpp"
 #include "pepperbay/relay/event_splitter.hpp"
 #include "relay_core.hpp"
 
@@ -41,6 +42,7 @@
   std::uint64_t mEpoch = 0; ///< of that replica
   PlaceTicket mTicket;
   TimePoint mSentAt{};
+  std::optional<TimePoint> mHeadAt; ///< its answer began: it runs the request
   TimePoint mLastEventAt{};
   bool mWriting = false; ///< it has given an event
   bool mWatched = false; ///< its silence counts: nothing else keeps its events back
@@ -182,6 +184,7 @@
   const Route* mRoute = nullptr;
   const ServiceSpec* mService = nullptr;
   std::string mCustomer;
+  RequestKey mKey; ///< the same for all repeats of this request
   int mPriority = 0;
 
   Phase mPhase = Phase::kWaiting;
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -31,13 +31,18 @@
 {
   std::map<std::string, std::string> fields = {
     { "request", mFacts.mId },
+    { "key", ToString(mKey) },
     { "engine", aSending.mTarget.mEngine },
     { "reason", aWhy },
     { "after_ms", Millis(mCore->Now() - aSending.mSentAt) },
     { "may_have_run", YesNo(aMayHaveRun) },
     { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
     { "not_again", aNotAgain },
+    { "sent", std::to_string(mSent) },
   };
+  if (aSending.mHeadAt) {
+    fields["answering_ms"] = Millis(mCore->Now() - *aSending.mHeadAt);
+  }
   if (mService->mPool) {
     AddReplicaFields(aSending, &fields);
   }
@@ -79,6 +84,7 @@
   }
   mCore->Log("request",
              { { "request", mFacts.mId },
+               { "key", ToString(mKey) },
                { "outcome", aOutcome },
                { "reason", aReason },
                { "route", mRoute != nullptr ? mRoute->mName : "" },
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -160,6 +160,7 @@
   }
   if (events) {
     // The caller has the first engine's head. Which of the two goes on shows by the next event.
+    mNext->mHeadAt = mCore->Now();
     mNext->mAttempt->SetKeepAlive(facts.mKeepAlive);
     mNext->mAttempt->ReadMore();
     return;
