A request under which engines end is held back on all nodes

Cause: failures were remembered of engines and replicas, attempts counted within one attempt of the caller at one node. Nothing was known of a request beyond that, so each repeat was a first sending to whatever replica was open. Class: blame is kept by victim only; what moves from one victim to the next is never seen. Ruled out as the cause: the budget of second attempts (it counts second engines, most sendings here were first ones) and the resume at once (it doubles the ends, but needs the repeats).

Change: an attempt that its engine breaks off is noted with the request's key (customer, host, path, body); whether the engine ended is asked of the engine itself: a process that has ended refuses the next connection, one that resets or is cut does not. Each end counts once for each request, more where the engine had just begun the request than where it waited or had been answered for a while. Nodes tell each other at once, along the tree; from the second engine on the record also stands in the nodes' log in the store, so that it reaches nodes without peers and those that start later. Two such ends hold a request back for 2 to 4 s (nodes differ, so the next repeat comes alone), three for ten minutes, doubled by each further one. Held back means: 503 at once, not run, Retry-After until then; no second engine; copies that an engine has only begun are stopped. A run to its end anywhere clears it everywhere.

Weighed: a quarantine at each node alone (each node would end three engines); all reports in the store (a write for each bystander of each crash); asking the desk (a node without one would not know); counting each broken connection (resets and cuts would have harmless requests refused).

Tests without processes: crash_book_test, coordinator_suspects_test, relay_suspects_test. Two tests of the relay counted connections for requests; a probe is a connection without a request, so they count the requests that the engine has read, which is what they guard.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -11,9 +11,11 @@
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp engine_directory.cpp
                           stall_detector.cpp
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
-pepperbay_library(quarantine SOURCES request_key.cpp TESTS request_key_test.cpp USES base) # pure
+pepperbay_library(quarantine SOURCES request_key.cpp crash_book.cpp
+                  TESTS request_key_test.cpp crash_book_test.cpp USES base) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
-                  TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp USES base) # pure
+                  TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp
+                  USES base quarantine) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           engine_state.cpp group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
@@ -52,15 +54,19 @@
                                       engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp log_reads.cpp news_book.cpp
                                       node_tree.cpp peer_book.cpp plan_builder.cpp
+                                      suspect_keeper.cpp
                   TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_readers_test.cpp
                         coordinator_messages_test.cpp
-                        coordinator_registrations_test.cpp engine_doubts_test.cpp
-                  USES journal lease membership placement routing
+                        coordinator_registrations_test.cpp coordinator_suspects_test.cpp
+                        engine_doubts_test.cpp
+                  USES journal lease membership placement quarantine routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
-pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp event_splitter.cpp exchange.cpp
-                                exchange_ends.cpp exchange_log.cpp exchange_second.cpp
-                                relay.cpp session.cpp sockets.cpp
-                  TESTS event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp relay_stop_test.cpp
+pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp ending_probe.cpp event_splitter.cpp
+                                exchange.cpp exchange_ends.cpp exchange_log.cpp
+                                exchange_second.cpp exchange_suspect.cpp relay.cpp session.cpp
+                                sockets.cpp
+                  TESTS event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
+                        relay_stop_test.cpp relay_suspects_test.cpp
                   USES settings membership quarantine admission routing dispatch places
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -22,8 +22,10 @@
 class RawConnection
 {
 public:
-  explicit RawConnection(int aSocket)
+  /// @param aRequests counts the requests that were read whole; may be null
+  explicit RawConnection(int aSocket, std::atomic<int>* aRequests = nullptr)
     : mSocket(aSocket)
+    , mRequests(aRequests)
   {
   }
 
@@ -40,6 +42,9 @@
         if (mBytes.size() >= end) {
           std::string request = mBytes.substr(0, end);
           mBytes.erase(0, end);
+          if (mRequests != nullptr) {
+            ++*mRequests;
+          }
           return request;
         }
       }
@@ -114,6 +119,7 @@
   }
 
   int mSocket;
+  std::atomic<int>* mRequests;
   std::string mBytes;
 };
 
@@ -161,6 +167,9 @@
 
   const std::string& Address() const { return mAddress; }
   int Connections() const { return mConnections; }
+  /// Requests that its script has read. An engine may be connected to without one, to see whether
+  /// it lives.
+  int Requests() const { return mRequests; }
 
 private:
   void Accept()
@@ -176,7 +185,7 @@
         mSockets.push_back(socket);
       }
       mThreads.emplace_back([this, socket] {
-        RawConnection connection(socket);
+        RawConnection connection(socket, &mRequests);
         mScript(connection);
         const std::lock_guard<std::mutex> lock(mMutex);
         mSockets.erase(std::find(mSockets.begin(), mSockets.end(), socket));
@@ -189,6 +198,7 @@
   int mListener;
   std::string mAddress;
   std::atomic<int> mConnections{ 0 };
+  std::atomic<int> mRequests{ 0 };
   std::mutex mMutex;
   std::vector<int> mSockets;
   std::vector<std::thread> mThreads; ///< touched by the accepting thread until it has ended
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -10,6 +10,7 @@
 #include "pepperbay/lease/log_lease.hpp"
 #include "pepperbay/membership/engine_directory.hpp"
 #include "pepperbay/placement/group_planner.hpp"
+#include "pepperbay/quarantine/crash_book.hpp"
 #include "pepperbay/routing/traffic_plan.hpp"
 
 #include <functional>
@@ -94,6 +95,7 @@
   NowFn mNow;
   KeyedLogHooks mConfigLog;
   KeyedLogHooks mEngineLog;
+  /// The nodes' own log: where each hears its peers, and requests that all hold back.
   KeyedLogHooks mNodeLog;
   LogLeaseHooks mLeaseLog;
   /// The key under which the operator's configuration stands in its log.
@@ -101,6 +103,7 @@
   std::function<Result<Configuration>(const std::string& aBody)> mDecodeConfiguration;
   std::function<Result<EngineRecord>(const std::string& aId, const std::string& aBody)>
     mDecodeEngine;
+  /// Write a record of the nodes' log; without a value its key is dropped.
   std::function<
     void(const std::string& aKey, const std::string& aValue, std::function<void(Result<void>)>)>
     mPutNode;
@@ -128,6 +131,8 @@
   std::uint64_t mBadRegistrations = 0; ///< entries that name no engine
   std::uint64_t mRestarts = 0;         ///< engines that started again under their id
   std::uint64_t mFormerStarts = 0;     ///< words of a start that has been replaced; not taken
+  std::uint64_t mSuspectRequests = 0;  ///< under which engines have ended; now
+  std::uint64_t mHeldRequests = 0;     ///< of these, held back; now
 };
 
 class Coordinator
@@ -146,6 +151,12 @@
   void OnSuspect(const std::string& aHead, Duration aSilence);
   /// A head refuses this node's requests.
   void OnRefused(const std::string& aHead);
+  /// An engine ended that had a request of this node.
+  void OnEngineEnded(const RequestKey& aRequest, const EngineEnd& aEnd);
+  /// An engine ran a request to its end under which others have ended.
+  void OnRanWhole(const RequestKey& aRequest);
+  /// An operator lets a request run again. @return whether anything was known of it
+  bool Lift(const RequestKey& aRequest);
   /// Requests in progress, by engine: this node's own and those that it found places for.
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
   /// Fail readiness and give the lease back.
--- a/include/pepperbay/dispatch/failure_step.hpp
+++ b/include/pepperbay/dispatch/failure_step.hpp
@@ -19,6 +19,7 @@
   Duration mLeft{ 0 };       ///< until its deadline
   bool mHasTarget = false;   ///< another engine could take it
   bool mHasBudget = false;   ///< the pool bears one more second attempt
+  bool mHeldBack = false;    ///< engines have ended under it, and another one might
 };
 
 enum class FailureStep
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -10,6 +10,7 @@
 #include "pepperbay/base/error.hpp"
 #include "pepperbay/membership/stall_detector.hpp"
 #include "pepperbay/places/place_agent.hpp"
+#include "pepperbay/quarantine/crash_book.hpp"
 #include "pepperbay/relay/dialect.hpp"
 #include "pepperbay/relay/latency.hpp"
 #include "pepperbay/routing/balancer.hpp"
@@ -58,6 +59,8 @@
   Duration mWaitForPlan = std::chrono::milliseconds(300);
   /// When a refused caller should come back: about the time in which a replica forms anew.
   Duration mRetryAfter = std::chrono::milliseconds(600);
+  /// An engine that ends so soon after it began to answer a request may have ended for it.
+  Duration mSuspectWithin = std::chrono::seconds(1);
   /// After a stop is asked for, the balancer needs this long to send no more connections.
   Duration mStopGrace = std::chrono::milliseconds(2600);
   Duration mTick = std::chrono::milliseconds(20);
@@ -78,6 +81,7 @@
   std::uint64_t mSecondAttempts = 0;
   std::uint64_t mResumes = 0;        ///< of these, streams that went on elsewhere
   std::uint64_t mForeignAnswers = 0; ///< of another request; dropped
+  std::uint64_t mEnginesEnded = 0;   ///< engines that ended while they had requests of this node
   std::uint64_t mOpen = 0;           ///< requests in progress
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
   LatencyHistogram mWholeAnswer;     ///< the same to an answer without a stream
@@ -90,6 +94,10 @@
   std::function<void(const std::string& aHead, Duration aSilence)> mOnSuspect;
   /// A replica's head refuses requests; told once a pause, see RefusalBook.
   std::function<void(const std::string& aHead)> mOnRefused;
+  /// An engine has ended that had this request.
+  std::function<void(const RequestKey& aRequest, const EngineEnd& aEnd)> mOnEngineEnded;
+  /// An engine ran a request to its end that the plan names as suspect.
+  std::function<void(const RequestKey& aRequest)> mOnRanWhole;
   /// A message to another node's place agent; null where there are no other nodes.
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSendToDesk;
   /// A line for the log; see log.hpp.
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -2,6 +2,7 @@
 /// @brief What traffic threads know of the control state: one immutable value, swapped whole.
 #pragma once
 
+#include "pepperbay/quarantine/suspects.hpp"
 #include "pepperbay/routing/route_table.hpp"
 
 #include <map>
@@ -66,6 +67,8 @@
   std::map<std::string, DeskAddress> mDesksOf; ///< of the other data centres, for a desk
   EngineStarts mStarts;                        ///< of the listed engines
   NewsMark mNews;
+  /// Requests under which engines have ended; null where nothing is known yet.
+  std::shared_ptr<const SuspectRequests> mSuspects;
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -55,6 +55,19 @@
   return options;
 }
 
+/// Nodes let a request that is held back for a moment through one after the other.
+constexpr std::chrono::milliseconds kMostHoldSpread{ 2000 };
+
+SuspectKeeperOptions
+SuspectOptionsOf(const CoordinatorOptions& aOptions)
+{
+  SuspectKeeperOptions options;
+  options.mNode = aOptions.mNode;
+  const auto part = Hash64(aOptions.mNode) % static_cast<std::uint64_t>(kMostHoldSpread.count());
+  options.mBook.mSpread = std::chrono::milliseconds(part);
+  return options;
+}
+
 } // namespace
 
 const char*
@@ -113,6 +126,15 @@
               [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
+  , mSuspects(SuspectOptionsOf(mOptions),
+              { mHooks.mNow,
+                mHooks.mPutNode,
+                [this](const proto::SuspectNews& aNews) {
+                  proto::PeerMessage message = NewMessage();
+                  *message.mutable_suspects() = aNews;
+                  SendToNeighbours(message);
+                },
+                mHooks.mLog })
   , mTree({ mOptions.mNode, mOptions.mDataCentre, mOptions.mCpuPermille })
 {
 }
@@ -186,6 +208,7 @@
     mDoubts.Tick([this](const std::string& aEngine) { return FindEngine(aEngine); });
   }
   PlanPools();
+  mSuspects.Tick(mLease.Held());
   if (now >= mBeatDue) {
     SendBeat();
   }
@@ -218,6 +241,7 @@
   aPlan->mOthersInFlight = OthersInFlight();
   aPlan->mNews = { mNews.Fence(), mNews.Change(), mNews.AsOf() };
   aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
+  aPlan->mSuspects = mSuspectRequests;
   aPlan->mNodes = NodesAtWork();
   aPlan->mIsDesk = mTree.FollowsItself();
   aPlan->mDesks.clear();
@@ -243,9 +267,11 @@
   const TimePoint now = Now();
   const bool changed = mChanged || mDirectory.Revision() != mPublishedRevision;
   const bool build = changed && now - mBuilt >= kBuildEvery;
-  if (!build && mPlan && now < mPublishDue) {
+  const bool suspects = mSuspects.Book().Revision() != mPublishedSuspects;
+  if (!build && !suspects && mPlan && now < mPublishDue) {
     return;
   }
+  PublishSuspects();
   mPublishDue = now + (mTree.IsUpper() ? kPublishEvery : kFollowerPublishEvery);
   if (!build && mPlan) {
     auto plan = std::make_shared<TrafficPlan>(*mPlan);
@@ -270,6 +296,30 @@
   mHooks.mPublish(mPlan);
 }
 
+void
+Coordinator::Impl::PublishSuspects()
+{
+  const CrashBook& book = mSuspects.Book();
+  if (mSuspectRequests && book.Revision() == mPublishedSuspects) {
+    return;
+  }
+  mPublishedSuspects = book.Revision();
+  mSuspectRequests = std::make_shared<SuspectRequests>(book.Suspects());
+}
+
+std::uint64_t
+Coordinator::Impl::HeldRequests() const
+{
+  if (!mSuspectRequests) {
+    return 0;
+  }
+  const TimePoint now = Now();
+  return static_cast<std::uint64_t>(
+    std::count_if(mSuspectRequests->begin(), mSuspectRequests->end(), [now](const auto& aIt) {
+      return aIt.second.mHeldUntil > now;
+    }));
+}
+
 Coordinator::Coordinator(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mImpl(std::make_unique<Impl>(std::move(aOptions), std::move(aHooks)))
 {
@@ -301,6 +351,24 @@
   mImpl->OnRefused(aHead);
 }
 
+void
+Coordinator::OnEngineEnded(const RequestKey& aRequest, const EngineEnd& aEnd)
+{
+  mImpl->mSuspects.OnEnd(aRequest, aEnd);
+}
+
+void
+Coordinator::OnRanWhole(const RequestKey& aRequest)
+{
+  mImpl->mSuspects.OnRanWhole(aRequest);
+}
+
+bool
+Coordinator::Lift(const RequestKey& aRequest)
+{
+  return mImpl->mSuspects.Lift(aRequest);
+}
+
 void
 Coordinator::SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic)
 {
@@ -338,6 +406,8 @@
 Coordinator::Counters() const
 {
   mImpl->mCounters.mAsks = mImpl->mDoubts.Asked();
+  mImpl->mCounters.mSuspectRequests = mImpl->mSuspects.Book().Size();
+  mImpl->mCounters.mHeldRequests = mImpl->HeldRequests();
   return mImpl->mCounters;
 }
 
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -10,6 +10,7 @@
 #include "peer_book.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
+#include "suspect_keeper.hpp"
 
 namespace pepperbay {
 
@@ -41,6 +42,9 @@
   /// A message that names this node, without a body.
   proto::PeerMessage NewMessage() const;
   void SendTo(const std::string& aNode, const std::string& aBytes);
+  /// Nodes that this one exchanges heartbeats with, by its own choice or theirs.
+  std::set<std::string> Neighbours() const;
+  void SendToNeighbours(const proto::PeerMessage& aMessage);
   /// Nodes that rely on this one, itself included where it does.
   int Followers() const;
   /// Nodes before this pool, as far as known; more rather than fewer.
@@ -87,6 +91,10 @@
   void ForgetNews();
   void AskAsPlanned(const GroupPlanner& aPlanner);
   void Publish();
+  /// Make what traffic knows of suspect requests anew where the book has changed.
+  void PublishSuspects();
+  /// @return how many requests are held back now.
+  std::uint64_t HeldRequests() const;
   /// The parts of a plan that change without the replicas.
   void FillPlan(TrafficPlan* aPlan) const;
   bool MayOrder() const;
@@ -133,6 +141,7 @@
   EngineDoubts mDoubts;
   PeerBook mPeers;
   FreshnessBook mFreshness;
+  SuspectKeeper mSuspects;
   NodeTree mTree;
   LogReads mReads;
   std::optional<TimePoint> mStoreLostSince;
@@ -156,7 +165,9 @@
   std::uint64_t mShortIdsOf = 0;                            ///< revision that they are of
   std::uint64_t mPlannedFence = 0;
   std::uint64_t mPublishedRevision = 0;
-  std::shared_ptr<const TrafficPlan> mPlan; ///< the last that was published
+  std::uint64_t mPublishedSuspects = 0; ///< revision of the book that the plan goes by
+  std::shared_ptr<const SuspectRequests> mSuspectRequests; ///< as the plan has them
+  std::shared_ptr<const TrafficPlan> mPlan;                ///< the last that was published
   bool mChanged = true;
   bool mTraffic = false;
   bool mStopping = false;
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -26,6 +26,10 @@
 void
 Coordinator::Impl::OnNode(const KeyedRecord& aRecord)
 {
+  if (SuspectKeeper::IsRecord(aRecord.mKey)) {
+    mSuspects.OnRecord(aRecord.mKey, aRecord.mValue);
+    return;
+  }
   proto::NodeRecord record;
   if (!aRecord.mValue) {
     mPeers.OnGone(aRecord.mKey);
@@ -121,6 +125,10 @@
     case proto::PeerMessage::kSuspicions:
       OnSuspicions(message.suspicions());
       return;
+    case proto::PeerMessage::kSuspects:
+      // Whoever told it has told its delegates; they tell the nodes that rely on them.
+      mSuspects.OnNews(message.suspects(), mTree.IsUpper());
+      return;
     case proto::PeerMessage::BODY_NOT_SET:
       ++mCounters.mBadMessages; // of a newer version
       return;
@@ -205,16 +213,28 @@
   proto::PeerMessage message = NewMessage();
   *message.mutable_news() = mNews.Since(mNews.Fence(), mNewsTold, now);
   mNewsTold = message.news().to();
-  const std::string bytes = message.SerializeAsString();
-  std::set<std::string> recipients;
-  for (const auto& it : mPeers.Correspondents(now)) {
-    recipients.insert(it);
+  SendToNeighbours(message);
+}
+
+std::set<std::string>
+Coordinator::Impl::Neighbours() const
+{
+  std::set<std::string> names;
+  for (auto& it : mPeers.Correspondents(Now())) {
+    names.insert(std::move(it));
   }
-  recipients.insert(mTree.Delegates().begin(), mTree.Delegates().end());
+  names.insert(mTree.Delegates().begin(), mTree.Delegates().end());
   for (const auto& [scope, delegates] : mTree.OtherDelegates()) {
-    recipients.insert(delegates.begin(), delegates.end());
+    names.insert(delegates.begin(), delegates.end());
   }
-  for (const auto& it : recipients) {
+  return names;
+}
+
+void
+Coordinator::Impl::SendToNeighbours(const proto::PeerMessage& aMessage)
+{
+  const std::string bytes = aMessage.SerializeAsString();
+  for (const auto& it : Neighbours()) {
     SendTo(it, bytes);
   }
 }
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -154,10 +154,15 @@
       }
       return mPool.At(aId).mRecord;
     };
-    hooks.mPutNode = [this](const std::string& aKey,
-                            const std::string& aValue,
-                            const std::function<void(Result<void>)>& aDone) {
-      mNodeLog.Put(aKey, aValue);
+    hooks.mPutNode = [this, &aNode](const std::string& aKey,
+                                    const std::string& aValue,
+                                    const std::function<void(Result<void>)>& aDone) {
+      ++mWrites[aNode.mName];
+      if (aNode.mStoreDown || mStoreDown) {
+        aDone(Error{ Errc::kUnavailable, "log.put", "store", "" });
+        return;
+      }
+      mNodeLog.Put(aKey, aValue.empty() ? std::nullopt : std::make_optional(aValue));
       aDone(BOOST_OUTCOME_V2_NAMESPACE::success());
     };
     hooks.mOrder = [this](const GroupOrder& aOrder,
@@ -280,9 +285,10 @@
   std::function<void(const std::string& aAddress, const proto::PeerMessage&)> mOnSend;
   /// Whether a message on its way is lost.
   std::function<bool(const std::string& aFrom, const std::string& aTo)> mLoses;
-  std::map<std::string, int> mReads; ///< calls to the store's logs by node
-  std::map<std::string, int> mLines; ///< log lines of all nodes by event
-  std::set<std::string> mUnreadable; ///< registrations that cannot be read, by key
+  std::map<std::string, int> mWrites; ///< of records of the nodes' log, by node
+  std::map<std::string, int> mReads;  ///< calls to the store's logs by node
+  std::map<std::string, int> mLines;  ///< log lines of all nodes by event
+  std::set<std::string> mUnreadable;  ///< registrations that cannot be read, by key
   std::uint64_t mIncarnations = 0;
   bool mStoreDown = false;
   bool mLoseFeeds = false;  ///< what delegates pass on does not arrive
--- a/src/pepperbay/dispatch/failure_step.cpp
+++ b/src/pepperbay/dispatch/failure_step.cpp
@@ -13,6 +13,9 @@
   if (aProgress.mMayHaveRun && !aProgress.mRepeatable) {
     return "it may have run and cannot be sent again";
   }
+  if (aProgress.mHeldBack) {
+    return "engines have ended under it";
+  }
   if (aProgress.mSent >= aProgress.mMostSent) {
     return "all attempts failed";
   }
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -332,6 +332,12 @@
     hooks.mOnRefused = [this](const std::string& aHead) {
       asio::post(mControl, [this, aHead] { mCoordinator->OnRefused(aHead); });
     };
+    hooks.mOnEngineEnded = [this](const RequestKey& aRequest, const EngineEnd& aEnd) {
+      asio::post(mControl, [this, aRequest, aEnd] { mCoordinator->OnEngineEnded(aRequest, aEnd); });
+    };
+    hooks.mOnRanWhole = [this](const RequestKey& aRequest) {
+      asio::post(mControl, [this, aRequest] { mCoordinator->OnRanWhole(aRequest); });
+    };
     if (!mSettings.mDesk.empty()) {
       hooks.mSendToDesk = [this](const std::string& aAddress, const std::string& aBytes) {
         mDesks.Send(aAddress, aBytes);
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -104,7 +104,7 @@
         return;
       }
       if (aError) {
-        self->Finish(false, "head: " + aError.message());
+        self->Fail("head: ", aError);
         return;
       }
       self->OnHead();
@@ -152,7 +152,7 @@
   }
   const std::size_t n = mPiece.size() - mParser->get().body().size;
   if (aError) {
-    Finish(false, "body: " + aError.message());
+    Fail("body: ", aError);
     return;
   }
   if (n == 0) {
@@ -175,6 +175,15 @@
   }
 }
 
+void
+Attempt::Fail(const char* aStep, const boost::system::error_code& aError)
+{
+  mClosed = aError == http::error::end_of_stream || aError == http::error::partial_message ||
+            aError == asio::error::eof || aError == asio::error::connection_reset ||
+            aError == asio::error::broken_pipe;
+  Finish(false, aStep + aError.message());
+}
+
 void
 Attempt::Finish(bool aComplete, const std::string& aWhy)
 {
@@ -185,6 +194,7 @@
   AttemptEnd end;
   end.mComplete = aComplete;
   end.mMayHaveRun = mSent;
+  end.mClosed = mClosed;
   end.mWhy = aWhy;
   if (aComplete) {
     KeepConnection();
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -29,7 +29,8 @@
   bool mComplete = false; ///< the whole answer came, in the form of the protocol
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
-  std::string mWhy; ///< what went wrong; empty when complete
+  bool mClosed = false; ///< the engine closed or reset the connection
+  std::string mWhy;     ///< what went wrong; empty when complete
 };
 
 struct AttemptEvents
@@ -78,6 +79,7 @@
   void OnHead();
   void OnPiece(boost::system::error_code aError);
   void Finish(bool aComplete, const std::string& aWhy);
+  void Fail(const char* aStep, const boost::system::error_code& aError);
   void KeepConnection();
 
   boost::asio::io_context& mContext;
@@ -95,6 +97,7 @@
   bool mSent = false;
   bool mConnected = false;
   bool mAllWritten = false;
+  bool mClosed = false;
   bool mEnded = false;
 };
 
--- /dev/null
+++ b/src/pepperbay/relay/ending_probe.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// @brief Finds out whether an engine that broke its connections off has ended. Used by the relay's
+/// thread only.
+///
+/// A connection that an engine closes in the middle of an answer says little: the engine may have
+/// been reset, cut off, or may fail single requests. An engine whose process has ended refuses the
+/// next connection. What a request is suspected of rests on that alone.
+#pragma once
+
+#include "attempt.hpp"
+#include "connection_pool.hpp"
+#include "pepperbay/quarantine/crash_book.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+/// A request that an engine had when it closed the connection.
+struct BrokenOff
+{
+  RequestKey mKey;
+  std::string mRequest; ///< id of the caller's attempt, for the log
+  Suspicion mSuspicion = Suspicion::kPresent;
+  TimePoint mAt{};
+};
+
+class EndingProbe
+{
+public:
+  /// A process that ends closes its connections and its listener within this.
+  static constexpr std::chrono::milliseconds kAskAfter{ 10 };
+  /// Requests kept for one engine until it is known whether it ended; more than it has places.
+  static constexpr std::size_t kMostKept = 256;
+
+  using OnEnded = std::function<void(const AttemptTarget&, const std::vector<BrokenOff>&)>;
+
+  /// @param aTimeout an engine that does not answer the connection within this may be cut off
+  /// @param aPool takes the connections of engines that turn out to be alive
+  /// @param aOnEnded an engine has ended, with these requests
+  EndingProbe(boost::asio::io_context& aContext,
+              NowFn aNow,
+              Duration aTimeout,
+              ConnectionPool* aPool,
+              OnEnded aOnEnded);
+
+  /// An engine closed a request's connection before its answer was whole.
+  void OnBrokenOff(const AttemptTarget& aEngine, BrokenOff aRequest);
+  /// Ask the engines that are due.
+  void Tick();
+
+private:
+  /// Of one start of one engine.
+  struct Pending
+  {
+    AttemptTarget mTarget;
+    std::vector<BrokenOff> mRequests;
+    TimePoint mAskAt{};
+    std::shared_ptr<Socket> mSocket; ///< once it is asked
+  };
+
+  void Ask(std::uint64_t aEngine, Pending* aPending);
+  void OnAnswer(std::uint64_t aEngine, const boost::system::error_code& aError);
+
+  boost::asio::io_context& mContext;
+  NowFn mNow;
+  Duration mTimeout;
+  ConnectionPool* mPool;
+  OnEnded mOnEnded;
+  std::map<std::uint64_t, Pending> mPending; ///< by EngineStartHash()
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -105,6 +105,10 @@
     Refuse("no_service");
     return;
   }
+  if (IsHeldBack()) {
+    RefuseHeldBack();
+    return;
+  }
   if (!mService->mPool) {
     mCore->BudgetOf(mService->mName).OnRequest();
   }
@@ -463,6 +467,9 @@
 Exchange::OnEnd(const AttemptEnd& aEnd)
 {
   if (!aEnd.mComplete) {
+    if (aEnd.mClosed) {
+      NoteBrokenOff(mCurrent);
+    }
     OnFailure(aEnd.mWhy, aEnd.mMayHaveRun);
     return;
   }
@@ -475,6 +482,7 @@
     return;
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
+  NoteRanWhole();
   ++mCore->mCounters.mAnswered;
   if (!mStreamStarted) {
     // A stream without any event; its end says that it is whole.
@@ -511,6 +519,9 @@
     return;
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
+  if (mStatus < kServerFailure) {
+    NoteRanWhole();
+  }
   mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
   LogEnd("answered", "");
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -131,6 +131,23 @@
   void Watch(Sending* aSending);
   void Unwatch(Sending* aSending);
 
+  // Requests under which engines end; see exchange_suspect.cpp.
+  /// @return whether the request goes to no engine now: too many have ended under it.
+  bool IsHeldBack() const;
+  /// What is noted of the request if the engine of a sending has ended just now.
+  BrokenOff BrokenOffAt(const Sending& aSending) const;
+  /// An engine closed the connection of a sending: note the request in case the engine has ended.
+  void NoteBrokenOff(const Sending& aSending);
+  /// An engine has started again since, so it has ended.
+  void NoteRestarted(const Sending& aSending);
+  /// An engine ran the request to its end.
+  void NoteRanWhole();
+  /// Stop what an engine has only begun, where the request is held back by now.
+  /// @return whether the request is over
+  bool StopIfHeldBack();
+  /// @return when the request may run again at the earliest, from now; the zero duration: now.
+  Duration HeldFor() const;
+
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
   void DropAttempt();
@@ -167,6 +184,7 @@
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
   void Refuse(const std::string& aReason);
+  void RefuseHeldBack();
   /// Break the begun answer off, so that it cannot look complete.
   void Cut(const std::string& aReason);
   /// Over(), and @return the way to the caller for the last word; null when the caller has gone.
@@ -197,6 +215,7 @@
   TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
   int mSent = 0;
   int mConnectFailures = 0;
+  bool mBrokenOff = false; ///< an engine closed its connection in the middle of it
   bool mMayHaveRun = false;
 
   int mStatus = 0;
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -43,9 +43,14 @@
     return;
   }
   if (mNext && EngineRestarted(*mNext)) {
+    NoteRestarted(*mNext);
     DropNext("engine_restarted", mNext->mAttempt->MayHaveRun());
   }
+  if (StopIfHeldBack()) {
+    return;
+  }
   if (EngineRestarted(mCurrent)) {
+    NoteRestarted(mCurrent);
     OnFailure("engine_restarted", mCurrent.mAttempt->MayHaveRun());
     return;
   }
@@ -129,6 +134,7 @@
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
   progress.mHasBudget = mSent == 0 || HasBudget();
+  progress.mHeldBack = IsHeldBack();
   LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, WhyNotAgain(progress));
   DropAttempt();
   AfterAttempt(aWhy, progress);
@@ -194,7 +200,9 @@
   answer.result(static_cast<unsigned>(aStatus));
   answer.set(http::field::content_type, "application/json");
   if (aStatus == kUnavailable) {
-    answer.set(http::field::retry_after, Seconds(mCore->mOptions.mRetryAfter));
+    // A request that is held back is refused at every node: coming back sooner helps nobody.
+    const Duration after = std::max(mCore->mOptions.mRetryAfter, HeldFor());
+    answer.set(http::field::retry_after, Seconds(after));
   }
   const nlohmann::json body = {
     { "error",
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -31,7 +31,7 @@
 bool
 Exchange::MayAskSecond() const
 {
-  return mSent < mRoute->mMaxAttempts && HasTarget() && HasBudget();
+  return mSent < mRoute->mMaxAttempts && !IsHeldBack() && HasTarget() && HasBudget();
 }
 
 void
@@ -61,7 +61,7 @@
     if (IsHopeless(mCurrent)) {
       OnFailure("replica_lost", true);
     }
-  } else if (now >= mMoveNotBefore && HasTarget()) {
+  } else if (now >= mMoveNotBefore && !IsHeldBack() && HasTarget()) {
     Move("replica_lost");
   }
 }
@@ -172,6 +172,9 @@
 void
 Exchange::OnNextEnd(const AttemptEnd& aEnd)
 {
+  if (aEnd.mClosed) {
+    NoteBrokenOff(*mNext);
+  }
   DropNext(aEnd.mComplete ? "the second engine had no more events" : aEnd.mWhy, aEnd.mMayHaveRun);
 }
 
--- /dev/null
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -0,0 +1,94 @@
+/// @file
+/// @brief Requests under which engines end: what is noted of them, and when they are held back.
+
+#include "exchange.hpp"
+#include "exchange_constants.hpp"
+
+namespace pepperbay {
+
+Duration
+Exchange::HeldFor() const
+{
+  const Duration left = mCore->SuspectOf(mKey).mHeldUntil - mCore->Now();
+  return std::max(left, Duration::zero());
+}
+
+bool
+Exchange::IsHeldBack() const
+{
+  // One that has just been broken off, and under which an engine has ended before, may have ended
+  // this one as well; that shows a moment after the second engine would have been asked.
+  return HeldFor() > Duration::zero() || (mBrokenOff && mCore->SuspectOf(mKey).mScore > 0);
+}
+
+BrokenOff
+Exchange::BrokenOffAt(const Sending& aSending) const
+{
+  const TimePoint now = mCore->Now();
+  // An engine of a pool answers once it runs a request; others answer when they are done.
+  const bool begun = aSending.mHeadAt ? now - *aSending.mHeadAt <= mCore->mOptions.mSuspectWithin
+                                      : !mService->mPool.has_value();
+  return { mKey, mFacts.mId, begun ? Suspicion::kBegun : Suspicion::kPresent, now };
+}
+
+void
+Exchange::NoteBrokenOff(const Sending& aSending)
+{
+  mBrokenOff = true;
+  mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
+}
+
+void
+Exchange::NoteRestarted(const Sending& aSending)
+{
+  if (aSending.mAttempt->MayHaveRun()) {
+    mBrokenOff = true;
+    mCore->OnEngineEnded(aSending.mTarget, { BrokenOffAt(aSending) });
+  }
+}
+
+void
+Exchange::NoteRanWhole()
+{
+  if (mCore->SuspectOf(mKey).mScore > 0 && mCore->mHooks.mOnRanWhole) {
+    mCore->mHooks.mOnRanWhole(mKey);
+  }
+}
+
+bool
+Exchange::StopIfHeldBack()
+{
+  if (HeldFor() == Duration::zero()) {
+    return false;
+  }
+  if (mNext && !mNext->mHeadAt) {
+    DropNext("held_back", mNext->mAttempt->MayHaveRun());
+  }
+  const auto& headAt = mCurrent.mHeadAt;
+  const bool proven = headAt && mCore->Now() - *headAt > mCore->mOptions.mSuspectWithin;
+  if (proven || mNext) {
+    return false; // it runs for longer than those that ended engines
+  }
+  mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
+  LogFailedAttempt(mCurrent, "held_back", mMayHaveRun, "engines have ended under it");
+  DropAttempt();
+  if (mStreamStarted) {
+    Cut("held_back");
+  } else if (mMayHaveRun) {
+    Answer(kBadGateway, "held_back", "engines end when they run it; whether it ran is unknown");
+  } else {
+    RefuseHeldBack();
+  }
+  return true;
+}
+
+void
+Exchange::RefuseHeldBack()
+{
+  Answer(
+    kUnavailable,
+    "held_back",
+    "the request has not run: engines ended when they ran it before; it is refused until then");
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -53,6 +53,13 @@
   , mBalancer(BalancerOptionsOf(mOptions))
   , mPlaces(PlaceOptionsOf(mOptions), { mOptions.mNow, mHooks.mSendToDesk }, &mBalancer)
   , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
+  , mEndings(mContext,
+             mOptions.mNow,
+             mOptions.mConnectTimeout,
+             &mConnections,
+             [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
+               OnEngineEnded(aEngine, aRequests);
+             })
 {
 }
 
@@ -108,6 +115,34 @@
   return mBudgets.emplace(aService, RetryBudget(BudgetOfThisNode())).first->second;
 }
 
+SuspectRequest
+RelayCore::SuspectOf(const RequestKey& aKey) const
+{
+  if (!mPlan || !mPlan->mSuspects) {
+    return {};
+  }
+  const auto it = mPlan->mSuspects->find(aKey);
+  return it == mPlan->mSuspects->end() ? SuspectRequest{} : it->second;
+}
+
+void
+RelayCore::OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
+{
+  ++mCounters.mEnginesEnded;
+  const std::uint64_t start = EngineStartHash(aEngine.mEngine, aEngine.mBorn);
+  for (const auto& it : aRequests) {
+    Log("engine_ended",
+        { { "engine", aEngine.mEngine },
+          { "request", it.mRequest },
+          { "key", ToString(it.mKey) },
+          { "begun", it.mSuspicion == Suspicion::kBegun ? "true" : "false" },
+          { "age_ms", std::to_string(ToMs(Now() - it.mAt).count()) } });
+    if (mHooks.mOnEngineEnded) {
+      mHooks.mOnEngineEnded(it.mKey, { start, it.mSuspicion, it.mAt });
+    }
+  }
+}
+
 void
 RelayCore::Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const
 {
@@ -235,6 +270,7 @@
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
     mCore.mPlaces.Tick();
+    mCore.mEndings.Tick();
     // Copies, since an exchange that ends leaves the set.
     const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                            mCore.mExchanges.end());
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "ending_probe.hpp"
 #include "pepperbay/admission/retry_budget.hpp"
 #include "pepperbay/relay/relay.hpp"
 
@@ -30,6 +31,10 @@
   RetryBudget& BudgetOf(const std::string& aService);
   /// The part of all nodes' budget that this node may spend on a service.
   RetryBudget::Options BudgetOfThisNode() const;
+  /// @return what is known against a request; a score of 0 for nothing.
+  SuspectRequest SuspectOf(const RequestKey& aKey) const;
+  /// An engine has ended while it had requests of this node.
+  void OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests);
   void Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const;
 
   boost::asio::io_context& mContext;
@@ -42,6 +47,7 @@
   StallDetector mStalls;
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
+  EndingProbe mEndings;
   RelayCounters mCounters;
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -8,9 +8,11 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <condition_variable>
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
+#include <mutex>
 #include <sstream>
 
 namespace pepperbay {
@@ -87,6 +89,12 @@
     mAddress = aOptions.mCallers;
     RelayHooks hooks;
     hooks.mOnSuspect = [this](const std::string&, Duration) { ++mSuspects; };
+    hooks.mOnEngineEnded = [this](const RequestKey& aRequest, const EngineEnd& aEnd) {
+      const std::lock_guard<std::mutex> lock(mEndsMutex);
+      mEnds.push_back({ aRequest, aEnd });
+      mEndsChanged.notify_all();
+    };
+    hooks.mOnRanWhole = [this](const RequestKey&) { ++mRanWhole; };
     auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
@@ -196,6 +204,17 @@
   asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
   TrafficPlan mPlan;
   bool mPublishAtOnce = true;
+  /// An engine that ended, and a request that it had.
+  struct SeenEnd
+  {
+    RequestKey mRequest;
+    EngineEnd mEnd;
+  };
+
+  std::mutex mEndsMutex;
+  std::condition_variable mEndsChanged;
+  std::vector<SeenEnd> mEnds;
+  std::atomic<int> mRanWhole{ 0 }; ///< suspect requests that ran to their end
   std::atomic<int> mSuspects{ 0 }; ///< times that a head was said to be silent
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
--- /dev/null
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -0,0 +1,223 @@
+/// Requests under which engines end: what the relay notes of them, and what it refuses.
+#include "relay_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+constexpr const char* kEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
+constexpr const char* kStreamEnd = "0\r\n\r\n";
+
+std::string
+StreamHead()
+{
+  return std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+class RelaySuspects : public RelayTest
+{
+protected:
+  static RequestKey StreamKey() { return KeyOfRequest("", "h", "/stream/", "x"); }
+
+  std::string AskStream() const { return Ask(Post("/stream/", "x", "Model: m\r\n")); }
+
+  /// An address at which no process listens, as that of an engine that has ended.
+  static std::string NobodysAddress() { return "127.0.0.1:" + std::to_string(FreePort()); }
+
+  /// What the plan says of the stream's request from here on.
+  void Suspect(int aScore, Duration aHeldFor)
+  {
+    auto suspects = std::make_shared<SuspectRequests>();
+    (*suspects)[StreamKey()] = { aScore, BootClock::now() + aHeldFor };
+    mPlan.mSuspects = std::move(suspects);
+    Publish();
+  }
+
+  std::vector<SeenEnd> WaitForEnds(std::size_t aCount)
+  {
+    std::unique_lock<std::mutex> lock(mEndsMutex);
+    mEndsChanged.wait_for(lock, seconds(20), [&] { return mEnds.size() >= aCount; });
+    return mEnds;
+  }
+
+  /// Reads a request, begins to answer it where asked to, and ends: its listener with it.
+  struct MortalEngine
+  {
+    explicit MortalEngine(bool aAnswers)
+      : mEngine(std::make_unique<RawEngine>([this, aAnswers](RawConnection& aConnection) {
+        aConnection.ReadRequest();
+        if (aAnswers) {
+          aConnection.Write(StreamHead());
+        }
+        mGot.set_value();
+        aConnection.ReadToEnd();
+      }))
+    {
+    }
+
+    void EndOnceAsked()
+    {
+      mGot.get_future().wait();
+      mEngine.reset();
+    }
+
+    std::promise<void> mGot;
+    std::unique_ptr<RawEngine> mEngine;
+  };
+};
+
+/// An engine that ends is told apart from one that breaks a connection off, by its listener.
+TEST_F(RelaySuspects, ARequestIsSuspectedOfTheEndOfAnEngineThatHadJustBegunIt)
+{
+  MortalEngine mortal(true);
+  Serve({ mortal.mEngine.get() });
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  mortal.EndOnceAsked();
+  EXPECT_EQ(StatusOf(answer.get()), 502);
+  const auto ends = WaitForEnds(1);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].mRequest, StreamKey());
+  EXPECT_EQ(ends[0].mEnd.mSuspicion, Suspicion::kBegun);
+  EXPECT_EQ(ends[0].mEnd.mEngine, EngineStartHash("e0", {}));
+}
+
+/// What waits at an engine that ends is a bystander, more likely than not.
+TEST_F(RelaySuspects, ARequestThatWaitedAtAnEngineThatEndsIsSuspectedLess)
+{
+  MortalEngine mortal(false);
+  Serve({ mortal.mEngine.get() });
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  mortal.EndOnceAsked();
+  answer.get();
+  const auto ends = WaitForEnds(1);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].mEnd.mSuspicion, Suspicion::kPresent);
+}
+
+/// Engines that reset connections and live, or sit behind a link that does, would have harmless
+/// requests refused.
+TEST_F(RelaySuspects, AnEngineThatBreaksOffAndLivesRaisesNoSuspicion)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead());
+    aConnection.Reset();
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(AskStream()), 502);
+  // Two connections of the request, or one and the probe's: by the third, a probe has been
+  // answered.
+  EXPECT_EQ(StatusOf(AskStream()), 502);
+  EXPECT_EQ(StatusOf(AskStream()), 502);
+  EXPECT_TRUE(WaitForEnds(0).empty());
+  EXPECT_EQ(Counters().mEnginesEnded, 0U);
+}
+
+/// Each node would send it on, and each time an engine would end.
+TEST_F(RelaySuspects, ARequestThatIsHeldBackIsRefusedAtOnceAndReachesNoEngine)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+  });
+  Serve({ &engine });
+  Suspect(6, std::chrono::minutes(10));
+  const std::string answer = AskStream();
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_TRUE(Has(answer, "held_back")) << answer;
+  EXPECT_TRUE(Has(answer, R"("ran":"no")")) << answer;
+  const auto at = answer.find("Retry-After: ");
+  ASSERT_NE(at, std::string::npos) << answer;
+  EXPECT_GT(std::stod(answer.substr(at + 13)), 590.0);
+  EXPECT_EQ(engine.Connections(), 0);
+  // Another caller's request, or another body, is not held back.
+  EXPECT_EQ(StatusOf(Ask(Post("/stream/", "y", "Model: m\r\n"))), 200);
+}
+
+TEST_F(RelaySuspects, ARequestRunsAgainOnceItsTimeIsOver)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+  });
+  Serve({ &engine });
+  Suspect(4, -seconds(1));
+  EXPECT_EQ(StatusOf(AskStream()), 200);
+  EXPECT_EQ(mRanWhole, 1); // which clears it on all nodes
+}
+
+/// A second engine would end as the first one did.
+TEST_F(RelaySuspects, ASuspectRequestIsNotSentToASecondEngineWhenItsFirstBreaksOff)
+{
+  MortalEngine first(true);
+  RawEngine second([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+  });
+  Serve({ first.mEngine.get(), &second });
+  mPlan.mReplicas["pool"][1].mSuspended = true;
+  Suspect(2, -seconds(1));
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  first.mGot.get_future().wait();
+  mPlan.mReplicas["pool"][1].mSuspended = false;
+  Publish();
+  Counters(); // the plan is in force
+  first.mEngine.reset();
+  EXPECT_EQ(StatusOf(answer.get()), 502);
+  EXPECT_EQ(second.Connections(), 0);
+}
+
+/// Copies of one request wait at several engines when it becomes clear that it ends them.
+TEST_F(RelaySuspects, WhatAnEngineHasOnlyBegunIsStoppedOnceItIsHeldBack)
+{
+  std::promise<void> asked;
+  std::promise<void> closed;
+  RawEngine engine([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    asked.set_value();
+    aConnection.ReadToEnd();
+    closed.set_value();
+  });
+  Serve({ &engine });
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  asked.get_future().wait();
+  Suspect(6, std::chrono::minutes(10));
+  closed.get_future().wait();
+  const std::string text = answer.get();
+  EXPECT_EQ(StatusOf(text), 502); // it may have begun
+  EXPECT_TRUE(Has(text, R"("ran":"unknown")")) << text;
+}
+
+/// A stream that has been written for longer than any that ended an engine is not the cause.
+TEST_F(RelaySuspects, AStreamThatRunsForLongIsNotCutWhenItIsHeldBack)
+{
+  SharedClock clock;
+  std::promise<void> wrote;
+  std::promise<void> goOn;
+  RawEngine engine([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent);
+    wrote.set_value();
+    goOn.get_future().wait();
+    aConnection.Write(std::string("f\r\nid: 2\ndata: b\n\n\r\n") + kStreamEnd);
+  });
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  options.mTick = std::chrono::milliseconds(1);
+  Serve({ &engine }, options);
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  wrote.get_future().wait();
+  ASSERT_TRUE(caller.ReadUntil("data: a"));
+  clock.Advance(seconds(2));
+  Suspect(6, std::chrono::minutes(10));
+  for (int i = 0; i < 20; ++i) {
+    Counters(); // each comes after what was due before
+  }
+  goOn.set_value();
+  EXPECT_TRUE(Has(caller.ReadToEnd(), "data: b"));
+  ::close(socket);
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -80,7 +80,7 @@
       EXPECT_EQ(answer.substr(answer.size() - 2), "ok") << cases[n].mWhat;
     }
   }
-  EXPECT_EQ(engine.Connections(), static_cast<int>(cases.size())); // each sent once
+  EXPECT_EQ(engine.Requests(), static_cast<int>(cases.size())); // each sent once
 }
 
 TEST_F(RelayTest, ASafeRequestGoesToASecondEngine)
@@ -341,7 +341,7 @@
   const RelayCounters counters = Counters();
   EXPECT_GT(counters.mSecondAttempts, 3U);
   EXPECT_LE(counters.mSecondAttempts, kRequests / 5 + 3U);
-  EXPECT_EQ(first.Connections() + second.Connections(),
+  EXPECT_EQ(first.Requests() + second.Requests(),
             kRequests + static_cast<int>(counters.mSecondAttempts));
 }
 
