relay: a head that has ended is told to the holder at once

Cause: the holder hears of a head whose streams stand still or that refuses requests. A head that ends closes its streams, so none stands still, and a refused connection was noted at its node only. Change: a probe that finds an engine ended, and a connection that is refused, have the holder ask the replica's members, at most once in 0.1 to 0.8 s for a head and node. A connection without an answer does not: it may be this node's own link. Desks are not told: a node that is cut off by refusals would have all heads passed over.

--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -63,6 +63,7 @@
                              return;
                            }
                            if (aError) {
+                             self->mGone = aError == asio::error::connection_refused;
                              self->Finish(false, "connect: " + aError.message());
                              return;
                            }
@@ -195,6 +196,7 @@
   end.mComplete = aComplete;
   end.mMayHaveRun = mSent;
   end.mClosed = mClosed;
+  end.mGone = mGone;
   end.mWhy = aWhy;
   if (aComplete) {
     KeepConnection();
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -30,6 +30,7 @@
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
   bool mClosed = false; ///< the engine closed or reset the connection
+  bool mGone = false;   ///< no process listens at its address
   std::string mWhy;     ///< what went wrong; empty when complete
 };
 
@@ -98,6 +99,7 @@
   bool mConnected = false;
   bool mAllWritten = false;
   bool mClosed = false;
+  bool mGone = false;
   bool mEnded = false;
 };
 
--- a/src/pepperbay/relay/ending_probe.hpp
+++ b/src/pepperbay/relay/ending_probe.hpp
@@ -26,6 +26,7 @@
   std::string mRequest; ///< id of the caller's attempt, for the log
   Suspicion mSuspicion = Suspicion::kPresent;
   TimePoint mAt{};
+  bool mOfReplica = false; ///< the engine was the head of a replica
 };
 
 class EndingProbe
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -467,9 +467,7 @@
 Exchange::OnEnd(const AttemptEnd& aEnd)
 {
   if (!aEnd.mComplete) {
-    if (aEnd.mClosed) {
-      NoteBrokenOff(mCurrent);
-    }
+    NoteEnd(mCurrent, aEnd);
     OnFailure(aEnd.mWhy, aEnd.mMayHaveRun);
     return;
   }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -136,8 +136,8 @@
   bool IsHeldBack() const;
   /// What is noted of the request if the engine of a sending has ended just now.
   BrokenOff BrokenOffAt(const Sending& aSending) const;
-  /// An engine closed the connection of a sending: note the request in case the engine has ended.
-  void NoteBrokenOff(const Sending& aSending);
+  /// A sending came to nothing: note what that says of its engine, and of the request.
+  void NoteEnd(const Sending& aSending, const AttemptEnd& aEnd);
   /// An engine has started again since, so it has ended.
   void NoteRestarted(const Sending& aSending);
   /// An engine ran the request to its end.
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -172,9 +172,7 @@
 void
 Exchange::OnNextEnd(const AttemptEnd& aEnd)
 {
-  if (aEnd.mClosed) {
-    NoteBrokenOff(*mNext);
-  }
+  NoteEnd(*mNext, aEnd);
   DropNext(aEnd.mComplete ? "the second engine had no more events" : aEnd.mWhy, aEnd.mMayHaveRun);
 }
 
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -28,14 +28,21 @@
   // An engine of a pool answers once it runs a request; others answer when they are done.
   const bool begun = aSending.mHeadAt ? now - *aSending.mHeadAt <= mCore->mOptions.mSuspectWithin
                                       : !mService->mPool.has_value();
-  return { mKey, mFacts.mId, begun ? Suspicion::kBegun : Suspicion::kPresent, now };
+  const Suspicion suspicion = begun ? Suspicion::kBegun : Suspicion::kPresent;
+  return { mKey, mFacts.mId, suspicion, now, !aSending.mGroup.empty() };
 }
 
 void
-Exchange::NoteBrokenOff(const Sending& aSending)
+Exchange::NoteEnd(const Sending& aSending, const AttemptEnd& aEnd)
 {
-  mBrokenOff = true;
-  mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
+  if (aEnd.mClosed) {
+    mBrokenOff = true;
+    mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
+  }
+  if (aEnd.mGone && !aSending.mGroup.empty()) {
+    // Its registration takes seconds to lapse, and no stream of it stands still that could show it.
+    mCore->OnHeadGone(aSending.mTarget.mEngine, aSending.mSentAt);
+  }
 }
 
 void
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -130,6 +130,11 @@
 {
   ++mCounters.mEnginesEnded;
   const std::uint64_t start = EngineStartHash(aEngine.mEngine, aEngine.mBorn);
+  const bool head = std::any_of(
+    aRequests.begin(), aRequests.end(), [](const BrokenOff& aIt) { return aIt.mOfReplica; });
+  if (head) {
+    OnHeadGone(aEngine.mEngine, aRequests.front().mAt);
+  }
   for (const auto& it : aRequests) {
     Log("engine_ended",
         { { "engine", aEngine.mEngine },
@@ -143,6 +148,14 @@
   }
 }
 
+void
+RelayCore::OnHeadGone(const std::string& aHead, TimePoint aAsOf)
+{
+  if (mGoneHeads.OnRefused(aHead, aAsOf, Now()) && mHooks.mOnRefused) {
+    mHooks.mOnRefused(aHead);
+  }
+}
+
 void
 RelayCore::Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const
 {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -35,6 +35,9 @@
   SuspectRequest SuspectOf(const RequestKey& aKey) const;
   /// An engine has ended while it had requests of this node.
   void OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests);
+  /// A replica's head listens no more: have the holder ask its members.
+  /// @param aAsOf what showed it began then
+  void OnHeadGone(const std::string& aHead, TimePoint aAsOf);
   void Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const;
 
   boost::asio::io_context& mContext;
@@ -45,6 +48,7 @@
   Balancer mBalancer;
   PlaceAgent mPlaces;
   StallDetector mStalls;
+  RefusalBook mGoneHeads;                      ///< heads that listen no more, as told to the holder
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
   EndingProbe mEndings;
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -94,6 +94,7 @@
       mEnds.push_back({ aRequest, aEnd });
       mEndsChanged.notify_all();
     };
+    hooks.mOnRefused = [this](const std::string&) { ++mRefusals; };
     hooks.mOnRanWhole = [this](const RequestKey&) { ++mRanWhole; };
     auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
@@ -215,6 +216,7 @@
   std::condition_variable mEndsChanged;
   std::vector<SeenEnd> mEnds;
   std::atomic<int> mRanWhole{ 0 }; ///< suspect requests that ran to their end
+  std::atomic<int> mRefusals{ 0 }; ///< times that a head was said to refuse
   std::atomic<int> mSuspects{ 0 }; ///< times that a head was said to be silent
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -80,6 +80,37 @@
   EXPECT_EQ(ends[0].mEnd.mEngine, EngineStartHash("e0", {}));
 }
 
+/// A replica whose head has ended stays in the plan until its registration lapses, and all that is
+/// sent there fails: nobody tells the holder of a head that closes its connections.
+TEST_F(RelaySuspects, TheHolderHearsOfAHeadThatHasEndedWithItsStreams)
+{
+  MortalEngine mortal(true);
+  Serve({ mortal.mEngine.get() });
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  mortal.EndOnceAsked();
+  answer.get();
+  WaitForEnds(1);
+  EXPECT_GE(mRefusals, 1);
+}
+
+TEST_F(RelaySuspects, TheHolderHearsOfAHeadThatRefusesConnectionsAndNotWithEachRequest)
+{
+  SharedClock clock;
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  RawEngine engine([](RawConnection&) {});
+  Serve({ &engine }, options);
+  mPlan.mReplicas["pool"][0].mHead.mAddress = NobodysAddress();
+  Publish();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(StatusOf(AskStream()), 503);
+  }
+  EXPECT_EQ(mRefusals, 1);
+  clock.Advance(seconds(1));
+  EXPECT_EQ(StatusOf(AskStream()), 503);
+  EXPECT_EQ(mRefusals, 2); // a new holder has not heard the first
+}
+
 /// What waits at an engine that ends is a bystander, more likely than not.
 TEST_F(RelaySuspects, ARequestThatWaitedAtAnEngineThatEndsIsSuspectedLess)
 {
