Operators see which requests are held back, and can let them run again

What was missing: a request that is held back by mistake would be refused for ten minutes and more, and only lines told of it. What a request was cleared of counts no more: nodes that had not heard told the old ends again, and a record was read late (test WhatHappenedBeforeARequestWasClearedIsNotTakenUpAgain, failed before: score 6 where 0 is right). By engine and not by time, since an engine's start ends once and a record's age is not known to who reads it.

--- a/include/pepperbay/quarantine/request_key.hpp
+++ b/include/pepperbay/quarantine/request_key.hpp
@@ -2,6 +2,8 @@
 /// @brief Which requests are repeats of one another. Pure.
 #pragma once
 
+#include "pepperbay/base/error.hpp"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -48,4 +50,8 @@
 std::string
 ToString(const RequestKey& aKey);
 
+/// Read what ToString() wrote.
+Result<RequestKey>
+ParseRequestKey(std::string_view aText);
+
 } // namespace pepperbay
--- a/include/pepperbay/status/pool_status.hpp
+++ b/include/pepperbay/status/pool_status.hpp
@@ -25,6 +25,14 @@
   Duration mSince{ 0 }; ///< in this phase
 };
 
+/// A request that a node sends to no engine, because engines ended under it.
+struct HeldRequestStatus
+{
+  std::string mKey;
+  std::size_t mEngines = 0; ///< that ended
+  Duration mLeft{ 0 };
+};
+
 /// A node's own account.
 struct NodeStatus
 {
@@ -39,6 +47,7 @@
   std::size_t mEngines = 0;
   std::vector<std::string> mLostEngines;
   std::vector<ReplicaStatus> mReplicas; ///< of the holder only
+  std::vector<HeldRequestStatus> mHeld;
   std::size_t mPeers = 0;
   std::size_t mPeersAlive = 0; ///< heard lately; most nodes hear their delegates only
   std::string mDelegate;       ///< that finds places for it; itself where none
@@ -60,7 +69,8 @@
 ParseNodeStatus(const std::string& aAddress, const std::string& aDump);
 
 /// @return the nodes side by side, then the replicas as the holder plans them, each with why it
-/// does not serve; and what does not fit together: two holders, nodes with an older configuration.
+/// does not serve; requests that are held back; and what does not fit together: two holders, nodes
+/// with an older configuration.
 ///
 /// @code
 /// std::cout << PoolReport({ { "10.0.0.1:8081", ParseNodeStatus("10.0.0.1:8081", body) } });
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -53,6 +53,16 @@
                           { "own_read_age_ms", ToMs(Now() - follower.AsOf()).count() },
                           { "reads", mReads.Reads(log) } };
   }
+  Json held = Json::array();
+  for (const auto& it : mSuspects.Book().Keys()) {
+    const TimePoint until = mSuspects.Book().HeldUntil(it);
+    if (until > Now()) {
+      held.push_back({ { "key", ToString(it) },
+                       { "engines", mSuspects.Book().Ends(it).size() },
+                       { "score", mSuspects.Book().Score(it) },
+                       { "for_ms", ToMs(until - Now()).count() } });
+    }
+  }
   const Json dump = { { "node", mOptions.mNode },
                       { "incarnation", mOptions.mIncarnation },
                       { "ready", IsReady() },
@@ -84,6 +94,8 @@
                       { "logs", logs },
                       { "engines", mDirectory.Engines().size() },
                       { "lost_engines", lost },
+                      { "suspect_requests", mSuspects.Book().Size() },
+                      { "held_requests", held },
                       { "replicas", replicas },
                       { "peers", peers } };
   return dump.dump(2);
--- a/src/pepperbay/coordinator/coordinator_suspects_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_suspects_test.cpp
@@ -216,6 +216,27 @@
   EXPECT_EQ(Records(), 0);
 }
 
+/// What a node tells again after a lost message would bring back what was cleared meanwhile.
+TEST_F(Suspects, WhatHappenedBeforeARequestWasClearedIsNotTakenUpAgain)
+{
+  AddNode("a");
+  AddNode("b");
+  Run(seconds(2));
+  for (std::uint64_t it = 1; it <= 3; ++it) {
+    SeesEnd(mNodes[0], it);
+  }
+  Run(milliseconds(60));
+  ASSERT_TRUE(mNodes[1].mCoordinator->Lift(kKey));
+  mLoses = [](const std::string& aFrom, const std::string&) { return aFrom == "b"; };
+  Run(seconds(1)); // "a" has not heard, and tells it twice more
+  EXPECT_EQ(Of(mNodes[1]).mScore, 0);
+  EXPECT_EQ(Of(mNodes[0]).mScore, 0); // by the record that "b" has dropped
+  EXPECT_EQ(Records(), 0);
+  SeesEnd(mNodes[1], 4);
+  Run(milliseconds(100));
+  EXPECT_EQ(Of(mNodes[1]).mScore, 2); // a later end counts
+}
+
 /// A caller with two hundred such requests would use up the calls that all nodes share.
 TEST_F(Suspects, ManyRequestsAreWrittenAtABoundedRate)
 {
--- a/src/pepperbay/coordinator/suspect_keeper.cpp
+++ b/src/pepperbay/coordinator/suspect_keeper.cpp
@@ -83,9 +83,15 @@
 SuspectKeeper::Forget(const RequestKey& aKey, const char* aReason)
 {
   const bool held = mBook.HeldUntil(aKey) > Now();
+  const auto ends = mBook.Ends(aKey);
   if (!mBook.Clear(aKey)) {
     return false;
   }
+  Cleared& cleared = mCleared[aKey];
+  cleared.mAt = Now();
+  for (const auto& it : ends) {
+    cleared.mEngines.insert(it.mEngine);
+  }
   if (held) {
     mHooks.mLog("request_released", { { "key", ToString(aKey) }, { "reason", aReason } });
   }
@@ -111,6 +117,7 @@
   const RequestKey key = KeyOf(aRequest);
   const TimePoint now = Now();
   const TimePoint before = mBook.HeldUntil(key);
+  const auto cleared = mCleared.find(key);
   bool isNew = false;
   for (const auto& it : aRequest.ends()) {
     const auto suspicion = SuspicionOf(it.suspicion());
@@ -119,6 +126,9 @@
       continue;
     }
     const EngineEnd end{ it.engine(), *suspicion, now - std::chrono::milliseconds(it.age_ms()) };
+    if (cleared != mCleared.end() && cleared->second.mEngines.count(end.mEngine) != 0) {
+      continue;
+    }
     isNew = mBook.Add(key, end, now) || isNew;
   }
   if (isNew) {
@@ -203,6 +213,9 @@
     stored.mScore += static_cast<int>(it.suspicion());
   }
   stored.mWriter = request.writer();
+  if (mBook.Score(KeyOf(request)) == 0) {
+    mToDrop.insert(KeyOf(request)); // its writer had not heard that it was cleared
+  }
 }
 
 proto::SuspectRequest
@@ -245,6 +258,10 @@
       DropNotes(key);
     }
   }
+  for (auto it = mCleared.begin(); it != mCleared.end();) {
+    const bool old = Now() - it->second.mAt >= mOptions.mRememberClear;
+    it = old ? mCleared.erase(it) : std::next(it);
+  }
   for (const auto& [key, stored] : mStored) {
     if (aHoldsLease && mBook.Score(key) == 0) {
       mToDrop.insert(key);
@@ -312,9 +329,6 @@
     if (NeedsWrite(key, aHoldsLease)) {
       proto::SuspectRequest record = Describe(key);
       record.set_writer(mOptions.mNode);
-      for (auto& end : *record.mutable_ends()) {
-        end.set_age_ms(0); // whoever reads it does not know when it was written
-      }
       if (WriteOne(key, record.SerializeAsString())) {
         return;
       }
--- a/src/pepperbay/coordinator/suspect_keeper.hpp
+++ b/src/pepperbay/coordinator/suspect_keeper.hpp
@@ -38,6 +38,9 @@
   /// Who saw an end writes it. If that node has ended as well, the holder of the lease does, after
   /// this.
   Duration mHolderWritesAfter = std::chrono::seconds(1);
+  /// What a request was cleared of is kept for so long: nodes that have not heard go on telling it,
+  /// and records of it are read late.
+  Duration mRememberClear = std::chrono::minutes(10);
 };
 
 struct SuspectKeeperHooks
@@ -89,6 +92,12 @@
     int mScore = 0;
     std::string mWriter;
   };
+  /// Engines whose ends count no more against a request. An engine's start ends only once.
+  struct Cleared
+  {
+    std::set<std::uint64_t> mEngines;
+    TimePoint mAt{};
+  };
   struct Write
   {
     bool mUnderWay = false;
@@ -119,7 +128,8 @@
   CrashBook mBook;
   std::map<RequestKey, int> mToTell;      ///< requests, and how often they are told yet
   std::map<RequestKey, int> mClearedTold; ///< the same for those that were cleared
-  std::set<RequestKey> mOwn;              ///< this node saw an engine end under it
+  std::map<RequestKey, Cleared> mCleared;
+  std::set<RequestKey> mOwn; ///< this node saw an engine end under it
   /// Requests that belong into the store, and since when that is known here.
   std::map<RequestKey, TimePoint> mLasting;
   std::map<RequestKey, Stored> mStored;
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -27,7 +27,9 @@
 
 constexpr int kPermille = 1000;
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kNotAllowed = 405;
 constexpr int kUnavailable = 503;
 /// The control thread looks at its work this often. A join of a replica takes 200 ms; a tenth of
 /// that is lost to looking at most.
@@ -288,7 +290,33 @@
       });
       return;
     }
-    aResponder->Send({ kNotFound, {}, R"({"error":"allowed: /metrics, /state"})" });
+    if (aRequest.mPath == "/release-request") {
+      OnReleaseRequest(aRequest, aResponder);
+      return;
+    }
+    aResponder->Send(
+      { kNotFound, {}, R"({"error":"allowed: /metrics, /state, POST /release-request?key="})" });
+  }
+
+  /// An operator lets a request run again that is held back.
+  void OnReleaseRequest(const HttpRequest& aRequest, const std::shared_ptr<Responder>& aResponder)
+  {
+    if (aRequest.mMethod != "POST") {
+      aResponder->Send({ kNotAllowed, { { "Allow", "POST" } }, R"({"error":"allowed: POST"})" });
+      return;
+    }
+    const auto key = ParseRequestKey(FirstValue(aRequest.mQuery, "key").value_or(""));
+    if (!key.has_value()) {
+      const std::string error = ToString(key.error());
+      aResponder->Send({ kBadRequest, {}, error, "text/plain" });
+      return;
+    }
+    asio::post(mControl, [this, aResponder, key = key.value()] {
+      const bool known = mCoordinator->Lift(key);
+      aResponder->Send({ known ? kOk : kNotFound,
+                         {},
+                         known ? R"({"released":true})" : R"({"error":"no such request"})" });
+    });
   }
 
   RelayOptions MakeRelayOptions() const
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -327,7 +327,7 @@
   int (*mRun)(const Words&, const CommandOptions&);
 };
 
-constexpr std::array<Command, 10> kCommands{ {
+constexpr std::array<Command, 11> kCommands{ {
   { "serve",
     "--config FILE",
     "run a node until SIGTERM or SIGINT",
@@ -352,8 +352,13 @@
     "show the nodes before a shared pool side by side, and its replicas",
     "The addresses are those of /state; without any, the one of --admin is asked. Shown are each\n"
     "node's configuration and its age, whether it reaches the store, who holds the lease, and for\n"
-    "each replica its members and why it does not serve.\n",
+    "each replica its members and why it does not serve; then the requests that are held back.\n",
     &PoolStatus },
+  { "release-request",
+    "KEY [--admin IP:port]",
+    "let a request run again that nodes before a shared pool hold back",
+    "KEY is the one that pool-status and the log name. The node tells all others.\n",
+    &ReleaseRequest },
   { "check-config",
     "--config FILE",
     "check a settings file and say each thing that is wrong",
--- a/src/pepperbay/main/edge_commands.cpp
+++ b/src/pepperbay/main/edge_commands.cpp
@@ -1,5 +1,6 @@
 #include "edge_commands.hpp"
 
+#include "pepperbay/quarantine/request_key.hpp"
 #include "pepperbay/status/pool_status.hpp"
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 /// Where a platform says which settings file to read, when the command line does not.
 constexpr const char* kSettingsVariable = "PEPPERBAY_SETTINGS";
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 
 std::string
 SettingsFile(const CommandOptions& aOptions)
@@ -95,4 +97,26 @@
   return any ? kExitOk : kExitUnreachable;
 }
 
+int
+ReleaseRequest(const std::vector<std::string>& aWords, const CommandOptions& aOptions)
+{
+  const auto key = ParseRequestKey(aWords.size() == 1 ? aWords[0] : "");
+  if (!key.has_value()) {
+    std::cerr << ToString(key.error()) << "\n";
+    return kExitUsage;
+  }
+  const HttpFetched fetched =
+    Ask(aOptions, "POST", "/release-request?key=" + ToString(key.value()), "");
+  if (!fetched.mOutcome.mOk) {
+    std::cerr << ToString(fetched.mOutcome.mError) << "\n";
+    return kExitUnreachable;
+  }
+  if (fetched.mResponse.mStatus == kNotFound) {
+    std::cerr << aOptions.mAdmin << " knows no engine that ended under request " << aWords[0]
+              << "\n";
+    return kExitRefused;
+  }
+  return fetched.mResponse.mStatus == kOk ? kExitOk : kExitUnknown;
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/main/edge_commands.hpp
+++ b/src/pepperbay/main/edge_commands.hpp
@@ -20,4 +20,8 @@
 int
 PoolStatus(const std::vector<std::string>& aWords, const CommandOptions& aOptions);
 
+/// Have a node, and by it all others, let a request run again that they hold back.
+int
+ReleaseRequest(const std::vector<std::string>& aWords, const CommandOptions& aOptions);
+
 } // namespace pepperbay
--- a/src/pepperbay/quarantine/request_key.cpp
+++ b/src/pepperbay/quarantine/request_key.cpp
@@ -2,11 +2,27 @@
 
 #include "pepperbay/base/hash.hpp"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
 
 namespace pepperbay {
+namespace {
+
+constexpr std::size_t kHalfDigits = 16;
+
+std::uint64_t
+ReadHalf(std::string_view aDigits)
+{
+  constexpr int kHexadecimal = 16;
+  std::uint64_t value = 0;
+  std::from_chars(aDigits.data(), aDigits.data() + aDigits.size(), value, kHexadecimal);
+  return value;
+}
+
+} // namespace
 
 RequestKey
 KeyOfRequest(std::string_view aCustomer,
@@ -21,10 +37,24 @@
 std::string
 ToString(const RequestKey& aKey)
 {
-  constexpr std::size_t kDigits = 33; // two halves and the end of the text
-  std::array<char, kDigits> text{};
+  std::array<char, 2 * kHalfDigits + 1> text{};
   std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, aKey.mCaller, aKey.mContent);
   return text.data();
 }
 
+Result<RequestKey>
+ParseRequestKey(std::string_view aText)
+{
+  const bool digits = std::all_of(aText.begin(), aText.end(), [](char aIt) {
+    return (aIt >= '0' && aIt <= '9') || (aIt >= 'a' && aIt <= 'f');
+  });
+  if (!digits || aText.size() != 2 * kHalfDigits) {
+    return Error{ Errc::kInvalid,
+                  "request_key.read",
+                  "",
+                  "'" + std::string(aText) + "' is no request's key; allowed: 32 digits 0-9a-f" };
+  }
+  return RequestKey{ ReadHalf(aText.substr(0, kHalfDigits)), ReadHalf(aText.substr(kHalfDigits)) };
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/quarantine/request_key_test.cpp
+++ b/src/pepperbay/quarantine/request_key_test.cpp
@@ -30,5 +30,19 @@
   EXPECT_EQ(ToString(RequestKey{ 1, 0xabc }), "00000000000000010000000000000abc");
 }
 
+TEST(RequestKey, IsReadAsItWasWrittenAndNothingElseIs)
+{
+  const RequestKey key{ 0xfd84a32e0b12def6, 0x0f0c80dec7d47d36 };
+  const auto read = ParseRequestKey(ToString(key));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read.value(), key);
+  for (const char* it :
+       { "", "0", "0000000000000001000000000000abc", "g0000000000000010000000000000abc" }) {
+    const auto bad = ParseRequestKey(it);
+    ASSERT_FALSE(bad.has_value()) << it;
+    EXPECT_NE(ToString(bad.error()).find("32 digits"), std::string::npos);
+  }
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/status/pool_status.cpp
+++ b/src/pepperbay/status/pool_status.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -50,6 +51,11 @@
   for (const auto& it : aJson.at("replicas")) {
     node.mReplicas.push_back(ReadReplica(it));
   }
+  for (const auto& it : aJson.at("held_requests")) {
+    node.mHeld.push_back({ it.at("key").get<std::string>(),
+                           it.at("engines").get<std::size_t>(),
+                           std::chrono::milliseconds(it.at("for_ms").get<std::int64_t>()) });
+  }
   for (const auto& it : aJson.at("peers")) {
     ++node.mPeers;
     node.mPeersAlive += it.at("alive").get<bool>() ? 1 : 0;
@@ -140,6 +146,37 @@
   }
 }
 
+/// Every node should hold back the same; one that does not has not heard.
+void
+WriteHeld(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
+{
+  struct Held
+  {
+    HeldRequestStatus mLongest;
+    std::size_t mNodes = 0;
+  };
+  std::map<std::string, Held> held;
+  std::size_t answered = 0;
+  for (const auto& asked : aNodes) {
+    if (!asked.mStatus.has_value()) {
+      continue;
+    }
+    ++answered;
+    for (const auto& it : asked.mStatus.value().mHeld) {
+      Held& entry = held[it.mKey];
+      ++entry.mNodes;
+      if (it.mLeft >= entry.mLongest.mLeft) {
+        entry.mLongest = it;
+      }
+    }
+  }
+  for (const auto& [key, it] : held) {
+    aOut << "\nheld back: request " << key << ", " << it.mLongest.mEngines
+         << " engines ended under it, for " << Seconds(it.mLongest.mLeft) << " more, by "
+         << it.mNodes << " of " << answered << " nodes\n";
+  }
+}
+
 void
 WriteDoubts(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
 {
@@ -188,6 +225,7 @@
       WriteReplicas(out, it.mStatus.value());
     }
   }
+  WriteHeld(out, aNodes);
   WriteDoubts(out, aNodes);
   return out.str();
 }
--- a/src/pepperbay/status/pool_status_test.cpp
+++ b/src/pepperbay/status/pool_status_test.cpp
@@ -21,6 +21,7 @@
          (aHolds ? replicas : "[]") + R"(,"delegates":{"followed":"n1","followers":)" +
          (aNode == "n1" ? "2" : "0") + R"(},"news":{"age_ms":1500},)" +
          R"("store_read_by":{"node":"n3","lost":false},"logs":{"engines":{"age_ms":2400}},)" +
+         R"("held_requests":[{"key":"00ab","engines":3,"score":6,"for_ms":59000}],)" +
          R"("peers":[{"node":"n1","address":"a","alive":true,"configuration":7}]})";
 }
 
@@ -47,6 +48,15 @@
   EXPECT_FALSE(Has(text, "behind"));
 }
 
+TEST(PoolStatus, SaysWhichRequestsAreHeldBackAndByHowManyNodes)
+{
+  const AskedNode away{ "n3", Error{ Errc::kTimeout, "status.ask", "n3", "" } };
+  const std::string text = PoolReport({ Asked("n1", true, 7), Asked("n2", false, 7), away });
+  EXPECT_TRUE(
+    Has(text, "held back: request 00ab, 3 engines ended under it, for 59.0 s more, by 2 of 2"))
+    << text;
+}
+
 TEST(PoolStatus, SaysWhoseDelegateANodeIsAndHowOldItsNewsAre)
 {
   const auto status = Asked("n2", false, 7).mStatus;
