placement: a new holder leaves an unlisted head alone while nodes have requests there

Cause: the new holder finds the group by its other members, does not know the head, and has them join anew at once; the first join ends the group and all that the head writes. Ruled out: asking the members (they notice nothing of their head). Change: the last holder's news name the head by the short hash that nodes use for what they have in progress; a group that is found without its head is not repaired while nodes have requests there, 8 s at most (as any replica that is to be formed anew). A head that is dead loses its requests to other engines within half a second, so its group does not wait. A holder without news (all nodes started anew) does as before: nothing is in progress then. A test for plain engines that end is added to relay_suspects_test.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -50,6 +50,9 @@
   /// Requests at a replica that loses a member get this long to end before it is formed anew: the
   /// longest that callers wait for a stream. Engines that leave work on for longer than that.
   Duration mDrainMost = std::chrono::seconds(8);
+  /// Whether a head that is not listed still has requests is looked at again after this: half the
+  /// time in which nodes tell what they have in progress.
+  Duration mLookAtHeadAgain = std::chrono::milliseconds(100);
   /// The first replicas are formed once no engine has registered for this long: those of one
   /// domain register within a short time of each other.
   Duration mSettle = std::chrono::milliseconds(600);
@@ -100,6 +103,9 @@
   std::function<bool(const std::string& aEngine)> mDead;
   /// Requests of all nodes in progress at a head.
   std::function<int(const std::string& aHead)> mInFlight;
+  /// The same for the head that the last holder named for a group at an epoch, where that head is
+  /// not listed; 0 where nothing is known of it. May be null.
+  std::function<int(const std::string& aGroup, std::uint64_t aEpoch)> mInFlightAtFormerHead;
   /// Nodes say that the streams of a head stand still.
   std::function<bool(const std::string& aHead)> mStandsStill;
 };
@@ -129,6 +135,7 @@
   TimePoint mSince{};                     ///< of the phase
   std::optional<TimePoint> mLeavingSince; ///< a member leaves; what is in progress may end
   bool mMemberLost = false;               ///< a member does not answer; it may work on
+  bool mHeadUnknown = false;              ///< found by its other members; the head may work on
   TimePoint mNotBefore{};                 ///< a broken one is not formed anew before
   bool mGivenUp = false;                  ///< its engines are needed by another
   std::string mWhy;                       ///< why it does not serve
@@ -225,6 +232,8 @@
   bool IsToLeave(const PlannedReplica& aReplica) const;
   /// @return whether a replica that takes no new requests still has some in progress.
   bool WorksOn(const PlannedReplica& aReplica) const;
+  /// @return whether the head of a replica that was found without it still has requests.
+  bool UnknownHeadWorks(const PlannedReplica& aReplica) const;
   static void Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow);
   void Drive(PlannedReplica& aReplica);
   void NoteReadiness(PlannedReplica& aReplica);
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -84,6 +84,8 @@
   void OnEngineChange(const EngineRecord& aEngine, bool aLost);
   void PlanPools();
   void PlanPool(const ServiceSpec& aService);
+  /// Requests of all nodes at the head that the last holder named for a group; see GroupView.
+  int InFlightAtFormerHead(const std::string& aGroup, std::uint64_t aEpoch) const;
   void SendOrder(const GroupOrder& aOrder, const std::string& aService);
   /// Note for the other nodes what has changed of one pool's replicas.
   void NoteNews(const GroupPlanner& aPlanner, Duration aFormTime);
@@ -156,6 +158,8 @@
   /// What the last holder told of its replicas, until this one has planned once: its first round
   /// finds most of them as they were, and logs only what differs.
   std::map<std::string, proto::ReplicaNews> mFormerNews;
+  /// The same, for the whole tenure: heads that are listed no more are named here only.
+  std::map<std::string, proto::ReplicaNews> mFormerHeads;
   std::uint64_t mNewsTold = 0; ///< the last change that was sent out
   TimePoint mNewsAskDue{};
   std::unordered_map<std::string, int> mInFlight;
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -31,6 +31,7 @@
     mPlannedFence = mLease.Fence();
     mPlanners.clear();
     mFormerNews = mNews.Replicas();
+    mFormerHeads = mFormerNews;
     mNews.Begin(mPlannedFence, Now());
     mNewsTold = 0;
     mHooks.mLog("lease_taken", { { "fence", std::to_string(mPlannedFence) } });
@@ -67,6 +68,9 @@
     return (own == mInFlight.end() ? 0 : own->second) +
            (there == others->end() ? 0 : there->second);
   };
+  view.mInFlightAtFormerHead = [this](const std::string& aGroup, std::uint64_t aEpoch) {
+    return InFlightAtFormerHead(aGroup, aEpoch);
+  };
   view.mStandsStill = [this](const std::string& aHead) {
     const auto it = mSilentHeads.find(aHead);
     return it != mSilentHeads.end() && Now() - it->second < kSilenceHolds;
@@ -79,6 +83,27 @@
   NoteNews(planner, aService.mPool->mFormTime);
 }
 
+int
+Coordinator::Impl::InFlightAtFormerHead(const std::string& aGroup, std::uint64_t aEpoch) const
+{
+  const auto it = mFormerHeads.find(aGroup);
+  if (it == mFormerHeads.end() || it->second.epoch() != aEpoch) {
+    return 0;
+  }
+  const std::uint32_t head = it->second.head();
+  int n = 0;
+  for (const auto& [engine, own] : mInFlight) {
+    n += ShortId(engine) == head ? own : 0;
+  }
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    for (const auto& load : peer.mBeat.loads()) {
+      const bool counts = load.engine() == head && mPeers.Alive(peer, Now());
+      n += counts ? static_cast<int>(load.in_flight()) : 0;
+    }
+  }
+  return n;
+}
+
 void
 Coordinator::Impl::SendOrder(const GroupOrder& aOrder, const std::string& aService)
 {
--- a/src/pepperbay/coordinator/coordinator_registrations_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations_test.cpp
@@ -74,5 +74,34 @@
   EXPECT_GE(mLines["former_start"], 1);
 }
 
+/// A new holder that does not know an unlisted head forms its replica anew under its streams.
+TEST_F(CoordinatorTest, ANewHolderLeavesAnUnlistedHeadAloneWhileNodesHaveRequestsThere)
+{
+  AddNode("a");
+  AddNode("b");
+  AddNode("c");
+  Run(seconds(10));
+  TestNode& former = Holder();
+  const std::string head = former.mPlan->mReplicas.at("pool").front().mHead.mId;
+  const std::uint64_t epoch = former.mPlan->mReplicas.at("pool").front().mEpoch;
+  for (auto& it : mNodes) {
+    it.mCoordinator->SetInFlight({ { head, 2 } }, true);
+  }
+  Run(milliseconds(400)); // nodes tell each other
+  former.mAlive = false;
+  mPool.At(head).mListed = false;
+  mEngineLog.Put(head, std::nullopt);
+  Run(seconds(4));
+  ASSERT_NE(Holder().mName, former.mName);
+  for (const auto& it : mPool.At(head).mMembers) {
+    EXPECT_EQ(mPool.At(it).mRecord.mGroup.mEpoch, epoch) << it << " joined anew";
+  }
+  for (auto& it : mNodes) {
+    it.mCoordinator->SetInFlight({}, true);
+  }
+  Run(seconds(3));
+  EXPECT_EQ(Usable(Holder()), 1) << "without that head, once nothing is in progress there";
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -267,6 +267,7 @@
   // otherwise; Judge() finds the member missing.
   replica.mPhase = headListed && open ? ReplicaPhase::kOpen : ReplicaPhase::kBroken;
   replica.mWhy = whole ? "found not open" : "found without all members";
+  replica.mHeadUnknown = !headListed;
   if (known != mReplicas.end()) {
     // Another holder has formed it anew, perhaps without some members; they are free.
     RemoveFromIndex(known->second);
@@ -348,6 +349,14 @@
   return mView->mInFlight(head) > 0 && !standsStill && !waited;
 }
 
+bool
+GroupPlanner::UnknownHeadWorks(const PlannedReplica& aReplica) const
+{
+  const bool asks = aReplica.mHeadUnknown && mView->mInFlightAtFormerHead;
+  return asks && mView->mNow - aReplica.mSince < mOptions.mDrainMost &&
+         mView->mInFlightAtFormerHead(aReplica.mName, aReplica.mEpoch) > 0;
+}
+
 void
 GroupPlanner::Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow)
 {
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -17,6 +17,9 @@
       done.push_back(name);
       continue;
     }
+    if (replica.mPhase == ReplicaPhase::kBroken && UnknownHeadWorks(replica)) {
+      replica.mNotBefore = mView->mNow + mOptions.mLookAtHeadAgain;
+    }
     if (replica.mPhase != ReplicaPhase::kBroken || mView->mNow < replica.mNotBefore) {
       continue;
     }
@@ -134,6 +137,7 @@
   aReplica.mSince = mView->mNow;
   aReplica.mLeavingSince.reset();
   aReplica.mMemberLost = false;
+  aReplica.mHeadUnknown = false;
   mPending.erase(aReplica.mMembers.front() + " open");
 }
 
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -85,6 +85,7 @@
       const auto model = mInFlightOf.find(mPool.At(aHead).mModel);
       return model == mInFlightOf.end() ? mInFlight : model->second;
     };
+    view.mInFlightAtFormerHead = [this](const std::string&, std::uint64_t) { return mInFlight; };
     view.mStandsStill = [this](const std::string& aHead) { return StandsStill(aHead); };
     if (++mRounds % 35 == 0) { // about every 700 ms whoever left orders unanswered is asked
       const auto unanswering = aPlanner.Unanswering();
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -124,6 +124,21 @@
   EXPECT_EQ(ends[0].mEnd.mSuspicion, Suspicion::kPresent);
 }
 
+/// A plain engine answers when it is done, so a request without an answer may be the cause.
+TEST_F(RelaySuspects, ARequestWithoutAnAnswerAtAPlainEngineThatEndsIsSuspected)
+{
+  MortalEngine mortal(false);
+  Serve({ mortal.mEngine.get() });
+  auto answer =
+    std::async(std::launch::async, [this] { return Ask(Post("/once/", "x", "Key: k1\r\n")); });
+  mortal.EndOnceAsked();
+  EXPECT_EQ(StatusOf(answer.get()), 502);
+  const auto ends = WaitForEnds(1);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].mRequest, KeyOfRequest("school", "h", "/once/", "x"));
+  EXPECT_EQ(ends[0].mEnd.mSuspicion, Suspicion::kBegun);
+}
+
 /// Engines that reset connections and live, or sit behind a link that does, would have harmless
 /// requests refused.
 TEST_F(RelaySuspects, AnEngineThatBreaksOffAndLivesRaisesNoSuspicion)
