--- /dev/null
+++ b/scripts/mutants/suspects.sh
@@ -0,0 +1,57 @@
+# Mechanisms that hold back requests under which engines end; read by scripts/mutants.sh.
+# shellcheck shell=bash disable=SC2154
+relay=$s/relay
+coordinator=$s/coordinator
+quarantine=$s/quarantine
+suspects=coordinator_coordinator_suspects_test
+mutant "an engine that several nodes saw end counts for each" $quarantine/crash_book.cpp \
+  's/if \(known \&\& it->mSuspicion >= aEnd.mSuspicion\)/if (false)/; s/  if \(known\) \{/  if (false) {/' \
+  quarantine_crash_book_test '*CountsEachEngineOnce*'
+mutant "bystanders count like the request that had just begun" $quarantine/crash_book.cpp \
+  's/mScore \+= static_cast<int>\(aEnd.mSuspicion\);/mScore += 2;/' quarantine_crash_book_test '*ABystander*'
+mutant "further engines lengthen nothing" $quarantine/crash_book.cpp \
+  's/mOptions.mQuarantine \* \(1 << .*\);/mOptions.mQuarantine;/; s/const int further =/[[maybe_unused]] const int further =/' \
+  quarantine_crash_book_test '*FurtherEngine*'
+mutant "the book has no bound" $quarantine/crash_book.cpp \
+  's/    MakeRoom\(\);/    ;/' quarantine_crash_book_test '*BoundedNumber*'
+mutant "the caller is no part of a request's key" $quarantine/request_key.cpp \
+  's/return \{ Hash64\(aCustomer\)/return { Hash64(aCustomer.substr(0, 0))/' quarantine_request_key_test '*KeepsCallersApart*'
+mutant "ends are not told" $coordinator/suspect_keeper.cpp \
+  's/  mToTell\[aKey\] = mOptions.mTellTimes;/  ;/' $suspects '*AddUpEverywhere*'
+mutant "ends are told once" $coordinator/suspect_keeper.hpp \
+  's/int mTellTimes = 3/int mTellTimes = 1/' $suspects '*ALostMessage*'
+mutant "records are not written" $coordinator/suspect_keeper.cpp \
+  's/return mOwn.count\(aKey\) != 0 .*/return false;/' $suspects '*StartsLater*'
+mutant "only observers write records" $coordinator/suspect_keeper.cpp \
+  's/\(aHoldsLease \&\& waited\)/(aHoldsLease \&\& waited \&\& false)/' $suspects '*TheHolderWrites*'
+mutant "records of the nodes' log are not read" $coordinator/coordinator_peers.cpp \
+  's/mSuspects.OnRecord\(aRecord.mKey, aRecord.mValue\);/;/' $suspects '*ThroughTheStore*'
+mutant "writes have no rate" $coordinator/suspect_keeper.hpp \
+  's/mWriteEvery = std::chrono::milliseconds\(100\)/mWriteEvery{ 0 }/' $suspects '*BoundedRate*'
+mutant "failed writes are made again at once" $coordinator/suspect_keeper.cpp \
+  's/done.mDue = Now\(\) \+ done.mPause;/done.mDue = Now();/' $suspects '*OnceTheStoreIsBack*'
+mutant "a run to the end is not told" $coordinator/suspect_keeper.cpp \
+  's/request.set_cleared\(true\);/request.set_cleared(false);/' $suspects '*ARunToTheEnd*'
+mutant "what was cleared is taken up again" $coordinator/suspect_keeper.cpp \
+  's/if \(cleared != mCleared.end\(\).*/if (false) {/' $suspects '*NotTakenUpAgain*'
+mutant "a living engine counts as ended" $relay/ending_probe.cpp \
+  's/if \(aError == asio::error::connection_refused\)/if (true)/' relay_relay_suspects_test '*AndLives*'
+mutant "what waited counts as begun" $relay/exchange_suspect.cpp \
+  's/begun \? Suspicion::kBegun : Suspicion::kPresent/Suspicion::kBegun/' relay_relay_suspects_test '*IsSuspectedLess*'
+mutant "held back requests are sent" $relay/exchange.cpp \
+  's/  if \(IsHeldBack\(\)\) \{/  if (false) {/' relay_relay_suspects_test '*RefusedAtOnce*'
+mutant "a refusal names the usual time" $relay/exchange_ends.cpp \
+  's/std::max\(mCore->mOptions.mRetryAfter, HeldFor\(\)\)/mCore->mOptions.mRetryAfter/' \
+  relay_relay_suspects_test '*RefusedAtOnce*'
+mutant "a suspect goes to a second engine at once" $relay/exchange_suspect.cpp \
+  's/\(mBrokenOff \&\& .*\);/false;/' relay_relay_suspects_test '*NotSentToASecond*'
+mutant "copies that have begun go on" $relay/exchange_ends.cpp \
+  's/  if \(StopIfHeldBack\(\)\) \{/  if (false) {/' relay_relay_suspects_test '*IsStopped*'
+mutant "streams that run for long are cut" $relay/exchange_suspect.cpp \
+  's/if \(proven \|\| mNext\)/if (mNext)/' relay_relay_suspects_test '*RunsForLong*'
+mutant "a run to the end is not noted" $relay/exchange_suspect.cpp \
+  's/    mCore->mHooks.mOnRanWhole\(mKey\);/    ;/' relay_relay_suspects_test '*TimeIsOver*'
+mutant "a head that has ended is not told to the holder" $relay/relay.cpp \
+  's/  if \(head\) \{/  if (false) {/' relay_relay_suspects_test '*WithItsStreams*'
+mutant "a head that refuses connections is not told" $relay/exchange_suspect.cpp \
+  's/if \(aEnd.mGone \&\& .*/if (false) {/' relay_relay_suspects_test '*RefusesConnections*'
