A request that has just run to its end is not suspected of an engine's end

What callers would have seen (found by reading, no run showed it): a request that many callers send all the time, such as a GET without a body, is in progress at every engine that ends; two plain engines that end at once would have it refused to all of them for 2 to 4 s, and the copies in progress stopped, so that none could clear it. Change: a node remembers for 30 s what ran to its end there, in a table of fixed size; an end is not charged to it, and a node that hears of such a suspect clears it on all nodes. A request that ends engines never runs to its end. Evidence: two tests of relay_suspects_test, recent_runs_test; four mutants. The first of the relay's tests fails without the check (the request is among the ends).

Also a test that failed once beside load, RelayMoves.AHeadThatHasRefusedIsNotAskedAgainAtOnce: traced to its stand-in, which closes after each answer without saying so; a request that crosses the close on a kept connection is failed, and the other engine refuses. What it asks is as it was.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -11,8 +11,9 @@
 pepperbay_library(membership SOURCES roster.cpp evidence.cpp shared_evidence.cpp engine_directory.cpp
                           stall_detector.cpp
                   TESTS membership_test.cpp engine_directory_test.cpp USES base proto) # pure
-pepperbay_library(quarantine SOURCES request_key.cpp crash_book.cpp
-                  TESTS request_key_test.cpp crash_book_test.cpp USES base) # pure
+pepperbay_library(quarantine SOURCES request_key.cpp crash_book.cpp recent_runs.cpp
+                  TESTS request_key_test.cpp crash_book_test.cpp recent_runs_test.cpp
+                  USES base) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp
                   USES base quarantine) # pure
--- a/scripts/mutants/suspects.sh
+++ b/scripts/mutants/suspects.sh
@@ -49,8 +49,16 @@
   's/  if \(StopIfHeldBack\(\)\) \{/  if (false) {/' relay_relay_suspects_test '*IsStopped*'
 mutant "streams that run for long are cut" $relay/exchange_suspect.cpp \
   's/if \(proven \|\| mNext\)/if (mNext)/' relay_relay_suspects_test '*RunsForLong*'
-mutant "a run to the end is not noted" $relay/exchange_suspect.cpp \
-  's/    mCore->mHooks.mOnRanWhole\(mKey\);/    ;/' relay_relay_suspects_test '*TimeIsOver*'
+mutant "a run to the end is not noted" $relay/relay.cpp \
+  's/    mHooks.mOnRanWhole\(aKey\);/    ;/' relay_relay_suspects_test '*TimeIsOver*'
+mutant "what ran lately is suspected" $relay/relay.cpp \
+  's/if \(!ran \&\& /if (/' relay_relay_suspects_test '*HasJustRunToItsEndIsNot*'
+mutant "what ran lately is not cleared" $relay/relay.cpp \
+  's/  if \(suspects\) \{/  if (false) {/' relay_relay_suspects_test '*ClearsWhat*'
+mutant "a run is remembered for ever" $quarantine/recent_runs.cpp \
+  's/ \&\& aNow - run.mAt < kFor/ \&\& aNow >= run.mAt/' quarantine_recent_runs_test '*ForAWhile*'
+mutant "a run counts for another request" $quarantine/recent_runs.cpp \
+  's/run.mKey == aKey \&\& //' quarantine_recent_runs_test '*NeverTakes*'
 mutant "a head that has ended is not told to the holder" $relay/relay.cpp \
   's/  if \(head\) \{/  if (false) {/' relay_relay_suspects_test '*WithItsStreams*'
 mutant "a head that refuses connections is not told" $relay/exchange_suspect.cpp \
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -480,7 +480,7 @@
     return;
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
-  NoteRanWhole();
+  mCore->OnRanWhole(mKey);
   ++mCore->mCounters.mAnswered;
   if (!mStreamStarted) {
     // A stream without any event; its end says that it is whole.
@@ -518,7 +518,7 @@
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
   if (mStatus < kServerFailure) {
-    NoteRanWhole();
+    mCore->OnRanWhole(mKey);
   }
   mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -140,8 +140,6 @@
   void NoteEnd(const Sending& aSending, const AttemptEnd& aEnd);
   /// An engine has started again since, so it has ended.
   void NoteRestarted(const Sending& aSending);
-  /// An engine ran the request to its end.
-  void NoteRanWhole();
   /// Stop what an engine has only begun, where the request is held back by now.
   /// @return whether the request is over
   bool StopIfHeldBack();
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -54,14 +54,6 @@
   }
 }
 
-void
-Exchange::NoteRanWhole()
-{
-  if (mCore->SuspectOf(mKey).mScore > 0 && mCore->mHooks.mOnRanWhole) {
-    mCore->mHooks.mOnRanWhole(mKey);
-  }
-}
-
 bool
 Exchange::StopIfHeldBack()
 {
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -69,7 +69,11 @@
   if (mPlan) {
     ForgetReplacedStarts(mPlan->mStarts, aPlan->mStarts);
   }
+  const bool suspects = aPlan->mSuspects && (!mPlan || aPlan->mSuspects != mPlan->mSuspects);
   mPlan = std::move(aPlan);
+  if (suspects) {
+    ClearThoseThatRan(*mPlan->mSuspects);
+  }
   mPlaces.SetPlan(mPlan);
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
@@ -125,6 +129,25 @@
   return it == mPlan->mSuspects->end() ? SuspectRequest{} : it->second;
 }
 
+void
+RelayCore::OnRanWhole(const RequestKey& aKey)
+{
+  mRuns.OnRun(aKey, Now());
+  if (SuspectOf(aKey).mScore > 0 && mHooks.mOnRanWhole) {
+    mHooks.mOnRanWhole(aKey);
+  }
+}
+
+void
+RelayCore::ClearThoseThatRan(const SuspectRequests& aSuspects)
+{
+  for (const auto& [key, suspect] : aSuspects) {
+    if (mRuns.HasRun(key, Now()) && mHooks.mOnRanWhole) {
+      mHooks.mOnRanWhole(key);
+    }
+  }
+}
+
 void
 RelayCore::OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
 {
@@ -136,13 +159,15 @@
     OnHeadGone(aEngine.mEngine, aRequests.front().mAt);
   }
   for (const auto& it : aRequests) {
+    const bool ran = mRuns.HasRun(it.mKey, Now());
     Log("engine_ended",
         { { "engine", aEngine.mEngine },
           { "request", it.mRequest },
           { "key", ToString(it.mKey) },
           { "begun", it.mSuspicion == Suspicion::kBegun ? "true" : "false" },
+          { "ran_before", ran ? "true" : "false" },
           { "age_ms", std::to_string(ToMs(Now() - it.mAt).count()) } });
-    if (mHooks.mOnEngineEnded) {
+    if (!ran && mHooks.mOnEngineEnded) {
       mHooks.mOnEngineEnded(it.mKey, { start, it.mSuspicion, it.mAt });
     }
   }
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -5,6 +5,7 @@
 #include "connection_pool.hpp"
 #include "ending_probe.hpp"
 #include "pepperbay/admission/retry_budget.hpp"
+#include "pepperbay/quarantine/recent_runs.hpp"
 #include "pepperbay/relay/relay.hpp"
 
 #include <set>
@@ -33,6 +34,10 @@
   RetryBudget::Options BudgetOfThisNode() const;
   /// @return what is known against a request; a score of 0 for nothing.
   SuspectRequest SuspectOf(const RequestKey& aKey) const;
+  /// An engine ran a request to its end, so it is not the cause of any engine's end.
+  void OnRanWhole(const RequestKey& aKey);
+  /// Clear those that have lately run to their end at this node; others have seen only the ends.
+  void ClearThoseThatRan(const SuspectRequests& aSuspects);
   /// An engine has ended while it had requests of this node.
   void OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests);
   /// A replica's head listens no more: have the holder ask its members.
@@ -52,6 +57,7 @@
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
   EndingProbe mEndings;
+  RecentRuns mRuns;
   RelayCounters mCounters;
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
--- a/src/pepperbay/relay/relay_moves_test.cpp
+++ b/src/pepperbay/relay/relay_moves_test.cpp
@@ -309,11 +309,15 @@
 {
   RawEngine refuses([](RawConnection& aConnection) {
     aConnection.ReadRequest();
-    aConnection.Write("HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    aConnection.Write("HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nConnection: close\r\n"
+                      "Content-Length: 0\r\n\r\n");
   });
   RawEngine serves([](RawConnection& aConnection) {
     aConnection.ReadRequest();
-    aConnection.Write(StreamHead() + kEventA + kStreamEnd);
+    // It closes after each answer, and says so: a request that crosses the close would be failed.
+    aConnection.Write(std::string(kHead) +
+                      "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + kEventA +
+                      kStreamEnd);
   });
   Serve({ &refuses, &serves });
   OfferSecond();
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -7,10 +7,11 @@
 constexpr const char* kEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
 constexpr const char* kStreamEnd = "0\r\n\r\n";
 
+/// The engines here close after each answer, and say so.
 std::string
 StreamHead()
 {
-  return std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  return std::string(kHead) + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 class RelaySuspects : public RelayTest
@@ -42,25 +43,42 @@
   /// Reads a request, begins to answer it where asked to, and ends: its listener with it.
   struct MortalEngine
   {
-    explicit MortalEngine(bool aAnswers)
-      : mEngine(std::make_unique<RawEngine>([this, aAnswers](RawConnection& aConnection) {
+    /// @param aRuns it answers whole while this is so
+    explicit MortalEngine(bool aAnswers, const std::atomic<bool>* aRuns = nullptr)
+      : mEngine(std::make_unique<RawEngine>([this, aAnswers, aRuns](RawConnection& aConnection) {
         aConnection.ReadRequest();
+        if (aRuns != nullptr && *aRuns) {
+          aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+          return;
+        }
         if (aAnswers) {
           aConnection.Write(StreamHead());
         }
-        mGot.set_value();
+        {
+          const std::lock_guard<std::mutex> lock(mMutex);
+          ++mGot;
+          mAsked.notify_all();
+        }
         aConnection.ReadToEnd();
       }))
     {
     }
 
-    void EndOnceAsked()
+    void WaitUntilAsked(int aRequests = 1)
+    {
+      std::unique_lock<std::mutex> lock(mMutex);
+      mAsked.wait(lock, [&] { return mGot >= aRequests; });
+    }
+
+    void EndOnceAsked(int aRequests = 1)
     {
-      mGot.get_future().wait();
+      WaitUntilAsked(aRequests);
       mEngine.reset();
     }
 
-    std::promise<void> mGot;
+    std::mutex mMutex;
+    std::condition_variable mAsked;
+    int mGot = 0; ///< requests that it has begun
     std::unique_ptr<RawEngine> mEngine;
   };
 };
@@ -191,6 +209,41 @@
   EXPECT_EQ(mRanWhole, 1); // which clears it on all nodes
 }
 
+/// A request that many callers send all the time is at each engine that ends; it would be refused
+/// to all of them.
+TEST_F(RelaySuspects, ARequestThatHasJustRunToItsEndIsNotSuspected)
+{
+  std::atomic<bool> runs{ true };
+  MortalEngine mortal(true, &runs);
+  Serve({ mortal.mEngine.get() });
+  EXPECT_EQ(StatusOf(AskStream()), 200);
+  runs = false;
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  auto other =
+    std::async(std::launch::async, [this] { return Ask(Post("/stream/", "y", "Model: m\r\n")); });
+  mortal.EndOnceAsked(2);
+  answer.get();
+  other.get();
+  const auto ends = WaitForEnds(1);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].mRequest, KeyOfRequest("", "h", "/stream/", "y"));
+}
+
+/// Nodes that saw only the ends hold it back; one that has just had it answered knows better.
+TEST_F(RelaySuspects, ANodeClearsWhatHasJustRunToItsEndThere)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(AskStream()), 200);
+  EXPECT_EQ(mRanWhole, 0);
+  Suspect(4, seconds(2));
+  Counters(); // the plan is in force
+  EXPECT_EQ(mRanWhole, 1);
+}
+
 /// A second engine would end as the first one did.
 TEST_F(RelaySuspects, ASuspectRequestIsNotSentToASecondEngineWhenItsFirstBreaksOff)
 {
@@ -203,7 +256,7 @@
   mPlan.mReplicas["pool"][1].mSuspended = true;
   Suspect(2, -seconds(1));
   auto answer = std::async(std::launch::async, [this] { return AskStream(); });
-  first.mGot.get_future().wait();
+  first.WaitUntilAsked();
   mPlan.mReplicas["pool"][1].mSuspended = false;
   Publish();
   Counters(); // the plan is in force
