coordinator: suspicions that hold nothing back are passed on once, and bounded

Found in reading the change. Cause: each crash of an engine leaves suspicions for all requests there, mostly of bystanders; delegates told each three times to all that rely on them, each change of the book made a new plan at once, and the notes of requests that this node had seen at a crash were kept after the book had made room. Words that could not be read were counted and shown nowhere. Change: what holds nothing back is passed on once and reaches traffic with the next plan; what is held back goes as before. Evidence: WhatHoldsNothingBackIsPassedOnOnce; all tests of coordinator and EdgePathFatalRequest pass.

--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -267,7 +267,7 @@
   const TimePoint now = Now();
   const bool changed = mChanged || mDirectory.Revision() != mPublishedRevision;
   const bool build = changed && now - mBuilt >= kBuildEvery;
-  const bool suspects = mSuspects.Book().Revision() != mPublishedSuspects;
+  const bool suspects = mSuspects.HeldRevision() != mPublishedHeld;
   if (!build && !suspects && mPlan && now < mPublishDue) {
     return;
   }
@@ -300,6 +300,7 @@
 Coordinator::Impl::PublishSuspects()
 {
   const CrashBook& book = mSuspects.Book();
+  mPublishedHeld = mSuspects.HeldRevision();
   if (mSuspectRequests && book.Revision() == mPublishedSuspects) {
     return;
   }
@@ -408,6 +409,7 @@
   mImpl->mCounters.mAsks = mImpl->mDoubts.Asked();
   mImpl->mCounters.mSuspectRequests = mImpl->mSuspects.Book().Size();
   mImpl->mCounters.mHeldRequests = mImpl->HeldRequests();
+  mImpl->mCounters.mBadSuspects = mImpl->mSuspects.BadRecords();
   return mImpl->mCounters;
 }
 
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -170,6 +170,7 @@
   std::uint64_t mPlannedFence = 0;
   std::uint64_t mPublishedRevision = 0;
   std::uint64_t mPublishedSuspects = 0; ///< revision of the book that the plan goes by
+  std::uint64_t mPublishedHeld = 0;     ///< the same for what is held back, which is told at once
   std::shared_ptr<const SuspectRequests> mSuspectRequests; ///< as the plan has them
   std::shared_ptr<const TrafficPlan> mPlan;                ///< the last that was published
   bool mChanged = true;
--- a/src/pepperbay/coordinator/coordinator_suspects_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_suspects_test.cpp
@@ -237,6 +237,30 @@
   EXPECT_EQ(Of(mNodes[1]).mScore, 2); // a later end counts
 }
 
+/// A domain that ends leaves a suspicion for each request there; told again and again to hundreds
+/// of nodes they would be most of what those hear.
+TEST_F(Suspects, WhatHoldsNothingBackIsPassedOnOnce)
+{
+  AddNode("a");
+  AddNode("b");
+  AddNode("c");
+  AddNode("d");
+  Run(seconds(2));
+  std::map<std::string, int> told;
+  mOnSend = [&told](const std::string&, const proto::PeerMessage& aMessage) {
+    told[aMessage.node()] += aMessage.has_suspects() ? 1 : 0;
+  };
+  for (std::uint64_t key = 0; key < 50; ++key) {
+    SeesEnd(mNodes[3], 1, { 1, key });
+  }
+  Run(seconds(2));
+  EXPECT_EQ(Of(mNodes[0], { 1, 49 }).mScore, 2);
+  EXPECT_LE(told["d"], 9); // three times, to three peers at most
+  for (const char* it : { "a", "b", "c" }) {
+    EXPECT_LE(told[it], 3) << it;
+  }
+}
+
 /// A caller with two hundred such requests would use up the calls that all nodes share.
 TEST_F(Suspects, ManyRequestsAreWrittenAtABoundedRate)
 {
@@ -267,6 +291,7 @@
   mNodeLog.Put("held/00000000000000010000000000000003", other.SerializeAsString());
   Run(seconds(1));
   EXPECT_TRUE(mNodes[0].mPlan->mSuspects->empty());
+  EXPECT_EQ(mNodes[0].mCoordinator->Counters().mBadSuspects, 2U);
 }
 
 } // namespace
--- a/src/pepperbay/coordinator/suspect_keeper.cpp
+++ b/src/pepperbay/coordinator/suspect_keeper.cpp
@@ -50,10 +50,10 @@
 SuspectKeeper::OnEnd(const RequestKey& aKey, const EngineEnd& aEnd)
 {
   const TimePoint before = mBook.HeldUntil(aKey);
-  mOwn.insert(aKey);
-  if (!mBook.Add(aKey, aEnd, Now())) {
+  if (IsCleared(aKey, aEnd.mEngine) || !mBook.Add(aKey, aEnd, Now())) {
     return;
   }
+  mOwn.insert(aKey);
   OnMore(aKey, before, "own");
   mToTell[aKey] = mOptions.mTellTimes;
   mTellDue = Now();
@@ -93,6 +93,7 @@
     cleared.mEngines.insert(it.mEngine);
   }
   if (held) {
+    ++mHeldRevision;
     mHooks.mLog("request_released", { { "key", ToString(aKey) }, { "reason", aReason } });
   }
   DropNotes(aKey);
@@ -102,6 +103,13 @@
   return true;
 }
 
+bool
+SuspectKeeper::IsCleared(const RequestKey& aKey, std::uint64_t aEngine) const
+{
+  const auto it = mCleared.find(aKey);
+  return it != mCleared.end() && it->second.mEngines.count(aEngine) != 0;
+}
+
 void
 SuspectKeeper::DropNotes(const RequestKey& aKey)
 {
@@ -117,7 +125,6 @@
   const RequestKey key = KeyOf(aRequest);
   const TimePoint now = Now();
   const TimePoint before = mBook.HeldUntil(key);
-  const auto cleared = mCleared.find(key);
   bool isNew = false;
   for (const auto& it : aRequest.ends()) {
     const auto suspicion = SuspicionOf(it.suspicion());
@@ -126,10 +133,9 @@
       continue;
     }
     const EngineEnd end{ it.engine(), *suspicion, now - std::chrono::milliseconds(it.age_ms()) };
-    if (cleared != mCleared.end() && cleared->second.mEngines.count(end.mEngine) != 0) {
-      continue;
+    if (!IsCleared(key, end.mEngine)) {
+      isNew = mBook.Add(key, end, now) || isNew;
     }
-    isNew = mBook.Add(key, end, now) || isNew;
   }
   if (isNew) {
     OnMore(key, before, aBy);
@@ -147,6 +153,7 @@
   if (until <= aBefore) {
     return;
   }
+  ++mHeldRevision;
   const auto ends = mBook.Ends(aKey);
   const auto last =
     std::max_element(ends.begin(), ends.end(), [](const auto& aLeft, const auto& aRight) {
@@ -175,7 +182,7 @@
         mTellDue = Now();
       }
     } else if (Take(it, "peer") && aPassOn) {
-      mToTell[key] = mOptions.mTellTimes;
+      mToTell[key] = mBook.HeldUntil(key) > Now() ? mOptions.mTellTimes : 1;
       mTellDue = Now();
     }
   }
@@ -252,6 +259,9 @@
     DropNotes(it);
   }
   // The book makes room for more suspected requests as well.
+  for (auto it = mOwn.begin(); it != mOwn.end();) {
+    it = mBook.Score(*it) == 0 ? mOwn.erase(it) : std::next(it);
+  }
   for (auto it = mLasting.begin(); it != mLasting.end();) {
     const RequestKey key = (it++)->first;
     if (mBook.Score(key) == 0) {
--- a/src/pepperbay/coordinator/suspect_keeper.hpp
+++ b/src/pepperbay/coordinator/suspect_keeper.hpp
@@ -25,7 +25,7 @@
   std::string mNode;
   CrashBookOptions mBook;
   /// A message that is lost is made good by the next; after so many they all are, or the peer is
-  /// away.
+  /// away. What holds nothing back is passed on once: each crash of an engine brings some of that.
   int mTellTimes = 3;
   Duration mTellEvery = std::chrono::milliseconds(200);
   /// Shortest time between two writes of this node. A caller with many such requests must not use
@@ -82,6 +82,8 @@
   void Tick(bool aHoldsLease);
 
   const CrashBook& Book() const { return mBook; }
+  /// Grows whenever a request is held back, for longer, or no more.
+  std::uint64_t HeldRevision() const { return mHeldRevision; }
   /// Words of peers or records that could not be read.
   std::uint64_t BadRecords() const { return mBadRecords; }
 
@@ -109,6 +111,8 @@
   /// Take ends into the book. @param aBy who says so, for the log. @return whether one was new
   bool Take(const proto::SuspectRequest& aRequest, const char* aBy);
   bool Forget(const RequestKey& aKey, const char* aReason);
+  /// @return whether an engine's end counts no more against a request.
+  bool IsCleared(const RequestKey& aKey, std::uint64_t aEngine) const;
   /// Drop what is kept beside the book.
   void DropNotes(const RequestKey& aKey);
   /// The book has more of a request. @param aBefore until when it was held back before
@@ -139,6 +143,7 @@
   TimePoint mWriteDue{};
   TimePoint mExpireDue{};
   std::uint64_t mBadRecords = 0;
+  std::uint64_t mHeldRevision = 0;
 };
 
 } // namespace pepperbay
