--- a/src/pepperbay/coordinator/coordinator_tree_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_tree_test.cpp
@@ -336,5 +336,22 @@
   }
 }
 
+/// Ends that nodes of three data centres see have to add up at all nodes long before the request is
+/// repeated everywhere.
+TEST_F(TreeTest, ARequestIsHeldBackByAllNodesAFewMessagesAfterItsThirdEngineEnded)
+{
+  const RequestKey key{ 1, 2 };
+  for (int centre = 0; centre < kCentres; ++centre) {
+    const EngineEnd end{ static_cast<std::uint64_t>(centre), Suspicion::kBegun, mClock.Now() };
+    At(Name(centre, 5)).mCoordinator->OnEngineEnded(key, end);
+  }
+  Run(milliseconds(200));
+  for (const auto& it : mNodes) {
+    const auto suspect = it.mPlan->mSuspects->find(key);
+    ASSERT_NE(suspect, it.mPlan->mSuspects->end()) << it.mName;
+    EXPECT_GT(suspect->second.mHeldUntil, mClock.Now() + std::chrono::minutes(1)) << it.mName;
+  }
+}
+
 } // namespace
 } // namespace pepperbay
