wire: an idle connection is disconnected before it is closed

Cause: ZeroMQ closes a socket by another thread some time later, and until then it goes on connecting; a peer that comes back in that moment gets what waits. Change: the connection is disconnected first, which its I/O thread carries out before anything that is sent later.

--- a/src/pepperbay/wire/peer_link.cpp
+++ b/src/pepperbay/wire/peer_link.cpp
@@ -120,6 +120,7 @@
   struct Connection
   {
     zmq::socket_t mSocket;
+    std::string mEndpoint;
     TimePoint mUsed;
   };
 
@@ -189,14 +190,16 @@
                static_cast<int>(ToMs(mOptions.mReconnectFirst).count()));
     socket.set(zmq::sockopt::reconnect_ivl_max,
                static_cast<int>(ToMs(mOptions.mReconnectMost).count()));
+    const std::string from = mOptions.mSource.empty() ? "" : mOptions.mSource + ":0;";
+    const std::string endpoint = "tcp://" + from + aAddress;
     try {
-      const std::string from = mOptions.mSource.empty() ? "" : mOptions.mSource + ":0;";
-      socket.connect("tcp://" + from + aAddress);
+      socket.connect(endpoint);
     } catch (const zmq::error_t&) {
       return nullptr;
     }
     ++mCounters.mConnections;
-    return &mOut.emplace(aAddress, Connection{ std::move(socket), mOptions.mNow() }).first->second;
+    Connection connection{ std::move(socket), endpoint, mOptions.mNow() };
+    return &mOut.emplace(aAddress, std::move(connection)).first->second;
   }
 
   /// Also drops what still waits for a peer that has been away for so long.
@@ -208,7 +211,18 @@
     }
     mNextSweep = now + mOptions.mIdle / 4;
     for (auto it = mOut.begin(); it != mOut.end();) {
-      it = now - it->second.mUsed >= mOptions.mIdle ? mOut.erase(it) : std::next(it);
+      if (now - it->second.mUsed < mOptions.mIdle) {
+        ++it;
+        continue;
+      }
+      // A socket is closed by another thread some time later; until then it would connect to a peer
+      // that is back, and deliver what waits.
+      try {
+        it->second.mSocket.disconnect(it->second.mEndpoint);
+      } catch (const zmq::error_t&) {
+        ++mCounters.mDropped; // the library has no such endpoint any more
+      }
+      it = mOut.erase(it);
     }
     mCounters.mConnections = mOut.size();
   }
