A store that comes back from an older copy loses nothing for good

Class: what was acknowledged is taken for lasting. Change: the platform's client puts the era above the offset, so a later era's are greater than all before, fencing numbers and epochs with them; an answer of another era than the offset that was asked about is told as such, and the log is read again as a whole; a claim that lands in another era counts as not taken. Engines that are missing then are kept for the usual grace, those that had left are taken only if they stay listed; nodes write their own records and the requests held back again. Left: calls of many nodes are not spread; a node that starts in those seconds.

--- a/fakes/fake_keyed_log.hpp
+++ b/fakes/fake_keyed_log.hpp
@@ -4,8 +4,10 @@
 
 #include "pepperbay/journal/keyed_log.hpp"
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pepperbay {
@@ -22,6 +24,7 @@
   void Put(const std::string& aKey, std::optional<std::string> aValue)
   {
     mRecords.push_back({ mEnd++, { aKey, aValue } });
+    mAll.push_back({ aKey, aValue });
     if (aValue) {
       mNewest[aKey] = *aValue;
     } else {
@@ -29,6 +32,22 @@
     }
   }
 
+  /// Come back from a copy that lacks the last records; their offsets are void. What is written
+  /// from here on has greater ones than all before.
+  void GoBack(std::size_t aRecords)
+  {
+    mAll.resize(mAll.size() - std::min(aRecords, mAll.size()));
+    constexpr std::uint64_t kEra = std::uint64_t{ 1 } << 40;
+    mFirst = (mEnd / kEra + 1) * kEra;
+    mEnd = mFirst;
+    mRecords.clear();
+    mNewest.clear();
+    for (const auto& it : std::exchange(mAll, {})) {
+      Put(it.mKey, it.mValue);
+    }
+    mRestoredAt = mFirst;
+  }
+
   /// Delete what was written so far, but for the newest of each key.
   void Compact()
   {
@@ -66,6 +85,8 @@
       ++mCalls;
       if (mDown) {
         aDone(Error{ Errc::kUnavailable, "log.read", "store", "" });
+      } else if (aFrom < mRestoredAt) {
+        aDone(Error{ Errc::kRestored, "log.read", "store", "" });
       } else if (aFrom < mFirst) {
         aDone(Error{ Errc::kNotFound, "log.read", "store", "" });
       } else {
@@ -84,6 +105,8 @@
   }
 
   std::vector<Entry> mRecords;
+  std::vector<KeyedRecord> mAll; ///< written since the beginning, deleted or not
+  std::uint64_t mRestoredAt = 0; ///< offsets before this are of an earlier era
   std::map<std::string, std::string> mNewest;
   std::uint64_t mEnd = 0;
   std::uint64_t mFirst = 0;
--- a/fakes/fake_lease_log.hpp
+++ b/fakes/fake_lease_log.hpp
@@ -23,10 +23,18 @@
     kLate,
   };
 
+  /// Come back from a copy that lacks the last records; see FakeKeyedLog::GoBack().
+  void GoBack(std::size_t aRecords)
+  {
+    mRecords.resize(mRecords.size() - std::min(aRecords, mRecords.size()));
+    constexpr std::uint64_t kEra = std::uint64_t{ 1 } << 32;
+    mBase += kEra;
+  }
+
   ConditionalAppend Append(std::uint64_t aEnd, const std::string& aRecord)
   {
     ConditionalAppend result;
-    result.mAppended = aEnd == mRecords.size();
+    result.mAppended = aEnd == mBase + mRecords.size();
     if (result.mAppended) {
       mRecords.push_back(aRecord);
     }
@@ -61,8 +69,12 @@
         return;
       }
       LeaseTail tail;
-      tail.mFirst = std::max<std::uint64_t>(aFrom, mFirst);
-      for (std::size_t i = tail.mFirst; i < mRecords.size(); ++i) {
+      tail.mFirst = std::max<std::uint64_t>(aFrom, mBase + mFirst);
+      if (aFrom < mBase) {
+        aDone(tail); // of an earlier era: where to read from
+        return;
+      }
+      for (std::size_t i = tail.mFirst - mBase; i < mRecords.size(); ++i) {
         tail.mRecords.push_back(mRecords[i]);
       }
       aDone(tail);
@@ -80,6 +92,7 @@
 
   std::vector<std::string> mRecords;
   std::size_t mFirst = 0;
+  std::uint64_t mBase = 0; ///< rises when the log comes back from an older copy
   bool mDown = false;
   std::vector<std::pair<std::uint64_t, std::string>> mLate;
   std::function<Fate()> mFate;
--- a/include/pepperbay/base/error.hpp
+++ b/include/pepperbay/base/error.hpp
@@ -12,6 +12,7 @@
 {
   kInvalid,     ///< the input is wrong and will stay wrong
   kNotFound,    ///< the thing named does not exist
+  kRestored,    ///< the peer has come back from an older copy; what it gave out since is void
   kConflict,    ///< somebody else's change came first
   kUnavailable, ///< the peer cannot be reached or refuses for now
   kTimeout,     ///< no answer in time; the effect is unknown
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -133,6 +133,7 @@
   std::uint64_t mFormerStarts = 0;     ///< words of a start that has been replaced; not taken
   std::uint64_t mSuspectRequests = 0;  ///< under which engines have ended; now
   std::uint64_t mHeldRequests = 0;     ///< of these, held back; now
+  std::uint64_t mStoreRestored = 0;    ///< logs that came back from an older copy
   std::uint64_t mBadSuspects = 0;      ///< words of suspect requests that could not be read
 };
 
--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -36,7 +36,8 @@
 };
 
 /// Calls to the log; each answers exactly once. A read of records that were deleted answers with
-/// Errc::kNotFound.
+/// Errc::kNotFound; one from an offset that a log which has come back from an older copy gave out
+/// before answers with Errc::kRestored. Offsets given out afterwards are greater than all before.
 struct KeyedLogHooks
 {
   std::function<void(const std::string& aAfterKey, std::function<void(Result<KeyedPage>)>)> mNewest;
@@ -54,6 +55,9 @@
   std::function<void()> mOnBack;
   /// The log stopped answering.
   std::function<void(const Error&)> mOnLost;
+  /// The log has come back from an older copy: the list that follows may lack what was told before.
+  /// May be null.
+  std::function<void(const Error&)> mOnRestored = nullptr;
   /// Records were read from the log, before each is told: for passing them on. May be null.
   std::function<void(std::uint64_t aFrom, const KeyedTail&)> mOnTail = nullptr;
 };
--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -63,6 +63,7 @@
   kSameStart,   ///< first heard of, or the start that was known
   kNewStart,    ///< the engine has started again; nothing known of it holds any more
   kFormerStart, ///< written by a start that has been replaced, and not taken
+  kInDoubt,     ///< it had left before the store came back from an older copy; taken if it stays
 };
 
 /// Keeps the list through gaps of the store.
@@ -82,6 +83,8 @@
     /// A write of a former start may be carried out some ten seconds late; until then the start of
     /// an engine that is no longer listed is remembered, so that it does not count as new.
     Duration mRememberStarts = std::chrono::seconds(60);
+    /// Engines that have left are remembered for so long; copies of the store are seconds old.
+    Duration mRememberDropped = std::chrono::seconds(60);
   };
 
   EngineDirectory() = default;
@@ -97,7 +100,12 @@
   void KeepOnly(const std::set<std::string>& aIds, TimePoint aNow);
   /// The store answers again after it did not.
   void OnStoreBack(TimePoint aNow);
-  /// Drop what was kept through an outage and has not come back. @return whether any was
+  /// The store has come back from an older copy; the list that follows is as old as that. Engines
+  /// that it lacks are kept for a while, and engines that have left since are not taken for listed
+  /// until what they and the platform wrote has been written again.
+  void OnStoreRestored(TimePoint aNow);
+  /// Drop what was kept through an outage and has not come back, and take what was held back after
+  /// the store's return. @return whether anything changed
   bool Tick(TimePoint aNow);
 
   const EngineMap& Engines() const { return mEngines; }
@@ -120,7 +128,10 @@
   EngineMap mEngines;
   std::map<std::string, Start> mStarts;      ///< of engines that state one
   std::map<std::string, TimePoint> mMissing; ///< kept until then
+  std::map<std::string, TimePoint> mDropped; ///< engines that have left, and when
+  EngineMap mReturning;                      ///< listed again by an older copy of the store
   TimePoint mDoubtUntil{};                   ///< removals before this are held back
+  TimePoint mRestoredUntil{};                ///< returns before this are held back
   std::uint64_t mRevision = 0;
 };
 
--- a/src/pepperbay/base/error.cpp
+++ b/src/pepperbay/base/error.cpp
@@ -10,6 +10,8 @@
       return "invalid";
     case Errc::kNotFound:
       return "not found";
+    case Errc::kRestored:
+      return "restored";
     case Errc::kConflict:
       return "conflict";
     case Errc::kUnavailable:
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -109,11 +109,7 @@
                   mHooks.mNodeLog,
                   Events(
                     FollowedLog::kNodes,
-                    [this](const auto& aList) {
-                      for (const auto& it : aList) {
-                        OnNode(it);
-                      }
-                    },
+                    [this](const auto& aList) { OnNodeList(aList); },
                     [this](const KeyedRecord& aRecord) { OnNode(aRecord); }),
                   mHooks.mNow)
   , mLease(LeaseOptionsOf(mOptions), mHooks.mLeaseLog, mHooks.mNow)
@@ -155,12 +151,32 @@
     mDirectory.OnStoreBack(Now());
     mHooks.mLog("store_back", { { "log", name } });
   };
+  events.mOnRestored = [this, name, aLog](const Error& aError) {
+    mHooks.mLog("store_restored", { { "log", name }, { "error", ToString(aError) } });
+    OnStoreRestored(aLog);
+  };
   events.mOnLost = [this, name](const Error& aError) {
     mHooks.mLog("store_lost", { { "log", name }, { "error", ToString(aError) } });
   };
   return events;
 }
 
+void
+Coordinator::Impl::OnStoreRestored(FollowedLog aLog)
+{
+  ++mCounters.mStoreRestored;
+  switch (aLog) {
+    case FollowedLog::kConfiguration:
+      return; // a life of this process never goes back to an older version
+    case FollowedLog::kEngines:
+      mDirectory.OnStoreRestored(Now());
+      return;
+    case FollowedLog::kNodes:
+      mRecordWritten = false; // it may be gone, and nodes that start would not find this one
+      return;
+  }
+}
+
 void
 Coordinator::Impl::OnConfiguration(const KeyedRecord& aRecord)
 {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -29,7 +29,10 @@
   void OnEngineList(const std::vector<KeyedRecord>& aRecords);
   void TakeEngine(EngineRecord aEngine);
   void OnReport(const EngineRecord& aEngine, const EngineReport& aReport);
+  /// A log has come back from an older copy; its list is read again.
+  void OnStoreRestored(FollowedLog aLog);
   void OnNode(const KeyedRecord& aRecord);
+  void OnNodeList(const std::vector<KeyedRecord>& aRecords);
   void PutOwnRecord();
   void OnMessage(const std::string& aBytes);
   void OnBeat(const proto::PeerMessage& aMessage);
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -40,6 +40,15 @@
   }
 }
 
+void
+Coordinator::Impl::OnNodeList(const std::vector<KeyedRecord>& aRecords)
+{
+  mSuspects.OnListBegins();
+  for (const auto& it : aRecords) {
+    OnNode(it);
+  }
+}
+
 void
 Coordinator::Impl::PutOwnRecord()
 {
--- a/src/pepperbay/coordinator/coordinator_registrations.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations.cpp
@@ -51,6 +51,8 @@
       mDoubts.Forget(id);
       mHooks.mLog("engine_restarted", { { "engine", id } });
       break;
+    case EngineNews::kInDoubt:
+      return;
     case EngineNews::kSameStart:
       break;
   }
--- a/src/pepperbay/coordinator/suspect_keeper.hpp
+++ b/src/pepperbay/coordinator/suspect_keeper.hpp
@@ -77,6 +77,8 @@
   /// @return whether a key of the nodes' log is one of these records, and not a node's.
   static bool IsRecord(const std::string& aLogKey);
   void OnRecord(const std::string& aLogKey, const std::optional<std::string>& aValue);
+  /// All records of the log follow; what is not among them is not in the store.
+  void OnListBegins() { mStored.clear(); }
 
   /// Do what is due.
   void Tick(bool aHoldsLease);
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -103,6 +103,8 @@
     Gauge("suspect_requests",
           "Under which engines have ended",
           static_cast<double>(control.mSuspectRequests)),
+    Counter(
+      "store_restored_total", "Logs that came back from an older copy", control.mStoreRestored),
     Counter("bad_suspect_records_total", "Not understood", control.mBadSuspects),
     Gauge("held_requests", "Of these, held back", static_cast<double>(control.mHeldRequests)),
     Gauge("open_requests", "In progress", static_cast<double>(relay.mOpen)),
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -89,9 +89,13 @@
 {
   mAsking = false;
   if (!aTail.has_value()) {
-    if (aTail.error().mCode == Errc::kNotFound) {
+    const Errc code = aTail.error().mCode;
+    if (code == Errc::kNotFound || code == Errc::kRestored) {
       OnSuccess();
       mListing = true;
+      if (code == Errc::kRestored && mEvents.mOnRestored) {
+        mEvents.mOnRestored(aTail.error());
+      }
       return;
     }
     OnFailure(aTail.error());
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -39,6 +39,7 @@
     };
     events.mOnBack = [this] { ++mBack; };
     events.mOnLost = [this](const Error&) { ++mLost; };
+    events.mOnRestored = [this](const Error&) { ++mRestored; };
     return events;
   }
 
@@ -54,6 +55,7 @@
   std::map<std::string, std::string> mSeen;
   int mBack = 0;
   int mLost = 0;
+  int mRestored = 0;
   KeyedFollower mFollower;
 };
 
@@ -278,6 +280,25 @@
   EXPECT_EQ(reads.mWait, seconds(1));
 }
 
+/// A log that comes back from an older copy gives the same offsets out again; a follower that reads
+/// on from its own would miss what stands before it.
+TEST(KeyedFollower, ReadsTheListAgainWhenTheLogComesBackFromAnOlderCopy)
+{
+  FakeKeyedLog log;
+  log.Put("a", "1");
+  Reader reader(log);
+  reader.Run(4);
+  log.Put("a", "2");
+  log.Put("b", "2");
+  reader.Run(4);
+  log.GoBack(2);
+  log.Put("c", "3");
+  log.Put("d", "3");
+  reader.Run(6);
+  EXPECT_EQ(reader.mSeen, log.mNewest);
+  EXPECT_EQ(reader.mRestored, 1);
+}
+
 /// Whatever happens to the log, a follower that can read it ends with what it holds.
 RC_GTEST_PROP(KeyedFollower, EndsWithWhatTheLogHolds, ())
 {
@@ -286,7 +307,7 @@
   const auto steps = *rc::gen::inRange(1, 60);
   for (int i = 0; i < steps; ++i) {
     const auto key = *rc::gen::element<std::string>("a", "b", "c", "d", "e", "f");
-    switch (*rc::gen::inRange(0, 6)) {
+    switch (*rc::gen::inRange(0, 7)) {
       case 0:
       case 1:
         log.Put(key, std::to_string(i));
@@ -300,6 +321,9 @@
       case 4:
         log.mDown = !log.mDown;
         break;
+      case 5:
+        log.GoBack(*rc::gen::inRange<std::size_t>(0, 5));
+        break;
       default:
         reader.Run(*rc::gen::inRange(1, 4));
         break;
--- a/src/pepperbay/lease/log_lease_test.cpp
+++ b/src/pepperbay/lease/log_lease_test.cpp
@@ -93,6 +93,25 @@
 
 /// Two never hold at once and fencing numbers only grow, under lost and late answers, pauses and
 /// clocks that run up to two percent apart.
+/// The log loses its last claims; a holder that appends at an end that is no more, and reads from
+/// there, would never hold the lease again, nor would anybody else.
+TEST(LogLease, IsTakenAnewWithAHigherNumberAfterTheLogCameBackFromAnOlderCopy)
+{
+  FakeLeaseLog log;
+  Holder a(log, "a");
+  for (int i = 0; i < 100; ++i) {
+    a.Step(milliseconds(50));
+  }
+  ASSERT_TRUE(a.mLease->Held());
+  const std::uint64_t fence = a.mLease->Fence();
+  log.GoBack(5);
+  int steps = 0;
+  while (a.mLease->Fence() <= fence || !a.mLease->Held()) {
+    a.Step(milliseconds(50));
+    ASSERT_LT(++steps, 80); // four seconds
+  }
+}
+
 RC_GTEST_PROP(LogLease, NeverHeldTwice, ())
 {
   FakeLeaseLog log;
@@ -118,6 +137,9 @@
     if (*rc::gen::inRange(0, 10) == 0) {
       log.CarryOutLate();
     }
+    if (*rc::gen::inRange(0, 40) == 0) {
+      log.GoBack(*rc::gen::inRange<std::size_t>(0, 8));
+    }
     RC_ASSERT(!(a.mLease->Held() && b.mLease->Held()));
     for (auto* it : { &a, &b }) {
       if (it->mLease->Held()) {
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/membership/engine_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pepperbay {
 
@@ -43,6 +44,11 @@
     return EngineNews::kFormerStart;
   }
   const bool again = newest != WallTime{} && aEngine.mBorn > newest;
+  if (aNow < mRestoredUntil && !again && mDropped.count(aEngine.mId) != 0) {
+    mReturning[aEngine.mId] = std::move(aEngine);
+    return EngineNews::kInDoubt;
+  }
+  mDropped.erase(aEngine.mId);
   if (aEngine.mBorn != WallTime{}) {
     mStarts[aEngine.mId] = { aEngine.mBorn, aNow };
   }
@@ -65,6 +71,7 @@
 void
 EngineDirectory::Remove(const std::string& aId, TimePoint aNow)
 {
+  mReturning.erase(aId);
   const auto it = mEngines.find(aId);
   if (it == mEngines.end()) {
     return;
@@ -94,6 +101,7 @@
   }
   mMissing.erase(aId);
   mEngines.erase(aId);
+  mDropped[aId] = aNow;
   ++mRevision;
 }
 
@@ -109,6 +117,9 @@
   for (const auto& it : gone) {
     Remove(it, aNow);
   }
+  for (auto it = mReturning.begin(); it != mReturning.end();) {
+    it = aIds.count(it->first) == 0 ? mReturning.erase(it) : std::next(it);
+  }
 }
 
 void
@@ -117,6 +128,13 @@
   mDoubtUntil = aNow + mOptions.mReturnGrace;
 }
 
+void
+EngineDirectory::OnStoreRestored(TimePoint aNow)
+{
+  OnStoreBack(aNow);
+  mRestoredUntil = aNow + mOptions.mReturnGrace;
+}
+
 bool
 EngineDirectory::Tick(TimePoint aNow)
 {
@@ -129,12 +147,22 @@
   for (const auto& it : due) {
     Drop(it, aNow);
   }
+  bool changed = !due.empty();
+  if (aNow >= mRestoredUntil && !mReturning.empty()) {
+    for (auto& [id, engine] : std::exchange(mReturning, {})) {
+      Put(engine, aNow);
+    }
+    changed = true;
+  }
+  for (auto it = mDropped.begin(); it != mDropped.end();) {
+    it = aNow - it->second >= mOptions.mRememberDropped ? mDropped.erase(it) : std::next(it);
+  }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
     const bool old =
       mEngines.count(it->first) == 0 && aNow - it->second.mLastListed >= mOptions.mRememberStarts;
     it = old ? mStarts.erase(it) : std::next(it);
   }
-  return !due.empty();
+  return changed;
 }
 
 const EngineRecord*
--- a/src/pepperbay/membership/engine_directory_test.cpp
+++ b/src/pepperbay/membership/engine_directory_test.cpp
@@ -54,6 +54,45 @@
   EXPECT_EQ(directory.Find("b"), nullptr);
 }
 
+/// Requests would go to an engine that has left, when the store comes back from a copy in which it
+/// had not.
+TEST(EngineDirectory, AnEngineThatHadLeftIsNotTakenFromAnOlderCopyOfTheStore)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  directory.Put(Engine("a"), clock.Now());
+  directory.Put(Engine("left"), clock.Now());
+  directory.Put(Engine("back"), clock.Now());
+  directory.Remove("left", clock.Now());
+  directory.Remove("back", clock.Now());
+  clock.Advance(seconds(5));
+  directory.OnStoreRestored(clock.Now());
+  EXPECT_EQ(directory.Put(Engine("left"), clock.Now()), EngineNews::kInDoubt);
+  EXPECT_EQ(directory.Put(Engine("back"), clock.Now()), EngineNews::kInDoubt);
+  directory.KeepOnly({ "left", "back" }, clock.Now());
+  EXPECT_NE(directory.Find("a"), nullptr) << "it will register again";
+  EXPECT_EQ(directory.Find("left"), nullptr);
+  clock.Advance(seconds(1));
+  directory.Remove("left", clock.Now()); // written again
+  directory.Put(Engine("a"), clock.Now());
+  clock.Advance(seconds(2));
+  EXPECT_TRUE(directory.Tick(clock.Now()));
+  EXPECT_EQ(directory.Find("left"), nullptr);
+  EXPECT_NE(directory.Find("back"), nullptr) << "it stays listed";
+  EXPECT_NE(directory.Find("a"), nullptr);
+}
+
+/// What an engine said of its leaving is lost with the copy; it still leaves.
+TEST(EngineDirectory, AnEngineThatLeavesDoesSoAfterTheStoreCameBackFromAnOlderCopy)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  directory.Put(Engine("a", true), clock.Now());
+  directory.OnStoreRestored(clock.Now());
+  directory.Put(Engine("a"), clock.Now());
+  EXPECT_TRUE(directory.Find("a")->mLeaving);
+}
+
 /// Symptom: an engine that started again takes no requests for as long as it lives.
 /// Sequence: it says that it leaves, ends, and starts again under its id.
 /// Cause: leaving was kept by id, though it is one start's.
