Lease: a test for a node that hears from a peer that the log came back; two mutants aim at the tests that stand for them

"Engines that the copy lacks are gone" named the test of the coordinator, where the log's return after an outage keeps them as well; the directory's own test fails for it. The script builds each test's program on demand, not the whole tree first. No code of the product changed.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -13,7 +13,6 @@
 cd "$copy"
 sed -i "s/ -Werror//" CMakeLists.txt # a switched-off line may leave a variable unused
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build >/dev/null
 bad=0
 s=src/pepperbay
 # mutant NAME FILE SED_EXPRESSION PROGRAM FILTER
--- a/scripts/mutants/restored.sh
+++ b/scripts/mutants/restored.sh
@@ -20,9 +20,9 @@
 mutant "a peer's word of one's own claim is taken" $lease \
   's/if \(aState.holder\(\) == mOptions.mHolder \&\& .*\{/if (false) {/' $leasing '*NeverHeldTwice*'
 mutant "a peer's unknown holder is nobody" $lease \
-  's/mMayBeHeld = mMayBeHeld \|\| aState.holder\(\).empty\(\);/;/' $leasing '*NeverHeldTwice*'
+  's/mMayBeHeld = mMayBeHeld \|\| aState.holder\(\).empty\(\);/;/' $leasing '*HeardFromAPeer*'
 mutant "engines that the copy lacks are gone" $s/membership/engine_directory.cpp \
-  's/  OnStoreBack\(aNow\);/  ;/' $restored '*WhatServesGoesOnServing*'
+  's/  OnStoreBack\(aNow\);/  ;/' membership_engine_directory_test '*AnEngineThatHadLeft*'
 mutant "engines that had left are back" $s/membership/engine_directory.cpp \
   's/mRestoredUntil = aNow \+ mOptions.mReturnGrace;/;/' membership_engine_directory_test '*AnEngineThatHadLeft*'
 mutant "an older configuration is taken" $s/coordinator/coordinator.cpp \
--- a/src/pepperbay/lease/log_lease_test.cpp
+++ b/src/pepperbay/lease/log_lease_test.cpp
@@ -110,6 +110,25 @@
   }
 }
 
+/// Both nodes have learned that the log came back; the first one's claims from before are still the
+/// newest. It is paused while the other finds them and counts their length.
+void
+ExpectNeverBothHold(Holder& aFirst, Holder& aOther)
+{
+  for (int i = 0; i < 36; ++i) {
+    aFirst.mClock.Advance(milliseconds(50));
+    aOther.Step(milliseconds(50));
+  }
+  int held = 0;
+  for (int i = 0; i < 100; ++i) {
+    aFirst.Step(milliseconds(50));
+    aOther.Step(milliseconds(50));
+    EXPECT_FALSE(aFirst.mLease->Held() && aOther.mLease->Held()) << i;
+    held += aFirst.mLease->Held() || aOther.mLease->Held() ? 1 : 0;
+  }
+  EXPECT_GT(held, 50);
+}
+
 /// A node whose claim was refused finds one of its own from before the log came back. Taken for the
 /// refused one, it would be in force from now on, while others have counted its length already.
 TEST(LogLease, AClaimFromBeforeTheLogCameBackIsNotTakenForTheOneJustRefused)
@@ -121,22 +140,30 @@
   ASSERT_TRUE(former.mLease->Held());
   log.GoBack(0);
   Holder other(log, "other");
-  for (int i = 0; i < 12; ++i) { // both learn that the log came back
+  for (int i = 0; i < 12; ++i) {
     former.Step(milliseconds(50));
     other.Step(milliseconds(50));
   }
-  for (int i = 0; i < 36; ++i) { // the former one is paused while the other finds the old claim
-    former.mClock.Advance(milliseconds(50));
-    other.Step(milliseconds(50));
-  }
-  int held = 0;
-  for (int i = 0; i < 100; ++i) {
+  ExpectNeverBothHold(former, other);
+}
+
+/// The same where the node has not read itself that the log came back, but a peer told it.
+TEST(LogLease, AnOldClaimHeardFromAPeerIsNotTakenForTheOneJustRefused)
+{
+  FakeLeaseLog log;
+  Holder former(log, "former");
+  former.Step(milliseconds(50));
+  former.Step(milliseconds(50));
+  ASSERT_TRUE(former.mLease->Held());
+  log.GoBack(0);
+  Holder other(log, "other");
+  other.Step(milliseconds(50));
+  former.mLease->OnHint(other.mLease->Newest());
+  for (int i = 0; i < 12; ++i) {
     former.Step(milliseconds(50));
     other.Step(milliseconds(50));
-    EXPECT_FALSE(former.mLease->Held() && other.mLease->Held()) << i;
-    held += former.mLease->Held() || other.mLease->Held() ? 1 : 0;
   }
-  EXPECT_GT(held, 50);
+  ExpectNeverBothHold(former, other);
 }
 
 /// Two never hold at once and fencing numbers only grow, under lost and late answers, pauses and
