--- a/src/pepperbay/lease/log_lease_test.cpp
+++ b/src/pepperbay/lease/log_lease_test.cpp
@@ -110,60 +110,58 @@
   }
 }
 
-/// Both nodes have learned that the log came back; the first one's claims from before are still the
-/// newest. It is paused while the other finds them and counts their length.
-void
-ExpectNeverBothHold(Holder& aFirst, Holder& aOther)
+/// A holder's claims are the newest of a log that has come back from an older copy.
+class RestoredLeaseLog : public testing::Test
 {
-  for (int i = 0; i < 36; ++i) {
-    aFirst.mClock.Advance(milliseconds(50));
-    aOther.Step(milliseconds(50));
+protected:
+  RestoredLeaseLog()
+  {
+    mFormer.Step(milliseconds(50));
+    mFormer.Step(milliseconds(50));
+    EXPECT_TRUE(mFormer.mLease->Held());
+    mLog.GoBack(0);
   }
-  int held = 0;
-  for (int i = 0; i < 100; ++i) {
-    aFirst.Step(milliseconds(50));
-    aOther.Step(milliseconds(50));
-    EXPECT_FALSE(aFirst.mLease->Held() && aOther.mLease->Held()) << i;
-    held += aFirst.mLease->Held() || aOther.mLease->Held() ? 1 : 0;
+
+  /// Both learn that the log came back. Then the former holder is paused while the other finds the
+  /// claims from before and counts their length.
+  void ExpectNeverBothHold()
+  {
+    for (int i = 0; i < 12; ++i) {
+      mFormer.Step(milliseconds(50));
+      mOther.Step(milliseconds(50));
+    }
+    for (int i = 0; i < 36; ++i) {
+      mFormer.mClock.Advance(milliseconds(50));
+      mOther.Step(milliseconds(50));
+    }
+    int held = 0;
+    for (int i = 0; i < 100; ++i) {
+      mFormer.Step(milliseconds(50));
+      mOther.Step(milliseconds(50));
+      EXPECT_FALSE(mFormer.mLease->Held() && mOther.mLease->Held()) << i;
+      held += mFormer.mLease->Held() || mOther.mLease->Held() ? 1 : 0;
+    }
+    EXPECT_GT(held, 50);
   }
-  EXPECT_GT(held, 50);
-}
+
+  FakeLeaseLog mLog;
+  Holder mFormer{ mLog, "former" };
+  Holder mOther{ mLog, "other" };
+};
 
 /// A node whose claim was refused finds one of its own from before the log came back. Taken for the
 /// refused one, it would be in force from now on, while others have counted its length already.
-TEST(LogLease, AClaimFromBeforeTheLogCameBackIsNotTakenForTheOneJustRefused)
+TEST_F(RestoredLeaseLog, AClaimFromBeforeTheLogCameBackIsNotTakenForTheOneJustRefused)
 {
-  FakeLeaseLog log;
-  Holder former(log, "former");
-  former.Step(milliseconds(50));
-  former.Step(milliseconds(50));
-  ASSERT_TRUE(former.mLease->Held());
-  log.GoBack(0);
-  Holder other(log, "other");
-  for (int i = 0; i < 12; ++i) {
-    former.Step(milliseconds(50));
-    other.Step(milliseconds(50));
-  }
-  ExpectNeverBothHold(former, other);
+  ExpectNeverBothHold();
 }
 
 /// The same where the node has not read itself that the log came back, but a peer told it.
-TEST(LogLease, AnOldClaimHeardFromAPeerIsNotTakenForTheOneJustRefused)
+TEST_F(RestoredLeaseLog, AnOldClaimHeardFromAPeerIsNotTakenForTheOneJustRefused)
 {
-  FakeLeaseLog log;
-  Holder former(log, "former");
-  former.Step(milliseconds(50));
-  former.Step(milliseconds(50));
-  ASSERT_TRUE(former.mLease->Held());
-  log.GoBack(0);
-  Holder other(log, "other");
-  other.Step(milliseconds(50));
-  former.mLease->OnHint(other.mLease->Newest());
-  for (int i = 0; i < 12; ++i) {
-    former.Step(milliseconds(50));
-    other.Step(milliseconds(50));
-  }
-  ExpectNeverBothHold(former, other);
+  mOther.Step(milliseconds(50));
+  mFormer.mLease->OnHint(mOther.mLease->Newest());
+  ExpectNeverBothHold();
 }
 
 /// Two never hold at once and fencing numbers only grow, under lost and late answers, pauses and
