Metrics: the version and age of the configuration that requests go by, and the time until they do

An older configuration at one node can come from a word that was too old, or from a version that the control thread has and the traffic thread does not: nothing told the two apart. The plan now carries when its configuration was the newest for certain and when it was taken in; the traffic thread shows version and age, a histogram from taken to in force, and a line (configuration_late) above 250 ms. No decision goes by them. relay_test, coordinator_test, edge_path_test pass.

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -85,6 +85,10 @@
   std::uint64_t mOpen = 0;           ///< requests in progress
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
   LatencyHistogram mWholeAnswer;     ///< the same to an answer without a stream
+  /// From the moment at which the control thread has a configuration until requests go by it.
+  LatencyHistogram mInForce;
+  std::uint64_t mConfigurationVersion = 0;       ///< that requests go by
+  TimePoint mConfigurationAsOf{};                ///< when it was the newest for certain
   std::map<std::string, std::uint64_t> mReasons; ///< of refusals, failures and cuts
 };
 
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -69,6 +69,10 @@
   NewsMark mNews;
   /// Requests under which engines have ended; null where nothing is known yet.
   std::shared_ptr<const SuspectRequests> mSuspects;
+  /// The configuration was the newest at this time for certain.
+  TimePoint mConfigurationAsOf{};
+  /// When this node took the configuration in.
+  TimePoint mConfigurationTaken{};
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -197,6 +197,7 @@
   const std::size_t routes = configuration.value().mRoutes.size();
   mRoutes = std::make_shared<RouteTable>(std::move(configuration.value()));
   mConfiguration = *aRecord.mValue;
+  mConfigurationTaken = Now();
   mChanged = true;
   mHooks.mLog("configuration",
               { { "version", std::to_string(version) }, { "routes", std::to_string(routes) } });
@@ -256,6 +257,8 @@
 {
   aPlan->mOthersInFlight = OthersInFlight();
   aPlan->mNews = { mNews.Fence(), mNews.Change(), mNews.AsOf() };
+  aPlan->mConfigurationAsOf = ConfigurationAsOf();
+  aPlan->mConfigurationTaken = mConfigurationTaken;
   aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
   aPlan->mSuspects = mSuspectRequests;
   aPlan->mNodes = NodesAtWork();
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -156,6 +156,7 @@
   Duration mLookPause{ 0 };
   std::shared_ptr<const RouteTable> mRoutes;
   std::string mConfiguration; ///< that mRoutes was made from, as the operator wrote it
+  TimePoint mConfigurationTaken{};
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
   NewsBook mNews;
   /// What the last holder told of its replicas, until this one has planned once: its first round
--- a/src/pepperbay/edge/edge_metrics.hpp
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -15,6 +15,7 @@
   RelayCounters mRelay;
   PlaceCounters mPlaces;
   CoordinatorCounters mCoordinator;
+  Duration mConfigurationAge{ 0 }; ///< of what requests go by
   bool mHoldsLease = false;
   std::uint64_t mLinesLeftOut = 0;
 };
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -425,6 +425,7 @@
       {
         const std::lock_guard<std::mutex> lock(mFiguresMutex);
         mFigures.mRelay = mRelay->Counters();
+        mFigures.mConfigurationAge = BootClock::now() - mFigures.mRelay.mConfigurationAsOf;
         mFigures.mPlaces = mRelay->Places();
         mFigures.mLinesLeftOut = LinesLeftOut();
       }
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// A version that reaches the traffic thread later than this gets a line.
+constexpr std::chrono::milliseconds kSlowToForce{ 250 };
+
 BalancerOptions
 BalancerOptionsOf(const RelayOptions& aOptions)
 {
@@ -69,6 +72,7 @@
   if (mPlan) {
     ForgetReplacedStarts(mPlan->mStarts, aPlan->mStarts);
   }
+  NoteConfiguration(*aPlan);
   const bool suspects = aPlan->mSuspects && (!mPlan || aPlan->mSuspects != mPlan->mSuspects);
   mPlan = std::move(aPlan);
   if (suspects) {
@@ -80,6 +84,24 @@
   }
 }
 
+void
+RelayCore::NoteConfiguration(const TrafficPlan& aPlan)
+{
+  mCounters.mConfigurationAsOf = aPlan.mConfigurationAsOf;
+  const std::uint64_t version = aPlan.mRoutes ? aPlan.mRoutes->Version() : 0;
+  if (version == mCounters.mConfigurationVersion) {
+    return;
+  }
+  mCounters.mConfigurationVersion = version;
+  const Duration took = Now() - aPlan.mConfigurationTaken;
+  mCounters.mInForce.Observe(took);
+  if (took > kSlowToForce) {
+    Log("configuration_late",
+        { { "version", std::to_string(version) },
+          { "after_ms", std::to_string(ToMs(took).count()) } });
+  }
+}
+
 void
 RelayCore::ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow)
 {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -26,6 +26,8 @@
   /// Take up a new plan; the share of the retry budget follows the number of nodes.
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void Tune(const RelayTuning& aTuning);
+  /// Count how long a new version took to reach this thread.
+  void NoteConfiguration(const TrafficPlan& aPlan);
   /// What was learnt from an engine's answers says nothing of it once it has started again.
   void ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow);
   /// Second attempts left for a service.
