--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -59,7 +59,8 @@
                   TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_readers_test.cpp
                         coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp coordinator_restored_test.cpp
-                        coordinator_suspects_test.cpp
+                        coordinator_suspects_test.cpp coordinator_chains_test.cpp
+                        coordinator_many_engines_test.cpp
                         engine_doubts_test.cpp
                   USES journal lease membership placement quarantine routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -204,6 +204,43 @@
   EXPECT_NE(world.Ranked(0).mCoordinator->Dump().find(R"("lost": false)"), std::string::npos);
 }
 
+/// Guards against a node that goes by an older configuration for seconds after the store answers it
+/// again, because its pause between two looks has grown during the outage.
+TEST(ReadersTest, ANodeThatTheStoreAnswersAgainIsInTimeWhileAllThatMayReadAreCut)
+{
+  constexpr std::size_t kMayRead = 6;
+  /// Faults of the store and of a node count for so long after their end.
+  constexpr milliseconds kStable{ 3000 };
+  for (milliseconds outage{ 5000 }; outage < seconds(12); outage += milliseconds(400)) {
+    SCOPED_TRACE("outage of " + std::to_string(outage.count()) + " ms");
+    ReadersWorld world;
+    world.Silence(world.mNodes.size());
+    world.Run(outage);
+    for (std::size_t i = kMayRead; i < world.mNodes.size(); ++i) {
+      world.Ranked(i).mLine->SetSilent(false);
+    }
+    world.Configure(std::to_string(++world.mVersion));
+    world.Run(kStable);
+    for (std::size_t i = kMayRead; i < world.mNodes.size(); ++i) {
+      EXPECT_EQ(world.Ranked(i).mPlan->mRoutes->Version(), world.mVersion) << world.mRanked[i];
+    }
+  }
+}
+
+/// Guards against a look at the store that finds the records deleted and does not read the list.
+TEST(ReadersTest, ALookThatFindsItsRecordsDeletedReadsTheListAtOnce)
+{
+  constexpr std::size_t kMayRead = 6;
+  constexpr milliseconds kOneLook{ 1400 }; // it is due 1.2 s after the last fresh word
+  ReadersWorld world;
+  world.Silence(kMayRead);
+  world.Configure(std::to_string(++world.mVersion));
+  world.mConfigLog.Compact();
+  const milliseconds delay = world.TimeUntil(
+    [&](const auto& aNode) { return aNode.mPlan->mRoutes->Version() == world.mVersion; });
+  EXPECT_LT(delay.count(), kOneLook.count());
+}
+
 /// What the nodes' own looks at the store may cost: nothing while the reader is well, and few calls
 /// while nobody reaches the store.
 TEST(ReadersTest, NodesThatAreToldMakeNoCallsAndOnesThatAreNotMakeFew)
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -2,6 +2,7 @@
 /// @brief Coordinators before a fake pool and fake logs, in virtual time.
 #pragma once
 
+#include "fakes/fake_busy_client.hpp"
 #include "fakes/fake_keyed_log.hpp"
 #include "fakes/fake_lease_log.hpp"
 #include "fakes/fake_pool.hpp"
@@ -32,6 +33,11 @@
 class CoordinatorWorld
 {
 public:
+  explicit CoordinatorWorld(EnginePool aPool = OneModel())
+    : mPool(std::move(aPool))
+  {
+  }
+
   struct TestNode
   {
     std::string mName;
@@ -39,8 +45,9 @@
     std::shared_ptr<const TrafficPlan> mPlan;
     bool mStoreDown = false; ///< for this node only
     bool mAlive = true;
-    std::unique_ptr<FakeStoreLine> mLine; ///< used where reads are held
-    std::map<std::string, int> mLines;    ///< log lines by event
+    std::unique_ptr<FakeStoreLine> mLine;    ///< used where reads are held
+    std::unique_ptr<FakeBusyClient> mClient; ///< used where calls to engines cost time
+    std::map<std::string, int> mLines;       ///< log lines by event
   };
 
   /// Five engines in one domain, and a configuration.
@@ -60,6 +67,9 @@
     TestNode& node = mNodes.back();
     node.mName = aName;
     node.mLine = std::make_unique<FakeStoreLine>(mClock.Hook());
+    if (mCallCosts) {
+      node.mClient = std::make_unique<FakeBusyClient>(mClock.Hook(), *mCallCosts);
+    }
     CoordinatorOptions options;
     options.mNode = aName;
     options.mIncarnation = ++mIncarnations;
@@ -139,7 +149,7 @@
       configuration.mVersion = std::stoul(aBody);
       ServiceSpec pool;
       pool.mName = "pool";
-      pool.mPool = OneModel();
+      pool.mPool = mPool.Pool();
       configuration.mServices = { pool };
       if (mTwoPools) {
         pool.mName = "second";
@@ -165,22 +175,37 @@
       mNodeLog.Put(aKey, aValue.empty() ? std::nullopt : std::make_optional(aValue));
       aDone(BOOST_OUTCOME_V2_NAMESPACE::success());
     };
-    hooks.mOrder = [this](const GroupOrder& aOrder,
-                          Duration /*aTimeout*/,
-                          const std::function<void(OrderAnswer)>& aDone) {
+    hooks.mOrder = [this, &aNode](const GroupOrder& aOrder,
+                                  Duration aTimeout,
+                                  const std::function<void(OrderAnswer)>& aDone) {
       ++mOrders[aOrder.mKind];
+      if (aNode.mClient) {
+        auto answer = std::make_shared<OrderAnswer>(OrderAnswer::kNone);
+        aNode.mClient->Call(
+          aTimeout,
+          [this, aOrder, answer] { *answer = mPool.Order(aOrder, mClock.Now()); },
+          [aDone, answer](bool aAnswered) { aDone(aAnswered ? *answer : OrderAnswer::kNone); });
+        return;
+      }
       mLater.push_back([this, aOrder, aDone] { aDone(mPool.Order(aOrder, mClock.Now())); });
     };
-    hooks.mAsk = [this](const EngineRecord& aEngine,
-                        Duration /*aTimeout*/,
-                        const std::function<void(Result<EngineReport>)>& aDone) {
-      mLater.push_back([this, id = aEngine.mId, aDone] {
-        if (mPool.At(id).mAlive) {
+    hooks.mAsk = [this, &aNode](const EngineRecord& aEngine,
+                                Duration aTimeout,
+                                const std::function<void(Result<EngineReport>)>& aDone) {
+      ++mAsks;
+      const auto answer = [this, id = aEngine.mId, aDone](bool aAnswered) {
+        if (aAnswered && mPool.At(id).mAlive) {
           aDone(mPool.Report(id));
         } else {
           aDone(Error{ Errc::kTimeout, "engine.ask", id, "" });
         }
-      });
+      };
+      if (aNode.mClient) {
+        aNode.mClient->Call(
+          aTimeout, [] {}, answer);
+        return;
+      }
+      mLater.push_back([answer] { answer(true); });
     };
     hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
       mLastSent[aAddress] = aBytes;
@@ -240,6 +265,9 @@
       Register();
       for (auto& it : mNodes) {
         it.mLine->Advance();
+        if (it.mClient) {
+          it.mClient->Advance();
+        }
         if (it.mAlive) {
           it.mCoordinator->Tick();
         }
@@ -272,7 +300,7 @@
   }
 
   ManualClock mClock;
-  FakePool mPool{ OneModel() };
+  FakePool mPool;
   FakeKeyedLog mConfigLog;
   FakeKeyedLog mEngineLog;
   FakeKeyedLog mNodeLog;
@@ -281,6 +309,9 @@
   std::vector<std::function<void()>> mLater;
   std::deque<TestNode> mNodes;
   std::map<GroupOrderKind, int> mOrders;
+  int mAsks = 0; ///< questions to engines
+  /// For nodes that are added from now on: what a call to an engine costs them.
+  std::optional<FakeBusyClientCosts> mCallCosts;
   std::map<std::string, std::string> mLastSent; ///< messages by address
   std::function<void(const std::string& aAddress, const proto::PeerMessage&)> mOnSend;
   /// Whether a message on its way is lost.
