A read that finds its records deleted is followed by the list at once

A node that relies on a reader reads the log itself where it doubts; told that the records are gone, it did not read the list until its next doubt, 0.4 to 5 s later, and took no feed meanwhile. Found in a trace of ChainsTest (a node two versions behind after history was dropped during a cut). Followers are ticked while they need their list, whoever else reads.

--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -159,15 +159,15 @@
   // waited for each in turn would go by an older configuration, or send to engines that have left,
   // for seconds.
   const bool looks = LooksAtConfiguration();
-  if (!mConfigFollower.HasList() || looks || mReads.Reads(FollowedLog::kConfiguration)) {
+  if (mConfigFollower.NeedsList() || looks || mReads.Reads(FollowedLog::kConfiguration)) {
     mConfigFollower.Tick();
   }
-  if (!mNodeFollower.HasList() || mReads.Reads(FollowedLog::kNodes)) {
+  if (mNodeFollower.NeedsList() || mReads.Reads(FollowedLog::kNodes)) {
     mNodeFollower.Tick();
   }
   const bool holder = mLease.LastIsMine();
   const bool reads = holder || mReads.Reads(FollowedLog::kEngines);
-  if (!mEngineFollower.HasList() || LooksAtEngines() || (reads && now >= mEngineReadDue)) {
+  if (mEngineFollower.NeedsList() || LooksAtEngines() || (reads && now >= mEngineReadDue)) {
     const bool alone = ReadsForItself() && Dependants().empty();
     const Duration pause = alone ? mOptions.mOtherPause : mOptions.mReaderPause;
     mEngineReadDue = now + (holder ? mOptions.mHolderPause : pause);
