404 and 401 only by a configuration that is known to be new enough; how old follows from the settings

What is not in a configuration was refused however old the configuration was, while the age was known and used for keys alone. A miss by a view older than the time in which a configuration must be in force is now answered 503, not run, with Retry-After; requests that the view allows are served as before, since refusing them would turn an outage of the store into one of everything.

RelayTest.AMissInAConfigurationThatMayBeOutOfDate... fails without the check (404 and 401 where 503 is due). The ages are derived from what operators promise (configure_within, leave_within, new in the settings; revoke_within as before): on a deployment that promises 4 s nodes doubt after 2.4 s, not 1.2.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -23,6 +23,38 @@
 
 namespace pepperbay {
 
+/// How old what a node knows may be. All follow from the times that operators promise; see
+/// BoundsOf().
+struct CoordinatorBounds
+{
+  /// Keys of a configuration older than this are not trusted. Below the time within which a key
+  /// that was taken away must be refused, by the time that a request takes to reach an engine.
+  Duration mKeysTrusted = std::chrono::milliseconds(4300);
+  /// A route or key that a configuration older than this does not have may have been added since:
+  /// the time in which a configuration must be in force everywhere.
+  Duration mMissesTrusted = std::chrono::milliseconds(2000);
+  /// A node whose configuration was the newest so long ago, as far as it can show, reads the store
+  /// itself: above what it is while the reader is well and one heartbeat is lost, and well below
+  /// the time in which a configuration must be in force everywhere. The same for registrations.
+  Duration mLookAfter = std::chrono::milliseconds(1200);
+  Duration mEnginesLookAfter = std::chrono::milliseconds(1600);
+  /// Longest pause between two such reads that the store does not answer. With a call that ends
+  /// after a second it has to stay below the time in which a node that the store answers again must
+  /// be in step.
+  Duration mLookAgainMost = std::chrono::seconds(1);
+};
+
+/// What operators promise; each counts from the store's acknowledgement.
+struct InForceWithin
+{
+  Duration mConfiguration = std::chrono::seconds(2); ///< a configuration is in force everywhere
+  Duration mRevocation = std::chrono::seconds(5);    ///< a key that was taken away is refused
+  Duration mLeave = std::chrono::seconds(2);         ///< no request goes to an engine that leaves
+};
+
+CoordinatorBounds
+BoundsOf(const InForceWithin& aWithin);
+
 struct CoordinatorOptions
 {
   std::string mNode;
@@ -45,22 +77,14 @@
   /// A peer that is silent for this long does not count as a node at work.
   Duration mPeerSilence = std::chrono::milliseconds(1200);
   Duration mLease = std::chrono::milliseconds(1200);
-  /// Keys of a configuration older than this are not trusted. Below the time within which a key
-  /// that was taken away must be refused, by the time that a request takes to reach an engine.
-  Duration mKeysTrusted = std::chrono::milliseconds(4300);
+  CoordinatorBounds mBounds;
   /// How long the store holds a read of the configuration. It bounds how old the configuration of a
   /// node whose reader is well may seem: this, and a heartbeat with its answer.
   Duration mConfigWait = std::chrono::milliseconds(700);
-  /// A node whose configuration was the newest so long ago, as far as it can show, reads the store
-  /// itself: above what it is while the reader is well and one heartbeat is lost, and well below
-  /// the time in which a configuration must be in force everywhere. The same for registrations.
-  Duration mLookAfter = std::chrono::milliseconds(1200);
-  Duration mEnginesLookAfter = std::chrono::milliseconds(1600);
   /// While the store does not answer that either, it is asked again after the first of these, and
   /// then after twice the time up to the second. With a call that ends after a second it has to
   /// stay below the time in which a node that the store answers again must be in step.
   Duration mLookAgainFirst = std::chrono::milliseconds(400);
-  Duration mLookAgainMost = std::chrono::seconds(1);
   /// The same for a node that is told all by others: it asks only whether the store is back.
   Duration mProbeMost = std::chrono::seconds(5);
   /// How long the store holds a read of registrations. A connection that has gone silent shows by
@@ -166,8 +190,7 @@
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
   /// Fail readiness and give the lease back.
   void BeginStop();
-  /// How long keys are trusted after the configuration was last known to be the newest.
-  void SetKeysTrusted(Duration aTrusted);
+  void SetBounds(const CoordinatorBounds& aBounds);
 
   bool IsReady() const;
   bool HoldsLease() const;
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -76,6 +76,9 @@
   /// Keys of customers are known to be in force up to here; later, the configuration may have taken
   /// one away unseen.
   TimePoint mKeysValidUntil{};
+  /// What the configuration does not have is known not to be there up to here; later, it may have
+  /// been added unseen.
+  TimePoint mMissesValidUntil{};
   int mNodes = 1;     ///< nodes that share the work, this one included
   int mFollowers = 1; ///< of these, nodes whose places this one finds, itself included
 };
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -23,6 +23,10 @@
   double mMemoryMb = 0; ///< the process is killed beyond it; 0: not said
   double mCpuCores = 0; ///< processor that the process may use; 0: not said
 
+  /// A configuration must be in force everywhere this long after the store's acknowledgement.
+  Duration mConfigureWithin = std::chrono::seconds(2);
+  /// An engine that says that it leaves must get no more requests this long after it.
+  Duration mLeaveWithin = std::chrono::seconds(2);
   /// A key that was taken away must be refused this long after the store's acknowledgement.
   Duration mRevokeWithin = std::chrono::seconds(5);
   /// After a request to stop, the process is killed this long.
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -55,6 +55,22 @@
   return options;
 }
 
+/// From the check of a key to the engine, and the second in which a store that drops its history
+/// may tell held reads nothing.
+constexpr std::chrono::milliseconds kRevokeMargin{ 1200 };
+/// What is known through a reader that is well is up to this old; nodes that looked sooner would
+/// all read the store all the time.
+constexpr Duration kLeastLookAfter = std::chrono::milliseconds(1100);
+constexpr double kLookPart = 0.6;
+constexpr double kEnginesLookPart = 0.8;
+constexpr double kLookAgainPart = 0.5;
+
+Duration
+PartOf(Duration aWhole, double aPart)
+{
+  return std::chrono::duration_cast<Duration>(aWhole * aPart);
+}
+
 /// Nodes let a request that is held back for a moment through one after the other.
 constexpr std::chrono::milliseconds kMostHoldSpread{ 2000 };
 
@@ -70,6 +86,18 @@
 
 } // namespace
 
+CoordinatorBounds
+BoundsOf(const InForceWithin& aWithin)
+{
+  CoordinatorBounds bounds;
+  bounds.mKeysTrusted = aWithin.mRevocation - kRevokeMargin;
+  bounds.mMissesTrusted = aWithin.mConfiguration;
+  bounds.mLookAfter = std::max(kLeastLookAfter, PartOf(aWithin.mConfiguration, kLookPart));
+  bounds.mEnginesLookAfter = std::max(kLeastLookAfter, PartOf(aWithin.mLeave, kEnginesLookPart));
+  bounds.mLookAgainMost = PartOf(aWithin.mConfiguration, kLookAgainPart);
+  return bounds;
+}
+
 const char*
 NameOf(FollowedLog aLog)
 {
@@ -261,7 +289,8 @@
   aPlan->mNews = { mNews.Fence(), mNews.Change(), mNews.AsOf() };
   aPlan->mConfigurationAsOf = ConfigurationAsOf();
   aPlan->mConfigurationTaken = mConfigurationTaken;
-  aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mKeysTrusted;
+  aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mBounds.mKeysTrusted;
+  aPlan->mMissesValidUntil = ConfigurationAsOf() + mOptions.mBounds.mMissesTrusted;
   aPlan->mSuspects = mSuspectRequests;
   aPlan->mNodes = NodesAtWork();
   aPlan->mIsDesk = mTree.FollowsItself();
@@ -407,9 +436,9 @@
 }
 
 void
-Coordinator::SetKeysTrusted(Duration aTrusted)
+Coordinator::SetBounds(const CoordinatorBounds& aBounds)
 {
-  mImpl->mOptions.mKeysTrusted = aTrusted;
+  mImpl->mOptions.mBounds = aBounds;
 }
 
 bool
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -72,13 +72,13 @@
 {
   const TimePoint now = Now();
   const Duration age = now - ConfigurationAsOf();
-  const bool old = age >= mOptions.mLookAfter;
+  const bool old = age >= mOptions.mBounds.mLookAfter;
   // A node that the store has not answered makes no other call that could show that it does again.
   if (!old && !StoreLost()) {
     mConfigurationLook.Reset();
     return false;
   }
-  const Duration bound = old ? mOptions.mLookAgainMost : mOptions.mProbeMost;
+  const Duration bound = old ? mOptions.mBounds.mLookAgainMost : mOptions.mProbeMost;
   const bool looks = !mReads.Reads(FollowedLog::kConfiguration) && mConfigFollower.MayAsk();
   if (!looks || !mConfigurationLook.IsDue(now, bound)) {
     return false;
@@ -95,7 +95,7 @@
 {
   const TimePoint now = Now();
   const Duration age = now - LogAsOf(FollowedLog::kEngines);
-  const bool old = age >= mOptions.mEnginesLookAfter;
+  const bool old = age >= mOptions.mBounds.mEnginesLookAfter;
   const bool lost = mEngineFollower.Lost() || mEngineFollower.Overdue();
   if (!old && !lost) {
     mEnginesLook.Reset();
@@ -104,7 +104,7 @@
   // In an outage of the store one call shows as well as two that it answers again.
   const bool storeLost = mConfigFollower.Lost() || mConfigFollower.Overdue();
   const bool reads = mLease.LastIsMine() || mReads.Reads(FollowedLog::kEngines);
-  const Duration bound = old ? mOptions.mLookAgainMost : mOptions.mProbeMost;
+  const Duration bound = old ? mOptions.mBounds.mLookAgainMost : mOptions.mProbeMost;
   const bool looks = !storeLost && !reads && mEngineFollower.MayAsk();
   if (!looks || !mEnginesLook.IsDue(now, bound)) {
     return false;
--- a/src/pepperbay/coordinator/coordinator_tree_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_tree_test.cpp
@@ -275,7 +275,7 @@
     };
     std::map<std::uint64_t, TimePoint> replaced; // version to the time of the next
     std::uint64_t version = 1;
-    const Duration trusted = CoordinatorOptions{}.mKeysTrusted;
+    const Duration trusted = CoordinatorBounds{}.mKeysTrusted;
     for (int step = 0; step < 60; ++step) {
       if (chance(20)) {
         replaced[version] = mClock.Now();
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -40,9 +40,6 @@
 constexpr std::size_t kMostDatagram = 65536;
 /// Share of the second attempts that nodes spend; the rest covers nodes that miscount each other.
 constexpr double kRetryCaution = 0.8;
-/// Keys are distrusted this long before the bound: the time from the check to the engine, and one
-/// second in which a store that drops its history may tell held reads nothing.
-constexpr std::chrono::milliseconds kRevokeMargin{ 1200 };
 
 using Timer = asio::steady_timer;
 using Udp = asio::ip::udp;
@@ -200,9 +197,8 @@
 
   void Apply(const EdgeSettings& aSettings) override
   {
-    asio::post(mControl, [this, trusted = aSettings.mRevokeWithin - kRevokeMargin] {
-      mCoordinator->SetKeysTrusted(trusted);
-    });
+    asio::post(mControl,
+               [this, bounds = BoundsOf(WithinOf(aSettings))] { mCoordinator->SetBounds(bounds); });
     asio::post(mTraffic, [this, tuning = TuningOf(aSettings)] { mRelay->Tune(tuning); });
   }
 
@@ -338,6 +334,11 @@
              aSettings.mStopWithin - kStopMargin };
   }
 
+  static InForceWithin WithinOf(const EdgeSettings& aSettings)
+  {
+    return { aSettings.mConfigureWithin, aSettings.mRevokeWithin, aSettings.mLeaveWithin };
+  }
+
   CoordinatorOptions MakeCoordinatorOptions() const
   {
     CoordinatorOptions options;
@@ -347,7 +348,7 @@
     options.mAddress = mSettings.mPeers;
     options.mDeskAddress = mSettings.mDesk;
     options.mCpuPermille = static_cast<int>(mSettings.mCpuCores * kPermille);
-    options.mKeysTrusted = mSettings.mRevokeWithin - kRevokeMargin;
+    options.mBounds = BoundsOf(WithinOf(mSettings));
     return options;
   }
 
--- a/src/pepperbay/main/edge.cpp
+++ b/src/pepperbay/main/edge.cpp
@@ -43,6 +43,8 @@
   }
   LogEvent("reload",
            { { "file", aFile },
+             { "configure_within", FormatDuration(report.mSettings.mConfigureWithin) },
+             { "leave_within", FormatDuration(report.mSettings.mLeaveWithin) },
              { "revoke_within", FormatDuration(report.mSettings.mRevokeWithin) },
              { "stop_within", FormatDuration(report.mSettings.mStopWithin) },
              { "retry_share", std::to_string(report.mSettings.mRetryShare) },
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -90,7 +90,7 @@
   };
   mRoute = mRoutes->Find(text(mRequest[http::field::host]), text(mRequest.target()));
   if (mRoute == nullptr) {
-    Answer(kNotFound, "no_route", "no route matches this host and path");
+    RefuseMiss(*plan, kNotFound, "no_route", "no route matches this host and path");
     return;
   }
   mPriority = mRoute->mPriority;
@@ -128,7 +128,7 @@
   }
   const CustomerSpec* customer = mRoutes->CustomerOf(mFacts.mKey);
   if (customer == nullptr) {
-    Answer(kUnauthorized, "unknown_key", "the key belongs to no customer");
+    RefuseMiss(aPlan, kUnauthorized, "unknown_key", "the key belongs to no customer");
     return false;
   }
   mCustomer = customer->mName;
@@ -136,6 +136,20 @@
   return true;
 }
 
+void
+Exchange::RefuseMiss(const TrafficPlan& aPlan,
+                     int aStatus,
+                     const char* aReason,
+                     const char* aDetail)
+{
+  if (mCore->Now() >= aPlan.mMissesValidUntil) {
+    // A newer configuration may have it; elsewhere, or in a moment, the request may be served.
+    Refuse("configuration_out_of_date");
+    return;
+  }
+  Answer(aStatus, aReason, aDetail);
+}
+
 std::optional<Sending>
 Exchange::ChooseEngine() const
 {
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -72,6 +72,9 @@
   };
 
   bool CheckCustomer(const TrafficPlan& aPlan);
+  /// Answer that the configuration does not have what the request names, or, where a newer one may
+  /// have it, that the request has not run.
+  void RefuseMiss(const TrafficPlan& aPlan, int aStatus, const char* aReason, const char* aDetail);
   /// Find an engine and send, or call `aOtherwise` with the reason why there is none.
   /// @param aAgain draws on the budget of second attempts
   void PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise);
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -119,6 +119,7 @@
     mPlan.mComplete = true;
     mPlan.mRoutes = std::make_shared<RouteTable>(std::move(configuration));
     mPlan.mKeysValidUntil = BootClock::now() + std::chrono::hours(1);
+    mPlan.mMissesValidUntil = mPlan.mKeysValidUntil;
     int n = 0;
     for (const auto* it : aEngines) {
       const std::string id = "e" + std::to_string(n++);
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -25,6 +25,30 @@
   EXPECT_TRUE(Has(seen, "\r\n\r\nbody"));
 }
 
+/// Guards against a 404 or 401 that a newer configuration, unknown to this node, would not give.
+TEST_F(RelayTest, AMissInAConfigurationThatMayBeOutOfDateIsNotRunRatherThanRefused)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 0\r\n\r\n");
+  });
+  SharedClock clock;
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  Serve({ &engine }, options);
+  EXPECT_EQ(StatusOf(Ask(Get("/added/"))), 404);
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "", "Key: added\r\n"))), 401);
+  mPlan.mMissesValidUntil = options.mNow() + seconds(1);
+  Publish();
+  clock.Advance(seconds(1));
+  const std::string noRoute = Ask(Get("/added/"));
+  EXPECT_EQ(StatusOf(noRoute), 503);
+  EXPECT_TRUE(Has(noRoute, "Retry-After")) << noRoute;
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "", "Key: added\r\n"))), 503);
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "", "Key: k1\r\n"))), 200);
+}
+
 struct AnswerCase
 {
   const char* mWhat;
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -16,6 +16,7 @@
 constexpr double kMostShare = 100;
 constexpr double kMostCores = 1e5;
 constexpr hours kLongestBound{ 24 };
+constexpr milliseconds kShortestInForce{ 1 };
 /// Below this no request could end between the question for a stop and the end.
 constexpr milliseconds kShortestStop{ 100 };
 
@@ -49,6 +50,8 @@
   }
   aReader.Read("memory_mb", &aSettings.mMemoryMb, 0.0, kMostMemoryMb);
   aReader.Read("cpu_cores", &aSettings.mCpuCores, 0.0, kMostCores);
+  aReader.Read("configure_within", &aSettings.mConfigureWithin, kShortestInForce, kLongestBound);
+  aReader.Read("leave_within", &aSettings.mLeaveWithin, kShortestInForce, kLongestBound);
   aReader.Read("revoke_within", &aSettings.mRevokeWithin, seconds(1), kLongestBound);
   aReader.Read("stop_within", &aSettings.mStopWithin, kShortestStop, kLongestBound);
   aReader.Read("retry_share", &aSettings.mRetryShare, 0.0, kMostShare);
--- a/src/pepperbay/settings/edge_settings_test.cpp
+++ b/src/pepperbay/settings/edge_settings_test.cpp
@@ -16,11 +16,13 @@
 
 TEST(EdgeSettings, ReadsAGoodFile)
 {
-  const auto report =
-    ParseEdgeSettings("e.yaml", std::string(kGood) + "revoke_within: 5000ms\nretry_slack: 134\n");
+  const auto report = ParseEdgeSettings(
+    "e.yaml", std::string(kGood) + "revoke_within: 5000ms\nretry_slack: 134\nleave_within: 4s\n");
   ASSERT_TRUE(report.mProblems.empty()) << ToString(report.mProblems.front());
   EXPECT_EQ(report.mSettings.mStore, "127.0.0.1:8083");
   EXPECT_EQ(report.mSettings.mRevokeWithin, std::chrono::seconds(5));
+  EXPECT_EQ(report.mSettings.mLeaveWithin, std::chrono::seconds(4));
+  EXPECT_EQ(report.mSettings.mConfigureWithin, std::chrono::seconds(2));
   EXPECT_EQ(report.mSettings.mRetrySlack, 134);
 }
 
@@ -40,6 +42,9 @@
     "memory_mb: 3000000\n",
     "cpu_cores: 0.12\n",
     "cpu_cores: 4096\n",
+    "configure_within: 4000ms\n",
+    "configure_within: 0.5s\n",
+    "leave_within: 86400s\n",
     "revoke_within: 86400s\n",
     "revoke_within: 2.5s\n",
     "revoke_within: 1250.5ms\n",
