A holder begins no more calls to engines than it can read the answers of

Cause: all joins of 875 engines left at once, each with 120 ms. The client's thread begins what is new before it reads, and gives up what is over its time before it reads it, so a holder that needs a millisecond a call heard nobody: three unheard orders in a row and an engine counted as lost, its replica was ordered anew, its neighbours and heads asked. Each made more calls, so the state did not end by itself (retry amplification); takeovers began the same anew.

Now EngineCalls bounds what is under way: 32, one more for each answer read within 30 ms, half as many when one takes over 60 ms; the planner gives so many orders a round, opens first, and questions wait for room. The end of a call that is told over 30 ms late is the node's own lateness: kUnread for orders, kCancelled for questions; neither makes an engine lost, both are put again.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -52,7 +52,7 @@
 # A node before a shared pool of engines, and the users' platform, which only translates.
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp coordinator_registrations.cpp
-                                      engine_doubts.cpp freshness_book.cpp
+                                      engine_calls.cpp engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp log_reads.cpp news_book.cpp
                                       node_tree.cpp peer_book.cpp plan_builder.cpp
                                       suspect_keeper.cpp
@@ -61,7 +61,7 @@
                         coordinator_registrations_test.cpp coordinator_restored_test.cpp
                         coordinator_suspects_test.cpp coordinator_chains_test.cpp
                         coordinator_many_engines_test.cpp
-                        engine_doubts_test.cpp
+                        engine_calls_test.cpp engine_doubts_test.cpp
                   USES journal lease membership placement quarantine routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp ending_probe.cpp event_splitter.cpp
--- a/include/pepperbay/placement/group_order.hpp
+++ b/include/pepperbay/placement/group_order.hpp
@@ -47,6 +47,7 @@
   kOtherEngine, ///< the address belongs to another engine now
   kInvalid,     ///< the engine knows no such order
   kNone,        ///< no answer: it may be carried out, now or later
+  kUnread,      ///< the same, as this node was late; tells nothing of the engine
 };
 
 const char*
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -10,6 +10,7 @@
 #include "pepperbay/routing/route_table.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -98,6 +99,8 @@
   const EnginePool* mPool = nullptr;
   TimePoint mNow{};
   std::uint64_t mFence = 0;
+  /// Orders that may be given in this round; what is left comes in the next ones.
+  int mMostOrders = std::numeric_limits<int>::max();
   bool mTraffic = false; ///< requests have come: loads now count against the weight store's rate
   /// The engine does not answer, whatever its registration says.
   std::function<bool(const std::string& aEngine)> mDead;
@@ -235,7 +238,10 @@
   /// @return whether the head of a replica that was found without it still has requests.
   bool UnknownHeadWorks(const PlannedReplica& aReplica) const;
   static void Break(PlannedReplica& aReplica, std::string aWhy, TimePoint aNow);
-  void Drive(PlannedReplica& aReplica);
+  /// Give the orders that replicas which form or open need.
+  void Drive();
+  void Open(PlannedReplica& aReplica);
+  void Join(const PlannedReplica& aReplica);
   void NoteReadiness(PlannedReplica& aReplica);
   void RepairBroken();
   /// Give a broken replica up where its members complete another that waits in the same domain.
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -141,13 +141,19 @@
                     [this](const KeyedRecord& aRecord) { OnNode(aRecord); }),
                   mHooks.mNow)
   , mLease(LeaseOptionsOf(mOptions), mHooks.mLeaseLog, mHooks.mNow)
+  , mCalls({}, { mHooks.mNow, mHooks.mOrder, mHooks.mAsk })
   , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState },
             { mHooks.mNow,
-              mHooks.mAsk,
+              [this](const EngineRecord& aEngine,
+                     Duration aTimeout,
+                     std::function<void(Result<EngineReport>)> aDone) {
+                mCalls.Ask(aEngine, aTimeout, std::move(aDone));
+              },
               [this](const EngineRecord& aEngine, const EngineReport& aReport) {
                 OnReport(aEngine, aReport);
               },
-              [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); } })
+              [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); },
+              [this] { return mCalls.RoomForQuestion(); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
   , mSuspects(SuspectOptionsOf(mOptions),
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -2,6 +2,7 @@
 /// @brief The state of a coordinator; its parts are in files by what they do.
 #pragma once
 
+#include "engine_calls.hpp"
 #include "engine_doubts.hpp"
 #include "freshness_book.hpp"
 #include "log_reads.hpp"
@@ -146,6 +147,7 @@
   /// Keys of registrations that name no engine, with the reason that was logged; an entry that is
   /// written again and again gives one line.
   std::map<std::string, std::string> mRefusedEntries;
+  EngineCalls mCalls;
   EngineDoubts mDoubts;
   PeerBook mPeers;
   FreshnessBook mFreshness;
--- a/src/pepperbay/coordinator/coordinator_many_engines_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_many_engines_test.cpp
@@ -8,6 +8,9 @@
 constexpr int kDomains = 25;
 constexpr int kEnginesOfDomain = 35;
 constexpr int kEngines = kDomains * kEnginesOfDomain;
+/// Replicas that form of them where calls cost the holder nothing.
+constexpr std::size_t kLarge = 22;
+constexpr std::size_t kSmall = 87;
 
 EnginePool
 TwoModels()
@@ -66,7 +69,7 @@
   void ExpectNoneLost()
   {
     EXPECT_EQ(mLines.count("engine_lost"), 0U) << mLines["engine_lost"];
-    for (const auto& [name, replica] : mNodes.front().mPlan->mReplicas) {
+    for (const auto& [name, replica] : Holder().mPlan->mReplicas) {
       for (const auto& it : replica) {
         EXPECT_FALSE(it.mLost);
       }
@@ -81,7 +84,7 @@
 {
   ManyEnginesWorld world;
   world.AddNode("n");
-  const milliseconds took = world.TimeUntilServing(22, 87, seconds(20));
+  const milliseconds took = world.TimeUntilServing(kLarge, kSmall, seconds(20));
   RecordProperty("ms", static_cast<int>(took.count()));
   RecordProperty("orders", world.Orders());
   RecordProperty("asks", world.mAsks);
@@ -91,5 +94,67 @@
   world.ExpectNoneLost();
 }
 
+/// Guards against the same where the holder is ten times slower for a while.
+TEST(ManyEnginesTest, APoolFormsThoughItsHolderIsMuchSlowerForSeconds)
+{
+  ManyEnginesWorld world;
+  world.AddNode("n");
+  world.mNodes.front().mClient->SetSlowness(10);
+  world.Run(seconds(3));
+  world.mNodes.front().mClient->SetSlowness(1);
+  const milliseconds took = world.TimeUntilServing(kLarge, kSmall, seconds(20));
+  EXPECT_LT(took.count(), 8000);
+  EXPECT_LT(world.Orders(), 4 * kEngines);
+  EXPECT_LT(world.mAsks, 2 * kEngines);
+  world.ExpectNoneLost();
+}
+
+/// Guards against a new holder that takes replicas which serve for broken, as it is late in asking.
+TEST(ManyEnginesTest, ANewHolderLeavesAPoolThatServesAsItIs)
+{
+  ManyEnginesWorld world;
+  for (const char* it : { "a", "b", "c" }) {
+    world.AddNode(it);
+  }
+  world.TimeUntilServing(kLarge, kSmall, seconds(20));
+  world.Run(seconds(5)); // the spares are ready
+  world.mOrders.clear();
+  world.mAsks = 0;
+  world.Holder().mAlive = false;
+  for (int i = 0; i < 100; ++i) {
+    world.Run(milliseconds(50));
+    ASSERT_EQ(world.mPool.Serving("large"), kLarge);
+    ASSERT_EQ(world.mPool.Serving("small"), kSmall);
+  }
+  EXPECT_TRUE(world.Holder().mCoordinator->HoldsLease());
+  EXPECT_LT(world.mAsks, 4 * kEngines);
+  world.ExpectNoneLost();
+}
+
+/// Guards against a bound on calls that hides the loss of many engines at once.
+TEST(ManyEnginesTest, ADomainThatFallsSilentIsFoundAtOnce)
+{
+  ManyEnginesWorld world;
+  world.AddNode("n");
+  world.TimeUntilServing(kLarge, kSmall, seconds(20));
+  world.Run(seconds(5));
+  std::string head;
+  for (auto& [id, engine] : world.mPool.Engines()) {
+    if (engine.mRecord.mDomain == "d7") {
+      engine.mAlive = false;
+      const bool open = engine.mRecord.mGroup.mPhase == GroupPhase::kOpen;
+      head = open ? id : head;
+    }
+  }
+  world.mNodes.front().mCoordinator->OnSuspect(head, milliseconds(300));
+  const TimePoint begin = world.mClock.Now();
+  while (world.mLines["engine_lost"] < kEnginesOfDomain &&
+         world.mClock.Now() - begin < seconds(5)) {
+    world.Run(milliseconds(20));
+  }
+  RecordProperty("ms", static_cast<int>(ToMs(world.mClock.Now() - begin).count()));
+  EXPECT_LT(ToMs(world.mClock.Now() - begin).count(), 800);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -57,6 +57,7 @@
   view.mPool = &*aService.mPool;
   view.mNow = Now();
   view.mFence = mLease.Fence();
+  view.mMostOrders = mCalls.RoomForOrders();
   view.mTraffic = mTraffic;
   view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
   // Most rounds ask for none, some for every head of the pool.
@@ -107,7 +108,7 @@
 void
 Coordinator::Impl::SendOrder(const GroupOrder& aOrder, const std::string& aService)
 {
-  mHooks.mOrder(aOrder, mOptions.mOrderTimeout, [this, aOrder, aService](OrderAnswer aAnswer) {
+  mCalls.Order(aOrder, mOptions.mOrderTimeout, [this, aOrder, aService](OrderAnswer aAnswer) {
     ++mCounters.mOrders[std::string(ToString(aOrder.mKind)) + "_" + ToString(aAnswer)];
     mHooks.mLog("order",
                 { { "kind", ToString(aOrder.mKind) },
--- /dev/null
+++ b/src/pepperbay/coordinator/engine_calls.cpp
@@ -0,0 +1,79 @@
+#include "engine_calls.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+
+EngineCalls::EngineCalls(EngineCallsOptions aOptions, EngineCallsHooks aHooks)
+  : mOptions(aOptions)
+  , mHooks(std::move(aHooks))
+  , mWindow(aOptions.mFirst)
+{
+}
+
+void
+EngineCalls::Order(const GroupOrder& aOrder,
+                   Duration aTimeout,
+                   std::function<void(OrderAnswer)> aDone)
+{
+  ++mOpen;
+  const TimePoint begun = mHooks.mNow();
+  mHooks.mOrder(
+    aOrder, aTimeout, [this, begun, aTimeout, done = std::move(aDone)](OrderAnswer aAnswer) {
+      const bool unread = OnEnd(begun, aTimeout, aAnswer != OrderAnswer::kNone);
+      done(unread ? OrderAnswer::kUnread : aAnswer);
+    });
+}
+
+void
+EngineCalls::Ask(const EngineRecord& aEngine,
+                 Duration aTimeout,
+                 std::function<void(Result<EngineReport>)> aDone)
+{
+  ++mOpen;
+  const TimePoint begun = mHooks.mNow();
+  mHooks.mAsk(aEngine,
+              aTimeout,
+              [this, begun, aTimeout, id = aEngine.mId, done = std::move(aDone)](
+                const Result<EngineReport>& aReport) {
+                if (OnEnd(begun, aTimeout, aReport.has_value())) {
+                  done(Error{ Errc::kCancelled, "engine.ask", id, "this node was late" });
+                } else {
+                  done(aReport);
+                }
+              });
+}
+
+int
+EngineCalls::RoomForOrders() const
+{
+  const int most = mWindow - static_cast<int>(mWindow * mOptions.mKeptForQuestions);
+  return std::max(0, most - mOpen);
+}
+
+bool
+EngineCalls::OnEnd(TimePoint aBegun, Duration aTimeout, bool aAnswered)
+{
+  --mOpen;
+  const Duration took = mHooks.mNow() - aBegun;
+  const bool unread = !aAnswered && took > aTimeout + mOptions.mLateEnd;
+  if (unread || (aAnswered && took > mOptions.mLate)) {
+    mUnread += unread ? 1 : 0;
+    if (aBegun >= mShrunk) {
+      Shrink();
+    }
+  } else if (aAnswered && took <= mOptions.mSoon) {
+    mWindow = std::min(mWindow + 1, mOptions.mMost);
+  }
+  return unread;
+}
+
+void
+EngineCalls::Shrink()
+{
+  mWindow = std::max(mWindow / 2, mOptions.mLeast);
+  mShrunk = mHooks.mNow();
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/coordinator/engine_calls.hpp
@@ -0,0 +1,80 @@
+/// @file
+/// @brief Orders and questions to engines: how many are under way at once, and what silence means.
+/// Pure but for its hooks.
+///
+/// A node that begins more calls than it can read the answers of finds each call's time over before
+/// it has looked. Taken for silence of the engines that leads to more calls: to repeats, to
+/// questions, to replicas that are formed anew. So the number of calls under way follows how
+/// quickly answers are read, and an engine is silent only where this node was in time to hear it.
+#pragma once
+
+#include "pepperbay/base/clock.hpp"
+#include "pepperbay/base/error.hpp"
+#include "pepperbay/placement/group_order.hpp"
+
+#include <cstdint>
+#include <functional>
+
+namespace pepperbay {
+
+struct EngineCallsOptions
+{
+  /// Calls under way at once. Each answer that is read soon allows one more, and one that is read
+  /// late half as many.
+  int mLeast = 4;
+  int mFirst = 32;
+  int mMost = 128;
+  /// Share of them that orders leave free for questions, without which orders cannot go on.
+  double mKeptForQuestions = 0.25;
+  /// Engines answer within a few milliseconds; what is beyond is this node's own time.
+  Duration mSoon = std::chrono::milliseconds(30);
+  Duration mLate = std::chrono::milliseconds(60);
+  /// The end of a call's time that is told later than this was told by a node that is late.
+  Duration mLateEnd = std::chrono::milliseconds(30);
+};
+
+struct EngineCallsHooks
+{
+  NowFn mNow;
+  std::function<void(const GroupOrder&, Duration aTimeout, std::function<void(OrderAnswer)>)>
+    mOrder;
+  std::function<
+    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    mAsk;
+};
+
+class EngineCalls
+{
+public:
+  EngineCalls(EngineCallsOptions aOptions, EngineCallsHooks aHooks);
+
+  /// Give an order. The answer is kUnread where this node was too late to hear one.
+  void Order(const GroupOrder& aOrder, Duration aTimeout, std::function<void(OrderAnswer)> aDone);
+  /// Ask an engine. The error is kCancelled where this node was too late to hear an answer.
+  void Ask(const EngineRecord& aEngine,
+           Duration aTimeout,
+           std::function<void(Result<EngineReport>)> aDone);
+
+  /// @return how many orders may be given now.
+  int RoomForOrders() const;
+  /// @return whether a question may be put now.
+  bool RoomForQuestion() const { return mOpen < mWindow; }
+  /// Calls that may be under way at once.
+  int Window() const { return mWindow; }
+  /// Calls whose answer this node was too late to hear.
+  std::uint64_t Unread() const { return mUnread; }
+
+private:
+  /// @return whether a call that ended without an answer tells nothing of the engine.
+  bool OnEnd(TimePoint aBegun, Duration aTimeout, bool aAnswered);
+  void Shrink();
+
+  EngineCallsOptions mOptions;
+  EngineCallsHooks mHooks;
+  int mOpen = 0;
+  int mWindow;
+  std::uint64_t mUnread = 0;
+  TimePoint mShrunk{}; ///< calls that began before this say nothing of the window as it is now
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -16,11 +16,16 @@
 void
 EngineDoubts::Ask(const EngineRecord& aEngine)
 {
+  if (!MayAsk()) {
+    mWaiting[aEngine.mId] = aEngine;
+    return;
+  }
+  mWaiting.erase(aEngine.mId);
   Question& question = mQuestions[aEngine.mId];
   if (question.mOpen > 0) {
     return;
   }
-  question = { kQuestions, false, aEngine.mBorn };
+  question = { kQuestions, false, false, aEngine.mBorn };
   const auto lost = mLost.find(aEngine.mId);
   if (lost != mLost.end()) {
     lost->second = mHooks.mNow();
@@ -39,7 +44,8 @@
 {
   const TimePoint now = mHooks.mNow();
   const auto last = mAskedOnce.find(aEngine.mId);
-  if (last != mAskedOnce.end() && now - last->second < mOptions.mAskState) {
+  const bool asked = last != mAskedOnce.end() && now - last->second < mOptions.mAskState;
+  if (asked || !MayAsk()) {
     return;
   }
   mAskedOnce[aEngine.mId] = now;
@@ -55,6 +61,7 @@
 EngineDoubts::Forget(const std::string& aEngine)
 {
   mQuestions.erase(aEngine);
+  mWaiting.erase(aEngine);
   mLost.erase(aEngine);
   mAskedOnce.erase(aEngine);
 }
@@ -68,6 +75,8 @@
   }
   Question& question = it->second;
   --question.mOpen;
+  question.mUnheard =
+    question.mUnheard || (!aReport.has_value() && aReport.error().mCode == Errc::kCancelled);
   if (aReport.has_value()) {
     const bool first = !question.mAnswered;
     question.mAnswered = true;
@@ -82,7 +91,12 @@
     return;
   }
   const bool answered = question.mAnswered;
+  const bool unheard = question.mUnheard;
   mQuestions.erase(it);
+  if (!answered && unheard) {
+    mWaiting[aEngine.mId] = aEngine;
+    return;
+  }
   if (!answered && mLost.emplace(aEngine.mId, mHooks.mNow()).second) {
     mHooks.mOnChange(aEngine, true);
   }
@@ -91,6 +105,11 @@
 void
 EngineDoubts::Tick(const std::function<const EngineRecord*(const std::string&)>& aFind)
 {
+  for (const auto& [id, engine] : std::exchange(mWaiting, {})) {
+    if (aFind(id) != nullptr) {
+      Ask(engine);
+    }
+  }
   for (auto it = mAskedOnce.begin(); it != mAskedOnce.end();) {
     const bool old = mHooks.mNow() - it->second >= mOptions.mAskState;
     it = old ? mAskedOnce.erase(it) : std::next(it);
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -32,18 +32,22 @@
   std::function<void(const EngineRecord&, const EngineReport&)> mOnAnswer;
   /// An engine has become lost, or a lost one answers.
   std::function<void(const EngineRecord&, bool aLost)> mOnChange;
+  /// Whether a question may be put now; null: any number.
+  std::function<bool()> mMayAsk = nullptr;
 };
 
 /// Asks engines under suspicion.
 ///
 /// Two questions go out at once, on connections of their own if need be, and an engine is lost when
-/// neither is answered in time: one lost packet must not darken a replica.
+/// neither is answered in time: one lost packet must not darken a replica. A question that ends
+/// with kCancelled was not heard by this node and says nothing; it is put again.
 class EngineDoubts
 {
 public:
   EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks);
 
-  /// Ask an engine that may be lost, unless it is being asked.
+  /// Ask an engine that may be lost, unless it is being asked; at a later Tick() where no question
+  /// may be put now.
   void Ask(const EngineRecord& aEngine);
   /// Ask an engine for its state, at most once in mAskState. No answer says nothing.
   void AskOnce(const EngineRecord& aEngine);
@@ -61,16 +65,19 @@
   {
     int mOpen = 0;
     bool mAnswered = false;
-    WallTime mBorn{}; ///< of the start that is asked
+    bool mUnheard = false; ///< one of them ended without a chance to hear the answer
+    WallTime mBorn{};      ///< of the start that is asked
   };
 
+  bool MayAsk() const { return !mHooks.mMayAsk || mHooks.mMayAsk(); }
   void OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport);
 
   EngineDoubtsOptions mOptions;
   EngineDoubtsHooks mHooks;
   std::map<std::string, Question> mQuestions;
-  std::map<std::string, TimePoint> mLost;      ///< when last asked
-  std::map<std::string, TimePoint> mAskedOnce; ///< when
+  std::map<std::string, EngineRecord> mWaiting; ///< to be asked as soon as questions may be put
+  std::map<std::string, TimePoint> mLost;       ///< when last asked
+  std::map<std::string, TimePoint> mAskedOnce;  ///< when
   std::uint64_t mAsked = 0;
 };
 
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -43,5 +43,39 @@
   EXPECT_TRUE(doubts.IsLost("a"));
 }
 
+/// Guards against engines that count as lost because the node that asked them was late.
+TEST(EngineDoubts, AQuestionWhoseAnswerCouldNotBeHeardIsPutAgain)
+{
+  ManualClock clock;
+  std::vector<std::function<void(Result<EngineReport>)>> asked;
+  int lost = 0;
+  bool may = true;
+  EngineDoubts doubts(
+    {},
+    { clock.Hook(),
+      [&](const EngineRecord&, Duration, const std::function<void(Result<EngineReport>)>& aDone) {
+        asked.push_back(aDone);
+      },
+      [](const EngineRecord&, const EngineReport&) {},
+      [&](const EngineRecord&, bool aLost) { lost += aLost ? 1 : 0; },
+      [&] { return may; } });
+  EngineRecord engine;
+  engine.mId = "a";
+  const auto find = [&](const std::string&) { return &engine; };
+  doubts.Ask(engine);
+  asked[0](Error{ Errc::kCancelled, "engine.ask", "a", "" });
+  asked[1](Error{ Errc::kTimeout, "engine.ask", "a", "" });
+  EXPECT_EQ(lost, 0);
+  may = false;
+  doubts.Tick(find);
+  EXPECT_EQ(asked.size(), 2U);
+  may = true;
+  doubts.Tick(find);
+  ASSERT_EQ(asked.size(), 4U);
+  asked[2](Error{ Errc::kTimeout, "engine.ask", "a", "" });
+  asked[3](Error{ Errc::kTimeout, "engine.ask", "a", "" });
+  EXPECT_EQ(lost, 1);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/placement/engine_state.cpp
+++ b/src/pepperbay/placement/engine_state.cpp
@@ -53,7 +53,7 @@
 OrderProof
 EngineState::ProofOf(const GroupOrder& aOrder, OrderAnswer aAnswer) const
 {
-  if (aAnswer == OrderAnswer::kNone) {
+  if (aAnswer == OrderAnswer::kNone || aAnswer == OrderAnswer::kUnread) {
     return OrderProof::kUnknown;
   }
   if (aAnswer != OrderAnswer::kBegun && aAnswer != OrderAnswer::kHolds) {
--- a/src/pepperbay/placement/group_order.cpp
+++ b/src/pepperbay/placement/group_order.cpp
@@ -36,6 +36,8 @@
       return "invalid";
     case OrderAnswer::kNone:
       return "none";
+    case OrderAnswer::kUnread:
+      return "unread";
   }
   return "unknown";
 }
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -70,9 +70,7 @@
   }
   RepairBroken();
   FormNew();
-  for (auto& [name, replica] : mReplicas) {
-    Drive(replica);
-  }
+  Drive();
   CareForSpares();
   mView = nullptr;
   return std::exchange(mOrders, {});
--- a/src/pepperbay/placement/group_planner_orders.cpp
+++ b/src/pepperbay/placement/group_planner_orders.cpp
@@ -6,34 +6,56 @@
 namespace pepperbay {
 
 void
-GroupPlanner::Drive(PlannedReplica& aReplica)
+GroupPlanner::Open(PlannedReplica& aReplica)
 {
-  if (aReplica.mPhase != ReplicaPhase::kForming && aReplica.mPhase != ReplicaPhase::kOpening) {
-    return;
-  }
-  NoteReadiness(aReplica);
+  aReplica.mPhase = ReplicaPhase::kOpening;
   GroupOrder order;
   order.mFence = mView->mFence;
   order.mGroup = aReplica.mName;
   order.mEpoch = aReplica.mEpoch;
-  if (!aReplica.AllReady()) {
-    order.mKind = GroupOrderKind::kJoin;
-    order.mModel = aReplica.mModel;
-    order.mMembers = aReplica.mMembers;
-    for (const auto& it : aReplica.mMembers) {
-      if (aReplica.mReady.count(it) == 0) {
-        order.mEngine = it;
-        Give(order);
-      }
-    }
-    return;
-  }
-  aReplica.mPhase = ReplicaPhase::kOpening;
   order.mKind = GroupOrderKind::kOpen;
   order.mEngine = aReplica.mMembers.front();
   Give(order);
 }
 
+void
+GroupPlanner::Join(const PlannedReplica& aReplica)
+{
+  GroupOrder order;
+  order.mFence = mView->mFence;
+  order.mGroup = aReplica.mName;
+  order.mEpoch = aReplica.mEpoch;
+  order.mKind = GroupOrderKind::kJoin;
+  order.mModel = aReplica.mModel;
+  order.mMembers = aReplica.mMembers;
+  for (const auto& it : aReplica.mMembers) {
+    if (aReplica.mReady.count(it) == 0) {
+      order.mEngine = it;
+      Give(order);
+    }
+  }
+}
+
+void
+GroupPlanner::Drive()
+{
+  std::vector<PlannedReplica*> joining;
+  for (auto& [name, replica] : mReplicas) {
+    if (replica.mPhase != ReplicaPhase::kForming && replica.mPhase != ReplicaPhase::kOpening) {
+      continue;
+    }
+    NoteReadiness(replica);
+    if (replica.AllReady()) {
+      Open(replica); // before any joins: a round may give only so many orders
+    } else {
+      joining.push_back(&replica);
+    }
+  }
+  for (const auto* it : joining) {
+    Join(*it);
+  }
+}
+
 void
 GroupPlanner::NoteReadiness(PlannedReplica& aReplica)
 {
@@ -53,6 +75,9 @@
 bool
 GroupPlanner::IsDue(const std::string& aEngine, GroupOrderKind aKind) const
 {
+  if (static_cast<int>(mOrders.size()) >= mView->mMostOrders) {
+    return false;
+  }
   const auto it = mPending.find(aEngine + " " + ToString(aKind));
   return it == mPending.end() || (!it->second.mWaiting && mView->mNow >= it->second.mDue);
 }
@@ -60,8 +85,7 @@
 bool
 GroupPlanner::Give(GroupOrder aOrder)
 {
-  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
-  if (pending.mWaiting || mView->mNow < pending.mDue) {
+  if (!IsDue(aOrder.mEngine, aOrder.mKind)) {
     return false;
   }
   const EngineRecord* engine = Find(aOrder.mEngine);
@@ -74,6 +98,7 @@
   if (aOrder.mKind == GroupOrderKind::kLeave && !NameAccepted(aOrder)) {
     return false;
   }
+  Pending& pending = mPending[aOrder.mEngine + " " + ToString(aOrder.mKind)];
   pending.mWaiting = true;
   pending.mLoads =
     aOrder.mKind == GroupOrderKind::kJoin && JoinTime(*engine, aOrder.mModel) > kRejoinTime;
@@ -143,9 +168,10 @@
 void
 GroupPlanner::OnAnswer(const GroupOrder& aOrder, OrderAnswer aAnswer, TimePoint aNow)
 {
+  const bool unknown = aAnswer == OrderAnswer::kNone || aAnswer == OrderAnswer::kUnread;
   if (!OfNewestStart(aOrder.mEngine, aOrder.mBorn)) {
     // Only what may still come of it matters: a join without an answer may reach the new start.
-    if (aAnswer == OrderAnswer::kNone && aOrder.mKind == GroupOrderKind::kJoin) {
+    if (unknown && aOrder.mKind == GroupOrderKind::kJoin) {
       mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aOrder.mEpoch, aNow + mOptions.mLateOrder };
     }
     return;
@@ -157,12 +183,12 @@
     mStaging.erase(aOrder.mEngine); // no weights are known to be on their way; it is told again
   }
   mStates[aOrder.mEngine].OnAnswer(aOrder, aAnswer, aNow);
-  if (aAnswer == OrderAnswer::kNone) {
+  if (unknown) {
     pending.mDue = aNow; // at once again: the effect may be there or not
     if (aOrder.mKind == GroupOrderKind::kJoin && !IsSpareGroup(aOrder.mGroup)) {
       mLostJoins[aOrder.mEngine] = { aOrder.mGroup, aOrder.mEpoch, aNow + mOptions.mLateOrder };
     }
-    if (++pending.mUnanswered >= mOptions.mMostUnanswered) {
+    if (aAnswer == OrderAnswer::kNone && ++pending.mUnanswered >= mOptions.mMostUnanswered) {
       mUnanswering.insert(aOrder.mEngine);
       pending.mUnanswered = 0;
     }
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -191,6 +191,37 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
+/// Guards against a pool that never forms where the holder can give only few orders at a time.
+TEST(GroupPlanner, FormsThePoolWithFewOrdersInEachRound)
+{
+  World world(6);
+  world.mMostOrders = 2;
+  GroupPlanner planner;
+  world.Run(planner, seconds(20));
+  EXPECT_EQ(world.mPool.Serving("big"), 6U);
+  EXPECT_EQ(world.mPool.Serving("small"), 6U);
+  EXPECT_EQ(world.mMostGiven, 2);
+  EXPECT_TRUE(world.mPool.Violations().empty());
+}
+
+/// Guards against engines that count as lost because the holder was too late to hear them.
+TEST(GroupPlanner, AnAnswerThatCouldNotBeHeardSaysNothingOfTheEngine)
+{
+  World world(1);
+  GroupPlanner planner;
+  const TimePoint late = world.Now() + seconds(5);
+  world.mFate = [&](const GroupOrder&) {
+    return world.Now() < late ? Fate::kUnread : Fate::kArrives;
+  };
+  while (world.Now() < late) {
+    world.Run(planner, milliseconds(100));
+    ASSERT_TRUE(planner.Unanswering().empty());
+  }
+  world.Run(planner, seconds(20));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+  EXPECT_EQ(world.mPool.Serving("small"), 1U);
+}
+
 /// Symptom: a replica stands still for seconds, a third of all orders go to engines that refuse
 /// them, and a replica without a spare is formed anew four times a second.
 /// Sequence: a member cut off from the store ends and starts again under another id; the list still
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -31,6 +31,7 @@
   kArrives,
   kLost,       ///< before it took effect
   kAnswerLost, ///< after it took effect
+  kUnread,     ///< the same, and the node that gave it was too late to hear the answer
   kLate,       ///< no answer, and carried out seconds later
   kSlow,       ///< carried out and answered some rounds later
   kAnswerSlow, ///< carried out at once and answered some rounds later
@@ -77,6 +78,7 @@
     view.mNow = Now();
     view.mFence = aFence;
     view.mTraffic = mTraffic;
+    view.mMostOrders = mMostOrders;
     view.mDead = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
     view.mInFlight = [this, &aPlanner](const std::string& aHead) {
       if (mStreamsLast && TakesNoneSince(aPlanner, aHead) >= *mStreamsLast) {
@@ -96,6 +98,7 @@
       }
     }
     const auto orders = aPlanner.Plan(view);
+    mMostGiven = std::max(mMostGiven, static_cast<int>(orders.size()));
     const auto wanted = aPlanner.Wanted();
     for (const auto& [it, engine] : wanted) {
       if (mPool.At(it).mAlive && mFound.count(it) == 0) {
@@ -116,6 +119,10 @@
           mPool.Order(order, Now());
           aPlanner.OnAnswer(order, OrderAnswer::kNone, Now());
           break;
+        case Fate::kUnread:
+          mPool.Order(order, Now());
+          aPlanner.OnAnswer(order, OrderAnswer::kUnread, Now());
+          break;
         case Fate::kLate:
           mLate.emplace_back(Now() + seconds(4), order);
           aPlanner.OnAnswer(order, OrderAnswer::kNone, Now());
@@ -289,7 +296,9 @@
   std::deque<SlowOrder> mSlow;
   std::map<std::string, EngineRecord> mCutOff; ///< by engine, as it registered last
   std::map<GroupOrderKind, int> mGiven;
-  std::map<std::string, int> mJoins; ///< given, by engine
+  int mMostOrders = std::numeric_limits<int>::max(); ///< in a round
+  int mMostGiven = 0;                                ///< in a round
+  std::map<std::string, int> mJoins;                 ///< given, by engine
   int mRefusedJoins = 0;
   int mInFlight = 0; ///< at each head
   /// Requests at a head that takes no new ones have ended after this; without it they never do.
