Metrics: calls to the store by log and reason

Each call of a node is now counted by log and reason: it reads for others, holds the lease, missed a record, doubts what it is told, reads a list, writes.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -147,7 +147,8 @@
 /// Counts since the start; see docs/OPERATIONS.md.
 struct CoordinatorCounters
 {
-  std::map<std::string, std::uint64_t> mOrders; ///< by kind and answer
+  std::map<std::string, std::uint64_t> mOrders;     ///< by kind and answer
+  std::map<std::string, std::uint64_t> mStoreCalls; ///< by log and reason
   std::uint64_t mAsks = 0;
   std::uint64_t mLostEngines = 0; ///< times that an engine was found not to answer
   std::uint64_t mBeats = 0;
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -112,6 +112,24 @@
   return "unknown";
 }
 
+const char*
+NameOf(StoreCallReason aReason)
+{
+  switch (aReason) {
+    case StoreCallReason::kReader:
+      return "reader";
+    case StoreCallReason::kHolder:
+      return "holder";
+    case StoreCallReason::kMissed:
+      return "missed";
+    case StoreCallReason::kDoubt:
+      return "doubt";
+    case StoreCallReason::kList:
+      return "list";
+  }
+  return "unknown";
+}
+
 Coordinator::Impl::Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks)
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
@@ -140,7 +158,7 @@
                     [this](const auto& aList) { OnNodeList(aList); },
                     [this](const KeyedRecord& aRecord) { OnNode(aRecord); }),
                   mHooks.mNow)
-  , mLease(LeaseOptionsOf(mOptions), mHooks.mLeaseLog, mHooks.mNow)
+  , mLease(LeaseOptionsOf(mOptions), CountedLease(), mHooks.mNow)
   , mCalls({}, { mHooks.mNow, mHooks.mOrder, mHooks.mAsk })
   , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState },
             { mHooks.mNow,
@@ -158,7 +176,12 @@
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
   , mSuspects(SuspectOptionsOf(mOptions),
               { mHooks.mNow,
-                mHooks.mPutNode,
+                [this](const std::string& aKey,
+                       const std::string& aValue,
+                       std::function<void(Result<void>)> aDone) {
+                  ++mCounters.mStoreCalls["nodes_put"];
+                  mHooks.mPutNode(aKey, aValue, std::move(aDone));
+                },
                 [this](const proto::SuspectNews& aNews) {
                   proto::PeerMessage message = NewMessage();
                   *message.mutable_suspects() = aNews;
@@ -171,6 +194,21 @@
 {
 }
 
+LogLeaseHooks
+Coordinator::Impl::CountedLease()
+{
+  LogLeaseHooks hooks;
+  hooks.mAppend = [this](std::uint64_t aEnd, const std::string& aRecord, auto aDone) {
+    ++mCounters.mStoreCalls["lease_append"];
+    mHooks.mLeaseLog.mAppend(aEnd, aRecord, std::move(aDone));
+  };
+  hooks.mRead = [this](std::uint64_t aFrom, auto aDone) {
+    ++mCounters.mStoreCalls["lease_read"];
+    mHooks.mLeaseLog.mRead(aFrom, std::move(aDone));
+  };
+  return hooks;
+}
+
 KeyedFollowerEvents
 Coordinator::Impl::Events(FollowedLog aLog,
                           std::function<void(const std::vector<KeyedRecord>&)> aOnList,
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -20,6 +20,19 @@
 const char*
 NameOf(FollowedLog aLog);
 
+/// Why a node makes a call to one of the store's logs that it follows.
+enum class StoreCallReason
+{
+  kReader, ///< it reads for others, or nobody reads for it
+  kHolder, ///< it holds the lease and needs registrations at once
+  kMissed, ///< records that its reader has told of have not come
+  kDoubt,  ///< what it is told is too old, or the store has to show that it is back
+  kList,   ///< a page of the list
+};
+
+const char*
+NameOf(StoreCallReason aReason);
+
 struct Coordinator::Impl
 {
   Impl(CoordinatorOptions aOptions, CoordinatorHooks aHooks);
@@ -123,6 +136,11 @@
   bool LooksAtConfiguration();
   bool LooksAtEngines();
   void LogLook(FollowedLog aLog, Duration aAge);
+  /// Make the call to a log that is due there, if it may be made.
+  void Ask(FollowedLog aLog, StoreCallReason aReason);
+  StoreCallReason ReasonToRead() const;
+  /// The hooks of the lease's log, with their calls counted.
+  LogLeaseHooks CountedLease();
   /// @return whether calls to the store's logs have failed for a while.
   bool StoreLost() const;
   /// Nodes that go by what this one passes on.
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -158,21 +158,51 @@
   // The reader may be cut from the store and not know it yet, and so may the next ones; nodes that
   // waited for each in turn would go by an older configuration, or send to engines that have left,
   // for seconds.
-  const bool looks = LooksAtConfiguration();
-  if (mConfigFollower.NeedsList() || looks || mReads.Reads(FollowedLog::kConfiguration)) {
-    mConfigFollower.Tick();
+  if (LooksAtConfiguration()) {
+    Ask(FollowedLog::kConfiguration, StoreCallReason::kDoubt);
+  } else if (mReads.Reads(FollowedLog::kConfiguration)) {
+    Ask(FollowedLog::kConfiguration, ReasonToRead());
   }
-  if (mNodeFollower.NeedsList() || mReads.Reads(FollowedLog::kNodes)) {
-    mNodeFollower.Tick();
+  if (mReads.Reads(FollowedLog::kNodes)) {
+    Ask(FollowedLog::kNodes, ReasonToRead());
   }
   const bool holder = mLease.LastIsMine();
-  const bool reads = holder || mReads.Reads(FollowedLog::kEngines);
-  if (mEngineFollower.NeedsList() || LooksAtEngines() || (reads && now >= mEngineReadDue)) {
+  const bool reads = mReads.Reads(FollowedLog::kEngines);
+  const bool looks = LooksAtEngines();
+  if (looks || ((reads || holder) && now >= mEngineReadDue)) {
     const bool alone = ReadsForItself() && Dependants().empty();
     const Duration pause = alone ? mOptions.mOtherPause : mOptions.mReaderPause;
     mEngineReadDue = now + (holder ? mOptions.mHolderPause : pause);
-    mEngineFollower.Tick();
+    const StoreCallReason reason = looks    ? StoreCallReason::kDoubt
+                                   : holder ? StoreCallReason::kHolder
+                                            : ReasonToRead();
+    Ask(FollowedLog::kEngines, reason);
   }
+  for (const auto log :
+       { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
+    if (FollowerOf(log).NeedsList()) {
+      Ask(log, StoreCallReason::kList);
+    }
+  }
+}
+
+StoreCallReason
+Coordinator::Impl::ReasonToRead() const
+{
+  return ReadsForItself() ? StoreCallReason::kReader : StoreCallReason::kMissed;
+}
+
+void
+Coordinator::Impl::Ask(FollowedLog aLog, StoreCallReason aReason)
+{
+  KeyedFollower& follower = FollowerOf(aLog);
+  if (!follower.MayAsk()) {
+    return;
+  }
+  // A list is read first, whatever else the call is for.
+  const StoreCallReason reason = follower.NeedsList() ? StoreCallReason::kList : aReason;
+  ++mCounters.mStoreCalls[std::string(NameOf(aLog)) + "_" + NameOf(reason)];
+  follower.Tick();
 }
 
 std::vector<std::string>
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -56,6 +56,7 @@
     return;
   }
   mRecordOnItsWay = true;
+  ++mCounters.mStoreCalls["nodes_put"];
   proto::NodeRecord record;
   record.set_node(mOptions.mNode);
   record.set_incarnation(mOptions.mIncarnation);
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -116,6 +116,7 @@
     Counter("places_passed_on_total", "To another data centre's desk", aFigures.mPlaces.mPassedOn),
     Counter("bad_place_messages_total", "Not understood", aFigures.mPlaces.mBadMessages),
     Counters("orders_total", "Orders to engines", "order", control.mOrders),
+    Counters("store_calls_total", "By log and reason", "call", control.mStoreCalls),
     Counter("asks_total", "Questions to engines", control.mAsks),
     Counter("lost_engines_total", "Engines found not to answer", control.mLostEngines),
     Counter("bad_configurations_total", "Not understood", control.mBadConfigurations),
