--- a/src/pepperbay/coordinator/coordinator_chains_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_chains_test.cpp
@@ -75,7 +75,7 @@
       FaultIfDue();
       HealWhatIsDue();
       Run(kStep);
-      const std::string broken = Check();
+      std::string broken = Check();
       if (!broken.empty()) {
         return broken;
       }
