Records of the store that fill more than one message are passed on in several

Cause: what is read at once while a pool forms, or a domain comes back, is longer than a datagram and was not passed on at all, so each node of the data centre read it. Records have an offset each, so a feed can be split between any two; where a record was left out in reading, it is sent whole as before. ReadersTest.RecordsThatFillManyMessagesArePassedOn: 8 reads by nodes that rely on a reader before, none now.

--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -148,6 +148,7 @@
   KeyedFollower& FollowerOf(FollowedLog aLog);
   /// Pass on what was read for other nodes.
   void PassOn(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
+  void SendFeed(const proto::PeerMessage& aMessage);
   void TakeFeed(const proto::LogFeed& aFeed);
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -4,8 +4,12 @@
 
 namespace pepperbay {
 namespace {
-/// Feeds travel in one datagram each; what is longer, the others read themselves.
+/// Records travel in datagrams of so many bytes; one that is longer by itself, the others read
+/// themselves.
 constexpr std::size_t kMostFedBytes = 60000;
+constexpr std::size_t kMostDatagramBytes = 65000;
+/// Of a record in a message, beside its key and its value.
+constexpr std::size_t kFedRecordOverhead = 16;
 /// The store counts as lost once calls have failed for so long. One lost answer is made good by the
 /// next call, and a reader that gives up for it would move all that rely on it.
 constexpr std::chrono::milliseconds kLostAfter{ 300 };
@@ -223,19 +227,38 @@
   if (!ReadsForItself()) {
     return;
   }
+  // Offsets of single records are known only where each has one: none was left out in reading.
+  const bool splits = aTail.mNext - aFrom == aTail.mRecords.size();
   proto::PeerMessage message = NewMessage();
   auto* feed = message.mutable_feed();
   feed->set_log(static_cast<std::uint32_t>(aLog));
   feed->set_from(aFrom);
-  feed->set_next(aTail.mNext);
+  feed->set_next(aFrom);
+  std::size_t bytes = 0;
   for (const auto& it : aTail.mRecords) {
+    const std::size_t size = it.mKey.size() + it.mValue.value_or("").size() + kFedRecordOverhead;
+    if (splits && bytes > 0 && bytes + size > kMostFedBytes) {
+      SendFeed(message);
+      feed->clear_records();
+      feed->set_from(feed->next());
+      bytes = 0;
+    }
     auto* record = feed->add_records();
     record->set_key(it.mKey);
     record->set_gone(!it.mValue.has_value());
     record->set_value(it.mValue.value_or(""));
+    feed->set_next(feed->next() + 1);
+    bytes += size;
   }
-  const std::string bytes = message.SerializeAsString();
-  if (bytes.size() > kMostFedBytes) {
+  feed->set_next(aTail.mNext);
+  SendFeed(message);
+}
+
+void
+Coordinator::Impl::SendFeed(const proto::PeerMessage& aMessage)
+{
+  const std::string bytes = aMessage.SerializeAsString();
+  if (bytes.size() > kMostDatagramBytes) {
     return;
   }
   for (const auto& it : Dependants()) {
--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -241,6 +241,30 @@
   EXPECT_LT(delay.count(), kOneLook.count());
 }
 
+/// Guards against a call of every node to the store whenever many engines register at once.
+TEST(ReadersTest, RecordsThatFillManyMessagesArePassedOn)
+{
+  constexpr int kRecords = 300;
+  const std::string longValue(1000, 'x');
+  ReadersWorld world;
+  for (int i = 0; i < kRecords; ++i) {
+    world.mPool.Add("many" + std::to_string(i), "another domain");
+    world.mRegistered["many" + std::to_string(i)] = "listed";
+  }
+  const std::string holder = world.Holder().mName;
+  world.mReads.clear();
+  for (int i = 0; i < kRecords; ++i) {
+    world.mEngineLog.Put("many" + std::to_string(i), longValue);
+  }
+  world.Run(seconds(15)); // they have joined replicas, and nothing changes any more
+  for (const auto& it : world.mNodes) {
+    const bool reads = it.mName == world.mRanked[0] || it.mName == holder;
+    EXPECT_TRUE(reads || world.mReads[it.mName] == 0) << it.mName << " " << world.mReads[it.mName];
+    const std::string next = "\"next\": " + std::to_string(world.mEngineLog.mEnd);
+    EXPECT_NE(it.mCoordinator->Dump().find(next), std::string::npos) << it.mName;
+  }
+}
+
 /// What the nodes' own looks at the store may cost: nothing while the reader is well, and few calls
 /// while nobody reaches the store.
 TEST(ReadersTest, NodesThatAreToldMakeNoCallsAndOnesThatAreNotMakeFew)
