--- a/src/pepperbay/coordinator/coordinator_chains_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_chains_test.cpp
@@ -1,5 +1,4 @@
 #include "coordinator_world.hpp"
-#include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
 #include <array>
@@ -52,14 +51,7 @@
   {
     AddPool();
     mHoldsReads = true;
-    std::vector<std::string> names;
-    for (const char* centre : { "a", "b", "c" }) {
-      for (int i = 0; i < 3; ++i) {
-        names.push_back(centre + std::to_string(i));
-        AddNode(names.back(), 0, centre);
-      }
-    }
-    mRanked = RendezvousTop("delegates", names, names.size());
+    mRanked = AddNineNodes();
     mLoses = [this](const std::string& aFrom, const std::string& aTo) {
       return IsApart(aFrom) || IsApart(aTo) || Chance(mLoss);
     };
--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -1,5 +1,4 @@
 #include "coordinator_world.hpp"
-#include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -23,14 +22,7 @@
     AddPool();
     mPool.Add(kLeaver, "another domain");
     mHoldsReads = true;
-    std::vector<std::string> names;
-    for (const char* centre : { "a", "b", "c" }) {
-      for (int i = 0; i < 3; ++i) {
-        names.push_back(centre + std::to_string(i));
-        AddNode(names.back(), 0, centre);
-      }
-    }
-    mRanked = RendezvousTop("delegates", names, names.size());
+    mRanked = AddNineNodes();
     Run(seconds(10));
   }
 
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -7,6 +7,7 @@
 #include "fakes/fake_lease_log.hpp"
 #include "fakes/fake_pool.hpp"
 #include "fakes/fake_store_line.hpp"
+#include "pepperbay/base/hash.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 
 #include <deque>
@@ -81,6 +82,20 @@
     return node;
   }
 
+  /// Nine nodes in three small data centres, one of which reads the store for all.
+  /// @return their names in the order in which they do so
+  std::vector<std::string> AddNineNodes()
+  {
+    std::vector<std::string> names;
+    for (const char* centre : { "a", "b", "c" }) {
+      for (int i = 0; i < 3; ++i) {
+        names.push_back(centre + std::to_string(i));
+        AddNode(names.back(), 0, centre);
+      }
+    }
+    return RendezvousTop("delegates", names, names.size());
+  }
+
   /// A log's hooks that fail while the store is down for the node.
   KeyedLogHooks Guarded(FakeKeyedLog* aLog, const TestNode& aNode)
   {
