--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -61,7 +61,7 @@
                         coordinator_registrations_test.cpp coordinator_restored_test.cpp
                         coordinator_suspects_test.cpp coordinator_chains_test.cpp
                         coordinator_many_engines_test.cpp
-                        engine_calls_test.cpp engine_doubts_test.cpp
+                        engine_calls_test.cpp engine_doubts_test.cpp log_reads_test.cpp
                   USES journal lease membership placement quarantine routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp ending_probe.cpp event_splitter.cpp
