Bounds of knowledge: a promise of a few milliseconds does not make a storm of reads; comments

Read as a newcomer: with configure_within below 0.8 s an old view would have been looked at in every round of an outage; the pause is 400 ms at least. The comment on the pauses spoke of a value that has moved. CoordinatorBoundsTest tests what follows from the promises.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -52,6 +52,13 @@
   Duration mLeave = std::chrono::seconds(2);         ///< no request goes to an engine that leaves
 };
 
+/// @return how old what a node knows may be for the promises to hold; see "How old a reader's word
+/// may be" in docs/DESIGN.md for the sums.
+///
+/// @code
+/// CoordinatorOptions options;
+/// options.mBounds = BoundsOf({ std::chrono::seconds(4), std::chrono::seconds(5) });
+/// @endcode
 CoordinatorBounds
 BoundsOf(const InForceWithin& aWithin);
 
@@ -81,9 +88,8 @@
   /// How long the store holds a read of the configuration. It bounds how old the configuration of a
   /// node whose reader is well may seem: this, and a heartbeat with its answer.
   Duration mConfigWait = std::chrono::milliseconds(700);
-  /// While the store does not answer that either, it is asked again after the first of these, and
-  /// then after twice the time up to the second. With a call that ends after a second it has to
-  /// stay below the time in which a node that the store answers again must be in step.
+  /// A store that does not answer a node which doubts what it is told is asked again after this,
+  /// and then after twice the time up to mBounds.mLookAgainMost.
   Duration mLookAgainFirst = std::chrono::milliseconds(400);
   /// The same for a node that is told all by others: it asks only whether the store is back.
   Duration mProbeMost = std::chrono::seconds(5);
@@ -191,6 +197,7 @@
   void SetInFlight(std::unordered_map<std::string, int> aInFlight, bool aTraffic);
   /// Fail readiness and give the lease back.
   void BeginStop();
+  /// New promises take force at once.
   void SetBounds(const CoordinatorBounds& aBounds);
 
   bool IsReady() const;
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -61,6 +61,8 @@
 /// What is known through a reader that is well is up to this old; nodes that looked sooner would
 /// all read the store all the time.
 constexpr Duration kLeastLookAfter = std::chrono::milliseconds(1100);
+/// All nodes ask so often in an outage of the store.
+constexpr Duration kLeastLookAgain = std::chrono::milliseconds(400);
 constexpr double kLookPart = 0.6;
 constexpr double kEnginesLookPart = 0.8;
 constexpr double kLookAgainPart = 0.5;
@@ -94,7 +96,7 @@
   bounds.mMissesTrusted = aWithin.mConfiguration;
   bounds.mLookAfter = std::max(kLeastLookAfter, PartOf(aWithin.mConfiguration, kLookPart));
   bounds.mEnginesLookAfter = std::max(kLeastLookAfter, PartOf(aWithin.mLeave, kEnginesLookPart));
-  bounds.mLookAgainMost = PartOf(aWithin.mConfiguration, kLookAgainPart);
+  bounds.mLookAgainMost = std::max(kLeastLookAgain, PartOf(aWithin.mConfiguration, kLookAgainPart));
   return bounds;
 }
 
--- a/src/pepperbay/coordinator/coordinator_freshness_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_freshness_test.cpp
@@ -105,5 +105,24 @@
   EXPECT_EQ(book.LogAsOf(FollowedLog::kEngines), asked + milliseconds(20 - 200));
 }
 
+/// Guards against nodes that read the store all the time, or never in time, by what was promised.
+TEST(CoordinatorBoundsTest, FollowFromThePromises)
+{
+  const CoordinatorBounds usual = BoundsOf(InForceWithin{});
+  EXPECT_EQ(usual.mLookAfter, milliseconds(1200));
+  EXPECT_EQ(usual.mEnginesLookAfter, milliseconds(1600));
+  EXPECT_EQ(usual.mLookAgainMost, seconds(1));
+  EXPECT_EQ(usual.mMissesTrusted, seconds(2));
+  for (const milliseconds within : { seconds(2), seconds(4), seconds(3600) }) {
+    const CoordinatorBounds bounds = BoundsOf({ within, within, within });
+    EXPECT_LT(bounds.mLookAfter, within);
+    EXPECT_LT(bounds.mEnginesLookAfter, within);
+    EXPECT_LT(bounds.mLookAgainMost, within);
+  }
+  const CoordinatorBounds least = BoundsOf({ milliseconds(1), milliseconds(1), milliseconds(1) });
+  EXPECT_GE(least.mLookAfter, seconds(1));
+  EXPECT_GE(least.mLookAgainMost, milliseconds(400));
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -148,6 +148,7 @@
   KeyedFollower& FollowerOf(FollowedLog aLog);
   /// Pass on what was read for other nodes.
   void PassOn(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
+  /// One message of what was read; one that fits into no datagram is left out.
   void SendFeed(const proto::PeerMessage& aMessage);
   void TakeFeed(const proto::LogFeed& aFeed);
   KeyedFollowerEvents Events(FollowedLog aLog,
@@ -179,8 +180,8 @@
   LookPause mConfigurationLook;
   LookPause mEnginesLook;
   std::shared_ptr<const RouteTable> mRoutes;
-  std::string mConfiguration; ///< that mRoutes was made from, as the operator wrote it
-  TimePoint mConfigurationTaken{};
+  std::string mConfiguration;      ///< that mRoutes was made from, as the operator wrote it
+  TimePoint mConfigurationTaken{}; ///< when this node took it in
   std::map<std::string, GroupPlanner> mPlanners; ///< by service
   NewsBook mNews;
   /// What the last holder told of its replicas, until this one has planned once: its first round
