Coordinator: the bounds of knowledge have a file of their own; one check for pools that form in time

Moved as it is into coordinator_bounds. Two tests of many engines repeated the same four expectations; they stand in one place, unchanged.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -50,7 +50,7 @@
                   PACKAGES nlohmann_json::nlohmann_json prometheus-cpp::core)
 
 # A node before a shared pool of engines, and the users' platform, which only translates.
-pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_dump.cpp coordinator_peers.cpp
+pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_bounds.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp coordinator_registrations.cpp
                                       engine_calls.cpp engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp log_reads.cpp news_book.cpp
--- a/src/pepperbay/coordinator/coordinator_many_engines_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_many_engines_test.cpp
@@ -65,6 +65,15 @@
     return ToMs(mClock.Now() - begin);
   }
 
+  /// The pool formed in time, with few calls for each engine.
+  void ExpectFormed(milliseconds aTook)
+  {
+    EXPECT_LT(aTook.count(), 8000);
+    EXPECT_LT(Orders(), 4 * kEngines);
+    EXPECT_LT(mAsks, 2 * kEngines);
+    ExpectNoneLost();
+  }
+
   /// No engine has failed, and none counts as lost.
   void ExpectNoneLost()
   {
@@ -88,10 +97,7 @@
   RecordProperty("ms", static_cast<int>(took.count()));
   RecordProperty("orders", world.Orders());
   RecordProperty("asks", world.mAsks);
-  EXPECT_LT(took.count(), 8000);
-  EXPECT_LT(world.Orders(), 4 * kEngines);
-  EXPECT_LT(world.mAsks, 2 * kEngines);
-  world.ExpectNoneLost();
+  world.ExpectFormed(took);
 }
 
 /// Guards against the same where the holder is ten times slower for a while.
@@ -103,10 +109,7 @@
   world.Run(seconds(3));
   world.mNodes.front().mClient->SetSlowness(1);
   const milliseconds took = world.TimeUntilServing(kLarge, kSmall, seconds(20));
-  EXPECT_LT(took.count(), 8000);
-  EXPECT_LT(world.Orders(), 4 * kEngines);
-  EXPECT_LT(world.mAsks, 2 * kEngines);
-  world.ExpectNoneLost();
+  world.ExpectFormed(took);
 }
 
 /// Guards against a new holder that takes replicas which serve for broken, as it is late in asking.
