A queue at a replica holds who can still be in time; refused callers come back at different times

Cause: each replica was filled to one and a half times its slots, whoever came; once full, every caller waited half a second for a slot, beyond the objective, and the replicas served no more for it. Callers refused together were told the same 600 ms and met again. Now a desk grants a place beyond the slots only as far as the slots that come free within half of the objective; a request that goes on after its first event keeps the old bound. Refused because all are full, a caller is told 0.6 to 1.8 s, by its request's id, and no more than a third of its time. Ruled out: a queue as long for those that come back (late anyway): it rests at the longer bound and first callers are refused, so all are late again (by reasoning, not played).

--- a/examples/places/ask.cpp
+++ b/examples/places/ask.cpp
@@ -54,7 +54,7 @@
   desk->SetPlan(MakePlan(true));
   node->SetPlan(MakePlan(false));
   PlaceTicket ticket;
-  node->Ask({ "pool", "m", std::chrono::milliseconds(30), {}, false }, [&](const Place& aPlace) {
+  node->Ask({ "pool", "m", std::chrono::milliseconds(30), {}, {}, false }, [&](const Place& aPlace) {
     ticket = aPlace.mTicket;
     std::cout << ToString(aPlace.mOutcome) << " at " << aPlace.mHead.mId << " by " << ticket.mDesk
               << "\n";
--- a/include/pepperbay/places/place_agent.hpp
+++ b/include/pepperbay/places/place_agent.hpp
@@ -50,6 +50,8 @@
   std::string mService;
   std::string mModel;
   Duration mWork{ 0 };          ///< time that a replica takes to read the prompt
+  /// To the first event; zero: it is late in any case, or goes on after its first event.
+  Duration mObjective{ 0 };
   std::set<std::string> mTried; ///< heads that the request has been sent to
   bool mAgain = false;          ///< draws on the shared budget of second attempts
 };
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -59,6 +59,9 @@
   Duration mWaitForPlan = std::chrono::milliseconds(300);
   /// When a refused caller should come back: about the time in which a replica forms anew.
   Duration mRetryAfter = std::chrono::milliseconds(600);
+  /// Callers who are refused because all replicas are full are told to come back up to so much later
+  /// than that, each at a time of its own.
+  Duration mSpreadReturns = std::chrono::milliseconds(1200);
   /// An engine that ends so soon after it began to answer a request may have ended for it.
   Duration mSuspectWithin = std::chrono::seconds(1);
   /// After a stop is asked for, the balancer needs this long to send no more connections.
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -11,6 +11,13 @@
 
 namespace pepperbay {
 
+/// How many requests may wait at a replica whose slots are taken.
+enum class QueueBound
+{
+  kShareOfSlots, ///< as many for every request
+  kInTime,       ///< as many as let a new request's first event come within its objective
+};
+
 struct BalancerOptions
 {
   std::string mDataCentre; ///< of this node; ties go to engines of it
@@ -23,6 +30,10 @@
   /// Requests that may wait at a replica beyond its slots, as a share of the slots. A wait longer
   /// than a caller's patience with a silent stream (two seconds) is a wasted place.
   double mQueueShare = 0.5;
+  QueueBound mQueueBound = QueueBound::kInTime;
+  /// The part of a request's objective that it may wait for a slot; the rest is for its prompt and
+  /// the first step.
+  double mWaitShare = 0.5;
   /// What counts against a replica, as time that a request's first event waits there. One request
   /// more in progress slows each of the handful of steps before it by a hundredth.
   Duration mCrowdCost = std::chrono::microseconds(1500);
@@ -87,6 +98,8 @@
   {
     std::string mModel;
     std::string mDataCentre;         ///< of the node that sends the request
+    /// To the request's first event; zero: it is late in any case, or goes on after its first event.
+    Duration mObjective{ 0 };
     std::set<std::uint32_t> mTried;  ///< heads to leave out, by ShortId()
     std::set<std::uint32_t> mFaulty; ///< heads that come last
   };
@@ -112,6 +125,10 @@
   /// for by the plan.
   int InFlight(const TrafficPlan& aPlan, const std::string& aEngine) const;
 
+  /// @return requests that a replica of a model may have, waiting ones included, for one more with
+  /// this objective to be sent there.
+  int MostAt(const EnginePool& aPool, const std::string& aModel, Duration aObjective) const;
+
 private:
   bool RecentFault(const std::string& aEngine, TimePoint aNow) const;
   /// The mean pause between events, or zero when it is not known.
--- a/src/pepperbay/places/place_agent.cpp
+++ b/src/pepperbay/places/place_agent.cpp
@@ -202,6 +202,7 @@
   ask->set_service(request.mService);
   ask->set_model(request.mModel);
   ask->set_work_us(ToUs(request.mWork));
+  ask->set_objective_us(ToUs(request.mObjective));
   for (const auto& it : request.mTried) {
     ask->add_tried(ShortId(it));
   }
@@ -247,7 +248,9 @@
 PlaceAgent::ChooseAlone(const PlaceRequest& aRequest)
 {
   mCounters.mAlone += mPlan && !mPlan->mIsDesk ? 1 : 0;
-  Balancer::ReplicaQuery query{ aRequest.mModel, mOptions.mDataCentre, {}, {} };
+  Balancer::ReplicaQuery query{
+    aRequest.mModel, mOptions.mDataCentre, aRequest.mObjective, {}, {}
+  };
   for (const auto& it : aRequest.mTried) {
     query.mTried.insert(ShortId(it));
   }
@@ -348,6 +351,7 @@
   Balancer::ReplicaQuery query{
     ask.model(),
     passedOn ? mOptions.mDataCentre : ask.data_centre(),
+    std::chrono::microseconds(ask.objective_us()),
     { ask.tried().begin(), ask.tried().end() },
     { ask.faulty().begin(), ask.faulty().end() },
   };
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -176,6 +176,7 @@
   request.mService = mService->mName;
   request.mModel = mFacts.mModel;
   request.mWork = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  request.mObjective = mStreamStarted || aAgain ? Duration::zero() : mRoute->mObjective;
   request.mTried = mTried;
   request.mAgain = aAgain;
   return request;
@@ -214,6 +215,7 @@
                          self->mCore->mPlaces.End(aPlace.mTicket); // the caller has left
                          return;
                        }
+                       self->mFoundFull = aPlace.mOutcome == PlaceOutcome::kFull;
                        if (aPlace.mOutcome != PlaceOutcome::kGranted) {
                          aOtherwise(ToString(aPlace.mOutcome));
                          return;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -184,6 +184,8 @@
   void AnswerFallback(const std::string& aReason);
 
   void Answer(int aStatus, const std::string& aReason, const std::string& aDetail);
+  /// @return when a caller that is refused should come back.
+  Duration RetryAfter() const;
   void Refuse(const std::string& aReason);
   void RefuseHeldBack();
   /// Break the begun answer off, so that it cannot look complete.
@@ -216,6 +218,7 @@
   TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
   int mSent = 0;
   int mConnectFailures = 0;
+  bool mFoundFull = false; ///< each replica had all that it should hold when a place was asked for
   bool mBrokenOff = false; ///< an engine closed its connection in the middle of it
   bool mMayHaveRun = false;
 
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -1,5 +1,6 @@
 #include "exchange.hpp"
 #include "exchange_constants.hpp"
+#include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -16,6 +17,9 @@
 /// but each takes time from the caller.
 constexpr int kMostConnectFailures = 3;
 
+/// Callers wait for no longer than this part of the time that they have left.
+constexpr int kCallersWait = 3;
+
 std::string
 Seconds(Duration aDuration)
 {
@@ -200,9 +204,7 @@
   answer.result(static_cast<unsigned>(aStatus));
   answer.set(http::field::content_type, "application/json");
   if (aStatus == kUnavailable) {
-    // A request that is held back is refused at every node: coming back sooner helps nobody.
-    const Duration after = std::max(mCore->mOptions.mRetryAfter, HeldFor());
-    answer.set(http::field::retry_after, Seconds(after));
+    answer.set(http::field::retry_after, Seconds(RetryAfter()));
   }
   const nlohmann::json body = {
     { "error",
@@ -216,6 +218,22 @@
   }
 }
 
+Duration
+Exchange::RetryAfter() const
+{
+  Duration after = mCore->mOptions.mRetryAfter;
+  if (mFoundFull) {
+    // Callers who are refused in the same moment find the replicas full again if they come back in
+    // the same moment. Which one waits how long follows from the request.
+    const Duration most = std::min(mCore->mOptions.mSpreadReturns, Left() / kCallersWait - after);
+    constexpr std::uint64_t kParts = 1024;
+    const auto part = static_cast<Duration::rep>(Hash64(mFacts.mId) % kParts);
+    after += std::max(Duration::zero(), most) * part / static_cast<Duration::rep>(kParts);
+  }
+  // A request that is held back is refused at every node: coming back sooner helps nobody.
+  return std::max(after, HeldFor());
+}
+
 void
 Exchange::Cut(const std::string& aReason)
 {
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.hpp"
 
+#include <set>
+
 namespace pepperbay {
 namespace {
 
@@ -463,5 +465,35 @@
   EXPECT_TRUE(Has(answer.get(), "\r\n\r\nok"));
 }
 
+/// Pattern: a burst that no replica has places for. Guards against callers who are refused together,
+/// come back together, and are refused again.
+TEST_F(RelayTest, CallersWhoFindAllReplicasFullComeBackAtDifferentTimes)
+{
+  RawEngine engine([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  mPlan.mOthersInFlight["e0"] = 12;
+  const RelayOptions options;
+  Serve({ &engine }, options);
+  std::set<double> times;
+  for (int i = 0; i < 20; ++i) {
+    std::string request = Post("/stream/", "x", "Model: m\r\n");
+    request.replace(request.find("q1"), 2, "q" + std::to_string(10 + i));
+    const std::string answer = Ask(request);
+    EXPECT_EQ(StatusOf(answer), 503);
+    const auto at = answer.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << answer;
+    times.insert(std::stod(answer.substr(at + 13)));
+  }
+  EXPECT_GE(times.size(), 15U);
+  const auto seconds = [](Duration aTime) { return std::chrono::duration<double>(aTime).count(); };
+  EXPECT_GE(*times.begin(), seconds(options.mRetryAfter));
+  EXPECT_LE(*times.rbegin(), seconds(options.mRetryAfter + options.mSpreadReturns));
+  const std::string hurried =
+    Ask(Post("/stream/", "x", "Model: m\r\nLeft-Ms: 1500\r\n"));
+  const auto at = hurried.find("Retry-After: ");
+  ASSERT_NE(at, std::string::npos) << hurried;
+  EXPECT_LE(std::stod(hurried.substr(at + 13)), seconds(options.mRetryAfter))
+    << "no later than the caller can wait";
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -8,6 +8,21 @@
 
 namespace pepperbay {
 
+namespace {
+
+/// How long a usual answer takes at a replica all of whose slots are taken; zero if that is not said.
+Duration
+AnswerTime(const EnginePool& aPool, const ModelSpec& aModel)
+{
+  const Duration step = aPool.mStepTime + aPool.mStepTimePerRequest * aPool.mSlots;
+  const auto writing = std::chrono::duration<double>(step) * aPool.mUsualAnswer;
+  const std::chrono::duration<double> reading(aPool.mUsualPrompt /
+                                              std::max(1.0, aPool.mPromptTokensPerSecond));
+  return std::chrono::duration_cast<Duration>((writing + reading) * aModel.mPace);
+}
+
+} // namespace
+
 Balancer::Balancer(BalancerOptions aOptions)
   : mOptions(std::move(aOptions))
 {
@@ -160,7 +175,7 @@
                       const std::set<std::string>& aTried,
                       TimePoint aNow) const
 {
-  ReplicaQuery query{ aModel, mOptions.mDataCentre, {}, {} };
+  ReplicaQuery query{ aModel, mOptions.mDataCentre, {}, {}, {} };
   for (const auto& it : aTried) {
     query.mTried.insert(ShortId(it));
   }
@@ -183,6 +198,25 @@
   return fastest == Duration::max() ? Duration::zero() : fastest;
 }
 
+int
+Balancer::MostAt(const EnginePool& aPool, const std::string& aModel, Duration aObjective) const
+{
+  const int share = static_cast<int>(aPool.mSlots * (1.0 + mOptions.mQueueShare));
+  const ModelSpec* model = aPool.FindModel(aModel);
+  if (mOptions.mQueueBound == QueueBound::kShareOfSlots || aObjective <= Duration::zero() ||
+      model == nullptr) {
+    return share;
+  }
+  const Duration answer = AnswerTime(aPool, *model);
+  if (answer <= Duration::zero()) {
+    return share;
+  }
+  // Slots come free one after the other, a usual answer's time apart over all of them.
+  const double wait = std::chrono::duration<double>(aObjective).count() * mOptions.mWaitShare;
+  const double places = wait * aPool.mSlots / std::chrono::duration<double>(answer).count();
+  return std::min(share, aPool.mSlots + static_cast<int>(places));
+}
+
 Balancer::ReplicaChoice
 Balancer::PickReplica(const TrafficPlan& aPlan,
                       const ServiceSpec& aService,
@@ -195,7 +229,7 @@
     return choice;
   }
   const int slots = aService.mPool->mSlots;
-  const int most = static_cast<int>(slots * (1.0 + mOptions.mQueueShare));
+  const int most = MostAt(*aService.mPool, aQuery.mModel, aQuery.mObjective);
   const Duration fastest = FastestPause(replicas->second, aQuery.mModel, aNow);
   std::tuple<bool, Duration, std::uint64_t> bestRank;
   for (const auto& it : replicas->second) {
--- a/src/pepperbay/routing/balancer_test.cpp
+++ b/src/pepperbay/routing/balancer_test.cpp
@@ -78,6 +78,27 @@
   EXPECT_TRUE(pool.mFull);
 }
 
+/// Pattern: twice as many requests as a pool serves in time. Guards against queues so long that every
+/// caller is late: the places that come free serve as many callers either way.
+TEST(Balancer, AQueueHoldsOnlyWhoCanStillBeInTime)
+{
+  BalancerOptions options;
+  options.mDataCentre = "here";
+  PoolOfThree pool;
+  EnginePool& engines = *pool.mService.mPool;
+  engines.mSlots = 20;
+  engines.mStepTime = std::chrono::milliseconds(10);
+  engines.mUsualAnswer = 100; // a second for an answer, 50 ms from one free slot to the next
+  const Balancer balancer(options);
+  EXPECT_EQ(balancer.MostAt(engines, "m", std::chrono::milliseconds(300)), 23);
+  EXPECT_EQ(balancer.MostAt(engines, "m", std::chrono::milliseconds(100)), 21);
+  EXPECT_EQ(balancer.MostAt(engines, "m", seconds(5)), 30) << "never beyond half of the slots";
+  EXPECT_EQ(balancer.MostAt(engines, "m", Duration::zero()), 30) << "late in any case";
+  engines.mUsualAnswer = 0;
+  engines.mUsualPrompt = 0;
+  EXPECT_EQ(balancer.MostAt(engines, "m", std::chrono::milliseconds(300)), 30) << "not known";
+}
+
 TEST(Balancer, AFaultIsRememberedAndForgotten)
 {
   PoolOfThree pool;
