--- a/bench/pools/main.cpp
+++ b/bench/pools/main.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Policies of spares and of choosing replicas side by side, in virtual time.
+/// @brief Policies side by side, in virtual time: spares, choice of replicas, composition, queues.
 ///
 /// The planner, the balancer, the rule after a failure and the retry budget are the product's own;
 /// engines and callers are models. `--csv` gives a table for plotting.
@@ -11,15 +11,20 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <iostream>
+#include <optional>
 
-ABSL_FLAG(int,
-          domains,
-          6,
-          "fabric domains of 11 engines each: 6 of them are 66 engines, 664 the aim");
+ABSL_FLAG(std::string, table, "spares", "spares, composition or queues");
+ABSL_FLAG(std::string, sheet, "", "even or skewed; default: even for spares, skewed for the others");
+ABSL_FLAG(std::string,
+          turns,
+          "",
+          "model:factor:from:to in seconds, several separated by commas; default by table");
+ABSL_FLAG(int, domains, 0, "fabric domains, with as much more or less to do; 0: as the sheet has");
 ABSL_FLAG(int, seconds, 60, "of requests for each line");
 ABSL_FLAG(int, seeds, 3, "schedules of losses and requests; the figures are over all of them");
-ABSL_FLAG(double, rate, pepperbay::pools::LoadOptions().mRate, "requests a second and engine");
-ABSL_FLAG(int, loss_every_ms, 3000, "for 66 engines; a larger pool loses as many an engine");
+ABSL_FLAG(double, load, 1.0, "requests a second against the sheet's");
+ABSL_FLAG(int, loss_every_ms, 3000, "0: no losses; a pool of more domains loses more");
 ABSL_FLAG(std::string, policy, "", "only policies whose name has this in it");
 ABSL_FLAG(bool, csv, false, "comma-separated values");
 
@@ -30,14 +35,24 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Replicas form and spares load in this time before the first request.
-constexpr seconds kLead{ 40 };
+/// Replicas form and all hosts load what they are to hold in this time before the first request.
+constexpr seconds kLead{ 180 };
 
 struct Policy
 {
-  const char* mName;
-  SparePolicy mSpares;
-  Choice mChoice;
+  std::string mName;
+  SparePolicy mSpares = SparePolicy::kStandbyForAll;
+  Choice mChoice = Choice::kBalancer;
+  CompositionPolicy mComposition = CompositionOptions().mPolicy;
+  QueueBound mQueue = BalancerOptions().mQueueBound;
+  Duration mSpread{ 0 };
+};
+
+struct Scenario
+{
+  Sheet mSheet;
+  std::vector<Turn> mTurns;
+  Duration mLossEvery{ 0 };
 };
 
 struct Figures
@@ -47,44 +62,59 @@
   double mStranded = 0;
   std::size_t mLosses = 0;
   std::size_t mLoads = 0;
+  std::size_t mTrades = 0;
   double mRoundMs = 0; ///< of the planner, mean of the last schedule
 };
 
 void
-Play(const Policy& aPolicy, std::uint32_t aSeed, Figures& aFigures)
+Add(const LoadResult& aResult, LoadResult* aSum)
+{
+  aSum->mAsked += aResult.mAsked;
+  aSum->mOnTime += aResult.mOnTime;
+  aSum->mLate += aResult.mLate;
+  aSum->mRefused += aResult.mRefused;
+  aSum->mCut += aResult.mCut;
+  aSum->mGone += aResult.mGone;
+  aSum->mResumed += aResult.mResumed;
+  aSum->mWorstSecond = std::min(aSum->mWorstSecond, aResult.mWorstSecond);
+  for (const auto& [name, model] : aResult.mModels) {
+    ModelResult& sum = aSum->mModels[name];
+    sum.mAsked += model.mAsked;
+    sum.mOnTime += model.mOnTime;
+    sum.mLate += model.mLate;
+  }
+}
+
+void
+Play(const Scenario& aScenario, const Policy& aPolicy, std::uint32_t aSeed, Figures& aFigures)
 {
-  constexpr double kDomainsOfSite = 6;
   WorldOptions options;
-  options.mDomains = static_cast<std::size_t>(absl::GetFlag(FLAGS_domains));
+  options.mSheet = aScenario.mSheet;
   options.mSpares = aPolicy.mSpares;
+  options.mComposition.mPolicy = aPolicy.mComposition;
   options.mSeed = aSeed;
-  options.mLossEvery =
-    std::chrono::duration_cast<Duration>(milliseconds(absl::GetFlag(FLAGS_loss_every_ms)) *
-                                         kDomainsOfSite / absl::GetFlag(FLAGS_domains));
+  options.mLossEvery = aScenario.mLossEvery;
   PoolWorld world(options);
   for (const TimePoint begun = world.Now(); world.Now() - begun < kLead;) {
     world.Step();
   }
   const std::size_t before = world.Loads();
-  world.BeginTraffic();
   LoadOptions load;
-  load.mRate = absl::GetFlag(FLAGS_rate);
+  load.mRequests = aScenario.mSheet.mRequests;
+  load.mTurns = aScenario.mTurns;
+  load.mFactor = absl::GetFlag(FLAGS_load);
   load.mChoice = aPolicy.mChoice;
+  load.mBalancer.mQueueBound = aPolicy.mQueue;
+  load.mSpread = aPolicy.mSpread;
   load.mSeed = aSeed;
   StreamLoad streams(load, &world);
+  world.BeginTraffic([&streams](const std::string& aHead) { return streams.InFlight(aHead); });
   const TimePoint end = world.Now() + seconds(absl::GetFlag(FLAGS_seconds));
   while (world.Now() < end) {
     streams.Step();
     world.Step();
   }
-  const LoadResult result = streams.Result();
-  aFigures.mLoad.mAsked += result.mAsked;
-  aFigures.mLoad.mOnTime += result.mOnTime;
-  aFigures.mLoad.mLate += result.mLate;
-  aFigures.mLoad.mRefused += result.mRefused;
-  aFigures.mLoad.mCut += result.mCut;
-  aFigures.mLoad.mResumed += result.mResumed;
-  aFigures.mLoad.mWorstSecond = std::min(aFigures.mLoad.mWorstSecond, result.mWorstSecond);
+  Add(streams.Result(), &aFigures.mLoad);
   for (const auto& outages : { world.Outages(), world.OpenOutages() }) {
     for (const auto& it : outages) {
       aFigures.mToWhole.push_back(std::chrono::duration<double>(it.mLasted).count());
@@ -93,38 +123,161 @@
   aFigures.mStranded += world.StrandedEngineSeconds();
   aFigures.mLosses += world.Losses();
   aFigures.mLoads += world.Loads() - before;
+  aFigures.mTrades += world.Trades();
   aFigures.mRoundMs = std::chrono::duration<double, std::milli>(world.RoundTime()).count();
 }
 
+/// Columns of the table, in order.
+constexpr const char* kColumns[] = { "losses",  "median", "worst",   "stranded", "loads",
+                                     "trades",  "asked",  "on time", "m0",       "m1",
+                                     "late",    "refused", "gone",   "cut",      "nines",
+                                     "worst s", "round ms" };
+
+void
+PrintHead()
+{
+  const bool csv = absl::GetFlag(FLAGS_csv);
+  std::printf(csv ? "%s" : "%-40s", "policy");
+  for (const char* it : kColumns) {
+    std::printf(csv ? ",%s" : " %8s", it);
+  }
+  std::printf("\n");
+}
+
+double
+OnTimeOf(const LoadResult& aLoad, const std::string& aModel)
+{
+  const auto it = aLoad.mModels.find(aModel);
+  return it == aLoad.mModels.end() || it->second.mAsked == 0
+           ? 0.0
+           : static_cast<double>(it->second.mOnTime) / static_cast<double>(it->second.mAsked);
+}
+
 void
 Print(const Policy& aPolicy, Figures& aFigures)
 {
   std::sort(aFigures.mToWhole.begin(), aFigures.mToWhole.end());
   const std::size_t n = aFigures.mToWhole.size();
-  const double median = n == 0 ? 0 : aFigures.mToWhole[n / 2];
-  const double worst = n == 0 ? 0 : aFigures.mToWhole.back();
   const auto& load = aFigures.mLoad;
-  const auto ended = static_cast<double>(load.mOnTime + load.mLate + load.mRefused + load.mCut);
-  const double unserved = static_cast<double>(load.mRefused + load.mCut) / ended;
-  const double nines = -std::log10(std::max(unserved, 1e-6));
-  const char* line =
-    absl::GetFlag(FLAGS_csv)
-      ? "%s,%zu,%.2f,%.2f,%.0f,%zu,%zu,%.4f,%.4f,%.4f,%.2f,%.3f,%.2f\n"
-      : "%-34s %6zu %7.2f %7.2f %9.0f %6zu %8zu %8.4f %8.4f %8.4f %6.2f %7.3f %8.2f\n";
-  std::printf(line,
-              aPolicy.mName,
-              aFigures.mLosses,
-              median,
-              worst,
-              aFigures.mStranded,
-              aFigures.mLoads,
-              load.mAsked,
-              static_cast<double>(load.mOnTime) / ended,
-              static_cast<double>(load.mRefused) / ended,
-              static_cast<double>(load.mCut) / ended,
-              nines,
-              load.mWorstSecond,
-              aFigures.mRoundMs);
+  const auto lost = static_cast<double>(load.mRefused + load.mCut + load.mGone);
+  const auto ended = static_cast<double>(load.mOnTime + load.mLate) + lost;
+  const double figures[] = { static_cast<double>(aFigures.mLosses),
+                             n == 0 ? 0 : aFigures.mToWhole[n / 2],
+                             n == 0 ? 0 : aFigures.mToWhole.back(),
+                             aFigures.mStranded,
+                             static_cast<double>(aFigures.mLoads),
+                             static_cast<double>(aFigures.mTrades),
+                             static_cast<double>(load.mAsked),
+                             static_cast<double>(load.mOnTime) / ended,
+                             OnTimeOf(load, "m0"),
+                             OnTimeOf(load, "m1"),
+                             static_cast<double>(load.mLate) / ended,
+                             static_cast<double>(load.mRefused) / ended,
+                             static_cast<double>(load.mGone) / ended,
+                             static_cast<double>(load.mCut) / ended,
+                             -std::log10(std::max(lost / ended, 1e-6)),
+                             load.mWorstSecond,
+                             aFigures.mRoundMs };
+  const bool csv = absl::GetFlag(FLAGS_csv);
+  std::printf(csv ? "%s" : "%-40s", aPolicy.mName.c_str());
+  for (const double it : figures) {
+    std::printf(csv ? ",%.4g" : " %8.4g", it);
+  }
+  std::printf("\n");
+  std::fflush(stdout);
+}
+
+std::vector<Policy>
+PoliciesOf(const std::string& aTable)
+{
+  Policy standing;
+  standing.mComposition = CompositionPolicy::kShares;
+  standing.mQueue = QueueBound::kShareOfSlots;
+  std::vector<Policy> policies;
+  const auto add = [&](const char* aName, const std::function<void(Policy&)>& aChange) {
+    Policy policy = standing;
+    policy.mName = aName;
+    aChange(policy);
+    policies.push_back(policy);
+  };
+  if (aTable == "spares") {
+    add("idle spares", [](Policy& it) { it.mSpares = SparePolicy::kIdle; });
+    add("staged spares", [](Policy& it) { it.mSpares = SparePolicy::kStaged; });
+    add("standby of one model", [](Policy& it) { it.mSpares = SparePolicy::kStandby; });
+    add("standby, other weights staged", [](Policy&) {});
+    add("the same, least in progress", [](Policy& it) { it.mChoice = Choice::kLeast; });
+    add("the same, round robin", [](Policy& it) { it.mChoice = Choice::kRoundRobin; });
+  } else if (aTable == "composition") {
+    add("shares", [](Policy&) {});
+    add("by pressure", [](Policy& it) { it.mComposition = CompositionPolicy::kPressure; });
+    add("even use", [](Policy& it) { it.mComposition = CompositionPolicy::kEven; });
+    add("even use, queue in time", [](Policy& it) {
+      it.mComposition = CompositionPolicy::kEven;
+      it.mQueue = QueueBound::kInTime;
+    });
+  } else if (aTable == "queues") {
+    add("half of the slots", [](Policy&) {});
+    add("in time", [](Policy& it) { it.mQueue = QueueBound::kInTime; });
+    add("in time, returns spread over 1.2 s", [](Policy& it) {
+      it.mQueue = QueueBound::kInTime;
+      it.mSpread = milliseconds(1200);
+    });
+  }
+  return policies;
+}
+
+std::optional<std::vector<Turn>>
+ParseTurns(const std::string& aText)
+{
+  std::vector<Turn> turns;
+  for (std::size_t at = 0; at < aText.size();) {
+    const std::size_t end = std::min(aText.find(',', at), aText.size());
+    char model[32] = {};
+    double factor = 0;
+    int from = 0;
+    int to = 0;
+    const std::string one = aText.substr(at, end - at);
+    if (std::sscanf(one.c_str(), "%31[^:]:%lf:%d:%d", model, &factor, &from, &to) != 4) {
+      return std::nullopt;
+    }
+    turns.push_back({ model, seconds(from), seconds(to), factor });
+    at = end + 1;
+  }
+  return turns;
+}
+
+std::optional<Scenario>
+ScenarioOf(const std::string& aTable)
+{
+  const std::string sheet = absl::GetFlag(FLAGS_sheet);
+  if (sheet != "" && sheet != "even" && sheet != "skewed") {
+    std::cerr << "--sheet: '" << sheet << "'; allowed: even, skewed\n";
+    return std::nullopt;
+  }
+  const bool even = sheet == "even" || (sheet.empty() && aTable == "spares");
+  Scenario scenario;
+  scenario.mSheet = even ? EvenSheet() : SkewedSheet();
+  std::string text = absl::GetFlag(FLAGS_turns);
+  if (text.empty() && aTable != "spares") {
+    text = "m1:1.6:5:20,m0:5:25:40,m1:1.6:45:55";
+  }
+  const auto turns = ParseTurns(text);
+  if (!turns) {
+    std::cerr << "--turns: '" << text << "'; allowed: model:factor:from:to,...\n";
+    return std::nullopt;
+  }
+  scenario.mTurns = *turns;
+  const int domains = absl::GetFlag(FLAGS_domains);
+  Sheet& it = scenario.mSheet;
+  const double larger = domains <= 0 ? 1.0 : domains / static_cast<double>(it.mDomains);
+  it.mDomains = domains <= 0 ? it.mDomains : static_cast<std::size_t>(domains);
+  it.mPool.mLoadsPerSecond *= larger;
+  for (auto& request : it.mRequests) {
+    request.mPerSecond *= larger;
+  }
+  scenario.mLossEvery = std::chrono::duration_cast<Duration>(
+    milliseconds(std::max(0, absl::GetFlag(FLAGS_loss_every_ms))) / larger);
+  return scenario;
 }
 
 } // namespace
@@ -133,38 +286,24 @@
 main(int aCount, char** aWords)
 {
   absl::ParseCommandLine(aCount, aWords);
-  const std::vector<Policy> policies = {
-    { "idle spares", SparePolicy::kIdle, Choice::kBalancer },
-    { "staged spares", SparePolicy::kStaged, Choice::kBalancer },
-    { "standby of one model", SparePolicy::kStandby, Choice::kBalancer },
-    { "standby, other weights staged", SparePolicy::kStandbyForAll, Choice::kBalancer },
-    { "the same, least in progress", SparePolicy::kStandbyForAll, Choice::kLeast },
-    { "the same, round robin", SparePolicy::kStandbyForAll, Choice::kRoundRobin },
-  };
-  const char* head = absl::GetFlag(FLAGS_csv)
-                       ? "%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s,%s\n"
-                       : "%-34s %6s %7s %7s %9s %6s %8s %8s %8s %8s %6s %7s %8s\n";
-  std::printf(head,
-              "policy",
-              "losses",
-              "median",
-              "worst",
-              "stranded",
-              "loads",
-              "asked",
-              "on time",
-              "refused",
-              "cut",
-              "nines",
-              "worst s",
-              "round ms");
+  const std::string table = absl::GetFlag(FLAGS_table);
+  const auto policies = PoliciesOf(table);
+  if (policies.empty()) {
+    std::cerr << "--table: '" << table << "'; allowed: spares, composition, queues\n";
+    return 1;
+  }
+  const auto scenario = ScenarioOf(table);
+  if (!scenario) {
+    return 1;
+  }
+  PrintHead();
   for (const auto& policy : policies) {
-    if (std::string(policy.mName).find(absl::GetFlag(FLAGS_policy)) == std::string::npos) {
+    if (policy.mName.find(absl::GetFlag(FLAGS_policy)) == std::string::npos) {
       continue;
     }
     Figures figures;
     for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
-      Play(policy, static_cast<std::uint32_t>(seed), figures);
+      Play(*scenario, policy, static_cast<std::uint32_t>(seed), figures);
     }
     Print(policy, figures);
   }
--- a/bench/pools/pool_world.cpp
+++ b/bench/pools/pool_world.cpp
@@ -5,32 +5,14 @@
 namespace pepperbay::pools {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Sizes, times and shares of the association's pool.
-EnginePool
-AssociationPool(std::size_t aEngines)
-{
-  constexpr double kEngines = 66;
-  EnginePool pool;
-  pool.mSlots = 26;
-  pool.mStepTime = std::chrono::microseconds(6450);
-  pool.mStepTimePerRequest = std::chrono::microseconds(97);
-  pool.mPromptTokensPerSecond = 56100;
-  pool.mStepsPerEvent = 6;
-  pool.mFormTime = milliseconds(300);
-  pool.mLoadsPerSecond = 5.5 * std::max(1.0, static_cast<double>(aEngines) / kEngines);
-  pool.mModels = { { "m0", 6, 0.67, 1.0, seconds(16), milliseconds(1600) },
-                   { "m1", 3, 0.33, 0.6, seconds(12), milliseconds(1100) } };
-  return pool;
-}
-
 GroupPlannerOptions
 PlannerOptions(const WorldOptions& aOptions)
 {
   GroupPlannerOptions options;
   options.mSpares = aOptions.mSpares;
+  options.mComposition = aOptions.mComposition;
   return options;
 }
 
@@ -38,12 +20,12 @@
 
 PoolWorld::PoolWorld(WorldOptions aOptions)
   : mOptions(aOptions)
-  , mPool(AssociationPool(aOptions.mDomains * aOptions.mPerDomain))
+  , mPool(aOptions.mSheet.mPool)
   , mPlanner(PlannerOptions(aOptions))
   , mRandom(aOptions.mSeed)
 {
-  for (std::size_t d = 0; d < mOptions.mDomains; ++d) {
-    for (std::size_t i = 0; i < mOptions.mPerDomain; ++i) {
+  for (std::size_t d = 0; d < mOptions.mSheet.mDomains; ++d) {
+    for (std::size_t i = 0; i < mOptions.mSheet.mPerDomain; ++i) {
       mPool.Add("e" + std::to_string(d) + "-" + std::to_string(i), "d" + std::to_string(d));
     }
   }
@@ -52,7 +34,7 @@
 void
 PoolWorld::Step()
 {
-  if (mTraffic) {
+  if (mTraffic && mOptions.mLossEvery > Duration::zero()) {
     if (mNextLoss == TimePoint{}) {
       mNextLoss = Now() + seconds(1);
     }
@@ -83,12 +65,17 @@
     const auto it = mDied.find(aEngine);
     return it != mDied.end() && Now() - it->second >= mOptions.mFoundAfter;
   };
-  view.mInFlight = [](const std::string&) { return 0; };
-  view.mStandsStill = [](const std::string&) { return true; };
+  view.mInFlight = [this](const std::string& aHead) { return mInFlight ? mInFlight(aHead) : 0; };
+  view.mStandsStill = [this](const std::string& aHead) {
+    return !mPool.ServesWhole(aHead, Now());
+  };
   const auto before = std::chrono::steady_clock::now();
   const auto orders = mPlanner.Plan(view);
   mPlanning += std::chrono::steady_clock::now() - before;
   ++mRounds;
+  for (const auto& it : mPlanner.TakeChanges()) {
+    mTrades += it.mGiven;
+  }
   const auto wanted = mPlanner.Wanted();
   for (const auto& [id, engine] : wanted) {
     if (mPool.At(id).mAlive) {
--- a/bench/pools/pool_world.hpp
+++ b/bench/pools/pool_world.hpp
@@ -5,17 +5,19 @@
 
 #include "fakes/fake_pool.hpp"
 #include "pepperbay/placement/group_planner.hpp"
+#include "sheet.hpp"
 
+#include <functional>
 #include <random>
 
 namespace pepperbay::pools {
 
 struct WorldOptions
 {
-  std::size_t mDomains = 6;
-  std::size_t mPerDomain = 11;
+  Sheet mSheet = EvenSheet();
   SparePolicy mSpares = SparePolicy::kStandbyForAll;
-  /// One engine that is in a replica dies so often in a pool of 66; oftener in larger ones.
+  CompositionOptions mComposition;
+  /// One engine that is in a replica dies so often; zero: none does.
   Duration mLossEvery = std::chrono::milliseconds(3000);
   /// A fresh engine comes this long after.
   Duration mReplacedAfter = std::chrono::milliseconds(5000);
@@ -39,7 +41,12 @@
   /// One round of the planner and one step of the engines.
   void Step();
   /// Requests have come: losses begin, and loads count against the weight store's rate.
-  void BeginTraffic() { mTraffic = true; }
+  /// @param aInFlight requests in progress at a head
+  void BeginTraffic(std::function<int(const std::string& aHead)> aInFlight)
+  {
+    mTraffic = true;
+    mInFlight = std::move(aInFlight);
+  }
 
   /// The replica that an open head serves, whole or not; by group.
   const std::map<std::string, PlannedReplica>& Planned() const { return mPlanner.Replicas(); }
@@ -55,6 +62,8 @@
   /// Seconds that live engines spent in replicas that did not serve.
   double StrandedEngineSeconds() const { return mStranded; }
   std::size_t Losses() const { return mLosses; }
+  /// Replicas given up for another model.
+  std::size_t Trades() const { return mTrades; }
   /// Mean time that one round of the planner takes on this machine.
   Duration RoundTime() const { return mRounds == 0 ? Duration::zero() : mPlanning / mRounds; }
 
@@ -78,6 +87,8 @@
   GroupPlanner mPlanner;
   std::mt19937 mRandom;
   bool mTraffic = false;
+  std::function<int(const std::string& aHead)> mInFlight;
+  std::size_t mTrades = 0;
   TimePoint mNextLoss{};
   std::map<std::string, TimePoint> mDied; ///< by engine
   std::vector<Replacement> mReplacements;
--- a/bench/pools/stream_load.cpp
+++ b/bench/pools/stream_load.cpp
@@ -1,7 +1,8 @@
 #include "stream_load.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace pepperbay::pools {
@@ -16,22 +17,14 @@
 constexpr double kRetryShare = 0.16; // the users' budget of 0.2 with the product's caution
 constexpr double kRetrySlack = 100;
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-constexpr std::array<RequestSpec, 3> kSpecs{ {
-  { "m0", 32.9, 1420, 0.85, 4030, 28.7, milliseconds(400), milliseconds(250), seconds(8) },
-  { "m1", 88.2, 674, 0.75, 2340, 30.8, milliseconds(250), milliseconds(200), seconds(6) },
-  { "m0", 27.2, 1960, 1.0, 5880, 3.8, milliseconds(400), milliseconds(250), seconds(5) },
-} };
-
 } // namespace
 
 StreamLoad::StreamLoad(LoadOptions aOptions, PoolWorld* aWorld)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
   , mWorld(aWorld)
-  , mRandom(aOptions.mSeed)
-  , mBalancer({})
+  , mBegun(aWorld->Now())
+  , mRandom(mOptions.mSeed)
+  , mBalancer(mOptions.mBalancer)
   , mBudget({ kRetryShare, kRetrySlack })
 {
   mService.mName = "pool";
@@ -45,6 +38,7 @@
   Arrive();
   for (const auto& [name, replica] : mWorld->Planned()) {
     Replica& state = mReplicas[replica.mMembers.front()];
+    DropImpatient(replica.mMembers.front(), state);
     if (mWorld->IsWhole(replica)) {
       state.mStillSince = TimePoint{};
       Work(replica, state);
@@ -71,7 +65,9 @@
     target.mEpoch = replica.mEpoch;
     target.mModel = replica.mModel;
     target.mHead = { replica.mMembers.front(), "", "" };
-    target.mSuspended = replica.mPhase != ReplicaPhase::kOpen;
+    // A head that was told to open serves a while after that.
+    target.mSuspended = replica.mPhase != ReplicaPhase::kOpen || replica.mLeavingSince ||
+                        mWorld->Now() - replica.mSince < mWorld->Pool().mFormTime;
     heads.insert(target.mHead.mId);
     mPlan.mReplicas["pool"].push_back(std::move(target));
   }
@@ -98,26 +94,39 @@
   for (auto& it : back) {
     Send(std::move(it));
   }
-  std::size_t engines = 0;
-  for (const auto& [name, replica] : mWorld->Planned()) {
-    engines += replica.mMembers.size();
+  for (const auto& spec : mOptions.mRequests) {
+    const double perSecond = spec.mPerSecond * mOptions.mFactor * FactorOf(spec.mModel);
+    std::poisson_distribution<int> arrivals(perSecond * kStepSeconds);
+    for (int n = arrivals(mRandom); n > 0; --n) {
+      Stream stream;
+      stream.mSpec = &spec;
+      stream.mArrived = mWorld->Now();
+      stream.mPrompt = std::min(spec.mMost, LogNormal(spec.mPrompt, spec.mSpread));
+      stream.mEventsLeft = std::max(1.0, LogNormal(spec.mEvents, kEventsSpread));
+      ++mResult.mAsked;
+      ++mResult.mModels[spec.mModel].mAsked;
+      mBudget.OnRequest();
+      Send(std::move(stream));
+    }
   }
-  std::poisson_distribution<int> arrivals(mOptions.mRate * static_cast<double>(engines) *
-                                          kStepSeconds);
-  std::discrete_distribution<std::size_t> kind{ kSpecs[0].mWeight,
-                                                kSpecs[1].mWeight,
-                                                kSpecs[2].mWeight };
-  for (int n = arrivals(mRandom); n > 0; --n) {
-    Stream stream;
-    const RequestSpec& spec = kSpecs[kind(mRandom)];
-    stream.mSpec = &spec;
-    stream.mArrived = mWorld->Now();
-    stream.mPrompt = std::min(spec.mMost, LogNormal(spec.mPrompt, spec.mSpread));
-    stream.mEventsLeft = std::max(1.0, LogNormal(spec.mEvents, kEventsSpread));
-    ++mResult.mAsked;
-    mBudget.OnRequest();
-    Send(std::move(stream));
+}
+
+double
+StreamLoad::FactorOf(const std::string& aModel) const
+{
+  double factor = 1;
+  const Duration since = mWorld->Now() - mBegun;
+  for (const auto& it : mOptions.mTurns) {
+    factor *= it.mModel == aModel && since >= it.mFrom && since < it.mTo ? it.mFactor : 1.0;
   }
+  return factor;
+}
+
+int
+StreamLoad::InFlight(const std::string& aHead) const
+{
+  const auto it = mReplicas.find(aHead);
+  return it == mReplicas.end() ? 0 : static_cast<int>(it->second.mStreams.size());
 }
 
 double
@@ -131,9 +140,13 @@
 StreamLoad::Choose(const Stream& aStream)
 {
   if (mOptions.mChoice == Choice::kBalancer) {
-    return mBalancer
-      .PickReplica(mPlan, mService, aStream.mSpec->mModel, aStream.mTried, mWorld->Now())
-      .mReplica;
+    Balancer::ReplicaQuery query;
+    query.mModel = aStream.mSpec->mModel;
+    query.mObjective = aStream.mSent == 0 ? aStream.mSpec->mObjective : Duration::zero();
+    for (const auto& it : aStream.mTried) {
+      query.mTried.insert(ShortId(it));
+    }
+    return mBalancer.PickReplica(mPlan, mService, query, mWorld->Now()).mReplica;
   }
   std::vector<const PoolReplica*> fit;
   for (const auto& it : mPlan.mReplicas["pool"]) {
@@ -187,7 +200,9 @@
     return;
   }
   aStream.mCameBack = true;
-  mAway.emplace_back(mWorld->Now() + mOptions.mComesBack, std::move(aStream));
+  std::uniform_real_distribution<double> part(0, 1);
+  const auto spread = std::chrono::duration_cast<Duration>(mOptions.mSpread * part(mRandom));
+  mAway.emplace_back(mWorld->Now() + mOptions.mComesBack + spread, std::move(aStream));
 }
 
 void
@@ -258,6 +273,23 @@
   aState.mStreams = std::move(left);
 }
 
+void
+StreamLoad::DropImpatient(const std::string& aHead, Replica& aState)
+{
+  const auto left = [&](const Stream& aStream) {
+    const Duration age = mWorld->Now() - aStream.mArrived;
+    if (age < (aStream.mBegun ? aStream.mSpec->mDeadline : mOptions.mPatience)) {
+      return false;
+    }
+    mBalancer.OnEnd(aHead);
+    ++mResult.mGone;
+    CountEnd(aStream, false);
+    return true;
+  };
+  auto& streams = aState.mStreams;
+  streams.erase(std::remove_if(streams.begin(), streams.end(), left), streams.end());
+}
+
 void
 StreamLoad::LeaveStill(const std::string& aHead, Replica& aState)
 {
@@ -291,6 +323,9 @@
   mResult.mCut += aCut ? 1 : 0;
   mResult.mOnTime += onTime ? 1 : 0;
   mResult.mLate += !aCut && aStream.mLate ? 1 : 0;
+  ModelResult& model = mResult.mModels[aStream.mSpec->mModel];
+  model.mOnTime += onTime ? 1 : 0;
+  model.mLate += !aCut && aStream.mLate ? 1 : 0;
   CountEnd(aStream, onTime);
 }
 
--- a/bench/pools/stream_load.hpp
+++ b/bench/pools/stream_load.hpp
@@ -20,40 +20,42 @@
   kRoundRobin, ///< one after the other
 };
 
-/// One kind of request, as the association's sheet describes it.
-struct RequestSpec
-{
-  const char* mModel;
-  double mWeight; ///< of all requests
-  double mPrompt; ///< tokens, mean
-  double mSpread; ///< of the prompt's logarithm
-  double mMost;   ///< tokens of the longest prompt
-  double mEvents; ///< mean
-  Duration mObjective;
-  Duration mLongestPause;
-  Duration mDeadline;
-};
-
 struct LoadOptions
 {
-  /// Requests a second for each engine in a replica; the association's sheet has 2.7.
-  double mRate = 2.7;
+  std::vector<RequestSpec> mRequests;
+  /// Against the requests a second of the sheet.
+  double mFactor = 1;
+  std::vector<Turn> mTurns;
   /// Streams leave a replica that stands still after this; see RelayOptions::mLeaveSilent.
   Duration mLeaveSilent = std::chrono::milliseconds(290);
-  /// A refused caller comes back once, after this.
+  /// A refused caller comes back once, after this and up to so much more.
   Duration mComesBack = std::chrono::milliseconds(600);
+  Duration mSpread{ 0 };
+  /// Callers leave a stream that gives no event for so long.
+  Duration mPatience = std::chrono::seconds(2);
   Choice mChoice = Choice::kBalancer;
+  BalancerOptions mBalancer;
   std::uint32_t mSeed = 1;
 };
 
+/// What the callers of one model got.
+struct ModelResult
+{
+  std::size_t mAsked = 0;
+  std::size_t mOnTime = 0;
+  std::size_t mLate = 0;
+};
+
 /// What callers got.
 struct LoadResult
 {
+  std::map<std::string, ModelResult> mModels;
   std::size_t mAsked = 0;
   std::size_t mOnTime = 0; ///< first event within the objective and no pause too long
   std::size_t mLate = 0;
   std::size_t mRefused = 0; ///< twice
   std::size_t mCut = 0;
+  std::size_t mGone = 0; ///< left: no event for too long, or not the whole answer in time
   std::size_t mResumed = 0;
   double mWorstSecond = 1; ///< least share on time of a second's requests
 };
@@ -67,6 +69,7 @@
   void Step();
   /// @return the counts of requests that have ended.
   LoadResult Result() const;
+  int InFlight(const std::string& aHead) const;
 
 private:
   struct Stream
@@ -97,6 +100,10 @@
   void Send(Stream aStream);
   void Refuse(Stream aStream);
   void Work(const PlannedReplica& aReplica, Replica& aState);
+  /// Callers leave whose patience has ended, or their time.
+  void DropImpatient(const std::string& aHead, Replica& aState);
+  /// @return how much more or less than usual a model is asked for now
+  double FactorOf(const std::string& aModel) const;
   void LeaveStill(const std::string& aHead, Replica& aState);
   void End(const Stream& aStream, bool aCut);
   const PoolReplica* Choose(const Stream& aStream);
@@ -105,6 +112,7 @@
 
   LoadOptions mOptions;
   PoolWorld* mWorld;
+  TimePoint mBegun;
   std::mt19937 mRandom;
   ServiceSpec mService;
   TrafficPlan mPlan;
--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -21,10 +21,12 @@
                           engine_state.cpp group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
                           group_planner_starts.cpp group_planner_survivors.cpp
+                          group_planner_composition.cpp composition.cpp
                   TESTS planner_test.cpp reserves_test.cpp group_planner_test.cpp
                         group_planner_leaving_test.cpp group_planner_places_test.cpp
                         group_planner_starts_test.cpp group_planner_survivors_test.cpp
-                        engine_state_test.cpp USES state membership routing) # pure
+                        engine_state_test.cpp composition_test.cpp
+                        group_planner_composition_test.cpp USES state membership routing) # pure
 pepperbay_library(admission SOURCES admission.cpp retry_budget.cpp
                   TESTS admission_test.cpp USES base) # pure
 pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp failure_step_test.cpp USES routing admission proto) # pure
@@ -151,7 +153,7 @@
 target_link_libraries(pepperbay_bench_relay PRIVATE pepperbay_relay pepperbay_http absl::flags
                       absl::flags_parse pepperbay_warnings)
 add_executable(pepperbay_bench_pools bench/pools/main.cpp bench/pools/pool_world.cpp
-                                     bench/pools/stream_load.cpp)
+                                     bench/pools/sheet.cpp bench/pools/stream_load.cpp)
 target_include_directories(pepperbay_bench_pools PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(pepperbay_bench_pools PRIVATE pepperbay_placement pepperbay_routing
                       pepperbay_dispatch absl::flags absl::flags_parse pepperbay_warnings)
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -116,6 +116,8 @@
 struct CoordinatorCounters
 {
   std::map<std::string, std::uint64_t> mOrders;     ///< by kind and answer
+  /// Replicas given up for a model that is asked for more, by the model that they served.
+  std::map<std::string, std::uint64_t> mReplicasGivenUp;
   std::map<std::string, std::uint64_t> mStoreCalls; ///< by log and reason
   std::uint64_t mAsks = 0;
   std::uint64_t mLostEngines = 0; ///< times that an engine was found not to answer
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -5,6 +5,7 @@
 /// holder needs nothing from the last one, and a replica that serves is left alone.
 #pragma once
 
+#include "pepperbay/placement/composition.hpp"
 #include "pepperbay/placement/engine_state.hpp"
 #include "pepperbay/placement/group_order.hpp"
 #include "pepperbay/routing/route_table.hpp"
@@ -72,6 +73,13 @@
   /// it has, if its model still has room: no more than this part of the places that are left would
   /// be in use. Fuller than that, callers begin to wait for places.
   double mRoomToGive = 0.7;
+  /// When replicas of one model are given up for another that is asked for more.
+  CompositionOptions mComposition;
+  /// Engines that were given up for another model and have not become replicas of it after this
+  /// count as free again.
+  Duration mTradeMost = std::chrono::seconds(14);
+  /// A broken replica counts as one that is about to serve for so long: most repairs take a second.
+  Duration mCountsBroken = std::chrono::seconds(3);
   /// Loads onto the hosts of members that are under way at once while requests come in: a share of
   /// what the store of weights serves at once, and at least so many. Beyond that they would make
   /// the loads longer that a repair waits for.
@@ -124,6 +132,18 @@
 const char*
 ToString(ReplicaPhase aPhase);
 
+/// Replicas of one model that are given up for another, for people.
+struct CompositionChange
+{
+  std::string mFrom;
+  std::string mTo;
+  std::string mDomain;
+  std::size_t mGiven = 0;  ///< replicas
+  std::size_t mComing = 0; ///< replicas that their engines become
+  double mInUseFrom = 0;   ///< part of the places in use before
+  double mInUseTo = 0;
+};
+
 /// A replica as the planner sees it.
 struct PlannedReplica
 {
@@ -152,7 +172,7 @@
 class GroupPlanner
 {
 public:
-  GroupPlanner() = default;
+  GroupPlanner();
   explicit GroupPlanner(GroupPlannerOptions aOptions);
 
   /// @return the orders to give now. Report the answer of each with OnAnswer().
@@ -169,6 +189,10 @@
   /// Engines that left orders unanswered; they count as lost until they are heard again.
   const std::set<std::string>& Unanswering() const { return mUnanswering; }
   void Forgive(const std::string& aEngine);
+  /// @return the changes of composition since the last call.
+  std::vector<CompositionChange> TakeChanges();
+  /// @return the models' replicas and the use of their places, as of the last round.
+  const std::vector<ModelUse>& Uses() const { return mUses; }
 
 private:
   struct Spare
@@ -195,6 +219,14 @@
     std::uint64_t mEpoch = 0;
     TimePoint mUntil{};
   };
+  /// Engines of a domain on their way from one model to another.
+  struct Trade
+  {
+    std::string mFrom;
+    std::string mTo;
+    std::size_t mComing = 0; ///< replicas still to be formed
+    TimePoint mUntil{};
+  };
   /// One start of an engine.
   struct Start
   {
@@ -250,6 +282,38 @@
   void GiveUpServing();
   /// @return the open replicas to be given up for a broken one; empty where that is not worth it
   std::vector<PlannedReplica*> ServingDonors(const PlannedReplica& aTarget);
+  /// Average the use of places, and drop trades that have come to nothing.
+  /// @return whether there was anything new to see
+  bool ObserveUse();
+  std::vector<ModelUse> CountUses() const;
+  /// @return whether a replica has places for requests, now or in a moment.
+  bool CountsAsServing(const PlannedReplica& aReplica) const;
+  /// Give up replicas of a model whose places are hardly used for one that is short of them.
+  void TradeReplicas();
+  /// @return whether a domain was found where that can be done at once
+  bool BeginTrade(const CompositionNeed& aNeed);
+  /// Let replicas of a model that are only about to be given up serve on.
+  /// @return whether there were any
+  bool TakeBack(const std::string& aModel);
+  /// @return replicas of a model that take requests.
+  std::size_t OpenReplicas(const std::string& aModel) const;
+  /// @return the replicas of a model in a domain to be given up for one of another; empty for none.
+  std::vector<PlannedReplica*> TradeDonors(const std::string& aDomain,
+                                           const ModelSpec& aFrom,
+                                           const ModelSpec& aTo);
+  /// @return members of some replicas that join a model without a load of weights.
+  std::size_t QuickMembers(const std::vector<PlannedReplica*>& aReplicas,
+                           const std::string& aModel) const;
+  std::size_t MovingEngines() const;
+  /// @return the model of which the pool has fewest replicas against what is asked of it, of those
+  /// that so many free engines of a domain can form; null for none.
+  const ModelSpec* MostShort(const std::string& aDomain,
+                             std::size_t aFree,
+                             std::size_t aEngines,
+                             const std::map<std::string, std::size_t>& aHave) const;
+  /// @return the replicas that a model should have, in any unit that all models of a pool share.
+  double Due(const ModelSpec& aModel, std::size_t aEngines) const;
+  void NoteFormed(const std::string& aDomain, const std::string& aModel);
   /// @return the part of a model's places in use if so many of its open replicas were not there;
   /// beyond 1 while requests wait, and infinite where none would be left.
   double PlacesInUse(const std::string& aModel, std::size_t aWithout) const;
@@ -339,6 +403,11 @@
   /// Replicas that were given up while they served, by name. Their engines' registrations go on
   /// naming them until they have left, and taken up again each would serve and be given up anew.
   std::map<std::string, GivenUp> mGivenUp;
+  std::map<std::string, Trade> mTrades; ///< by domain
+  std::vector<CompositionChange> mChanges;
+  PlaceUse mPlaceUse;
+  std::vector<ModelUse> mUses;
+  TimePoint mUseDue{};
   std::map<std::string, Spare> mSpares;
   std::map<std::string, Pending> mPending;
   std::map<std::string, Staging> mStaging;              ///< engines told to stage, until they have
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -26,6 +26,15 @@
 std::string
 Coordinator::Impl::Dump()
 {
+  Json models = Json::array();
+  for (const auto& [service, planner] : mPlanners) {
+    for (const auto& it : planner.Uses()) {
+      models.push_back({ { "service", service },
+                         { "model", it.mModel },
+                         { "replicas", it.mReplicas },
+                         { "in_use", it.mInUse } });
+    }
+  }
   Json replicas = Json::array();
   for (const auto& [service, planner] : mPlanners) {
     for (const auto& [name, it] : planner.Replicas()) {
@@ -96,6 +105,7 @@
                       { "lost_engines", lost },
                       { "suspect_requests", mSuspects.Book().Size() },
                       { "held_requests", held },
+                      { "models", models },
                       { "replicas", replicas },
                       { "peers", peers } };
   return dump.dump(2);
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -102,6 +102,7 @@
   void OnEngineChange(const EngineRecord& aEngine, bool aLost);
   void PlanPools();
   void PlanPool(const ServiceSpec& aService);
+  void LogComposition(const std::vector<CompositionChange>& aChanges);
   /// Requests of all nodes at the head that the last holder named for a group; see GroupView.
   int InFlightAtFormerHead(const std::string& aGroup, std::uint64_t aEpoch) const;
   void SendOrder(const GroupOrder& aOrder, const std::string& aService);
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -77,6 +77,7 @@
     return it != mSilentHeads.end() && Now() - it->second < kSilenceHolds;
   };
   const auto orders = planner.Plan(view);
+  LogComposition(planner.TakeChanges());
   AskAsPlanned(planner);
   for (const auto& it : orders) {
     SendOrder(it, aService.mName);
@@ -84,6 +85,22 @@
   NoteNews(planner, aService.mPool->mFormTime);
 }
 
+void
+Coordinator::Impl::LogComposition(const std::vector<CompositionChange>& aChanges)
+{
+  for (const auto& it : aChanges) {
+    mCounters.mReplicasGivenUp[it.mFrom] += it.mGiven;
+    mHooks.mLog("composition",
+                { { "from", it.mFrom },
+                  { "to", it.mTo },
+                  { "domain", it.mDomain },
+                  { "gives", std::to_string(it.mGiven) },
+                  { "gets", std::to_string(it.mComing) },
+                  { "in_use_from", std::to_string(it.mInUseFrom) },
+                  { "in_use_to", std::to_string(it.mInUseTo) } });
+  }
+}
+
 int
 Coordinator::Impl::InFlightAtFormerHead(const std::string& aGroup, std::uint64_t aEpoch) const
 {
--- /dev/null
+++ b/src/pepperbay/placement/composition.cpp
@@ -0,0 +1,107 @@
+#include "pepperbay/placement/composition.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace pepperbay {
+namespace {
+
+/// Replicas that one move of engines takes and gives.
+struct Exchange
+{
+  std::size_t mGives = 1;
+  std::size_t mGets = 1;
+};
+
+Exchange
+ExchangeOf(std::size_t aFromSize, std::size_t aToSize)
+{
+  if (aFromSize >= aToSize) {
+    return { 1, aFromSize / aToSize };
+  }
+  return { (aToSize + aFromSize - 1) / aFromSize, 1 };
+}
+
+bool
+IsWorthIt(const ModelUse& aFrom,
+          const ModelUse& aTo,
+          int aSlots,
+          const CompositionOptions& aOptions)
+{
+  const Exchange exchange = ExchangeOf(aFrom.mSize, aTo.mSize);
+  if (aFrom.mReplicas < aOptions.mLeastReplicas + exchange.mGives) {
+    return false;
+  }
+  const double before = PartInUse(aTo, aSlots);
+  const bool wants = before >= aOptions.mShort ||
+                     (aOptions.mPolicy == CompositionPolicy::kEven && before >= aOptions.mEnough);
+  const double after = PartInUse(aFrom, aSlots, exchange.mGives);
+  // One more may be lost at any moment, and its callers must find places at the others.
+  const double afterLoss = PartInUse(aFrom, aSlots, exchange.mGives + 1);
+  return wants && after <= aOptions.mMostAfterGiving && afterLoss <= 1.0 &&
+         before - after >= aOptions.mLeastGain;
+}
+
+} // namespace
+
+double
+PartInUse(const ModelUse& aUse, int aSlots, std::size_t aFewer)
+{
+  if (aUse.mReplicas <= aFewer) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return aUse.mInUse / (static_cast<double>(aUse.mReplicas - aFewer) * std::max(1, aSlots));
+}
+
+PlaceUse::PlaceUse(Duration aMemory)
+  : mMemory(aMemory)
+{
+}
+
+void
+PlaceUse::Observe(const std::string& aModel, int aInUse, TimePoint aNow)
+{
+  const auto [it, isNew] = mAverages.try_emplace(aModel);
+  Average& average = it->second;
+  const double passed = std::chrono::duration<double>(aNow - average.mAt).count();
+  const double memory = std::chrono::duration<double>(mMemory).count();
+  const double old = isNew ? 0.0 : std::exp(-passed / std::max(memory, 1e-9));
+  average.mValue = old * average.mValue + (1.0 - old) * aInUse;
+  average.mAt = aNow;
+}
+
+double
+PlaceUse::InUse(const std::string& aModel) const
+{
+  const auto it = mAverages.find(aModel);
+  return it == mAverages.end() ? 0.0 : it->second.mValue;
+}
+
+std::optional<CompositionNeed>
+NextTrade(const std::vector<ModelUse>& aUses, int aSlots, const CompositionOptions& aOptions)
+{
+  if (aOptions.mPolicy == CompositionPolicy::kShares) {
+    return std::nullopt;
+  }
+  const ModelUse* to = nullptr;
+  for (const auto& it : aUses) {
+    const bool fuller = to == nullptr || PartInUse(it, aSlots) > PartInUse(*to, aSlots);
+    if (it.mReplicas > 0 && fuller) {
+      to = &it;
+    }
+  }
+  const ModelUse* from = nullptr;
+  for (const auto& it : aUses) {
+    const bool emptier = from == nullptr || PartInUse(it, aSlots) < PartInUse(*from, aSlots);
+    if (to != nullptr && &it != to && emptier && IsWorthIt(it, *to, aSlots, aOptions)) {
+      from = &it;
+    }
+  }
+  if (from == nullptr) {
+    return std::nullopt;
+  }
+  return CompositionNeed{ from->mModel, to->mModel };
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -51,8 +51,14 @@
   });
 }
 
+GroupPlanner::GroupPlanner()
+  : GroupPlanner(GroupPlannerOptions{})
+{
+}
+
 GroupPlanner::GroupPlanner(GroupPlannerOptions aOptions)
   : mOptions(aOptions)
+  , mPlaceUse(aOptions.mComposition.mMemory)
 {
 }
 
@@ -69,6 +75,9 @@
     Judge(replica);
   }
   RepairBroken();
+  if (mView->mTraffic && ObserveUse()) {
+    TradeReplicas();
+  }
   FormNew();
   Drive();
   CareForSpares();
@@ -320,7 +329,7 @@
   if (!lost.empty()) {
     why = "lost member " + lost;
   } else if (aReplica.mGivenUp) {
-    why = "its engines complete another replica";
+    why = "its engines are needed by another";
   }
   if (aReplica.mPhase != ReplicaPhase::kOpen) {
     Break(aReplica, std::move(why), mView->mNow);
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_composition.cpp
@@ -0,0 +1,289 @@
+#include "pepperbay/placement/group_planner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+/// Nodes tell what they have in progress this often; looking more often shows nothing new.
+constexpr std::chrono::milliseconds kObserveEvery{ 200 };
+/// With fewer of a pool's places in use than this, chance says more of the models than demand.
+constexpr double kLeastUse = 0.1;
+
+} // namespace
+
+bool
+GroupPlanner::CountsAsServing(const PlannedReplica& aReplica) const
+{
+  if (aReplica.mGivenUp) {
+    return false;
+  }
+  return aReplica.mPhase != ReplicaPhase::kBroken ||
+         mView->mNow - aReplica.mSince < mOptions.mCountsBroken;
+}
+
+std::vector<ModelUse>
+GroupPlanner::CountUses() const
+{
+  std::vector<ModelUse> uses;
+  for (const auto& it : mView->mPool->mModels) {
+    uses.push_back({ it.mName, std::max<std::size_t>(1, it.mSize), 0, 0.0 });
+  }
+  const auto useOf = [&uses](const std::string& aModel) {
+    return std::find_if(uses.begin(), uses.end(), [&aModel](const ModelUse& aUse) {
+      return aUse.mModel == aModel;
+    });
+  };
+  for (const auto& [name, replica] : mReplicas) {
+    const auto use = useOf(replica.mModel);
+    if (use != uses.end() && CountsAsServing(replica)) {
+      ++use->mReplicas;
+    }
+  }
+  for (const auto& [domain, trade] : mTrades) {
+    const auto use = useOf(trade.mTo);
+    if (use != uses.end()) {
+      use->mReplicas += trade.mComing;
+    }
+  }
+  return uses;
+}
+
+bool
+GroupPlanner::ObserveUse()
+{
+  for (auto it = mTrades.begin(); it != mTrades.end();) {
+    it = mView->mNow >= it->second.mUntil ? mTrades.erase(it) : std::next(it);
+  }
+  if (mView->mNow < mUseDue) {
+    return false;
+  }
+  mUseDue = mView->mNow + kObserveEvery;
+  std::map<std::string, int> inUse;
+  for (const auto& [name, replica] : mReplicas) {
+    if (replica.mPhase == ReplicaPhase::kOpen) {
+      inUse[replica.mModel] += mView->mInFlight(replica.mMembers.front());
+    }
+  }
+  mUses = CountUses();
+  for (auto& it : mUses) {
+    mPlaceUse.Observe(it.mModel, inUse[it.mModel], mView->mNow);
+    it.mInUse = mPlaceUse.InUse(it.mModel);
+  }
+  return true;
+}
+
+void
+GroupPlanner::TradeReplicas()
+{
+  while (const auto need = NextTrade(mUses, mView->mPool->mSlots, mOptions.mComposition)) {
+    if (!BeginTrade(*need)) {
+      return;
+    }
+    std::vector<ModelUse> uses = CountUses();
+    for (auto& it : uses) {
+      it.mInUse = mPlaceUse.InUse(it.mModel);
+    }
+    mUses = std::move(uses);
+  }
+}
+
+std::size_t
+GroupPlanner::MovingEngines() const
+{
+  std::size_t n = 0;
+  for (const auto& [domain, trade] : mTrades) {
+    n += trade.mComing * mView->mPool->FindModel(trade.mTo)->mSize;
+  }
+  return n;
+}
+
+std::size_t
+GroupPlanner::QuickMembers(const std::vector<PlannedReplica*>& aReplicas,
+                           const std::string& aModel) const
+{
+  std::size_t n = 0;
+  for (const auto* replica : aReplicas) {
+    for (const auto& it : replica->mMembers) {
+      const EngineRecord* engine = Find(it);
+      n += engine != nullptr && Usable(*engine) && IsQuick(*engine, aModel) ? 1 : 0;
+    }
+  }
+  return n;
+}
+
+std::size_t
+GroupPlanner::OpenReplicas(const std::string& aModel) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mReplicas.begin(), mReplicas.end(), [&aModel](const auto& aReplica) {
+      const PlannedReplica& it = aReplica.second;
+      return it.mModel == aModel && it.mPhase == ReplicaPhase::kOpen && !it.mLeavingSince &&
+             !it.mGivenUp;
+    }));
+}
+
+std::vector<PlannedReplica*>
+GroupPlanner::TradeDonors(const std::string& aDomain, const ModelSpec& aFrom, const ModelSpec& aTo)
+{
+  std::vector<std::pair<int, PlannedReplica*>> candidates; // requests in progress
+  for (auto& [name, replica] : mReplicas) {
+    const bool serves = replica.mPhase == ReplicaPhase::kOpen && !replica.mLeavingSince;
+    const bool broken = replica.mPhase == ReplicaPhase::kBroken && AnyUsable(replica) &&
+                        mView->mNow >= replica.mNotBefore;
+    if (replica.mDomain == aDomain && replica.mModel == aFrom.mName && !replica.mGivenUp &&
+        (serves || broken)) {
+      const int inUse = broken ? 0 : mView->mInFlight(replica.mMembers.front());
+      candidates.emplace_back(inUse, &replica);
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  std::size_t serving = OpenReplicas(aFrom.mName);
+  std::vector<PlannedReplica*> donors;
+  for (const auto& [inUse, replica] : candidates) {
+    const bool serves = replica->mPhase == ReplicaPhase::kOpen;
+    const bool kept = serves && serving <= mOptions.mComposition.mLeastReplicas;
+    if (!kept && QuickMembers(donors, aTo.mName) < aTo.mSize) {
+      donors.push_back(replica);
+      serving -= serves ? 1 : 0;
+    }
+  }
+  return QuickMembers(donors, aTo.mName) < aTo.mSize ? std::vector<PlannedReplica*>{} : donors;
+}
+
+bool
+GroupPlanner::TakeBack(const std::string& aModel)
+{
+  for (auto trade = mTrades.begin(); trade != mTrades.end(); ++trade) {
+    if (trade->second.mFrom != aModel) {
+      continue;
+    }
+    bool any = false;
+    for (auto& [name, replica] : mReplicas) {
+      const bool serves = replica.mPhase == ReplicaPhase::kOpen && !replica.mMemberLost;
+      if (replica.mDomain == trade->first && replica.mGivenUp && serves) {
+        replica.mGivenUp = false;
+        any = true;
+      }
+    }
+    if (any) {
+      mTrades.erase(trade);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+GroupPlanner::BeginTrade(const CompositionNeed& aNeed)
+{
+  if (TakeBack(aNeed.mTo)) {
+    return true;
+  }
+  const ModelSpec& from = *mView->mPool->FindModel(aNeed.mFrom);
+  const ModelSpec& to = *mView->mPool->FindModel(aNeed.mTo);
+  const double most = mOptions.mComposition.mMostMoving * static_cast<double>(mSeenEngines);
+  const double moves = static_cast<double>(MovingEngines() + std::max(from.mSize, to.mSize));
+  if (!mTrades.empty() && moves > most) {
+    return false;
+  }
+  std::set<std::string> domains;
+  for (const auto& [name, replica] : mReplicas) {
+    if (mTrades.count(replica.mDomain) == 0) {
+      domains.insert(replica.mDomain);
+    }
+  }
+  std::vector<PlannedReplica*> best;
+  std::size_t bestGets = 0;
+  int bestInUse = 0;
+  for (const auto& domain : domains) {
+    const auto donors = TradeDonors(domain, from, to);
+    const std::size_t gets = QuickMembers(donors, to.mName) / to.mSize;
+    int inUse = 0;
+    for (const auto* it : donors) {
+      inUse += mView->mInFlight(it->mMembers.front());
+    }
+    if (gets > bestGets || (gets > 0 && gets == bestGets && inUse < bestInUse)) {
+      best = donors;
+      bestGets = gets;
+      bestInUse = inUse;
+    }
+  }
+  if (best.empty()) {
+    return false;
+  }
+  CompositionChange change{ from.mName, to.mName, best.front()->mDomain, best.size(), bestGets, 0, 0 };
+  for (const auto& it : mUses) {
+    const double part = PartInUse(it, mView->mPool->mSlots);
+    change.mInUseFrom = it.mModel == from.mName ? part : change.mInUseFrom;
+    change.mInUseTo = it.mModel == to.mName ? part : change.mInUseTo;
+  }
+  mChanges.push_back(change);
+  mTrades[change.mDomain] = {
+    from.mName, to.mName, bestGets, mView->mNow + mOptions.mTradeMost
+  };
+  for (auto* it : best) {
+    it->mGivenUp = true;
+  }
+  return true;
+}
+
+double
+GroupPlanner::Due(const ModelSpec& aModel, std::size_t aEngines) const
+{
+  double inUse = 0;
+  double places = 0;
+  for (const auto& it : mUses) {
+    inUse += it.mInUse;
+    places += static_cast<double>(it.mReplicas) * mView->mPool->mSlots;
+  }
+  const bool known = mOptions.mComposition.mPolicy != CompositionPolicy::kShares &&
+                     mView->mTraffic && places > 0 && inUse >= kLeastUse * places;
+  return known ? mPlaceUse.InUse(aModel.mName)
+               : aModel.mShare * static_cast<double>(aEngines) / static_cast<double>(aModel.mSize);
+}
+
+const ModelSpec*
+GroupPlanner::MostShort(const std::string& aDomain,
+                        std::size_t aFree,
+                        std::size_t aEngines,
+                        const std::map<std::string, std::size_t>& aHave) const
+{
+  const auto trade = mTrades.find(aDomain);
+  if (trade != mTrades.end()) {
+    const ModelSpec* model = mView->mPool->FindModel(trade->second.mTo);
+    return model != nullptr && aFree >= model->mSize ? model : nullptr;
+  }
+  const ModelSpec* best = nullptr;
+  double bestRatio = 0;
+  for (const auto& it : mView->mPool->mModels) {
+    const auto have = aHave.find(it.mName);
+    const double n = have == aHave.end() ? 0.0 : static_cast<double>(have->second);
+    const double ratio = n / std::max(Due(it, aEngines), 1e-9);
+    if (aFree >= it.mSize && (best == nullptr || ratio < bestRatio)) {
+      best = &it;
+      bestRatio = ratio;
+    }
+  }
+  return best;
+}
+
+void
+GroupPlanner::NoteFormed(const std::string& aDomain, const std::string& aModel)
+{
+  const auto trade = mTrades.find(aDomain);
+  if (trade != mTrades.end() && trade->second.mTo == aModel && --trade->second.mComing == 0) {
+    mTrades.erase(trade);
+  }
+}
+
+std::vector<CompositionChange>
+GroupPlanner::TakeChanges()
+{
+  return std::exchange(mChanges, {});
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/placement/group_planner_composition_test.cpp
@@ -0,0 +1,148 @@
+#include "group_planner_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+/// A pool of 18 engines a domain: one replica of eight, four of two, two spares.
+EnginePool
+PairsAndEights()
+{
+  EnginePool pool;
+  pool.mSlots = 20;
+  pool.mFormTime = milliseconds(300);
+  pool.mLoadsPerSecond = 14;
+  pool.mLoadsAtOnce = 20;
+  pool.mModels = { { "big", 8, 0.5, 1.0, seconds(16), milliseconds(1600) },
+                   { "small", 2, 0.5, 0.6, seconds(12), milliseconds(1100) } };
+  return pool;
+}
+
+constexpr std::size_t kDomains = 5;
+constexpr std::size_t kPerDomain = 18;
+
+/// A pool whose hosts hold the weights that they are to hold, with callers for it.
+struct TurningWorld : World
+{
+  TurningWorld()
+    : World(kDomains, kPerDomain, PairsAndEights())
+  {
+    Run(mPlanner, kAllStaged, 1, milliseconds(100));
+    mTraffic = true;
+    mStreamsLast = milliseconds(1600);
+  }
+
+  /// Requests in progress at all replicas of each model, spread evenly over those that serve.
+  void Ask(int aBig, int aSmall, Duration aFor) { Ask(mPlanner, 1, aBig, aSmall, aFor); }
+
+  void Ask(GroupPlanner& aPlanner, std::uint64_t aFence, int aBig, int aSmall, Duration aFor)
+  {
+    const auto share = [this](int aAll, const char* aModel) {
+      return aAll / std::max(1, static_cast<int>(mPool.Serving(aModel)));
+    };
+    for (const TimePoint end = Now() + aFor; Now() < end;) {
+      mInFlightOf = { { "big", share(aBig, "big") }, { "small", share(aSmall, "small") } };
+      Run(aPlanner, milliseconds(100), aFence);
+    }
+  }
+
+  GroupPlanner mPlanner;
+};
+
+/// Pattern: the smaller model is asked for 1.6 times what its places hold. Guards against callers of
+/// one model who all wait while engines of the other have nothing to do.
+TEST(GroupPlannerComposition, BurstOfTheSmallerModelIsServedByEnginesOfTheLarger)
+{
+  TurningWorld world;
+  ASSERT_EQ(world.mPool.Serving("big"), 5U);
+  ASSERT_EQ(world.mPool.Serving("small"), 20U);
+  const std::size_t loads = world.mPool.Loads().size();
+  world.Ask(15, 440, seconds(6));
+  EXPECT_LE(world.mPool.Serving("big"), 4U);
+  EXPECT_GE(world.mPool.Serving("small"), 24U);
+  EXPECT_GE(world.mPool.Serving("big"), 2U) << "the least that a model keeps";
+  EXPECT_LE(world.mPool.Loads().size() - loads, 60U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+/// Pattern: the mix turns, and turns back. Guards against engines that stay where the last burst put
+/// them.
+TEST(GroupPlannerComposition, EnginesComeBackWhenTheMixTurnsBack)
+{
+  TurningWorld world;
+  world.Ask(15, 440, seconds(30));
+  const std::size_t big = world.mPool.Serving("big");
+  ASSERT_LT(big, 5U);
+  world.Ask(120, 80, seconds(30));
+  EXPECT_GT(world.mPool.Serving("big"), big);
+  EXPECT_GE(world.mPool.Serving("small"), 8U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+/// Pattern: demand that stays as it is. Guards against replicas that are given up and formed anew
+/// for ever.
+TEST(GroupPlannerComposition, SteadyDemandMovesNothingAfterAWhile)
+{
+  TurningWorld world;
+  world.Ask(15, 340, seconds(20));
+  world.mPlanner.TakeChanges();
+  world.Ask(15, 340, seconds(60));
+  EXPECT_TRUE(world.mPlanner.TakeChanges().empty());
+}
+
+/// Guards against streams that are cut by a change of composition: engines leave a replica when its
+/// streams have ended, and not before.
+TEST(GroupPlannerComposition, AReplicaThatIsGivenUpEndsItsStreamsFirst)
+{
+  TurningWorld world;
+  world.mStreamsLast = seconds(3);
+  world.mGiven.clear();
+  world.Ask(15, 440, milliseconds(2500));
+  EXPECT_FALSE(world.mPlanner.TakeChanges().empty());
+  EXPECT_EQ(world.mGiven[GroupOrderKind::kLeave], 0);
+  EXPECT_EQ(world.mPool.Serving("big"), 5U);
+}
+
+/// Pattern: demand turns back while replicas are only about to be given up. Guards against a model
+/// that waits for engines which still serve it.
+TEST(GroupPlannerComposition, ReplicasThatStillServeAreTakenBack)
+{
+  TurningWorld world;
+  world.mStreamsLast = seconds(7);
+  world.Ask(15, 440, seconds(2));
+  ASSERT_FALSE(world.mPlanner.TakeChanges().empty());
+  world.Ask(120, 60, seconds(4));
+  for (const auto& [name, replica] : world.mPlanner.Replicas()) {
+    EXPECT_FALSE(replica.mModel == "big" && replica.mGivenUp) << name;
+  }
+}
+
+/// Guards against a new holder of the lease that turns back what the last one has begun.
+TEST(GroupPlannerComposition, ANewHolderGoesOnFromWhatStands)
+{
+  TurningWorld world;
+  world.Ask(15, 440, seconds(2));
+  GroupPlanner next;
+  world.Ask(next, 2, 15, 440, seconds(20));
+  EXPECT_GE(world.mPool.Serving("small"), 24U);
+  EXPECT_GE(world.mPool.Serving("big"), 2U);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+/// Guards against a change of composition while losses go on: no engine in two replicas, none left
+/// over.
+TEST(GroupPlannerComposition, LossesDuringAChangeAreRepaired)
+{
+  TurningWorld world;
+  world.Ask(15, 440, milliseconds(1500));
+  world.Kill(world.MemberOf(world.mPlanner, "small", 1));
+  world.Kill(world.MemberOf(world.mPlanner, "big", 3));
+  world.Ask(15, 440, seconds(20));
+  std::size_t serving = 8 * world.mPool.Serving("big") + 2 * world.mPool.Serving("small");
+  EXPECT_GE(serving, kDomains * kPerDomain - 2 * kDomains - 10);
+  EXPECT_TRUE(world.mPool.Violations().empty()) << world.mPool.Violations().front();
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -200,18 +200,8 @@
     }
     const auto reserve =
       static_cast<std::size_t>(std::ceil(static_cast<double>(domain.mAll) * mOptions.mSpareShare));
-    for (;;) {
-      // The model that is furthest below its share of the engines, of those that fit.
-      const ModelSpec* best = nullptr;
-      double bestRatio = 0;
-      for (const auto& it : mView->mPool->mModels) {
-        const double due = it.mShare * static_cast<double>(all) / static_cast<double>(it.mSize);
-        const double ratio = static_cast<double>(have[it.mName]) / std::max(due, 1e-9);
-        if (domain.mFree >= it.mSize + reserve && (best == nullptr || ratio < bestRatio)) {
-          best = &it;
-          bestRatio = ratio;
-        }
-      }
+    while (domain.mFree > reserve) {
+      const ModelSpec* best = MostShort(name, domain.mFree - reserve, all, have);
       // Not another model in its place: the one that is short would never get its engines.
       if (best == nullptr || !EnoughForNew(name, *best)) {
         break;
@@ -229,6 +219,7 @@
       Begin(replica, std::move(members));
       domain.mFree -= best->mSize;
       ++have[best->mName];
+      NoteFormed(name, best->mName);
       mReplicas[replica.mName] = std::move(replica);
     }
   }
