Requests that may run only once leave an engine of a plain service that fails them

Cause: an engine's own failure counted as an answer, and what was remembered of lost answers each node learnt for itself: 75 nodes send one of three engines a request that may run once every four seconds each, and every node's callers paid anew. Now a node tells its desk, with the questions for places that it asks anyway, which engines have failed such requests of its own in the last two seconds; what two nodes say, the desk tells with its answers, for a second. Such requests go there last, never nowhere; requests that may run again still go there and show when it has recovered. Ruled out: a longer memory of a node alone (it sees too few), failures of repeatable requests (14 in 100 fail at any engine).

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -14,8 +14,9 @@
 pepperbay_library(quarantine SOURCES request_key.cpp crash_book.cpp recent_runs.cpp
                   TESTS request_key_test.cpp crash_book_test.cpp recent_runs_test.cpp
                   USES base) # pure
-pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp
+pepperbay_library(routing SOURCES router.cpp route_table.cpp balancer.cpp refusal_book.cpp failure_book.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp
+                        failure_book_test.cpp
                   USES base quarantine) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           engine_state.cpp group_planner.cpp group_planner_orders.cpp
--- a/examples/places/ask.cpp
+++ b/examples/places/ask.cpp
@@ -54,11 +54,12 @@
   desk->SetPlan(MakePlan(true));
   node->SetPlan(MakePlan(false));
   PlaceTicket ticket;
-  node->Ask({ "pool", "m", std::chrono::milliseconds(30), {}, {}, false }, [&](const Place& aPlace) {
-    ticket = aPlace.mTicket;
-    std::cout << ToString(aPlace.mOutcome) << " at " << aPlace.mHead.mId << " by " << ticket.mDesk
-              << "\n";
-  });
+  node->Ask({ "pool", "m", std::chrono::milliseconds(30), {}, {}, false },
+            [&](const Place& aPlace) {
+              ticket = aPlace.mTicket;
+              std::cout << ToString(aPlace.mOutcome) << " at " << aPlace.mHead.mId << " by "
+                        << ticket.mDesk << "\n";
+            });
   std::cout << "in progress by the desk's account: " << deskView.Own().at("engine-1") << "\n";
   node->End(ticket);
   node->Tick();
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -115,7 +115,7 @@
 /// Counts since the start; see docs/OPERATIONS.md.
 struct CoordinatorCounters
 {
-  std::map<std::string, std::uint64_t> mOrders;     ///< by kind and answer
+  std::map<std::string, std::uint64_t> mOrders; ///< by kind and answer
   /// Replicas given up for a model that is asked for more, by the model that they served.
   std::map<std::string, std::uint64_t> mReplicasGivenUp;
   std::map<std::string, std::uint64_t> mStoreCalls; ///< by log and reason
--- a/include/pepperbay/places/place_agent.hpp
+++ b/include/pepperbay/places/place_agent.hpp
@@ -49,7 +49,7 @@
 {
   std::string mService;
   std::string mModel;
-  Duration mWork{ 0 };          ///< time that a replica takes to read the prompt
+  Duration mWork{ 0 }; ///< time that a replica takes to read the prompt
   /// To the first event; zero: it is late in any case, or goes on after its first event.
   Duration mObjective{ 0 };
   std::set<std::string> mTried; ///< heads that the request has been sent to
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -59,8 +59,8 @@
   Duration mWaitForPlan = std::chrono::milliseconds(300);
   /// When a refused caller should come back: about the time in which a replica forms anew.
   Duration mRetryAfter = std::chrono::milliseconds(600);
-  /// Callers who are refused because all replicas are full are told to come back up to so much later
-  /// than that, each at a time of its own.
+  /// Callers who are refused because all replicas are full are told to come back up to so much
+  /// later than that, each at a time of its own.
   Duration mSpreadReturns = std::chrono::milliseconds(1200);
   /// An engine that ends so soon after it began to answer a request may have ended for it.
   Duration mSuspectWithin = std::chrono::seconds(1);
--- a/include/pepperbay/routing/balancer.hpp
+++ b/include/pepperbay/routing/balancer.hpp
@@ -2,6 +2,7 @@
 /// @brief Which engine or replica a request goes to, from what is in progress there. Pure.
 #pragma once
 
+#include "pepperbay/routing/failure_book.hpp"
 #include "pepperbay/routing/refusal_book.hpp"
 #include "pepperbay/routing/traffic_plan.hpp"
 
@@ -71,6 +72,9 @@
   RefusalBook& Refusals() { return mRefusals; }
   const RefusalBook& Refusals() const { return mRefusals; }
 
+  /// Engines that fail requests which may run only once; such requests go there last.
+  FailureBook& Failures() { return mFailures; }
+
   /// The engine has started again: its faults, its pace and what it had to read are of the past.
   void Forget(const std::string& aEngine);
 
@@ -84,10 +88,12 @@
   const std::unordered_map<std::string, int>& Own() const { return mOwn; }
 
   /// @param aTried engines that this request has been sent to
+  /// @param aOnce the request may run only once
   /// @return null when there is none left
   const EngineTarget* PickEngine(const TrafficPlan& aPlan,
                                  const std::string& aService,
                                  const std::set<std::string>& aTried,
+                                 bool aOnce,
                                  TimePoint aNow) const;
 
   /// Engines that have lately failed requests.
@@ -97,8 +103,9 @@
   struct ReplicaQuery
   {
     std::string mModel;
-    std::string mDataCentre;         ///< of the node that sends the request
-    /// To the request's first event; zero: it is late in any case, or goes on after its first event.
+    std::string mDataCentre; ///< of the node that sends the request
+    /// To the request's first event; zero: it is late in any case, or goes on after its first
+    /// event.
     Duration mObjective{ 0 };
     std::set<std::uint32_t> mTried;  ///< heads to leave out, by ShortId()
     std::set<std::uint32_t> mFaulty; ///< heads that come last
@@ -157,6 +164,7 @@
   std::unordered_map<std::string, TimePoint> mReadsUntil; ///< prompts sent to a head
   std::unordered_map<std::string, Pace> mPaces;
   RefusalBook mRefusals;
+  FailureBook mFailures;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/places/place_agent.cpp
+++ b/src/pepperbay/places/place_agent.cpp
@@ -212,6 +212,9 @@
   for (const auto it : mBalancer->Refusals().Refusing(Now())) {
     ask->add_refusing(it);
   }
+  for (const auto it : mBalancer->Failures().Own(Now())) {
+    ask->add_failing(it);
+  }
   ask->set_again(request.mAgain);
   ask->set_data_centre(mOptions.mDataCentre);
   ask->set_reply_address(mOptions.mAddress);
@@ -348,6 +351,12 @@
   for (const auto it : ask.refusing()) {
     mBalancer->Refusals().OnTold(it, Now());
   }
+  for (const auto it : ask.failing()) {
+    mBalancer->Failures().OnReport(asker.mNode, it, Now());
+  }
+  for (const auto it : mBalancer->Failures().Agreed(Now())) {
+    answer->add_failing(it);
+  }
   Balancer::ReplicaQuery query{
     ask.model(),
     passedOn ? mOptions.mDataCentre : ask.data_centre(),
@@ -432,6 +441,9 @@
 {
   const proto::PlaceAnswer& answer = aMessage.answer();
   const auto outcome = OutcomeOf(answer.outcome());
+  for (const auto it : answer.failing()) {
+    mBalancer->Failures().OnTold(it, Now());
+  }
   PlaceTicket ticket;
   if (outcome == PlaceOutcome::kGranted) {
     ticket = { aMessage.node(), answer.id() };
--- a/src/pepperbay/places/place_agent_test.cpp
+++ b/src/pepperbay/places/place_agent_test.cpp
@@ -215,6 +215,31 @@
   }
 }
 
+/// Pattern: an engine of a plain service answers errors, and each node sends it a request now and
+/// then. Guards against each node's callers paying for what two nodes have seen already.
+TEST(Places, TwoNodesThatAnEngineFailsTellAll)
+{
+  PlaceWorld world;
+  world.AddReplicas(2, "a");
+  for (const char* it : { "desk", "one", "two", "three" }) {
+    world.AddNode(it);
+  }
+  world.Publish({ { "a", { "desk" } } });
+  const std::uint32_t engine = ShortId("plain");
+  const auto fails = [&](std::size_t aNode) {
+    return world.mNodes[aNode].mBalancer->Failures().Fails(engine, world.mClock.Now());
+  };
+  world.mNodes[1].mBalancer->Failures().OnFailed("plain", world.mClock.Now());
+  world.Ask(world.mNodes[1]);
+  world.Ask(world.mNodes[3]);
+  EXPECT_FALSE(fails(3)) << "any engine fails a request now and then";
+  world.mNodes[2].mBalancer->Failures().OnFailed("plain", world.mClock.Now());
+  world.Ask(world.mNodes[2]);
+  world.Ask(world.mNodes[3]);
+  EXPECT_TRUE(fails(3));
+  EXPECT_TRUE(fails(0));
+}
+
 TEST(Places, APlaceIsFreeAgainOnceItIsGivenBack)
 {
   PlaceWorld world;
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -154,8 +154,8 @@
 Exchange::ChooseEngine() const
 {
   const auto plan = mCore->mPlan;
-  const EngineTarget* engine =
-    mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, mCore->Now());
+  const EngineTarget* engine = mCore->mBalancer.PickEngine(
+    *plan, mService->mName, mTried, !mRoute->Repeatable(), mCore->Now());
   if (engine == nullptr) {
     return std::nullopt;
   }
@@ -230,7 +230,8 @@
   const auto plan = mCore->mPlan;
   const TimePoint now = mCore->Now();
   if (!mService->mPool) {
-    return mCore->mBalancer.PickEngine(*plan, mService->mName, mTried, now) != nullptr;
+    return mCore->mBalancer.PickEngine(
+             *plan, mService->mName, mTried, !mRoute->Repeatable(), now) != nullptr;
   }
   return mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, mTried, now).mReplica !=
          nullptr;
@@ -535,6 +536,8 @@
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
   if (mStatus < kServerFailure) {
     mCore->OnRanWhole(mKey);
+  } else {
+    NoteFailedOnce();
   }
   mCore->mCounters.mWholeAnswer.Observe(mCore->Now() - mArrived);
   ++mCore->mCounters.mAnswered;
@@ -542,6 +545,14 @@
   Finish()->SendWhole(std::move(answer));
 }
 
+void
+Exchange::NoteFailedOnce()
+{
+  if (!mService->mPool && !mRoute->Repeatable()) {
+    mCore->mBalancer.Failures().OnFailed(mCurrent.mTarget.mEngine, mCore->Now());
+  }
+}
+
 void
 Exchange::DropAttempt()
 {
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -151,6 +151,8 @@
 
   /// The attempt came to nothing.
   void OnFailure(const std::string& aWhy, bool aMayHaveRun);
+  /// The engine has failed a request that may run only once.
+  void NoteFailedOnce();
   void DropAttempt();
   /// Close a sending's connection, so that its engine stops, and give back its counts.
   void Drop(Sending* aSending);
--- a/src/pepperbay/relay/relay_test.cpp
+++ b/src/pepperbay/relay/relay_test.cpp
@@ -465,8 +465,8 @@
   EXPECT_TRUE(Has(answer.get(), "\r\n\r\nok"));
 }
 
-/// Pattern: a burst that no replica has places for. Guards against callers who are refused together,
-/// come back together, and are refused again.
+/// Pattern: a burst that no replica has places for. Guards against callers who are refused
+/// together, come back together, and are refused again.
 TEST_F(RelayTest, CallersWhoFindAllReplicasFullComeBackAtDifferentTimes)
 {
   RawEngine engine([](RawConnection& aConnection) { aConnection.ReadRequest(); });
@@ -487,8 +487,7 @@
   const auto seconds = [](Duration aTime) { return std::chrono::duration<double>(aTime).count(); };
   EXPECT_GE(*times.begin(), seconds(options.mRetryAfter));
   EXPECT_LE(*times.rbegin(), seconds(options.mRetryAfter + options.mSpreadReturns));
-  const std::string hurried =
-    Ask(Post("/stream/", "x", "Model: m\r\nLeft-Ms: 1500\r\n"));
+  const std::string hurried = Ask(Post("/stream/", "x", "Model: m\r\nLeft-Ms: 1500\r\n"));
   const auto at = hurried.find("Retry-After: ");
   ASSERT_NE(at, std::string::npos) << hurried;
   EXPECT_LE(std::stod(hurried.substr(at + 13)), seconds(options.mRetryAfter))
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// How long a usual answer takes at a replica all of whose slots are taken; zero if that is not said.
+/// How long a usual answer takes at a replica all of whose slots are taken; zero if that is not
+/// said.
 Duration
 AnswerTime(const EnginePool& aPool, const ModelSpec& aModel)
 {
@@ -75,6 +76,7 @@
 Balancer::PickEngine(const TrafficPlan& aPlan,
                      const std::string& aService,
                      const std::set<std::string>& aTried,
+                     bool aOnce,
                      TimePoint aNow) const
 {
   const auto engines = aPlan.mEngines.find(aService);
@@ -87,7 +89,8 @@
     if (aTried.count(it.mId) != 0) {
       continue;
     }
-    const std::tuple<bool, int, bool, std::uint64_t> rank{ RecentFault(it.mId, aNow),
+    const bool fails = aOnce && mFailures.Fails(ShortId(it.mId), aNow);
+    const std::tuple<bool, int, bool, std::uint64_t> rank{ fails || RecentFault(it.mId, aNow),
                                                            InFlight(aPlan, it.mId),
                                                            it.mDataCentre != mOptions.mDataCentre,
                                                            Hash64(it.mId, mOptions.mSeed) };
--- a/src/pepperbay/routing/balancer_test.cpp
+++ b/src/pepperbay/routing/balancer_test.cpp
@@ -1,5 +1,7 @@
 #include "pepperbay/routing/balancer.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <gtest/gtest.h>
 
 namespace pepperbay {
@@ -78,8 +80,8 @@
   EXPECT_TRUE(pool.mFull);
 }
 
-/// Pattern: twice as many requests as a pool serves in time. Guards against queues so long that every
-/// caller is late: the places that come free serve as many callers either way.
+/// Pattern: twice as many requests as a pool serves in time. Guards against queues so long that
+/// every caller is late: the places that come free serve as many callers either way.
 TEST(Balancer, AQueueHoldsOnlyWhoCanStillBeInTime)
 {
   BalancerOptions options;
@@ -161,7 +163,8 @@
   pool.mPlan.mEngines["alerts"] = { { "x", "10.0.0.1:80", "there" },
                                     { "y", "10.0.0.2:80", "here" } };
   const auto pick = [&](const std::set<std::string>& aTried) {
-    const auto* engine = pool.mBalancer.PickEngine(pool.mPlan, "alerts", aTried, pool.mClock.Now());
+    const auto* engine =
+      pool.mBalancer.PickEngine(pool.mPlan, "alerts", aTried, false, pool.mClock.Now());
     return engine == nullptr ? std::string() : engine->mId;
   };
   EXPECT_EQ(pick({}), "y");
@@ -173,6 +176,21 @@
   EXPECT_EQ(pick({ "x", "y" }), "");
 }
 
+/// Pattern: one of three engines answers errors. Guards against alerts that may run only once going
+/// on being sent there; requests that may run again find out when it has recovered.
+TEST(Balancer, RequestsThatMayRunOnlyOnceLeaveAnEngineThatFailsThem)
+{
+  ManualClock clock;
+  TrafficPlan plan;
+  plan.mEngines["alerts"] = { { "a", "10.0.0.1:80", "here" }, { "b", "10.0.0.2:80", "there" } };
+  Balancer balancer{ BalancerOptions{ "here" } };
+  balancer.Failures().OnTold(ShortId("a"), clock.Now());
+  EXPECT_EQ(balancer.PickEngine(plan, "alerts", {}, true, clock.Now())->mId, "b");
+  EXPECT_EQ(balancer.PickEngine(plan, "alerts", {}, false, clock.Now())->mId, "a");
+  balancer.Failures().OnTold(ShortId("b"), clock.Now());
+  EXPECT_NE(balancer.PickEngine(plan, "alerts", {}, true, clock.Now()), nullptr) << "never all";
+}
+
 /// Symptom: an engine that has started again gets no requests for seconds.
 /// Sequence: it fails requests, ends and starts again under its id.
 /// Cause: faults were remembered by id.
@@ -184,9 +202,9 @@
   plan.mEngines["s"] = { { "a", "", "", {} }, { "b", "", "", {} } };
   balancer.OnStart("b");
   balancer.OnFault("a", clock.Now());
-  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, clock.Now())->mId, "b");
+  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, false, clock.Now())->mId, "b");
   balancer.Forget("a");
-  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, clock.Now())->mId, "a");
+  EXPECT_EQ(balancer.PickEngine(plan, "s", {}, false, clock.Now())->mId, "a");
 }
 
 } // namespace
--- /dev/null
+++ b/src/pepperbay/routing/failure_book_test.cpp
@@ -0,0 +1,64 @@
+#include "pepperbay/routing/failure_book.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::uint32_t kEngine = ShortId("engine");
+
+/// Pattern: one of three engines answers errors to half of its requests, each node sends it one now
+/// and then. Guards against each node's callers paying for what other nodes know.
+TEST(FailureBook, TwoNodesAgreeThatAnEngineFails)
+{
+  FailureBook desk;
+  TimePoint now{ seconds(1) };
+  desk.OnReport("one", kEngine, now);
+  desk.OnReport("one", kEngine, now);
+  EXPECT_TRUE(desk.Agreed(now).empty()) << "one node's word, said twice";
+  EXPECT_FALSE(desk.Fails(kEngine, now));
+  desk.OnReport("two", kEngine, now);
+  EXPECT_EQ(desk.Agreed(now), std::vector<std::uint32_t>{ kEngine });
+  EXPECT_TRUE(desk.Fails(kEngine, now));
+}
+
+/// Guards against an engine that is avoided for ever after it has recovered: a node that repeats
+/// its word says nothing new.
+TEST(FailureBook, WhatIsNotSeenAgainIsForgotten)
+{
+  FailureBook desk;
+  TimePoint now{ seconds(1) };
+  desk.OnReport("one", kEngine, now);
+  desk.OnReport("two", kEngine, now);
+  for (int i = 0; i < 25; ++i) {
+    now += milliseconds(100);
+    if (i < 10) {
+      desk.OnReport("one", kEngine, now);
+      desk.OnReport("two", kEngine, now);
+    }
+  }
+  EXPECT_FALSE(desk.Fails(kEngine, now));
+  EXPECT_TRUE(desk.Agreed(now).empty());
+}
+
+TEST(FailureBook, ANodeGoesByItsOwnFailuresAndByWhatItIsTold)
+{
+  FailureBook node;
+  TimePoint now{ seconds(1) };
+  node.OnFailed("engine", now);
+  EXPECT_EQ(node.Own(now), std::vector<std::uint32_t>{ kEngine });
+  EXPECT_TRUE(node.Fails(kEngine, now));
+  EXPECT_FALSE(node.Fails(kEngine, now + seconds(2)));
+  node.OnTold(kEngine, now + seconds(2));
+  EXPECT_TRUE(node.Fails(kEngine, now + seconds(2)));
+  EXPECT_TRUE(node.Own(now + seconds(2)).empty()) << "hearsay is not told on";
+  EXPECT_FALSE(node.Fails(kEngine, now + seconds(3)));
+}
+
+} // namespace
+} // namespace pepperbay
