--- /dev/null
+++ b/scripts/mutants/composition.sh
@@ -0,0 +1,34 @@
+# Replicas that change models, queues that hold who can be in time, engines that fail alerts; read by
+# scripts/mutants.sh.
+# shellcheck shell=bash disable=SC2154
+p=$s/placement
+mutant "trades without a least gain" $p/composition.cpp \
+  's/before - after >= aOptions.mLeastGain/true/' placement_composition_test '*DoNotTurnBack*'
+mutant "a model keeps no least replicas" $p/composition.cpp \
+  's/aFrom.mReplicas < aOptions.mLeastReplicas \+ exchange.mGives/false/' \
+  placement_composition_test '*KeepsItsLeastReplicas*'
+mutant "a model gives whatever it needs itself" $p/composition.cpp \
+  's/after <= aOptions.mMostAfterGiving \&\& afterLoss <= 1.0 \&\&/true \&\&/' \
+  placement_composition_test '*FullGivesNothing*:*DoNotTurnBack*'
+mutant "engines leave before streams have ended" $p/group_planner_composition.cpp \
+  's/it->mGivenUp = true;/it->mGivenUp = true; Break(*it, "", mView->mNow);/' \
+  placement_group_planner_composition_test '*EndsItsStreamsFirst*'
+mutant "nothing is taken back" $p/group_planner_composition.cpp \
+  's/if \(TakeBack\(aNeed.mTo\)\)/if (false)/' \
+  placement_group_planner_composition_test '*TakenBack*'
+mutant "the least is counted with replicas just found broken" $p/group_planner_composition.cpp \
+  's/const bool kept = serves .*/const bool kept = false;/' \
+  placement_group_planner_composition_test '*NewHolder*'
+mutant "a queue holds half of the slots for everyone" $s/routing/balancer.cpp \
+  's/return std::min\(share, aPool.mSlots .*/return share;/' routing_balancer_test '*InTime*'
+mutant "refused callers come back together" $s/relay/exchange_ends.cpp \
+  's/after \+= std::max\(Duration::zero\(\), most\).*/(void)part;/' relay_relay_test '*DifferentTimes*'
+mutant "an engine that fails alerts is chosen" $s/routing/balancer.cpp \
+  's/const bool fails = aOnce .*/const bool fails = false;/' routing_balancer_test '*OnlyOnce*'
+mutant "one node's word is enough" $s/routing/failure_book.cpp \
+  's/>= mOptions.mLeastReporters/>= 1/' routing_failure_book_test '*TwoNodes*'
+mutant "a node repeats its word for ever" $s/routing/failure_book.cpp \
+  's/mReports.try_emplace\(aNode, aNow \+ mOptions.mMemory\);/mReports[aNode] = aNow + mOptions.mMemory;/' \
+  routing_failure_book_test '*Forgotten*'
+mutant "desks tell nobody" $s/places/place_agent.cpp \
+  's/answer->add_failing\(it\);/(void)it;/' places_place_agent_test '*TellAll*'
