Composition: choosing what to give up is a step of its own

BeginTrade chose donors, weighed domains, noted the change and carried it out in fifty lines. Now BestOffer and NoteChange do the first two; the replicas that one trade converts are called a conversion, as 'exchange' is a request elsewhere. No decision changes: the tests of composition pass as they are.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -227,6 +227,14 @@
     std::size_t mComing = 0; ///< replicas still to be formed
     TimePoint mUntil{};
   };
+  /// What a domain would give up for a model, and get.
+  struct TradeOffer
+  {
+    std::string mDomain;
+    std::vector<PlannedReplica*> mDonors; ///< empty: nothing
+    std::size_t mGets = 0;                ///< replicas
+    int mInUse = 0;                       ///< requests at the donors
+  };
   /// One start of an engine.
   struct Start
   {
@@ -292,6 +300,10 @@
   void TradeReplicas();
   /// @return whether a domain was found where that can be done at once
   bool BeginTrade(const CompositionNeed& aNeed);
+  /// @return of the domains where no trade is under way, what gets most replicas; of equals, what
+  /// has fewest requests to wait for.
+  TradeOffer BestOffer(const ModelSpec& aFrom, const ModelSpec& aTo);
+  void NoteChange(const std::string& aFrom, const std::string& aTo, const TradeOffer& aOffer);
   /// Let replicas of a model that are only about to be given up serve on.
   /// @return whether there were any
   bool TakeBack(const std::string& aModel);
@@ -313,6 +325,7 @@
                              const std::map<std::string, std::size_t>& aHave) const;
   /// @return the replicas that a model should have, in any unit that all models of a pool share.
   double Due(const ModelSpec& aModel, std::size_t aEngines) const;
+  /// Count a new replica as one of those that a trade was to bring.
   void NoteFormed(const std::string& aDomain, const std::string& aModel);
   /// @return the part of a model's places in use if so many of its open replicas were not there;
   /// beyond 1 while requests wait, and infinite where none would be left.
--- a/src/pepperbay/placement/composition.cpp
+++ b/src/pepperbay/placement/composition.cpp
@@ -7,15 +7,15 @@
 namespace pepperbay {
 namespace {
 
-/// Replicas that one move of engines takes and gives.
-struct Exchange
+/// Replicas of one model that become replicas of another.
+struct Conversion
 {
   std::size_t mGives = 1;
   std::size_t mGets = 1;
 };
 
-Exchange
-ExchangeOf(std::size_t aFromSize, std::size_t aToSize)
+Conversion
+ConversionOf(std::size_t aFromSize, std::size_t aToSize)
 {
   if (aFromSize >= aToSize) {
     return { 1, aFromSize / aToSize };
@@ -29,16 +29,16 @@
           int aSlots,
           const CompositionOptions& aOptions)
 {
-  const Exchange exchange = ExchangeOf(aFrom.mSize, aTo.mSize);
-  if (aFrom.mReplicas < aOptions.mLeastReplicas + exchange.mGives) {
+  const Conversion conversion = ConversionOf(aFrom.mSize, aTo.mSize);
+  if (aFrom.mReplicas < aOptions.mLeastReplicas + conversion.mGives) {
     return false;
   }
   const double before = PartInUse(aTo, aSlots);
   const bool wants = before >= aOptions.mShort ||
                      (aOptions.mPolicy == CompositionPolicy::kEven && before >= aOptions.mEnough);
-  const double after = PartInUse(aFrom, aSlots, exchange.mGives);
+  const double after = PartInUse(aFrom, aSlots, conversion.mGives);
   // One more may be lost at any moment, and its callers must find places at the others.
-  const double afterLoss = PartInUse(aFrom, aSlots, exchange.mGives + 1);
+  const double afterLoss = PartInUse(aFrom, aSlots, conversion.mGives + 1);
   return wants && after <= aOptions.mMostAfterGiving && afterLoss <= 1.0 &&
          before - after >= aOptions.mLeastGain;
 }
--- a/src/pepperbay/placement/group_planner_composition.cpp
+++ b/src/pepperbay/placement/group_planner_composition.cpp
@@ -179,6 +179,32 @@
   return false;
 }
 
+GroupPlanner::TradeOffer
+GroupPlanner::BestOffer(const ModelSpec& aFrom, const ModelSpec& aTo)
+{
+  std::set<std::string> domains;
+  for (const auto& [name, replica] : mReplicas) {
+    if (mTrades.count(replica.mDomain) == 0) {
+      domains.insert(replica.mDomain);
+    }
+  }
+  TradeOffer best;
+  for (const auto& domain : domains) {
+    TradeOffer offer;
+    offer.mDomain = domain;
+    offer.mDonors = TradeDonors(domain, aFrom, aTo);
+    offer.mGets = QuickMembers(offer.mDonors, aTo.mName) / aTo.mSize;
+    for (const auto* it : offer.mDonors) {
+      offer.mInUse += mView->mInFlight(it->mMembers.front());
+    }
+    const bool cheaper = offer.mGets == best.mGets && offer.mInUse < best.mInUse;
+    if (offer.mGets > best.mGets || cheaper) {
+      best = std::move(offer);
+    }
+  }
+  return best;
+}
+
 bool
 GroupPlanner::BeginTrade(const CompositionNeed& aNeed)
 {
@@ -192,47 +218,35 @@
   if (!mTrades.empty() && moves > most) {
     return false;
   }
-  std::set<std::string> domains;
-  for (const auto& [name, replica] : mReplicas) {
-    if (mTrades.count(replica.mDomain) == 0) {
-      domains.insert(replica.mDomain);
-    }
-  }
-  std::vector<PlannedReplica*> best;
-  std::size_t bestGets = 0;
-  int bestInUse = 0;
-  for (const auto& domain : domains) {
-    const auto donors = TradeDonors(domain, from, to);
-    const std::size_t gets = QuickMembers(donors, to.mName) / to.mSize;
-    int inUse = 0;
-    for (const auto* it : donors) {
-      inUse += mView->mInFlight(it->mMembers.front());
-    }
-    if (gets > bestGets || (gets > 0 && gets == bestGets && inUse < bestInUse)) {
-      best = donors;
-      bestGets = gets;
-      bestInUse = inUse;
-    }
-  }
-  if (best.empty()) {
+  const TradeOffer offer = BestOffer(from, to);
+  if (offer.mDonors.empty()) {
     return false;
   }
-  CompositionChange change{
-    from.mName, to.mName, best.front()->mDomain, best.size(), bestGets, 0, 0
-  };
-  for (const auto& it : mUses) {
-    const double part = PartInUse(it, mView->mPool->mSlots);
-    change.mInUseFrom = it.mModel == from.mName ? part : change.mInUseFrom;
-    change.mInUseTo = it.mModel == to.mName ? part : change.mInUseTo;
-  }
-  mChanges.push_back(change);
-  mTrades[change.mDomain] = { from.mName, to.mName, bestGets, mView->mNow + mOptions.mTradeMost };
-  for (auto* it : best) {
+  NoteChange(from.mName, to.mName, offer);
+  mTrades[offer.mDomain] = { from.mName, to.mName, offer.mGets, mView->mNow + mOptions.mTradeMost };
+  for (auto* it : offer.mDonors) {
     it->mGivenUp = true;
   }
   return true;
 }
 
+void
+GroupPlanner::NoteChange(const std::string& aFrom, const std::string& aTo, const TradeOffer& aOffer)
+{
+  CompositionChange change;
+  change.mFrom = aFrom;
+  change.mTo = aTo;
+  change.mDomain = aOffer.mDomain;
+  change.mGiven = aOffer.mDonors.size();
+  change.mComing = aOffer.mGets;
+  for (const auto& it : mUses) {
+    const double part = PartInUse(it, mView->mPool->mSlots);
+    change.mInUseFrom = it.mModel == aFrom ? part : change.mInUseFrom;
+    change.mInUseTo = it.mModel == aTo ? part : change.mInUseTo;
+  }
+  mChanges.push_back(std::move(change));
+}
+
 double
 GroupPlanner::Due(const ModelSpec& aModel, std::size_t aEngines) const
 {
