--- a/bench/pools/pool_world.cpp
+++ b/bench/pools/pool_world.cpp
@@ -1,6 +1,7 @@
 #include "pool_world.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pepperbay::pools {
 namespace {
@@ -19,10 +20,10 @@
 } // namespace
 
 PoolWorld::PoolWorld(WorldOptions aOptions)
-  : mOptions(aOptions)
-  , mPool(aOptions.mSheet.mPool)
-  , mPlanner(PlannerOptions(aOptions))
-  , mRandom(aOptions.mSeed)
+  : mOptions(std::move(aOptions))
+  , mPool(mOptions.mSheet.mPool)
+  , mPlanner(PlannerOptions(mOptions))
+  , mRandom(mOptions.mSeed)
 {
   for (std::size_t d = 0; d < mOptions.mSheet.mDomains; ++d) {
     for (std::size_t i = 0; i < mOptions.mSheet.mPerDomain; ++i) {
