--- a/bench/pools/main.cpp
+++ b/bench/pools/main.cpp
@@ -203,26 +203,26 @@
     policies.push_back(policy);
   };
   if (aTable == "spares") {
-    add("idle spares", [](Policy& it) { it.mSpares = SparePolicy::kIdle; });
-    add("staged spares", [](Policy& it) { it.mSpares = SparePolicy::kStaged; });
-    add("standby of one model", [](Policy& it) { it.mSpares = SparePolicy::kStandby; });
+    add("idle spares", [](Policy& aIt) { aIt.mSpares = SparePolicy::kIdle; });
+    add("staged spares", [](Policy& aIt) { aIt.mSpares = SparePolicy::kStaged; });
+    add("standby of one model", [](Policy& aIt) { aIt.mSpares = SparePolicy::kStandby; });
     add("standby, other weights staged", [](Policy&) {});
-    add("the same, least in progress", [](Policy& it) { it.mChoice = Choice::kLeast; });
-    add("the same, round robin", [](Policy& it) { it.mChoice = Choice::kRoundRobin; });
+    add("the same, least in progress", [](Policy& aIt) { aIt.mChoice = Choice::kLeast; });
+    add("the same, round robin", [](Policy& aIt) { aIt.mChoice = Choice::kRoundRobin; });
   } else if (aTable == "composition") {
     add("shares", [](Policy&) {});
-    add("by pressure", [](Policy& it) { it.mComposition = CompositionPolicy::kPressure; });
-    add("even use", [](Policy& it) { it.mComposition = CompositionPolicy::kEven; });
-    add("even use, queue in time", [](Policy& it) {
-      it.mComposition = CompositionPolicy::kEven;
-      it.mQueue = QueueBound::kInTime;
+    add("by pressure", [](Policy& aIt) { aIt.mComposition = CompositionPolicy::kPressure; });
+    add("even use", [](Policy& aIt) { aIt.mComposition = CompositionPolicy::kEven; });
+    add("even use, queue in time", [](Policy& aIt) {
+      aIt.mComposition = CompositionPolicy::kEven;
+      aIt.mQueue = QueueBound::kInTime;
     });
   } else if (aTable == "queues") {
     add("half of the slots", [](Policy&) {});
-    add("in time", [](Policy& it) { it.mQueue = QueueBound::kInTime; });
-    add("in time, returns spread over 1.2 s", [](Policy& it) {
-      it.mQueue = QueueBound::kInTime;
-      it.mSpread = milliseconds(1200);
+    add("in time", [](Policy& aIt) { aIt.mQueue = QueueBound::kInTime; });
+    add("in time, returns spread over 1.2 s", [](Policy& aIt) {
+      aIt.mQueue = QueueBound::kInTime;
+      aIt.mSpread = milliseconds(1200);
     });
   }
   return policies;
--- a/include/pepperbay/placement/composition.hpp
+++ b/include/pepperbay/placement/composition.hpp
@@ -34,8 +34,9 @@
   double mShort = 0.8;
   /// With less than this in use a model gains nothing by more places.
   double mEnough = 0.5;
-  /// A model that gives replicas up keeps at least so much room in what is left.
-  double mMostAfterGiving = 0.75;
+  /// At most this part of the places that are left to the giver is in use. Replicas of long prompts
+  /// are busy with little more than half of their places in use.
+  double mMostAfterGiving = 0.55;
   /// The part in use of the model that gains exceeds that of the giver, after it has given, by this
   /// at least. Less, and the next wave of requests would turn the same engines back.
   double mLeastGain = 0.15;
--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -317,14 +317,12 @@
   std::size_t QuickMembers(const std::vector<PlannedReplica*>& aReplicas,
                            const std::string& aModel) const;
   std::size_t MovingEngines() const;
-  /// @return the model of which the pool has fewest replicas against what is asked of it, of those
-  /// that so many free engines of a domain can form; null for none.
+  /// @return the model that free engines of a domain form a replica of: what a trade there is for,
+  /// or what is furthest below its share of the engines; null where they are too few.
   const ModelSpec* MostShort(const std::string& aDomain,
                              std::size_t aFree,
                              std::size_t aEngines,
                              const std::map<std::string, std::size_t>& aHave) const;
-  /// @return the replicas that a model should have, in any unit that all models of a pool share.
-  double Due(const ModelSpec& aModel, std::size_t aEngines) const;
   /// Count a new replica as one of those that a trade was to bring.
   void NoteFormed(const std::string& aDomain, const std::string& aModel);
   /// @return the part of a model's places in use if so many of its open replicas were not there;
--- a/src/pepperbay/placement/group_planner_composition.cpp
+++ b/src/pepperbay/placement/group_planner_composition.cpp
@@ -8,8 +8,6 @@
 
 /// Nodes tell what they have in progress this often; looking more often shows nothing new.
 constexpr std::chrono::milliseconds kObserveEvery{ 200 };
-/// With fewer of a pool's places in use than this, chance says more of the models than demand.
-constexpr double kLeastUse = 0.1;
 
 } // namespace
 
@@ -247,21 +245,6 @@
   mChanges.push_back(std::move(change));
 }
 
-double
-GroupPlanner::Due(const ModelSpec& aModel, std::size_t aEngines) const
-{
-  double inUse = 0;
-  double places = 0;
-  for (const auto& it : mUses) {
-    inUse += it.mInUse;
-    places += static_cast<double>(it.mReplicas) * mView->mPool->mSlots;
-  }
-  const bool known = mOptions.mComposition.mPolicy != CompositionPolicy::kShares &&
-                     mView->mTraffic && places > 0 && inUse >= kLeastUse * places;
-  return known ? mPlaceUse.InUse(aModel.mName)
-               : aModel.mShare * static_cast<double>(aEngines) / static_cast<double>(aModel.mSize);
-}
-
 const ModelSpec*
 GroupPlanner::MostShort(const std::string& aDomain,
                         std::size_t aFree,
@@ -279,7 +262,8 @@
     const auto have = aHave.find(it.mName);
     const std::size_t n = have == aHave.end() ? 0 : have->second;
     const bool least = mView->mTraffic && n < mOptions.mComposition.mLeastReplicas;
-    const double ratio = least ? 0.0 : static_cast<double>(n) / std::max(Due(it, aEngines), 1e-9);
+    const double due = it.mShare * static_cast<double>(aEngines) / static_cast<double>(it.mSize);
+    const double ratio = least ? 0.0 : static_cast<double>(n) / std::max(due, 1e-9);
     if (aFree >= it.mSize && (best == nullptr || ratio < bestRatio)) {
       best = &it;
       bestRatio = ratio;
