--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -85,6 +85,9 @@
   std::uint64_t mResumes = 0;        ///< of these, streams that went on elsewhere
   std::uint64_t mForeignAnswers = 0; ///< of another request; dropped
   std::uint64_t mEnginesEnded = 0;   ///< engines that ended while they had requests of this node
+  /// Connections to engines that did not stand, by what was wrong.
+  std::map<std::string, std::uint64_t> mConnectsFailed;
+  TimePoint mEngineHeardAt{}; ///< the last byte of any engine came
   /// Requests sent to engines that have a limit, by how they came there; see docs/OPERATIONS.md.
   std::map<std::string, std::uint64_t> mSentToLimited;
   std::uint64_t mLimitedEngines = 0; ///< engines that have a limit; now
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -142,7 +142,9 @@
               [this](const EngineRecord& aEngine, const EngineReport& aReport) {
                 OnReport(aEngine, aReport);
               },
-              [this](const EngineRecord& aEngine, bool aLost) { OnEngineChange(aEngine, aLost); },
+              [this](const EngineRecord& aEngine, bool aLost, const std::string& aError) {
+                OnEngineChange(aEngine, aLost, aError);
+              },
               [this] { return mCalls.RoomForQuestion(); } })
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -115,7 +115,7 @@
   void AskMembers(const std::string& aHead);
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
   const EngineRecord* FindEngine(const std::string& aEngine) const;
-  void OnEngineChange(const EngineRecord& aEngine, bool aLost);
+  void OnEngineChange(const EngineRecord& aEngine, bool aLost, const std::string& aError);
   void PlanPools();
   void PlanPool(const ServiceSpec& aService);
   void LogComposition(const std::vector<CompositionChange>& aChanges);
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -284,11 +284,16 @@
 }
 
 void
-Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, bool aLost)
+Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine,
+                                  bool aLost,
+                                  const std::string& aError)
 {
   mChanged = true;
   mHooks.mLog(aLost ? "engine_lost" : "engine_back",
-              { { "engine", aEngine.mId }, { "domain", aEngine.mDomain } });
+              { { "engine", aEngine.mId },
+                { "domain", aEngine.mDomain },
+                { "error", aError },
+                { "heard_any_ms_ago", std::to_string(ToMs(Now() - mCalls.HeardAt()).count()) } });
   const auto planner = mPlanners.find(aEngine.mService);
   if (!aLost) {
     if (planner != mPlanners.end()) {
--- a/src/pepperbay/coordinator/engine_calls.cpp
+++ b/src/pepperbay/coordinator/engine_calls.cpp
@@ -56,6 +56,9 @@
 EngineCalls::OnEnd(TimePoint aBegun, Duration aTimeout, bool aAnswered)
 {
   --mOpen;
+  if (aAnswered) {
+    mHeardAt = mHooks.mNow();
+  }
   const Duration took = mHooks.mNow() - aBegun;
   const bool unread = !aAnswered && took > aTimeout + mOptions.mLateEnd;
   if (unread || (aAnswered && took > mOptions.mLate)) {
--- a/src/pepperbay/coordinator/engine_calls.hpp
+++ b/src/pepperbay/coordinator/engine_calls.hpp
@@ -61,6 +61,8 @@
   bool RoomForQuestion() const { return mOpen < mWindow; }
   /// Calls that may be under way at once.
   int Window() const { return mWindow; }
+  /// When an engine last answered.
+  TimePoint HeardAt() const { return mHeardAt; }
   /// Calls whose answer this node was too late to hear.
   std::uint64_t Unread() const { return mUnread; }
 
@@ -74,6 +76,7 @@
   int mOpen = 0;
   int mWindow;
   std::uint64_t mUnread = 0;
+  TimePoint mHeardAt{};
   TimePoint mShrunk{}; ///< calls that began before this say nothing of the window as it is now
 };
 
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -81,7 +81,7 @@
     const bool first = !question.mAnswered;
     question.mAnswered = true;
     if (mLost.erase(aEngine.mId) != 0) {
-      mHooks.mOnChange(aEngine, false);
+      mHooks.mOnChange(aEngine, false, "");
     }
     if (first) {
       mHooks.mOnAnswer(aEngine, aReport.value());
@@ -98,7 +98,7 @@
     return;
   }
   if (!answered && mLost.emplace(aEngine.mId, mHooks.mNow()).second) {
-    mHooks.mOnChange(aEngine, true);
+    mHooks.mOnChange(aEngine, true, ToString(aReport.error()));
   }
 }
 
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -31,7 +31,8 @@
     mAsk;
   std::function<void(const EngineRecord&, const EngineReport&)> mOnAnswer;
   /// An engine has become lost, or a lost one answers.
-  std::function<void(const EngineRecord&, bool aLost)> mOnChange;
+  /// @param aError how the last question ended, where it is lost
+  std::function<void(const EngineRecord&, bool aLost, const std::string& aError)> mOnChange;
   /// Whether a question may be put now; null: any number.
   std::function<bool()> mMayAsk = nullptr;
 };
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -24,7 +24,7 @@
         asked.push_back(aDone);
       },
       [](const EngineRecord&, const EngineReport&) {},
-      [&](const EngineRecord&, bool aLost) { lost += aLost ? 1 : 0; } });
+      [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; } });
   EngineRecord engine;
   engine.mId = "a";
   engine.mBorn = WallTime(milliseconds(1000));
@@ -57,7 +57,7 @@
         asked.push_back(aDone);
       },
       [](const EngineRecord&, const EngineReport&) {},
-      [&](const EngineRecord&, bool aLost) { lost += aLost ? 1 : 0; },
+      [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; },
       [&] { return may; } });
   EngineRecord engine;
   engine.mId = "a";
--- a/src/pepperbay/edge/edge_metrics.hpp
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -16,6 +16,7 @@
   PlaceCounters mPlaces;
   CoordinatorCounters mCoordinator;
   Duration mConfigurationAge{ 0 }; ///< of what requests go by
+  Duration mEngineHeardAge{ 0 };   ///< since the last byte of any engine
   bool mHoldsLease = false;
   std::uint64_t mLinesLeftOut = 0;
 };
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -456,6 +456,7 @@
         const std::lock_guard<std::mutex> lock(mFiguresMutex);
         mFigures.mRelay = mRelay->Counters();
         mFigures.mConfigurationAge = BootClock::now() - mFigures.mRelay.mConfigurationAsOf;
+        mFigures.mEngineHeardAge = BootClock::now() - mFigures.mRelay.mEngineHeardAt;
         mFigures.mPlaces = mRelay->Places();
         mFigures.mLinesLeftOut = LinesLeftOut();
       }
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -156,6 +156,7 @@
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
+  mCore->mCounters.mEngineHeardAt = mCore->Now();
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
   const std::string fault = HeadFault(facts);
   if (fault == "foreign_answer") {
@@ -195,6 +196,7 @@
 void
 Exchange::OnBody(std::string_view aBytes)
 {
+  mCore->mCounters.mEngineHeardAt = mCore->Now();
   if (mPhase == Phase::kEvents) {
     PassEvents(aBytes);
     return;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -94,7 +94,7 @@
   void Launch(Sending* aSending);
   void OnDeadline();
   /// The connection to an engine did not stand.
-  void NoteUnreached();
+  void NoteUnreached(const std::string& aWhy);
   /// @return whether the request may be sent to another engine.
   bool MayAskSecond() const;
   /// Ask a second engine where the first one is silent for too long.
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -124,7 +124,7 @@
     NoteFailedOnce();
   }
   if (!reached) {
-    NoteUnreached();
+    NoteUnreached(aWhy);
   }
   if (mNext) {
     LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, "");
@@ -148,8 +148,9 @@
 }
 
 void
-Exchange::NoteUnreached()
+Exchange::NoteUnreached(const std::string& aWhy)
 {
+  ++mCore->mCounters.mConnectsFailed[aWhy];
   // No engine was asked, so nothing is spent but time.
   --mSent;
   ++mConnectFailures;
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -186,7 +186,7 @@
   mNext.reset();
   mMoveNotBefore = mCore->Now() + kMoveAgainAfter;
   if (!reached) {
-    NoteUnreached();
+    NoteUnreached(aWhy);
   }
 }
 
