Tests that fail: a node that reaches no engine serves nobody; a blind holder closes every replica

RelayReach: a relay before three engines, each behind a path that a test cuts (fakes/cut_proxy.hpp); with the paths silent, reset or refusing it serves 0 of 12, with open paths 12 of 12. CoordinatorReach: three nodes before three domains; the holder's questions have no answer while its peers reach all engines: 0 of 3 replicas usable by any plan.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -67,6 +67,7 @@
                         coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp coordinator_restored_test.cpp
                         coordinator_suspects_test.cpp coordinator_chains_test.cpp
+                        coordinator_reach_test.cpp
                         coordinator_many_engines_test.cpp coordinator_limits_test.cpp
                         engine_calls_test.cpp engine_doubts_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp
@@ -78,6 +79,7 @@
                                 sockets.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
+                        relay_reach_test.cpp
                   USES settings membership quarantine admission routing dispatch places
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -202,6 +202,10 @@
           [aDone, answer](bool aAnswered) { aDone(aAnswered ? *answer : OrderAnswer::kNone); });
         return;
       }
+      if (!Reaches(aNode.mName, aOrder.mEngine)) {
+        Unanswered(aTimeout, [aDone] { aDone(OrderAnswer::kNone); });
+        return;
+      }
       mLater.push_back([this, aOrder, aDone] { aDone(mPool.Order(aOrder, mClock.Now())); });
     };
     hooks.mAsk = [this, &aNode](const EngineRecord& aEngine,
@@ -220,6 +224,10 @@
           aTimeout, [] {}, answer);
         return;
       }
+      if (!Reaches(aNode.mName, aEngine.mId)) {
+        Unanswered(aTimeout, [answer] { answer(false); });
+        return;
+      }
       mLater.push_back([answer] { answer(true); });
     };
     hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
@@ -245,6 +253,18 @@
     return hooks;
   }
 
+  /// @return whether a node's own connections to an engine work.
+  bool Reaches(const std::string& aNode, const std::string& aEngine) const
+  {
+    return !mReaches || mReaches(aNode, aEngine);
+  }
+
+  /// Do something once a call has run out of time.
+  void Unanswered(Duration aTimeout, std::function<void()> aDo)
+  {
+    mTimeouts.emplace(mClock.Now() + aTimeout, std::move(aDo));
+  }
+
   void Deliver(const std::string& aAddress, const std::string& aBytes)
   {
     for (auto& it : mNodes) {
@@ -289,6 +309,10 @@
       }
       std::vector<std::function<void()>> due;
       due.swap(mLater);
+      while (!mTimeouts.empty() && mTimeouts.begin()->first <= mClock.Now()) {
+        due.push_back(std::move(mTimeouts.begin()->second));
+        mTimeouts.erase(mTimeouts.begin());
+      }
       for (const auto& it : due) {
         it();
       }
@@ -322,6 +346,9 @@
   FakeLeaseLog mLeaseLog;
   std::map<std::string, std::string> mRegistered;
   std::vector<std::function<void()>> mLater;
+  std::multimap<TimePoint, std::function<void()>> mTimeouts; ///< ends of calls without an answer
+  /// Whether a node's own connections to an engine work; null: all do.
+  std::function<bool(const std::string& aNode, const std::string& aEngine)> mReaches;
   std::deque<TestNode> mNodes;
   std::map<GroupOrderKind, int> mOrders;
   int mAsks = 0; ///< questions to engines
