--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -14,11 +14,13 @@
 pepperbay_library(quarantine SOURCES request_key.cpp crash_book.cpp recent_runs.cpp
                   TESTS request_key_test.cpp crash_book_test.cpp recent_runs_test.cpp
                   USES base) # pure
+pepperbay_library(reach SOURCES way_book.cpp proxy_choice.cpp tunnel_wire.cpp
+                  TESTS way_book_test.cpp proxy_choice_test.cpp tunnel_wire_test.cpp USES base) # pure
 pepperbay_library(routing SOURCES router.cpp route_table.cpp find_engine.cpp balancer.cpp refusal_book.cpp failure_book.cpp
                           limit_book.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_book_test.cpp
                         failure_book_test.cpp limit_book_test.cpp
-                  USES base quarantine) # pure
+                  USES base quarantine reach) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           engine_state.cpp group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
@@ -39,7 +41,7 @@
                   USES routing admission proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp peer_link_test.cpp USES base proto
                   PACKAGES cppzmq)
-pepperbay_library(http SOURCES message.cpp server.cpp client.cpp TESTS http_test.cpp USES base
+pepperbay_library(http SOURCES message.cpp server.cpp client.cpp tunnelled.cpp TESTS http_test.cpp USES base reach
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
 pepperbay_library(control SOURCES claim_desk.cpp controller.cpp controller_hosts.cpp
                                   controller_messages.cpp controller_peers.cpp
@@ -59,7 +61,7 @@
 # A node before a shared pool of engines, and the users' platform, which only translates.
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_bounds.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp coordinator_registrations.cpp
-                                      engine_calls.cpp engine_doubts.cpp freshness_book.cpp
+                                      coordinator_reach.cpp engine_calls.cpp engine_doubts.cpp freshness_book.cpp
                                       coordinator_logs.cpp coordinator_rate_leases.cpp log_reads.cpp news_book.cpp
                                       node_tree.cpp peer_book.cpp plan_builder.cpp
                                       rate_leases.cpp suspect_keeper.cpp
@@ -71,16 +73,19 @@
                         coordinator_many_engines_test.cpp coordinator_limits_test.cpp
                         engine_calls_test.cpp engine_doubts_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp
-                  USES journal lease membership placement quarantine routing
+                  USES journal lease membership placement quarantine reach routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
-pepperbay_library(relay SOURCES attempt.cpp connection_pool.cpp ending_probe.cpp event_splitter.cpp hop_by_hop.cpp
+pepperbay_library(tunnel SOURCES sockets.cpp tunnel_server.cpp carried_connection.cpp tunnel_opening.cpp
+                  TESTS tunnel_test.cpp
+                  USES settings reach PACKAGES Threads::Threads)
+pepperbay_library(relay SOURCES attempt.cpp connecting.cpp connection_pool.cpp ending_probe.cpp
+                                engine_connector.cpp silence_watch.cpp event_splitter.cpp hop_by_hop.cpp
                                 exchange.cpp exchange_ends.cpp exchange_limits.cpp exchange_sending.cpp exchange_log.cpp
                                 exchange_second.cpp exchange_suspect.cpp relay.cpp session.cpp
-                                sockets.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp
-                  USES settings membership quarantine admission routing dispatch places
+                  USES settings membership quarantine reach admission routing dispatch places tunnel
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
                   USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
--- a/fakes/cut_proxy.hpp
+++ b/fakes/cut_proxy.hpp
@@ -168,7 +168,8 @@
     own.sin_port = htons(mPort);
     for (int i = 0; i < kMostFillers; ++i) {
       const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      ::connect(socket, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+      // It is on its way, or its packet is dropped; what came of it is looked at below.
+      static_cast<void>(::connect(socket, reinterpret_cast<sockaddr*>(&own), sizeof(own)));
       mFillers.push_back(socket);
       pollfd waiting{ socket, POLLOUT, 0 };
       if (::poll(&waiting, 1, kFillerMs) == 0) {
--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -76,6 +76,7 @@
 
   Engine& At(const std::string& aId) { return mEngines.at(aId); }
   std::map<std::string, Engine>& Engines() { return mEngines; }
+  const std::map<std::string, Engine>& All() const { return mEngines; }
   const EnginePool& Pool() const { return mPool; }
   /// The operators change the configuration.
   void SetPool(EnginePool aPool) { mPool = std::move(aPool); }
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "pepperbay/coordinator/coordinator_bounds.hpp"
+#include "pepperbay/coordinator/engine_call.hpp"
 #include "pepperbay/coordinator/rate_leases.hpp"
 #include "pepperbay/journal/keyed_log.hpp"
 #include "pepperbay/lease/log_lease.hpp"
@@ -32,6 +33,11 @@
   std::string mDataCentre;
   std::string mAddress;     ///< where this node hears its peers
   std::string mDeskAddress; ///< where its place desk hears others; see places/place_agent.hpp
+  /// Where it carries connections to engines for others, and what those have to name; empty: it
+  /// does not. See tunnel/tunnel_server.hpp.
+  std::string mTunnelAddress;
+  std::string mTunnelKey;
+  std::size_t mMostProxies = 8; ///< peers that it may ask for connections to engines
   /// Processor that this process may use, in thousandths of a core; 0: not told.
   int mCpuPermille = 0;
   /// A node with less than half of another's processor waits this much longer for the lease.
@@ -104,10 +110,10 @@
   std::function<
     void(const std::string& aKey, const std::string& aValue, std::function<void(Result<void>)>)>
     mPutNode;
-  std::function<void(const GroupOrder&, Duration aTimeout, std::function<void(OrderAnswer)>)>
+  std::function<void(const GroupOrder&, const EngineCallOptions&, std::function<void(OrderAnswer)>)>
     mOrder;
   std::function<
-    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    void(const EngineRecord&, const EngineCallOptions&, std::function<void(Result<EngineReport>)>)>
     mAsk;
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSend;
   std::function<void(std::shared_ptr<const TrafficPlan>)> mPublish;
@@ -153,6 +159,8 @@
   void OnSuspect(const std::string& aHead, Duration aSilence);
   /// A head refuses this node's requests.
   void OnRefused(const std::string& aHead);
+  /// This node's own connections for requests reach engines again, or no longer.
+  void SetReach(bool aReaches);
   /// An engine ended that had a request of this node.
   void OnEngineEnded(const RequestKey& aRequest, const EngineEnd& aEnd);
   /// An engine ran a request to its end under which others have ended.
--- a/include/pepperbay/http/client.hpp
+++ b/include/pepperbay/http/client.hpp
@@ -9,10 +9,18 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace pepperbay {
 
+/// A proxy that a call's connection goes through, by `CONNECT`.
+struct HttpProxy
+{
+  std::string mAddress; ///< `IP:port`
+  std::vector<HttpHeader> mHeaders;
+};
+
 struct HttpCall
 {
   std::string mMethod = "GET";
@@ -26,6 +34,7 @@
   /// reused connection closes before the first byte of the answer; what must not run twice may not
   /// travel on one.
   bool mOwnConnection = false;
+  std::optional<HttpProxy> mProxy;
 };
 
 /// How a call ended.
@@ -36,6 +45,10 @@
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
   Error mError; ///< set when not mOk
+  /// What a proxy answered to `CONNECT`; status 0: nothing, or a connection through it was used
+  /// again.
+  int mProxyStatus = 0;
+  std::vector<HttpHeader> mProxyHeaders;
 };
 
 /// What a call reports; all on the client's thread, so none may block.
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -15,6 +15,7 @@
 #include "pepperbay/relay/latency.hpp"
 #include "pepperbay/routing/balancer.hpp"
 #include "pepperbay/routing/traffic_plan.hpp"
+#include "pepperbay/tunnel/tunnel_server.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -43,6 +44,10 @@
   std::string mNode;
   std::uint64_t mIncarnation = 0;
   std::string mDeskAddress; ///< `IP:port` (UDP) where place agents hear each other
+  /// `IP:port` (TCP) where this node carries connections for others; empty: it does not.
+  std::string mTunnel;
+  std::string mTunnelKey;   ///< which others have to name
+  std::string mEnginesFrom; ///< IP number to connect to engines from; empty: any
   RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
@@ -87,7 +92,9 @@
   std::uint64_t mEnginesEnded = 0;   ///< engines that ended while they had requests of this node
   /// Connections to engines that did not stand, by what was wrong.
   std::map<std::string, std::uint64_t> mConnectsFailed;
-  TimePoint mEngineHeardAt{}; ///< the last byte of any engine came
+  TimePoint mEngineHeardAt{};        ///< the last byte of any engine came, not through a peer
+  std::uint64_t mCarriedByPeers = 0; ///< connections to engines that peers carried for this node
+  TunnelCounters mTunnels;           ///< connections that this node carries for others
   /// Requests sent to engines that have a limit, by how they came there; see docs/OPERATIONS.md.
   std::map<std::string, std::uint64_t> mSentToLimited;
   std::uint64_t mLimitedEngines = 0; ///< engines that have a limit; now
@@ -110,6 +117,8 @@
   std::function<void(const std::string& aHead)> mOnRefused;
   /// An engine has ended that had this request.
   std::function<void(const RequestKey& aRequest, const EngineEnd& aEnd)> mOnEngineEnded;
+  /// This node reaches engines by its own connections again, or no longer.
+  std::function<void(bool aReaches)> mOnReach;
   /// An engine ran a request to its end that the plan names as suspect.
   std::function<void(const RequestKey& aRequest)> mOnRanWhole;
   /// A message to another node's place agent; null where there are no other nodes.
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pepperbay/quarantine/suspects.hpp"
+#include "pepperbay/reach/proxy_choice.hpp"
 #include "pepperbay/routing/route_table.hpp"
 
 #include <map>
@@ -66,6 +67,9 @@
 /// The newest start of each engine that states one.
 using EngineStarts = std::unordered_map<std::string, WallTime>;
 
+/// `IP:port` of each registered engine, by id.
+using EngineAddresses = std::unordered_map<std::string, std::string>;
+
 struct TrafficPlan
 {
   /// Configuration and registrations have both been read once: what is not here does not exist.
@@ -79,6 +83,10 @@
   std::vector<DeskAddress> mDesks; ///< others that find places for this node, best first
   std::map<std::string, DeskAddress> mDesksOf; ///< of the other data centres, for a desk
   EngineStarts mStarts;                        ///< of the listed engines
+  /// Of the listed engines; null until they are known.
+  std::shared_ptr<const EngineAddresses> mAddresses;
+  /// Peers that carry connections to engines for this node; null for none.
+  std::shared_ptr<const ProxyPeers> mProxyPeers;
   NewsMark mNews;
   /// Requests under which engines have ended; null where nothing is known yet.
   std::shared_ptr<const SuspectRequests> mSuspects;
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -18,10 +18,14 @@
   std::string mMetrics;   ///< IP:port for metrics and the dump besides; empty: mAdmin only
   std::string mReadyPath; ///< where the balancer asks whether this node takes connections
   std::string mPeers;     ///< IP:port (UDP) where this node hears the others
-  std::string mDesk;    ///< IP:port (UDP) for questions for places; empty: each node chooses alone
-  std::string mStore;   ///< IP:port of the platform's store
-  double mMemoryMb = 0; ///< the process is killed beyond it; 0: not said
-  double mCpuCores = 0; ///< processor that the process may use; 0: not said
+  std::string mDesk; ///< IP:port (UDP) for questions for places; empty: each node chooses alone
+  /// IP:port (TCP) where this node carries connections to engines for nodes that reach none; empty:
+  /// it does not.
+  std::string mTunnel;
+  std::string mEnginesFrom; ///< IP number that engines are connected to from; empty: any
+  std::string mStore;       ///< IP:port of the platform's store
+  double mMemoryMb = 0;     ///< the process is killed beyond it; 0: not said
+  double mCpuCores = 0;     ///< processor that the process may use; 0: not said
 
   /// A configuration must be in force everywhere this long after the store's acknowledgement.
   Duration mConfigureWithin = std::chrono::seconds(2);
--- a/src/pepperbay/relay/sockets.hpp
+++ b/include/pepperbay/tunnel/sockets.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief The socket type of the relay, and what every one of its connections is set to.
+/// @brief The socket type of the traffic thread, and what every one of its connections is set to.
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
@@ -7,6 +7,8 @@
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
 
 namespace pepperbay {
 
@@ -36,4 +38,17 @@
 void
 CloseNow(Socket& aSocket);
 
+/// Let the other side see a reset, not an end, whenever the socket is closed from now on, also by
+/// the end of this process. What was sent before may be lost.
+void
+ResetOnClose(Socket& aSocket);
+
+/// Connect to `IP:port`. What is no address is reported like any other failure, later.
+/// @param aSource IP number to connect from; empty lets the system choose
+void
+Dial(Socket& aSocket,
+     const std::string& aAddress,
+     const std::string& aSource,
+     std::function<void(boost::system::error_code)> aDone);
+
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -132,20 +132,8 @@
                   mHooks.mNow)
   , mLease(LeaseOptionsOf(mOptions), CountedLease(), mHooks.mNow)
   , mCalls({}, { mHooks.mNow, mHooks.mOrder, mHooks.mAsk })
-  , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState },
-            { mHooks.mNow,
-              [this](const EngineRecord& aEngine,
-                     Duration aTimeout,
-                     std::function<void(Result<EngineReport>)> aDone) {
-                mCalls.Ask(aEngine, aTimeout, std::move(aDone));
-              },
-              [this](const EngineRecord& aEngine, const EngineReport& aReport) {
-                OnReport(aEngine, aReport);
-              },
-              [this](const EngineRecord& aEngine, bool aLost, const std::string& aError) {
-                OnEngineChange(aEngine, aLost, aError);
-              },
-              [this] { return mCalls.RoomForQuestion(); } })
+  , mProxies({ mOptions.mDataCentre })
+  , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState }, DoubtsHooks())
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
   , mSuspects(SuspectOptionsOf(mOptions),
@@ -270,7 +258,9 @@
     mLease.Tick();
   }
   mDirectory.Tick(now);
+  UpdateProxies();
   if (MayOrder()) {
+    ProbeWays();
     mDoubts.Tick([this](const std::string& aEngine) { return FindEngine(aEngine); });
   }
   PlanPools();
@@ -305,6 +295,7 @@
 Coordinator::Impl::FillPlan(TrafficPlan* aPlan)
 {
   aPlan->mOthersInFlight = OthersInFlight();
+  aPlan->mProxyPeers = mProxyPeers;
   aPlan->mNews = { mNews.Fence(), mNews.Change(), mNews.AsOf() };
   aPlan->mConfigurationAsOf = ConfigurationAsOf();
   aPlan->mConfigurationTaken = mConfigurationTaken;
@@ -424,6 +415,12 @@
   mImpl->OnRefused(aHead);
 }
 
+void
+Coordinator::SetReach(bool aReaches)
+{
+  mImpl->SetReach(aReaches);
+}
+
 void
 Coordinator::OnEngineEnded(const RequestKey& aRequest, const EngineEnd& aEnd)
 {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -116,6 +116,28 @@
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
   const EngineRecord* FindEngine(const std::string& aEngine) const;
   void OnEngineChange(const EngineRecord& aEngine, bool aLost, const std::string& aError);
+  // Ways to engines; see coordinator_reach.cpp.
+  EngineDoubtsHooks DoubtsHooks();
+  void SetReach(bool aReaches);
+  /// @return whether this node's own connections are known not to reach the engines.
+  bool IsUnreached() const { return mTrafficUnreached || mWays.Avoids(); }
+  /// @return whether a peer is heard that reaches engines.
+  bool HearsReached() const;
+  /// How a call goes to an engine.
+  EngineCallOptions CallOptions(const std::string& aEngine,
+                                const std::string& aDataCentre,
+                                Duration aTimeout);
+  /// Ask an engine of another domain directly, at most every few tens of milliseconds.
+  void LookElsewhere(const EngineRecord& aNotThis);
+  /// Try whether own connections reach engines again.
+  void ProbeWays();
+  /// Note what a question through a peer says of the peer.
+  void NoteProxy(const EngineCallOptions& aOptions, bool aHeard);
+  /// Put the peers together that may be asked, where anything has changed.
+  void UpdateProxies();
+  void NoteUnreached(const proto::Beat& aBeat);
+  /// Tell nodes that do not hear them which others reach no engine.
+  void AddUnreached(bool aToFollower, proto::Beat* aBeat);
   void PlanPools();
   void PlanPool(const ServiceSpec& aService);
   void LogComposition(const std::vector<CompositionChange>& aChanges);
@@ -185,6 +207,14 @@
   /// written again and again gives one line.
   std::map<std::string, std::string> mRefusedEntries;
   EngineCalls mCalls;
+  WayBook mWays; ///< of orders and questions
+  ProxyChoice mProxies;
+  std::shared_ptr<const ProxyPeers> mProxyPeers;
+  std::size_t mProxiesOf = 0;     ///< what they were put together from
+  bool mTrafficUnreached = false; ///< connections for requests do not reach the engines
+  bool mToldUnreached = false;
+  TimePoint mLookDue{};
+  std::size_t mLooks = 0;
   EngineDoubts mDoubts;
   PeerBook mPeers;
   FreshnessBook mFreshness;
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -62,6 +62,8 @@
   record.set_incarnation(mOptions.mIncarnation);
   record.set_address(mOptions.mAddress);
   record.set_desk_address(mOptions.mDeskAddress);
+  record.set_tunnel_address(mOptions.mTunnelAddress);
+  record.set_tunnel_key(mOptions.mTunnelKey);
   record.set_data_centre(mOptions.mDataCentre);
   record.set_cpu_permille(static_cast<std::uint32_t>(mOptions.mCpuPermille));
   mHooks.mPutNode(mOptions.mNode, record.SerializeAsString(), [this](const Result<void>& aResult) {
@@ -153,6 +155,7 @@
   mPeers.OnBeat(aMessage.node(), beat, now);
   mFreshness.OnBeat(aMessage, ConfigurationVersion(), OwnOffsets(), now);
   PassConfiguration(aMessage.node(), beat);
+  NoteUnreached(beat);
   ++mCounters.mBeats;
   mTraffic = mTraffic || beat.traffic();
   mLease.OnHint(beat.lease());
@@ -428,6 +431,7 @@
     if (WantsLoads(it)) {
       AddLoads(&beat);
     }
+    AddUnreached(mPeers.Find(it)->mBeat.follows(), &beat);
     SendTo(it, message.SerializeAsString());
   }
 }
@@ -466,6 +470,7 @@
   beat.set_traffic(mTraffic);
   beat.set_stopping(mStopping);
   beat.set_store_lost(StoreLost());
+  beat.set_unreached(IsUnreached());
   for (const auto log :
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     beat.add_log_next(FollowerOf(log).Next());
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -135,7 +135,11 @@
 void
 Coordinator::Impl::SendOrder(const GroupOrder& aOrder, const std::string& aService)
 {
-  mCalls.Order(aOrder, mOptions.mOrderTimeout, [this, aOrder, aService](OrderAnswer aAnswer) {
+  const EngineRecord* engine = FindEngine(aOrder.mEngine);
+  const EngineCallOptions options = CallOptions(
+    aOrder.mEngine, engine == nullptr ? "" : engine->mDataCentre, mOptions.mOrderTimeout);
+  mCalls.Order(aOrder, options, [this, aOrder, aService, options](OrderAnswer aAnswer) {
+    NoteProxy(options, aAnswer != OrderAnswer::kNone && aAnswer != OrderAnswer::kUnread);
     ++mCounters.mOrders[std::string(ToString(aOrder.mKind)) + "_" + ToString(aAnswer)];
     mHooks.mLog("order",
                 { { "kind", ToString(aOrder.mKind) },
@@ -144,6 +148,7 @@
                   { "epoch", std::to_string(aOrder.mEpoch) },
                   { "model", aOrder.mModel },
                   { "fence", std::to_string(aOrder.mFence) },
+                  { "by_peer", options.mVia ? options.mVia->mNode : "" },
                   { "expects", aOrder.mAccepted ? std::to_string(*aOrder.mAccepted) : "" },
                   { "answer", ToString(aAnswer) } });
     if (aAnswer == OrderAnswer::kStale) {
@@ -293,7 +298,8 @@
               { { "engine", aEngine.mId },
                 { "domain", aEngine.mDomain },
                 { "error", aError },
-                { "heard_any_ms_ago", std::to_string(ToMs(Now() - mCalls.HeardAt()).count()) } });
+                { "heard_others_ms_ago",
+                  std::to_string(ToMs(Now() - mCalls.Heard().OtherThan(aEngine.mId)).count()) } });
   const auto planner = mPlanners.find(aEngine.mService);
   if (!aLost) {
     if (planner != mPlanners.end()) {
--- /dev/null
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -0,0 +1,197 @@
+/// Ways to engines: whether this node reaches them, and through whom it goes where it does not.
+#include "coordinator_impl.hpp"
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+
+namespace pepperbay {
+namespace {
+
+/// While engines are in doubt, whether this node sees others is looked at this often.
+constexpr std::chrono::milliseconds kLookEvery{ 50 };
+/// Nodes that are named in one heartbeat; a data centre of the largest fleet has some 130.
+constexpr int kMostNamed = 256;
+
+} // namespace
+
+EngineDoubtsHooks
+Coordinator::Impl::DoubtsHooks()
+{
+  EngineDoubtsHooks hooks;
+  hooks.mNow = mHooks.mNow;
+  hooks.mAsk = [this](const EngineRecord& aEngine,
+                      const EngineCallOptions& aOptions,
+                      const std::function<void(Result<EngineReport>)>& aDone) {
+    mCalls.Ask(aEngine,
+               aOptions,
+               [this, id = aEngine.mId, aOptions, aDone](const Result<EngineReport>& aReport) {
+                 const bool heard =
+                   aReport.has_value() || aReport.error().mCode != Errc::kCancelled;
+                 NoteProxy(aOptions, heard);
+                 if (aReport.has_value() && !aOptions.mVia) {
+                   mWays.OnConnected(id, Now());
+                 }
+                 aDone(aReport);
+               });
+  };
+  hooks.mOnAnswer = [this](const EngineRecord& aEngine, const EngineReport& aReport) {
+    OnReport(aEngine, aReport);
+  };
+  hooks.mOnChange = [this](const EngineRecord& aEngine, bool aLost, const std::string& aError) {
+    OnEngineChange(aEngine, aLost, aError);
+  };
+  hooks.mMayAsk = [this] { return mCalls.RoomForQuestion(); };
+  hooks.mPickPeer = [this](const EngineRecord& aEngine, const std::set<std::string>& aTried) {
+    const ProxyPeer* peer = mProxies.Pick(aEngine.mDataCentre, aTried, Now());
+    return peer == nullptr ? std::nullopt : std::make_optional(*peer);
+  };
+  hooks.mIsBlind = [this] { return IsUnreached(); };
+  hooks.mSeesOthers = [this](const std::string& aEngine, TimePoint aSince) {
+    return mCalls.Heard().OtherThan(aEngine) >= aSince;
+  };
+  hooks.mLookElsewhere = [this](const EngineRecord& aNotThis) { LookElsewhere(aNotThis); };
+  hooks.mOnPathFault = [this](const EngineRecord& aEngine, TimePoint aBegun) {
+    mWays.OnPathFault(aEngine.mId, aBegun, Now());
+  };
+  return hooks;
+}
+
+void
+Coordinator::Impl::SetReach(bool aReaches)
+{
+  mTrafficUnreached = !aReaches;
+}
+
+bool
+Coordinator::Impl::HearsReached() const
+{
+  const auto& peers = mPeers.Peers();
+  return std::any_of(peers.begin(), peers.end(), [this](const auto& aPeer) {
+    const KnownPeer& peer = aPeer.second;
+    return mPeers.Alive(peer, Now()) && !peer.mBeat.unreached() && !peer.mBeat.stopping();
+  });
+}
+
+EngineCallOptions
+Coordinator::Impl::CallOptions(const std::string& aEngine,
+                               const std::string& aDataCentre,
+                               Duration aTimeout)
+{
+  EngineCallOptions options{ aTimeout, std::nullopt };
+  if (mTrafficUnreached || mWays.WayTo(aEngine, Now()) == Way::kPeer) {
+    if (const ProxyPeer* peer = mProxies.Pick(aDataCentre, {}, Now())) {
+      options.mVia = *peer;
+    }
+  }
+  return options;
+}
+
+void
+Coordinator::Impl::NoteProxy(const EngineCallOptions& aOptions, bool aHeard)
+{
+  if (!aOptions.mVia) {
+    return;
+  }
+  if (aHeard) {
+    mProxies.OnWorked(aOptions.mVia->mNode);
+  } else {
+    mProxies.OnFailed(aOptions.mVia->mNode, Now());
+  }
+}
+
+void
+Coordinator::Impl::LookElsewhere(const EngineRecord& aNotThis)
+{
+  if (Now() < mLookDue) {
+    return;
+  }
+  mLookDue = Now() + kLookEvery;
+  std::vector<const EngineRecord*> others;
+  for (const auto& [id, engine] : mDirectory.Engines()) {
+    const bool same =
+      id == aNotThis.mId || (!engine.mDomain.empty() && engine.mDomain == aNotThis.mDomain);
+    if (!same && !mDoubts.IsLost(id) && !mDoubts.IsAsked(id)) {
+      others.push_back(&engine);
+    }
+  }
+  if (others.empty()) {
+    return; // peers may see more
+  }
+  const EngineRecord& other = *others[mLooks++ % others.size()];
+  mCalls.Ask(other,
+             { mOptions.mAskTimeout, std::nullopt },
+             [this, id = other.mId](const Result<EngineReport>& aReport) {
+               if (aReport.has_value()) {
+                 mWays.OnConnected(id, Now());
+               }
+             });
+}
+
+void
+Coordinator::Impl::ProbeWays()
+{
+  if (!mWays.TakeProbe(Now()) || mDirectory.Engines().empty()) {
+    return;
+  }
+  auto it = mDirectory.Engines().begin();
+  std::advance(it, static_cast<std::ptrdiff_t>(mLooks++ % mDirectory.Engines().size()));
+  mCalls.Ask(it->second,
+             { mOptions.mAskTimeout, std::nullopt },
+             [this, id = it->first](const Result<EngineReport>& aReport) {
+               if (aReport.has_value()) {
+                 mWays.OnConnected(id, Now());
+               } else {
+                 mWays.OnBadProbe();
+               }
+             });
+}
+
+void
+Coordinator::Impl::UpdateProxies()
+{
+  const TimePoint now = Now();
+  if (mToldUnreached != IsUnreached()) {
+    mToldUnreached = IsUnreached();
+    mBeatDue = now; // others ask this node for nothing, and carry for it, from now on
+  }
+  std::size_t of = mPeers.Revision();
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    const bool out = mPeers.Unreached(peer, now) || peer.mBeat.stopping();
+    of = of * 31 + (out ? ShortId(name) : 0);
+  }
+  if (of == mProxiesOf) {
+    return;
+  }
+  mProxiesOf = of;
+  mProxyPeers = std::make_shared<const ProxyPeers>(ChooseProxyPeers(
+    mOptions.mNode, mOptions.mDataCentre, mPeers.Proxies(now), mOptions.mMostProxies));
+  mProxies.SetPeers(mProxyPeers);
+  mPublishDue = now;
+}
+
+void
+Coordinator::Impl::NoteUnreached(const proto::Beat& aBeat)
+{
+  for (const std::uint32_t it : aBeat.unreached_nodes()) {
+    mPeers.OnUnreached(it, Now());
+  }
+}
+
+void
+Coordinator::Impl::AddUnreached(bool aToFollower, proto::Beat* aBeat)
+{
+  if (!mTree.IsUpper()) {
+    return;
+  }
+  for (const auto& [name, peer] : mPeers.Peers()) {
+    // What was told by others goes to followers only, or two delegates would tell it each other for
+    // ever.
+    const bool tells = mPeers.Alive(peer, Now()) ? peer.mBeat.unreached()
+                                                 : aToFollower && mPeers.Unreached(peer, Now());
+    if (tells && aBeat->unreached_nodes_size() < kMostNamed) {
+      aBeat->add_unreached_nodes(ShortId(name));
+    }
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -10,6 +10,7 @@
 #include "pepperbay/base/hash.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 
@@ -76,6 +77,8 @@
     options.mIncarnation = ++mIncarnations;
     options.mAddress = aName;
     options.mDeskAddress = "desk of " + aName;
+    options.mTunnelAddress = mTunnels ? aName : "";
+    options.mTunnelKey = "key of " + aName;
     options.mDataCentre = aDataCentre;
     options.mCpuPermille = aCpuPermille;
     node.mCoordinator = std::make_unique<Coordinator>(options, HooksOf(node));
@@ -191,9 +194,10 @@
       aDone(BOOST_OUTCOME_V2_NAMESPACE::success());
     };
     hooks.mOrder = [this, &aNode](const GroupOrder& aOrder,
-                                  Duration aTimeout,
+                                  const EngineCallOptions& aOptions,
                                   const std::function<void(OrderAnswer)>& aDone) {
       ++mOrders[aOrder.mKind];
+      const Duration aTimeout = aOptions.mTimeout;
       if (aNode.mClient) {
         auto answer = std::make_shared<OrderAnswer>(OrderAnswer::kNone);
         aNode.mClient->Call(
@@ -202,16 +206,17 @@
           [aDone, answer](bool aAnswered) { aDone(aAnswered ? *answer : OrderAnswer::kNone); });
         return;
       }
-      if (!Reaches(aNode.mName, aOrder.mEngine)) {
+      if (!Reaches(aNode.mName, aOrder.mEngine, aOptions)) {
         Unanswered(aTimeout, [aDone] { aDone(OrderAnswer::kNone); });
         return;
       }
       mLater.push_back([this, aOrder, aDone] { aDone(mPool.Order(aOrder, mClock.Now())); });
     };
     hooks.mAsk = [this, &aNode](const EngineRecord& aEngine,
-                                Duration aTimeout,
+                                const EngineCallOptions& aOptions,
                                 const std::function<void(Result<EngineReport>)>& aDone) {
       ++mAsks;
+      const Duration aTimeout = aOptions.mTimeout;
       const auto answer = [this, id = aEngine.mId, aDone](bool aAnswered) {
         if (aAnswered && mPool.At(id).mAlive) {
           aDone(mPool.Report(id));
@@ -224,7 +229,13 @@
           aTimeout, [] {}, answer);
         return;
       }
-      if (!Reaches(aNode.mName, aEngine.mId)) {
+      if (aOptions.mVia && !MayCarry(aOptions.mVia->mNode)) {
+        Unanswered(aTimeout, [id = aEngine.mId, aDone] {
+          aDone(Error{ Errc::kCancelled, "engine.ask", id, "" });
+        });
+        return;
+      }
+      if (!Reaches(aNode.mName, aEngine.mId, aOptions)) {
         Unanswered(aTimeout, [answer] { answer(false); });
         return;
       }
@@ -253,12 +264,29 @@
     return hooks;
   }
 
-  /// @return whether a node's own connections to an engine work.
-  bool Reaches(const std::string& aNode, const std::string& aEngine) const
+  /// @return whether a call of a node reaches an engine, by itself or through a peer.
+  bool Reaches(const std::string& aNode,
+               const std::string& aEngine,
+               const EngineCallOptions& aOptions) const
   {
+    if (aOptions.mVia) {
+      return MayCarry(aOptions.mVia->mNode) && Reaches(aOptions.mVia->mNode, aEngine, {});
+    }
     return !mReaches || mReaches(aNode, aEngine);
   }
 
+  /// @return whether a node is alive and reaches any engine, as it would say of itself.
+  bool MayCarry(const std::string& aNode) const
+  {
+    const bool alive = std::any_of(mNodes.begin(), mNodes.end(), [&aNode](const TestNode& aIt) {
+      return aIt.mName == aNode && aIt.mAlive;
+    });
+    const auto& engines = mPool.All();
+    return alive && std::any_of(engines.begin(), engines.end(), [&](const auto& aIt) {
+             return aIt.second.mAlive && Reaches(aNode, aIt.first, {});
+           });
+  }
+
   /// Do something once a call has run out of time.
   void Unanswered(Duration aTimeout, std::function<void()> aDo)
   {
@@ -366,6 +394,7 @@
   bool mStoreDown = false;
   bool mLoseFeeds = false;  ///< what delegates pass on does not arrive
   bool mHoldsReads = false; ///< for nodes that are added from now on
+  bool mTunnels = true;     ///< nodes that are added from now on carry connections for others
   bool mTwoPools = false;   ///< the configuration has the pools "pool" and "second"
 };
 
--- a/src/pepperbay/coordinator/engine_calls.cpp
+++ b/src/pepperbay/coordinator/engine_calls.cpp
@@ -14,30 +14,39 @@
 
 void
 EngineCalls::Order(const GroupOrder& aOrder,
-                   Duration aTimeout,
+                   const EngineCallOptions& aOptions,
                    std::function<void(OrderAnswer)> aDone)
 {
   ++mOpen;
   const TimePoint begun = mHooks.mNow();
   mHooks.mOrder(
-    aOrder, aTimeout, [this, begun, aTimeout, done = std::move(aDone)](OrderAnswer aAnswer) {
-      const bool unread = OnEnd(begun, aTimeout, aAnswer != OrderAnswer::kNone);
+    aOrder,
+    aOptions,
+    [this, begun, aOptions, engine = aOrder.mEngine, done = std::move(aDone)](OrderAnswer aAnswer) {
+      const bool answered = aAnswer != OrderAnswer::kNone;
+      if (answered) {
+        NoteHeard(engine, aOptions);
+      }
+      const bool unread = OnEnd(begun, aOptions.mTimeout, answered);
       done(unread ? OrderAnswer::kUnread : aAnswer);
     });
 }
 
 void
 EngineCalls::Ask(const EngineRecord& aEngine,
-                 Duration aTimeout,
+                 const EngineCallOptions& aOptions,
                  std::function<void(Result<EngineReport>)> aDone)
 {
   ++mOpen;
   const TimePoint begun = mHooks.mNow();
   mHooks.mAsk(aEngine,
-              aTimeout,
-              [this, begun, aTimeout, id = aEngine.mId, done = std::move(aDone)](
+              aOptions,
+              [this, begun, aOptions, id = aEngine.mId, done = std::move(aDone)](
                 const Result<EngineReport>& aReport) {
-                if (OnEnd(begun, aTimeout, aReport.has_value())) {
+                if (aReport.has_value()) {
+                  NoteHeard(id, aOptions);
+                }
+                if (OnEnd(begun, aOptions.mTimeout, aReport.has_value())) {
                   done(Error{ Errc::kCancelled, "engine.ask", id, "this node was late" });
                 } else {
                   done(aReport);
@@ -45,6 +54,14 @@
               });
 }
 
+void
+EngineCalls::NoteHeard(const std::string& aEngine, const EngineCallOptions& aOptions)
+{
+  if (!aOptions.mVia) {
+    mHeard.Note(aEngine, mHooks.mNow());
+  }
+}
+
 int
 EngineCalls::RoomForOrders() const
 {
@@ -56,9 +73,6 @@
 EngineCalls::OnEnd(TimePoint aBegun, Duration aTimeout, bool aAnswered)
 {
   --mOpen;
-  if (aAnswered) {
-    mHeardAt = mHooks.mNow();
-  }
   const Duration took = mHooks.mNow() - aBegun;
   const bool unread = !aAnswered && took > aTimeout + mOptions.mLateEnd;
   if (unread || (aAnswered && took > mOptions.mLate)) {
--- a/src/pepperbay/coordinator/engine_calls.hpp
+++ b/src/pepperbay/coordinator/engine_calls.hpp
@@ -10,7 +10,9 @@
 
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
+#include "pepperbay/coordinator/engine_call.hpp"
 #include "pepperbay/placement/group_order.hpp"
+#include "pepperbay/reach/way_book.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -36,10 +38,10 @@
 struct EngineCallsHooks
 {
   NowFn mNow;
-  std::function<void(const GroupOrder&, Duration aTimeout, std::function<void(OrderAnswer)>)>
+  std::function<void(const GroupOrder&, const EngineCallOptions&, std::function<void(OrderAnswer)>)>
     mOrder;
   std::function<
-    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    void(const EngineRecord&, const EngineCallOptions&, std::function<void(Result<EngineReport>)>)>
     mAsk;
 };
 
@@ -49,10 +51,12 @@
   EngineCalls(EngineCallsOptions aOptions, EngineCallsHooks aHooks);
 
   /// Give an order. The answer is kUnread where this node was too late to hear one.
-  void Order(const GroupOrder& aOrder, Duration aTimeout, std::function<void(OrderAnswer)> aDone);
+  void Order(const GroupOrder& aOrder,
+             const EngineCallOptions& aOptions,
+             std::function<void(OrderAnswer)> aDone);
   /// Ask an engine. The error is kCancelled where this node was too late to hear an answer.
   void Ask(const EngineRecord& aEngine,
-           Duration aTimeout,
+           const EngineCallOptions& aOptions,
            std::function<void(Result<EngineReport>)> aDone);
 
   /// @return how many orders may be given now.
@@ -61,14 +65,16 @@
   bool RoomForQuestion() const { return mOpen < mWindow; }
   /// Calls that may be under way at once.
   int Window() const { return mWindow; }
-  /// When an engine last answered.
-  TimePoint HeardAt() const { return mHeardAt; }
+  /// When engines last answered this node directly.
+  const LastHeard& Heard() const { return mHeard; }
   /// Calls whose answer this node was too late to hear.
   std::uint64_t Unread() const { return mUnread; }
 
 private:
   /// @return whether a call that ended without an answer tells nothing of the engine.
   bool OnEnd(TimePoint aBegun, Duration aTimeout, bool aAnswered);
+  /// An engine has answered.
+  void NoteHeard(const std::string& aEngine, const EngineCallOptions& aOptions);
   void Shrink();
 
   EngineCallsOptions mOptions;
@@ -76,7 +82,7 @@
   int mOpen = 0;
   int mWindow;
   std::uint64_t mUnread = 0;
-  TimePoint mHeardAt{};
+  LastHeard mHeard;
   TimePoint mShrunk{}; ///< calls that began before this say nothing of the window as it is now
 };
 
--- a/src/pepperbay/coordinator/engine_calls_test.cpp
+++ b/src/pepperbay/coordinator/engine_calls_test.cpp
@@ -16,9 +16,10 @@
 protected:
   void Ask()
   {
-    mCalls.Ask(EngineRecord{}, kTimeout, [this](const Result<EngineReport>& aReport) {
-      mLast = aReport.has_value() ? std::nullopt : std::make_optional(aReport.error().mCode);
-    });
+    mCalls.Ask(
+      EngineRecord{}, { kTimeout, std::nullopt }, [this](const Result<EngineReport>& aReport) {
+        mLast = aReport.has_value() ? std::nullopt : std::make_optional(aReport.error().mCode);
+      });
   }
   /// Put questions while there is room, and answer each after a time. @return how many there were
   int Round(Duration aAfter)
@@ -49,7 +50,7 @@
                       { mClock.Hook(),
                         nullptr,
                         [this](const EngineRecord&,
-                               Duration,
+                               const EngineCallOptions&,
                                const std::function<void(Result<EngineReport>)>& aDone) {
                           mAsked.push_back(aDone);
                         } } };
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -3,9 +3,6 @@
 #include <utility>
 
 namespace pepperbay {
-namespace {
-constexpr int kQuestions = 2;
-}
 
 EngineDoubts::EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks)
   : mOptions(aOptions)
@@ -21,21 +18,160 @@
     return;
   }
   mWaiting.erase(aEngine.mId);
-  Question& question = mQuestions[aEngine.mId];
-  if (question.mOpen > 0) {
+  if (IsAsked(aEngine.mId)) {
     return;
   }
-  question = { kQuestions, false, false, aEngine.mBorn };
   const auto lost = mLost.find(aEngine.mId);
   if (lost != mLost.end()) {
     lost->second = mHooks.mNow();
   }
-  for (int i = 0; i < kQuestions; ++i) {
-    ++mAsked;
-    mHooks.mAsk(
-      aEngine, mOptions.mAskTimeout, [this, aEngine](const Result<EngineReport>& aReport) {
-        OnAnswer(aEngine, aReport);
-      });
+  Question& question = mQuestions[aEngine.mId];
+  question.mEngine = aEngine;
+  question.mBegun = mHooks.mNow();
+  AskRound(aEngine.mId);
+}
+
+void
+EngineDoubts::AskRound(const std::string& aEngine)
+{
+  Question& question = mQuestions.at(aEngine);
+  ++question.mRounds;
+  // Counted first: a hook may answer at once.
+  ++question.mOpen;
+  if (HasPeers()) {
+    mHooks.mLookElsewhere(question.mEngine);
+  }
+  const bool peer = HasPeers() && AskThroughPeer(&question);
+  const bool blind = HasPeers() && mHooks.mIsBlind();
+  if (!peer || !blind || !AskThroughPeer(&question)) {
+    AskDirectly(&question);
+  }
+  if (!HasPeers()) {
+    AskDirectly(&question);
+  }
+  if (--question.mOpen == 0) {
+    OnRoundOver(aEngine);
+  }
+}
+
+bool
+EngineDoubts::AskThroughPeer(Question* aQuestion)
+{
+  const auto peer = mHooks.mPickPeer(aQuestion->mEngine, aQuestion->mPeers);
+  if (!peer) {
+    return false;
+  }
+  aQuestion->mPeers.insert(peer->mNode);
+  ++aQuestion->mOpen;
+  ++mAsked;
+  mHooks.mAsk(aQuestion->mEngine,
+              { mOptions.mAskTimeout, peer },
+              [this, engine = aQuestion->mEngine, name = peer->mNode](
+                const Result<EngineReport>& aReport) { OnAnswer(engine, name, aReport); });
+  return true;
+}
+
+void
+EngineDoubts::AskDirectly(Question* aQuestion)
+{
+  ++aQuestion->mOpen;
+  ++mAsked;
+  mHooks.mAsk(aQuestion->mEngine,
+              { mOptions.mAskTimeout, std::nullopt },
+              [this, engine = aQuestion->mEngine](const Result<EngineReport>& aReport) {
+                OnAnswer(engine, "", aReport);
+              });
+}
+
+void
+EngineDoubts::OnAnswer(const EngineRecord& aEngine,
+                       const std::string& aPeer,
+                       const Result<EngineReport>& aReport)
+{
+  const auto it = mQuestions.find(aEngine.mId);
+  if (it == mQuestions.end() || it->second.mEngine.mBorn != aEngine.mBorn) {
+    return; // the question was put to a start that has been replaced
+  }
+  Question& question = it->second;
+  const bool first = aReport.has_value() && !std::exchange(question.mAnswered, true);
+  if (!aReport.has_value()) {
+    OnNoAnswer(&question, aPeer, aReport.error());
+  }
+  if (--question.mOpen == 0) {
+    OnRoundOver(aEngine.mId);
+  }
+  if (aReport.has_value() && mLost.erase(aEngine.mId) != 0) {
+    mHooks.mOnChange(aEngine, false, "");
+  }
+  if (first) {
+    mHooks.mOnAnswer(aEngine, aReport.value());
+  }
+}
+
+void
+EngineDoubts::OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError)
+{
+  const bool unheard = aError.mCode == Errc::kCancelled;
+  if (aPeer.empty()) {
+    aQuestion->mUnheard = aQuestion->mUnheard || unheard;
+    aQuestion->mUnansweredHere = aQuestion->mUnansweredHere || !unheard;
+  } else if (!unheard) {
+    ++aQuestion->mUnansweredThere;
+  }
+  aQuestion->mError = ToString(aError);
+}
+
+bool
+EngineDoubts::CountsHere(const Question& aQuestion) const
+{
+  return aQuestion.mUnansweredHere && mHooks.mSeesOthers(aQuestion.mEngine.mId, aQuestion.mBegun);
+}
+
+void
+EngineDoubts::OnRoundOver(const std::string& aEngine)
+{
+  const auto it = mQuestions.find(aEngine);
+  const Question question = it->second;
+  if (question.mAnswered) {
+    if (question.mUnansweredHere && mHooks.mOnPathFault) {
+      mHooks.mOnPathFault(question.mEngine, question.mBegun);
+    }
+    mQuestions.erase(it);
+    return;
+  }
+  if (question.mUnheard) {
+    mQuestions.erase(it);
+    mWaiting[aEngine] = question.mEngine;
+    return;
+  }
+  if (!HasPeers()) {
+    mQuestions.erase(it);
+    SetLost(question);
+    return;
+  }
+  const bool here = CountsHere(question);
+  const int places = question.mUnansweredThere + (here ? 1 : 0);
+  constexpr int kPlaces = 2;
+  const bool last = question.mRounds >= mOptions.mMostRounds;
+  if (places < kPlaces && !last) {
+    AskRound(aEngine);
+    return;
+  }
+  mQuestions.erase(it);
+  // Where no peer has a word at all, a node that reaches other engines judges alone: a repair must
+  // not wait for peers that are gone.
+  if (places >= kPlaces || (here && question.mUnansweredThere == 0)) {
+    SetLost(question);
+  } else {
+    ++mUndecided;
+  }
+}
+
+void
+EngineDoubts::SetLost(const Question& aQuestion)
+{
+  if (mLost.emplace(aQuestion.mEngine.mId, mHooks.mNow()).second) {
+    mHooks.mOnChange(aQuestion.mEngine, true, aQuestion.mError);
   }
 }
 
@@ -50,7 +186,11 @@
   }
   mAskedOnce[aEngine.mId] = now;
   ++mAsked;
-  mHooks.mAsk(aEngine, mOptions.mAskTimeout, [this, aEngine](const Result<EngineReport>& aReport) {
+  EngineCallOptions options{ mOptions.mAskTimeout, std::nullopt };
+  if (HasPeers() && mHooks.mIsBlind()) {
+    options.mVia = mHooks.mPickPeer(aEngine, {});
+  }
+  mHooks.mAsk(aEngine, options, [this, aEngine](const Result<EngineReport>& aReport) {
     if (aReport.has_value()) {
       mHooks.mOnAnswer(aEngine, aReport.value());
     }
@@ -66,42 +206,6 @@
   mAskedOnce.erase(aEngine);
 }
 
-void
-EngineDoubts::OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport)
-{
-  const auto it = mQuestions.find(aEngine.mId);
-  if (it == mQuestions.end() || it->second.mBorn != aEngine.mBorn) {
-    return; // the question was put to a start that has been replaced
-  }
-  Question& question = it->second;
-  --question.mOpen;
-  question.mUnheard =
-    question.mUnheard || (!aReport.has_value() && aReport.error().mCode == Errc::kCancelled);
-  if (aReport.has_value()) {
-    const bool first = !question.mAnswered;
-    question.mAnswered = true;
-    if (mLost.erase(aEngine.mId) != 0) {
-      mHooks.mOnChange(aEngine, false, "");
-    }
-    if (first) {
-      mHooks.mOnAnswer(aEngine, aReport.value());
-    }
-  }
-  if (question.mOpen > 0) {
-    return;
-  }
-  const bool answered = question.mAnswered;
-  const bool unheard = question.mUnheard;
-  mQuestions.erase(it);
-  if (!answered && unheard) {
-    mWaiting[aEngine.mId] = aEngine;
-    return;
-  }
-  if (!answered && mLost.emplace(aEngine.mId, mHooks.mNow()).second) {
-    mHooks.mOnChange(aEngine, true, ToString(aReport.error()));
-  }
-}
-
 void
 EngineDoubts::Tick(const std::function<const EngineRecord*(const std::string&)>& aFind)
 {
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -1,14 +1,16 @@
 /// @file
-/// @brief Engines that do not answer, found by asking; and when to ask again. Pure but for its
-/// hook.
+/// @brief Engines that do not answer, found by asking from two places; and when to ask again. Pure
+/// but for its hooks.
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
+#include "pepperbay/coordinator/engine_call.hpp"
 #include "pepperbay/placement/group_order.hpp"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,13 +23,15 @@
   Duration mAskAgain = std::chrono::milliseconds(700);
   /// What an engine says of itself is some 200 ms old; asking more often tells little more.
   Duration mAskState = std::chrono::milliseconds(250);
+  /// An engine on which too few places have a word is asked so many times in a row.
+  int mMostRounds = 3;
 };
 
 struct EngineDoubtsHooks
 {
   NowFn mNow;
   std::function<
-    void(const EngineRecord&, Duration aTimeout, std::function<void(Result<EngineReport>)>)>
+    void(const EngineRecord&, const EngineCallOptions&, std::function<void(Result<EngineReport>)>)>
     mAsk;
   std::function<void(const EngineRecord&, const EngineReport&)> mOnAnswer;
   /// An engine has become lost, or a lost one answers.
@@ -35,13 +39,31 @@
   std::function<void(const EngineRecord&, bool aLost, const std::string& aError)> mOnChange;
   /// Whether a question may be put now; null: any number.
   std::function<bool()> mMayAsk = nullptr;
+
+  // The other places. Where these are null there is none, and this node judges alone.
+  /// A peer to ask through that is not among those tried; none: there is none left.
+  std::function<std::optional<ProxyPeer>(const EngineRecord&, const std::set<std::string>& aTried)>
+    mPickPeer = nullptr;
+  /// Whether other nodes are there at all.
+  std::function<bool()> mHasPeers = nullptr;
+  /// Whether this node is known to reach no engine by itself.
+  std::function<bool()> mIsBlind = nullptr;
+  /// Whether another engine has answered this node directly since a time.
+  std::function<bool(const std::string& aEngine, TimePoint aSince)> mSeesOthers = nullptr;
+  /// Ask another engine directly, which shows whether this node reaches any.
+  std::function<void(const EngineRecord& aNotThis)> mLookElsewhere = nullptr;
+  /// A peer has an answer of an engine that this node's own question has none of.
+  std::function<void(const EngineRecord&, TimePoint aBegun)> mOnPathFault = nullptr;
 };
 
 /// Asks engines under suspicion.
 ///
-/// Two questions go out at once, on connections of their own if need be, and an engine is lost when
-/// neither is answered in time: one lost packet must not darken a replica. A question that ends
-/// with kCancelled was not heard by this node and says nothing; it is put again.
+/// Two questions go out at once, one directly and one through a peer, and an engine is lost when
+/// two places have no answer in time that reach other engines at that moment. A node that is
+/// partitioned from the engines, or has a poor link, would otherwise take all of them for lost and
+/// have every node refuse what it could serve; and one lost packet must not darken a replica. A
+/// place that was not heard, or reaches nothing itself, says nothing, and another is asked. Where
+/// there are no other nodes both questions are this node's own.
 class EngineDoubts
 {
 public:
@@ -55,23 +77,46 @@
   /// An engine has started again: what was asked of the former start says nothing of this one.
   void Forget(const std::string& aEngine);
   bool IsLost(const std::string& aEngine) const { return mLost.count(aEngine) != 0; }
+  bool IsAsked(const std::string& aEngine) const { return mQuestions.count(aEngine) != 0; }
   /// Ask lost engines again; forget those that nobody needs any more.
   /// @param aFind an engine that is still registered or a member of a replica, or none
   void Tick(const std::function<const EngineRecord*(const std::string&)>& aFind);
   std::uint64_t Asked() const { return mAsked; }
+  /// Engines that did not answer, on which too few places had a word.
+  std::uint64_t Undecided() const { return mUndecided; }
   const std::map<std::string, TimePoint>& Lost() const { return mLost; }
 
 private:
+  /// Of one start of one engine.
   struct Question
   {
+    EngineRecord mEngine;
+    TimePoint mBegun{};
+    int mRounds = 0;
     int mOpen = 0;
     bool mAnswered = false;
-    bool mUnheard = false; ///< one of them ended without a chance to hear the answer
-    WallTime mBorn{};      ///< of the start that is asked
+    bool mUnheard = false;        ///< this node was too late to hear an answer
+    bool mUnansweredHere = false; ///< a question of this node's own had none
+    int mUnansweredThere = 0;     ///< peers that see other engines and had none
+    std::set<std::string> mPeers; ///< asked
+    std::string mError;           ///< how the last one ended
   };
 
   bool MayAsk() const { return !mHooks.mMayAsk || mHooks.mMayAsk(); }
-  void OnAnswer(const EngineRecord& aEngine, const Result<EngineReport>& aReport);
+  bool HasPeers() const { return mHooks.mHasPeers && mHooks.mHasPeers(); }
+  /// Put the questions of one round.
+  void AskRound(const std::string& aEngine);
+  /// @return whether there was a peer left to ask
+  bool AskThroughPeer(Question* aQuestion);
+  void AskDirectly(Question* aQuestion);
+  void OnAnswer(const EngineRecord& aEngine,
+                const std::string& aPeer,
+                const Result<EngineReport>& aReport);
+  static void OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError);
+  void OnRoundOver(const std::string& aEngine);
+  /// @return whether this node's own question counts: others answer it.
+  bool CountsHere(const Question& aQuestion) const;
+  void SetLost(const Question& aQuestion);
 
   EngineDoubtsOptions mOptions;
   EngineDoubtsHooks mHooks;
@@ -80,6 +125,7 @@
   std::map<std::string, TimePoint> mLost;       ///< when last asked
   std::map<std::string, TimePoint> mAskedOnce;  ///< when
   std::uint64_t mAsked = 0;
+  std::uint64_t mUndecided = 0;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -20,9 +20,9 @@
   EngineDoubts doubts(
     {},
     { clock.Hook(),
-      [&](const EngineRecord&, Duration, const std::function<void(Result<EngineReport>)>& aDone) {
-        asked.push_back(aDone);
-      },
+      [&](const EngineRecord&,
+          const EngineCallOptions&,
+          const std::function<void(Result<EngineReport>)>& aDone) { asked.push_back(aDone); },
       [](const EngineRecord&, const EngineReport&) {},
       [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; } });
   EngineRecord engine;
@@ -53,9 +53,9 @@
   EngineDoubts doubts(
     {},
     { clock.Hook(),
-      [&](const EngineRecord&, Duration, const std::function<void(Result<EngineReport>)>& aDone) {
-        asked.push_back(aDone);
-      },
+      [&](const EngineRecord&,
+          const EngineCallOptions&,
+          const std::function<void(Result<EngineReport>)>& aDone) { asked.push_back(aDone); },
       [](const EngineRecord&, const EngineReport&) {},
       [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; },
       [&] { return may; } });
--- a/src/pepperbay/coordinator/peer_book.cpp
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -1,5 +1,7 @@
 #include "peer_book.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,8 @@
   peer.mIncarnation = aRecord.incarnation();
   peer.mAddress = aRecord.address();
   peer.mDeskAddress = aRecord.desk_address();
+  peer.mTunnelAddress = aRecord.tunnel_address();
+  peer.mTunnelKey = aRecord.tunnel_key();
   peer.mDataCentre = aRecord.data_centre();
   peer.mCpuPermille = static_cast<int>(aRecord.cpu_permille());
   ++mRevision;
@@ -95,6 +99,36 @@
          });
 }
 
+void
+PeerBook::OnUnreached(std::uint32_t aNode, TimePoint aNow)
+{
+  for (auto& [name, peer] : mPeers) {
+    if (ShortId(name) == aNode) {
+      peer.mToldUnreached = aNow;
+    }
+  }
+}
+
+bool
+PeerBook::Unreached(const KnownPeer& aPeer, TimePoint aNow) const
+{
+  const bool told = aPeer.mToldUnreached != TimePoint{} && aNow - aPeer.mToldUnreached < mSilence;
+  return Alive(aPeer, aNow) ? aPeer.mBeat.unreached() : told;
+}
+
+ProxyPeers
+PeerBook::Proxies(TimePoint aNow) const
+{
+  ProxyPeers proxies;
+  for (const auto& [name, peer] : mPeers) {
+    const bool stops = Alive(peer, aNow) && peer.mBeat.stopping();
+    if (!peer.mTunnelAddress.empty() && !stops && !Unreached(peer, aNow)) {
+      proxies.push_back({ name, peer.mTunnelAddress, peer.mTunnelKey, peer.mDataCentre });
+    }
+  }
+  return proxies;
+}
+
 std::vector<std::string>
 PeerBook::Correspondents(TimePoint aNow) const
 {
--- a/src/pepperbay/coordinator/peer_book.hpp
+++ b/src/pepperbay/coordinator/peer_book.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
+#include "pepperbay/reach/proxy_choice.hpp"
 
 #include <cstdint>
 #include <map>
@@ -16,9 +17,12 @@
 struct KnownPeer
 {
   std::uint64_t mIncarnation = 0;
-  std::string mAddress;     ///< where it hears its peers
-  std::string mDeskAddress; ///< where its place desk hears others
-  TimePoint mHeard{};       ///< receipt of its last heartbeat; the zero time when there was none
+  std::string mAddress;       ///< where it hears its peers
+  std::string mDeskAddress;   ///< where its place desk hears others
+  std::string mTunnelAddress; ///< where it carries connections to engines; empty: it does not
+  std::string mTunnelKey;
+  TimePoint mToldUnreached{}; ///< another node has last said that it reaches no engine
+  TimePoint mHeard{};         ///< receipt of its last heartbeat; the zero time when there was none
   /// Receipt of its last heartbeat that asked for an answer; the zero time when there was none.
   TimePoint mWrote{};
   int mCpuPermille = 0;
@@ -50,6 +54,12 @@
   const KnownPeer* Find(const std::string& aNode) const;
   /// @return whether a peer that is heard and does not stop has twice this much processor or more.
   bool HasStronger(int aCpuPermille, TimePoint aNow) const;
+  /// Another node's heartbeat names a node, by its ShortId(), that reaches no engine.
+  void OnUnreached(std::uint32_t aNode, TimePoint aNow);
+  /// @return whether a peer reaches no engine, by its own word or another's of the last heartbeats.
+  bool Unreached(const KnownPeer& aPeer, TimePoint aNow) const;
+  /// Peers that may carry connections to engines for this node.
+  ProxyPeers Proxies(TimePoint aNow) const;
   /// Peers that want this node's heartbeats: they wrote lately.
   std::vector<std::string> Correspondents(TimePoint aNow) const;
   const std::map<std::string, KnownPeer>& Peers() const { return mPeers; }
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -125,7 +125,9 @@
   if (!plan->mRoutes) {
     return plan;
   }
+  auto addresses = std::make_shared<EngineAddresses>();
   for (const auto& [id, engine] : *aSources.mEngines) {
+    (*addresses)[id] = engine.mAddress;
     if (engine.mBorn != WallTime{}) {
       plan->mStarts[id] = engine.mBorn;
     }
@@ -134,6 +136,7 @@
       plan->mEngines[engine.mService].push_back(TargetOf(engine));
     }
   }
+  plan->mAddresses = std::move(addresses);
   for (const auto& it : plan->mRoutes->Services()) {
     if (it.mPool) {
       plan->mReplicas[it.mName] = ReplicasOf(it, aSources);
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -158,7 +158,9 @@
         return desks.error();
       }
     }
-    mClient = HttpClient::Create();
+    HttpClientOptions client;
+    client.mSource = mSettings.mEnginesFrom;
+    mClient = HttpClient::Create(client);
     mLink = aFactory(mSettings, mClient.get(), [this](std::function<void()> aWork) {
       asio::post(mControl, std::move(aWork));
     });
@@ -323,6 +325,9 @@
     options.mNode = mSettings.mName;
     options.mIncarnation = mIncarnation;
     options.mDeskAddress = mSettings.mDesk;
+    options.mTunnel = mSettings.mTunnel;
+    options.mTunnelKey = mTunnelKey;
+    options.mEnginesFrom = mSettings.mEnginesFrom;
     options.mTuning = TuningOf(mSettings);
     return options;
   }
@@ -347,6 +352,8 @@
     options.mDataCentre = mSettings.mDataCentre;
     options.mAddress = mSettings.mPeers;
     options.mDeskAddress = mSettings.mDesk;
+    options.mTunnelAddress = mSettings.mTunnel;
+    options.mTunnelKey = mTunnelKey;
     options.mCpuPermille = static_cast<int>(mSettings.mCpuCores * kPermille);
     options.mBounds = BoundsOf(WithinOf(mSettings));
     return options;
@@ -358,6 +365,9 @@
     hooks.mOnSuspect = [this](const std::string& aHead, Duration aSilence) {
       asio::post(mControl, [this, aHead, aSilence] { mCoordinator->OnSuspect(aHead, aSilence); });
     };
+    hooks.mOnReach = [this](bool aReaches) {
+      asio::post(mControl, [this, aReaches] { mCoordinator->SetReach(aReaches); });
+    };
     hooks.mOnRefused = [this](const std::string& aHead) {
       asio::post(mControl, [this, aHead] { mCoordinator->OnRefused(aHead); });
     };
@@ -406,18 +416,19 @@
         asio::post(mTraffic, [this, aEngine] { mRelay->OnCall(aEngine); });
       }
     };
-    aHooks->mOrder =
-      [count, order = std::move(aHooks->mOrder)](
-        const GroupOrder& aOrder, Duration aTimeout, std::function<void(OrderAnswer)> aDone) {
-        count(aOrder.mEngine);
-        order(aOrder, aTimeout, std::move(aDone));
-      };
+    aHooks->mOrder = [count,
+                      order = std::move(aHooks->mOrder)](const GroupOrder& aOrder,
+                                                         const EngineCallOptions& aOptions,
+                                                         std::function<void(OrderAnswer)> aDone) {
+      count(aOrder.mEngine);
+      order(aOrder, aOptions, std::move(aDone));
+    };
     aHooks->mAsk =
       [count, ask = std::move(aHooks->mAsk)](const EngineRecord& aEngine,
-                                             Duration aTimeout,
+                                             const EngineCallOptions& aOptions,
                                              std::function<void(Result<EngineReport>)> aDone) {
         count(aEngine.mId);
-        ask(aEngine, aTimeout, std::move(aDone));
+        ask(aEngine, aOptions, std::move(aDone));
       };
   }
 
@@ -472,6 +483,7 @@
   DatagramSocket mPeers;
   DatagramSocket mDesks;
   const std::uint64_t mIncarnation = NewIncarnation(); ///< of this start, for all its messages
+  const std::string mTunnelKey = NewAttemptId(); ///< of this start; others read it in the store
   std::unique_ptr<HttpClient> mClient;
   std::unique_ptr<PlatformLink> mLink;
   std::unique_ptr<Relay> mRelay;
--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -29,6 +29,7 @@
   HttpEvents mEvents;
   CURL* mEasy = nullptr;
   curl_slist* mHeaderList = nullptr;
+  curl_slist* mProxyHeaderList = nullptr;
   std::vector<HttpHeader> mAnswerHeaders;
   TimePoint mGiveUpAt{};
   TimePoint mConnectBy{};
@@ -244,7 +245,7 @@
     const HttpCall& call = aTransfer.mCall;
     curl_easy_setopt(easy, CURLOPT_URL, call.mUrl.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    ConfigureProxy(aTransfer);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -276,6 +277,24 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
   }
 
+  static void ConfigureProxy(Transfer& aTransfer)
+  {
+    CURL* easy = aTransfer.mEasy;
+    const auto& proxy = aTransfer.mCall.mProxy;
+    // Without a proxy the library must not take one from the environment.
+    curl_easy_setopt(easy, CURLOPT_PROXY, proxy ? ("http://" + proxy->mAddress).c_str() : "");
+    if (!proxy) {
+      return;
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HEADEROPT, static_cast<long>(CURLHEADER_SEPARATE));
+    for (const auto& it : proxy->mHeaders) {
+      const std::string line = it.mName + ": " + it.mValue;
+      aTransfer.mProxyHeaderList = curl_slist_append(aTransfer.mProxyHeaderList, line.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_PROXYHEADER, aTransfer.mProxyHeaderList);
+  }
+
   void ReapFinished()
   {
     int left = 0;
@@ -302,6 +321,7 @@
     curl_multi_remove_handle(mMulti, aEasy);
     curl_easy_cleanup(aEasy);
     curl_slist_free_all(transfer->mHeaderList);
+    curl_slist_free_all(transfer->mProxyHeaderList);
     if (transfer->mEvents.mOnDone) {
       transfer->mEvents.mOnDone(outcome);
     }
@@ -328,6 +348,15 @@
     curl_easy_getinfo(aTransfer.mEasy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(aTransfer.mEasy, CURLINFO_REQUEST_SIZE, &sent);
     outcome.mStatus = static_cast<int>(status);
+    if (aTransfer.mCall.mProxy) {
+      long connect = 0;
+      curl_easy_getinfo(aTransfer.mEasy, CURLINFO_HTTP_CONNECTCODE, &connect);
+      outcome.mProxyStatus = static_cast<int>(connect);
+      constexpr int kOk = 200;
+      if (connect != 0 && connect != kOk) {
+        outcome.mProxyHeaders = aTransfer.mAnswerHeaders;
+      }
+    }
     outcome.mOk = aCode == CURLE_OK && !aCancelled;
     // No byte of the request was written and none of an answer was read: it cannot have run.
     outcome.mMayHaveRun = sent != 0 || status != 0;
--- /dev/null
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -0,0 +1,111 @@
+#include "pepperbay/reach/proxy_choice.hpp"
+
+#include "pepperbay/base/hash.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace pepperbay {
+
+ProxyPeers
+ChooseProxyPeers(const std::string& aNode,
+                 const std::string& aDataCentre,
+                 const ProxyPeers& aPeers,
+                 std::size_t aMost)
+{
+  std::map<std::string, const ProxyPeer*> byName;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& it : aPeers) {
+    byName[it.mNode] = &it;
+    (it.mDataCentre == aDataCentre ? near : far).push_back(it.mNode);
+  }
+  const std::size_t half = aMost / 2;
+  const std::size_t ofFar = std::min(far.size(), aMost - std::min(near.size(), half));
+  const std::size_t ofNear = std::min(near.size(), aMost - ofFar);
+  ProxyPeers chosen;
+  for (const auto& it : RendezvousTop(aNode, near, ofNear)) {
+    chosen.push_back(*byName[it]);
+  }
+  for (const auto& it : RendezvousTop(aNode, far, ofFar)) {
+    chosen.push_back(*byName[it]);
+  }
+  return chosen;
+}
+
+ProxyChoice::ProxyChoice(ProxyChoiceOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+bool
+ProxyChoice::Fails(const std::string& aNode, TimePoint aNow) const
+{
+  const auto it = mFailures.find(aNode);
+  return it != mFailures.end() && aNow < it->second.mUntil;
+}
+
+const ProxyPeer*
+ProxyChoice::Pick(const std::string& aDataCentre,
+                  const std::set<std::string>& aTried,
+                  TimePoint aNow) const
+{
+  if (!mPeers) {
+    return nullptr;
+  }
+  const ProxyPeer* best = nullptr;
+  std::tuple<bool, bool, int, std::uint64_t> bestRank;
+  for (const auto& it : *mPeers) {
+    if (aTried.count(it.mNode) != 0) {
+      continue;
+    }
+    const bool aside = it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
+    const auto open = mOpen->find(it.mNode);
+    const std::tuple<bool, bool, int, std::uint64_t> rank{
+      Fails(it.mNode, aNow), aside, open == mOpen->end() ? 0 : open->second, Hash64(it.mNode)
+    };
+    if (best == nullptr || rank < bestRank) {
+      best = &it;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+bool
+ProxyChoice::Usable(const std::string& aNode, TimePoint aNow) const
+{
+  const bool known =
+    mPeers && std::any_of(mPeers->begin(), mPeers->end(), [&aNode](const ProxyPeer& aPeer) {
+      return aPeer.mNode == aNode;
+    });
+  return known && !Fails(aNode, aNow);
+}
+
+std::shared_ptr<void>
+ProxyChoice::CountTunnel(const std::string& aNode)
+{
+  ++(*mOpen)[aNode];
+  return { nullptr, [open = mOpen, aNode](void*) {
+            const auto it = open->find(aNode);
+            if (--it->second == 0) {
+              open->erase(it);
+            }
+          } };
+}
+
+void
+ProxyChoice::OnFailed(const std::string& aNode, TimePoint aNow)
+{
+  Failure& failure = mFailures[aNode];
+  if (aNow < failure.mUntil) {
+    return; // several requests found the same
+  }
+  failure.mPause = failure.mPause == Duration::zero()
+                     ? mOptions.mPassOver
+                     : std::min(failure.mPause * 2, mOptions.mMostPassOver);
+  failure.mUntil = aNow + failure.mPause;
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -1,7 +1,5 @@
 #include "attempt.hpp"
 
-#include "pepperbay/settings/settings.hpp"
-
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -19,8 +17,8 @@
 constexpr std::uint32_t kMostHeaderBytes = 65536; // of an engine's answer; more is no answer
 }
 
-Attempt::Attempt(asio::io_context& aContext, ConnectionPool* aPool, AttemptTarget aTarget)
-  : mContext(aContext)
+Attempt::Attempt(EngineConnector* aConnector, ConnectionPool* aPool, AttemptTarget aTarget)
+  : mConnector(aConnector)
   , mPool(aPool)
   , mTarget(std::move(aTarget))
 {
@@ -32,10 +30,12 @@
   mRequest = std::move(aRequest);
   mEvents = std::move(aEvents);
   if (!aFresh) {
-    mSocket = mPool->Take(mTarget.mEngine);
+    mSocket = mPool->Take(mTarget.mEngine, [this](const std::string& aPeer) {
+      return mConnector->MayUse(mTarget.mEngine, aPeer);
+    });
   }
   if (mSocket) {
-    mConnected = true;
+    mPeer = mSocket->mPeer;
     Send();
     return;
   }
@@ -45,32 +45,18 @@
 void
 Attempt::Connect()
 {
-  const auto endpoint = ParseEndpoint(mTarget.mAddress);
-  boost::system::error_code ec;
-  const auto address =
-    endpoint.has_value() ? asio::ip::make_address(endpoint.value().mHost, ec) : asio::ip::address();
-  if (!endpoint.has_value() || ec) {
-    // Reported later, as every other failure is, so that the caller needs no second path.
-    asio::post(mContext, [self = shared_from_this()] {
-      self->Finish(false, "bad address '" + self->mTarget.mAddress + "'");
+  mConnecting =
+    mConnector->Connect(mTarget, [self = shared_from_this()](EngineConnection aConnection) {
+      self->mConnecting = 0;
+      if (!aConnection.mSocket) {
+        self->mGone = aConnection.mGone;
+        self->Finish(false, aConnection.mWhy);
+        return;
+      }
+      self->mSocket = std::move(aConnection.mSocket);
+      self->mPeer = self->mSocket->mPeer;
+      self->Send();
     });
-    return;
-  }
-  mSocket.emplace(mContext);
-  mSocket->async_connect({ address, static_cast<std::uint16_t>(endpoint.value().mPort) },
-                         [self = shared_from_this()](boost::system::error_code aError) {
-                           if (self->mEnded) {
-                             return;
-                           }
-                           if (aError) {
-                             self->mGone = aError == asio::error::connection_refused;
-                             self->Finish(false, "connect: " + aError.message());
-                             return;
-                           }
-                           self->mConnected = true;
-                           Prepare(*self->mSocket);
-                           self->Send();
-                         });
 }
 
 void
@@ -78,7 +64,7 @@
 {
   mSent = true;
   mSerializer.emplace(mRequest);
-  http::async_write(*mSocket,
+  http::async_write(mSocket->mSocket,
                     *mSerializer,
                     [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
                       // A failed write shows in the read, which may still find an early answer.
@@ -97,7 +83,7 @@
     mParser->skip(true);
   }
   http::async_read_header(
-    *mSocket,
+    mSocket->mSocket,
     mBuffer,
     *mParser,
     [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
@@ -135,7 +121,7 @@
   }
   mParser->get().body().data = mPiece.data();
   mParser->get().body().size = mPiece.size();
-  http::async_read_some(*mSocket,
+  http::async_read_some(mSocket->mSocket,
                         mBuffer,
                         *mParser,
                         [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
@@ -171,8 +157,18 @@
   }
   mEnded = true;
   mEvents = {};
+  CloseConnection();
+}
+
+void
+Attempt::CloseConnection()
+{
+  if (mConnecting != 0) {
+    mConnector->Cancel(std::exchange(mConnecting, 0));
+  }
   if (mSocket) {
-    CloseNow(*mSocket);
+    CloseNow(mSocket->mSocket);
+    mSocket->mCarriedBy.reset();
   }
 }
 
@@ -200,8 +196,8 @@
   end.mWhy = aWhy;
   if (aComplete) {
     KeepConnection();
-  } else if (mSocket) {
-    CloseNow(*mSocket);
+  } else {
+    CloseConnection();
   }
   const AttemptEvents events = std::exchange(mEvents, {});
   events.mOnEnd(end);
@@ -215,7 +211,7 @@
     mPool->Put(mTarget.mEngine, std::move(*mSocket), mKeepAlive, mMostIdle);
     return;
   }
-  CloseNow(*mSocket);
+  CloseConnection();
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "engine_connector.hpp"
 #include "pepperbay/base/error.hpp"
 #include "pepperbay/relay/dialect.hpp"
 
@@ -30,7 +31,7 @@
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
   bool mClosed = false; ///< the engine closed or reset the connection
-  bool mGone = false;   ///< no process listens at its address
+  bool mGone = false;   ///< no process listens at its address, see EngineConnection
   std::string mWhy;     ///< what went wrong; empty when complete
 };
 
@@ -44,18 +45,11 @@
   std::function<void(const AttemptEnd&)> mOnEnd;
 };
 
-struct AttemptTarget
-{
-  std::string mEngine;
-  std::string mAddress; ///< IP:port
-  WallTime mBorn{};     ///< of the engine's start
-};
-
 /// A request on its way. Not for several threads; kept alive by its own operations.
 class Attempt : public std::enable_shared_from_this<Attempt>
 {
 public:
-  Attempt(boost::asio::io_context& aContext, ConnectionPool* aPool, AttemptTarget aTarget);
+  Attempt(EngineConnector* aConnector, ConnectionPool* aPool, AttemptTarget aTarget);
 
   /// @param aFresh use a connection of its own. On a kept one an engine's close may cross the
   /// request, and then nobody can tell whether it ran.
@@ -69,7 +63,9 @@
   /// @return whether a byte of the request may have left.
   bool MayHaveRun() const { return mSent; }
   /// @return whether the connection to the engine stands.
-  bool Connected() const { return mConnected; }
+  bool Connected() const { return mSocket.has_value(); }
+  /// @return the peer that carries the connection; empty while there is none.
+  const std::string& Peer() const { return mPeer; }
   /// How long the engine said that it keeps the connection; set it before the end.
   void SetKeepAlive(std::optional<Duration> aKeepAlive) { mKeepAlive = aKeepAlive; }
   /// Keep the connection only while fewer than this wait unused for the engine.
@@ -84,12 +80,15 @@
   void Finish(bool aComplete, const std::string& aWhy);
   void Fail(const char* aStep, const boost::system::error_code& aError);
   void KeepConnection();
+  void CloseConnection();
 
-  boost::asio::io_context& mContext;
+  EngineConnector* mConnector;
   ConnectionPool* mPool;
   AttemptTarget mTarget;
   AttemptEvents mEvents;
-  std::optional<Socket> mSocket;
+  std::uint64_t mConnecting = 0; ///< while it is
+  std::optional<EngineSocket> mSocket;
+  std::string mPeer;
   UpstreamRequest mRequest;
   std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>>
     mSerializer;
@@ -99,7 +98,6 @@
   std::optional<Duration> mKeepAlive;
   std::size_t mMostIdle = 1;
   bool mSent = false;
-  bool mConnected = false;
   bool mAllWritten = false;
   bool mClosed = false;
   bool mGone = false;
--- /dev/null
+++ b/src/pepperbay/relay/connecting.cpp
@@ -0,0 +1,202 @@
+#include "connecting.hpp"
+
+#include <boost/asio/error.hpp>
+#include <utility>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+
+Connecting::Connecting(EngineConnector* aConnector,
+                       AttemptTarget aEngine,
+                       EngineConnector::Done aDone)
+  : mConnector(aConnector)
+  , mEngine(std::move(aEngine))
+  , mDone(std::move(aDone))
+  , mBegun(aConnector->Now())
+  , mSocket(aConnector->mContext)
+{
+}
+
+void
+Connecting::Start()
+{
+  mNextPeerAt = mBegun + mConnector->mOptions.mPeerAfter;
+  if (mConnector->WayTo(mEngine.mEngine) == Way::kDirect || !AskPeer()) {
+    BeginDirect();
+  }
+}
+
+void
+Connecting::BeginDirect()
+{
+  mDirect = Direct::kOnItsWay;
+  mDirectBegun = mConnector->Now();
+  Dial(mSocket,
+       mEngine.mAddress,
+       mConnector->mOptions.mSource,
+       [self = shared_from_this()](boost::system::error_code aError) {
+         if (!self->Over()) {
+           self->OnDirect(aError);
+         }
+       });
+}
+
+void
+Connecting::OnDirect(boost::system::error_code aError)
+{
+  if (!aError) {
+    mConnector->OnConnected(mEngine.mEngine);
+    Prepare(mSocket);
+    EngineConnection connection;
+    connection.mSocket.emplace(EngineSocket{ std::move(mSocket), "", nullptr });
+    Finish(std::move(connection));
+    return;
+  }
+  mDirect = aError == asio::error::connection_refused ? Direct::kRefused : Direct::kFailed;
+  mWhy = "connect: " + aError.message();
+  OnWayFailed();
+}
+
+bool
+Connecting::AskPeer()
+{
+  if (mAsked.size() >= mConnector->mOptions.mMostPeers) {
+    return false;
+  }
+  const ProxyPeer* peer = mConnector->mPeers.Pick(mEngine.mDataCentre, mAsked, mConnector->Now());
+  if (peer == nullptr) {
+    return false;
+  }
+  mAsked.insert(peer->mNode);
+  mNextPeerAt = mConnector->Now() + mConnector->mOptions.mPeerAfter;
+  TunnelRequest request;
+  request.mEngine = mEngine.mEngine;
+  request.mFrom = mConnector->mOptions.mNode;
+  request.mKey = peer->mKey;
+  request.mWithin = mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
+  const auto opening = std::make_shared<TunnelOpening>(mConnector->mContext);
+  mOpenings[peer->mNode] = opening;
+  opening->Start(*peer,
+                 mEngine.mAddress,
+                 request,
+                 [self = shared_from_this(), name = peer->mNode](OpenedTunnel aTunnel) {
+                   if (!self->Over()) {
+                     self->OnPeer(name, std::move(aTunnel));
+                   }
+                 });
+  return true;
+}
+
+void
+Connecting::OnPeer(const std::string& aPeer, OpenedTunnel aTunnel)
+{
+  mOpenings.erase(aPeer);
+  const bool word = aTunnel.mAnswer == TunnelAnswer::kRefused ||
+                    aTunnel.mAnswer == TunnelAnswer::kSilent ||
+                    aTunnel.mAnswer == TunnelAnswer::kUnknown;
+  if (word || aTunnel.mSocket) {
+    mConnector->mPeers.OnWorked(aPeer);
+  } else {
+    mConnector->mPeers.OnFailed(aPeer, mConnector->Now());
+  }
+  if (aTunnel.mSocket) {
+    if (mDirect != Direct::kNotBegun) {
+      mConnector->OnPathFault(mEngine.mEngine, mDirectBegun);
+    }
+    ++mConnector->mCarried;
+    EngineConnection connection;
+    connection.mSocket.emplace(
+      EngineSocket{ std::move(*aTunnel.mSocket), aPeer, mConnector->mPeers.CountTunnel(aPeer) });
+    Finish(std::move(connection));
+    return;
+  }
+  const bool counts = word && aTunnel.mSight;
+  mHeardOf += counts ? 1 : 0;
+  mRefusals += counts && aTunnel.mAnswer == TunnelAnswer::kRefused ? 1 : 0;
+  OnWayFailed();
+}
+
+void
+Connecting::OnWayFailed()
+{
+  if (mDirect == Direct::kOnItsWay || !mOpenings.empty()) {
+    // What is under way may still stand. A direct connection that only hangs is no reason to wait
+    // with the next peer.
+    if (mDirect != Direct::kOnItsWay || !mOpenings.empty() || !AskPeer()) {
+      return;
+    }
+    return;
+  }
+  const bool decided = mDirect == Direct::kRefused ? mHeardOf >= 1 : mHeardOf >= 2;
+  if (!decided && AskPeer()) {
+    return;
+  }
+  if (mDirect == Direct::kNotBegun && mHeardOf == 0) {
+    BeginDirect();
+    return;
+  }
+  EngineConnection connection;
+  connection.mGone = IsGone();
+  connection.mWhy = mWhy.empty() ? "connect: peers do not reach it" : mWhy;
+  Finish(std::move(connection));
+}
+
+bool
+Connecting::IsGone() const
+{
+  if (mRefusals >= 2) {
+    return true;
+  }
+  if (mDirect != Direct::kRefused) {
+    return false;
+  }
+  if (mRefusals == 1 || !mConnector->mPeers.Any()) {
+    return true;
+  }
+  // No second place had a word on it. A node that hears other engines is not partitioned.
+  return mHeardOf == 0 && !mConnector->Avoids() &&
+         mConnector->mLastHeard.OtherThan(mEngine.mEngine) >= mBegun;
+}
+
+void
+Connecting::Tick()
+{
+  const TimePoint now = mConnector->Now();
+  if (now >= mBegun + mConnector->mOptions.mTimeout) {
+    EngineConnection connection;
+    connection.mWhy = mWhy.empty() ? "connect: no answer" : mWhy;
+    Finish(std::move(connection));
+    return;
+  }
+  if (now >= mNextPeerAt) {
+    mNextPeerAt = now + mConnector->mOptions.mPeerAfter;
+    if (!AskPeer() && mDirect == Direct::kNotBegun) {
+      BeginDirect();
+    }
+  }
+}
+
+void
+Connecting::Finish(EngineConnection aConnection)
+{
+  for (auto& [peer, opening] : std::exchange(mOpenings, {})) {
+    opening->Cancel();
+  }
+  if (!aConnection.mSocket || !aConnection.mSocket->mPeer.empty()) {
+    CloseNow(mSocket);
+  }
+  std::exchange(mDone, nullptr)(std::move(aConnection));
+}
+
+void
+Connecting::Cancel()
+{
+  mDone = nullptr;
+  for (auto& [peer, opening] : std::exchange(mOpenings, {})) {
+    opening->Cancel();
+  }
+  CloseNow(mSocket);
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/connecting.hpp
@@ -0,0 +1,53 @@
+/// @file
+/// @brief One connection to an engine on its way: directly, through peers, or both at once.
+#pragma once
+
+#include "engine_connector.hpp"
+
+namespace pepperbay {
+
+class Connecting : public std::enable_shared_from_this<Connecting>
+{
+public:
+  Connecting(EngineConnector* aConnector, AttemptTarget aEngine, EngineConnector::Done aDone);
+
+  void Start();
+  void Tick();
+  void Cancel();
+  bool Over() const { return mDone == nullptr; }
+
+private:
+  enum class Direct
+  {
+    kNotBegun,
+    kOnItsWay,
+    kRefused,
+    kFailed,
+  };
+
+  void BeginDirect();
+  void OnDirect(boost::system::error_code aError);
+  /// @return whether there was one more to ask.
+  bool AskPeer();
+  void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
+  /// Go on after one way has failed: ask the next peer, or end.
+  void OnWayFailed();
+  bool IsGone() const;
+  void Finish(EngineConnection aConnection);
+
+  EngineConnector* mConnector;
+  AttemptTarget mEngine;
+  EngineConnector::Done mDone;
+  TimePoint mBegun{};
+  TimePoint mNextPeerAt{};
+  Direct mDirect = Direct::kNotBegun;
+  TimePoint mDirectBegun{};
+  std::string mWhy; ///< what was wrong with the direct connection
+  Socket mSocket;
+  std::map<std::string, std::shared_ptr<TunnelOpening>> mOpenings; ///< by peer
+  std::set<std::string> mAsked;                                    ///< peers
+  int mHeardOf = 0;  ///< peers that had a word on the engine
+  int mRefusals = 0; ///< of these, that the engine refuses them and others do not
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/connection_pool.cpp
+++ b/src/pepperbay/relay/connection_pool.cpp
@@ -22,21 +22,26 @@
 {
 }
 
-std::optional<Socket>
-ConnectionPool::Take(const std::string& aEngine)
+std::optional<EngineSocket>
+ConnectionPool::Take(const std::string& aEngine,
+                     const std::function<bool(const std::string& aPeer)>& aMayUse)
 {
   const auto idle = mIdle.find(aEngine);
   if (idle == mIdle.end()) {
     return std::nullopt;
   }
-  std::optional<Socket> found;
-  while (!found && !idle->second.empty()) {
-    // The one used last is the likeliest to live.
-    Idle last = std::move(idle->second.back());
-    idle->second.pop_back();
-    if (mNow() < last.mUntil && Peek(last.mSocket) == PeekResult::kQuiet) {
+  std::optional<EngineSocket> found;
+  auto& all = idle->second;
+  // The one used last is the likeliest to live.
+  for (std::size_t i = all.size(); i > 0 && !found; --i) {
+    Idle& last = all[i - 1];
+    if (!aMayUse(last.mSocket.mPeer)) {
+      continue;
+    }
+    if (mNow() < last.mUntil && Peek(last.mSocket.mSocket) == PeekResult::kQuiet) {
       found = std::move(last.mSocket);
     }
+    all.erase(all.begin() + static_cast<std::ptrdiff_t>(i - 1));
   }
   if (idle->second.empty()) {
     mIdle.erase(idle);
@@ -46,7 +51,7 @@
 
 void
 ConnectionPool::Put(const std::string& aEngine,
-                    Socket aSocket,
+                    EngineSocket aSocket,
                     std::optional<Duration> aKeepAlive,
                     std::size_t aMost)
 {
@@ -61,6 +66,17 @@
   idle.push_back({ std::move(aSocket), mNow() + keep });
 }
 
+void
+ConnectionPool::ForgetDirect()
+{
+  for (auto& [engine, idle] : mIdle) {
+    idle.erase(std::remove_if(idle.begin(),
+                              idle.end(),
+                              [](const Idle& aIdle) { return aIdle.mSocket.mPeer.empty(); }),
+               idle.end());
+  }
+}
+
 void
 ConnectionPool::Tick()
 {
--- a/src/pepperbay/relay/connection_pool.hpp
+++ b/src/pepperbay/relay/connection_pool.hpp
@@ -2,9 +2,10 @@
 /// @brief Connections to engines that wait for their next request.
 #pragma once
 
+#include "engine_connector.hpp"
 #include "pepperbay/base/clock.hpp"
-#include "sockets.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,15 +41,19 @@
 
   /// @param aEngine id of the engine's start: connections to an address that another engine has
   /// taken over are not used
-  std::optional<Socket> Take(const std::string& aEngine);
+  /// @param aMayUse by the peer that carries it; empty for none
+  std::optional<EngineSocket> Take(const std::string& aEngine,
+                                   const std::function<bool(const std::string& aPeer)>& aMayUse);
   /// @param aKeepAlive what the engine said; none: the default
   /// @param aMost unused connections to the engine; beyond that it is closed
   void Put(const std::string& aEngine,
-           Socket aSocket,
+           EngineSocket aSocket,
            std::optional<Duration> aKeepAlive,
            std::size_t aMost);
   /// Close what is kept to an engine.
   void Forget(const std::string& aEngine) { mIdle.erase(aEngine); }
+  /// Close what is kept that no peer carries: it may be cut without showing it.
+  void ForgetDirect();
   /// Close what has been unused for too long.
   void Tick();
   std::size_t Size() const;
@@ -56,7 +61,7 @@
 private:
   struct Idle
   {
-    Socket mSocket;
+    EngineSocket mSocket;
     TimePoint mUntil{};
   };
 
--- a/src/pepperbay/relay/ending_probe.cpp
+++ b/src/pepperbay/relay/ending_probe.cpp
@@ -1,22 +1,15 @@
 #include "ending_probe.hpp"
 
-#include "pepperbay/settings/settings.hpp"
-
-#include <boost/asio/error.hpp>
 #include <utility>
 
 namespace pepperbay {
 
-namespace asio = boost::asio;
-
-EndingProbe::EndingProbe(asio::io_context& aContext,
+EndingProbe::EndingProbe(EngineConnector* aConnector,
                          NowFn aNow,
-                         Duration aTimeout,
                          ConnectionPool* aPool,
                          OnEnded aOnEnded)
-  : mContext(aContext)
+  : mConnector(aConnector)
   , mNow(std::move(aNow))
-  , mTimeout(aTimeout)
   , mPool(aPool)
   , mOnEnded(std::move(aOnEnded))
 {
@@ -39,43 +32,18 @@
 EndingProbe::Tick()
 {
   const TimePoint now = mNow();
-  for (auto it = mPending.begin(); it != mPending.end();) {
-    Pending& pending = it->second;
-    if (pending.mSocket && now > pending.mAskAt + mTimeout) {
-      CloseNow(*pending.mSocket);
-      it = mPending.erase(it);
-      continue;
+  for (auto& [engine, pending] : mPending) {
+    if (!pending.mAsked && now >= pending.mAskAt) {
+      pending.mAsked = true;
+      mConnector->Connect(pending.mTarget, [this, id = engine](EngineConnection aConnection) {
+        OnAnswer(id, std::move(aConnection));
+      });
     }
-    if (!pending.mSocket && now >= pending.mAskAt) {
-      Ask(it->first, &pending);
-    }
-    ++it;
-  }
-}
-
-void
-EndingProbe::Ask(std::uint64_t aEngine, Pending* aPending)
-{
-  aPending->mAskAt = mNow();
-  aPending->mSocket = std::make_shared<Socket>(mContext);
-  const auto endpoint = ParseEndpoint(aPending->mTarget.mAddress);
-  boost::system::error_code ec;
-  const auto address =
-    endpoint.has_value() ? asio::ip::make_address(endpoint.value().mHost, ec) : asio::ip::address();
-  if (!endpoint.has_value() || ec) {
-    return; // nothing could have been sent there; it is dropped with those that do not answer
   }
-  aPending->mSocket->async_connect(
-    { address, static_cast<std::uint16_t>(endpoint.value().mPort) },
-    [this, aEngine, socket = aPending->mSocket](boost::system::error_code aError) {
-      if (aError != asio::error::operation_aborted) {
-        OnAnswer(aEngine, aError);
-      }
-    });
 }
 
 void
-EndingProbe::OnAnswer(std::uint64_t aEngine, const boost::system::error_code& aError)
+EndingProbe::OnAnswer(std::uint64_t aEngine, EngineConnection aConnection)
 {
   const auto it = mPending.find(aEngine);
   if (it == mPending.end()) {
@@ -83,11 +51,10 @@
   }
   const Pending pending = std::move(it->second);
   mPending.erase(it);
-  if (aError == asio::error::connection_refused) {
+  if (aConnection.mGone) {
     mOnEnded(pending.mTarget, pending.mRequests);
-  } else if (!aError) {
-    Prepare(*pending.mSocket);
-    mPool->Put(pending.mTarget.mEngine, std::move(*pending.mSocket), std::nullopt, 1);
+  } else if (aConnection.mSocket) {
+    mPool->Put(pending.mTarget.mEngine, std::move(*aConnection.mSocket), std::nullopt, 1);
   }
 }
 
--- a/src/pepperbay/relay/ending_probe.hpp
+++ b/src/pepperbay/relay/ending_probe.hpp
@@ -4,14 +4,14 @@
 ///
 /// A connection that an engine closes in the middle of an answer says little: the engine may have
 /// been reset, cut off, or may fail single requests. An engine whose process has ended refuses the
-/// next connection. What a request is suspected of rests on that alone.
+/// next connection, from wherever it is asked; see EngineConnection. What a request is suspected of
+/// rests on that alone.
 #pragma once
 
 #include "attempt.hpp"
 #include "connection_pool.hpp"
 #include "pepperbay/quarantine/crash_book.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
 #include <string>
@@ -39,14 +39,9 @@
 
   using OnEnded = std::function<void(const AttemptTarget&, const std::vector<BrokenOff>&)>;
 
-  /// @param aTimeout an engine that does not answer the connection within this may be cut off
   /// @param aPool takes the connections of engines that turn out to be alive
   /// @param aOnEnded an engine has ended, with these requests
-  EndingProbe(boost::asio::io_context& aContext,
-              NowFn aNow,
-              Duration aTimeout,
-              ConnectionPool* aPool,
-              OnEnded aOnEnded);
+  EndingProbe(EngineConnector* aConnector, NowFn aNow, ConnectionPool* aPool, OnEnded aOnEnded);
 
   /// An engine closed a request's connection before its answer was whole.
   void OnBrokenOff(const AttemptTarget& aEngine, BrokenOff aRequest);
@@ -60,15 +55,13 @@
     AttemptTarget mTarget;
     std::vector<BrokenOff> mRequests;
     TimePoint mAskAt{};
-    std::shared_ptr<Socket> mSocket; ///< once it is asked
+    bool mAsked = false;
   };
 
-  void Ask(std::uint64_t aEngine, Pending* aPending);
-  void OnAnswer(std::uint64_t aEngine, const boost::system::error_code& aError);
+  void OnAnswer(std::uint64_t aEngine, EngineConnection aConnection);
 
-  boost::asio::io_context& mContext;
+  EngineConnector* mConnector;
   NowFn mNow;
-  Duration mTimeout;
   ConnectionPool* mPool;
   OnEnded mOnEnded;
   std::map<std::uint64_t, Pending> mPending; ///< by EngineStartHash()
--- /dev/null
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -0,0 +1,219 @@
+#include "engine_connector.hpp"
+
+#include "connecting.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace pepperbay {
+
+/// A connection that is only tried to see whether it stands.
+struct EngineConnector::Trial
+{
+  Trial(boost::asio::io_context& aContext, AttemptTarget aEngine)
+    : mSocket(aContext)
+    , mEngine(std::move(aEngine))
+  {
+  }
+
+  Socket mSocket;
+  AttemptTarget mEngine;
+  TimePoint mUntil{};
+  std::function<void(bool)> mDone; ///< null once it is over
+};
+
+EngineConnector::EngineConnector(boost::asio::io_context& aContext,
+                                 EngineConnectorOptions aOptions,
+                                 EngineConnectorHooks aHooks)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mPeers({ mOptions.mDataCentre })
+{
+}
+
+EngineConnector::~EngineConnector() = default;
+
+std::uint64_t
+EngineConnector::Connect(const AttemptTarget& aEngine, Done aDone)
+{
+  const std::uint64_t id = ++mLastId;
+  const auto connecting = std::make_shared<Connecting>(
+    this, aEngine, [this, id, done = std::move(aDone)](EngineConnection aConnection) {
+      mConnecting.erase(id);
+      done(std::move(aConnection));
+    });
+  mConnecting[id] = connecting;
+  connecting->Start();
+  return id;
+}
+
+void
+EngineConnector::Cancel(std::uint64_t aId)
+{
+  const auto it = mConnecting.find(aId);
+  if (it != mConnecting.end()) {
+    it->second->Cancel();
+    mConnecting.erase(it);
+  }
+}
+
+void
+EngineConnector::Tick()
+{
+  const TimePoint now = Now();
+  // Copies, since one that ends leaves the list.
+  std::vector<std::shared_ptr<Connecting>> connecting;
+  for (const auto& [id, it] : mConnecting) {
+    connecting.push_back(it);
+  }
+  for (const auto& it : connecting) {
+    if (!it->Over()) {
+      it->Tick();
+    }
+  }
+  for (const auto& it : std::vector<std::shared_ptr<Trial>>(mTrials)) {
+    if (it->mDone && now >= it->mUntil) {
+      CloseNow(it->mSocket);
+      std::exchange(it->mDone, nullptr)(false);
+    }
+  }
+  mTrials.erase(std::remove_if(mTrials.begin(),
+                               mTrials.end(),
+                               [](const auto& aTrial) { return aTrial->mDone == nullptr; }),
+                mTrials.end());
+  if (mWays.TakeProbe(now)) {
+    if (const auto engine = NextToTry("")) {
+      Try(*engine, [this](bool aStands) {
+        if (!aStands) {
+          mWays.OnBadProbe();
+        }
+      });
+    }
+  }
+}
+
+std::optional<AttemptTarget>
+EngineConnector::NextToTry(const std::string& aExcept)
+{
+  std::vector<AttemptTarget> engines = mHooks.mEngines();
+  engines.erase(std::remove_if(engines.begin(),
+                               engines.end(),
+                               [&](const auto& aIt) { return aIt.mEngine == aExcept; }),
+                engines.end());
+  if (engines.empty()) {
+    return std::nullopt;
+  }
+  return engines[mTried++ % engines.size()];
+}
+
+void
+EngineConnector::Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone)
+{
+  const auto trial = std::make_shared<Trial>(mContext, aEngine);
+  trial->mUntil = Now() + mOptions.mTimeout;
+  trial->mDone = std::move(aDone);
+  mTrials.push_back(trial);
+  Dial(trial->mSocket,
+       aEngine.mAddress,
+       mOptions.mSource,
+       [this, trial](boost::system::error_code aError) {
+         if (!trial->mDone) {
+           return;
+         }
+         const auto done = std::exchange(trial->mDone, nullptr);
+         if (!aError) {
+           OnConnected(trial->mEngine.mEngine);
+           Prepare(trial->mSocket);
+           mHooks.mKeep(trial->mEngine, { std::move(trial->mSocket), "", nullptr });
+         }
+         done(!aError);
+       });
+}
+
+void
+EngineConnector::FindSight(const std::string& aEngine,
+                           TimePoint aSince,
+                           std::function<void(bool)> aDone)
+{
+  if (mLastHeard.OtherThan(aEngine) >= aSince) {
+    aDone(true);
+    return;
+  }
+  const auto other = NextToTry(aEngine);
+  if (!other) {
+    aDone(false);
+    return;
+  }
+  Try(*other, std::move(aDone));
+}
+
+void
+EngineConnector::Look(const AttemptTarget& aEngine)
+{
+  Connect(aEngine, [this, aEngine](EngineConnection aConnection) {
+    if (aConnection.mSocket) {
+      mHooks.mKeep(aEngine, std::move(*aConnection.mSocket));
+    }
+  });
+}
+
+void
+EngineConnector::OnHeard(const std::string& aEngine, const std::string& aPeer)
+{
+  if (!aPeer.empty()) {
+    mPeers.OnWorked(aPeer);
+    return;
+  }
+  mHeardAt = Now();
+  mWays.OnHeard(mHeardAt);
+  mLastHeard.Note(aEngine, mHeardAt);
+}
+
+void
+EngineConnector::OnConnected(const std::string& aEngine)
+{
+  mHeardAt = Now();
+  mLastHeard.Note(aEngine, mHeardAt);
+  mWays.OnConnected(aEngine, mHeardAt);
+  TellAvoid();
+}
+
+void
+EngineConnector::OnPathFault(const std::string& aEngine, TimePoint aBegun)
+{
+  mWays.OnPathFault(aEngine, aBegun, Now());
+  TellAvoid();
+}
+
+void
+EngineConnector::TellAvoid()
+{
+  if (std::exchange(mToldAvoid, mWays.Avoids()) != mWays.Avoids()) {
+    mHooks.mOnAvoid(mWays.Avoids());
+  }
+}
+
+void
+EngineConnector::OnPeerSilent(const std::string& aPeer)
+{
+  mPeers.OnFailed(aPeer, Now());
+}
+
+Way
+EngineConnector::WayTo(const std::string& aEngine) const
+{
+  return mWays.WayTo(aEngine, Now());
+}
+
+bool
+EngineConnector::MayUse(const std::string& aEngine, const std::string& aPeer) const
+{
+  if (WayTo(aEngine) == Way::kDirect) {
+    return aPeer.empty();
+  }
+  return aPeer.empty() ? !mPeers.Any() : mPeers.Usable(aPeer, Now());
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -0,0 +1,145 @@
+/// @file
+/// @brief Connections to engines: of this node's own, or through a peer where that does not stand.
+/// Used by the relay's thread only.
+///
+/// Connecting costs an engine nothing and runs nothing, so a second way is tried beside the first
+/// after tens of milliseconds, for every kind of request; the request itself is sent once, over the
+/// connection that stands first. What that shows of the path is kept, see reach/way_book.hpp.
+#pragma once
+
+#include "pepperbay/reach/proxy_choice.hpp"
+#include "pepperbay/reach/way_book.hpp"
+#include "pepperbay/tunnel/sockets.hpp"
+#include "pepperbay/tunnel/tunnel_opening.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+struct AttemptTarget
+{
+  std::string mEngine;
+  std::string mAddress; ///< IP:port
+  WallTime mBorn{};     ///< of the engine's start
+  std::string mDataCentre;
+};
+
+/// A connection to an engine that stands.
+struct EngineSocket
+{
+  Socket mSocket;
+  std::string mPeer;                ///< that carries it; empty: none
+  std::shared_ptr<void> mCarriedBy; ///< counts it as long as it is there
+};
+
+/// What came of connecting.
+struct EngineConnection
+{
+  std::optional<EngineSocket> mSocket;
+  /// No process listens at its address, by the word of two places that reach other engines.
+  bool mGone = false;
+  std::string mWhy; ///< it does not stand
+};
+
+struct EngineConnectorOptions
+{
+  std::string mNode;
+  std::string mDataCentre;
+  std::string mSource; ///< IP number to connect from; empty lets the system choose
+  Duration mTimeout = std::chrono::milliseconds(120);
+  /// A peer is asked where a connection does not stand after this: several round trips between data
+  /// centres.
+  Duration mPeerAfter = std::chrono::milliseconds(20);
+  /// Peers that are asked for one connection.
+  std::size_t mMostPeers = 3;
+};
+
+struct EngineConnectorHooks
+{
+  NowFn mNow;
+  /// Own connections are avoided from now on, or used again.
+  std::function<void(bool aAvoids)> mOnAvoid;
+  /// Engines that may be tried to see whether the path works.
+  std::function<std::vector<AttemptTarget>()> mEngines;
+  /// A connection that was only tried stands, and may be used.
+  std::function<void(const AttemptTarget&, EngineSocket)> mKeep;
+};
+
+class Connecting;
+
+class EngineConnector
+{
+public:
+  using Done = std::function<void(EngineConnection)>;
+
+  EngineConnector(boost::asio::io_context& aContext,
+                  EngineConnectorOptions aOptions,
+                  EngineConnectorHooks aHooks);
+  ~EngineConnector();
+  EngineConnector(const EngineConnector&) = delete;
+  EngineConnector& operator=(const EngineConnector&) = delete;
+
+  /// @param aDone called once, later, unless it is cancelled
+  /// @return for `Cancel()`
+  std::uint64_t Connect(const AttemptTarget& aEngine, Done aDone);
+  void Cancel(std::uint64_t aId);
+  void Tick();
+
+  /// A byte of an engine came.
+  /// @param aPeer that carries the connection; empty: none
+  void OnHeard(const std::string& aEngine, const std::string& aPeer);
+  /// Nothing has come from any engine for long, and some should have written.
+  void Look(const AttemptTarget& aEngine);
+  /// Find out whether this node reaches any engine but this one; see TunnelServerHooks.
+  void FindSight(const std::string& aEngine, TimePoint aSince, std::function<void(bool)> aDone);
+  /// A peer that carries something has given nothing for long.
+  void OnPeerSilent(const std::string& aPeer);
+
+  Way WayTo(const std::string& aEngine) const;
+  /// @return whether a kept connection may be used for an engine.
+  bool MayUse(const std::string& aEngine, const std::string& aPeer) const;
+  bool Avoids() const { return mWays.Avoids(); }
+  TimePoint AvoidsSince() const { return mWays.AvoidsSince(); }
+  TimePoint HeardAt() const { return mHeardAt; }
+  void SetPeers(std::shared_ptr<const ProxyPeers> aPeers) { mPeers.SetPeers(std::move(aPeers)); }
+  /// @return whether there is another way than this node's own.
+  bool HasPeers() const { return mPeers.Any(); }
+  /// Connections that peers carry for this node, since the start.
+  std::uint64_t Carried() const { return mCarried; }
+
+private:
+  friend class Connecting;
+
+  TimePoint Now() const { return mHooks.mNow(); }
+  void OnConnected(const std::string& aEngine);
+  void OnPathFault(const std::string& aEngine, TimePoint aBegun);
+  void TellAvoid();
+  /// Try a connection of this node's own, only to see whether it stands.
+  void Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone);
+  /// @return an engine to try, another each time; null where there is none.
+  std::optional<AttemptTarget> NextToTry(const std::string& aExcept);
+
+  struct Trial;
+
+  boost::asio::io_context& mContext;
+  EngineConnectorOptions mOptions;
+  EngineConnectorHooks mHooks;
+  WayBook mWays;
+  ProxyChoice mPeers;
+  LastHeard mLastHeard; ///< over own connections
+  TimePoint mHeardAt{}; ///< the same, of any
+  std::map<std::uint64_t, std::shared_ptr<Connecting>> mConnecting;
+  std::vector<std::shared_ptr<Trial>> mTrials;
+  std::uint64_t mLastId = 0;
+  std::uint64_t mCarried = 0;
+  std::size_t mTried = 0;
+  bool mToldAvoid = false;
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -153,10 +153,25 @@
   }
 }
 
+void
+Exchange::NoteHeard(Sending* aSending)
+{
+  aSending->mHeardAt = mCore->Now();
+  mCore->OnHeard(*aSending->mAttempt);
+}
+
+const Sending*
+Exchange::SilentSince(TimePoint aTime) const
+{
+  const bool waits = mPhase != Phase::kOver && !mPushing && mCurrent.mAttempt &&
+                     mCurrent.mAttempt->Connected() && mCurrent.mAttempt->Peer().empty();
+  return waits && std::max(mCurrent.mSentAt, mCurrent.mHeardAt) < aTime ? &mCurrent : nullptr;
+}
+
 void
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
-  mCore->mCounters.mEngineHeardAt = mCore->Now();
+  NoteHeard(&mCurrent);
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
   const std::string fault = HeadFault(facts);
   if (fault == "foreign_answer") {
@@ -196,7 +211,7 @@
 void
 Exchange::OnBody(std::string_view aBytes)
 {
-  mCore->mCounters.mEngineHeardAt = mCore->Now();
+  NoteHeard(&mCurrent);
   if (mPhase == Phase::kEvents) {
     PassEvents(aBytes);
     return;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -40,12 +40,12 @@
   AttemptTarget mTarget;
   std::string mGroup;       ///< the replica that it went to; empty for a plain engine
   std::uint64_t mEpoch = 0; ///< of that replica
-  std::string mDataCentre;  ///< of the engine
   PlaceTicket mTicket;
   RateGrant mRate;
   TimePoint mSentAt{};
   std::optional<TimePoint> mHeadAt; ///< its answer began: it runs the request
   TimePoint mLastEventAt{};
+  TimePoint mHeardAt{};  ///< its last byte; the zero time for none
   bool mWriting = false; ///< it has given an event
   bool mWatched = false; ///< its silence counts: nothing else keeps its events back
 };
@@ -62,6 +62,9 @@
   void Tick();
   /// The process is about to end.
   void GiveUp();
+  /// @return a sending over an own connection to which nothing has come since a time; null for
+  /// none.
+  const Sending* SilentSince(TimePoint aTime) const;
 
 private:
   enum class Phase
@@ -120,6 +123,8 @@
   Duration Left() const { return mDeadlineAt - mCore->Now(); }
 
   void OnHead(int aStatus, const HeaderFields& aFields);
+  /// A byte of the engine has come.
+  void NoteHeard(Sending* aSending);
   /// What the head of an answer says of the engine that gave it.
   void NoteHead(const Sending& aSending, const AnswerFacts& aFacts);
   /// What it says of the requests that the engine takes.
@@ -168,6 +173,9 @@
   bool StandsStill(const Sending& aSending) const;
   /// @return whether the plan speaks against the replica; it may still answer.
   bool SaidToBeLost(const Sending& aSending) const;
+  /// @return whether it was sent over an own connection that is silent, and this node has found out
+  /// since that it reaches no engine by itself.
+  bool IsCutOff(const Sending& aSending) const;
   /// @return whether another engine is to be asked for what this one was sent.
   bool ShouldLeave(const Sending& aSending) const;
   /// @return whether it stands still, is said to be lost, and has given nothing for long.
--- a/src/pepperbay/relay/exchange_limits.cpp
+++ b/src/pepperbay/relay/exchange_limits.cpp
@@ -21,10 +21,9 @@
     return; // an engine that refuses may not say all; what cannot be read is not none
   }
   const AttemptTarget& target = aSending.mTarget;
-  mCore->mPlaces.OnStatement(
-    { target.mEngine, target.mAddress, aSending.mDataCentre, target.mBorn },
-    aSending.mRate,
-    { target.mBorn, aFacts.mLimit, aSending.mSentAt, mCore->Now() });
+  mCore->mPlaces.OnStatement({ target.mEngine, target.mAddress, target.mDataCentre, target.mBorn },
+                             aSending.mRate,
+                             { target.mBorn, aFacts.mLimit, aSending.mSentAt, mCore->Now() });
 }
 
 void
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -48,8 +48,8 @@
   if (mRoute->mKind == RequestKind::kSafe) {
     const Duration most =
       std::chrono::duration_cast<Duration>(mRoute->mObjective * mCore->mOptions.mSecondAfter);
-    if (mPhase == Phase::kWaiting && now - mCurrent.mSentAt > most && now >= mMoveNotBefore &&
-        MayAskSecond()) {
+    const bool slow = now - mCurrent.mSentAt > most || IsCutOff(mCurrent);
+    if (mPhase == Phase::kWaiting && slow && now >= mMoveNotBefore && MayAskSecond()) {
       AskSecondEngine();
     }
     return;
@@ -71,7 +71,18 @@
 {
   // Events of other streams say nothing of one that has not begun: a head may write what it has and
   // begin nothing more.
-  return !mPushing && (StandsStill(aSending) || (!aSending.mWriting && SaidToBeLost(aSending)));
+  return !mPushing && (StandsStill(aSending) || IsCutOff(aSending) ||
+                       (!aSending.mWriting && SaidToBeLost(aSending)));
+}
+
+bool
+Exchange::IsCutOff(const Sending& aSending) const
+{
+  const EngineConnector& connector = mCore->mConnector;
+  const Attempt& attempt = *aSending.mAttempt;
+  const TimePoint last = std::max(aSending.mSentAt, aSending.mHeardAt);
+  return connector.Avoids() && attempt.Connected() && attempt.Peer().empty() &&
+         mCore->Now() - last > kMovesWithin;
 }
 
 bool
@@ -144,6 +155,7 @@
 void
 Exchange::OnNextHead(int aStatus, const HeaderFields& aFields)
 {
+  NoteHeard(&*mNext);
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
   const bool events = mRoute->mKind == RequestKind::kStream && mStreamStarted;
   std::string fault = HeadFault(facts);
@@ -196,6 +208,9 @@
   if (mCurrent.mAttempt) {
     mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
     mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
+    if (!mCurrent.mAttempt->Peer().empty()) {
+      mCore->mConnector.OnPeerSilent(mCurrent.mAttempt->Peer()); // it, or the engine behind it
+    }
     LogFailedAttempt(mCurrent, mNextWhy, true, "");
   }
   Drop(&mCurrent);
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -39,8 +39,7 @@
   }
   const EngineTarget& engine = *choice.mEngine;
   Sending sending;
-  sending.mTarget = { engine.mId, engine.mAddress, engine.mBorn };
-  sending.mDataCentre = engine.mDataCentre;
+  sending.mTarget = { engine.mId, engine.mAddress, engine.mBorn, engine.mDataCentre };
   return sending;
 }
 
@@ -72,10 +71,11 @@
 Exchange::SendingTo(const Place& aPlace)
 {
   Sending sending;
-  sending.mTarget = { aPlace.mHead.mId, aPlace.mHead.mAddress, aPlace.mHead.mBorn };
+  sending.mTarget = {
+    aPlace.mHead.mId, aPlace.mHead.mAddress, aPlace.mHead.mBorn, aPlace.mHead.mDataCentre
+  };
   sending.mEpoch = aPlace.mEpoch;
   sending.mGroup = aPlace.mGroup;
-  sending.mDataCentre = aPlace.mHead.mDataCentre;
   sending.mTicket = aPlace.mTicket;
   sending.mRate = aPlace.mRate;
   return sending;
@@ -182,7 +182,7 @@
   CountIfLimited(*aSending);
   mCore->mBalancer.OnStart(aSending->mTarget.mEngine);
   aSending->mAttempt =
-    std::make_shared<Attempt>(mCore->mContext, &mCore->mConnections, aSending->mTarget);
+    std::make_shared<Attempt>(&mCore->mConnector, &mCore->mConnections, aSending->mTarget);
   aSending->mAttempt->SetMostIdle(
     MostIdleConnections(mService->mMaxConnections, mCore->mPlan->mListedNodes));
   // A sending that was dropped reports nothing; the serial tells apart the two that may stand.
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -4,8 +4,10 @@
 #include "pepperbay/base/hash.hpp"
 #include "pepperbay/routing/find_engine.hpp"
 #include "pepperbay/settings/settings.hpp"
+#include "pepperbay/tunnel/tunnel_server.hpp"
 #include "relay_core.hpp"
 #include "session.hpp"
+#include "silence_watch.hpp"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,6 +47,17 @@
   return options;
 }
 
+EngineConnectorOptions
+ConnectorOptionsOf(const RelayOptions& aOptions)
+{
+  EngineConnectorOptions options;
+  options.mNode = aOptions.mNode;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mSource = aOptions.mEnginesFrom;
+  options.mTimeout = aOptions.mConnectTimeout;
+  return options;
+}
+
 } // namespace
 
 RelayCore::RelayCore(asio::io_context& aContext,
@@ -61,9 +74,16 @@
       { mOptions.mNow, mHooks.mSendToDesk, [this](const LimitNews& aNews) { OnLimit(aNews); } },
       &mBalancer)
   , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
-  , mEndings(mContext,
+  , mConnector(mContext,
+               ConnectorOptionsOf(mOptions),
+               { mOptions.mNow,
+                 [this](bool aAvoids) { OnAvoid(aAvoids); },
+                 [this] { return EnginesToTry(); },
+                 [this](const AttemptTarget& aEngine, EngineSocket aSocket) {
+                   mConnections.Put(aEngine.mEngine, std::move(aSocket), std::nullopt, 1);
+                 } })
+  , mEndings(&mConnector,
              mOptions.mNow,
-             mOptions.mConnectTimeout,
              &mConnections,
              [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
                OnEngineEnded(aEngine, aRequests);
@@ -84,6 +104,7 @@
     ClearThoseThatRan(*mPlan->mSuspects);
   }
   mPlaces.SetPlan(mPlan);
+  mConnector.SetPeers(mPlan->mProxyPeers);
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
@@ -225,6 +246,52 @@
         { "from", aNews.mFrom.empty() ? "the engine" : aNews.mFrom } });
 }
 
+void
+RelayCore::OnAvoid(bool aAvoids)
+{
+  Log(aAvoids ? "engines_unreached" : "engines_reached",
+      { { "heard_any_ms_ago", std::to_string(ToMs(Now() - mConnector.HeardAt()).count()) },
+        { "for_ms",
+          aAvoids ? "" : std::to_string(ToMs(Now() - mConnector.AvoidsSince()).count()) } });
+  if (aAvoids) {
+    // They may be cut and show nothing; a request that is sent over one would be lost.
+    mConnections.ForgetDirect();
+  }
+  if (mHooks.mOnReach) {
+    mHooks.mOnReach(!aAvoids);
+  }
+}
+
+void
+RelayCore::OnHeard(const Attempt& aAttempt)
+{
+  mConnector.OnHeard(aAttempt.Target().mEngine, aAttempt.Peer());
+  if (aAttempt.Peer().empty()) {
+    mCounters.mEngineHeardAt = Now();
+  }
+}
+
+std::vector<AttemptTarget>
+RelayCore::EnginesToTry() const
+{
+  std::vector<AttemptTarget> engines;
+  if (!mPlan) {
+    return engines;
+  }
+  const auto add = [&engines](const EngineTarget& aEngine) {
+    engines.push_back({ aEngine.mId, aEngine.mAddress, aEngine.mBorn, aEngine.mDataCentre });
+  };
+  for (const auto& [service, all] : mPlan->mEngines) {
+    std::for_each(all.begin(), all.end(), add);
+  }
+  for (const auto& [service, replicas] : mPlan->mReplicas) {
+    for (const auto& it : replicas) {
+      add(it.mHead);
+    }
+  }
+  return engines;
+}
+
 EngineLimits
 RelayCore::Limits() const
 {
@@ -253,6 +320,10 @@
 /// Ticks between two looks at idle connections.
 constexpr unsigned kSessionTicks = 10;
 
+/// A thread that does its work this much too late has none to spare for other nodes' callers.
+constexpr std::chrono::milliseconds kMostLag{ 20 };
+constexpr int kLagWeight = 8; ///< ticks that the lag is averaged over
+
 class RelayImpl : public Relay
 {
 public:
@@ -283,9 +354,48 @@
     }
     mListeningSince = mCore.Now();
     Tick();
+    return ListenForPeers();
+  }
+
+  /// Carry connections for nodes that reach no engine.
+  Result<void> ListenForPeers()
+  {
+    if (mCore.mOptions.mTunnel.empty()) {
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    TunnelServerOptions options;
+    options.mAddress = mCore.mOptions.mTunnel;
+    options.mKey = mCore.mOptions.mTunnelKey;
+    options.mSource = mCore.mOptions.mEnginesFrom;
+    options.mNow = mCore.mOptions.mNow;
+    TunnelServerHooks hooks;
+    hooks.mAddressOf = [this](const std::string& aEngine) { return AddressOf(aEngine); };
+    hooks.mWhyNot = [this] { return WhyCarriesNothing(); };
+    hooks.mOnHeard = [this](const std::string& aEngine) { mCore.mConnector.OnHeard(aEngine, ""); };
+    hooks.mFindSight =
+      [this](const std::string& aEngine, TimePoint aSince, std::function<void(bool)> aDone) {
+        mCore.mConnector.FindSight(aEngine, aSince, std::move(aDone));
+      };
+    hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& aFields) {
+      mCore.Log(aEvent, aFields);
+    };
+    auto server = TunnelServer::Open(mCore.mContext, std::move(options), std::move(hooks));
+    if (!server.has_value()) {
+      return server.error();
+    }
+    mTunnels = std::move(server.value());
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
+  std::string AddressOf(const std::string& aEngine) const
+  {
+    if (!mCore.mPlan || !mCore.mPlan->mAddresses) {
+      return "";
+    }
+    const auto it = mCore.mPlan->mAddresses->find(aEngine);
+    return it == mCore.mPlan->mAddresses->end() ? "" : it->second;
+  }
+
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan) override
   {
     mCore.SetPlan(std::move(aPlan));
@@ -360,12 +470,20 @@
   void OnTick()
   {
     const TimePoint now = mCore.Now();
+    if (mTickedAt != TimePoint{}) {
+      const Duration late = std::max(Duration::zero(), now - mTickedAt - mCore.mOptions.mTick);
+      mLag = (mLag * (kLagWeight - 1) + late) / kLagWeight;
+    }
+    mTickedAt = now;
     AcceptOnceKnown();
     for (const auto& it : mCore.mStalls.Suspects(now)) {
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
     mCore.mPlaces.Tick();
+    mCore.mConnector.Tick();
     mCore.mEndings.Tick();
+    mSilence.Tick();
+    TickTunnels();
     // Copies, since an exchange that ends leaves the set.
     const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                            mCore.mExchanges.end());
@@ -411,12 +529,38 @@
         it->GiveUp();
       }
     }
-    if (mCore.mSessions.empty() || last) {
+    const bool carries = mTunnels && mTunnels->Counters().mOpen > 0;
+    if ((mCore.mSessions.empty() && !carries) || last) {
       std::exchange(mStopped, nullptr)();
     }
   }
 
+  void TickTunnels()
+  {
+    if (mTunnels) {
+      mTunnels->Tick();
+      mCore.mCounters.mTunnels = mTunnels->Counters();
+    }
+    mCore.mCounters.mCarriedByPeers = mCore.mConnector.Carried();
+  }
+
+  /// @return why this node carries nothing more for others; empty: it does.
+  std::string WhyCarriesNothing() const
+  {
+    if (mCore.mStopping) {
+      return "stopping";
+    }
+    if (mCore.mConnector.Avoids()) {
+      return "unreached"; // a second hop could go in circles
+    }
+    return mLag > kMostLag ? "late" : "";
+  }
+
   RelayCore mCore;
+  SilenceWatch mSilence{ &mCore };
+  std::unique_ptr<TunnelServer> mTunnels;
+  Duration mLag{ 0 }; ///< how late this thread is, averaged over some ticks
+  TimePoint mTickedAt{};
   Acceptor mAcceptor;
   Timer mTimer;
   unsigned mTicks = 0;
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.hpp"
 #include "ending_probe.hpp"
+#include "engine_connector.hpp"
 #include "pepperbay/admission/retry_budget.hpp"
 #include "pepperbay/quarantine/recent_runs.hpp"
 #include "pepperbay/relay/relay.hpp"
@@ -45,6 +46,12 @@
   /// A replica's head listens no more: have the holder ask its members.
   /// @param aAsOf what showed it began then
   void OnHeadGone(const std::string& aHead, TimePoint aAsOf);
+  /// Own connections to engines are avoided from now on, or used again.
+  void OnAvoid(bool aAvoids);
+  /// A byte of the engine that a sending went to has come.
+  void OnHeard(const Attempt& aAttempt);
+  /// @return engines that may be tried to see whether the path works.
+  std::vector<AttemptTarget> EnginesToTry() const;
   /// An engine's limit has changed, as far as this node knows.
   void OnLimit(const LimitNews& aNews);
   /// @return limits that engines' answers name, of their present starts.
@@ -62,6 +69,7 @@
   RefusalBook mGoneHeads;                      ///< heads that listen no more, as told to the holder
   std::map<std::string, RetryBudget> mBudgets; ///< by service
   ConnectionPool mConnections;
+  EngineConnector mConnector;
   EndingProbe mEndings;
   RecentRuns mRuns;
   RelayCounters mCounters;
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -28,6 +28,54 @@
   }
 }
 
+constexpr const char* kKeyOfPeer = "key of the peer";
+
+/// Another node before the same engines, on a thread of its own, that carries connections.
+class Peer
+{
+public:
+  Peer()
+  {
+    const RawEngine callers([](RawConnection&) {});
+    const RawEngine tunnel([](RawConnection&) {});
+    mOptions.mNode = "peer";
+    mOptions.mCallers = callers.Address();
+    mOptions.mTunnel = tunnel.Address();
+    mOptions.mTunnelKey = kKeyOfPeer;
+  }
+
+  ~Peer() { Stop(); }
+  Peer(const Peer&) = delete;
+  Peer& operator=(const Peer&) = delete;
+
+  void Serve(const TrafficPlan& aPlan)
+  {
+    RelayHooks hooks;
+    hooks.mOnSuspect = [](const std::string&, Duration) {};
+    mRelay = std::move(Relay::Open(mContext, mOptions, TestDialect(), std::move(hooks)).value());
+    mRelay->SetPlan(std::make_shared<TrafficPlan>(aPlan));
+    mThread = std::thread([this] { mContext.run(); });
+  }
+
+  void Stop()
+  {
+    mContext.stop();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+    mRelay.reset();
+  }
+
+  ProxyPeer AsProxy() const { return { "peer", mOptions.mTunnel, kKeyOfPeer, "" }; }
+
+private:
+  RelayOptions mOptions;
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
+  std::unique_ptr<Relay> mRelay;
+  std::thread mThread;
+};
+
 /// Three engines, each behind a path of its own from the node under test.
 class RelayReach : public RelayTest
 {
@@ -39,7 +87,16 @@
       mPaths.push_back(std::make_unique<CutProxy>(mEngines.back()->Address()));
     }
     mPublishAtOnce = false;
-    Serve({ mEngines[0].get(), mEngines[1].get(), mEngines[2].get() });
+    RelayOptions options;
+    options.mNode = "node";
+    Serve({ mEngines[0].get(), mEngines[1].get(), mEngines[2].get() }, options);
+    auto addresses = std::make_shared<EngineAddresses>();
+    for (const auto& it : mPlan.mEngines["plain"]) {
+      (*addresses)[it.mId] = it.mAddress;
+    }
+    mPlan.mAddresses = addresses;
+    mPeer.Serve(mPlan);
+    mPlan.mProxyPeers = std::make_shared<const ProxyPeers>(ProxyPeers{ mPeer.AsProxy() });
     for (std::size_t i = 0; i < mPaths.size(); ++i) {
       mPlan.mEngines["plain"][i].mAddress = mPaths[i]->Address();
       mPlan.mReplicas["pool"][i].mHead.mAddress = mPaths[i]->Address();
@@ -69,6 +126,7 @@
 
   std::vector<std::unique_ptr<RawEngine>> mEngines;
   std::vector<std::unique_ptr<CutProxy>> mPaths;
+  Peer mPeer;
 };
 
 /// Guards against callers of a node that reaches no engine, all of whom are refused though other
--- /dev/null
+++ b/src/pepperbay/tunnel/tunnel_server.cpp
@@ -0,0 +1,196 @@
+#include "pepperbay/tunnel/tunnel_server.hpp"
+
+#include "carried_connection.hpp"
+#include "pepperbay/settings/settings.hpp"
+
+#include <boost/asio/error.hpp>
+#include <utility>
+#include <vector>
+
+namespace pepperbay {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
+
+constexpr int kBacklog = 128;
+
+class TunnelServerImpl
+  : public TunnelServer
+  , public CarriedOwner
+{
+public:
+  TunnelServerImpl(asio::io_context& aContext,
+                   TunnelServerOptions aOptions,
+                   TunnelServerHooks aHooks)
+    : mContext(aContext)
+    , mOptions(std::move(aOptions))
+    , mHooks(std::move(aHooks))
+    , mAcceptor(aContext)
+  {
+  }
+
+  ~TunnelServerImpl() override { Close(); }
+  TunnelServerImpl(const TunnelServerImpl&) = delete;
+  TunnelServerImpl& operator=(const TunnelServerImpl&) = delete;
+
+  Result<void> Listen()
+  {
+    const auto endpoint = ParseEndpoint(mOptions.mAddress);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
+    const asio::ip::tcp::endpoint local(address,
+                                        static_cast<std::uint16_t>(endpoint.value().mPort));
+    if (!ec) {
+      mAcceptor.open(local.protocol(), ec);
+    }
+    if (!ec) {
+      mAcceptor.set_option(Acceptor::reuse_address(true), ec);
+      mAcceptor.bind(local, ec);
+    }
+    if (!ec) {
+      mAcceptor.listen(kBacklog, ec);
+    }
+    if (ec) {
+      return Error{ Errc::kUnavailable, "tunnel.listen", mOptions.mAddress, ec.message() };
+    }
+    Accept();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void Tick() override
+  {
+    const std::vector<std::shared_ptr<CarriedConnection>> all(mAll.begin(), mAll.end());
+    for (const auto& it : all) {
+      it->Tick();
+    }
+  }
+
+  const TunnelCounters& Counters() const override { return mCounters; }
+
+  void Close() override
+  {
+    CloseListener();
+    for (const auto& it : std::exchange(mAll, {})) {
+      it->Close();
+    }
+  }
+
+private:
+  void CloseListener()
+  {
+    boost::system::error_code ec; // it is given up in any case
+    mAcceptor.close(ec);
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](boost::system::error_code aError, Socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        Take(std::move(aSocket));
+      } else {
+        mHooks.mLog("tunnel_accept_failed", { { "detail", aError.message() } });
+      }
+      Accept();
+    });
+  }
+
+  void Take(Socket aSocket)
+  {
+    boost::system::error_code ec;
+    const std::string from = aSocket.remote_endpoint(ec).address().to_string();
+    constexpr std::size_t kOfOneAddress = 8;
+    const bool full = mWaiting >= mOptions.mMostWaiting ||
+                      mWaitingFrom[from] >= mOptions.mMostWaiting / kOfOneAddress;
+    if (ec || full) {
+      ++mCounters.mForbidden;
+      CloseNow(aSocket);
+      return;
+    }
+    ++mWaiting;
+    ++mWaitingFrom[from];
+    const auto carried =
+      std::make_shared<CarriedConnection>(mContext, this, std::move(aSocket), from);
+    mAll.insert(carried);
+    carried->Start();
+  }
+
+  // CarriedOwner
+  const TunnelServerOptions& Options() const override { return mOptions; }
+  const TunnelServerHooks& Hooks() const override { return mHooks; }
+  TunnelCounters& Count() override { return mCounters; }
+
+  void OnRequestRead(const std::string& aAddress) override
+  {
+    --mWaiting;
+    const auto it = mWaitingFrom.find(aAddress);
+    if (--it->second == 0) {
+      mWaitingFrom.erase(it);
+    }
+  }
+
+  bool TakeRoom(const std::string& aNode) override
+  {
+    const std::size_t nodes = mByNode.size() + (mByNode.count(aNode) == 0 ? 1 : 0);
+    const std::size_t mostOfOne = mOptions.mMost / (nodes + 1);
+    if (mCounters.mOpen >= mOptions.mMost || mByNode[aNode] >= mostOfOne) {
+      if (mByNode[aNode] == 0) {
+        mByNode.erase(aNode);
+      }
+      return false;
+    }
+    ++mByNode[aNode];
+    ++mCounters.mOpen;
+    return true;
+  }
+
+  void GiveRoom(const std::string& aNode) override
+  {
+    --mCounters.mOpen;
+    const auto it = mByNode.find(aNode);
+    if (--it->second == 0) {
+      mByNode.erase(it);
+    }
+  }
+
+  void OnOver(const std::shared_ptr<CarriedConnection>& aConnection) override
+  {
+    mAll.erase(aConnection);
+  }
+
+  asio::io_context& mContext;
+  TunnelServerOptions mOptions;
+  TunnelServerHooks mHooks;
+  Acceptor mAcceptor;
+  TunnelCounters mCounters;
+  std::set<std::shared_ptr<CarriedConnection>> mAll;
+  std::size_t mWaiting = 0;                        ///< whose request has not come whole
+  std::map<std::string, std::size_t> mWaitingFrom; ///< by IP number
+  std::map<std::string, std::size_t> mByNode;      ///< connections carried
+};
+
+} // namespace
+
+Result<std::unique_ptr<TunnelServer>>
+TunnelServer::Open(asio::io_context& aContext,
+                   TunnelServerOptions aOptions,
+                   TunnelServerHooks aHooks)
+{
+  auto server =
+    std::make_unique<TunnelServerImpl>(aContext, std::move(aOptions), std::move(aHooks));
+  const auto listening = server->Listen();
+  if (!listening.has_value()) {
+    return listening.error();
+  }
+  return std::unique_ptr<TunnelServer>(std::move(server));
+}
+
+} // namespace pepperbay
