Verdicts on engines need two places that see others

Cause: both questions to an engine under suspicion came from one node, and its silence was taken for the engine's. Change: one question goes directly and one through a peer; an engine is lost when two places that reach other engines at that moment have no answer. A place that is not heard, or sees no other engine, says nothing and another is asked, three rounds at most; a blind holder asks two peers, and gives its orders through peers. Alone among other nodes a place that sees others is enough, so that a repair does not wait for nodes that are gone. Where there are no other nodes: as before. Ruled out: two votes whatever they see (a data centre that is cut whole has both).

--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -45,6 +45,7 @@
     const ProxyPeer* peer = mProxies.Pick(aEngine.mDataCentre, aTried, Now());
     return peer == nullptr ? std::nullopt : std::make_optional(*peer);
   };
+  hooks.mHasPeers = [this] { return !mPeers.Peers().empty(); };
   hooks.mIsBlind = [this] { return IsUnreached(); };
   hooks.mSeesOthers = [this](const std::string& aEngine, TimePoint aSince) {
     return mCalls.Heard().OtherThan(aEngine) >= aSince;
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -2,6 +2,8 @@
 #include "coordinator_world.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 namespace pepperbay {
 namespace {
@@ -73,5 +75,127 @@
   EXPECT_TRUE(mWorld.mPool.Violations().empty());
 }
 
+/// Guards against a blind holder that cannot tell a domain that is dark from its own blindness, or
+/// cannot give the orders that repair it.
+TEST_F(CoordinatorReach, ADomainThatIsDarkIsFoundAndSparesJoinThroughPeers)
+{
+  mCut = { mHolder };
+  FewestUsable(seconds(1));
+  const auto& replica = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front();
+  const std::string head = replica.mHead.mId;
+  const std::string member = mWorld.mPool.At(head).mMembers.back();
+  mWorld.mPool.At(member).mAlive = false;
+  for (auto& it : mWorld.mNodes) {
+    it.mCoordinator->OnSuspect(head, milliseconds(200));
+  }
+  mWorld.Run(milliseconds(400));
+  EXPECT_EQ(mWorld.mLines["engine_lost"], 1);
+  EXPECT_EQ(CoordinatorWorld::Usable(mWorld.mNodes.back()), 2);
+  mWorld.Run(seconds(2));
+  EXPECT_EQ(mWorld.mPool.Serving("m"), 3U) << "a spare has taken its place";
+  EXPECT_TRUE(mWorld.mPool.Violations().empty());
+}
+
+/// Guards against one poor path of the holder that costs a replica.
+TEST_F(CoordinatorReach, AnEngineThatOnlyTheHolderDoesNotReachStays)
+{
+  const std::string head = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front().mHead.mId;
+  mCut = { mHolder + ">" + mWorld.mPool.At(head).mMembers.back() };
+  for (int i = 0; i < 20; ++i) {
+    mWorld.Holder().mCoordinator->OnSuspect(head, milliseconds(200));
+    mWorld.Run(milliseconds(200));
+  }
+  EXPECT_EQ(mWorld.mLines["engine_lost"], 0);
+  EXPECT_EQ(CoordinatorWorld::Usable(mWorld.mNodes.front()), 3);
+}
+
+TEST_F(CoordinatorReach, WhoReachesNoEngineIsToldToAllAndCarriesNothing)
+{
+  const auto proxiesOf = [this](const std::string& aNode) {
+    std::set<std::string> names;
+    for (const auto& it : mWorld.mNodes) {
+      if (it.mName == aNode) {
+        for (const auto& peer : *it.mPlan->mProxyPeers) {
+          names.insert(peer.mNode);
+        }
+      }
+    }
+    return names;
+  };
+  EXPECT_EQ(proxiesOf("n0"), (std::set<std::string>{ "n1", "n2" }));
+  mWorld.mNodes[1].mCoordinator->SetReach(false);
+  mWorld.Run(milliseconds(300));
+  EXPECT_EQ(proxiesOf("n0"), std::set<std::string>{ "n2" });
+  EXPECT_EQ(proxiesOf("n2"), std::set<std::string>{ "n0" });
+  mWorld.mNodes[1].mCoordinator->SetReach(true);
+  mWorld.Run(milliseconds(300));
+  EXPECT_EQ(proxiesOf("n0"), (std::set<std::string>{ "n1", "n2" }));
+}
+
+/// Nodes that are cut, one after the other or at once, and engines that really end meanwhile: no
+/// replica that is whole closes, what is broken is repaired, and no order goes wrong.
+RC_GTEST_PROP(CoordinatorReachProperty, RandomCutsTakeNoWholeReplicaDown, ())
+{
+  CoordinatorWorld world;
+  for (int d = 0; d < 3; ++d) {
+    for (int i = 0; i < 5; ++i) {
+      world.mPool.Add("d" + std::to_string(d) + "-e" + std::to_string(i), "d" + std::to_string(d));
+    }
+  }
+  world.Configure("1");
+  const int nodes = *rc::gen::inRange(2, 9);
+  for (int i = 0; i < nodes; ++i) {
+    world.AddNode("n" + std::to_string(i), 0, i % 2 == 0 ? "a" : "b");
+  }
+  std::set<std::string> cut;
+  world.mReaches = [&cut](const std::string& aNode, const std::string&) {
+    return cut.count(aNode) == 0;
+  };
+  world.Run(seconds(10));
+  RC_ASSERT(CoordinatorWorld::Usable(world.mNodes.front()) == 3);
+  const int steps = *rc::gen::inRange(3, 9);
+  for (int step = 0; step < steps; ++step) {
+    const auto& name = world.mNodes[static_cast<std::size_t>(*rc::gen::inRange(0, nodes))].mName;
+    const bool mends = !cut.empty() && (*rc::gen::inRange(0, 3) == 0);
+    if (mends) {
+      cut.clear();
+    } else if (static_cast<int>(cut.size()) + 1 < nodes) {
+      cut.insert(name);
+    }
+    for (auto& node : world.mNodes) {
+      // The relay tells so once it has found out; sometimes the control state has to by itself.
+      if (*rc::gen::arbitrary<bool>()) {
+        node.mCoordinator->SetReach(cut.count(node.mName) == 0);
+      }
+    }
+    for (int i = 0; i < 5; ++i) {
+      for (auto& node : world.mNodes) {
+        for (const auto& it : node.mPlan->mReplicas.at("pool")) {
+          if (cut.count(node.mName) != 0) {
+            node.mCoordinator->OnSuspect(it.mHead.mId, milliseconds(200));
+          }
+        }
+      }
+      world.Run(milliseconds(200));
+      for (const auto& node : world.mNodes) {
+        RC_ASSERT(CoordinatorWorld::Usable(node) == 3);
+      }
+    }
+  }
+  RC_ASSERT(world.mLines["engine_lost"] == 0);
+  const auto& replicas = world.mNodes.front().mPlan->mReplicas.at("pool");
+  const std::string head = replicas[static_cast<std::size_t>(*rc::gen::inRange(0, 3))].mHead.mId;
+  const std::string member = world.mPool.At(head).mMembers.back();
+  world.mPool.At(member).mAlive = false;
+  for (int i = 0; i < 10; ++i) {
+    for (auto& node : world.mNodes) {
+      node.mCoordinator->OnSuspect(head, milliseconds(200));
+    }
+    world.Run(milliseconds(200));
+  }
+  RC_ASSERT(world.mPool.Serving("m") == 3U);
+  RC_ASSERT(world.mPool.Violations().empty());
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -149,8 +149,7 @@
     SetLost(question);
     return;
   }
-  const bool here = CountsHere(question);
-  const int places = question.mUnansweredThere + (here ? 1 : 0);
+  const int places = question.mUnansweredThere + (CountsHere(question) ? 1 : 0);
   constexpr int kPlaces = 2;
   const bool last = question.mRounds >= mOptions.mMostRounds;
   if (places < kPlaces && !last) {
@@ -158,9 +157,9 @@
     return;
   }
   mQuestions.erase(it);
-  // Where no peer has a word at all, a node that reaches other engines judges alone: a repair must
-  // not wait for peers that are gone.
-  if (places >= kPlaces || (here && question.mUnansweredThere == 0)) {
+  // Where no second place has a word, one that reaches other engines is enough: a repair must not
+  // wait for nodes that are gone.
+  if (places > 0) {
     SetLost(question);
   } else {
     ++mUndecided;
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -77,5 +77,171 @@
   EXPECT_EQ(lost, 1);
 }
 
+/// Questions from several places, which the test answers.
+class EngineDoubtsFromTwoPlaces : public testing::Test
+{
+protected:
+  EngineDoubtsFromTwoPlaces() { mEngine.mId = "a"; }
+
+  struct Asked
+  {
+    std::string mPeer;
+    std::function<void(Result<EngineReport>)> mDone;
+  };
+
+  EngineDoubtsHooks Hooks()
+  {
+    EngineDoubtsHooks hooks;
+    hooks.mNow = mClock.Hook();
+    hooks.mAsk = [this](const EngineRecord&,
+                        const EngineCallOptions& aOptions,
+                        const std::function<void(Result<EngineReport>)>& aDone) {
+      mAsked.push_back({ aOptions.mVia ? aOptions.mVia->mNode : "", aDone });
+    };
+    hooks.mOnAnswer = [](const EngineRecord&, const EngineReport&) {};
+    hooks.mOnChange = [this](const EngineRecord&, bool aLost, const std::string&) {
+      mLost = aLost;
+    };
+    hooks.mPickPeer = [this](const EngineRecord&, const std::set<std::string>& aTried) {
+      for (const auto& it : mPeers) {
+        if (aTried.count(it) == 0) {
+          return std::make_optional(ProxyPeer{ it, "", "", "" });
+        }
+      }
+      return std::optional<ProxyPeer>();
+    };
+    hooks.mHasPeers = [] { return true; };
+    hooks.mIsBlind = [this] { return mBlind; };
+    hooks.mSeesOthers = [this](const std::string&, TimePoint) { return mSees; };
+    hooks.mLookElsewhere = [this](const EngineRecord&) { ++mLooks; };
+    hooks.mOnPathFault = [this](const EngineRecord&, TimePoint) { ++mPathFaults; };
+    return hooks;
+  }
+
+  enum class Word
+  {
+    kAnswer,
+    kNone,    ///< the engine does not answer
+    kUnheard, ///< the place has no word on it
+  };
+
+  /// End the questions of one round. @return the places that were asked, in order
+  std::string Round(Word aHere, Word aThere)
+  {
+    std::string places;
+    for (const auto& it : std::exchange(mAsked, {})) {
+      places += (it.mPeer.empty() ? "here" : it.mPeer) + " ";
+      const Word word = it.mPeer.empty() ? aHere : aThere;
+      const Errc code = word == Word::kNone ? Errc::kTimeout : Errc::kCancelled;
+      it.mDone(word == Word::kAnswer ? Result<EngineReport>(EngineReport{})
+                                     : Error{ code, "engine.ask", "a", "" });
+    }
+    return places;
+  }
+
+  ManualClock mClock;
+  EngineRecord mEngine;
+  std::vector<std::string> mPeers = { "p1", "p2", "p3" };
+  std::vector<Asked> mAsked;
+  bool mBlind = false;
+  bool mSees = true;
+  bool mLost = false;
+  int mLooks = 0;
+  int mPathFaults = 0;
+  EngineDoubts mDoubts{ {}, Hooks() };
+};
+
+/// Guards against repairs that wait longer for a second place's word than they did for a second
+/// question.
+TEST_F(EngineDoubtsFromTwoPlaces, AnEngineWithoutAnAnswerHereAndThereIsLostAfterOneRound)
+{
+  mDoubts.Ask(mEngine);
+  EXPECT_EQ(mLooks, 1) << "whether this node sees others is looked at meanwhile";
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p1 here ");
+  EXPECT_TRUE(mLost);
+}
+
+/// Guards against a node whose own path is cut and that takes the engine for lost.
+TEST_F(EngineDoubtsFromTwoPlaces, OneThatAnswersThroughAPeerIsWellAndThePathAtFault)
+{
+  mSees = false;
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kAnswer);
+  EXPECT_FALSE(mLost);
+  EXPECT_EQ(mPathFaults, 1);
+  EXPECT_TRUE(mAsked.empty());
+}
+
+TEST_F(EngineDoubtsFromTwoPlaces, ABlindNodeNeedsTheWordOfTwoPeers)
+{
+  mSees = false;
+  mDoubts.Ask(mEngine);
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p1 here ");
+  EXPECT_FALSE(mLost);
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p2 here ");
+  EXPECT_TRUE(mLost);
+}
+
+TEST_F(EngineDoubtsFromTwoPlaces, ANodeThatKnowsThatItIsBlindAsksTwoPeersAtOnce)
+{
+  mSees = false;
+  mBlind = true;
+  mDoubts.Ask(mEngine);
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p1 p2 ");
+  EXPECT_TRUE(mLost);
+}
+
+/// Guards against peers that are cut as well, frozen or slow, and whose silence counts as a word.
+TEST_F(EngineDoubtsFromTwoPlaces, APlaceThatWasNotHeardSaysNothing)
+{
+  mSees = false;
+  mDoubts.Ask(mEngine);
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p1 here ");
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p2 here ");
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p3 here ");
+  EXPECT_FALSE(mLost);
+  EXPECT_TRUE(mAsked.empty()) << "it is asked again when somebody suspects it again";
+  EXPECT_EQ(mDoubts.Undecided(), 1U);
+}
+
+/// Guards against a dead engine that is not repaired since all peers are gone.
+TEST_F(EngineDoubtsFromTwoPlaces, WhereNoPeerIsHeardANodeThatSeesOthersJudgesAlone)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kUnheard);
+  Round(Word::kNone, Word::kUnheard);
+  EXPECT_FALSE(mLost);
+  Round(Word::kNone, Word::kUnheard);
+  EXPECT_TRUE(mLost);
+}
+
+TEST_F(EngineDoubtsFromTwoPlaces, PeersOfAnOlderVersionAreNotAskedAndABlindNodeDecidesNothing)
+{
+  mPeers.clear();
+  mSees = false;
+  mDoubts.Ask(mEngine);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Round(Word::kNone, Word::kNone), "here ");
+  }
+  EXPECT_FALSE(mLost);
+  mSees = true;
+  mDoubts.Ask(mEngine);
+  for (int i = 0; i < 3; ++i) {
+    Round(Word::kNone, Word::kNone);
+  }
+  EXPECT_TRUE(mLost);
+}
+
+TEST_F(EngineDoubtsFromTwoPlaces, ALostEngineIsBackAsSoonAsOnePlaceHearsIt)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kNone);
+  ASSERT_TRUE(mLost);
+  mClock.Advance(seconds(1));
+  mDoubts.Tick([&](const std::string&) { return &mEngine; });
+  Round(Word::kNone, Word::kAnswer);
+  EXPECT_FALSE(mLost);
+}
+
 } // namespace
 } // namespace pepperbay
