The way back to own connections takes each engine that peers have lately reached

Probes now go to the engines that peers have reached, which are well for certain, and all of those have to stand.

--- a/include/pepperbay/reach/way_book.hpp
+++ b/include/pepperbay/reach/way_book.hpp
@@ -28,12 +28,15 @@
   /// time that it is found so again.
   Duration mEngineFirst = std::chrono::seconds(1);
   Duration mEngineMost = std::chrono::seconds(4);
-  /// While own connections are avoided, one is tried this often.
+  /// While own connections are avoided, one is tried this often; at once after one that stood.
   Duration mProbeEvery = std::chrono::milliseconds(150);
-  /// Own connections that must stand one after the other before they are used again. After a
-  /// relapse twice as many, up to the most.
+  /// Own connections that must stand one after the other before they are used again; one to each of
+  /// the engines that peers have lately reached, if those are more. After a relapse twice as many,
+  /// up to the most.
   int mGoodProbes = 2;
   int mMostGoodProbes = 8;
+  /// Engines that peers have reached and that are tried.
+  std::size_t mMostTried = 8;
   Duration mRelapse = std::chrono::seconds(5);
 };
 
@@ -61,16 +64,21 @@
   /// A peer has reached an engine that has not answered this node's own connection.
   /// @param aBegun when the own connection was begun
   void OnPathFault(const std::string& aEngine, TimePoint aBegun, TimePoint aNow);
+  /// A peer has reached an engine.
+  void OnReachedByPeer(const std::string& aEngine);
   /// A connection that was only tried to see whether the path works did not stand.
-  void OnBadProbe() { mGood = 0; }
+  void OnBadProbe(TimePoint aNow);
 
   Way WayTo(const std::string& aEngine, TimePoint aNow) const;
   /// @return whether own connections are avoided, to all engines.
   bool Avoids() const { return mAvoids; }
   /// Since when they are avoided, or were last.
   TimePoint AvoidsSince() const { return mAvoidsSince; }
-  /// @return whether an own connection is to be tried now; at most once in mProbeEvery.
+  /// @return whether an own connection is to be tried now
   bool TakeProbe(TimePoint aNow);
+  /// The engine that it is to be tried to: one that is well for certain, as a peer has reached it;
+  /// empty: any.
+  std::string EngineToTry();
 
 private:
   struct Event
@@ -99,7 +107,8 @@
   TimePoint mAvoidsSince{};
   TimePoint mAvoidedUntil{}; ///< the end of the last time
   TimePoint mProbeDue{};
-  int mGood = 0; ///< probes that stood one after the other
+  std::deque<std::string> mByPeer; ///< engines that peers have reached; the next to try first
+  int mGood = 0;                   ///< probes that stood one after the other
   int mNeeded = 0;
 };
 
--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -28,6 +28,9 @@
                  const bool heard =
                    aReport.has_value() || aReport.error().mCode != Errc::kCancelled;
                  NoteProxy(aOptions, heard);
+                 if (aReport.has_value() && aOptions.mVia) {
+                   mWays.OnReachedByPeer(id);
+                 }
                  if (aReport.has_value() && !aOptions.mVia) {
                    mWays.OnConnected(id, Now());
                  }
@@ -134,15 +137,18 @@
   if (!mWays.TakeProbe(Now()) || mDirectory.Engines().empty()) {
     return;
   }
-  auto it = mDirectory.Engines().begin();
-  std::advance(it, static_cast<std::ptrdiff_t>(mLooks++ % mDirectory.Engines().size()));
+  auto it = mDirectory.Engines().find(mWays.EngineToTry());
+  if (it == mDirectory.Engines().end()) {
+    it = mDirectory.Engines().begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(mLooks++ % mDirectory.Engines().size()));
+  }
   mCalls.Ask(it->second,
              { mOptions.mAskTimeout, std::nullopt },
              [this, id = it->first](const Result<EngineReport>& aReport) {
                if (aReport.has_value()) {
                  mWays.OnConnected(id, Now());
                } else {
-                 mWays.OnBadProbe();
+                 mWays.OnBadProbe(Now());
                }
              });
 }
--- a/src/pepperbay/reach/way_book.cpp
+++ b/src/pepperbay/reach/way_book.cpp
@@ -52,7 +52,11 @@
   mConnected.push_back({ aEngine, aNow });
   DropOld(aNow);
   mEngines.erase(aEngine);
-  if (mAvoids && ++mGood >= mNeeded) {
+  if (!mAvoids) {
+    return;
+  }
+  mProbeDue = aNow;
+  if (++mGood >= std::max(mNeeded, static_cast<int>(mByPeer.size()))) {
     mAvoids = false;
     mAvoidedUntil = aNow;
     mFaults.clear();
@@ -76,6 +80,7 @@
   if (!mAvoids && (hearsNothing || mostly)) {
     Avoid(aNow);
   }
+  OnReachedByPeer(aEngine);
 }
 
 void
@@ -83,11 +88,41 @@
 {
   const bool relapse = mNeeded > 0 && aNow - mAvoidedUntil < mOptions.mRelapse;
   mNeeded = relapse ? std::min(mNeeded * 2, mOptions.mMostGoodProbes) : mOptions.mGoodProbes;
+  mByPeer.clear();
   mAvoids = true;
   mAvoidsSince = aNow;
   mProbeDue = aNow + mOptions.mProbeEvery;
 }
 
+void
+WayBook::OnReachedByPeer(const std::string& aEngine)
+{
+  if (std::find(mByPeer.begin(), mByPeer.end(), aEngine) == mByPeer.end()) {
+    mByPeer.push_back(aEngine);
+  }
+  if (mByPeer.size() > mOptions.mMostTried) {
+    mByPeer.pop_front();
+  }
+}
+
+void
+WayBook::OnBadProbe(TimePoint aNow)
+{
+  mGood = 0;
+  mProbeDue = aNow + mOptions.mProbeEvery;
+}
+
+std::string
+WayBook::EngineToTry()
+{
+  if (mByPeer.empty()) {
+    return "";
+  }
+  mByPeer.push_back(mByPeer.front());
+  mByPeer.pop_front();
+  return mByPeer.back();
+}
+
 Way
 WayBook::WayTo(const std::string& aEngine, TimePoint aNow) const
 {
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -101,7 +101,9 @@
     mConnector->mPeers.OnFailed(aPeer, mConnector->Now());
   }
   if (aTunnel.mSocket) {
-    if (mDirect != Direct::kNotBegun) {
+    if (mDirect == Direct::kNotBegun) {
+      mConnector->mWays.OnReachedByPeer(mEngine.mEngine);
+    } else {
       mConnector->OnPathFault(mEngine.mEngine, mDirectBegun);
     }
     ++mConnector->mCarried;
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -84,13 +84,24 @@
                                [](const auto& aTrial) { return aTrial->mDone == nullptr; }),
                 mTrials.end());
   if (mWays.TakeProbe(now)) {
-    if (const auto engine = NextToTry("")) {
-      Try(*engine, [this](bool aStands) {
-        if (!aStands) {
-          mWays.OnBadProbe();
-        }
-      });
-    }
+    TryWay();
+  }
+}
+
+void
+EngineConnector::TryWay()
+{
+  const std::string reached = mWays.EngineToTry();
+  const std::vector<AttemptTarget> engines = mHooks.mEngines();
+  const auto it = std::find_if(
+    engines.begin(), engines.end(), [&reached](const auto& aIt) { return aIt.mEngine == reached; });
+  const auto engine = it == engines.end() ? NextToTry("") : std::make_optional(*it);
+  if (engine) {
+    Try(*engine, [this](bool aStands) {
+      if (!aStands) {
+        mWays.OnBadProbe(Now());
+      }
+    });
   }
 }
 
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -120,6 +120,8 @@
   void OnConnected(const std::string& aEngine);
   void OnPathFault(const std::string& aEngine, TimePoint aBegun);
   void TellAvoid();
+  /// Try whether own connections to engines stand again.
+  void TryWay();
   /// Try a connection of this node's own, only to see whether it stands.
   void Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone);
   /// @return an engine to try, another each time; null where there is none.
