--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -209,8 +209,9 @@
       self->OnNextEnd(aEnd);
     }
   };
-  aSending->mAttempt->Start(
-    MakeUpstreamRequest(aSending->mTarget), !mRoute->Repeatable(), std::move(events));
+  // What has failed once may have failed by the path, which a kept connection does not show.
+  const bool fresh = !mRoute->Repeatable() || mSent > 1;
+  aSending->mAttempt->Start(MakeUpstreamRequest(aSending->mTarget), fresh, std::move(events));
 }
 
 } // namespace pepperbay
