A kept connection that is closed under a request does not use its engine up

Cause: the engine counted as tried. It may not have read the request, so it may be asked once more, on a connection of its own, within the route's attempts and the budget of second attempts. Ruled out: sending again beneath the budget (an engine that resets what it runs would get everything twice).

--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -35,6 +35,7 @@
     });
   }
   if (mSocket) {
+    mKept = true;
     mPeer = mSocket->mPeer;
     Send();
     return;
@@ -91,6 +92,7 @@
         return;
       }
       if (aError) {
+        self->mStale = self->mKept && self->mBuffer.size() == 0 && !self->mParser->got_some();
         self->Fail("head: ", aError);
         return;
       }
@@ -192,6 +194,7 @@
   end.mComplete = aComplete;
   end.mMayHaveRun = mSent;
   end.mClosed = mClosed;
+  end.mStale = mStale && mClosed;
   end.mGone = mGone;
   end.mWhy = aWhy;
   if (aComplete) {
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -31,8 +31,11 @@
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
   bool mClosed = false; ///< the engine closed or reset the connection
-  bool mGone = false;   ///< no process listens at its address, see EngineConnection
-  std::string mWhy;     ///< what went wrong; empty when complete
+  /// A kept connection was closed without a byte of an answer: the engine may not have read the
+  /// request, and take it on a connection of its own.
+  bool mStale = false;
+  bool mGone = false; ///< no process listens at its address, see EngineConnection
+  std::string mWhy;   ///< what went wrong; empty when complete
 };
 
 struct AttemptEvents
@@ -99,7 +102,9 @@
   std::size_t mMostIdle = 1;
   bool mSent = false;
   bool mAllWritten = false;
+  bool mKept = false; ///< the connection had waited unused
   bool mClosed = false;
+  bool mStale = false;
   bool mGone = false;
   bool mEnded = false;
 };
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -39,6 +39,9 @@
     mBrokenOff = true;
     mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
   }
+  if (aEnd.mStale) {
+    mTried.erase(aSending.mTarget.mEngine);
+  }
   if (aEnd.mGone && !aSending.mGroup.empty()) {
     // Its registration takes seconds to lapse, and no stream of it stands still that could show it.
     mCore->OnHeadGone(aSending.mTarget.mEngine, aSending.mSentAt);
