A node that stops waits until its answers are out

Cause: it waited until no request was open, which falls when an answer is complete, and the server's end aborts what is still being sent. It now waits as well until the server has no complete answer that is unsent, at most as long as before.

--- a/include/pepperbay/http/server.hpp
+++ b/include/pepperbay/http/server.hpp
@@ -76,6 +76,10 @@
 
   /// Stop taking connections; exchanges in progress go on.
   virtual void StopAccepting() = 0;
+
+  /// Answers that are complete and whose last bytes have not been handed to the system yet. Ending
+  /// the server, or the process, would cut them off.
+  virtual std::size_t Unsent() const = 0;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -273,6 +273,35 @@
   }
 }
 
+/// Guards against a server that ends with the last bytes of a complete answer unsent.
+TEST(Http, AnAnswerCountsAsUnsentUntilItsLastBytesAreOut)
+{
+  constexpr std::size_t kLong = std::size_t{ 16 } << 20U; // more than sockets hold
+  auto server = Serve([](const HttpRequest&, const auto& aResponder) {
+    aResponder->Send({ 200, {}, std::string(kLong, 'a') });
+  });
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(kPort);
+  ASSERT_EQ(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  RawConnection caller(socket);
+  caller.Write("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  while (server->Unsent() == 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_TRUE(caller.ReadUntil("\r\n\r\n"));
+  EXPECT_EQ(server->Unsent(), 1U) << "the caller has not read the rest";
+  auto rest = std::async(std::launch::async, [&] { return caller.ReadToEnd(); });
+  while (server->Unsent() != 0) {
+    std::this_thread::yield();
+  }
+  server.reset();
+  EXPECT_EQ(rest.get().size(), kLong);
+  ::close(socket);
+}
+
 TEST(Http, StoppingEndsExchangesThatWait)
 {
   std::mutex mutex;
--- a/src/pepperbay/http/server.cpp
+++ b/src/pepperbay/http/server.cpp
@@ -112,6 +112,13 @@
     aHook(complete);
   }
 
+  /// @return whether the answer is complete, but not out.
+  bool IsUnsent() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mHasAnswer && !mClosed && (!mStreamed || mEnded || mAborted);
+  }
+
   /// The server is done with the connection.
   void Close(bool aComplete)
   {
@@ -179,7 +186,7 @@
 
   MHD_Connection* mConnection;
   std::size_t mMaxBuffered;
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   HttpResponse mResponse;
   std::string mBuffer;
   std::size_t mRead = 0;
@@ -292,6 +299,13 @@
     }
   }
 
+  std::size_t Unsent() const override
+  {
+    const std::lock_guard lock(mMutex);
+    return static_cast<std::size_t>(std::count_if(
+      mOpen.begin(), mOpen.end(), [](const auto& aExchange) { return aExchange->IsUnsent(); }));
+  }
+
   Result<void> Listen()
   {
     sockaddr_in addr{};
@@ -428,7 +442,7 @@
   HttpHandler mHandler;
   MHD_Daemon* mDaemon = nullptr;
   MHD_socket mListenSocket = MHD_INVALID_SOCKET;
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   std::set<std::shared_ptr<Exchange>> mOpen;
   bool mStopping = false;
 };
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -289,7 +289,7 @@
       *aStopAt = now + mSettings.mControl.mDrainGrace;
       mStopLatest = now + mSettings.mControl.mDrainGrace + mSettings.mRequests.mLongestDeadline;
     }
-    const bool idle = mGateway->Counters().mOpen.load() == 0;
+    const bool idle = mGateway->Counters().mOpen.load() == 0 && mCallers->Unsent() == 0;
     const bool settled = !mController->HasRecordsWaiting() || now > *aStopAt + kLastAppends;
     return (now >= *aStopAt && idle && settled) || now >= mStopLatest;
   }
