A direct connection that was begun a moment ago is no proof of a cut; tests of requests through a peer

A fault needs a direct connection that failed or hung for as long as a peer is waited for. Connections through peers that are known no more are closed, so that a peer which stops does not wait for them. Counters of what is carried are counted where it happens.

--- a/fakes/cut_proxy.hpp
+++ b/fakes/cut_proxy.hpp
@@ -88,7 +88,8 @@
 
   static constexpr std::size_t kPiece = 65536;
   static constexpr int kPollMs = 1;
-  static constexpr int kMostFillers = 8;
+  static constexpr int kBacklog = 8; // kept full while the path is silent
+  static constexpr int kMostFillers = 4 * kBacklog;
   /// A connection on loopback stands within microseconds, or its packet was dropped.
   static constexpr int kFillerMs = 50;
 
@@ -112,7 +113,7 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(mPort);
     if (::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
-        ::listen(mListener, 0) != 0) {
+        ::listen(mListener, kBacklog) != 0) {
       std::abort(); // a test without its path would prove nothing
     }
     socklen_t size = sizeof(address);
--- a/include/pepperbay/reach/proxy_choice.hpp
+++ b/include/pepperbay/reach/proxy_choice.hpp
@@ -47,7 +47,8 @@
 public:
   explicit ProxyChoice(ProxyChoiceOptions aOptions);
 
-  void SetPeers(std::shared_ptr<const ProxyPeers> aPeers) { mPeers = std::move(aPeers); }
+  /// @return whether it is another list than before.
+  bool SetPeers(std::shared_ptr<const ProxyPeers> aPeers);
   /// The peer to ask for an engine of a data centre: one that has not failed lately, of a data
   /// centre that the bytes pass anyway, with the fewest tunnels of this node.
   /// @param aTried names of peers to leave out
@@ -57,6 +58,7 @@
                         TimePoint aNow) const;
   /// @return whether a peer is still known and has not failed lately.
   bool Usable(const std::string& aNode, TimePoint aNow) const;
+  bool Knows(const std::string& aNode) const;
   bool Any() const { return mPeers && !mPeers->empty(); }
 
   /// A connection through a peer stands. @return counts it until it is destroyed
--- a/include/pepperbay/tunnel/tunnel_server.hpp
+++ b/include/pepperbay/tunnel/tunnel_server.hpp
@@ -71,14 +71,15 @@
 class TunnelServer
 {
 public:
+  /// @param aCounters what it counts goes there; has to live longer
   static Result<std::unique_ptr<TunnelServer>> Open(boost::asio::io_context& aContext,
                                                     TunnelServerOptions aOptions,
-                                                    TunnelServerHooks aHooks);
+                                                    TunnelServerHooks aHooks,
+                                                    TunnelCounters* aCounters);
   virtual ~TunnelServer() = default;
 
   /// Do what is due by time.
   virtual void Tick() = 0;
-  virtual const TunnelCounters& Counters() const = 0;
   /// Close all that is open.
   virtual void Close() = 0;
 };
--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -73,14 +73,24 @@
   return best;
 }
 
+bool
+ProxyChoice::SetPeers(std::shared_ptr<const ProxyPeers> aPeers)
+{
+  return std::exchange(mPeers, std::move(aPeers)) != mPeers;
+}
+
+bool
+ProxyChoice::Knows(const std::string& aNode) const
+{
+  return mPeers && std::any_of(mPeers->begin(), mPeers->end(), [&aNode](const ProxyPeer& aPeer) {
+           return aPeer.mNode == aNode;
+         });
+}
+
 bool
 ProxyChoice::Usable(const std::string& aNode, TimePoint aNow) const
 {
-  const bool known =
-    mPeers && std::any_of(mPeers->begin(), mPeers->end(), [&aNode](const ProxyPeer& aPeer) {
-      return aPeer.mNode == aNode;
-    });
-  return known && !Fails(aNode, aNow);
+  return Knows(aNode) && !Fails(aNode, aNow);
 }
 
 std::shared_ptr<void>
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -101,12 +101,12 @@
     mConnector->mPeers.OnFailed(aPeer, mConnector->Now());
   }
   if (aTunnel.mSocket) {
-    if (mDirect == Direct::kNotBegun) {
-      mConnector->mWays.OnReachedByPeer(mEngine.mEngine);
-    } else {
+    if (IsPathFault()) {
       mConnector->OnPathFault(mEngine.mEngine, mDirectBegun);
+    } else {
+      mConnector->mWays.OnReachedByPeer(mEngine.mEngine);
     }
-    ++mConnector->mCarried;
+    mConnector->mHooks.mOnCarried();
     EngineConnection connection;
     connection.mSocket.emplace(
       EngineSocket{ std::move(*aTunnel.mSocket), aPeer, mConnector->mPeers.CountTunnel(aPeer) });
@@ -119,6 +119,14 @@
   OnWayFailed();
 }
 
+bool
+Connecting::IsPathFault() const
+{
+  const bool hangs = mDirect == Direct::kOnItsWay &&
+                     mConnector->Now() - mDirectBegun >= mConnector->mOptions.mPeerAfter;
+  return hangs || mDirect == Direct::kRefused || mDirect == Direct::kFailed;
+}
+
 void
 Connecting::OnWayFailed()
 {
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -33,6 +33,8 @@
   /// Go on after one way has failed: ask the next peer, or end.
   void OnWayFailed();
   bool IsGone() const;
+  /// A peer reaches the engine. @return whether a direct connection should have stood by now
+  bool IsPathFault() const;
   void Finish(EngineConnection aConnection);
 
   EngineConnector* mConnector;
--- a/src/pepperbay/relay/connection_pool.cpp
+++ b/src/pepperbay/relay/connection_pool.cpp
@@ -67,12 +67,12 @@
 }
 
 void
-ConnectionPool::ForgetDirect()
+ConnectionPool::ForgetCarriedBy(const std::function<bool(const std::string& aPeer)>& aForgets)
 {
   for (auto& [engine, idle] : mIdle) {
     idle.erase(std::remove_if(idle.begin(),
                               idle.end(),
-                              [](const Idle& aIdle) { return aIdle.mSocket.mPeer.empty(); }),
+                              [&](const Idle& aIdle) { return aForgets(aIdle.mSocket.mPeer); }),
                idle.end());
   }
 }
--- a/src/pepperbay/relay/connection_pool.hpp
+++ b/src/pepperbay/relay/connection_pool.hpp
@@ -52,8 +52,8 @@
            std::size_t aMost);
   /// Close what is kept to an engine.
   void Forget(const std::string& aEngine) { mIdle.erase(aEngine); }
-  /// Close what is kept that no peer carries: it may be cut without showing it.
-  void ForgetDirect();
+  /// Close what is kept and carried by a peer, or by none, for which `aForgets` is true.
+  void ForgetCarriedBy(const std::function<bool(const std::string& aPeer)>& aForgets);
   /// Close what has been unused for too long.
   void Tick();
   std::size_t Size() const;
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -237,6 +237,12 @@
   mPeers.OnFailed(aPeer, Now());
 }
 
+bool
+EngineConnector::SetPeers(std::shared_ptr<const ProxyPeers> aPeers)
+{
+  return mPeers.SetPeers(std::move(aPeers));
+}
+
 Way
 EngineConnector::WayTo(const std::string& aEngine) const
 {
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -72,6 +72,8 @@
   std::function<void(bool aAvoids)> mOnAvoid;
   /// Engines that may be tried to see whether the path works.
   std::function<std::vector<AttemptTarget>()> mEngines;
+  /// A peer carries a connection from now on.
+  std::function<void()> mOnCarried;
   /// A connection that was only tried stands, and may be used.
   std::function<void(const AttemptTarget&, EngineSocket)> mKeep;
 };
@@ -117,11 +119,11 @@
   bool Avoids() const { return mWays.Avoids(); }
   TimePoint AvoidsSince() const { return mWays.AvoidsSince(); }
   TimePoint HeardAt() const { return mHeardAt; }
-  void SetPeers(std::shared_ptr<const ProxyPeers> aPeers) { mPeers.SetPeers(std::move(aPeers)); }
+  /// @return whether they differ from those before.
+  bool SetPeers(std::shared_ptr<const ProxyPeers> aPeers);
+  bool IsPeer(const std::string& aNode) const { return mPeers.Knows(aNode); }
   /// @return whether there is another way than this node's own.
   bool HasPeers() const { return mPeers.Any(); }
-  /// Connections that peers carry for this node, since the start.
-  std::uint64_t Carried() const { return mCarried; }
 
 private:
   friend class Connecting;
@@ -156,7 +158,6 @@
   };
   std::unordered_map<std::string, Looked> mLooked; ///< by engine
   std::uint64_t mLastId = 0;
-  std::uint64_t mCarried = 0;
   std::size_t mTried = 0;
   bool mToldAvoid = false;
 };
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -79,6 +79,7 @@
                { mOptions.mNow,
                  [this](bool aAvoids) { OnAvoid(aAvoids); },
                  [this] { return EnginesToTry(); },
+                 [this] { ++mCounters.mCarriedByPeers; },
                  [this](const AttemptTarget& aEngine, EngineSocket aSocket) {
                    mConnections.Put(aEngine.mEngine, std::move(aSocket), std::nullopt, 1);
                  } })
@@ -104,7 +105,11 @@
     ClearThoseThatRan(*mPlan->mSuspects);
   }
   mPlaces.SetPlan(mPlan);
-  mConnector.SetPeers(mPlan->mProxyPeers);
+  if (mConnector.SetPeers(mPlan->mProxyPeers)) {
+    // One that stops waits until nothing is carried any more.
+    mConnections.ForgetCarriedBy(
+      [this](const std::string& aPeer) { return !aPeer.empty() && !mConnector.IsPeer(aPeer); });
+  }
   for (auto& [service, budget] : mBudgets) {
     budget.SetOptions(BudgetOfThisNode());
   }
@@ -260,7 +265,7 @@
           aAvoids ? "" : std::to_string(ToMs(Now() - mConnector.AvoidsSince()).count()) } });
   if (aAvoids) {
     // They may be cut and show nothing; a request that is sent over one would be lost.
-    mConnections.ForgetDirect();
+    mConnections.ForgetCarriedBy([](const std::string& aPeer) { return aPeer.empty(); });
   }
   if (mHooks.mOnReach) {
     mHooks.mOnReach(!aAvoids);
@@ -384,7 +389,8 @@
     hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& aFields) {
       mCore.Log(aEvent, aFields);
     };
-    auto server = TunnelServer::Open(mCore.mContext, std::move(options), std::move(hooks));
+    auto server = TunnelServer::Open(
+      mCore.mContext, std::move(options), std::move(hooks), &mCore.mCounters.mTunnels);
     if (!server.has_value()) {
       return server.error();
     }
@@ -488,7 +494,9 @@
     mCore.mConnector.Tick();
     mCore.mEndings.Tick();
     mSilence.Tick();
-    TickTunnels();
+    if (mTunnels) {
+      mTunnels->Tick();
+    }
     // Copies, since an exchange that ends leaves the set.
     const std::vector<std::shared_ptr<Exchange>> exchanges(mCore.mExchanges.begin(),
                                                            mCore.mExchanges.end());
@@ -534,21 +542,12 @@
         it->GiveUp();
       }
     }
-    const bool carries = mTunnels && mTunnels->Counters().mOpen > 0;
+    const bool carries = mCore.mCounters.mTunnels.mOpen > 0;
     if ((mCore.mSessions.empty() && !carries) || last) {
       std::exchange(mStopped, nullptr)();
     }
   }
 
-  void TickTunnels()
-  {
-    if (mTunnels) {
-      mTunnels->Tick();
-      mCore.mCounters.mTunnels = mTunnels->Counters();
-    }
-    mCore.mCounters.mCarriedByPeers = mCore.mConnector.Carried();
-  }
-
   /// @return why this node carries nothing more for others; empty: it does.
   std::string WhyCarriesNothing() const
   {
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -102,6 +102,7 @@
       mEndsChanged.notify_all();
     };
     hooks.mOnRefused = [this](const std::string&) { ++mRefusals; };
+    hooks.mOnReach = [this](bool aReaches) { mReaches = aReaches; };
     hooks.mOnRanWhole = [this](const RequestKey&) { ++mRanWhole; };
     auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
@@ -223,9 +224,10 @@
   std::mutex mEndsMutex;
   std::condition_variable mEndsChanged;
   std::vector<SeenEnd> mEnds;
-  std::atomic<int> mRanWhole{ 0 }; ///< suspect requests that ran to their end
-  std::atomic<int> mRefusals{ 0 }; ///< times that a head was said to refuse
-  std::atomic<int> mSuspects{ 0 }; ///< times that a head was said to be silent
+  std::atomic<bool> mReaches{ true }; ///< engines, by this node's own connections
+  std::atomic<int> mRanWhole{ 0 };    ///< suspect requests that ran to their end
+  std::atomic<int> mRefusals{ 0 };    ///< times that a head was said to refuse
+  std::atomic<int> mSuspects{ 0 };    ///< times that a head was said to be silent
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
   std::thread mThread;
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -9,7 +9,17 @@
 
 constexpr const char* kEvents = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
-/// Answers every request, streams with one event.
+/// Answers a request, a stream with one event.
+void
+AnswerOne(RawConnection& aConnection, const std::string& aRequest)
+{
+  if (Has(aRequest, " /stream/")) {
+    aConnection.Write(std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n" + kEvents);
+  } else {
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  }
+}
+
 void
 ServeAll(RawConnection& aConnection)
 {
@@ -18,30 +28,39 @@
     if (request.empty()) {
       return;
     }
-    const std::string id = request.substr(request.find("Req: ") + 5, 2);
-    const std::string head = "HTTP/1.1 200 OK\r\nReq: " + id + "\r\nSeal: s\r\n";
-    if (Has(request, " /stream/")) {
-      aConnection.Write(head + "Transfer-Encoding: chunked\r\n\r\n" + kEvents);
-    } else {
-      aConnection.Write(head + "Content-Length: 2\r\n\r\nok");
-    }
+    AnswerOne(aConnection, request);
   }
 }
 
-constexpr const char* kKeyOfPeer = "key of the peer";
+/// @return a socket that is connected to an address on loopback; -1 if nobody listens there.
+int
+ConnectTo(const std::string& aAddress)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port =
+    htons(static_cast<std::uint16_t>(std::stoi(aAddress.substr(aAddress.find(':') + 1))));
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(socket);
+    return -1;
+  }
+  return socket;
+}
 
 /// Another node before the same engines, on a thread of its own, that carries connections.
 class Peer
 {
 public:
-  Peer()
+  explicit Peer(const std::string& aName)
   {
     const RawEngine callers([](RawConnection&) {});
     const RawEngine tunnel([](RawConnection&) {});
-    mOptions.mNode = "peer";
+    mOptions.mNode = aName;
     mOptions.mCallers = callers.Address();
     mOptions.mTunnel = tunnel.Address();
-    mOptions.mTunnelKey = kKeyOfPeer;
+    mOptions.mTunnelKey = "key of " + aName;
   }
 
   ~Peer() { Stop(); }
@@ -57,6 +76,7 @@
     mThread = std::thread([this] { mContext.run(); });
   }
 
+  /// End it as the end of its process does.
   void Stop()
   {
     mContext.stop();
@@ -66,37 +86,67 @@
     mRelay.reset();
   }
 
-  ProxyPeer AsProxy() const { return { "peer", mOptions.mTunnel, kKeyOfPeer, "" }; }
+  /// Ask it to stop as a signal does. @return once it has
+  void StopInOrder()
+  {
+    std::promise<void> stopped;
+    asio::post(mContext, [&] { mRelay->BeginStop([&] { stopped.set_value(); }); });
+    stopped.get_future().wait();
+  }
+
+  /// @return whether it still listens for callers.
+  bool TakesCallers() const
+  {
+    const int socket = ConnectTo(mOptions.mCallers);
+    ::close(socket);
+    return socket >= 0;
+  }
+
+  TunnelCounters Carried()
+  {
+    std::promise<TunnelCounters> promise;
+    asio::post(mContext, [&] { promise.set_value(mRelay->Counters().mTunnels); });
+    return promise.get_future().get();
+  }
+
+  ProxyPeer AsProxy() const
+  {
+    return { mOptions.mNode, mOptions.mTunnel, mOptions.mTunnelKey, "" };
+  }
+
+  RelayOptions mOptions; ///< change before `Serve()`
 
 private:
-  RelayOptions mOptions;
   asio::io_context mContext{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
   std::unique_ptr<Relay> mRelay;
   std::thread mThread;
 };
 
-/// Three engines, each behind a path of its own from the node under test.
+/// Three engines, each behind a path of its own from the node under test, and a peer that reaches
+/// them all.
 class RelayReach : public RelayTest
 {
 protected:
-  void ServeBehindPaths()
+  void ServeBehindPaths(const RawEngine::Script& aScript = &ServeAll, int aEngines = 3)
   {
-    for (int i = 0; i < 3; ++i) {
-      mEngines.push_back(std::make_unique<RawEngine>(&ServeAll));
+    std::vector<RawEngine*> engines;
+    for (int i = 0; i < aEngines; ++i) {
+      mEngines.push_back(std::make_unique<RawEngine>(aScript));
       mPaths.push_back(std::make_unique<CutProxy>(mEngines.back()->Address()));
+      engines.push_back(mEngines.back().get());
     }
     mPublishAtOnce = false;
     RelayOptions options;
     options.mNode = "node";
-    Serve({ mEngines[0].get(), mEngines[1].get(), mEngines[2].get() }, options);
+    Serve(engines, options);
     auto addresses = std::make_shared<EngineAddresses>();
     for (const auto& it : mPlan.mEngines["plain"]) {
       (*addresses)[it.mId] = it.mAddress;
     }
     mPlan.mAddresses = addresses;
     mPeer.Serve(mPlan);
-    mPlan.mProxyPeers = std::make_shared<const ProxyPeers>(ProxyPeers{ mPeer.AsProxy() });
+    SetPeers({ &mPeer });
     for (std::size_t i = 0; i < mPaths.size(); ++i) {
       mPlan.mEngines["plain"][i].mAddress = mPaths[i]->Address();
       mPlan.mReplicas["pool"][i].mHead.mAddress = mPaths[i]->Address();
@@ -104,6 +154,15 @@
     Publish();
   }
 
+  void SetPeers(const std::vector<const Peer*>& aPeers)
+  {
+    auto peers = std::make_shared<ProxyPeers>();
+    for (const auto* it : aPeers) {
+      peers->push_back(it->AsProxy());
+    }
+    mPlan.mProxyPeers = std::move(peers);
+  }
+
   void Cut(PathState aState)
   {
     for (const auto& it : mPaths) {
@@ -119,14 +178,25 @@
       for (const char* path : { "/safe/x", "/stream/x" }) {
         served += StatusOf(Ask(Get(path, "Model: m\r\n"))) == 200 ? 1 : 0;
       }
-      served += StatusOf(Ask(Post("/once/x", "b", "Key: k1\r\n"))) == 200 ? 1 : 0;
+      served += AskOnce() == 200 ? 1 : 0;
     }
     return served;
   }
 
+  int AskOnce() const { return StatusOf(Ask(Post("/once/x", "b", "Key: k1\r\n"))); }
+
+  int Requests() const
+  {
+    int n = 0;
+    for (const auto& it : mEngines) {
+      n += it->Requests();
+    }
+    return n;
+  }
+
   std::vector<std::unique_ptr<RawEngine>> mEngines;
   std::vector<std::unique_ptr<CutProxy>> mPaths;
-  Peer mPeer;
+  Peer mPeer{ "peer" };
 };
 
 /// Guards against callers of a node that reaches no engine, all of whom are refused though other
@@ -142,5 +212,261 @@
   }
 }
 
+/// Guards against an engine's end that is found by two places and passes for a cut of the node, so
+/// that everything goes through peers.
+TEST_F(RelayReach, AnEngineThatHasEndedIsNoCut)
+{
+  std::promise<void> begun;
+  std::promise<void> ends;
+  ServeBehindPaths(&ServeAll, 2);
+  RawEngine ended([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    begun.set_value();
+    ends.get_future().wait();
+  });
+  mPaths.push_back(std::make_unique<CutProxy>(ended.Address()));
+  mPlan.mEngines["plain"] = { { "ended", mPaths.back()->Address(), "" } };
+  auto addresses = std::make_shared<EngineAddresses>(*mPlan.mAddresses);
+  {
+    const RawEngine gone([](RawConnection&) {});
+    (*addresses)["ended"] = gone.Address(); // where the peer finds nobody
+  }
+  mPlan.mAddresses = addresses;
+  Peer second("second");
+  second.Serve(mPlan);
+  SetPeers({ &second });
+  Publish();
+  auto answer = std::async(std::launch::async, [this] { return AskOnce(); });
+  begun.get_future().wait();
+  mPaths.back()->Set(PathState::kReset); // as its process ends
+  ends.set_value();
+  EXPECT_EQ(answer.get(), 502);
+  std::unique_lock<std::mutex> lock(mEndsMutex);
+  mEndsChanged.wait(lock, [this] { return !mEnds.empty(); });
+  lock.unlock();
+  EXPECT_EQ(Counters().mCarriedByPeers, 0U);
+}
+
+/// Guards against engines that are well and are taken for ended by the resets and refusals of a
+/// cut: requests would be held back at all nodes, and heads said to be gone.
+TEST_F(RelayReach, EnginesThatOnlyThisNodeDoesNotReachAreNotSaidToHaveEnded)
+{
+  std::atomic<int> begun{ 0 };
+  std::promise<void> ends;
+  auto end = ends.get_future().share();
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (!request.empty() && ++begun <= 3) {
+      end.wait();
+    } else if (!request.empty()) {
+      AnswerOne(aConnection, request);
+    }
+  });
+  std::vector<std::future<int>> answers;
+  for (int i = 0; i < 3; ++i) {
+    answers.push_back(std::async(std::launch::async, [this] { return AskOnce(); }));
+  }
+  while (begun < 3) {
+    std::this_thread::yield();
+  }
+  Cut(PathState::kReset);
+  for (auto& it : answers) {
+    EXPECT_EQ(it.get(), 502) << "whether it ran is unknown";
+  }
+  EXPECT_EQ(Served(3), 9);
+  ends.set_value();
+  EXPECT_EQ(Counters().mEnginesEnded, 0U);
+  EXPECT_EQ(mRefusals, 0);
+  EXPECT_TRUE(mEnds.empty());
+}
+
+/// Guards against a stream that waits for an engine which will never be heard again over its
+/// connection.
+TEST_F(RelayReach, AStreamInProgressGoesOnElsewhereThroughAPeer)
+{
+  std::atomic<int> streams{ 0 };
+  std::promise<void> ends;
+  auto end = ends.get_future().share();
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (request.empty()) {
+      return;
+    }
+    const std::string head = std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+    if (++streams == 1) {
+      aConnection.Write(head + "f\r\nid: 1\ndata: a\n\n\r\n");
+      end.wait();
+      return;
+    }
+    EXPECT_TRUE(Has(request, "Last: 1\r\n"));
+    aConnection.Write(head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+  });
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  ASSERT_TRUE(caller.ReadUntil("data: a\n\n"));
+  Cut(PathState::kSilent);
+  EXPECT_TRUE(caller.ReadUntil("data: b\n\n"));
+  EXPECT_TRUE(caller.ReadUntil("0\r\n\r\n"));
+  ::close(socket);
+  ends.set_value();
+  EXPECT_GE(mPeer.Carried().mAnswers["open"], 1U);
+}
+
+/// Guards against streams that are moved though their connection lives on while new ones are
+/// refused.
+TEST_F(RelayReach, AConnectionThatLivesOnKeepsItsStream)
+{
+  std::promise<void> rest;
+  std::atomic<int> streams{ 0 };
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    for (;;) {
+      const std::string request = aConnection.ReadRequest();
+      if (request.empty()) {
+        return;
+      }
+      if (!Has(request, " /stream/")) {
+        AnswerOne(aConnection, request);
+        continue;
+      }
+      ++streams;
+      const std::string head = std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+      aConnection.Write(head + "f\r\nid: 1\ndata: a\n\n\r\n");
+      rest.get_future().wait();
+      aConnection.Write("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    }
+  });
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  ASSERT_TRUE(caller.ReadUntil("data: a\n\n"));
+  Cut(PathState::kRefuses);
+  EXPECT_EQ(AskOnce(), 200) << "through the peer";
+  rest.set_value();
+  EXPECT_TRUE(caller.ReadUntil("data: b\n\n"));
+  ::close(socket);
+  EXPECT_EQ(streams, 1);
+}
+
+/// Guards against engines that go on working for callers who have left, since a peer holds their
+/// connections.
+TEST_F(RelayReach, ACallersLeavingReachesTheEngineThroughAPeer)
+{
+  std::promise<void> begun;
+  std::promise<void> closed;
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      begun.set_value();
+      aConnection.ReadToEnd();
+      closed.set_value();
+    }
+  });
+  Cut(PathState::kReset);
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/once/x", "b", "Key: k1\r\n"));
+  begun.get_future().wait();
+  ::close(socket);
+  closed.get_future().wait();
+}
+
+/// Guards against an alert that runs twice since the peer that carried it has ended.
+TEST_F(RelayReach, WhatMayRunOnceIsNotSentAgainWhenThePeerEnds)
+{
+  std::promise<void> begun;
+  std::promise<void> ends;
+  auto end = ends.get_future().share();
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      begun.set_value();
+      end.wait();
+    }
+  });
+  Peer other("other");
+  other.Serve(mPlan);
+  Cut(PathState::kReset);
+  auto answer = std::async(std::launch::async, [this] { return AskOnce(); });
+  begun.get_future().wait();
+  SetPeers({ &mPeer, &other });
+  Publish();
+  mPeer.Stop();
+  EXPECT_EQ(answer.get(), 502);
+  ends.set_value();
+  EXPECT_EQ(Requests(), 1);
+}
+
+/// Guards against nodes that reach no engine and pass connections on to each other.
+TEST_F(RelayReach, WherePeersAreCutAsWellRequestsAreRefusedAsNotRun)
+{
+  ServeBehindPaths();
+  Cut(PathState::kReset);
+  // The peer's own paths are the same ones: it finds the engines refusing it.
+  Peer cut("cut");
+  auto addresses = std::make_shared<EngineAddresses>();
+  for (const auto& it : mPlan.mEngines["plain"]) {
+    (*addresses)[it.mId] = it.mAddress;
+  }
+  TrafficPlan plan = mPlan;
+  plan.mAddresses = addresses;
+  plan.mProxyPeers = std::make_shared<const ProxyPeers>(ProxyPeers{ mPeer.AsProxy() });
+  cut.Serve(plan);
+  SetPeers({ &cut });
+  Publish();
+  const std::string answer = Ask(Post("/once/x", "b", "Key: k1\r\n"));
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_TRUE(Has(answer, "\"ran\":\"no\""));
+  EXPECT_TRUE(Has(answer, "Retry-After: "));
+  EXPECT_EQ(Requests(), 0);
+  EXPECT_EQ(mPeer.Carried().mAnswers["open"], 0U) << "no second hop";
+  EXPECT_EQ(Counters().mEnginesEnded, 0U);
+}
+
+/// Guards against a node that goes on through peers once its own connections stand again.
+TEST_F(RelayReach, TheWayBackIsFoundAndOwnConnectionsAreUsedAgain)
+{
+  ServeBehindPaths();
+  Cut(PathState::kReset);
+  EXPECT_EQ(Served(4), 12);
+  EXPECT_GT(Counters().mCarriedByPeers, 0U);
+  EXPECT_FALSE(mReaches);
+  Cut(PathState::kOpen);
+  while (!mReaches) {
+    std::this_thread::yield();
+  }
+  const std::uint64_t carried = Counters().mCarriedByPeers;
+  EXPECT_EQ(Served(4), 12);
+  EXPECT_EQ(Counters().mCarriedByPeers, carried);
+}
+
+/// Guards against answers that are cut off when the node that carries them is stopped in order.
+TEST_F(RelayReach, APeerThatStopsEndsWhatItCarriesFirst)
+{
+  mPeer.mOptions.mStopGrace = milliseconds(1);
+  std::promise<void> begun;
+  std::promise<void> answers;
+  auto rest = answers.get_future().share();
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      begun.set_value();
+      rest.wait();
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+    }
+  });
+  Cut(PathState::kReset);
+  auto answer = std::async(std::launch::async, [this] { return AskOnce(); });
+  begun.get_future().wait();
+  auto stopped = std::async(std::launch::async, [this] { mPeer.StopInOrder(); });
+  while (mPeer.TakesCallers()) {
+    std::this_thread::yield();
+  }
+  // At that moment it would have stopped, but for what it carries.
+  EXPECT_EQ(stopped.wait_for(seconds(0)), std::future_status::timeout);
+  answers.set_value();
+  EXPECT_EQ(answer.get(), 200);
+  SetPeers({}); // this node has heard that the peer stops, and keeps nothing open through it
+  Publish();
+  stopped.wait();
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/tunnel/tunnel_server.cpp
+++ b/src/pepperbay/tunnel/tunnel_server.cpp
@@ -24,11 +24,13 @@
 public:
   TunnelServerImpl(asio::io_context& aContext,
                    TunnelServerOptions aOptions,
-                   TunnelServerHooks aHooks)
+                   TunnelServerHooks aHooks,
+                   TunnelCounters* aCounters)
     : mContext(aContext)
     , mOptions(std::move(aOptions))
     , mHooks(std::move(aHooks))
     , mAcceptor(aContext)
+    , mCounters(*aCounters)
   {
   }
 
@@ -71,8 +73,6 @@
     }
   }
 
-  const TunnelCounters& Counters() const override { return mCounters; }
-
   void Close() override
   {
     CloseListener();
@@ -170,7 +170,7 @@
   TunnelServerOptions mOptions;
   TunnelServerHooks mHooks;
   Acceptor mAcceptor;
-  TunnelCounters mCounters;
+  TunnelCounters& mCounters;
   std::set<std::shared_ptr<CarriedConnection>> mAll;
   std::size_t mWaiting = 0;                        ///< whose request has not come whole
   std::map<std::string, std::size_t> mWaitingFrom; ///< by IP number
@@ -182,10 +182,11 @@
 Result<std::unique_ptr<TunnelServer>>
 TunnelServer::Open(asio::io_context& aContext,
                    TunnelServerOptions aOptions,
-                   TunnelServerHooks aHooks)
+                   TunnelServerHooks aHooks,
+                   TunnelCounters* aCounters)
 {
   auto server =
-    std::make_unique<TunnelServerImpl>(aContext, std::move(aOptions), std::move(aHooks));
+    std::make_unique<TunnelServerImpl>(aContext, std::move(aOptions), std::move(aHooks), aCounters);
   const auto listening = server->Listen();
   if (!listening.has_value()) {
     return listening.error();
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -41,7 +41,7 @@
                               TimePoint,
                               const std::function<void(bool)>& aDone) { aDone(mSight); };
     hooks.mLog = [](const char*, const std::map<std::string, std::string>&) {};
-    auto server = TunnelServer::Open(mContext, aOptions, hooks);
+    auto server = TunnelServer::Open(mContext, aOptions, hooks, &mCounters);
     ASSERT_TRUE(server.has_value()) << ToString(server.error());
     mServer = std::move(server.value());
     mThread = std::thread([this] { mContext.run(); });
@@ -66,7 +66,7 @@
 
   TunnelCounters Counters()
   {
-    return OnThread([this] { return mServer->Counters(); });
+    return OnThread([this] { return mCounters; });
   }
 
   /// Move the clock on and have the server do what is due.
@@ -125,6 +125,7 @@
   std::string mWhyNot;
   bool mSight = true;
   std::atomic<int> mHeard{ 0 };
+  TunnelCounters mCounters;
   std::unique_ptr<TunnelServer> mServer;
   std::thread mThread;
 };
