What a cut breaks off is not told to others as an engine's failure

A cut that resets breaks off the requests of several nodes at once. Such a request now counts as the engine's failure only when the engine answered with one, sent what is no answer, or is reached directly just after it broke the connection off (the probe that is made anyway).

--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -163,7 +163,8 @@
       cut.insert(name);
     }
     for (auto& node : world.mNodes) {
-      // The relay tells that a path works again; that it is cut the control state may find out first.
+      // The relay tells that a path works again; that it is cut the control state may find out
+      // first.
       const bool reaches = cut.count(node.mName) == 0;
       if (reaches || *rc::gen::arbitrary<bool>()) {
         node.mCoordinator->SetReach(reaches);
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -180,6 +180,8 @@
   mClosed = aError == http::error::end_of_stream || aError == http::error::partial_message ||
             aError == asio::error::eof || aError == asio::error::connection_reset ||
             aError == asio::error::broken_pipe;
+  mBadBytes =
+    !mClosed && aError.category() == http::make_error_code(http::error::bad_method).category();
   Finish(false, aStep + aError.message());
 }
 
@@ -194,6 +196,7 @@
   end.mComplete = aComplete;
   end.mMayHaveRun = mSent;
   end.mClosed = mClosed;
+  end.mBadBytes = mBadBytes;
   end.mStale = mStale && mClosed;
   end.mGone = mGone;
   end.mWhy = aWhy;
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -30,7 +30,8 @@
   bool mComplete = false; ///< the whole answer came, in the form of the protocol
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
-  bool mClosed = false; ///< the engine closed or reset the connection
+  bool mClosed = false;   ///< the engine closed or reset the connection
+  bool mBadBytes = false; ///< what came is no answer in the protocol
   /// A kept connection was closed without a byte of an answer: the engine may not have read the
   /// request, and take it on a connection of its own.
   bool mStale = false;
@@ -104,6 +105,7 @@
   bool mAllWritten = false;
   bool mKept = false; ///< the connection had waited unused
   bool mClosed = false;
+  bool mBadBytes = false;
   bool mStale = false;
   bool mGone = false;
   bool mEnded = false;
--- a/src/pepperbay/relay/ending_probe.cpp
+++ b/src/pepperbay/relay/ending_probe.cpp
@@ -7,11 +7,13 @@
 EndingProbe::EndingProbe(EngineConnector* aConnector,
                          NowFn aNow,
                          ConnectionPool* aPool,
-                         OnEnded aOnEnded)
+                         OnFound aOnEnded,
+                         OnFound aOnAlive)
   : mConnector(aConnector)
   , mNow(std::move(aNow))
   , mPool(aPool)
   , mOnEnded(std::move(aOnEnded))
+  , mOnAlive(std::move(aOnAlive))
 {
 }
 
@@ -54,6 +56,9 @@
   if (aConnection.mGone) {
     mOnEnded(pending.mTarget, pending.mRequests);
   } else if (aConnection.mSocket) {
+    if (aConnection.mSocket->mPeer.empty()) {
+      mOnAlive(pending.mTarget, pending.mRequests);
+    }
     mPool->Put(pending.mTarget.mEngine, std::move(*aConnection.mSocket), std::nullopt, 1);
   }
 }
--- a/src/pepperbay/relay/ending_probe.hpp
+++ b/src/pepperbay/relay/ending_probe.hpp
@@ -27,6 +27,7 @@
   Suspicion mSuspicion = Suspicion::kPresent;
   TimePoint mAt{};
   bool mOfReplica = false; ///< the engine was the head of a replica
+  bool mOnce = false;      ///< of a plain service, and may run only once
 };
 
 class EndingProbe
@@ -37,11 +38,17 @@
   /// Requests kept for one engine until it is known whether it ended; more than it has places.
   static constexpr std::size_t kMostKept = 256;
 
-  using OnEnded = std::function<void(const AttemptTarget&, const std::vector<BrokenOff>&)>;
+  using OnFound = std::function<void(const AttemptTarget&, const std::vector<BrokenOff>&)>;
 
   /// @param aPool takes the connections of engines that turn out to be alive
   /// @param aOnEnded an engine has ended, with these requests
-  EndingProbe(EngineConnector* aConnector, NowFn aNow, ConnectionPool* aPool, OnEnded aOnEnded);
+  /// @param aOnAlive an engine that broke these off is alive, and reached directly: so it was not
+  /// the path that failed
+  EndingProbe(EngineConnector* aConnector,
+              NowFn aNow,
+              ConnectionPool* aPool,
+              OnFound aOnEnded,
+              OnFound aOnAlive);
 
   /// An engine closed a request's connection before its answer was whole.
   void OnBrokenOff(const AttemptTarget& aEngine, BrokenOff aRequest);
@@ -63,7 +70,8 @@
   EngineConnector* mConnector;
   NowFn mNow;
   ConnectionPool* mPool;
-  OnEnded mOnEnded;
+  OnFound mOnEnded;
+  OnFound mOnAlive;
   std::map<std::uint64_t, Pending> mPending; ///< by EngineStartHash()
 };
 
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -179,6 +179,9 @@
   }
   NoteHead(mCurrent, facts);
   if (!fault.empty()) {
+    if (!facts.mNotRun) {
+      NoteFailedOnce();
+    }
     OnFailure(fault, !facts.mNotRun);
     return;
   }
@@ -218,6 +221,7 @@
   }
   mBody.append(aBytes);
   if (mBody.size() > kMostWholeBytes) {
+    NoteFailedOnce();
     OnFailure("answer_too_long", true);
     return;
   }
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -120,9 +120,6 @@
   if (aMayHaveRun || !reached) {
     mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
   }
-  if (aMayHaveRun) {
-    NoteFailedOnce();
-  }
   if (!reached) {
     NoteUnreached(aWhy);
   }
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -29,7 +29,8 @@
   const bool begun = aSending.mHeadAt ? now - *aSending.mHeadAt <= mCore->mOptions.mSuspectWithin
                                       : !mService->mPool.has_value();
   const Suspicion suspicion = begun ? Suspicion::kBegun : Suspicion::kPresent;
-  return { mKey, mFacts.mId, suspicion, now, !aSending.mGroup.empty() };
+  const bool once = !mService->mPool && !mRoute->Repeatable();
+  return { mKey, mFacts.mId, suspicion, now, !aSending.mGroup.empty(), once };
 }
 
 void
@@ -39,6 +40,9 @@
     mBrokenOff = true;
     mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
   }
+  if (aEnd.mBadBytes) {
+    NoteFailedOnce();
+  }
   if (aEnd.mStale) {
     mTried.erase(aSending.mTarget.mEngine);
   }
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -83,12 +83,16 @@
                  [this](const AttemptTarget& aEngine, EngineSocket aSocket) {
                    mConnections.Put(aEngine.mEngine, std::move(aSocket), std::nullopt, 1);
                  } })
-  , mEndings(&mConnector,
-             mOptions.mNow,
-             &mConnections,
-             [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
-               OnEngineEnded(aEngine, aRequests);
-             })
+  , mEndings(
+      &mConnector,
+      mOptions.mNow,
+      &mConnections,
+      [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
+        OnEngineEnded(aEngine, aRequests);
+      },
+      [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
+        OnBrokenOffAlive(aEngine, aRequests);
+      })
 {
 }
 
@@ -231,6 +235,16 @@
   }
 }
 
+void
+RelayCore::OnBrokenOffAlive(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
+{
+  const bool once =
+    std::any_of(aRequests.begin(), aRequests.end(), [](const auto& aIt) { return aIt.mOnce; });
+  if (once) {
+    mBalancer.Failures().OnFailed(aEngine.mEngine, Now());
+  }
+}
+
 void
 RelayCore::OnHeadGone(const std::string& aHead, TimePoint aAsOf)
 {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -43,6 +43,9 @@
   void ClearThoseThatRan(const SuspectRequests& aSuspects);
   /// An engine has ended while it had requests of this node.
   void OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests);
+  /// An engine that is well broke off requests of this node: it fails them. Only that is told to
+  /// others; a path that is cut breaks off requests of all engines at once.
+  void OnBrokenOffAlive(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests);
   /// A replica's head listens no more: have the holder ask its members.
   /// @param aAsOf what showed it began then
   void OnHeadGone(const std::string& aHead, TimePoint aAsOf);
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -104,6 +104,10 @@
     hooks.mOnRefused = [this](const std::string&) { ++mRefusals; };
     hooks.mOnReach = [this](bool aReaches) { mReaches = aReaches; };
     hooks.mOnRanWhole = [this](const RequestKey&) { ++mRanWhole; };
+    hooks.mSendToDesk = [this](const std::string&, const std::string& aBytes) {
+      const std::lock_guard<std::mutex> lock(mEndsMutex);
+      mSentToDesks.push_back(aBytes);
+    };
     auto relay = Relay::Open(mContext, aOptions, TestDialect(), std::move(hooks));
     ASSERT_TRUE(relay.has_value()) << ToString(relay.error());
     mRelay = std::move(relay.value());
@@ -224,10 +228,11 @@
   std::mutex mEndsMutex;
   std::condition_variable mEndsChanged;
   std::vector<SeenEnd> mEnds;
-  std::atomic<bool> mReaches{ true }; ///< engines, by this node's own connections
-  std::atomic<int> mRanWhole{ 0 };    ///< suspect requests that ran to their end
-  std::atomic<int> mRefusals{ 0 };    ///< times that a head was said to refuse
-  std::atomic<int> mSuspects{ 0 };    ///< times that a head was said to be silent
+  std::vector<std::string> mSentToDesks; ///< bytes of messages, in order
+  std::atomic<bool> mReaches{ true };    ///< engines, by this node's own connections
+  std::atomic<int> mRanWhole{ 0 };       ///< suspect requests that ran to their end
+  std::atomic<int> mRefusals{ 0 };       ///< times that a head was said to refuse
+  std::atomic<int> mSuspects{ 0 };       ///< times that a head was said to be silent
   std::unique_ptr<Relay> mRelay;
   std::string mAddress;
   std::thread mThread;
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -2,6 +2,8 @@
 #include "fakes/cut_proxy.hpp"
 #include "relay_fixture.hpp"
 
+#include <pepperbay.pb.h>
+
 namespace pepperbay {
 namespace {
 
@@ -280,6 +282,68 @@
   EXPECT_TRUE(mEnds.empty());
 }
 
+/// Guards against engines of plain services that get no more alerts from anybody since several
+/// nodes of a data centre were cut off from them.
+TEST_F(RelayReach, WhatACutBreaksOffIsNotSaidToBeTheEnginesFailure)
+{
+  std::atomic<int> begun{ 0 };
+  std::promise<void> ends;
+  auto end = ends.get_future().share();
+  std::atomic<bool> resets{ false };
+  ServeBehindPaths([&](RawConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (request.empty()) {
+      return;
+    }
+    if (Has(request, " /stream/")) {
+      AnswerOne(aConnection, request);
+    } else if (resets) {
+      aConnection.Reset();
+    } else {
+      ++begun;
+      end.wait();
+    }
+  });
+  mPlan.mIsDesk = false;
+  mPlan.mDesks = { { "desk", "127.0.0.1:9" } };
+  Publish();
+  /// @return engines that the next question for a place names as failing.
+  const auto told = [this] {
+    EXPECT_EQ(StatusOf(Ask(Get("/stream/x", "Model: m\r\n"))), 200);
+    const std::lock_guard<std::mutex> lock(mEndsMutex);
+    int failing = 0;
+    for (const auto& it : std::exchange(mSentToDesks, {})) {
+      proto::PlaceMessage message;
+      EXPECT_TRUE(message.ParseFromString(it));
+      failing = std::max(failing, message.ask().failing_size());
+    }
+    return failing;
+  };
+  std::vector<std::future<int>> answers;
+  for (int i = 0; i < 3; ++i) {
+    answers.push_back(std::async(std::launch::async, [this] { return AskOnce(); }));
+  }
+  while (begun < 3) {
+    std::this_thread::yield();
+  }
+  Cut(PathState::kReset);
+  for (auto& it : answers) {
+    EXPECT_EQ(it.get(), 502);
+  }
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(told(), 0);
+  }
+  ends.set_value();
+  Cut(PathState::kOpen);
+  while (!mReaches) {
+    std::this_thread::yield();
+  }
+  resets = true;
+  EXPECT_EQ(AskOnce(), 502);
+  while (told() == 0) {
+  }
+}
+
 /// Guards against a stream that waits for an engine which will never be heard again over its
 /// connection.
 TEST_F(RelayReach, AStreamInProgressGoesOnElsewhereThroughAPeer)
