A node that reaches no engine waits for the lease while another does; tests of fleets and of silence

One of the two cases of TheLeaseGoesToANodeThatReachesEngines fails without the wait. A holder that is cut keeps the lease: its orders go through peers, and a takeover forgets what the planner knows (weighed in DESIGN). Tests: at 75 and 295 nodes a data centre that is cut whole is known everywhere within a second and nobody is asked by more than six times the mean; an engine that is silent for a second costs its replica no more than that second.

--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -276,7 +276,9 @@
 {
   const TimePoint now = Now();
   const bool weaker = mPeers.HasStronger(mOptions.mCpuPermille, now);
-  mLease.SetStagger(StaggerOf(mOptions) + (weaker ? mOptions.mWeakerWaits : Duration::zero()));
+  // Orders go through peers as well, only later; one that holds the lease keeps it.
+  const bool waits = weaker || (IsUnreached() && HearsReached());
+  mLease.SetStagger(StaggerOf(mOptions) + (waits ? mOptions.mWeakerWaits : Duration::zero()));
   if (weaker && mLease.Held() && now >= mYieldDue) {
     mYieldDue = now + mOptions.mYieldEvery;
     mLease.Yield();
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -132,6 +132,105 @@
   EXPECT_EQ(proxiesOf("n0"), (std::set<std::string>{ "n1", "n2" }));
 }
 
+class CoordinatorReachOfOthers
+  : public CoordinatorReach
+  , public testing::WithParamInterface<int>
+{};
+
+/// Guards against a new holder that reaches no engine while others do.
+TEST_P(CoordinatorReachOfOthers, TheLeaseGoesToANodeThatReachesEngines)
+{
+  std::vector<CoordinatorWorld::TestNode*> others;
+  for (auto& it : mWorld.mNodes) {
+    if (it.mName != mHolder) {
+      others.push_back(&it);
+    }
+  }
+  auto& cut = *others[static_cast<std::size_t>(GetParam())];
+  mCut = { cut.mName };
+  cut.mCoordinator->SetReach(false);
+  mWorld.Run(seconds(1));
+  mWorld.Holder().mAlive = false;
+  mWorld.Run(seconds(4));
+  EXPECT_TRUE(mWorld.Holder().mCoordinator->HoldsLease());
+  EXPECT_NE(mWorld.Holder().mName, cut.mName);
+}
+
+INSTANTIATE_TEST_SUITE_P(EitherIsCut, CoordinatorReachOfOthers, testing::Values(0, 1));
+
+/// Guards against a replica that is dark for longer than a member of it was silent, and against a
+/// second disruption when that one goes on.
+TEST_F(CoordinatorReach, AnEngineThatIsSilentForASecondCostsItsReplicaNoMoreThanThat)
+{
+  for (const bool head : { false, true }) {
+    const auto& replica = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front();
+    const std::string first = replica.mHead.mId;
+    const auto members = mWorld.mPool.At(first).mMembers;
+    const std::string silent = head ? first : members.back();
+    mWorld.mPool.At(silent).mAlive = false;
+    int dark = 0; // tenths of a second in which the pool lacks a replica
+    for (int i = 0; i < 50; ++i) {
+      if (i == 10) {
+        mWorld.mPool.At(silent).mAlive = true; // as it was
+      }
+      if (i < 10) {
+        for (auto& it : mWorld.mNodes) {
+          it.mCoordinator->OnSuspect(first, milliseconds(200));
+        }
+      }
+      mWorld.Run(milliseconds(100));
+      dark += CoordinatorWorld::Usable(mWorld.mNodes.back()) < 3 ? 1 : 0;
+    }
+    EXPECT_LE(dark, 10) << (head ? "a head" : "a member");
+    EXPECT_EQ(CoordinatorWorld::Usable(mWorld.mNodes.front()), 3);
+  }
+  EXPECT_TRUE(mWorld.mPool.Violations().empty());
+}
+
+/// Guards against fleets in which nodes ask others that are cut as well: who reaches no engine has
+/// to be known everywhere within a second, and a data centre that is cut whole has to spread.
+TEST(ReachOfAFleet, WhoIsCutIsKnownAndTheLoadSpreads)
+{
+  struct Size
+  {
+    int mCentres;
+    int mOfEach;
+  };
+  for (const auto size : { Size{ 3, 25 }, Size{ 5, 59 } }) {
+    CoordinatorWorld world;
+    world.AddPool();
+    for (int c = 0; c < size.mCentres; ++c) {
+      for (int i = 0; i < size.mOfEach; ++i) {
+        const std::string centre = "c" + std::to_string(c);
+        world.AddNode(centre + "-" + std::to_string(i), 0, centre.c_str());
+      }
+    }
+    world.Run(seconds(6));
+    for (auto& it : world.mNodes) {
+      if (it.mName.substr(0, 2) == "c0") {
+        it.mCoordinator->SetReach(false);
+      }
+    }
+    world.Run(seconds(1));
+    std::map<std::string, int> asked;
+    for (const auto& node : world.mNodes) {
+      const bool cut = node.mName.substr(0, 2) == "c0";
+      ASSERT_GE(node.mPlan->mProxyPeers->size(), 4U) << node.mName;
+      for (const auto& it : *node.mPlan->mProxyPeers) {
+        EXPECT_NE(it.mNode.substr(0, 2), "c0") << node.mName;
+        asked[it.mNode] += cut ? 1 : 0;
+      }
+    }
+    int most = 0;
+    for (const auto& [node, n] : asked) {
+      most = std::max(most, n);
+    }
+    const int others = size.mOfEach * (size.mCentres - 1);
+    const int mean = 8 * size.mOfEach / others + 1;
+    EXPECT_LE(most, 6 * mean) << size.mCentres * size.mOfEach << " nodes";
+  }
+}
+
 /// Nodes that are cut, one after the other or at once, and engines that really end meanwhile: no
 /// replica that is whole closes, what is broken is repaired, and no order goes wrong.
 RC_GTEST_PROP(CoordinatorReachProperty, RandomCutsTakeNoWholeReplicaDown, ())
