--- a/fakes/cut_proxy.hpp
+++ b/fakes/cut_proxy.hpp
@@ -97,7 +97,9 @@
   {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::inet_pton(AF_INET, aText.substr(0, aText.find(':')).c_str(), &address.sin_addr) != 1) {
+      std::abort(); // a test without its path would prove nothing
+    }
     address.sin_port =
       htons(static_cast<std::uint16_t>(std::stoi(aText.substr(aText.find(':') + 1))));
     return address;
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -47,7 +47,6 @@
   /// `IP:port` (TCP) where this node carries connections for others; empty: it does not.
   std::string mTunnel;
   std::string mTunnelKey;   ///< which others have to name
-  std::string mEnginesFrom; ///< IP number to connect to engines from; empty: any
   RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -22,7 +22,6 @@
   /// IP:port (TCP) where this node carries connections to engines for nodes that reach none; empty:
   /// it does not.
   std::string mTunnel;
-  std::string mEnginesFrom; ///< IP number that engines are connected to from; empty: any
   std::string mStore;       ///< IP:port of the platform's store
   double mMemoryMb = 0;     ///< the process is killed beyond it; 0: not said
   double mCpuCores = 0;     ///< processor that the process may use; 0: not said
--- a/include/pepperbay/tunnel/sockets.hpp
+++ b/include/pepperbay/tunnel/sockets.hpp
@@ -44,11 +44,9 @@
 ResetOnClose(Socket& aSocket);
 
 /// Connect to `IP:port`. What is no address is reported like any other failure, later.
-/// @param aSource IP number to connect from; empty lets the system choose
 void
 Dial(Socket& aSocket,
      const std::string& aAddress,
-     const std::string& aSource,
      std::function<void(boost::system::error_code)> aDone);
 
 } // namespace pepperbay
--- a/include/pepperbay/tunnel/tunnel_server.hpp
+++ b/include/pepperbay/tunnel/tunnel_server.hpp
@@ -23,7 +23,6 @@
 {
   std::string mAddress;    ///< `IP:port` (TCP) to listen at
   std::string mKey;        ///< who does not name it is let in to nothing
-  std::string mSource;     ///< IP number from which engines are connected to; empty: any
   std::size_t mMost = 512; ///< connections carried at once; each holds two descriptors and 16 kB
   /// Connections whose request has not come whole; of one address, an eighth of them.
   std::size_t mMostWaiting = 64;
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -158,9 +158,7 @@
         return desks.error();
       }
     }
-    HttpClientOptions client;
-    client.mSource = mSettings.mEnginesFrom;
-    mClient = HttpClient::Create(client);
+    mClient = HttpClient::Create();
     mLink = aFactory(mSettings, mClient.get(), [this](std::function<void()> aWork) {
       asio::post(mControl, std::move(aWork));
     });
@@ -327,7 +325,6 @@
     options.mDeskAddress = mSettings.mDesk;
     options.mTunnel = mSettings.mTunnel;
     options.mTunnelKey = mTunnelKey;
-    options.mEnginesFrom = mSettings.mEnginesFrom;
     options.mTuning = TuningOf(mSettings);
     return options;
   }
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -32,14 +32,11 @@
 {
   mDirect = Direct::kOnItsWay;
   mDirectBegun = mConnector->Now();
-  Dial(mSocket,
-       mEngine.mAddress,
-       mConnector->mOptions.mSource,
-       [self = shared_from_this()](boost::system::error_code aError) {
-         if (!self->Over()) {
-           self->OnDirect(aError);
-         }
-       });
+  Dial(mSocket, mEngine.mAddress, [self = shared_from_this()](boost::system::error_code aError) {
+    if (!self->Over()) {
+      self->OnDirect(aError);
+    }
+  });
 }
 
 void
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -126,21 +126,18 @@
   trial->mUntil = Now() + mOptions.mTimeout;
   trial->mDone = std::move(aDone);
   mTrials.push_back(trial);
-  Dial(trial->mSocket,
-       aEngine.mAddress,
-       mOptions.mSource,
-       [this, trial](boost::system::error_code aError) {
-         if (!trial->mDone) {
-           return;
-         }
-         const auto done = std::exchange(trial->mDone, nullptr);
-         if (!aError) {
-           OnConnected(trial->mEngine.mEngine);
-           Prepare(trial->mSocket);
-           mHooks.mKeep(trial->mEngine, { std::move(trial->mSocket), "", nullptr });
-         }
-         done(!aError);
-       });
+  Dial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
+    if (!trial->mDone) {
+      return;
+    }
+    const auto done = std::exchange(trial->mDone, nullptr);
+    if (!aError) {
+      OnConnected(trial->mEngine.mEngine);
+      Prepare(trial->mSocket);
+      mHooks.mKeep(trial->mEngine, { std::move(trial->mSocket), "", nullptr });
+    }
+    done(!aError);
+  });
 }
 
 void
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -52,7 +52,6 @@
 {
   std::string mNode;
   std::string mDataCentre;
-  std::string mSource; ///< IP number to connect from; empty lets the system choose
   Duration mTimeout = std::chrono::milliseconds(120);
   /// A peer is asked where a connection does not stand after this: several round trips between data
   /// centres.
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -53,7 +53,6 @@
   EngineConnectorOptions options;
   options.mNode = aOptions.mNode;
   options.mDataCentre = aOptions.mDataCentre;
-  options.mSource = aOptions.mEnginesFrom;
   options.mTimeout = aOptions.mConnectTimeout;
   return options;
 }
@@ -390,7 +389,6 @@
     TunnelServerOptions options;
     options.mAddress = mCore.mOptions.mTunnel;
     options.mKey = mCore.mOptions.mTunnelKey;
-    options.mSource = mCore.mOptions.mEnginesFrom;
     options.mNow = mCore.mOptions.mNow;
     TunnelServerHooks hooks;
     hooks.mAddressOf = [this](const std::string& aEngine) { return AddressOf(aEngine); };
--- a/src/pepperbay/settings/edge_settings.cpp
+++ b/src/pepperbay/settings/edge_settings.cpp
@@ -44,10 +44,6 @@
   ReadEndpoint(aReader, "peers", &aSettings.mPeers);
   ReadEndpoint(aReader, "desk", &aSettings.mDesk);
   ReadEndpoint(aReader, "tunnel", &aSettings.mTunnel);
-  aReader.Read("engines_from", &aSettings.mEnginesFrom);
-  if (!aSettings.mEnginesFrom.empty()) {
-    CheckEndpoint(aReader, "engines_from", aSettings.mEnginesFrom + ":1");
-  }
   ReadEndpoint(aReader, "store", &aSettings.mStore);
   aReader.Read("ready_path", &aSettings.mReadyPath);
   if (!aSettings.mReadyPath.empty() && aSettings.mReadyPath.front() != '/') {
@@ -73,7 +69,7 @@
     const char* mKey;
     std::string EdgeSettings::*mValue;
   };
-  constexpr std::array<Field, 11> kFixed{ { { "name", &EdgeSettings::mName },
+  constexpr std::array<Field, 10> kFixed{ { { "name", &EdgeSettings::mName },
                                             { "data_centre", &EdgeSettings::mDataCentre },
                                             { "callers", &EdgeSettings::mCallers },
                                             { "admin", &EdgeSettings::mAdmin },
@@ -82,7 +78,6 @@
                                             { "peers", &EdgeSettings::mPeers },
                                             { "desk", &EdgeSettings::mDesk },
                                             { "tunnel", &EdgeSettings::mTunnel },
-                                            { "engines_from", &EdgeSettings::mEnginesFrom },
                                             { "store", &EdgeSettings::mStore } } };
   std::vector<std::string> keys;
   for (const auto& it : kFixed) {
--- a/src/pepperbay/tunnel/carried_connection.cpp
+++ b/src/pepperbay/tunnel/carried_connection.cpp
@@ -119,7 +119,6 @@
   mUntil = mBegun + std::min(mRequest.mWithin, options.mMostWithin);
   Dial(mEngine,
        mOwner->Hooks().mAddressOf(mRequest.mEngine),
-       options.mSource,
        [self = shared_from_this()](boost::system::error_code aError) {
          if (self->mPhase == Phase::kConnecting) {
            self->OnConnected(aError);
--- a/src/pepperbay/tunnel/sockets.cpp
+++ b/src/pepperbay/tunnel/sockets.cpp
@@ -55,7 +55,6 @@
 void
 Dial(Socket& aSocket,
      const std::string& aAddress,
-     const std::string& aSource,
      std::function<void(boost::system::error_code)> aDone)
 {
   namespace asio = boost::asio;
@@ -69,11 +68,6 @@
     });
     return;
   }
-  if (!aSource.empty()) {
-    const auto source = asio::ip::make_address(aSource, ec);
-    aSocket.open(address.is_v4() ? asio::ip::tcp::v4() : asio::ip::tcp::v6(), ec);
-    aSocket.bind({ source, 0 }, ec); // an address that is not this machine's shows in the connect
-  }
   aSocket.async_connect({ address, static_cast<std::uint16_t>(endpoint.value().mPort) },
                         std::move(aDone));
 }
--- a/src/pepperbay/tunnel/tunnel_opening.cpp
+++ b/src/pepperbay/tunnel/tunnel_opening.cpp
@@ -32,7 +32,7 @@
   for (const auto& it : HeadersOf(aRequest)) {
     mRequest.set(it.mName, it.mValue);
   }
-  Dial(mSocket, aPeer.mAddress, "", [self = shared_from_this()](boost::system::error_code aError) {
+  Dial(mSocket, aPeer.mAddress, [self = shared_from_this()](boost::system::error_code aError) {
     if (!self->mDone) {
       return;
     }
