--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -175,6 +175,9 @@
 add_executable(pepperbay_bench_limits bench/limits.cpp)
 target_link_libraries(pepperbay_bench_limits PRIVATE pepperbay_admission absl::flags absl::flags_parse
                       pepperbay_warnings)
+add_executable(pepperbay_bench_ways bench/ways.cpp)
+target_link_libraries(pepperbay_bench_ways PRIVATE pepperbay_reach absl::flags absl::flags_parse
+                      pepperbay_warnings)
 add_executable(pepperbay_bench_fleet bench/fleet.cpp)
 target_include_directories(pepperbay_bench_fleet PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(pepperbay_bench_fleet PRIVATE pepperbay_coordinator absl::flags absl::flags_parse
--- a/include/pepperbay/reach/proxy_choice.hpp
+++ b/include/pepperbay/reach/proxy_choice.hpp
@@ -4,6 +4,7 @@
 
 #include "pepperbay/base/clock.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,6 +41,7 @@
   /// time that it fails again.
   Duration mPassOver = std::chrono::milliseconds(500);
   Duration mMostPassOver = std::chrono::seconds(4);
+  std::uint64_t mSeed = 0; ///< other nodes begin with other peers
 };
 
 class ProxyChoice
@@ -50,7 +52,7 @@
   /// @return whether it is another list than before.
   bool SetPeers(std::shared_ptr<const ProxyPeers> aPeers);
   /// The peer to ask for an engine of a data centre: one that has not failed lately, of a data
-  /// centre that the bytes pass anyway, with the fewest tunnels of this node.
+  /// centre that the bytes pass anyway, with the fewest tunnels of this node, used longest ago.
   /// @param aTried names of peers to leave out
   /// @return null when there is none left; valid until `SetPeers()`
   const ProxyPeer* Pick(const std::string& aDataCentre,
@@ -83,6 +85,8 @@
   std::shared_ptr<std::map<std::string, int>> mOpen =
     std::make_shared<std::map<std::string, int>>();
   std::map<std::string, Failure> mFailures;
+  std::map<std::string, std::uint64_t> mUsed; ///< by peer, in the order of the last use
+  std::uint64_t mUses = 0;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -55,15 +55,20 @@
     return nullptr;
   }
   const ProxyPeer* best = nullptr;
-  std::tuple<bool, bool, int, std::uint64_t> bestRank;
+  std::tuple<bool, bool, int, std::uint64_t, std::uint64_t> bestRank;
   for (const auto& it : *mPeers) {
     if (aTried.count(it.mNode) != 0) {
       continue;
     }
     const bool aside = it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
     const auto open = mOpen->find(it.mNode);
-    const std::tuple<bool, bool, int, std::uint64_t> rank{
-      Fails(it.mNode, aNow), aside, open == mOpen->end() ? 0 : open->second, Hash64(it.mNode)
+    const auto used = mUsed.find(it.mNode);
+    const std::tuple<bool, bool, int, std::uint64_t, std::uint64_t> rank{
+      Fails(it.mNode, aNow),
+      aside,
+      open == mOpen->end() ? 0 : open->second,
+      used == mUsed.end() ? 0 : used->second,
+      Hash64(it.mNode, mOptions.mSeed)
     };
     if (best == nullptr || rank < bestRank) {
       best = &it;
@@ -76,7 +81,12 @@
 bool
 ProxyChoice::SetPeers(std::shared_ptr<const ProxyPeers> aPeers)
 {
-  return std::exchange(mPeers, std::move(aPeers)) != mPeers;
+  if (aPeers == mPeers) {
+    return false;
+  }
+  mPeers = std::move(aPeers);
+  mUsed.clear();
+  return true;
 }
 
 bool
@@ -97,6 +107,7 @@
 ProxyChoice::CountTunnel(const std::string& aNode)
 {
   ++(*mOpen)[aNode];
+  mUsed[aNode] = ++mUses;
   return { nullptr, [open = mOpen, aNode](void*) {
             const auto it = open->find(aNode);
             if (--it->second == 0) {
--- a/src/pepperbay/reach/proxy_choice_test.cpp
+++ b/src/pepperbay/reach/proxy_choice_test.cpp
@@ -20,6 +20,14 @@
   return peers;
 }
 
+ProxyChoiceOptions
+InCentre()
+{
+  ProxyChoiceOptions options;
+  options.mDataCentre = "c0";
+  return options;
+}
+
 std::shared_ptr<const ProxyPeers>
 Shared(ProxyPeers aPeers)
 {
@@ -57,7 +65,7 @@
 TEST(ProxyChoiceTest, TheFewestConnectionsThenAPeerOnTheWay)
 {
   ManualClock clock;
-  ProxyChoice choice({ "c0" });
+  ProxyChoice choice(InCentre());
   choice.SetPeers(Shared(Peers(3, 1)));
   EXPECT_NE(choice.Pick("c1", {}, clock.Now())->mNode, "c2-0") << "c2 lies aside";
   auto first = choice.CountTunnel("c0-0");
@@ -71,10 +79,27 @@
   EXPECT_EQ(choice.Pick("c1", { "c0-0", "c1-0", "c2-0" }, clock.Now()), nullptr);
 }
 
+/// Guards against a node that has one connection at a time and always asks the same peer.
+TEST(ProxyChoiceTest, PeersTakeTurns)
+{
+  ManualClock clock;
+  ProxyChoice choice(InCentre());
+  choice.SetPeers(Shared(Peers(1, 4)));
+  std::map<std::string, int> asked;
+  for (int i = 0; i < 40; ++i) {
+    const std::string peer = choice.Pick("c0", {}, clock.Now())->mNode;
+    ++asked[peer];
+    choice.CountTunnel(peer);
+  }
+  for (const auto& [peer, n] : asked) {
+    EXPECT_EQ(n, 10) << peer;
+  }
+}
+
 TEST(ProxyChoiceTest, OneThatFailedIsAskedAfterOthersForLongerEachTime)
 {
   ManualClock clock;
-  ProxyChoice choice({ "c0" });
+  ProxyChoice choice(InCentre());
   choice.SetPeers(Shared(Peers(1, 2)));
   const std::string first = choice.Pick("c0", {}, clock.Now())->mNode;
   choice.OnFailed(first, clock.Now());
