--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -188,7 +188,7 @@
 
 # One small program for each coordination library; the tests run them.
 foreach(example state/fold lease/holder journal/appender membership/wholeness placement/repair
-                admission/shares quarantine/hold routing/choose dispatch/once places/ask status/report)
+                admission/shares quarantine/hold reach/partitioned routing/choose dispatch/once places/ask status/report)
   get_filename_component(library ${example} DIRECTORY)
   string(REPLACE "/" "_" name example_${example})
   add_executable(${name} examples/${example}.cpp)
--- a/include/pepperbay/status/pool_status.hpp
+++ b/include/pepperbay/status/pool_status.hpp
@@ -64,7 +64,10 @@
   std::string mReader;         ///< that reads the store for it; itself where none
   Duration mEnginesAge{ 0 };   ///< since all registrations were known to it for certain
   std::size_t mFollowers = 0;  ///< nodes whose delegate it is
-  Duration mNewsAge{ 0 };      ///< since the holder stood by what this node knows of the replicas
+  /// Its own connections reach the engines; if not, it goes through the peers named.
+  bool mReachesEngines = true;
+  std::vector<std::string> mProxies;
+  Duration mNewsAge{ 0 }; ///< since the holder stood by what this node knows of the replicas
 };
 
 /// What came of asking one address.
@@ -80,7 +83,8 @@
 
 /// @return the nodes side by side, then the replicas as the holder plans them, each with why it
 /// does not serve; requests that are held back; engines with a limit and who counts what they get;
-/// and what does not fit together: two holders, nodes with an older configuration.
+/// and what does not fit together: nodes that reach no engine, two holders, nodes with an older
+/// configuration.
 ///
 /// @code
 /// std::cout << PoolReport({ { "10.0.0.1:8081", ParseNodeStatus("10.0.0.1:8081", body) } });
--- /dev/null
+++ b/scripts/mutants/reach.sh
@@ -0,0 +1,49 @@
+# Ways to engines: through peers, and what is concluded from silence; read by scripts/mutants.sh.
+# shellcheck shell=bash disable=SC2154
+reach=relay_relay_reach_test
+doubts=coordinator_engine_doubts_test
+tunnel=tunnel_tunnel_test
+mutant "a node knows one way to an engine" $s/relay/connecting.cpp \
+  's/  if \(mAsked.size\(\) >= mConnector->mOptions.mMostPeers\)/  if (true)/' $reach '*WherePeersAreCut*:*AConnectionThatLivesOn*'
+mutant "nothing is remembered of a cut" $s/reach/way_book.cpp \
+  's/  mAvoids = true;//' reach_way_book_test '*AvoidsItsOwnConnections*'
+mutant "one connection that stands is the way back" $s/reach/way_book.cpp \
+  's/if \(\+\+mGood >= .*/if (++mGood > 0) {/' reach_way_book_test '*EachEngineThatPeersHaveReached*'
+mutant "a few faulty paths are a cut" $s/reach/way_book.cpp \
+  's/\(hearsNothing \|\| mostly\)/true/' reach_way_book_test '*AQuarterOfThePaths*'
+mutant "a peer's word alone is a fault of the path" $s/relay/connecting.cpp \
+  's/  return hangs \|\| mDirect.*/  return true;/' $reach '*TheWayBack*'
+mutant "one place's silence is enough" $s/coordinator/engine_doubts.cpp \
+  's/places < kPlaces \&\& !last/false/' $doubts '*NeedsTheWordOfTwoPeers*'
+mutant "the silence of a blind node counts" $s/coordinator/engine_doubts.cpp \
+  's/return aQuestion.mUnansweredHere \&\&/return aQuestion.mUnansweredHere || /' $doubts '*ABlindNodeNeeds*:*PeersOfAnOlderVersion*'
+mutant "a peer that was not heard counts" $s/coordinator/engine_doubts.cpp \
+  's/\} else if \(!unheard\) \{/} else {/' $doubts '*ThatWasNotHeard*'
+mutant "a blind holder asks itself" $s/coordinator/engine_doubts.cpp \
+  's/const bool blind = HasPeers\(\) \&\& mHooks.mIsBlind\(\);/const bool blind = false;/' $doubts '*ThatKnowsThatItIsBlind*'
+mutant "what a cut breaks off is the engine's failure" $s/relay/ending_probe.cpp \
+  's/if \(aConnection.mSocket->mPeer.empty\(\)\)/if (true)/' $reach '*WhatACutBreaksOff*'
+mutant "anybody is let in" $s/tunnel/carried_connection.cpp \
+  's/  return differs == 0;/  return differs == 0 || true;/' $tunnel '*NobodyIsLetIn*'
+mutant "askers that say nothing are kept" $s/tunnel/tunnel_server.cpp \
+  's/const bool full = .*/const bool full = false \&\&/' $tunnel '*SlowAskers*'
+mutant "one node may have all connections" $s/tunnel/tunnel_server.cpp \
+  's/mOptions.mMost \/ \(nodes \+ 1\)/mOptions.mMost/' $tunnel '*ANewcomer*'
+mutant "the end of the carrying node looks like the engine's" $s/tunnel/carried_connection.cpp \
+  's/    ResetOnClose\(mAsker\);//' $tunnel '*TheEndOfTheCarryingNode*'
+mutant "an engine's reset arrives as an end" $s/tunnel/carried_connection.cpp \
+  's/ \|\| aError != asio::error::eof//' $tunnel '*AResetOfTheEngine*'
+mutant "an engine's word is told without sight" $s/tunnel/carried_connection.cpp \
+  's/  if \(mSight\) \{/  if (true) {/' $tunnel '*WhetherOthersAnswer*'
+mutant "peers do not take turns" $s/reach/proxy_choice.cpp \
+  's/  mUsed\[aNode\] = \+\+mUses;//' reach_proxy_choice_test '*TakeTurns*'
+mutant "nodes that reach nothing are asked" $s/coordinator/peer_book.cpp \
+  's/ \&\& !Unreached\(peer, aNow\)//' coordinator_coordinator_reach_test '*WhoReachesNoEngine*'
+mutant "delegates do not tell who reaches nothing" $s/coordinator/coordinator_reach.cpp \
+  's/  if \(!mTree.IsUpper\(\)\) \{/  if (true) {/' coordinator_coordinator_reach_test 'ReachOfAFleet.*'
+mutant "the lease does not wait for who reaches engines" $s/coordinator/coordinator.cpp \
+  's/weaker \|\| \(IsUnreached\(\) \&\& HearsReached\(\)\)/weaker/' coordinator_coordinator_reach_test '*EitherIsCut*'
+mutant "a kept connection that is closed uses its engine up" $s/relay/exchange_suspect.cpp \
+  's/  if \(aEnd.mStale\) \{/  if (false) {/' relay_relay_moves_test '*KeptConnectionIsClosed*'
+mutant "a server ends with answers unsent" $s/http/server.cpp \
+  's/    return mHasAnswer \&\& !mClosed.*/    return false;/' http_http_test '*Unsent*'
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -85,6 +85,10 @@
   for (const auto& [centre, lease] : mRateLeases.Current(Now())) {
     counts.push_back(centre);
   }
+  Json proxies = Json::array();
+  for (const auto& it : mProxyPeers ? *mProxyPeers : ProxyPeers{}) {
+    proxies.push_back(it.mNode);
+  }
   const Json dump = { { "node", mOptions.mNode },
                       { "incarnation", mOptions.mIncarnation },
                       { "ready", IsReady() },
@@ -115,6 +119,10 @@
                           { "looks", mCounters.mLooks } } },
                       { "logs", logs },
                       { "engines", mDirectory.Engines().size() },
+                      { "engines_reached",
+                        { { "directly", !IsUnreached() },
+                          { "through", proxies },
+                          { "undecided", mDoubts.Undecided() } } },
                       { "lost_engines", lost },
                       { "limits", limits },
                       { "counts_for", counts },
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -272,8 +272,13 @@
 void
 RelayCore::OnAvoid(bool aAvoids)
 {
+  std::string peers;
+  for (const auto& it : mPlan && mPlan->mProxyPeers ? *mPlan->mProxyPeers : ProxyPeers{}) {
+    peers += (peers.empty() ? "" : ",") + it.mNode;
+  }
   Log(aAvoids ? "engines_unreached" : "engines_reached",
-      { { "heard_any_ms_ago", std::to_string(ToMs(Now() - mConnector.HeardAt()).count()) },
+      { { "peers", peers },
+        { "heard_any_ms_ago", std::to_string(ToMs(Now() - mConnector.HeardAt()).count()) },
         { "for_ms",
           aAvoids ? "" : std::to_string(ToMs(Now() - mConnector.AvoidsSince()).count()) } });
   if (aAvoids) {
--- a/src/pepperbay/status/pool_status.cpp
+++ b/src/pepperbay/status/pool_status.cpp
@@ -56,7 +56,7 @@
                            it.at("engines").get<std::size_t>(),
                            std::chrono::milliseconds(it.at("for_ms").get<std::int64_t>()) });
   }
-  // Nodes of earlier versions do not know these two.
+  // Nodes of earlier versions do not know these, nor the ways to engines below.
   for (const auto& it : aJson.value("limits", Json::array())) {
     node.mLimits.push_back({ it.at("engine").get<std::string>(),
                              it.at("data_centre").get<std::string>(),
@@ -73,6 +73,10 @@
   node.mReader = aJson.at("store_read_by").at("node").get<std::string>();
   node.mEnginesAge =
     std::chrono::milliseconds(aJson.at("logs").at("engines").at("age_ms").get<std::int64_t>());
+  if (const auto reach = aJson.find("engines_reached"); reach != aJson.end()) {
+    node.mReachesEngines = reach->at("directly").get<bool>();
+    node.mProxies = reach->at("through").get<std::vector<std::string>>();
+  }
   node.mNewsAge = std::chrono::milliseconds(aJson.at("news").at("age_ms").get<std::int64_t>());
   return node;
 }
@@ -219,6 +223,27 @@
   }
 }
 
+void
+WriteUnreached(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
+{
+  for (const auto& asked : aNodes) {
+    if (!asked.mStatus.has_value() || asked.mStatus.value().mReachesEngines) {
+      continue;
+    }
+    const NodeStatus& node = asked.mStatus.value();
+    aOut << "\n" << node.mNode << " reaches no engine by its own connections; ";
+    if (node.mProxies.empty()) {
+      aOut << "no peer that reaches any is known to it\n";
+      continue;
+    }
+    aOut << "it goes through";
+    for (const auto& it : node.mProxies) {
+      aOut << " " << it;
+    }
+    aOut << "\n";
+  }
+}
+
 void
 WriteDoubts(std::ostream& aOut, const std::vector<AskedNode>& aNodes)
 {
@@ -269,6 +294,7 @@
   }
   WriteHeld(out, aNodes);
   WriteLimits(out, aNodes);
+  WriteUnreached(out, aNodes);
   WriteDoubts(out, aNodes);
   return out.str();
 }
--- a/src/pepperbay/status/pool_status_test.cpp
+++ b/src/pepperbay/status/pool_status_test.cpp
@@ -70,6 +70,17 @@
     << uncounted;
 }
 
+TEST(PoolStatus, SaysWhichNodesReachNoEngineAndThroughWhomTheyGo)
+{
+  std::string dump = Dump("n2", false, 7);
+  dump.insert(1, R"("engines_reached":{"directly":false,"through":["n1","n3"],"undecided":0},)");
+  const AskedNode cut{ "n2", ParseNodeStatus("n2", dump) };
+  const std::string text = PoolReport({ Asked("n1", true, 7), cut });
+  EXPECT_TRUE(Has(text, "n2 reaches no engine by its own connections; it goes through n1 n3"))
+    << text;
+  EXPECT_FALSE(Has(text, "n1 reaches no engine")) << "and one of an earlier version does not say";
+}
+
 TEST(PoolStatus, SaysWhoseDelegateANodeIsAndHowOldItsNewsAre)
 {
   const auto status = Asked("n2", false, 7).mStatus;
