--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -192,8 +192,8 @@
   slow.Write("CONNECT 10.0.0.1:80 HTTP/1.1\r\nHost:");
   const int third = Connect();
   EXPECT_EQ(RawConnection(third).ReadToEnd(), "");
-  ::close(third);
   EXPECT_EQ(Counters().mForbidden, 1U) << "two of one address wait already";
+  ::close(third);
   Pass(seconds(2));
   EXPECT_EQ(slow.ReadToEnd(), "");
   EXPECT_EQ(RawConnection(second).ReadToEnd(), "");
