--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -18,6 +18,8 @@
 /// back before the caller leaves.
 constexpr std::chrono::milliseconds kDeadlineMargin{ 20 };
 constexpr int kLeastUrgent = 9;
+/// An engine that was heard within this is reached: its events come 50 to 80 ms apart.
+constexpr std::chrono::milliseconds kHeardLately{ 150 };
 
 } // namespace
 
@@ -210,7 +212,9 @@
     }
   };
   // What has failed once may have failed by the path, which a kept connection does not show.
-  const bool fresh = !mRoute->Repeatable() || mSent > 1;
+  const bool heard =
+    mCore->Now() - mCore->mConnector.HeardAt(aSending->mTarget.mEngine) < kHeardLately;
+  const bool fresh = !mRoute->Repeatable() || (mSent > 1 && !heard);
   aSending->mAttempt->Start(MakeUpstreamRequest(aSending->mTarget), fresh, std::move(events));
 }
 
--- a/src/pepperbay/relay/silence_watch.hpp
+++ b/src/pepperbay/relay/silence_watch.hpp
@@ -18,8 +18,8 @@
   static constexpr std::chrono::milliseconds kAllSilent{ 100 };
   /// One that writes pauses so long when it reads several long prompts.
   static constexpr std::chrono::milliseconds kWritingSilent{ 180 };
-  /// And one that has a prompt to read first.
-  static constexpr std::chrono::milliseconds kReadingSilent{ 250 };
+  /// And one that has a prompt to read first, which hardly any takes so long for.
+  static constexpr std::chrono::milliseconds kReadingSilent{ 400 };
 
   explicit SilenceWatch(RelayCore* aCore)
     : mCore(aCore)
