A peer is asked for an engine only where that does not answer soon

Each question of the holder cost a tunnel and a new connection to an engine that was well. The peer is asked 40 ms after the direct question, or once that has failed, and has the rest of its 110 ms, so a verdict takes as long as before.

--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -38,22 +38,28 @@
   ++question.mRounds;
   // Counted first: a hook may answer at once.
   ++question.mOpen;
-  if (HasPeers()) {
-    mHooks.mLookElsewhere(question.mEngine);
-  }
-  const bool peer = HasPeers() && AskThroughPeer(&question);
-  const bool blind = HasPeers() && mHooks.mIsBlind();
-  if (!peer || !blind || !AskThroughPeer(&question)) {
-    AskDirectly(&question);
-  }
   if (!HasPeers()) {
     AskDirectly(&question);
+    AskDirectly(&question);
+  } else if (!mHooks.mIsBlind() || !AskThroughPeer(&question) || !AskThroughPeer(&question)) {
+    ++question.mOpen;
+    question.mPeerDue = mHooks.mNow() + mOptions.mPeerAfter;
+    AskDirectly(&question);
   }
   if (--question.mOpen == 0) {
     OnRoundOver(aEngine);
   }
 }
 
+void
+EngineDoubts::AskReserved(Question* aQuestion)
+{
+  mHooks.mLookElsewhere(aQuestion->mEngine);
+  AskThroughPeer(aQuestion);
+  aQuestion->mPeerDue.reset();
+  --aQuestion->mOpen;
+}
+
 bool
 EngineDoubts::AskThroughPeer(Question* aQuestion)
 {
@@ -64,8 +70,10 @@
   aQuestion->mPeers.insert(peer->mNode);
   ++aQuestion->mOpen;
   ++mAsked;
+  // What was asked beside it directly has been under way for a while.
+  const Duration since = aQuestion->mPeerDue ? mOptions.mPeerAfter : Duration::zero();
   mHooks.mAsk(aQuestion->mEngine,
-              { mOptions.mAskTimeout, peer },
+              { mOptions.mAskTimeout - since, peer },
               [this, engine = aQuestion->mEngine, name = peer->mNode](
                 const Result<EngineReport>& aReport) { OnAnswer(engine, name, aReport); });
   return true;
@@ -97,6 +105,12 @@
   if (!aReport.has_value()) {
     OnNoAnswer(&question, aPeer, aReport.error());
   }
+  if (question.mPeerDue && aReport.has_value()) {
+    question.mPeerDue.reset();
+    --question.mOpen;
+  } else if (question.mPeerDue) {
+    AskReserved(&question);
+  }
   if (--question.mOpen == 0) {
     OnRoundOver(aEngine.mId);
   }
@@ -208,6 +222,11 @@
 void
 EngineDoubts::Tick(const std::function<const EngineRecord*(const std::string&)>& aFind)
 {
+  for (auto& [id, question] : mQuestions) {
+    if (question.mPeerDue && mHooks.mNow() >= *question.mPeerDue) {
+      AskReserved(&question);
+    }
+  }
   for (const auto& [id, engine] : std::exchange(mWaiting, {})) {
     if (aFind(id) != nullptr) {
       Ask(engine);
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -20,6 +20,9 @@
 struct EngineDoubtsOptions
 {
   Duration mAskTimeout = std::chrono::milliseconds(110);
+  /// An engine that is well answers within a few milliseconds; a peer is asked beside after this,
+  /// and has the rest of mAskTimeout.
+  Duration mPeerAfter = std::chrono::milliseconds(40);
   Duration mAskAgain = std::chrono::milliseconds(700);
   /// What an engine says of itself is some 200 ms old; asking more often tells little more.
   Duration mAskState = std::chrono::milliseconds(250);
@@ -58,12 +61,12 @@
 
 /// Asks engines under suspicion.
 ///
-/// Two questions go out at once, one directly and one through a peer, and an engine is lost when
-/// two places have no answer in time that reach other engines at that moment. A node that is
-/// partitioned from the engines, or has a poor link, would otherwise take all of them for lost and
-/// have every node refuse what it could serve; and one lost packet must not darken a replica. A
+/// A question goes out directly, and one through a peer where that has no answer soon; an engine is
+/// lost when two places have no answer in time that reach other engines at that moment. A node that
+/// is partitioned from the engines, or has a poor link, would otherwise take all of them for lost
+/// and have every node refuse what it could serve; and one lost packet must not darken a replica. A
 /// place that was not heard, or reaches nothing itself, says nothing, and another is asked. Where
-/// there are no other nodes both questions are this node's own.
+/// there are no other nodes two questions go out at once, both this node's own.
 class EngineDoubts
 {
 public:
@@ -94,6 +97,7 @@
     TimePoint mBegun{};
     int mRounds = 0;
     int mOpen = 0;
+    std::optional<TimePoint> mPeerDue; ///< counts as open until the peer is asked, or need not be
     bool mAnswered = false;
     bool mUnheard = false;        ///< this node was too late to hear an answer
     bool mUnansweredHere = false; ///< a question of this node's own had none
@@ -108,6 +112,8 @@
   void AskRound(const std::string& aEngine);
   /// @return whether there was a peer left to ask
   bool AskThroughPeer(Question* aQuestion);
+  /// Ask the peer that a round has in reserve.
+  void AskReserved(Question* aQuestion);
   void AskDirectly(Question* aQuestion);
   void OnAnswer(const EngineRecord& aEngine,
                 const std::string& aPeer,
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -97,6 +97,7 @@
                         const EngineCallOptions& aOptions,
                         const std::function<void(Result<EngineReport>)>& aDone) {
       mAsked.push_back({ aOptions.mVia ? aOptions.mVia->mNode : "", aDone });
+      mLongest = std::max(mLongest, mClock.Now() - mBegun + aOptions.mTimeout);
     };
     hooks.mOnAnswer = [](const EngineRecord&, const EngineReport&) {};
     hooks.mOnChange = [this](const EngineRecord&, bool aLost, const std::string&) {
@@ -129,6 +130,8 @@
   std::string Round(Word aHere, Word aThere)
   {
     std::string places;
+    mClock.Advance(milliseconds(40));
+    mDoubts.Tick([&](const std::string&) { return &mEngine; });
     for (const auto& it : std::exchange(mAsked, {})) {
       places += (it.mPeer.empty() ? "here" : it.mPeer) + " ";
       const Word word = it.mPeer.empty() ? aHere : aThere;
@@ -140,6 +143,8 @@
   }
 
   ManualClock mClock;
+  const TimePoint mBegun = mClock.Now();
+  Duration mLongest{ 0 }; ///< until the last question's time is over
   EngineRecord mEngine;
   std::vector<std::string> mPeers = { "p1", "p2", "p3" };
   std::vector<Asked> mAsked;
@@ -156,9 +161,30 @@
 TEST_F(EngineDoubtsFromTwoPlaces, AnEngineWithoutAnAnswerHereAndThereIsLostAfterOneRound)
 {
   mDoubts.Ask(mEngine);
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "here p1 ");
   EXPECT_EQ(mLooks, 1) << "whether this node sees others is looked at meanwhile";
-  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p1 here ");
   EXPECT_TRUE(mLost);
+  EXPECT_EQ(mLongest, EngineDoubtsOptions().mAskTimeout) << "as long as the direct question";
+}
+
+/// Guards against a peer, and a new connection to the engine, for each question of a calm day.
+TEST_F(EngineDoubtsFromTwoPlaces, NoPeerIsAskedWhereTheEngineAnswersAtOnce)
+{
+  mDoubts.Ask(mEngine);
+  ASSERT_EQ(mAsked.size(), 1U);
+  std::exchange(mAsked, {}).front().mDone(EngineReport{});
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "");
+  EXPECT_FALSE(mDoubts.IsAsked("a"));
+}
+
+/// Guards against a wait for an engine that has ended and refuses at once.
+TEST_F(EngineDoubtsFromTwoPlaces, APeerIsAskedAtOnceWhereTheDirectQuestionHasFailed)
+{
+  mDoubts.Ask(mEngine);
+  ASSERT_EQ(mAsked.size(), 1U);
+  std::exchange(mAsked, {}).front().mDone(Error{ Errc::kUnavailable, "engine.ask", "a", "" });
+  ASSERT_EQ(mAsked.size(), 1U);
+  EXPECT_EQ(mAsked.front().mPeer, "p1");
 }
 
 /// Guards against a node whose own path is cut and that takes the engine for lost.
@@ -176,9 +202,9 @@
 {
   mSees = false;
   mDoubts.Ask(mEngine);
-  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p1 here ");
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "here p1 ");
   EXPECT_FALSE(mLost);
-  EXPECT_EQ(Round(Word::kNone, Word::kNone), "p2 here ");
+  EXPECT_EQ(Round(Word::kNone, Word::kNone), "here p2 ");
   EXPECT_TRUE(mLost);
 }
 
@@ -196,9 +222,9 @@
 {
   mSees = false;
   mDoubts.Ask(mEngine);
-  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p1 here ");
-  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p2 here ");
-  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "p3 here ");
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "here p1 ");
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "here p2 ");
+  EXPECT_EQ(Round(Word::kNone, Word::kUnheard), "here p3 ");
   EXPECT_FALSE(mLost);
   EXPECT_TRUE(mAsked.empty()) << "it is asked again when somebody suspects it again";
   EXPECT_EQ(mDoubts.Undecided(), 1U);
