Relay core, datagrams and options of peers have files of their own; one bound of limits; one way to connect in tests

The datagram socket of the edge, the options of a proxy choice, the greatest limit that an engine may name and the tests' connect are written once.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -81,7 +81,7 @@
 pepperbay_library(relay SOURCES attempt.cpp connecting.cpp connection_pool.cpp ending_probe.cpp
                                 engine_connector.cpp silence_watch.cpp event_splitter.cpp hop_by_hop.cpp
                                 exchange.cpp exchange_ends.cpp exchange_limits.cpp exchange_sending.cpp exchange_log.cpp
-                                exchange_second.cpp exchange_suspect.cpp relay.cpp session.cpp
+                                exchange_second.cpp exchange_suspect.cpp relay.cpp relay_core.cpp session.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp
--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -18,6 +18,23 @@
 
 namespace pepperbay {
 
+/// @return a socket that is connected to `127.0.0.1:port`; -1 if nobody listens there.
+inline int
+ConnectTo(const std::string& aAddress)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port =
+    htons(static_cast<std::uint16_t>(std::stoi(aAddress.substr(aAddress.find(':') + 1))));
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(socket);
+    return -1;
+  }
+  return socket;
+}
+
 /// One connection of a caller, as a script sees it.
 class RawConnection
 {
--- a/include/pepperbay/reach/proxy_choice.hpp
+++ b/include/pepperbay/reach/proxy_choice.hpp
@@ -44,6 +44,10 @@
   std::uint64_t mSeed = 0; ///< other nodes begin with other peers
 };
 
+/// @return the options of one node.
+ProxyChoiceOptions
+ProxyChoiceOptionsOf(const std::string& aNode, const std::string& aDataCentre);
+
 class ProxyChoice
 {
 public:
--- a/include/pepperbay/routing/limit_book.hpp
+++ b/include/pepperbay/routing/limit_book.hpp
@@ -15,6 +15,9 @@
 
 namespace pepperbay {
 
+/// Requests a second; what is above says nothing that could be kept.
+constexpr double kMostLimit = 1e6;
+
 /// What one answer of an engine says of its limit.
 struct LimitStatement
 {
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -55,15 +55,6 @@
   return options;
 }
 
-ProxyChoiceOptions
-ProxyOptionsOf(const CoordinatorOptions& aOptions)
-{
-  ProxyChoiceOptions options;
-  options.mDataCentre = aOptions.mDataCentre;
-  options.mSeed = Hash64(aOptions.mNode);
-  return options;
-}
-
 /// Nodes let a request that is held back for a moment through one after the other.
 constexpr std::chrono::milliseconds kMostHoldSpread{ 2000 };
 
@@ -141,7 +132,7 @@
                   mHooks.mNow)
   , mLease(LeaseOptionsOf(mOptions), CountedLease(), mHooks.mNow)
   , mCalls({}, { mHooks.mNow, mHooks.mOrder, mHooks.mAsk })
-  , mProxies(ProxyOptionsOf(mOptions))
+  , mProxies(ProxyChoiceOptionsOf(mOptions.mNode, mOptions.mDataCentre))
   , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState }, DoubtsHooks())
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -1,16 +1,15 @@
 #include "pepperbay/edge/edge_node.hpp"
 
+#include "datagram_socket.hpp"
 #include "edge_metrics.hpp"
 #include "pepperbay/base/ids.hpp"
 #include "pepperbay/http/server.hpp"
 #include "pepperbay/log/log.hpp"
 #include "pepperbay/relay/relay.hpp"
 
-#include <array>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <mutex>
@@ -37,84 +36,10 @@
 /// How often the traffic thread tells the control thread what is in progress.
 constexpr std::chrono::milliseconds kTellTraffic{ 100 };
 constexpr std::chrono::milliseconds kStopMargin{ 800 }; // before the platform would kill
-constexpr std::size_t kMostDatagram = 65536;
 /// Share of the second attempts that nodes spend; the rest covers nodes that miscount each other.
 constexpr double kRetryCaution = 0.8;
 
 using Timer = asio::steady_timer;
-using Udp = asio::ip::udp;
-
-/// Messages between nodes. Used by the thread of its context, but for `Open()`.
-class DatagramSocket
-{
-public:
-  explicit DatagramSocket(asio::io_context& aContext)
-    : mSocket(aContext)
-  {
-  }
-
-  Result<void> Open(const char* aStep, const std::string& aAddress)
-  {
-    const auto endpoint = ParseEndpoint(aAddress);
-    if (!endpoint.has_value()) {
-      return endpoint.error();
-    }
-    boost::system::error_code ec;
-    const Udp::endpoint address(asio::ip::make_address(endpoint.value().mHost, ec),
-                                static_cast<std::uint16_t>(endpoint.value().mPort));
-    mSocket.open(address.protocol(), ec);
-    if (!ec) {
-      mSocket.bind(address, ec);
-    }
-    if (!ec) {
-      mSocket.non_blocking(true, ec);
-    }
-    if (ec) {
-      return Error{ Errc::kUnavailable, aStep, aAddress, ec.message() };
-    }
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-  }
-
-  void Send(const std::string& aAddress, const std::string& aBytes)
-  {
-    const auto endpoint = ParseEndpoint(aAddress);
-    if (!endpoint.has_value()) {
-      return;
-    }
-    boost::system::error_code ec;
-    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
-    // What cannot go out now is out of date at the next heartbeat, or is sent again.
-    mSocket.send_to(
-      asio::buffer(aBytes), { address, static_cast<std::uint16_t>(endpoint.value().mPort) }, 0, ec);
-  }
-
-  void Receive(std::function<void(const std::string& aBytes)> aOnBytes)
-  {
-    mOnBytes = std::move(aOnBytes);
-    ReceiveNext();
-  }
-
-private:
-  void ReceiveNext()
-  {
-    mSocket.async_receive_from(asio::buffer(mDatagram),
-                               mSender,
-                               [this](boost::system::error_code aError, std::size_t aSize) {
-                                 if (aError == asio::error::operation_aborted) {
-                                   return;
-                                 }
-                                 if (!aError) {
-                                   mOnBytes(std::string(mDatagram.data(), aSize));
-                                 }
-                                 ReceiveNext();
-                               });
-  }
-
-  Udp::socket mSocket;
-  Udp::endpoint mSender;
-  std::array<char, kMostDatagram> mDatagram{};
-  std::function<void(const std::string&)> mOnBytes;
-};
 
 class EdgeNodeImpl : public EdgeNode
 {
--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -34,6 +34,15 @@
   return chosen;
 }
 
+ProxyChoiceOptions
+ProxyChoiceOptionsOf(const std::string& aNode, const std::string& aDataCentre)
+{
+  ProxyChoiceOptions options;
+  options.mDataCentre = aDataCentre;
+  options.mSeed = Hash64(aNode);
+  return options;
+}
+
 ProxyChoice::ProxyChoice(ProxyChoiceOptions aOptions)
   : mOptions(std::move(aOptions))
 {
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -1,7 +1,6 @@
 #include "engine_connector.hpp"
 
 #include "connecting.hpp"
-#include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -24,26 +23,13 @@
   std::function<void(bool)> mDone; ///< null once it is over
 };
 
-namespace {
-
-ProxyChoiceOptions
-PeerOptionsOf(const EngineConnectorOptions& aOptions)
-{
-  ProxyChoiceOptions options;
-  options.mDataCentre = aOptions.mDataCentre;
-  options.mSeed = Hash64(aOptions.mNode);
-  return options;
-}
-
-} // namespace
-
 EngineConnector::EngineConnector(boost::asio::io_context& aContext,
                                  EngineConnectorOptions aOptions,
                                  EngineConnectorHooks aHooks)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
-  , mPeers(PeerOptionsOf(mOptions))
+  , mPeers(ProxyChoiceOptionsOf(mOptions.mNode, mOptions.mDataCentre))
 {
 }
 
--- /dev/null
+++ b/src/pepperbay/relay/relay_core.cpp
@@ -0,0 +1,331 @@
+#include "relay_core.hpp"
+
+#include "exchange.hpp"
+#include "pepperbay/base/hash.hpp"
+#include "pepperbay/routing/find_engine.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace pepperbay {
+
+namespace {
+
+/// A version that reaches the traffic thread later than this gets a line.
+constexpr std::chrono::milliseconds kSlowToForce{ 250 };
+
+BalancerOptions
+BalancerOptionsOf(const RelayOptions& aOptions)
+{
+  BalancerOptions options;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mSeed = Hash64(aOptions.mNode);
+  return options;
+}
+
+PlaceAgentOptions
+PlaceOptionsOf(const RelayOptions& aOptions)
+{
+  PlaceAgentOptions options;
+  options.mNode = aOptions.mNode;
+  options.mIncarnation = aOptions.mIncarnation;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mAddress = aOptions.mDeskAddress;
+  options.mRetryShare = aOptions.mTuning.mRetryShare;
+  options.mRetrySlack = aOptions.mTuning.mRetrySlack;
+  return options;
+}
+
+EngineConnectorOptions
+ConnectorOptionsOf(const RelayOptions& aOptions)
+{
+  EngineConnectorOptions options;
+  options.mNode = aOptions.mNode;
+  options.mDataCentre = aOptions.mDataCentre;
+  options.mTimeout = aOptions.mConnectTimeout;
+  return options;
+}
+
+} // namespace
+
+RelayCore::RelayCore(boost::asio::io_context& aContext,
+                     RelayOptions aOptions,
+                     Dialect aDialect,
+                     RelayHooks aHooks)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mDialect(std::move(aDialect))
+  , mHooks(std::move(aHooks))
+  , mBalancer(BalancerOptionsOf(mOptions))
+  , mPlaces(
+      PlaceOptionsOf(mOptions),
+      { mOptions.mNow, mHooks.mSendToDesk, [this](const LimitNews& aNews) { OnLimit(aNews); } },
+      &mBalancer)
+  , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
+  , mConnector(mContext,
+               ConnectorOptionsOf(mOptions),
+               { mOptions.mNow,
+                 [this](bool aAvoids) { OnAvoid(aAvoids); },
+                 [this] { return EnginesToTry(); },
+                 [this] { ++mCounters.mCarriedByPeers; },
+                 [this](const AttemptTarget& aEngine, EngineSocket aSocket) {
+                   mConnections.Put(aEngine.mEngine, std::move(aSocket), std::nullopt, 1);
+                 } })
+  , mEndings(
+      &mConnector,
+      mOptions.mNow,
+      &mConnections,
+      [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
+        OnEngineEnded(aEngine, aRequests);
+      },
+      [this](const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests) {
+        OnBrokenOffAlive(aEngine, aRequests);
+      })
+{
+}
+
+void
+RelayCore::SetPlan(std::shared_ptr<const TrafficPlan> aPlan)
+{
+  if (mPlan) {
+    ForgetReplacedStarts(mPlan->mStarts, aPlan->mStarts);
+  }
+  NoteConfiguration(*aPlan);
+  const bool suspects = aPlan->mSuspects && (!mPlan || aPlan->mSuspects != mPlan->mSuspects);
+  mPlan = std::move(aPlan);
+  if (suspects) {
+    ClearThoseThatRan(*mPlan->mSuspects);
+  }
+  mPlaces.SetPlan(mPlan);
+  if (mConnector.SetPeers(mPlan->mProxyPeers)) {
+    // One that stops waits until nothing is carried any more.
+    mConnections.ForgetCarriedBy(
+      [this](const std::string& aPeer) { return !aPeer.empty() && !mConnector.IsPeer(aPeer); });
+  }
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetOptions(BudgetOfThisNode());
+  }
+}
+
+void
+RelayCore::NoteConfiguration(const TrafficPlan& aPlan)
+{
+  mCounters.mConfigurationAsOf = aPlan.mConfigurationAsOf;
+  const std::uint64_t version = aPlan.mRoutes ? aPlan.mRoutes->Version() : 0;
+  if (version == mCounters.mConfigurationVersion) {
+    return;
+  }
+  mCounters.mConfigurationVersion = version;
+  const Duration took = Now() - aPlan.mConfigurationTaken;
+  mCounters.mInForce.Observe(took);
+  if (took > kSlowToForce) {
+    Log("configuration_late",
+        { { "version", std::to_string(version) },
+          { "after_ms", std::to_string(ToMs(took).count()) } });
+  }
+}
+
+void
+RelayCore::ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow)
+{
+  for (const auto& [engine, born] : aNow) {
+    const auto known = aBefore.find(engine);
+    if (known != aBefore.end() && known->second < born) {
+      mBalancer.Forget(engine);
+      mConnections.Forget(engine);
+    }
+  }
+  for (const auto& [engine, born] : aBefore) {
+    if (aNow.count(engine) == 0) {
+      mConnector.Forget(engine);
+    }
+  }
+}
+
+void
+RelayCore::Tune(const RelayTuning& aTuning)
+{
+  mOptions.mTuning = aTuning;
+  mPlaces.SetBudget(aTuning.mRetryShare, aTuning.mRetrySlack);
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetOptions(BudgetOfThisNode());
+  }
+}
+
+RetryBudget::Options
+RelayCore::BudgetOfThisNode() const
+{
+  const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
+  return { mOptions.mTuning.mRetryShare, mOptions.mTuning.mRetrySlack / nodes };
+}
+
+RetryBudget&
+RelayCore::BudgetOf(const std::string& aService)
+{
+  const auto it = mBudgets.find(aService);
+  if (it != mBudgets.end()) {
+    return it->second;
+  }
+  return mBudgets.emplace(aService, RetryBudget(BudgetOfThisNode())).first->second;
+}
+
+SuspectRequest
+RelayCore::SuspectOf(const RequestKey& aKey) const
+{
+  if (!mPlan || !mPlan->mSuspects) {
+    return {};
+  }
+  const auto it = mPlan->mSuspects->find(aKey);
+  return it == mPlan->mSuspects->end() ? SuspectRequest{} : it->second;
+}
+
+void
+RelayCore::OnRanWhole(const RequestKey& aKey)
+{
+  mRuns.OnRun(aKey, Now());
+  if (SuspectOf(aKey).mScore > 0 && mHooks.mOnRanWhole) {
+    mHooks.mOnRanWhole(aKey);
+  }
+}
+
+void
+RelayCore::ClearThoseThatRan(const SuspectRequests& aSuspects)
+{
+  for (const auto& [key, suspect] : aSuspects) {
+    if (mRuns.HasRun(key, Now()) && mHooks.mOnRanWhole) {
+      mHooks.mOnRanWhole(key);
+    }
+  }
+}
+
+void
+RelayCore::OnEngineEnded(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
+{
+  ++mCounters.mEnginesEnded;
+  const std::uint64_t start = EngineStartHash(aEngine.mEngine, aEngine.mBorn);
+  const bool head = std::any_of(
+    aRequests.begin(), aRequests.end(), [](const BrokenOff& aIt) { return aIt.mOfReplica; });
+  if (head) {
+    OnHeadGone(aEngine.mEngine, aRequests.front().mAt);
+  }
+  for (const auto& it : aRequests) {
+    const bool ran = mRuns.HasRun(it.mKey, Now());
+    Log("engine_ended",
+        { { "engine", aEngine.mEngine },
+          { "request", it.mRequest },
+          { "key", ToString(it.mKey) },
+          { "begun", it.mSuspicion == Suspicion::kBegun ? "true" : "false" },
+          { "ran_before", ran ? "true" : "false" },
+          { "age_ms", std::to_string(ToMs(Now() - it.mAt).count()) } });
+    if (!ran && mHooks.mOnEngineEnded) {
+      mHooks.mOnEngineEnded(it.mKey, { start, it.mSuspicion, it.mAt });
+    }
+  }
+}
+
+void
+RelayCore::OnBrokenOffAlive(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
+{
+  const bool once =
+    std::any_of(aRequests.begin(), aRequests.end(), [](const auto& aIt) { return aIt.mOnce; });
+  if (once) {
+    mBalancer.Failures().OnFailed(aEngine.mEngine, Now());
+  }
+}
+
+void
+RelayCore::OnHeadGone(const std::string& aHead, TimePoint aAsOf)
+{
+  if (mGoneHeads.OnRefused(aHead, aAsOf, Now()) && mHooks.mOnRefused) {
+    mHooks.mOnRefused(aHead);
+  }
+}
+
+void
+RelayCore::OnLimit(const LimitNews& aNews)
+{
+  mCounters.mLimitedEngines = mBalancer.Limits().Limited();
+  const EngineTarget* engine = mPlan ? FindEngine(*mPlan, aNews.mEngine) : nullptr;
+  std::ostringstream perSecond;
+  if (aNews.mPerSecond) {
+    perSecond << *aNews.mPerSecond;
+  }
+  Log("engine_limit",
+      { { "engine", engine != nullptr ? engine->mId : std::to_string(aNews.mEngine) },
+        { "change", ToString(aNews.mChange) },
+        { "per_second", perSecond.str() },
+        { "age_ms", std::to_string(ToMs(aNews.mAge).count()) },
+        { "from", aNews.mFrom.empty() ? "the engine" : aNews.mFrom } });
+}
+
+void
+RelayCore::OnAvoid(bool aAvoids)
+{
+  std::string peers;
+  for (const auto& it : mPlan && mPlan->mProxyPeers ? *mPlan->mProxyPeers : ProxyPeers{}) {
+    peers += (peers.empty() ? "" : ",") + it.mNode;
+  }
+  Log(aAvoids ? "engines_unreached" : "engines_reached",
+      { { "peers", peers },
+        { "heard_any_ms_ago", std::to_string(ToMs(Now() - mConnector.HeardAt()).count()) },
+        { "for_ms",
+          aAvoids ? "" : std::to_string(ToMs(Now() - mConnector.AvoidsSince()).count()) } });
+  if (aAvoids) {
+    // They may be cut and show nothing; a request that is sent over one would be lost.
+    mConnections.ForgetCarriedBy([](const std::string& aPeer) { return aPeer.empty(); });
+  }
+  if (mHooks.mOnReach) {
+    mHooks.mOnReach(!aAvoids);
+  }
+}
+
+void
+RelayCore::OnHeard(const Attempt& aAttempt)
+{
+  mConnector.OnHeard(aAttempt.Target().mEngine, aAttempt.Peer());
+  if (aAttempt.Peer().empty()) {
+    mCounters.mEngineHeardAt = Now();
+  }
+}
+
+std::vector<AttemptTarget>
+RelayCore::EnginesToTry() const
+{
+  std::vector<AttemptTarget> engines;
+  if (!mPlan) {
+    return engines;
+  }
+  const auto add = [&engines](const EngineTarget& aEngine) {
+    engines.push_back({ aEngine.mId, aEngine.mAddress, aEngine.mBorn, aEngine.mDataCentre });
+  };
+  for (const auto& [service, all] : mPlan->mEngines) {
+    std::for_each(all.begin(), all.end(), add);
+  }
+  for (const auto& [service, replicas] : mPlan->mReplicas) {
+    for (const auto& it : replicas) {
+      add(it.mHead);
+    }
+  }
+  return engines;
+}
+
+EngineLimits
+RelayCore::Limits() const
+{
+  EngineLimits limits;
+  for (const auto& it : mBalancer.Limits().Limits()) {
+    limits[it.mEngine] = it.mPerSecond;
+  }
+  return limits;
+}
+
+void
+RelayCore::Log(const char* aEvent, const std::map<std::string, std::string>& aFields) const
+{
+  if (mHooks.mLog) {
+    mHooks.mLog(aEvent, aFields);
+  }
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/routing/limit_book.cpp
+++ b/src/pepperbay/routing/limit_book.cpp
@@ -57,8 +57,7 @@
 bool
 IsLimit(double aPerSecond)
 {
-  constexpr double kMost = 1e6;
-  return aPerSecond >= 0 && aPerSecond <= kMost; // no number is neither
+  return aPerSecond >= 0 && aPerSecond <= kMostLimit; // no number is neither
 }
 
 LimitChange
