A node out of descriptors takes connections up again at the next tick

What callers saw: nothing measured; found by reading. Cause: after a connection could not be taken up the listener tried again at once. It still waited, so the traffic thread failed in a loop, with a line each time, and served nobody that it had taken up before. The listener of callers and the one for peers had the same loop. Now both are one class, which tries again at the next tick. ListenerTest.WithoutDescriptorsItFailsOnceATick: 50 failures in 50 turns with the old loop, 1 now.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -75,8 +75,9 @@
                         rate_leases_test.cpp round_pace_test.cpp
                   USES journal lease membership placement quarantine reach routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
-pepperbay_library(tunnel SOURCES sockets.cpp tunnel_server.cpp carried_connection.cpp tunnel_opening.cpp
-                  TESTS tunnel_test.cpp
+pepperbay_library(tunnel SOURCES sockets.cpp listener.cpp tunnel_server.cpp carried_connection.cpp
+                          tunnel_opening.cpp
+                  TESTS tunnel_test.cpp listener_test.cpp
                   USES settings reach PACKAGES Threads::Threads)
 pepperbay_library(relay SOURCES attempt.cpp connecting.cpp connection_pool.cpp ending_probe.cpp
                                 engine_connector.cpp silence_watch.cpp event_splitter.cpp hop_by_hop.cpp
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -1,13 +1,12 @@
 #include "pepperbay/relay/relay.hpp"
 
-#include "pepperbay/settings/settings.hpp"
+#include "pepperbay/tunnel/listener.hpp"
 #include "pepperbay/tunnel/tunnel_server.hpp"
 #include "relay_core.hpp"
 #include "session.hpp"
 #include "silence_watch.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 #include <vector>
@@ -18,7 +17,6 @@
 
 namespace {
 
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
 using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
                                          asio::wait_traits<std::chrono::steady_clock>,
                                          asio::io_context::executor_type>;
@@ -35,28 +33,20 @@
 public:
   RelayImpl(asio::io_context& aContext, RelayOptions aOptions, Dialect aDialect, RelayHooks aHooks)
     : mCore(aContext, std::move(aOptions), std::move(aDialect), std::move(aHooks))
-    , mAcceptor(aContext)
+    , mListener(aContext,
+                { [this](Socket aSocket) { Take(std::move(aSocket)); },
+                  [this](const std::string& aDetail) {
+                    mCore.Log("accept_failed", { { "detail", aDetail } });
+                  } })
     , mTimer(aContext)
   {
   }
 
   Result<void> Listen()
   {
-    const auto endpoint = ParseEndpoint(mCore.mOptions.mCallers);
-    if (!endpoint.has_value()) {
-      return endpoint.error();
-    }
-    try {
-      const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.value().mHost),
-                                            static_cast<std::uint16_t>(endpoint.value().mPort));
-      mAcceptor.open(address.protocol());
-      mAcceptor.set_option(Acceptor::reuse_address(true));
-      mAcceptor.bind(address);
-      mAcceptor.listen(kBacklog);
-    } catch (const boost::system::system_error& error) {
-      return Error{
-        Errc::kUnavailable, "relay.listen", mCore.mOptions.mCallers, error.code().message()
-      };
+    auto listening = mListener.Open("relay.listen", mCore.mOptions.mCallers, kBacklog);
+    if (!listening.has_value()) {
+      return listening;
     }
     mListeningSince = mCore.Now();
     Tick();
@@ -139,25 +129,15 @@
     const bool waited = mCore.Now() - mListeningSince >= mCore.mOptions.mWaitForPlan;
     if (!mAccepting && (known || waited)) {
       mAccepting = true;
-      Accept();
+      mListener.Start();
     }
   }
 
-  void Accept()
+  void Take(Socket aSocket)
   {
-    mAcceptor.async_accept([this](boost::system::error_code aError, Socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError) {
-        const auto session = std::make_shared<Session>(&mCore, std::move(aSocket));
-        mCore.mSessions.insert(session);
-        session->Start();
-      } else {
-        mCore.Log("accept_failed", { { "detail", aError.message() } });
-      }
-      Accept();
-    });
+    const auto session = std::make_shared<Session>(&mCore, std::move(aSocket));
+    mCore.mSessions.insert(session);
+    session->Start();
   }
 
   void Tick()
@@ -182,6 +162,7 @@
     }
     mTickedAt = now;
     AcceptOnceKnown();
+    mListener.Tick();
     for (const auto& it : mCore.mStalls.Suspects(now)) {
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
@@ -217,11 +198,10 @@
     if (!mStopped || since < mCore.mOptions.mStopGrace) {
       return;
     }
-    if (mAcceptor.is_open()) {
+    if (mListener.IsOpen()) {
       // A balancer that has no better node would send connections until the end, and what comes
       // late could not be answered whole before the process is killed.
-      boost::system::error_code ec;
-      mAcceptor.close(ec);
+      mListener.Close();
       mCore.mTakesRequests = false;
     }
     const std::vector<std::shared_ptr<Session>> sessions(mCore.mSessions.begin(),
@@ -260,7 +240,7 @@
   std::unique_ptr<TunnelServer> mTunnels;
   Duration mLag{ 0 }; ///< how late this thread is, averaged over some ticks
   TimePoint mTickedAt{};
-  Acceptor mAcceptor;
+  Listener mListener;
   Timer mTimer;
   unsigned mTicks = 0;
   TimePoint mListeningSince{};
--- a/src/pepperbay/tunnel/tunnel_server.cpp
+++ b/src/pepperbay/tunnel/tunnel_server.cpp
@@ -1,9 +1,8 @@
 #include "pepperbay/tunnel/tunnel_server.hpp"
 
 #include "carried_connection.hpp"
-#include "pepperbay/settings/settings.hpp"
+#include "pepperbay/tunnel/listener.hpp"
 
-#include <boost/asio/error.hpp>
 #include <utility>
 #include <vector>
 
@@ -13,8 +12,6 @@
 
 namespace {
 
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
-
 constexpr int kBacklog = 128;
 
 class TunnelServerImpl
@@ -29,7 +26,11 @@
     : mContext(aContext)
     , mOptions(std::move(aOptions))
     , mHooks(std::move(aHooks))
-    , mAcceptor(aContext)
+    , mListener(aContext,
+                { [this](Socket aSocket) { Take(std::move(aSocket)); },
+                  [this](const std::string& aDetail) {
+                    mHooks.mLog("tunnel_accept_failed", { { "detail", aDetail } });
+                  } })
     , mCounters(*aCounters)
   {
   }
@@ -40,33 +41,16 @@
 
   Result<void> Listen()
   {
-    const auto endpoint = ParseEndpoint(mOptions.mAddress);
-    if (!endpoint.has_value()) {
-      return endpoint.error();
-    }
-    boost::system::error_code ec;
-    const auto address = asio::ip::make_address(endpoint.value().mHost, ec);
-    const asio::ip::tcp::endpoint local(address,
-                                        static_cast<std::uint16_t>(endpoint.value().mPort));
-    if (!ec) {
-      mAcceptor.open(local.protocol(), ec);
-    }
-    if (!ec) {
-      mAcceptor.set_option(Acceptor::reuse_address(true), ec);
-      mAcceptor.bind(local, ec);
+    auto listening = mListener.Open("tunnel.listen", mOptions.mAddress, kBacklog);
+    if (listening.has_value()) {
+      mListener.Start();
     }
-    if (!ec) {
-      mAcceptor.listen(kBacklog, ec);
-    }
-    if (ec) {
-      return Error{ Errc::kUnavailable, "tunnel.listen", mOptions.mAddress, ec.message() };
-    }
-    Accept();
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+    return listening;
   }
 
   void Tick() override
   {
+    mListener.Tick();
     const std::vector<std::shared_ptr<CarriedConnection>> all(mAll.begin(), mAll.end());
     for (const auto& it : all) {
       it->Tick();
@@ -75,34 +59,13 @@
 
   void Close() override
   {
-    CloseListener();
+    mListener.Close();
     for (const auto& it : std::exchange(mAll, {})) {
       it->Close();
     }
   }
 
 private:
-  void CloseListener()
-  {
-    boost::system::error_code ec; // it is given up in any case
-    mAcceptor.close(ec);
-  }
-
-  void Accept()
-  {
-    mAcceptor.async_accept([this](boost::system::error_code aError, Socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError) {
-        Take(std::move(aSocket));
-      } else {
-        mHooks.mLog("tunnel_accept_failed", { { "detail", aError.message() } });
-      }
-      Accept();
-    });
-  }
-
   void Take(Socket aSocket)
   {
     boost::system::error_code ec;
@@ -169,7 +132,7 @@
   asio::io_context& mContext;
   TunnelServerOptions mOptions;
   TunnelServerHooks mHooks;
-  Acceptor mAcceptor;
+  Listener mListener;
   TunnelCounters& mCounters;
   std::set<std::shared_ptr<CarriedConnection>> mAll;
   std::size_t mWaiting = 0;                        ///< whose request has not come whole
