A peer's failures are forgotten with the peer; the rank of peers is a type

A node kept an entry for each peer that had ever failed, for as long as it ran. Found by reading. ProxyChoiceTest.WhatAPeerFailedAtIsForgottenWithThePeer fails without the change.

--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -7,6 +7,25 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+
+/// The lower, the sooner a peer is asked.
+struct Rank
+{
+  bool mFails = false;
+  bool mAside = false; ///< neither of the engine's data centre nor of this node's
+  int mOpen = 0;       ///< tunnels of this node
+  std::uint64_t mUsed = 0;
+  std::uint64_t mHash = 0; ///< another order at each node
+
+  bool operator<(const Rank& aOther) const
+  {
+    return std::tie(mFails, mAside, mOpen, mUsed, mHash) <
+           std::tie(aOther.mFails, aOther.mAside, aOther.mOpen, aOther.mUsed, aOther.mHash);
+  }
+};
+
+} // namespace
 
 ProxyPeers
 ChooseProxyPeers(const std::string& aNode,
@@ -64,7 +83,7 @@
     return nullptr;
   }
   const ProxyPeer* best = nullptr;
-  std::tuple<bool, bool, int, std::uint64_t, std::uint64_t> bestRank;
+  Rank bestRank;
   for (const auto& it : *mPeers) {
     if (aTried.count(it.mNode) != 0) {
       continue;
@@ -72,13 +91,11 @@
     const bool aside = it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
     const auto open = mOpen->find(it.mNode);
     const auto used = mUsed.find(it.mNode);
-    const std::tuple<bool, bool, int, std::uint64_t, std::uint64_t> rank{
-      Fails(it.mNode, aNow),
-      aside,
-      open == mOpen->end() ? 0 : open->second,
-      used == mUsed.end() ? 0 : used->second,
-      Hash64(it.mNode, mOptions.mSeed)
-    };
+    const Rank rank{ Fails(it.mNode, aNow),
+                     aside,
+                     open == mOpen->end() ? 0 : open->second,
+                     used == mUsed.end() ? 0 : used->second,
+                     Hash64(it.mNode, mOptions.mSeed) };
     if (best == nullptr || rank < bestRank) {
       best = &it;
       bestRank = rank;
@@ -95,6 +112,9 @@
   }
   mPeers = std::move(aPeers);
   mUsed.clear();
+  for (auto it = mFailures.begin(); it != mFailures.end();) {
+    it = Knows(it->first) ? std::next(it) : mFailures.erase(it);
+  }
   return true;
 }
 
--- a/src/pepperbay/reach/proxy_choice_test.cpp
+++ b/src/pepperbay/reach/proxy_choice_test.cpp
@@ -116,5 +116,19 @@
   EXPECT_FALSE(choice.Usable("stranger", clock.Now()));
 }
 
+/// Guards against a node that keeps an entry for each peer there has ever been.
+TEST(ProxyChoiceTest, WhatAPeerFailedAtIsForgottenWithThePeer)
+{
+  ManualClock clock;
+  ProxyChoice choice(InCentre());
+  choice.SetPeers(Shared(Peers(1, 2)));
+  choice.OnFailed("c0-0", clock.Now());
+  choice.SetPeers(Shared(Peers(1, 2)));
+  EXPECT_FALSE(choice.Usable("c0-0", clock.Now())) << "another list with the same peer";
+  choice.SetPeers(Shared(Peers(0, 0)));
+  choice.SetPeers(Shared(Peers(1, 2)));
+  EXPECT_TRUE(choice.Usable("c0-0", clock.Now()));
+}
+
 } // namespace
 } // namespace pepperbay
