A node that has run out of descriptors or ports has no word on engines

A holder of the lease without descriptors counted each question that it could not put as unanswered; as other engines still answered over its kept connections, it took them for lost, alone all of them at once. A peer without descriptors said of any engine that it is silent, with sight. A connection that could not be begun at all counted as a fault of the path. Now such a failure has the error of this process: HTTP calls, the verdict on engines, what a peer answers (503) and the ways to engines take no word from it. Tests that fail without it: Http.ACallWithoutADescriptorFailsByThisProcess, TunnelTest.ANodeWithoutDescriptorsHasNoWordOnAnEngine, EngineDoubtsFromTwoPlaces.AQuestionThatCouldNotBePutIsNoWord. The change to connecting.cpp has no test of its own.

--- a/include/pepperbay/tunnel/sockets.hpp
+++ b/include/pepperbay/tunnel/sockets.hpp
@@ -43,6 +43,10 @@
 void
 ResetOnClose(Socket& aSocket);
 
+/// @return whether a connection failed for want of something of this process; see IsShortage().
+bool
+IsShortage(const boost::system::error_code& aError);
+
 /// Connect to `IP:port`. What is no address is reported like any other failure, later.
 void
 Dial(Socket& aSocket,
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -126,10 +126,12 @@
 EngineDoubts::OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError)
 {
   const bool unheard = aError.mCode == Errc::kCancelled;
+  // A question that this process could not put says nothing of the engine.
+  const bool word = !unheard && aError.mCode != Errc::kInternal;
   if (aPeer.empty()) {
     aQuestion->mUnheard = aQuestion->mUnheard || unheard;
-    aQuestion->mUnansweredHere = aQuestion->mUnansweredHere || !unheard;
-  } else if (!unheard) {
+    aQuestion->mUnansweredHere = aQuestion->mUnansweredHere || word;
+  } else if (word) {
     ++aQuestion->mUnansweredThere;
   }
   aQuestion->mError = ToString(aError);
@@ -160,7 +162,7 @@
   }
   if (!HasPeers()) {
     mQuestions.erase(it);
-    SetLost(question);
+    Decide(question, question.mUnansweredHere);
     return;
   }
   const int places = question.mUnansweredThere + (CountsHere(question) ? 1 : 0);
@@ -173,16 +175,16 @@
   mQuestions.erase(it);
   // Where no second place has a word, one that reaches other engines is enough: a repair must not
   // wait for nodes that are gone.
-  if (places > 0) {
-    SetLost(question);
-  } else {
-    ++mUndecided;
-  }
+  Decide(question, places > 0);
 }
 
 void
-EngineDoubts::SetLost(const Question& aQuestion)
+EngineDoubts::Decide(const Question& aQuestion, bool aLost)
 {
+  if (!aLost) {
+    ++mUndecided;
+    return;
+  }
   if (mLost.emplace(aQuestion.mEngine.mId, mHooks.mNow()).second) {
     mHooks.mOnChange(aQuestion.mEngine, true, aQuestion.mError);
   }
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -122,7 +122,8 @@
   void OnRoundOver(const std::string& aEngine);
   /// @return whether this node's own question counts: others answer it.
   bool CountsHere(const Question& aQuestion) const;
-  void SetLost(const Question& aQuestion);
+  /// No place has an answer. @param aLost enough of them have a word on the engine
+  void Decide(const Question& aQuestion, bool aLost);
 
   EngineDoubtsOptions mOptions;
   EngineDoubtsHooks mHooks;
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -111,7 +111,7 @@
       }
       return std::optional<ProxyPeer>();
     };
-    hooks.mHasPeers = [] { return true; };
+    hooks.mHasPeers = [this] { return mHasPeers; };
     hooks.mIsBlind = [this] { return mBlind; };
     hooks.mSeesOthers = [this](const std::string&, TimePoint) { return mSees; };
     hooks.mLookElsewhere = [this](const EngineRecord&) { ++mLooks; };
@@ -124,8 +124,21 @@
     kAnswer,
     kNone,    ///< the engine does not answer
     kUnheard, ///< the place has no word on it
+    kNotPut,  ///< the process had no descriptor for the question
   };
 
+  static Errc CodeOf(Word aWord)
+  {
+    switch (aWord) {
+      case Word::kNotPut:
+        return Errc::kInternal;
+      case Word::kUnheard:
+        return Errc::kCancelled;
+      default:
+        return Errc::kTimeout;
+    }
+  }
+
   /// End the questions of one round. @return the places that were asked, in order
   std::string Round(Word aHere, Word aThere)
   {
@@ -135,9 +148,8 @@
     for (const auto& it : std::exchange(mAsked, {})) {
       places += (it.mPeer.empty() ? "here" : it.mPeer) + " ";
       const Word word = it.mPeer.empty() ? aHere : aThere;
-      const Errc code = word == Word::kNone ? Errc::kTimeout : Errc::kCancelled;
       it.mDone(word == Word::kAnswer ? Result<EngineReport>(EngineReport{})
-                                     : Error{ code, "engine.ask", "a", "" });
+                                     : Error{ CodeOf(word), "engine.ask", "a", "" });
     }
     return places;
   }
@@ -148,6 +160,7 @@
   EngineRecord mEngine;
   std::vector<std::string> mPeers = { "p1", "p2", "p3" };
   std::vector<Asked> mAsked;
+  bool mHasPeers = true;
   bool mBlind = false;
   bool mSees = true;
   bool mLost = false;
@@ -177,6 +190,20 @@
   EXPECT_FALSE(mDoubts.IsAsked("a"));
 }
 
+/// Guards against a holder without descriptors that takes all engines for lost.
+TEST_F(EngineDoubtsFromTwoPlaces, AQuestionThatCouldNotBePutIsNoWord)
+{
+  for (const bool peers : { true, false }) {
+    mHasPeers = peers;
+    mDoubts.Ask(mEngine);
+    while (mDoubts.IsAsked("a")) {
+      Round(Word::kNotPut, Word::kUnheard);
+    }
+    EXPECT_FALSE(mLost);
+  }
+  EXPECT_EQ(mDoubts.Undecided(), 2U);
+}
+
 /// Guards against a wait for an engine that has ended and refuses at once.
 TEST_F(EngineDoubtsFromTwoPlaces, APeerIsAskedAtOnceWhereTheDirectQuestionHasFailed)
 {
--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -1,12 +1,17 @@
 #include "pepperbay/http/client.hpp"
 
+#include "pepperbay/base/system_error.hpp"
+
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <curl/curl.h>
 #include <future>
 #include <map>
 #include <mutex>
 #include <set>
+#include <sys/socket.h>
+#include <system_error>
 #include <thread>
 
 namespace pepperbay {
@@ -35,8 +40,31 @@
   TimePoint mConnectBy{};
   bool mHeadReported = false;
   bool mGivenUp = false;
+  int mNoSocket = 0; ///< errno where none could be opened
 };
 
+curl_socket_t
+OpenSocket(void* aSelf, curlsocktype /*aPurpose*/, curl_sockaddr* aAddress)
+{
+  const int socket =
+    ::socket(aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
+  if (socket < 0) {
+    static_cast<Transfer*>(aSelf)->mNoSocket = errno;
+    return CURL_SOCKET_BAD;
+  }
+  return socket;
+}
+
+/// @return errno where the call failed for want of something of this process; 0 for any other.
+int
+ShortageOf(const Transfer& aTransfer)
+{
+  long connecting = 0;
+  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_OS_ERRNO, &connecting);
+  const int error = aTransfer.mNoSocket != 0 ? aTransfer.mNoSocket : static_cast<int>(connecting);
+  return IsShortage(error) ? error : 0;
+}
+
 bool
 IsConnected(const Transfer& aTransfer)
 {
@@ -249,6 +277,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &aTransfer);
     if (!mOptions.mSource.empty()) {
       curl_easy_setopt(easy, CURLOPT_INTERFACE, mOptions.mSource.c_str());
     }
@@ -366,7 +396,11 @@
     outcome.mError.mStep = "http." + aTransfer.mCall.mMethod;
     outcome.mError.mPeer = aTransfer.mCall.mUrl;
     outcome.mError.mDetail = curl_easy_strerror(aCode);
-    if (aCancelled || aTransfer.mGivenUp) {
+    const int shortage = ShortageOf(aTransfer);
+    if (shortage != 0) {
+      outcome.mError.mCode = Errc::kInternal;
+      outcome.mError.mDetail += ": " + std::generic_category().message(shortage);
+    } else if (aCancelled || aTransfer.mGivenUp) {
       outcome.mError.mCode = Errc::kCancelled;
     } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
       outcome.mError.mCode = Errc::kTimeout;
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/no_descriptors.hpp"
 #include "fakes/raw_engine.hpp"
 #include "fakes/shared_clock.hpp"
 #include "pepperbay/http/client.hpp"
@@ -255,6 +256,25 @@
 /// Sequence: the request goes out on a reused connection; the peer takes it and closes.
 /// Cause: the library then sends it again by itself, on a new connection. A connection of its own
 /// is never a reused one, and the closing shows as a failure that may have run.
+/// Guards against a node without descriptors that takes those it calls for gone.
+TEST(Http, ACallWithoutADescriptorFailsByThisProcess)
+{
+  const auto server = Serve([](const HttpRequest&, const auto& aResponder) {
+    aResponder->Send({ 200, {}, "now" });
+  });
+  const auto client = HttpClient::Create();
+  HttpCall call;
+  call.mUrl = "http://127.0.0.1:" + std::to_string(kPort) + "/x";
+  {
+    const NoDescriptors none;
+    const HttpFetched fetched = client->FetchAndWait(call);
+    EXPECT_FALSE(fetched.mOutcome.mOk);
+    EXPECT_FALSE(fetched.mOutcome.mMayHaveRun);
+    EXPECT_EQ(fetched.mOutcome.mError.mCode, Errc::kInternal) << ToString(fetched.mOutcome.mError);
+  }
+  EXPECT_TRUE(client->FetchAndWait(call).mOutcome.mOk);
+}
+
 TEST(Http, ACallOnItsOwnConnectionIsSentOnce)
 {
   for (const bool own : { false, true }) {
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -50,11 +50,20 @@
     Finish(std::move(connection));
     return;
   }
-  mDirect = aError == asio::error::connection_refused ? Direct::kRefused : Direct::kFailed;
+  mDirect = FailureOf(aError);
   mWhy = "connect: " + aError.message();
   OnWayFailed();
 }
 
+Connecting::Direct
+Connecting::FailureOf(boost::system::error_code aError)
+{
+  if (IsShortage(aError)) {
+    return Direct::kNotTried;
+  }
+  return aError == asio::error::connection_refused ? Direct::kRefused : Direct::kFailed;
+}
+
 bool
 Connecting::AskPeer()
 {
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -23,10 +23,12 @@
     kOnItsWay,
     kRefused,
     kFailed,
+    kNotTried, ///< this process has run out of something; says nothing of the engine
   };
 
   void BeginDirect();
   void OnDirect(boost::system::error_code aError);
+  static Direct FailureOf(boost::system::error_code aError);
   /// @return whether there was one more to ask.
   bool AskPeer();
   void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
--- a/src/pepperbay/tunnel/carried_connection.cpp
+++ b/src/pepperbay/tunnel/carried_connection.cpp
@@ -149,7 +149,7 @@
     return;
   }
   if (aError) {
-    Refuse(TunnelAnswer::kSilent);
+    Refuse(IsShortage(aError) ? TunnelAnswer::kNotNow : TunnelAnswer::kSilent);
     return;
   }
   mOwner->Hooks().mOnHeard(mRequest.mEngine);
--- a/src/pepperbay/tunnel/sockets.cpp
+++ b/src/pepperbay/tunnel/sockets.cpp
@@ -1,5 +1,6 @@
 #include "pepperbay/tunnel/sockets.hpp"
 
+#include "pepperbay/base/system_error.hpp"
 #include "pepperbay/settings/settings.hpp"
 
 #include <boost/asio/error.hpp>
@@ -52,6 +53,12 @@
   ::setsockopt(aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
+bool
+IsShortage(const boost::system::error_code& aError)
+{
+  return aError.category() == boost::system::system_category() && IsShortage(aError.value());
+}
+
 void
 Dial(Socket& aSocket,
      const std::string& aAddress,
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -1,4 +1,5 @@
 /// A tunnel server before a hand-written engine, asked over real sockets.
+#include "fakes/no_descriptors.hpp"
 #include "fakes/raw_engine.hpp"
 #include "fakes/shared_clock.hpp"
 #include "pepperbay/tunnel/tunnel_opening.hpp"
@@ -8,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace pepperbay {
 namespace {
@@ -35,7 +37,12 @@
     hooks.mAddressOf = [aEngineAddress](const std::string& aEngine) {
       return aEngine == "e" ? aEngineAddress : "";
     };
-    hooks.mWhyNot = [this] { return mWhyNot; };
+    hooks.mWhyNot = [this] {
+      if (mBeforeConnect) {
+        mBeforeConnect();
+      }
+      return mWhyNot;
+    };
     hooks.mOnHeard = [this](const std::string&) { ++mHeard; };
     hooks.mFindSight = [this](const std::string&,
                               TimePoint,
@@ -120,6 +127,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
   std::string mAddress;
   std::string mWhyNot;
+  std::function<void()> mBeforeConnect; ///< on the server's thread
   bool mSight = true;
   std::atomic<int> mHeard{ 0 };
   TunnelCounters mCounters;
@@ -222,6 +230,16 @@
   EXPECT_EQ(Send(Request()).find(kTunnelSight), std::string::npos);
 }
 
+/// Guards against a peer without descriptors whose word ends engines that are well.
+TEST_F(TunnelTest, ANodeWithoutDescriptorsHasNoWordOnAnEngine)
+{
+  RawEngine engine(&Echo);
+  Serve(engine.Address());
+  std::optional<NoDescriptors> none;
+  mBeforeConnect = [&none] { none.emplace(); };
+  EXPECT_EQ(FirstLine(Send(Request())), "HTTP/1.1 503 Service Unavailable");
+}
+
 /// Guards against one node that takes all the room there is for nodes that reach no engine.
 TEST_F(TunnelTest, ANewcomerFindsRoomHoweverManyConnectionsOthersHave)
 {
