A carried connection that nothing passes over for an hour is closed

An asker that loses power says nothing; where the engine never closes a connection that is not used, the peer kept it, and the room of the node's name, for as long as it ran. Found by reading. TunnelTest.AConnectionThatNothingPassesOverIsClosed fails without it.

--- a/include/pepperbay/tunnel/tunnel_server.hpp
+++ b/include/pepperbay/tunnel/tunnel_server.hpp
@@ -31,6 +31,9 @@
   Duration mMostWithin = std::chrono::milliseconds(120);
   /// After an engine has ended its side, the asker has so long to end the other.
   Duration mLinger = std::chrono::seconds(2);
+  /// A connection that nothing passes over is closed after this: its asker may have lost power,
+  /// and not every engine closes connections that are not used.
+  Duration mIdle = std::chrono::hours(1);
   NowFn mNow = &BootClock::now;
 };
 
--- a/src/pepperbay/tunnel/carried_connection.cpp
+++ b/src/pepperbay/tunnel/carried_connection.cpp
@@ -155,6 +155,7 @@
   mOwner->Hooks().mOnHeard(mRequest.mEngine);
   Prepare(mEngine);
   mPhase = Phase::kCarrying;
+  mUntil = Now() + mOwner->Options().mIdle;
   SendHead(TunnelAnswer::kOpen, [this] {
     // An answer may end with its connection. Where this process is killed in the middle of it the
     // asker must not take the end for the engine's.
@@ -215,6 +216,9 @@
         return;
       }
       *aPipe->mBytes += aSize;
+      if (self->mPhase == Phase::kCarrying) {
+        self->mUntil = self->Now() + self->mOwner->Options().mIdle;
+      }
       if (aPipe->mOfEngine) {
         self->mOwner->Hooks().mOnHeard(self->mRequest.mEngine);
       }
@@ -269,7 +273,7 @@
   if (mPhase == Phase::kConnecting) {
     FindSight(); // one that is well has answered by now
   }
-  if (mPhase == Phase::kCarrying || mPhase == Phase::kOver || Now() < mUntil) {
+  if (mPhase == Phase::kOver || Now() < mUntil) {
     return;
   }
   if (mPhase == Phase::kConnecting || mPhase == Phase::kLooking) {
--- a/src/pepperbay/tunnel/carried_connection.hpp
+++ b/src/pepperbay/tunnel/carried_connection.hpp
@@ -102,7 +102,7 @@
   bool mLooked = false;
   bool mSight = false;
   TimePoint mBegun{};
-  TimePoint mUntil{}; ///< of the present phase; not of carrying
+  TimePoint mUntil{}; ///< of the present phase; while it carries, if nothing passes
   Pipe mUp;           ///< to the engine
   Pipe mDown;
 };
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -268,6 +268,25 @@
   }
 }
 
+/// Guards against askers that lose power without a word and keep their room for ever.
+TEST_F(TunnelTest, AConnectionThatNothingPassesOverIsClosed)
+{
+  RawEngine engine(&Echo);
+  Serve(engine.Address());
+  const int socket = Connect();
+  RawConnection connection(socket);
+  connection.Write(Request());
+  ASSERT_TRUE(connection.ReadUntil("200 OK\r\n"));
+  Pass(seconds(3599));
+  connection.Write("GET / HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(connection.ReadUntil("answer"));
+  Pass(seconds(3599));
+  EXPECT_EQ(Counters().mOpen, 1U) << "something passed since";
+  Pass(seconds(1));
+  EXPECT_EQ(Counters().mOpen, 0U);
+  ::close(socket);
+}
+
 /// Guards against an answer without a length that is cut off by a reset and passes for whole.
 TEST_F(TunnelTest, AResetOfTheEngineReachesTheAskerAsAReset)
 {
