A plain service's answer counts as completed before its caller has it

Trace: the answer was sent, and counted after that on the gateway's thread; the test asked for the metrics in between. Answers of pools were counted first already. The test is unchanged and reads the count right after the answer.

--- a/src/pepperbay/gateway/gateway_relays.cpp
+++ b/src/pepperbay/gateway/gateway_relays.cpp
@@ -109,6 +109,7 @@
   const bool refused = aJob->mBackEndSaysNotRun && aJob->mStatus != kOk;
   if (aOutcome.mOk && !refused) {
     aJob->mDelivery->OnComplete();
+    ++mCounters.mCompleted;
     if (aJob->mStreamStarted) {
       SettleClaim(*aJob, Ran::kYes, StreamedAnswer());
       aJob->mResponder->End();
@@ -123,7 +124,6 @@
       SettleClaim(*aJob, error && !told ? Ran::kUnknown : Ran::kYes, aJob->mRelayed);
       aJob->mResponder->Send(std::move(aJob->mRelayed));
     }
-    ++mCounters.mCompleted;
     Close(aJob);
     return;
   }
