Nodes raise their limit of descriptors; a quarter of it is for what they carry

Many systems begin with 1,024 descriptors, and 512 carried connections hold as many: a node that carries for others would have turned its own callers away. Now a node raises its limit to what the machine allows, and carries as many connections as a quarter of the descriptors allow, 512 at most. Tests: Descriptors.TheLimitIsRaisedToWhatTheMachineAllows, MostCarriedTest.AQuarterOfTheDescriptorsIsForWhatIsCarried.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,6 +1,7 @@
 # The layers of docs/DESIGN.md, lowest first. Libraries marked pure take the time as an argument and
 # link neither sockets nor threads.
-pepperbay_library(base SOURCES clock.cpp error.cpp hash.cpp ids.cpp system_error.cpp PACKAGES xxhash)
+pepperbay_library(base SOURCES clock.cpp descriptors.cpp error.cpp hash.cpp ids.cpp system_error.cpp
+                  TESTS descriptors_test.cpp PACKAGES xxhash)
 pepperbay_library(log SOURCES log.cpp line_budget.cpp TESTS line_budget_test.cpp USES base PACKAGES PkgConfig::LOG4)
 pepperbay_library(settings SOURCES settings.cpp edge_settings.cpp yaml_reader.cpp TESTS settings_test.cpp edge_settings_test.cpp USES base
                   PACKAGES yaml-cpp)
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -46,7 +46,8 @@
   std::string mDeskAddress; ///< `IP:port` (UDP) where place agents hear each other
   /// `IP:port` (TCP) where this node carries connections for others; empty: it does not.
   std::string mTunnel;
-  std::string mTunnelKey;   ///< which others have to name
+  std::string mTunnelKey; ///< which others have to name
+  std::size_t mMostCarried = kMostCarried;
   RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
--- a/include/pepperbay/tunnel/tunnel_server.hpp
+++ b/include/pepperbay/tunnel/tunnel_server.hpp
@@ -19,11 +19,19 @@
 
 namespace pepperbay {
 
+/// Connections that one node carries at once; each holds two descriptors and 16 kB.
+inline constexpr std::size_t kMostCarried = 512;
+
+/// @param aDescriptors that the process may have open
+/// @return connections that it may carry, so that most descriptors are left for its own callers
+std::size_t
+MostCarried(std::size_t aDescriptors);
+
 struct TunnelServerOptions
 {
-  std::string mAddress;    ///< `IP:port` (TCP) to listen at
-  std::string mKey;        ///< who does not name it is let in to nothing
-  std::size_t mMost = 512; ///< connections carried at once; each holds two descriptors and 16 kB
+  std::string mAddress;             ///< `IP:port` (TCP) to listen at
+  std::string mKey;                 ///< who does not name it is let in to nothing
+  std::size_t mMost = kMostCarried; ///< connections carried at once; see MostCarried()
   /// Connections whose request has not come whole; of one address, an eighth of them.
   std::size_t mMostWaiting = 64;
   Duration mHeadWithin = std::chrono::seconds(1); ///< for the request to come whole
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -2,6 +2,7 @@
 
 #include "datagram_socket.hpp"
 #include "edge_metrics.hpp"
+#include "pepperbay/base/descriptors.hpp"
 #include "pepperbay/base/ids.hpp"
 #include "pepperbay/http/server.hpp"
 #include "pepperbay/log/log.hpp"
@@ -83,6 +84,12 @@
         return desks.error();
       }
     }
+    const auto descriptors = RaiseDescriptorLimit();
+    if (descriptors.has_value()) {
+      mMostCarried = MostCarried(descriptors.value());
+    } else {
+      LogWarning("descriptor_limit_unknown", { { "detail", ToString(descriptors.error()) } });
+    }
     mClient = HttpClient::Create();
     mLink = aFactory(mSettings, mClient.get(), [this](std::function<void()> aWork) {
       asio::post(mControl, std::move(aWork));
@@ -250,6 +257,7 @@
     options.mDeskAddress = mSettings.mDesk;
     options.mTunnel = mSettings.mTunnel;
     options.mTunnelKey = mTunnelKey;
+    options.mMostCarried = mMostCarried;
     options.mTuning = TuningOf(mSettings);
     return options;
   }
@@ -406,6 +414,7 @@
   DatagramSocket mDesks;
   const std::uint64_t mIncarnation = NewIncarnation(); ///< of this start, for all its messages
   const std::string mTunnelKey = NewAttemptId(); ///< of this start; others read it in the store
+  std::size_t mMostCarried = MostCarried(kUsualDescriptors);
   std::unique_ptr<HttpClient> mClient;
   std::unique_ptr<PlatformLink> mLink;
   std::unique_ptr<Relay> mRelay;
--- a/src/pepperbay/main/commands.cpp
+++ b/src/pepperbay/main/commands.cpp
@@ -1,6 +1,7 @@
 #include "commands.hpp"
 
 #include "edge_commands.hpp"
+#include "pepperbay/base/descriptors.hpp"
 #include "pepperbay/http/client.hpp"
 #include "pepperbay/log/log.hpp"
 #include "pepperbay/node/node.hpp"
@@ -70,6 +71,9 @@
   // its own peak of them, and the resident size would grow with the number of threads.
   constexpr int kArenas = 2;
   mallopt(M_ARENA_MAX, kArenas);
+  if (const auto descriptors = RaiseDescriptorLimit(); !descriptors.has_value()) {
+    LogWarning("descriptor_limit_unknown", { { "detail", ToString(descriptors.error()) } });
+  }
   google::protobuf::SetLogHandler(nullptr); // what cannot be read is counted by reason instead
   auto node = Node::Start(settings);
   if (!node.has_value()) {
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -62,6 +62,7 @@
     TunnelServerOptions options;
     options.mAddress = mCore.mOptions.mTunnel;
     options.mKey = mCore.mOptions.mTunnelKey;
+    options.mMost = mCore.mOptions.mMostCarried;
     options.mNow = mCore.mOptions.mNow;
     TunnelServerHooks hooks;
     hooks.mAddressOf = [this](const std::string& aEngine) { return AddressOf(aEngine); };
--- a/src/pepperbay/tunnel/tunnel_server.cpp
+++ b/src/pepperbay/tunnel/tunnel_server.cpp
@@ -3,6 +3,7 @@
 #include "carried_connection.hpp"
 #include "pepperbay/tunnel/listener.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -142,6 +143,14 @@
 
 } // namespace
 
+std::size_t
+MostCarried(std::size_t aDescriptors)
+{
+  constexpr std::size_t kOfEach = 2;
+  constexpr std::size_t kPart = 4; // of all descriptors
+  return std::min(kMostCarried, aDescriptors / (kOfEach * kPart));
+}
+
 Result<std::unique_ptr<TunnelServer>>
 TunnelServer::Open(asio::io_context& aContext,
                    TunnelServerOptions aOptions,
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -345,6 +345,14 @@
   over.set_value();
 }
 
+/// Guards against a node that has no descriptors left for its own callers because it carries.
+TEST(MostCarriedTest, AQuarterOfTheDescriptorsIsForWhatIsCarried)
+{
+  EXPECT_EQ(MostCarried(64), 8U);
+  EXPECT_EQ(MostCarried(1024), 128U);
+  EXPECT_EQ(MostCarried(1U << 20U), kMostCarried);
+}
+
 TEST_F(TunnelTest, AnOpeningTellsWhatThePeerSaid)
 {
   RawEngine engine(&Echo);
