--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -40,12 +40,12 @@
   std::size_t mMostProxies = 8; ///< peers that it may ask for connections to engines
   /// Processor that this process may use, in thousandths of a core; 0: not told.
   int mCpuPermille = 0;
-  /// A node with less than half of another's processor, or one that reaches no engine by itself while
-  /// another does, waits this much longer for the lease.
-  /// Whoever holds it follows every engine's registration, asks and orders; with an eighth of a
-  /// core before 160 engines its rounds take 300 ms in place of 20, answers lie unread until their
-  /// timeouts have run out, and engines that live are taken for lost. Longer than the stagger of
-  /// all stronger nodes and a call to the store together, a third of the lease.
+  /// A node with less than half of another's processor, or one that reaches no engine by itself
+  /// while another does, waits this much longer for the lease. Whoever holds it follows every
+  /// engine's registration, asks and orders; with an eighth of a core before 160 engines its rounds
+  /// take 300 ms in place of 20, answers lie unread until their timeouts have run out, and engines
+  /// that live are taken for lost. Longer than the stagger of all stronger nodes and a call to the
+  /// store together, a third of the lease.
   Duration mWeakerWaits = std::chrono::milliseconds(400);
   /// A weaker holder gives the lease to a stronger node at most once in this time; one that does
   /// not take it has lost the store, or is about to end.
--- a/include/pepperbay/settings/edge_settings.hpp
+++ b/include/pepperbay/settings/edge_settings.hpp
@@ -22,9 +22,9 @@
   /// IP:port (TCP) where this node carries connections to engines for nodes that reach none; empty:
   /// it does not.
   std::string mTunnel;
-  std::string mStore;       ///< IP:port of the platform's store
-  double mMemoryMb = 0;     ///< the process is killed beyond it; 0: not said
-  double mCpuCores = 0;     ///< processor that the process may use; 0: not said
+  std::string mStore;   ///< IP:port of the platform's store
+  double mMemoryMb = 0; ///< the process is killed beyond it; 0: not said
+  double mCpuCores = 0; ///< processor that the process may use; 0: not said
 
   /// A configuration must be in force everywhere this long after the store's acknowledgement.
   Duration mConfigureWithin = std::chrono::seconds(2);
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -170,6 +170,23 @@
 
   int AskOnce() const { return StatusOf(Ask(Post("/once/x", "b", "Key: k1\r\n"))); }
 
+  /// Cut all paths by a reset while three requests that may run only once are with engines.
+  /// @param aBegun counts those that engines have read
+  void CutWhileThreeRun(const std::atomic<int>& aBegun)
+  {
+    std::vector<std::future<int>> answers;
+    for (int i = 0; i < 3; ++i) {
+      answers.push_back(std::async(std::launch::async, [this] { return AskOnce(); }));
+    }
+    while (aBegun < 3) {
+      std::this_thread::yield();
+    }
+    Cut(PathState::kReset);
+    for (auto& it : answers) {
+      EXPECT_EQ(it.get(), 502) << "whether it ran is unknown";
+    }
+  }
+
   int Requests() const
   {
     int n = 0;
@@ -247,17 +264,7 @@
       AnswerOne(aConnection, request);
     }
   });
-  std::vector<std::future<int>> answers;
-  for (int i = 0; i < 3; ++i) {
-    answers.push_back(std::async(std::launch::async, [this] { return AskOnce(); }));
-  }
-  while (begun < 3) {
-    std::this_thread::yield();
-  }
-  Cut(PathState::kReset);
-  for (auto& it : answers) {
-    EXPECT_EQ(it.get(), 502) << "whether it ran is unknown";
-  }
+  CutWhileThreeRun(begun);
   EXPECT_EQ(Served(3), 9);
   ends.set_value();
   EXPECT_EQ(Counters().mEnginesEnded, 0U);
@@ -305,17 +312,7 @@
       }
     }
   };
-  std::vector<std::future<int>> answers;
-  for (int i = 0; i < 3; ++i) {
-    answers.push_back(std::async(std::launch::async, [this] { return AskOnce(); }));
-  }
-  while (begun < 3) {
-    std::this_thread::yield();
-  }
-  Cut(PathState::kReset);
-  for (auto& it : answers) {
-    EXPECT_EQ(it.get(), 502);
-  }
+  CutWhileThreeRun(begun);
   told(); // the engines have been probed by the time of the next one
   EXPECT_EQ(told(), 0);
   ends.set_value();
