Test of what a cut breaks off keeps its engines' connections open

Trace: 502 "head: end of stream" after 64 second attempts. The test's engines closed each connection after one stream without saying so; where the close came after the next stream had been sent, that was a second attempt, and the test, which asks until a desk is asked, used up the budget of them. Its engines now read on. Checks and bounds are as before; the mutant "what a cut breaks off is the engine's failure" still fails it.

--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -281,13 +281,16 @@
   auto end = ends.get_future().share();
   std::atomic<bool> resets{ false };
   ServeBehindPaths([&](RawConnection& aConnection) {
-    const std::string request = aConnection.ReadRequest();
+    std::string request = aConnection.ReadRequest();
+    // Connections stay: one that closes unannounced would use up second attempts.
+    while (Has(request, " /stream/")) {
+      AnswerOne(aConnection, request);
+      request = aConnection.ReadRequest();
+    }
     if (request.empty()) {
       return;
     }
-    if (Has(request, " /stream/")) {
-      AnswerOne(aConnection, request);
-    } else if (resets) {
+    if (resets) {
       aConnection.Reset();
     } else {
       ++begun;
