Tests take a free address from one place; what nothing reads is gone

Six tests and fixtures opened an engine and closed it again for an address at which nobody listens; FreeAddress() in fakes/raw_engine.hpp serves them all, and the relay fixture's FreePort() and NobodysAddress() go. CutProxy counted connections that nothing read. Assertions are unchanged.

--- a/fakes/cut_proxy.hpp
+++ b/fakes/cut_proxy.hpp
@@ -67,8 +67,6 @@
   CutProxy& operator=(const CutProxy&) = delete;
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(mPort); }
-  /// Connections of callers that have been taken up.
-  int Connections() const { return mTaken; }
 
   /// Change the path, and wait until that is so.
   void Set(PathState aState)
@@ -204,7 +202,6 @@
       const int yes = 1;
       ::setsockopt(server, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
       ::setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
-      ++mTaken;
       mPairs.push_back({ caller, server });
     }
   }
@@ -270,7 +267,6 @@
   std::vector<int> mFillers; ///< the same
   std::atomic<PathState> mWanted{ PathState::kOpen };
   std::atomic<PathState> mState{ PathState::kOpen };
-  std::atomic<int> mTaken{ 0 };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -222,4 +222,12 @@
   std::thread mThread;
 };
 
+/// @return an `IP:port` of loopback at which nobody listens.
+inline std::string
+FreeAddress()
+{
+  const RawEngine engine([](RawConnection&) {});
+  return engine.Address();
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -91,7 +91,7 @@
 protected:
   void Serve(const std::vector<RawEngine*>& aEngines, RelayOptions aOptions = {})
   {
-    aOptions.mCallers = "127.0.0.1:" + std::to_string(FreePort());
+    aOptions.mCallers = FreeAddress();
     aOptions.mLeaveSilent = seconds(20);
     mAddress = aOptions.mCallers;
     RelayHooks hooks;
@@ -171,12 +171,6 @@
     mRelay.reset();
   }
 
-  static int FreePort()
-  {
-    const RawEngine port([](RawConnection&) {});
-    return std::stoi(port.Address().substr(port.Address().find(':') + 1));
-  }
-
   int Connect() const
   {
     const int socket = ConnectTo(mAddress);
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -229,10 +229,7 @@
   mPaths.push_back(std::make_unique<CutProxy>(ended.Address()));
   mPlan.mEngines["plain"] = { { "ended", mPaths.back()->Address(), "" } };
   auto addresses = std::make_shared<EngineAddresses>(*mPlan.mAddresses);
-  {
-    const RawEngine gone([](RawConnection&) {});
-    (*addresses)["ended"] = gone.Address(); // where the peer finds nobody
-  }
+  (*addresses)["ended"] = FreeAddress(); // where the peer finds nobody
   mPlan.mAddresses = addresses;
   Peer second("second");
   second.Serve(mPlan);
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -21,9 +21,6 @@
 
   std::string AskStream() const { return Ask(Post("/stream/", "x", "Model: m\r\n")); }
 
-  /// An address at which no process listens, as that of an engine that has ended.
-  static std::string NobodysAddress() { return "127.0.0.1:" + std::to_string(FreePort()); }
-
   /// What the plan says of the stream's request from here on.
   void Suspect(int aScore, Duration aHeldFor)
   {
@@ -118,7 +115,7 @@
   options.mNow = clock.Hook();
   RawEngine engine([](RawConnection&) {});
   Serve({ &engine }, options);
-  mPlan.mReplicas["pool"][0].mHead.mAddress = NobodysAddress();
+  mPlan.mReplicas["pool"][0].mHead.mAddress = FreeAddress();
   Publish();
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(StatusOf(AskStream()), 503);
--- a/src/pepperbay/tunnel/listener_test.cpp
+++ b/src/pepperbay/tunnel/listener_test.cpp
@@ -19,11 +19,7 @@
   int connections = 0;
   Listener listener(context,
                     { [&](Socket) { ++connections; }, [&](const std::string&) { ++failures; } });
-  std::string address;
-  {
-    const RawEngine port([](RawConnection&) {});
-    address = port.Address();
-  }
+  const std::string address = FreeAddress();
   const auto listening = listener.Open("test.listen", address, 8);
   ASSERT_TRUE(listening.has_value()) << ToString(listening.error());
   listener.Start();
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -26,10 +26,7 @@
 protected:
   void Serve(const std::string& aEngineAddress, TunnelServerOptions aOptions = {})
   {
-    {
-      const RawEngine port([](RawConnection&) {});
-      mAddress = port.Address();
-    }
+    mAddress = FreeAddress();
     aOptions.mAddress = mAddress;
     aOptions.mKey = kKey;
     aOptions.mNow = mClock.Hook();
@@ -217,11 +214,7 @@
 
 TEST_F(TunnelTest, AnEngineThatHasEndedIsSaidToRefuseWithTheWordOfWhetherOthersAnswer)
 {
-  std::string gone;
-  {
-    const RawEngine port([](RawConnection&) {});
-    gone = port.Address();
-  }
+  const std::string gone = FreeAddress();
   Serve(gone);
   const std::string seeing = Send(Request());
   EXPECT_EQ(FirstLine(seeing), "HTTP/1.1 502 Bad Gateway");
@@ -370,11 +363,7 @@
   };
   EXPECT_EQ(open("e", mAddress), TunnelAnswer::kOpen);
   EXPECT_EQ(open("other", mAddress), TunnelAnswer::kUnknown);
-  std::string gone;
-  {
-    const RawEngine port([](RawConnection&) {});
-    gone = port.Address();
-  }
+  const std::string gone = FreeAddress();
   EXPECT_EQ(open("e", gone), TunnelAnswer::kNone);
   RawEngine odd([](RawConnection& aConnection) {
     aConnection.ReadRequest();
