Nodes said to reach no engine are looked up once a heartbeat; one question that only looks, one bound of heads

For each node that a heartbeat named, every known peer's name was hashed: up to 256 times 1,300 where a data centre is cut whole. The named are a set now and peers are gone through once. The two places that ask an engine only to see whether it is reached share AskForSight(), and both ends of a tunnel one bound of a head's bytes. Behaviour is as before.

--- a/include/pepperbay/reach/tunnel_wire.hpp
+++ b/include/pepperbay/reach/tunnel_wire.hpp
@@ -8,6 +8,7 @@
 
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
+#include <cstdint>
 
 #include <functional>
 #include <string>
@@ -24,6 +25,9 @@
 /// In an answer: the peer has heard other engines while this one did not answer it.
 inline constexpr const char* kTunnelSight = "Tunnel-Sight";
 
+/// Bytes of the head of a request or an answer; more is neither.
+inline constexpr std::uint32_t kMostTunnelHeadBytes = 4096;
+
 struct TunnelRequest
 {
   std::string mEngine; ///< id
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -131,6 +131,8 @@
   void LookElsewhere(const EngineRecord& aNotThis);
   /// Try whether own connections reach engines again.
   void ProbeWays();
+  /// Ask an engine directly, only to see whether this node reaches it.
+  void AskForSight(const EngineRecord& aEngine, std::function<void()> aOnNoAnswer);
   /// Note what a question through a peer says of the peer.
   void NoteProxy(const EngineCallOptions& aOptions, bool aHeard);
   /// Put the peers together that may be asked, where anything has changed.
--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -121,12 +121,20 @@
   if (others.empty()) {
     return; // peers may see more
   }
-  const EngineRecord& other = *others[mLooks++ % others.size()];
-  mCalls.Ask(other,
+  AskForSight(*others[mLooks++ % others.size()], [] {});
+}
+
+void
+Coordinator::Impl::AskForSight(const EngineRecord& aEngine, std::function<void()> aOnNoAnswer)
+{
+  mCalls.Ask(aEngine,
              { mOptions.mAskTimeout, std::nullopt },
-             [this, id = other.mId](const Result<EngineReport>& aReport) {
+             [this, id = aEngine.mId, onNoAnswer = std::move(aOnNoAnswer)](
+               const Result<EngineReport>& aReport) {
                if (aReport.has_value()) {
                  mWays.OnConnected(id, Now());
+               } else {
+                 onNoAnswer();
                }
              });
 }
@@ -142,15 +150,7 @@
     it = mDirectory.Engines().begin();
     std::advance(it, static_cast<std::ptrdiff_t>(mLooks++ % mDirectory.Engines().size()));
   }
-  mCalls.Ask(it->second,
-             { mOptions.mAskTimeout, std::nullopt },
-             [this, id = it->first](const Result<EngineReport>& aReport) {
-               if (aReport.has_value()) {
-                 mWays.OnConnected(id, Now());
-               } else {
-                 mWays.OnBadProbe(Now());
-               }
-             });
+  AskForSight(it->second, [this] { mWays.OnBadProbe(Now()); });
 }
 
 void
@@ -179,8 +179,8 @@
 void
 Coordinator::Impl::NoteUnreached(const proto::Beat& aBeat)
 {
-  for (const std::uint32_t it : aBeat.unreached_nodes()) {
-    mPeers.OnUnreached(it, Now());
+  if (aBeat.unreached_nodes_size() > 0) {
+    mPeers.OnUnreached({ aBeat.unreached_nodes().begin(), aBeat.unreached_nodes().end() }, Now());
   }
 }
 
--- a/src/pepperbay/coordinator/peer_book.cpp
+++ b/src/pepperbay/coordinator/peer_book.cpp
@@ -100,10 +100,10 @@
 }
 
 void
-PeerBook::OnUnreached(std::uint32_t aNode, TimePoint aNow)
+PeerBook::OnUnreached(const std::set<std::uint32_t>& aShortIds, TimePoint aNow)
 {
   for (auto& [name, peer] : mPeers) {
-    if (ShortId(name) == aNode) {
+    if (aShortIds.count(ShortId(name)) != 0) {
       peer.mToldUnreached = aNow;
     }
   }
--- a/src/pepperbay/coordinator/peer_book.hpp
+++ b/src/pepperbay/coordinator/peer_book.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <pepperbay.pb.h>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,8 +55,8 @@
   const KnownPeer* Find(const std::string& aNode) const;
   /// @return whether a peer that is heard and does not stop has twice this much processor or more.
   bool HasStronger(int aCpuPermille, TimePoint aNow) const;
-  /// Another node's heartbeat names a node, by its ShortId(), that reaches no engine.
-  void OnUnreached(std::uint32_t aNode, TimePoint aNow);
+  /// Another node's heartbeat names nodes that reach no engine.
+  void OnUnreached(const std::set<std::uint32_t>& aShortIds, TimePoint aNow);
   /// @return whether a peer reaches no engine, by its own word or another's of the last heartbeats.
   bool Unreached(const KnownPeer& aPeer, TimePoint aNow) const;
   /// Peers that may carry connections to engines for this node.
--- a/src/pepperbay/tunnel/carried_connection.cpp
+++ b/src/pepperbay/tunnel/carried_connection.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMostHeadBytes = 4096;
 constexpr unsigned kHttp11 = 11;
 
 /// The same time for every key, so that none can be found character by character.
@@ -54,7 +53,7 @@
   Prepare(mAsker);
   mBegun = Now();
   mUntil = mBegun + mOwner->Options().mHeadWithin;
-  mParser.header_limit(kMostHeadBytes);
+  mParser.header_limit(kMostTunnelHeadBytes);
   http::async_read_header(
     mAsker,
     mBuffer,
--- a/src/pepperbay/tunnel/tunnel_opening.cpp
+++ b/src/pepperbay/tunnel/tunnel_opening.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 constexpr unsigned kHttp11 = 11;
-constexpr std::uint32_t kMostHeadBytes = 4096;
 }
 
 TunnelOpening::TunnelOpening(boost::asio::io_context& aContext)
@@ -53,7 +52,7 @@
                     // A failed write shows in the read.
                     [self = shared_from_this()](boost::system::error_code, std::size_t) {});
   mParser.emplace();
-  mParser->header_limit(kMostHeadBytes);
+  mParser->header_limit(kMostTunnelHeadBytes);
   mParser->skip(true); // what follows a 200 is the engine's
   http::async_read_header(
     mSocket,
