A kept connection that closes sends its request to the same engine again

What callers saw: an engine of a plain service closes its kept connections at once (a restart, an idle timeout, a reload). 3 of 8 requests that may run again got 502 "the engine's answer was lost", head: end of stream.

Cause: the second attempt of a request whose kept connection was closed may use another kept connection, as its engine was heard within 150 ms. That one closes as well, and both attempts are used up.

Evidence: lines attempt_failed of the new test on the old code: each request with a 502 has sent=1 and then sent=2, not_again="all attempts failed", both with head: end of stream within a millisecond. Ruled out: that the engine is passed over and none is left. No line says "no other engine can take it"; a fault changes an engine's rank and takes none out of the choice. It does leave a sound engine alone where there are several.

Change: such an end is noted as a stale connection. The request goes to the same engine once more, on a connection of its own; this counts as no further engine, and draws on the budget of second attempts, since the engine may have read the first. The end enters no book of the engine's faults. Whether the engine has ended is shown by the second connection; only where there is none, or it does not stand, is the engine probed. Counter stale_connections_total, field stale of attempt_failed.

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -89,7 +89,9 @@
   std::uint64_t mSecondAttempts = 0;
   std::uint64_t mResumes = 0;        ///< of these, streams that went on elsewhere
   std::uint64_t mForeignAnswers = 0; ///< of another request; dropped
-  std::uint64_t mEnginesEnded = 0;   ///< engines that ended while they had requests of this node
+  /// Kept connections that engines closed under a request, without a byte of an answer.
+  std::uint64_t mStaleConnections = 0;
+  std::uint64_t mEnginesEnded = 0; ///< engines that ended while they had requests of this node
   /// Connections to engines that did not stand, by what was wrong.
   std::map<std::string, std::uint64_t> mConnectsFailed;
   TimePoint mEngineHeardAt{};        ///< the last byte of any engine came, not through a peer
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -172,6 +172,7 @@
 Exchange::OnHead(int aStatus, const HeaderFields& aFields)
 {
   NoteHeard(&mCurrent);
+  SettleStale(mCurrent, true);
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
   const std::string fault = HeadFault(facts);
   if (fault == "foreign_answer") {
@@ -305,7 +306,7 @@
 Exchange::OnEnd(const AttemptEnd& aEnd)
 {
   if (!aEnd.mComplete) {
-    NoteEnd(mCurrent, aEnd);
+    NoteEnd(&mCurrent, aEnd);
     OnFailure(aEnd.mWhy, aEnd.mMayHaveRun);
     return;
   }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -48,6 +48,16 @@
   TimePoint mHeardAt{};  ///< its last byte; the zero time for none
   bool mWriting = false; ///< it has given an event
   bool mWatched = false; ///< its silence counts: nothing else keeps its events back
+  bool mRepeats = false; ///< its engine was counted for a sending whose connection was stale
+  bool mStale = false;   ///< it went on a kept connection that was closed without an answer
+};
+
+/// A kept connection that was closed under a request. The engine may not have read the request and
+/// may be well: the next connection there shows it.
+struct StaleConnection
+{
+  AttemptTarget mTarget;
+  BrokenOff mRequest; ///< what is noted if the engine has ended
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -86,6 +96,8 @@
   static Sending SendingTo(const Place& aPlace);
   /// To an engine of a plain service; nothing when there is none.
   std::optional<Sending> ChooseEngine() const;
+  /// @return the engine of the stale connection, as the plan lists it; null for none.
+  const EngineTarget* StaleEngine() const;
   /// @return whether another engine could take it, as far as this node knows.
   bool HasTarget() const;
   /// @return whether the pool bears one more second attempt.
@@ -96,7 +108,7 @@
   void Launch(Sending* aSending);
   void OnDeadline();
   /// The connection to an engine did not stand.
-  void NoteUnreached(const std::string& aWhy);
+  void NoteUnreached(const Sending& aSending, const std::string& aWhy);
   /// @return whether the request may be sent to another engine.
   bool MayAskSecond() const;
   /// Ask a second engine where the first one is silent for too long.
@@ -150,7 +162,11 @@
   /// What is noted of the request if the engine of a sending has ended just now.
   BrokenOff BrokenOffAt(const Sending& aSending) const;
   /// A sending came to nothing: note what that says of its engine, and of the request.
-  void NoteEnd(const Sending& aSending, const AttemptEnd& aEnd);
+  void NoteEnd(Sending* aSending, const AttemptEnd& aEnd);
+  /// A sending's kept connection was closed without a byte of an answer.
+  void NoteStale(Sending* aSending);
+  /// What another connection has shown of the engine of a stale one.
+  void SettleStale(const Sending& aSending, bool aReached);
   /// An engine has started again since, so it has ended.
   void NoteRestarted(const Sending& aSending);
   /// Stop what an engine has only begun, where the request is held back by now.
@@ -229,8 +245,10 @@
   std::string mNextWhy;         ///< why it was asked
   std::uint64_t mLastSerial = 0;
   std::set<std::string> mTried;
-  bool mMoving = false;       ///< asks for a place elsewhere
-  TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
+  std::optional<StaleConnection> mStale; ///< the last, until it is known what became of its engine
+  bool mAvoidsKept = false;              ///< one was stale; others may be as well
+  bool mMoving = false;                  ///< asks for a place elsewhere
+  TimePoint mMoveNotBefore{};            ///< no place was found just now, or it was refused
   int mSent = 0;
   int mConnectFailures = 0;
   Duration mLimitedFor{ 0 }; ///< engines with room take no more for so long
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -117,11 +117,12 @@
 {
   const bool reached = mCurrent.mAttempt && mCurrent.mAttempt->Connected();
   mMayHaveRun = mMayHaveRun || aMayHaveRun;
-  if (aMayHaveRun || !reached) {
+  if ((aMayHaveRun && !mCurrent.mStale) || !reached) {
     mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
   }
+  SettleStale(mCurrent, reached);
   if (!reached) {
-    NoteUnreached(aWhy);
+    NoteUnreached(mCurrent, aWhy);
   }
   if (mNext) {
     LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, "");
@@ -133,7 +134,8 @@
   progress.mRepeatable = mRoute->Repeatable();
   progress.mMayHaveRun = mMayHaveRun;
   progress.mAnswerBegun = mStreamStarted;
-  progress.mSent = mSent;
+  // The engine of a stale connection may have the request once more.
+  progress.mSent = mSent - (StaleEngine() != nullptr ? 1 : 0);
   progress.mMostSent = mRoute->mMaxAttempts;
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
@@ -145,11 +147,11 @@
 }
 
 void
-Exchange::NoteUnreached(const std::string& aWhy)
+Exchange::NoteUnreached(const Sending& aSending, const std::string& aWhy)
 {
   ++mCore->mCounters.mConnectsFailed[aWhy];
   // No engine was asked, so nothing is spent but time.
-  --mSent;
+  mSent -= aSending.mRepeats ? 0 : 1;
   ++mConnectFailures;
 }
 
@@ -267,6 +269,10 @@
     return;
   }
   mPhase = Phase::kOver;
+  if (mStale) {
+    // No other connection has shown whether its engine has ended.
+    mCore->mEndings.OnBrokenOff(mStale->mTarget, mStale->mRequest);
+  }
   if (mCurrent.mAttempt) {
     // Its answer was whole; only the counts are left to settle.
     EndCounts(&mCurrent);
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -39,6 +39,7 @@
     { "may_have_run", YesNo(aMayHaveRun) },
     { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
     { "not_again", aNotAgain },
+    { "stale", YesNo(aSending.mStale) },
     { "sent", std::to_string(mSent) },
   };
   if (aSending.mHeadAt) {
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -31,7 +31,8 @@
 bool
 Exchange::MayAskSecond() const
 {
-  return mSent < mRoute->mMaxAttempts && !IsHeldBack() && HasTarget() && HasBudget();
+  const int sent = mSent - (StaleEngine() != nullptr ? 1 : 0);
+  return sent < mRoute->mMaxAttempts && !IsHeldBack() && HasTarget() && HasBudget();
 }
 
 void
@@ -156,6 +157,7 @@
 Exchange::OnNextHead(int aStatus, const HeaderFields& aFields)
 {
   NoteHeard(&*mNext);
+  SettleStale(*mNext, true);
   const AnswerFacts facts = mCore->mDialect.mReadAnswer(aStatus, aFields);
   const bool events = mRoute->mKind == RequestKind::kStream && mStreamStarted;
   std::string fault = HeadFault(facts);
@@ -184,7 +186,7 @@
 void
 Exchange::OnNextEnd(const AttemptEnd& aEnd)
 {
-  NoteEnd(*mNext, aEnd);
+  NoteEnd(&*mNext, aEnd);
   DropNext(aEnd.mComplete ? "the second engine had no more events" : aEnd.mWhy, aEnd.mMayHaveRun);
 }
 
@@ -192,14 +194,16 @@
 Exchange::DropNext(const std::string& aWhy, bool aMayHaveRun)
 {
   const bool reached = mNext->mAttempt->Connected();
+  const bool stale = mNext->mStale;
   mMayHaveRun = mMayHaveRun || aMayHaveRun;
   LogFailedAttempt(*mNext, aWhy, aMayHaveRun, "");
-  Drop(&*mNext);
-  mNext.reset();
-  mMoveNotBefore = mCore->Now() + kMoveAgainAfter;
+  SettleStale(*mNext, reached);
   if (!reached) {
-    NoteUnreached(aWhy);
+    NoteUnreached(*mNext, aWhy);
   }
+  Drop(&*mNext);
+  mNext.reset();
+  mMoveNotBefore = mCore->Now() + (stale ? Duration::zero() : kMoveAgainAfter);
 }
 
 void
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -4,6 +4,7 @@
 #include "exchange.hpp"
 #include "hop_by_hop.hpp"
 #include "pepperbay/base/hash.hpp"
+#include "pepperbay/routing/find_engine.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,10 +24,25 @@
 
 } // namespace
 
+const EngineTarget*
+Exchange::StaleEngine() const
+{
+  if (!mStale || mService->mPool || mCore->mPlaces.HasLimits(mService->mName)) {
+    return nullptr; // whoever finds places chooses
+  }
+  const EngineTarget* engine = FindEngine(*mCore->mPlan, ShortId(mStale->mTarget.mEngine));
+  return engine != nullptr && engine->mBorn == mStale->mTarget.mBorn ? engine : nullptr;
+}
+
 std::optional<Sending>
 Exchange::ChooseEngine() const
 {
   const auto plan = mCore->mPlan;
+  if (const EngineTarget* engine = StaleEngine()) {
+    Sending again;
+    again.mTarget = { engine->mId, engine->mAddress, engine->mBorn, engine->mDataCentre };
+    return again;
+  }
   Balancer::EngineQuery query;
   query.mTried = ShortIds(mTried);
   query.mOnce = !mRoute->Repeatable();
@@ -176,11 +192,12 @@
   aSending->mSentAt = mCore->Now();
   mTried.insert(aSending->mTarget.mEngine);
   ++mCore->mCounters.mAttempts;
+  aSending->mRepeats = mStale && mStale->mTarget.mEngine == aSending->mTarget.mEngine;
   if (mSent > 0) {
     ++mCore->mCounters.mSecondAttempts;
     mCore->mCounters.mResumes += mStreamStarted ? 1 : 0;
   }
-  ++mSent;
+  mSent += aSending->mRepeats ? 0 : 1;
   CountIfLimited(*aSending);
   mCore->mBalancer.OnStart(aSending->mTarget.mEngine);
   aSending->mAttempt =
@@ -214,7 +231,7 @@
   // What has failed once may have failed by the path, which a kept connection does not show.
   const bool heard =
     mCore->Now() - mCore->mConnector.HeardAt(aSending->mTarget.mEngine) < kHeardLately;
-  const bool fresh = !mRoute->Repeatable() || (mSent > 1 && !heard);
+  const bool fresh = !mRoute->Repeatable() || mAvoidsKept || (mSent > 1 && !heard);
   aSending->mAttempt->Start(MakeUpstreamRequest(aSending->mTarget), fresh, std::move(events));
 }
 
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -4,6 +4,8 @@
 #include "exchange.hpp"
 #include "exchange_constants.hpp"
 
+#include <utility>
+
 namespace pepperbay {
 
 Duration
@@ -34,21 +36,49 @@
 }
 
 void
-Exchange::NoteEnd(const Sending& aSending, const AttemptEnd& aEnd)
+Exchange::NoteEnd(Sending* aSending, const AttemptEnd& aEnd)
 {
+  if (aEnd.mStale) {
+    NoteStale(aSending);
+    return;
+  }
   if (aEnd.mClosed) {
     mBrokenOff = true;
-    mCore->mEndings.OnBrokenOff(aSending.mTarget, BrokenOffAt(aSending));
+    mCore->mEndings.OnBrokenOff(aSending->mTarget, BrokenOffAt(*aSending));
   }
   if (aEnd.mBadBytes) {
     NoteFailedOnce();
   }
-  if (aEnd.mStale) {
-    mTried.erase(aSending.mTarget.mEngine);
-  }
-  if (aEnd.mGone && !aSending.mGroup.empty()) {
+  if (aEnd.mGone && !aSending->mGroup.empty()) {
     // Its registration takes seconds to lapse, and no stream of it stands still that could show it.
-    mCore->OnHeadGone(aSending.mTarget.mEngine, aSending.mSentAt);
+    mCore->OnHeadGone(aSending->mTarget.mEngine, aSending->mSentAt);
+  }
+}
+
+void
+Exchange::NoteStale(Sending* aSending)
+{
+  ++mCore->mCounters.mStaleConnections;
+  aSending->mStale = true;
+  mAvoidsKept = true;
+  mTried.erase(aSending->mTarget.mEngine);
+  if (mCore->SuspectOf(mKey).mScore > 0) {
+    mBrokenOff = true; // an engine that ends closes kept connections as well
+  }
+  mStale = StaleConnection{ aSending->mTarget, BrokenOffAt(*aSending) };
+}
+
+void
+Exchange::SettleStale(const Sending& aSending, bool aReached)
+{
+  const bool same =
+    mStale && !aSending.mStale && mStale->mTarget.mEngine == aSending.mTarget.mEngine;
+  if (!same) {
+    return;
+  }
+  const StaleConnection stale = *std::exchange(mStale, std::nullopt);
+  if (!aReached) {
+    mCore->mEndings.OnBrokenOff(stale.mTarget, stale.mRequest);
   }
 }
 
--- /dev/null
+++ b/src/pepperbay/relay/relay_kept_test.cpp
@@ -0,0 +1,218 @@
+/// Requests on kept connections that their engine closes.
+#include "relay_fixture.hpp"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace pepperbay {
+namespace {
+
+constexpr int kCallers = 8;
+
+/// Holds threads back until as many have come as are expected.
+class Gate
+{
+public:
+  explicit Gate(int aExpected)
+    : mExpected(aExpected)
+  {
+  }
+
+  void Pass()
+  {
+    std::unique_lock<std::mutex> lock(mMutex);
+    ++mCome;
+    mChanged.notify_all();
+    mChanged.wait(lock, [this] { return mCome >= mExpected; });
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  int mExpected;
+  int mCome = 0;
+};
+
+class RelayKept : public RelayTest
+{
+protected:
+  std::vector<int> AskAtOnce(const std::function<std::string(int)>& aRequest)
+  {
+    std::vector<std::future<std::string>> answers;
+    for (int i = 0; i < kCallers; ++i) {
+      answers.push_back(
+        std::async(std::launch::async, [this, request = aRequest(i)] { return Ask(request); }));
+    }
+    std::vector<int> statuses;
+    for (auto& it : answers) {
+      statuses.push_back(StatusOf(it.get()));
+    }
+    return statuses;
+  }
+
+  /// Answers the first request of each connection once all callers have one, and closes each of
+  /// these connections when the next comes. Connections that come later serve.
+  RawEngine::Script ClosesKept()
+  {
+    return [this](RawConnection& aConnection) {
+      const bool kept = mConnections++ < kCallers;
+      while (!aConnection.ReadRequest().empty()) {
+        if (kept) {
+          mWarm.Pass();
+        }
+        aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+        if (kept) {
+          aConnection.ReadRequest();
+          return;
+        }
+      }
+    };
+  }
+
+  Gate mWarm{ kCallers };
+  std::atomic<int> mConnections{ 0 };
+};
+
+const std::vector<int> kAllServed(kCallers, 200);
+
+/// Guards against requests that may run again failing because their engine, the only one, closed
+/// all of its kept connections at once.
+TEST_F(RelayKept, RequestsAreServedThoughAllKeptConnectionsCloseAtOnce)
+{
+  RawEngine engine(ClosesKept());
+  Serve({ &engine });
+  const auto request = [](int aCaller) { return Get("/safe/" + std::to_string(aCaller)); };
+  ASSERT_EQ(AskAtOnce(request), kAllServed);
+  EXPECT_EQ(AskAtOnce(request), kAllServed);
+}
+
+/// The same of requests that are equal.
+TEST_F(RelayKept, EqualRequestsAreServedThoughAllKeptConnectionsCloseAtOnce)
+{
+  RawEngine engine(ClosesKept());
+  Serve({ &engine });
+  const auto request = [](int) { return Get("/safe/"); };
+  ASSERT_EQ(AskAtOnce(request), kAllServed);
+  EXPECT_EQ(AskAtOnce(request), kAllServed);
+}
+
+/// Guards against a probe of the engine for each of them, beside the connections that serve.
+TEST_F(RelayKept, NoConnectionIsMadeThatServesNothing)
+{
+  RawEngine engine(ClosesKept());
+  Serve({ &engine });
+  const auto request = [](int) { return Get("/safe/"); };
+  ASSERT_EQ(AskAtOnce(request), kAllServed);
+  ASSERT_EQ(AskAtOnce(request), kAllServed);
+  EXPECT_GE(Counters().mStaleConnections, 1U);
+  EXPECT_LE(engine.Connections(), 2 * kCallers);
+  EXPECT_TRUE(mEnds.empty());
+}
+
+/// An engine that serves one request on each connection, and closes it when the next comes.
+void
+ServesOne(RawConnection& aConnection)
+{
+  aConnection.ReadRequest();
+  aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  aConnection.ReadRequest();
+}
+
+/// Guards against a sound engine being passed over after it has closed a kept connection.
+TEST_F(RelayKept, TheEngineIsNotPassedOver)
+{
+  RawEngine first(ServesOne);
+  RawEngine second(ServesOne);
+  Serve({ &first, &second });
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  }
+  EXPECT_EQ(std::min(first.Requests(), second.Requests()), 0) << "the same one each time";
+}
+
+/// The same of a route on which a request may be sent to one engine only: the second connection
+/// goes to the same one.
+TEST_F(RelayKept, OneAttemptIsEnoughForASecondConnection)
+{
+  RawEngine engine(ServesOne);
+  mPublishAtOnce = false;
+  Serve({ &engine });
+  Configuration configuration;
+  configuration.mVersion = 2;
+  configuration.mRoutes = { MakeRoute("/safe/", RequestKind::kSafe, "plain") };
+  configuration.mRoutes.front().mMaxAttempts = 1;
+  configuration.mRoutes.front().mPublic = true;
+  configuration.mServices = { ServiceSpec{} };
+  configuration.mServices.front().mName = "plain";
+  mPlan.mRoutes = std::make_shared<RouteTable>(std::move(configuration));
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+}
+
+/// The same of requests without a body in the answer, and with one of their own.
+TEST_F(RelayKept, HeadsAndBodiesAreServedAsWell)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    const bool head = request.rfind("HEAD", 0) == 0;
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\n" + (head ? "" : "ok"));
+    aConnection.ReadRequest();
+  });
+  Serve({ &engine });
+  std::string head = Get("/safe/");
+  head.replace(0, 3, "HEAD");
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(StatusOf(Ask(head)), 200);
+    EXPECT_EQ(StatusOf(Ask(Post("/safe/", std::string(900, 'a')))), 200);
+  }
+}
+
+/// An engine that fails on the second connection too has failed: another one is asked.
+TEST_F(RelayKept, AnEngineThatBreaksOffAgainIsLeft)
+{
+  std::atomic<int> connections{ 0 };
+  RawEngine first([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    if (connections++ == 0) {
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+      aConnection.ReadRequest();
+    }
+  });
+  RawEngine second(ServesOne);
+  Serve({ &first, &second });
+  const EngineTarget other = mPlan.mEngines["plain"].back();
+  mPlan.mEngines["plain"].pop_back();
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  mPlan.mEngines["plain"].push_back(other);
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  EXPECT_GE(first.Connections(), 2);
+  EXPECT_EQ(second.Requests(), 1);
+}
+
+/// Guards against an engine that ends under a request going unnoticed, as the connection was kept.
+TEST_F(RelayKept, ARequestIsSuspectedWhenItsEngineHasEnded)
+{
+  auto engine = std::make_unique<RawEngine>([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+    aConnection.ReadRequest();
+    aConnection.ReadRequest(); // until the engine ends
+  });
+  Serve({ engine.get() });
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/2")); });
+  while (engine->Requests() < 2) {
+    std::this_thread::yield();
+  }
+  engine.reset();
+  EXPECT_GE(StatusOf(answer.get()), 500);
+  std::unique_lock<std::mutex> lock(mEndsMutex);
+  mEndsChanged.wait(lock, [this] { return !mEnds.empty(); });
+  EXPECT_EQ(mEnds.size(), 1U);
+}
+
+} // namespace
+} // namespace pepperbay
