A stopping node of the own path tells callers to close and waits for them

What callers saw: sixteen callers that keep their connections and go on asking at a node of `pepperbay serve` that gets SIGTERM each lost one request, closed without an answer.

Cause: no answer of a stopping node said "Connection: close", so callers went on until the process ended under them. The wait before the end knew requests that the gateway has and answers that are complete; a request whose body was still coming was neither, and whoever had just had its answer was not waited for.

Change: from the signal on each answer closes its connection. The end waits while requests are open, two seconds at most for those that are still coming, and for a quarter of a second after the last one while connections are open, since a caller whose answer had begun could not be told.

--- a/include/pepperbay/http/server.hpp
+++ b/include/pepperbay/http/server.hpp
@@ -77,6 +77,17 @@
   /// Stop taking connections; exchanges in progress go on.
   virtual void StopAccepting() = 0;
 
+  /// From now on each answer tells its caller to close the connection, and the server closes it
+  /// after the answer.
+  virtual void BeginClosing() = 0;
+
+  /// Requests whose head has been read and which are not over, those whose body is still coming and
+  /// those whose answer is not out included.
+  virtual std::size_t Open() const = 0;
+
+  /// Connections of callers, unused ones included.
+  virtual std::size_t Connections() const = 0;
+
   /// Answers that are complete and whose last bytes have not been handed to the system yet. Ending
   /// the server, or the process, would cut them off.
   virtual std::size_t Unsent() const = 0;
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -315,6 +315,44 @@
   ::close(socket);
 }
 
+/// Guards against callers on kept connections that are not told to go before the server ends.
+TEST(Http, AServerThatClosesTellsItsCallers)
+{
+  const auto server = Serve([](const HttpRequest&, const auto& aResponder) {
+    aResponder->Send({ 200, {}, "a" });
+  });
+  const int socket = ConnectTo("127.0.0.1:" + std::to_string(kPort));
+  RawConnection caller(socket);
+  caller.Write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(caller.ReadAnswer().find("Connection: close"), std::string::npos);
+  server->BeginClosing();
+  caller.Write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(caller.ReadAnswer().find("Connection: close"), std::string::npos);
+  EXPECT_EQ(caller.ReadToEnd(), "") << "and the connection ends";
+  ::close(socket);
+}
+
+/// Guards against a server that ends while a request's body is still coming.
+TEST(Http, ARequestWhoseBodyIsStillComingIsOpen)
+{
+  const auto server = Serve([](const HttpRequest&, const auto& aResponder) {
+    aResponder->Send({ 200, {}, "a" });
+  });
+  const int socket = ConnectTo("127.0.0.1:" + std::to_string(kPort));
+  RawConnection caller(socket);
+  caller.Write("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  ASSERT_TRUE(caller.ReadUntil("100 Continue"));
+  EXPECT_EQ(server->Open(), 1U);
+  EXPECT_EQ(server->Connections(), 1U);
+  caller.Write("xx");
+  EXPECT_TRUE(caller.ReadUntil("HTTP/1.1 200"));
+  ::close(socket);
+  while (server->Connections() != 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(server->Open(), 0U);
+}
+
 TEST(Http, StoppingEndsExchangesThatWait)
 {
   std::mutex mutex;
--- a/src/pepperbay/http/server.cpp
+++ b/src/pepperbay/http/server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <cstring>
 #include <microhttpd.h>
@@ -138,7 +139,8 @@
 
   /// On the server's thread, with the request complete: queue the answer or sleep until there is
   /// one.
-  MHD_Result Answer();
+  /// @param aClosing the connection ends with the answer
+  MHD_Result Answer(bool aClosing);
 
   /// Content reader of a streamed answer.
   ssize_t Read(char* aTo, std::size_t aMax)
@@ -299,6 +301,20 @@
     }
   }
 
+  void BeginClosing() override { mClosing = true; }
+
+  std::size_t Open() const override
+  {
+    const std::lock_guard lock(mMutex);
+    return mOpen.size();
+  }
+
+  std::size_t Connections() const override
+  {
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+  }
+
   std::size_t Unsent() const override
   {
     const std::lock_guard lock(mMutex);
@@ -369,7 +385,7 @@
       exchange->mDispatched = true;
       self->Dispatch(exchange);
     }
-    return exchange->Answer();
+    return exchange->Answer(self->mClosing);
   }
 
   MHD_Result Begin(MHD_Connection* aConnection,
@@ -445,10 +461,11 @@
   mutable std::mutex mMutex;
   std::set<std::shared_ptr<Exchange>> mOpen;
   bool mStopping = false;
+  std::atomic<bool> mClosing{ false };
 };
 
 MHD_Result
-Exchange::Answer()
+Exchange::Answer(bool aClosing)
 {
   const std::lock_guard lock(mMutex);
   if (!mHasAnswer) {
@@ -474,6 +491,9 @@
   for (const auto& it : mResponse.mHeaders) {
     MHD_add_response_header(response, it.mName.c_str(), it.mValue.c_str());
   }
+  if (aClosing) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   const auto status = static_cast<unsigned>(mResponse.mStatus);
   const MHD_Result queued = MHD_queue_response(mConnection, status, response);
   MHD_destroy_response(response);
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -31,6 +31,10 @@
 constexpr int kUnavailable = 503;
 constexpr Duration kLongestDumpWait = std::chrono::seconds(30);
 constexpr Duration kLastAppends = std::chrono::seconds(2);
+/// A stop waits so long for requests of which only a part has come.
+constexpr Duration kStillComing = std::chrono::seconds(2);
+/// A caller that goes on asking sends its next request within this after an answer.
+constexpr Duration kNextRequest = std::chrono::milliseconds(250);
 
 double
 ThreadCpuSeconds()
@@ -286,12 +290,27 @@
     const TimePoint now = BootClock::now();
     if (*aStopAt == TimePoint::max()) {
       mController->BeginStop();
+      mCallers->BeginClosing();
       *aStopAt = now + mSettings.mControl.mDrainGrace;
       mStopLatest = now + mSettings.mControl.mDrainGrace + mSettings.mRequests.mLongestDeadline;
     }
-    const bool idle = mGateway->Counters().mOpen.load() == 0 && mCallers->Unsent() == 0;
     const bool settled = !mController->HasRecordsWaiting() || now > *aStopAt + kLastAppends;
-    return (now >= *aStopAt && idle && settled) || now >= mStopLatest;
+    const bool left = HaveLeft(now, *aStopAt);
+    return (now >= *aStopAt && left && settled) || now >= mStopLatest;
+  }
+
+  /// @return whether callers have left, so that nobody loses a request.
+  bool HaveLeft(TimePoint aNow, TimePoint aStopAt)
+  {
+    const std::size_t working = mGateway->Counters().mOpen.load() + mCallers->Unsent();
+    // A request that is still coming is none of the gateway's; its caller may never finish it.
+    const bool comes = mCallers->Open() > 0 && aNow < aStopAt + kStillComing;
+    if (working > 0 || comes) {
+      mBusyAt = aNow;
+    }
+    // Whoever had an answer under way when the stop began was not told to close, and sends its next
+    // request on the same connection.
+    return mCallers->Connections() == 0 || aNow >= mBusyAt + kNextRequest;
   }
 
   void RunTasks()
@@ -424,6 +443,7 @@
   std::thread mThread;
   std::atomic<bool> mStopRequested{ false };
   TimePoint mStopLatest = TimePoint::max();
+  TimePoint mBusyAt{}; ///< a caller's request was last in progress, as a stop sees it
   std::mutex mTasksMutex;
   std::deque<std::function<void()>> mTasks;
   std::vector<DumpWaiter> mDumpWaiters;
--- a/tests/stops_test.cpp
+++ b/tests/stops_test.cpp
@@ -1,11 +1,15 @@
 /// Planned stops of hosts and nodes, and changes of a profile's version, with real processes.
 
 #include "cluster.hpp"
+#include "fakes/raw_engine.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <future>
 #include <gtest/gtest.h>
+#include <thread>
+#include <unistd.h>
 
 namespace tests {
 namespace {
@@ -198,6 +202,99 @@
   EXPECT_EQ(cluster.Node(0).Wait(), 0);
 }
 
+/// A caller that keeps its connection and goes on asking until it is told to close.
+class KeptCaller
+{
+public:
+  enum class End
+  {
+    kToldToClose,
+    kLost, ///< closed without an answer
+  };
+
+  KeptCaller(const Cluster& aCluster, std::atomic<int>* aAnswers)
+    : mSocket(aCluster.Connect(0))
+    , mConnection(mSocket)
+    , mAnswers(aAnswers)
+  {
+  }
+  ~KeptCaller() { ::close(mSocket); }
+  KeptCaller(const KeptCaller&) = delete;
+  KeptCaller& operator=(const KeptCaller&) = delete;
+
+  End Run()
+  {
+    for (;;) {
+      mConnection.Write("POST /services/lots/book HTTP/1.1\r\nHost: h\r\nX-Customer: school\r\n"
+                        "Content-Length: 1\r\n\r\nx");
+      const std::string answer = mConnection.ReadAnswer();
+      if (answer.empty()) {
+        return End::kLost;
+      }
+      ++*mAnswers;
+      if (answer.find("Connection: close") != std::string::npos) {
+        return End::kToldToClose;
+      }
+    }
+  }
+
+private:
+  int mSocket;
+  pepperbay::RawConnection mConnection;
+  std::atomic<int>* mAnswers;
+};
+
+/// Guards against callers on kept connections losing their next request when a node stops.
+TEST(PlannedStop, CallersOnKeptConnectionsAreToldToCloseAndLoseNothing)
+{
+  constexpr int kCallers = 16;
+  constexpr int kAnswersEach = 4;
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  std::atomic<int> answers{ 0 };
+  std::vector<std::future<KeptCaller::End>> ends;
+  for (int i = 0; i < kCallers; ++i) {
+    ends.push_back(
+      std::async(std::launch::async, [&] { return KeptCaller(cluster, &answers).Run(); }));
+  }
+  while (answers < kCallers * kAnswersEach) {
+    std::this_thread::yield();
+  }
+  cluster.Node(0).Signal(SIGTERM);
+  int lost = 0;
+  for (auto& it : ends) {
+    lost += it.get() == KeptCaller::End::kLost ? 1 : 0;
+  }
+  EXPECT_EQ(lost, 0) << "of " << kCallers;
+  EXPECT_EQ(cluster.Node(0).Wait(), 0);
+}
+
+/// The same of a caller whose answer was under way when the stop began: its head could not tell it
+/// to close, and its next request comes on the same connection.
+TEST(PlannedStop, ACallerWhoseAnswerWasUnderWayLosesNothing)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  const int socket = cluster.Connect(0);
+  pepperbay::RawConnection caller(socket);
+  const std::string body = R"({"model":"checklist","stream":true,"max_tokens":400,)"
+                           R"("messages":[{"role":"user","content":"long"}]})";
+  const std::string request =
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-Customer: school\r\n"
+    "Content-Type: application/json\r\nContent-Length: " +
+    std::to_string(body.size()) + "\r\n\r\n" + body;
+  caller.Write(request);
+  ASSERT_TRUE(caller.ReadUntil("data: "));
+  cluster.Node(0).Signal(SIGTERM);
+  ASSERT_TRUE(caller.ReadUntil("[DONE]"));
+  ASSERT_TRUE(caller.ReadUntil("\r\n0\r\n\r\n")) << "the end of the answer";
+  caller.Write(request);
+  const std::string answer = caller.ReadAnswer();
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  ::close(socket);
+  EXPECT_EQ(cluster.Node(0).Wait(), 0);
+}
+
 std::string
 VersionYaml(const std::string& aVersion)
 {
