--- /dev/null
+++ b/bench/retries.cpp
@@ -0,0 +1,192 @@
+/// @file
+/// @brief Ways to share the budget of second attempts of one service over a fleet, held against
+/// each other: what failed requests get, and what a window sees.
+///
+/// The ways: each node has an equal part that is filled by its requests ("divided"); each node has
+/// what its requests earn, and its part of the slack at times of its own ("own times"); what is
+/// earned, and the slack from one keeper ("keeper").
+
+#include "pepperbay/admission/retry_budget.hpp"
+#include "src/pepperbay/retries/retry_world.hpp"
+
+#include <cstdio>
+#include <map>
+
+namespace pepperbay {
+namespace {
+
+struct Scenario
+{
+  const char* mName;
+  double mPerSecondAndNode; ///< requests
+  double mFails;            ///< share of requests, for the time of the fault
+  bool mOneNode;            ///< has all callers
+};
+
+constexpr Scenario kScenarios[] = {
+  { "a third fails", 2.25, 0.33, false },
+  { "all fail", 2.25, 1.0, false },
+  { "one request in 50 fails", 2.25, 0.02, false },
+  { "quiet, a third fails", 0.05, 0.33, false },
+  { "all callers at one node, all fail", 2.25, 1.0, true },
+};
+
+constexpr int kFleets[] = { 8, 75, 295, 1300 };
+constexpr seconds kBefore{ 20 };
+constexpr seconds kFault{ 10 };
+
+struct Figures
+{
+  int mWanted = 0;
+  int mGranted = 0;
+  Duration mLongest{ 0 }; ///< until a question was answered
+  double mExcess = 0;
+  double mMessages = 0; ///< a second, of all nodes
+};
+
+using TakeFn = std::function<void(std::size_t aNode, RetryAgent::Done aDone)>;
+using RequestFn = std::function<void(std::size_t aNode)>;
+
+Figures
+Play(RetryWorld* aWorld,
+     const Scenario& aScenario,
+     const RequestFn& aOnRequest,
+     const TakeFn& aTake)
+{
+  const RetryLimits limits{ 0.2, 134, seconds(10) };
+  Figures figures;
+  RetryAccount account(limits);
+  const double nodes = aScenario.mOneNode ? 8.0 : static_cast<double>(aWorld->Size());
+  std::poisson_distribution<int> arrivals(nodes * aScenario.mPerSecondAndNode *
+                                          std::chrono::duration<double>(RetryWorld::kStep).count());
+  const TimePoint faultAt = aWorld->Now() + kBefore;
+  std::uint64_t sent = 0;
+  while (aWorld->Now() < faultAt + kFault) {
+    aWorld->Step();
+    const bool fault = aWorld->Now() >= faultAt;
+    sent = fault ? sent : aWorld->Sent();
+    for (int n = arrivals(aWorld->Random()); n > 0; --n) {
+      const std::size_t node = aScenario.mOneNode ? 0 : aWorld->Random()() % aWorld->Size();
+      account.OnRequest(aWorld->Now());
+      aOnRequest(node);
+      if (!fault || !std::bernoulli_distribution(aScenario.mFails)(aWorld->Random())) {
+        continue;
+      }
+      ++figures.mWanted;
+      aTake(node, [&, at = aWorld->Now()](bool aGranted) {
+        figures.mLongest = std::max(figures.mLongest, aWorld->Now() - at);
+        if (aGranted) {
+          ++figures.mGranted;
+          account.OnRetry(aWorld->Now());
+        }
+      });
+    }
+  }
+  figures.mExcess = account.Excess();
+  figures.mMessages =
+    static_cast<double>(aWorld->Sent() - sent) / std::chrono::duration<double>(kFault).count();
+  return figures;
+}
+
+RetryWorldOptions
+WorldOf(int aNodes)
+{
+  RetryWorldOptions options;
+  options.mNodes = aNodes;
+  options.mLatest = milliseconds(20);
+  return options;
+}
+
+Figures
+Divided(int aNodes, const Scenario& aScenario)
+{
+  RetryWorld world(WorldOf(aNodes));
+  std::map<std::size_t, RetryBudget> budgets;
+  const auto of = [&](std::size_t aNode) -> RetryBudget& {
+    return budgets.emplace(aNode, RetryBudget({ 0.2, 134.0 / aNodes })).first->second;
+  };
+  return Play(
+    &world,
+    aScenario,
+    [&](std::size_t aNode) { of(aNode).OnRequest(); },
+    [&](std::size_t aNode, const RetryAgent::Done& aDone) { aDone(of(aNode).TakeRetry()); });
+}
+
+Figures
+OwnTimes(int aNodes, const Scenario& aScenario)
+{
+  RetryWorld world(WorldOf(aNodes));
+  const RetryLimits limits{ 0.2, 134, seconds(10) };
+  RetryParts parts;
+  parts.mOwnDepth = 0.45;
+  parts.mOwnRate = 0.5;
+  std::map<std::size_t, OwnRetries> owns;
+  std::map<std::size_t, EarnedRetries> earneds;
+  const auto earned = [&](std::size_t aNode) -> EarnedRetries& {
+    return earneds.emplace(aNode, EarnedRetries({ 0.1, seconds(10) })).first->second;
+  };
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    auto& own = owns.emplace(i, OwnRetries("n" + std::to_string(i), limits, parts)).first->second;
+    own.MayTake("plain", aNodes, world.Now()); // begins to fill
+  }
+  return Play(
+    &world,
+    aScenario,
+    [&](std::size_t aNode) { earned(aNode).OnRequest(world.Now()); },
+    [&](std::size_t aNode, const RetryAgent::Done& aDone) {
+      aDone(earned(aNode).Take(world.Now()) || owns.at(aNode).Take("plain", aNodes, world.Now()));
+    });
+}
+
+Figures
+Keeper(int aNodes, const Scenario& aScenario)
+{
+  RetryWorld world(WorldOf(aNodes));
+  return Play(
+    &world,
+    aScenario,
+    [&](std::size_t aNode) { world.Agent(aNode).OnRequest("plain"); },
+    [&](std::size_t aNode, RetryAgent::Done aDone) {
+      if (world.Agent(aNode).MayTry("plain")) {
+        world.Ask(aNode, std::move(aDone));
+      } else {
+        aDone(false);
+      }
+    });
+}
+
+void
+Print(const char* aWay, const Figures& aFigures)
+{
+  const double share =
+    aFigures.mWanted == 0 ? 0 : 100.0 * aFigures.mGranted / static_cast<double>(aFigures.mWanted);
+  std::printf(
+    "    %-10s granted %6d of %6d (%5.1f %%)  longest wait %3lld ms  over the limit %6.1f  "
+    "%7.1f messages/s\n",
+    aWay,
+    aFigures.mGranted,
+    aFigures.mWanted,
+    share,
+    static_cast<long long>(ToMs(aFigures.mLongest).count()),
+    aFigures.mExcess,
+    aFigures.mMessages);
+}
+
+} // namespace
+} // namespace pepperbay
+
+int
+main()
+{
+  using namespace pepperbay;
+  for (const int nodes : kFleets) {
+    std::printf("%d nodes\n", nodes);
+    for (const auto& it : kScenarios) {
+      std::printf("  %s\n", it.mName);
+      Print("divided", Divided(nodes, it));
+      Print("own times", OwnTimes(nodes, it));
+      Print("keeper", Keeper(nodes, it));
+    }
+  }
+  return 0;
+}
--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -40,6 +40,9 @@
                           own_part.cpp
                   TESTS place_agent_test.cpp limited_engines_test.cpp rate_ledger_test.cpp
                   USES routing admission proto) # pure
+pepperbay_library(retries SOURCES earned_retries.cpp own_retries.cpp retry_agent.cpp retry_keeper.cpp
+                  TESTS retry_agent_test.cpp
+                  USES admission places proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp peer_link_test.cpp USES base proto
                   PACKAGES cppzmq)
 pepperbay_library(http SOURCES message.cpp server.cpp client.cpp tunnelled.cpp TESTS http_test.cpp USES base reach
@@ -85,10 +88,10 @@
                                 exchange.cpp exchange_ends.cpp exchange_limits.cpp exchange_sending.cpp exchange_log.cpp
                                 exchange_second.cpp exchange_suspect.cpp relay.cpp relay_core.cpp session.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
-                        relay_kept_test.cpp
+                        relay_kept_test.cpp relay_retries_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp
-                  USES settings membership quarantine reach admission routing dispatch places tunnel
+                  USES settings membership quarantine reach admission routing dispatch places retries tunnel
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
                   USES log settings coordinator relay http PACKAGES prometheus-cpp::core)
@@ -178,6 +181,9 @@
 add_executable(pepperbay_bench_limits bench/limits.cpp)
 target_link_libraries(pepperbay_bench_limits PRIVATE pepperbay_admission absl::flags absl::flags_parse
                       pepperbay_warnings)
+add_executable(pepperbay_bench_retries bench/retries.cpp)
+target_include_directories(pepperbay_bench_retries PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(pepperbay_bench_retries PRIVATE pepperbay_retries pepperbay_warnings)
 add_executable(pepperbay_bench_ways bench/ways.cpp)
 target_link_libraries(pepperbay_bench_ways PRIVATE pepperbay_reach absl::flags absl::flags_parse
                       pepperbay_warnings)
@@ -191,7 +197,8 @@
 
 # One small program for each coordination library; the tests run them.
 foreach(example state/fold lease/holder journal/appender membership/wholeness placement/repair
-                admission/shares quarantine/hold reach/partitioned routing/choose dispatch/once places/ask status/report)
+                admission/shares quarantine/hold reach/partitioned routing/choose dispatch/once places/ask
+                retries/share status/report)
   get_filename_component(library ${example} DIRECTORY)
   string(REPLACE "/" "_" name example_${example})
   add_executable(${name} examples/${example}.cpp)
--- a/include/pepperbay/places/place_agent.hpp
+++ b/include/pepperbay/places/place_agent.hpp
@@ -115,6 +115,8 @@
   NowFn mNow;
   std::function<void(const std::string& aAddress, const std::string& aBytes)> mSend;
   std::function<void(const LimitNews&)> mOnLimit = nullptr; ///< may be null
+  /// Questions and answers about second attempts, which come the same way; may be null.
+  std::function<void(const proto::PlaceMessage&)> mOnRetry = nullptr;
 };
 
 struct PlaceCounters
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -13,6 +13,7 @@
 #include "pepperbay/quarantine/crash_book.hpp"
 #include "pepperbay/relay/dialect.hpp"
 #include "pepperbay/relay/latency.hpp"
+#include "pepperbay/retries/retry_agent.hpp"
 #include "pepperbay/routing/balancer.hpp"
 #include "pepperbay/routing/traffic_plan.hpp"
 #include "pepperbay/tunnel/tunnel_server.hpp"
@@ -152,6 +153,7 @@
   virtual void OnCall(const std::string& aEngine) = 0;
   virtual const RelayCounters& Counters() const = 0;
   virtual const PlaceCounters& Places() const = 0;
+  virtual const RetryCounters& Retries() const = 0;
   /// Answer what is in progress, then call `aDone` once.
   virtual void BeginStop(std::function<void()> aDone) = 0;
 };
--- /dev/null
+++ b/include/pepperbay/retries/retry_keeper.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// @brief The second attempts that one node gives out for all nodes. Pure.
+#pragma once
+
+#include "pepperbay/admission/token_bucket.hpp"
+#include "pepperbay/retries/retry_limits.hpp"
+
+#include <map>
+#include <string>
+
+namespace pepperbay {
+
+/// The right to give out, alone among all nodes.
+struct KeeperRight
+{
+  TimePoint mSince{}; ///< without a break
+  TimePoint mUntil{};
+
+  /// Of a node that has no others.
+  static KeeperRight Always() { return { TimePoint{} - std::chrono::hours(1), TimePoint::max() }; }
+};
+
+/// Keeps a bucket for each service while it has the right to. A keeper that takes over has nothing
+/// saved up, since the one before may have spent all; so a window sees no more than one bucket's
+/// depth and rate, however often keepers change.
+///
+/// @code
+/// keeper.SetRight(plan.mKeeperRight);
+/// granted = keeper.Take("search", now);
+/// @endcode
+class RetryKeeper
+{
+public:
+  RetryKeeper(RetryLimits aLimits, RetryParts aParts);
+
+  void SetLimits(RetryLimits aLimits) { mLimits = aLimits; }
+  void SetRight(KeeperRight aRight);
+  bool Keeps(TimePoint aNow) const { return aNow < mRight.mUntil; }
+  /// @return whether one more second attempt may be made; it is then spent.
+  bool Take(const std::string& aService, TimePoint aNow);
+  bool MayTake(const std::string& aService, TimePoint aNow);
+
+private:
+  TokenBucket* BucketOf(const std::string& aService, TimePoint aNow);
+
+  RetryLimits mLimits;
+  RetryParts mParts;
+  KeeperRight mRight;
+  std::map<std::string, TokenBucket> mBuckets; ///< by service
+};
+
+} // namespace pepperbay
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -58,6 +59,16 @@
   TimePoint mUntil{};
 };
 
+/// Who keeps the budget of second attempts of plain services; see retries/retry_agent.hpp.
+struct RetryKeeperPlan
+{
+  std::string mAddress; ///< `IP:port`, UDP; empty: nobody is known, or this node
+  /// This node's own right to keep it; none: it does not. A node that has no others keeps it
+  /// always.
+  std::optional<RateLease> mOwn =
+    RateLease{ TimePoint{} - std::chrono::hours(1), TimePoint::max() };
+};
+
 /// By data centre of the engines.
 using RateLeases = std::map<std::string, RateLease>;
 
@@ -100,7 +111,8 @@
   /// What the configuration does not have is known not to be there up to here; later, it may have
   /// been added unseen.
   TimePoint mMissesValidUntil{};
-  RateLeases mRateLeases;     ///< that this node holds
+  RateLeases mRateLeases; ///< that this node holds
+  RetryKeeperPlan mRetryKeeper;
   EngineLimits mOthersLimits; ///< as the desks of other data centres tell them
   int mListedNodes = 1;       ///< nodes that may be at work, those that are silent included
   int mNodes = 1;             ///< nodes that share the work, this one included
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -46,7 +46,7 @@
   printf '%-14s %s  (%s %s)\n' "$verdict" "$1" "$4" "$5"
   mv "$2.kept" "$2"
 }
-for list in "${@:-own_path shared_pool suspects restored late composition limits reach}"; do
+for list in "${@:-own_path shared_pool suspects restored late composition limits reach retries}"; do
   for it in $list; do
     # shellcheck source=/dev/null
     source "scripts/mutants/$it.sh"
--- /dev/null
+++ b/scripts/mutants/retries.sh
@@ -0,0 +1,34 @@
+# The budget of second attempts of plain services, and kept connections that close; read by
+# scripts/mutants.sh.
+# shellcheck shell=bash disable=SC2154
+retries=$s/retries
+agent=retries_retry_agent_test
+mutant "a keeper that takes over starts full" $retries/retry_keeper.cpp \
+  's/TokenBucket\(options, mRight.mSince\)/TokenBucket(options, mRight.mSince - std::chrono::hours(1))/' $agent '*TheSumHolds*'
+mutant "whoever kept the budget once goes on" $retries/retry_keeper.cpp \
+  's/if \(!Keeps\(aNow\) \|\|/if (/' $agent '*TheSumHolds*'
+mutant "a question that is sent again is counted again" $retries/retry_agent.cpp \
+  's/if \(before != mGiven.end\(\)\)/if (false)/' $agent '*CountedOnce*'
+mutant "what was earned is never spent" $retries/earned_retries.cpp \
+  's/  \+\+Current\(aNow\).mTaken;//' $agent '*TheSumHolds*'
+mutant "a request earns the whole share" $retries/retry_agent.cpp \
+  's/mOptions.mLimits.mShare \* mOptions.mParts.mEarned/2.5 * mOptions.mLimits.mShare/' $agent '*TheSumHolds*'
+mutant "nodes have whole parts of their own" $retries/own_retries.cpp \
+  's/PerSecond\(\) \/ aNodes/PerSecond()/; s/mParts.mOwnDepth \/ aNodes/mParts.mOwnDepth/; s/mLimits.mSlack \* mParts.mOwnDepth >= aNodes/true/' \
+  $agent '*TheSumHolds*'
+mutant "the keeper is asked for ever" $retries/retry_agent.cpp \
+  's/now - pending.mSent >= mOptions.mGiveUpAfter/false/' $agent '*OneTimeout*'
+mutant "no keeper is asked" $retries/retry_agent.cpp \
+  's/return !mFleet.mKeeper.empty\(\) \&\&/return false \&\& !mFleet.mKeeper.empty() \&\&/' $agent '*ASecondAttemptSoon*'
+mutant "two keepers" $s/coordinator/coordinator_rate_leases.cpp \
+  's/  if \(mStopping \|\| !mLease.Held\(\)\) \{/  if (mStopping) {/' coordinator_coordinator_limits_test '*TheHolderKeeps*'
+mutant "second attempts go on kept connections" $s/relay/exchange_sending.cpp \
+  's/ \|\| mAvoidsKept//' relay_relay_kept_test '*AllKept*'
+mutant "a stale connection is the engine's fault" $s/relay/exchange_ends.cpp \
+  's/aMayHaveRun \&\& !mCurrent.mStale/aMayHaveRun/' relay_relay_kept_test '*NotPassedOver*'
+mutant "the engine of a stale connection counts twice" $s/relay/exchange_ends.cpp \
+  's/mSent - \(StaleEngine\(\) != nullptr \? 1 : 0\)/mSent/' relay_relay_kept_test '*OneAttempt*'
+mutant "an end behind a kept connection is not noted" $s/relay/exchange_suspect.cpp \
+  's/  if \(!aReached\) \{/  if (false) {/' relay_relay_kept_test '*Suspected*'
+mutant "answers of a stopping server do not say close" $s/http/server.cpp \
+  's/  if \(aClosing\) \{/  if (false) {/' http_http_test '*TellsItsCallers*'
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -154,6 +154,7 @@
   , mConfigurationLook(mOptions.mLookAgainFirst, mOptions.mProbeMost)
   , mEnginesLook(mOptions.mLookAgainFirst, mOptions.mProbeMost)
   , mRateLeasesGiven(mOptions.mRateLeases)
+  , mRetryRightsGiven(mOptions.mRateLeases)
 {
 }
 
@@ -324,6 +325,7 @@
   aPlan->mListedNodes = std::max(NodesAtWork(), static_cast<int>(mPeers.Peers().size()) + 1);
   aPlan->mRateLeases = mRateLeases.Current(Now());
   aPlan->mOthersLimits = OthersLimits();
+  aPlan->mRetryKeeper = RetryKeeper();
 }
 
 void
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -67,6 +67,10 @@
   void OnRateLeases(const proto::RateLeases& aGiven);
   /// The holder of the lease needs no message to itself.
   void GiveOwnRateLeases();
+  /// The holder of the lease keeps the budget of second attempts.
+  void RenewRetryRight();
+  /// @return who keeps it, as far as this node knows.
+  RetryKeeperPlan RetryKeeper();
   /// @return limits that nodes tell who count the requests of other data centres' engines.
   EngineLimits OthersLimits() const;
   /// @return these, and those that this node has been told itself.
@@ -245,6 +249,8 @@
   EngineLimits mLimits; ///< as this node has been told
   RateLeaseBook mRateLeasesGiven;
   RateLeaseHold mRateLeases;
+  RateLeaseBook mRetryRightsGiven; ///< to this node itself, while it holds the lease
+  RateLeaseHold mRetryRights;
   std::map<std::string, proto::RateLeases> mRateLeaseAnswers; ///< to be sent, by node
   std::map<std::string, TimePoint> mSilentHeads; ///< heads whose streams stand still, as last told
   std::map<std::string, TimePoint> mHeadsAsked;  ///< heads whose members were just asked
--- a/src/pepperbay/coordinator/coordinator_limits_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_limits_test.cpp
@@ -51,6 +51,19 @@
     return counting;
   }
 
+  /// @return the nodes that keep the budget of second attempts, by the plans that they have.
+  std::vector<std::string> Keeping() const
+  {
+    std::vector<std::string> keeping;
+    for (const auto& it : mNodes) {
+      const auto& own = it.mPlan ? it.mPlan->mRetryKeeper.mOwn : std::nullopt;
+      if (own && mClock.Now() < own->mUntil) {
+        keeping.push_back(it.mName);
+      }
+    }
+    return keeping;
+  }
+
   TestNode& At(const std::string& aName)
   {
     return *std::find_if(
@@ -154,6 +167,33 @@
   }
 }
 
+/// Guards against nodes that do not know whom to ask for a second attempt.
+TEST_F(LimitsTest, TheHolderKeepsTheBudgetOfSecondAttemptsAndAllKnowIt)
+{
+  Begin(12);
+  Run(seconds(2));
+  const auto keeping = Keeping();
+  ASSERT_EQ(keeping.size(), 1U);
+  EXPECT_EQ(keeping.front(), Holder().mName);
+  for (const auto& it : mNodes) {
+    const std::string& keeper = it.mPlan->mRetryKeeper.mAddress;
+    EXPECT_EQ(keeper.empty(), it.mName == keeping.front()) << it.mName;
+  }
+}
+
+/// Guards against a budget that nobody keeps after the holder of the lease has died.
+TEST_F(LimitsTest, ANewHolderKeepsTheBudgetSoonAfterTheOldOneHasDied)
+{
+  Begin(12);
+  Run(seconds(2));
+  const std::string first = Keeping().front();
+  At(first).mAlive = false;
+  Run(seconds(6));
+  std::vector<std::string> keeping = Keeping();
+  ASSERT_EQ(keeping.size(), 1U);
+  EXPECT_NE(keeping.front(), first);
+}
+
 /// Guards against two nodes that count for one data centre at once.
 /// Property: with nodes that die, stand still, start again, lose the store, or are cut off from
 /// some or all others, at no moment do two nodes count for one data centre.
@@ -213,6 +253,7 @@
       for (const char* centre : { "a", "b", "c" }) {
         RC_ASSERT(Counting(centre).size() <= 1U);
       }
+      RC_ASSERT(Keeping().size() <= 1U);
     }
   }
 }
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -410,6 +410,7 @@
     recipients.insert(std::move(it));
   }
   GiveOwnRateLeases();
+  RenewRetryRight();
   proto::PeerMessage message = NewMessage();
   const proto::Beat common = MakeBeat();
   for (const auto& it : recipients) {
--- a/src/pepperbay/coordinator/coordinator_rate_leases.cpp
+++ b/src/pepperbay/coordinator/coordinator_rate_leases.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::seconds kMostLength{ 60 };
+/// Names the right to keep the budget of second attempts.
+constexpr const char* kRetryRight = "retries";
 
 std::uint64_t
 StampOf(TimePoint aTime)
@@ -102,6 +104,36 @@
     mRateLeasesGiven.Give(self, wanted, now), now, mRateLeasesGiven.Length(), now);
 }
 
+void
+Coordinator::Impl::RenewRetryRight()
+{
+  if (mStopping || !mLease.Held()) {
+    return;
+  }
+  const TimePoint now = Now();
+  mRetryRightsGiven.Begin(mLease.Fence(), now);
+  const RateLeaseAsker self{ mOptions.mNode, mOptions.mIncarnation, 0 };
+  mRetryRights.OnGiven(
+    mRetryRightsGiven.Give(self, { kRetryRight }, now), now, mRetryRightsGiven.Length(), now);
+}
+
+RetryKeeperPlan
+Coordinator::Impl::RetryKeeper()
+{
+  RetryKeeperPlan keeper;
+  keeper.mOwn = std::nullopt;
+  const RateLeases own = mRetryRights.Current(Now());
+  if (const auto it = own.find(kRetryRight); it != own.end()) {
+    keeper.mOwn = it->second;
+  }
+  const std::string& holder = mLease.Newest().holder();
+  const KnownPeer* peer = holder == mOptions.mNode ? nullptr : mPeers.Find(holder);
+  if (peer != nullptr) {
+    keeper.mAddress = peer->mDeskAddress;
+  }
+  return keeper;
+}
+
 EngineLimits
 Coordinator::Impl::CountedLimits()
 {
--- a/src/pepperbay/edge/edge_metrics.hpp
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -14,6 +14,7 @@
 {
   RelayCounters mRelay;
   PlaceCounters mPlaces;
+  RetryCounters mRetries;
   CoordinatorCounters mCoordinator;
   Duration mConfigurationAge{ 0 }; ///< of what requests go by
   Duration mEngineHeardAge{ 0 };   ///< since the last byte of any engine
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -399,6 +399,7 @@
         mFigures.mConfigurationAge = BootClock::now() - mFigures.mRelay.mConfigurationAsOf;
         mFigures.mEngineHeardAge = BootClock::now() - mFigures.mRelay.mEngineHeardAt;
         mFigures.mPlaces = mRelay->Places();
+        mFigures.mRetries = mRelay->Retries();
         mFigures.mLinesLeftOut = LinesLeftOut();
       }
       TellTraffic();
--- a/src/pepperbay/places/place_agent.cpp
+++ b/src/pepperbay/places/place_agent.cpp
@@ -310,6 +310,12 @@
     case proto::PlaceMessage::kCalls:
       OnCallsMade(message);
       return;
+    case proto::PlaceMessage::kRetryAsk:
+    case proto::PlaceMessage::kRetryAnswer:
+      if (mHooks.mOnRetry) {
+        mHooks.mOnRetry(message);
+      }
+      return;
     case proto::PlaceMessage::BODY_NOT_SET:
       ++mCounters.mBadMessages; // of a newer version
       return;
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -80,7 +80,7 @@
     return;
   }
   if (!mService->mPool) {
-    mCore->BudgetOf(mService->mName).OnRequest();
+    mCore->mRetries.OnRequest(mService->mName);
   }
   PlaceAndSend(false, [this](const std::string& aWhy) { Refuse(aWhy); });
 }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -89,9 +89,12 @@
   /// Answer that the configuration does not have what the request names, or, where a newer one may
   /// have it, that the request has not run.
   void RefuseMiss(const TrafficPlan& aPlan, int aStatus, const char* aReason, const char* aDetail);
+  using NoPlace = std::function<void(const std::string& aWhy)>;
   /// Find an engine and send, or call `aOtherwise` with the reason why there is none.
   /// @param aAgain draws on the budget of second attempts
-  void PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise);
+  void PlaceAndSend(bool aAgain, const NoPlace& aOtherwise);
+  /// The same, with the budget drawn where it is a plain service's.
+  void FindAndSend(bool aAgain, const NoPlace& aOtherwise);
   PlaceRequest MakePlaceRequest(bool aAgain) const;
   static Sending SendingTo(const Place& aPlace);
   /// To an engine of a plain service; nothing when there is none.
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -137,12 +137,19 @@
 void
 Exchange::AskSecondEngine()
 {
-  auto sending = ChooseEngine();
-  if (!sending) {
-    return;
-  }
-  mCore->BudgetOf(mService->mName).TakeRetry();
-  StartNext(std::move(*sending), "slow");
+  mMoving = true;
+  mCore->mRetries.Ask(
+    mService->mName, [self = shared_from_this(), serial = mCurrent.mSerial](bool aGranted) {
+      self->mMoving = false;
+      if (!aGranted) {
+        self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
+        return;
+      }
+      const bool waits = self->IsCurrent(serial) && self->mPhase == Phase::kWaiting && !self->mNext;
+      if (auto sending = waits ? self->ChooseEngine() : std::nullopt) {
+        self->StartNext(std::move(*sending), "slow");
+      }
+    });
 }
 
 void
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -100,11 +100,28 @@
 }
 
 void
-Exchange::PlaceAndSend(bool aAgain, const std::function<void(const std::string& aWhy)>& aOtherwise)
+Exchange::PlaceAndSend(bool aAgain, const NoPlace& aOtherwise)
 {
-  if (!mService->mPool && aAgain) {
-    mCore->BudgetOf(mService->mName).TakeRetry();
+  if (mService->mPool || !aAgain) {
+    FindAndSend(aAgain, aOtherwise);
+    return;
   }
+  mPhase = Phase::kPlacing;
+  mCore->mRetries.Ask(mService->mName, [self = shared_from_this(), aOtherwise](bool aGranted) {
+    if (self->mPhase == Phase::kOver) {
+      return; // the caller has left
+    }
+    if (!aGranted) {
+      aOtherwise(ToString(PlaceOutcome::kNoBudget));
+      return;
+    }
+    self->FindAndSend(true, aOtherwise);
+  });
+}
+
+void
+Exchange::FindAndSend(bool aAgain, const NoPlace& aOtherwise)
+{
   if (!mService->mPool && !mCore->mPlaces.HasLimits(mService->mName)) {
     auto sending = ChooseEngine();
     if (!sending) {
@@ -148,7 +165,7 @@
 Exchange::HasBudget() const
 {
   return mService->mPool ? mCore->mPlaces.MayTryAgain(mService->mName)
-                         : mCore->BudgetOf(mService->mName).Left() >= 1.0;
+                         : mCore->mRetries.MayTry(mService->mName);
 }
 
 UpstreamRequest
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -110,6 +110,7 @@
 
   const RelayCounters& Counters() const override { return mCore.mCounters; }
   const PlaceCounters& Places() const override { return mCore.mPlaces.Counters(); }
+  const RetryCounters& Retries() const override { return mCore.mRetries.Counters(); }
 
   void BeginStop(std::function<void()> aDone) override
   {
@@ -168,6 +169,7 @@
       mCore.mHooks.mOnSuspect(it, mCore.mStalls.Silence(it, now));
     }
     mCore.mPlaces.Tick();
+    mCore.mRetries.Tick();
     mCore.mConnector.Tick();
     mCore.mEndings.Tick();
     mSilence.Tick();
--- a/src/pepperbay/relay/relay_core.cpp
+++ b/src/pepperbay/relay/relay_core.cpp
@@ -37,6 +37,26 @@
   return options;
 }
 
+RetryLimits
+RetryLimitsOf(const RelayTuning& aTuning)
+{
+  RetryLimits limits;
+  limits.mShare = aTuning.mRetryShare;
+  limits.mSlack = aTuning.mRetrySlack;
+  return limits;
+}
+
+RetryAgentOptions
+RetryOptionsOf(const RelayOptions& aOptions)
+{
+  RetryAgentOptions options;
+  options.mNode = aOptions.mNode;
+  options.mIncarnation = aOptions.mIncarnation;
+  options.mAddress = aOptions.mDeskAddress;
+  options.mLimits = RetryLimitsOf(aOptions.mTuning);
+  return options;
+}
+
 EngineConnectorOptions
 ConnectorOptionsOf(const RelayOptions& aOptions)
 {
@@ -58,10 +78,13 @@
   , mDialect(std::move(aDialect))
   , mHooks(std::move(aHooks))
   , mBalancer(BalancerOptionsOf(mOptions))
-  , mPlaces(
-      PlaceOptionsOf(mOptions),
-      { mOptions.mNow, mHooks.mSendToDesk, [this](const LimitNews& aNews) { OnLimit(aNews); } },
-      &mBalancer)
+  , mPlaces(PlaceOptionsOf(mOptions),
+            { mOptions.mNow,
+              mHooks.mSendToDesk,
+              [this](const LimitNews& aNews) { OnLimit(aNews); },
+              [this](const proto::PlaceMessage& aMessage) { mRetries.OnMessage(aMessage); } },
+            &mBalancer)
+  , mRetries(RetryOptionsOf(mOptions), { mOptions.mNow, mHooks.mSendToDesk })
   , mConnections(ConnectionPoolOptions{}, mOptions.mNow)
   , mConnector(mContext,
                ConnectorOptionsOf(mOptions),
@@ -103,9 +126,10 @@
     mConnections.ForgetCarriedBy(
       [this](const std::string& aPeer) { return !aPeer.empty() && !mConnector.IsPeer(aPeer); });
   }
-  for (auto& [service, budget] : mBudgets) {
-    budget.SetOptions(BudgetOfThisNode());
-  }
+  const RetryKeeperPlan& keeper = mPlan->mRetryKeeper;
+  const KeeperRight right =
+    keeper.mOwn ? KeeperRight{ keeper.mOwn->mSince, keeper.mOwn->mUntil } : KeeperRight{};
+  mRetries.SetFleet({ keeper.mAddress, right, mPlan->mListedNodes });
 }
 
 void
@@ -148,26 +172,7 @@
 {
   mOptions.mTuning = aTuning;
   mPlaces.SetBudget(aTuning.mRetryShare, aTuning.mRetrySlack);
-  for (auto& [service, budget] : mBudgets) {
-    budget.SetOptions(BudgetOfThisNode());
-  }
-}
-
-RetryBudget::Options
-RelayCore::BudgetOfThisNode() const
-{
-  const int nodes = mPlan ? std::max(1, mPlan->mNodes) : 1;
-  return { mOptions.mTuning.mRetryShare, mOptions.mTuning.mRetrySlack / nodes };
-}
-
-RetryBudget&
-RelayCore::BudgetOf(const std::string& aService)
-{
-  const auto it = mBudgets.find(aService);
-  if (it != mBudgets.end()) {
-    return it->second;
-  }
-  return mBudgets.emplace(aService, RetryBudget(BudgetOfThisNode())).first->second;
+  mRetries.SetLimits(RetryLimitsOf(aTuning));
 }
 
 SuspectRequest
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -5,9 +5,9 @@
 #include "connection_pool.hpp"
 #include "ending_probe.hpp"
 #include "engine_connector.hpp"
-#include "pepperbay/admission/retry_budget.hpp"
 #include "pepperbay/quarantine/recent_runs.hpp"
 #include "pepperbay/relay/relay.hpp"
+#include "pepperbay/retries/retry_agent.hpp"
 
 #include <set>
 
@@ -24,17 +24,12 @@
             RelayHooks aHooks);
 
   TimePoint Now() const { return mOptions.mNow(); }
-  /// Take up a new plan; the share of the retry budget follows the number of nodes.
   void SetPlan(std::shared_ptr<const TrafficPlan> aPlan);
   void Tune(const RelayTuning& aTuning);
   /// Count how long a new version took to reach this thread.
   void NoteConfiguration(const TrafficPlan& aPlan);
   /// What was learnt from an engine's answers says nothing of it once it has started again.
   void ForgetReplacedStarts(const EngineStarts& aBefore, const EngineStarts& aNow);
-  /// Second attempts left for a service.
-  RetryBudget& BudgetOf(const std::string& aService);
-  /// The part of all nodes' budget that this node may spend on a service.
-  RetryBudget::Options BudgetOfThisNode() const;
   /// @return what is known against a request; a score of 0 for nothing.
   SuspectRequest SuspectOf(const RequestKey& aKey) const;
   /// An engine ran a request to its end, so it is not the cause of any engine's end.
@@ -69,8 +64,8 @@
   Balancer mBalancer;
   PlaceAgent mPlaces;
   StallDetector mStalls;
-  RefusalBook mGoneHeads;                      ///< heads that listen no more, as told to the holder
-  std::map<std::string, RetryBudget> mBudgets; ///< by service
+  RefusalBook mGoneHeads; ///< heads that listen no more, as told to the holder
+  RetryAgent mRetries;    ///< of plain services; places are asked for by mPlaces
   ConnectionPool mConnections;
   EngineConnector mConnector;
   EndingProbe mEndings;
--- /dev/null
+++ b/src/pepperbay/relay/relay_retries_test.cpp
@@ -0,0 +1,96 @@
+/// Second attempts of plain services' requests, out of the budget of all nodes.
+#include "relay_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+class RelayRetries : public RelayTest
+{
+protected:
+  void BreaksOff(RawConnection& aConnection)
+  {
+    ++mRead;
+    aConnection.ReadRequest();
+  }
+
+  static void Serves(RawConnection& aConnection)
+  {
+    aConnection.ReadRequest();
+    aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  }
+
+  /// Wait for the question to the keeper. @return it
+  proto::PlaceMessage Question()
+  {
+    for (;;) {
+      {
+        const std::lock_guard<std::mutex> lock(mEndsMutex);
+        for (const auto& it : mSentToDesks) {
+          proto::PlaceMessage message;
+          if (message.ParseFromString(it) && message.has_retry_ask()) {
+            return message;
+          }
+        }
+      }
+      std::this_thread::yield();
+    }
+  }
+
+  void Answer(const proto::PlaceMessage& aQuestion, bool aGranted)
+  {
+    proto::PlaceMessage message;
+    auto* answer = message.mutable_retry_answer();
+    answer->set_id(aQuestion.retry_ask().id());
+    answer->set_incarnation(aQuestion.incarnation());
+    answer->set_granted(aGranted);
+    asio::post(mContext,
+               [this, bytes = message.SerializeAsString()] { mRelay->OnDeskMessage(bytes); });
+  }
+
+  std::atomic<int> mRead{ 0 };
+};
+
+/// Guards against a fleet of more nodes than the budget has second attempts, in which a request
+/// never has one.
+TEST_F(RelayRetries, ARequestHasASecondAttemptHoweverManyNodesThereAre)
+{
+  RawEngine first([this](RawConnection& aConnection) { BreaksOff(aConnection); });
+  RawEngine second(Serves);
+  mPlan.mNodes = 295;
+  mPlan.mListedNodes = 295;
+  Serve({ &first, &second });
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+}
+
+/// Whoever does not keep the budget asks the keeper.
+TEST_F(RelayRetries, TheKeeperIsAskedAndItsWordCounts)
+{
+  for (const bool granted : { true, false }) {
+    mSentToDesks.clear();
+    RawEngine first([this](RawConnection& aConnection) { BreaksOff(aConnection); });
+    RawEngine second([this](RawConnection& aConnection) {
+      aConnection.ReadRequest();
+      if (mRead > 0) {
+        aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+      } else {
+        ++mRead; // it was asked first
+      }
+    });
+    mPlan = TrafficPlan();
+    mPlan.mListedNodes = 295;
+    mPlan.mRetryKeeper = { "127.0.0.1:1", std::nullopt };
+    mRead = 0;
+    Serve({ &first, &second });
+    auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/")); });
+    Answer(Question(), granted);
+    const std::string text = answer.get();
+    EXPECT_EQ(StatusOf(text), granted ? 200 : 502) << text;
+    EXPECT_EQ(first.Requests() + second.Requests(), granted ? 2 : 1);
+    TearDown();
+    mContext.restart();
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/retries/retry_agent.cpp
@@ -0,0 +1,220 @@
+#include "pepperbay/retries/retry_agent.hpp"
+
+#include <iterator>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace pepperbay {
+namespace {
+
+/// A question that is sent again comes within this.
+constexpr std::chrono::seconds kMostResent{ 1 };
+
+} // namespace
+
+RetryAgent::RetryAgent(RetryAgentOptions aOptions, RetryAgentHooks aHooks)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mKeeper(mOptions.mLimits, mOptions.mParts)
+  , mOwn(mOptions.mNode, mOptions.mLimits, mOptions.mParts)
+{
+  SetFleet({});
+}
+
+void
+RetryAgent::SetFleet(RetryFleet aFleet)
+{
+  mFleet = std::move(aFleet);
+  mKeeper.SetRight(mFleet.mRight);
+}
+
+void
+RetryAgent::SetLimits(const RetryLimits& aLimits)
+{
+  mOptions.mLimits = aLimits;
+  mKeeper.SetLimits(aLimits);
+  mOwn.SetLimits(aLimits);
+  for (auto& [service, earned] : mEarned) {
+    earned.SetOptions(EarnedOptions());
+  }
+}
+
+EarnedRetries::Options
+RetryAgent::EarnedOptions() const
+{
+  return { mOptions.mLimits.mShare * mOptions.mParts.mEarned, mOptions.mLimits.mWindow };
+}
+
+EarnedRetries&
+RetryAgent::EarnedOf(const std::string& aService)
+{
+  const auto it = mEarned.find(aService);
+  return it != mEarned.end()
+           ? it->second
+           : mEarned.emplace(aService, EarnedRetries(EarnedOptions())).first->second;
+}
+
+void
+RetryAgent::OnRequest(const std::string& aService)
+{
+  EarnedOf(aService).OnRequest(Now());
+}
+
+bool
+RetryAgent::MayAskKeeper(const std::string& aService) const
+{
+  const auto it = mAskNotBefore.find(aService);
+  return !mFleet.mKeeper.empty() && mHooks.mSend &&
+         (it == mAskNotBefore.end() || Now() >= it->second);
+}
+
+bool
+RetryAgent::MayTry(const std::string& aService)
+{
+  const TimePoint now = Now();
+  return EarnedOf(aService).MayTake(now) || mKeeper.MayTake(aService, now) ||
+         MayAskKeeper(aService) || mOwn.MayTake(aService, mFleet.mNodes, now);
+}
+
+void
+RetryAgent::Ask(const std::string& aService, Done aDone)
+{
+  const TimePoint now = Now();
+  if (EarnedOf(aService).Take(now)) {
+    ++mCounters.mEarned;
+    aDone(true);
+    return;
+  }
+  if (mKeeper.Take(aService, now)) {
+    ++mCounters.mByKeeper;
+    aDone(true);
+    return;
+  }
+  if (mKeeper.Keeps(now) || !MayAskKeeper(aService)) {
+    WithoutKeeper(aService, aDone);
+    return;
+  }
+  const std::uint64_t id = ++mLastId;
+  mPending[id] = { aService, mFleet.mKeeper, std::move(aDone), now, false };
+  ++mCounters.mAsked;
+  SendQuestion(id);
+}
+
+void
+RetryAgent::SendQuestion(std::uint64_t aId)
+{
+  // A copy, since the answer may come within the call and end the question.
+  const std::string keeper = mPending.at(aId).mKeeper;
+  proto::PlaceMessage message;
+  message.set_node(mOptions.mNode);
+  message.set_incarnation(mOptions.mIncarnation);
+  auto* ask = message.mutable_retry_ask();
+  ask->set_id(aId);
+  ask->set_service(mPending.at(aId).mService);
+  ask->set_reply_address(mOptions.mAddress);
+  mHooks.mSend(keeper, message.SerializeAsString());
+}
+
+void
+RetryAgent::WithoutKeeper(const std::string& aService, const Done& aDone)
+{
+  const bool granted = mOwn.Take(aService, mFleet.mNodes, Now());
+  ++(granted ? mCounters.mOwnPart : mCounters.mRefused);
+  aDone(granted);
+}
+
+void
+RetryAgent::OnMessage(const proto::PlaceMessage& aMessage)
+{
+  if (aMessage.has_retry_ask()) {
+    OnQuestion(aMessage);
+  } else if (aMessage.has_retry_answer()) {
+    OnAnswer(aMessage.retry_answer());
+  }
+}
+
+void
+RetryAgent::OnQuestion(const proto::PlaceMessage& aMessage)
+{
+  const auto& ask = aMessage.retry_ask();
+  proto::PlaceMessage message;
+  message.set_node(mOptions.mNode);
+  message.set_incarnation(mOptions.mIncarnation);
+  auto* answer = message.mutable_retry_answer();
+  answer->set_id(ask.id());
+  answer->set_incarnation(aMessage.incarnation());
+  answer->set_granted(Give({ aMessage.node(), aMessage.incarnation(), ask.id() }, ask.service()));
+  if (mHooks.mSend) {
+    mHooks.mSend(ask.reply_address(), message.SerializeAsString());
+  }
+}
+
+bool
+RetryAgent::Give(const Question& aQuestion, const std::string& aService)
+{
+  const auto before = mGiven.find(aQuestion);
+  if (before != mGiven.end()) {
+    return before->second.mGranted; // sent again
+  }
+  const bool granted = mKeeper.Take(aService, Now());
+  mCounters.mGiven += granted ? 1 : 0;
+  mGiven[aQuestion] = { granted, Now() };
+  return granted;
+}
+
+void
+RetryAgent::OnAnswer(const proto::RetryAnswer& aAnswer)
+{
+  const auto it = mPending.find(aAnswer.id());
+  if (it == mPending.end() || aAnswer.incarnation() != mOptions.mIncarnation) {
+    return; // it came twice, too late, or for a former start; what it gave is lost
+  }
+  const Pending pending = std::move(it->second);
+  mPending.erase(it);
+  if (aAnswer.granted()) {
+    ++mCounters.mByKeeper;
+    pending.mDone(true);
+    return;
+  }
+  mAskNotBefore[pending.mService] =
+    Now() + mOptions.mAskAgainAfter + mOptions.mAskApart * mFleet.mNodes;
+  WithoutKeeper(pending.mService, pending.mDone);
+}
+
+void
+RetryAgent::Tick()
+{
+  const TimePoint now = Now();
+  mOwn.Tick(now);
+  for (auto it = mGiven.begin(); it != mGiven.end();) {
+    it = now - it->second.mAt > kMostResent ? mGiven.erase(it) : std::next(it);
+  }
+  std::vector<std::uint64_t> late;
+  std::vector<std::uint64_t> again;
+  for (auto& [id, pending] : mPending) {
+    if (now - pending.mSent >= mOptions.mGiveUpAfter) {
+      late.push_back(id);
+    } else if (!pending.mResent && now - pending.mSent >= mOptions.mResendAfter) {
+      pending.mResent = true;
+      again.push_back(id);
+    }
+  }
+  for (const auto id : again) {
+    SendQuestion(id);
+  }
+  for (const auto id : late) {
+    const auto it = mPending.find(id);
+    if (it == mPending.end()) {
+      continue;
+    }
+    const Pending pending = std::move(it->second);
+    mPending.erase(it);
+    ++mCounters.mGivenUp;
+    mAskNotBefore[pending.mService] =
+      now + mOptions.mAskAgainAfter + mOptions.mAskApart * mFleet.mNodes;
+    WithoutKeeper(pending.mService, pending.mDone);
+  }
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/retries/retry_agent_test.cpp
@@ -0,0 +1,228 @@
+/// The budget of second attempts that all nodes share.
+#include "retry_world.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace pepperbay {
+namespace {
+
+constexpr int kFleets[] = { 8, 75, 295, 1300 };
+
+/// Requests of a service fail evenly; each asks for a second attempt.
+struct Load
+{
+  double mPerSecond = 0;
+  double mFails = 0;        ///< share of requests
+  std::size_t mCallers = 1; ///< nodes that have requests, the first ones
+};
+
+/// Steps a world under load and keeps the account.
+class Trial
+{
+public:
+  explicit Trial(RetryWorldOptions aOptions)
+    : mWorld(aOptions)
+    , mAccount(aOptions.mLimits)
+  {
+  }
+
+  void Run(const Load& aLoad, Duration aFor)
+  {
+    for (const TimePoint end = mWorld.Now() + aFor; mWorld.Now() < end;) {
+      mWorld.Step();
+      const double perStep =
+        aLoad.mPerSecond * std::chrono::duration<double>(RetryWorld::kStep).count();
+      std::poisson_distribution<int> arrivals(perStep);
+      for (int n = arrivals(mWorld.Random()); n > 0; --n) {
+        Request(aLoad);
+      }
+    }
+  }
+
+  RetryWorld mWorld;
+  RetryAccount mAccount;
+  int mWanted = 0;
+  int mGranted = 0;
+
+private:
+  void Request(const Load& aLoad)
+  {
+    const std::size_t node = mWorld.Random()() % std::min(aLoad.mCallers, mWorld.Size());
+    mAccount.OnRequest(mWorld.Now());
+    mWorld.Agent(node).OnRequest("plain");
+    if (!std::bernoulli_distribution(aLoad.mFails)(mWorld.Random())) {
+      return;
+    }
+    ++mWanted;
+    if (mWorld.Agent(node).MayTry("plain")) {
+      mWorld.Ask(node, [this](bool aGranted) {
+        if (aGranted) {
+          ++mGranted;
+          mAccount.OnRetry(mWorld.Now());
+        }
+      });
+    }
+  }
+};
+
+/// Guards against a fleet of more nodes than the budget has second attempts, in which no node ever
+/// has one.
+TEST(RetryAgent, AnyNodeOfALargeFleetHasASecondAttemptSoon)
+{
+  for (const int nodes : kFleets) {
+    RetryWorldOptions options;
+    options.mNodes = nodes;
+    options.mLatest = milliseconds(40);
+    RetryWorld world(options);
+    world.Run(seconds(10));
+    for (const std::size_t node : { std::size_t{ 0 }, world.Size() / 2, world.Size() - 1 }) {
+      bool granted = false;
+      ASSERT_TRUE(world.Agent(node).MayTry("plain")) << nodes;
+      world.Ask(node, [&](bool aGranted) { granted = aGranted; });
+      world.Run(milliseconds(140));
+      EXPECT_TRUE(granted) << "node " << node << " of " << nodes;
+    }
+  }
+}
+
+/// Guards against a budget that is kept by not using it: one node has all callers, and their
+/// requests fail.
+TEST(RetryAgent, OneNodesCallersMayUseMostOfTheBudget)
+{
+  for (const int nodes : kFleets) {
+    RetryWorldOptions options;
+    options.mNodes = nodes;
+    Trial trial(options);
+    trial.Run({ 0, 0, 1 }, seconds(10));
+    trial.Run({ 40, 1, 1 }, seconds(10));
+    const double allowed = 0.2 * 40 * 10 + options.mLimits.mSlack;
+    EXPECT_GE(trial.mGranted, 0.6 * allowed) << nodes;
+    EXPECT_LE(trial.mAccount.Excess(), 0) << nodes;
+  }
+}
+
+/// Guards against nodes that wait for a keeper that has ended: their requests would be late, and
+/// fail in the end.
+TEST(RetryAgent, AKeeperThatIsSilentCostsOneTimeout)
+{
+  RetryWorldOptions options;
+  RetryWorld world(options);
+  world.Run(seconds(10));
+  world.Stand(world.Keeper(), true);
+  const std::size_t node = world.Keeper() + 1;
+  int answers = 0;
+  world.Ask(node, [&](bool) { ++answers; });
+  world.Run(milliseconds(140));
+  EXPECT_EQ(answers, 1);
+  world.Ask(node, [&](bool) { ++answers; });
+  EXPECT_EQ(answers, 2) << "at once, without the keeper";
+}
+
+/// Guards against a question that is sent again, as its answer was lost, being counted twice.
+TEST(RetryAgent, AQuestionThatIsSentAgainIsCountedOnce)
+{
+  RetryWorldOptions options;
+  options.mLatest = milliseconds(40);
+  options.mLimits.mSlack = 40; // the keeper has 14 at once
+  RetryWorld world(options);
+  world.Run(seconds(20));
+  int granted = 0;
+  for (int i = 0; i < 12; ++i) {
+    world.Ask(world.Keeper() + 1, [&](bool aGranted) { granted += aGranted ? 1 : 0; });
+  }
+  world.Run(milliseconds(200));
+  EXPECT_EQ(granted, 12);
+  EXPECT_LE(world.Agent(world.Keeper()).Counters().mGiven, 12U);
+}
+
+/// New limits count for what comes next.
+TEST(RetryAgent, NewLimitsTakeForceWhileItRuns)
+{
+  ManualClock clock;
+  RetryAgent agent({}, { clock.Hook(), nullptr });
+  EXPECT_TRUE(agent.MayTry("plain"));
+  agent.SetLimits({ 0, 0, seconds(10) });
+  agent.OnRequest("plain");
+  EXPECT_FALSE(agent.MayTry("plain"));
+  bool granted = true;
+  agent.Ask("plain", [&](bool aGranted) { granted = aGranted; });
+  EXPECT_FALSE(granted);
+}
+
+/// What happens to a fleet in a span of one history.
+struct Phase
+{
+  Load mLoad;
+  int mRestarts = 0; ///< nodes that start anew, one after the other
+  bool mKeeperEnds = false;
+  bool mKeeperStands = false;
+  Duration mFor{ 0 };
+};
+
+Phase
+ArbitraryPhase(int aNodes)
+{
+  Phase phase;
+  phase.mLoad.mPerSecond = *rc::gen::element(0, 5, 20, 100, 400);
+  phase.mLoad.mFails = *rc::gen::element(0.0, 0.1, 0.5, 1.0);
+  phase.mLoad.mCallers = static_cast<std::size_t>(*rc::gen::element(1, 3, aNodes));
+  phase.mRestarts = *rc::gen::element(0, 0, 1, 8, 60);
+  phase.mKeeperEnds = *rc::gen::element(false, false, true);
+  phase.mKeeperStands = *rc::gen::element(false, false, true);
+  phase.mFor = milliseconds(*rc::gen::inRange(100, 9000));
+  return phase;
+}
+
+void
+Play(const Phase& aPhase, Trial* aTrial)
+{
+  RetryWorld& world = aTrial->mWorld;
+  const auto some = [&world] { return static_cast<std::size_t>(world.Random()()) % world.Size(); };
+  const std::size_t before = world.Keeper();
+  if (aPhase.mKeeperStands) {
+    world.Stand(before, true);
+  }
+  if (aPhase.mKeeperEnds) {
+    world.Restart(before);
+  }
+  if (aPhase.mKeeperEnds || aPhase.mKeeperStands) {
+    world.ChangeKeeper(some());
+  }
+  const int parts = std::max(1, aPhase.mRestarts);
+  for (int i = 0; i < parts; ++i) {
+    if (aPhase.mRestarts > 0) {
+      world.Restart(aPhase.mRestarts > 8 ? static_cast<std::size_t>(i) % world.Size() : some());
+    }
+    aTrial->Run(aPhase.mLoad, aPhase.mFor / parts);
+  }
+  world.Stand(before, false);
+}
+
+/// Guards against more second attempts than a service allows of all nodes together: whoever has the
+/// callers, however often keepers end or stand still and nodes start, and whatever is lost or late.
+RC_GTEST_PROP(RetryAgentProperty, TheSumHoldsInEachWindow, ())
+{
+  RetryWorldOptions options;
+  options.mNodes = *rc::gen::weightedElement<int>({ { 8, 8 }, { 4, 75 }, { 3, 295 }, { 1, 1300 } });
+  options.mLimits.mSlack = *rc::gen::element(0.0, 3.0, 35.2, 134.0, 669.0);
+  options.mLost = *rc::gen::element(0.0, 0.05, 0.5);
+  options.mLatest = milliseconds(*rc::gen::element(0, 30, 150));
+  options.mHeardAfter = milliseconds(*rc::gen::element(0, 200, 1500));
+  options.mMiscounted = *rc::gen::element(0.0, 0.0, 0.2);
+  options.mSeed = *rc::gen::arbitrary<std::uint32_t>();
+  Trial trial(options);
+  const int phases = *rc::gen::inRange(2, 6);
+  for (int i = 0; i < phases; ++i) {
+    Play(ArbitraryPhase(options.mNodes), &trial);
+  }
+  RC_LOG() << options.mNodes << " nodes, slack " << options.mLimits.mSlack << ", lost "
+           << options.mLost << ", miscounted " << options.mMiscounted << ", over by "
+           << trial.mAccount.Excess() << "" << std::endl;
+  RC_ASSERT(trial.mAccount.Excess() <= 0);
+}
+
+} // namespace
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/retries/retry_world.hpp
@@ -0,0 +1,273 @@
+/// @file
+/// @brief Agents of many nodes, the messages between them and the right to keep the budget, in
+/// steps of virtual time; for tests and measurements.
+#pragma once
+
+#include "pepperbay/retries/retry_agent.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pepperbay {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct RetryWorldOptions
+{
+  int mNodes = 8;
+  RetryLimits mLimits{ 0.2, 134, seconds(10) };
+  double mLost = 0;          ///< share of messages
+  Duration mLatest{ 0 };     ///< messages take up to so long
+  Duration mHeardAfter{ 0 }; ///< nodes know a new keeper so long after it has the right
+  double mMiscounted = 0;    ///< nodes count so large a share of the others too few
+  std::uint32_t mSeed = 1;
+};
+
+class RetryWorld
+{
+public:
+  static constexpr milliseconds kStep{ 20 };
+  /// How long a right lasts without being renewed, and the pause after it, as clocks may differ.
+  static constexpr milliseconds kRight{ 1000 };
+  static constexpr milliseconds kGuard{ 20 };
+
+  explicit RetryWorld(RetryWorldOptions aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+    , mNodes(static_cast<std::size_t>(aOptions.mNodes))
+  {
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      Restart(i);
+    }
+  }
+
+  std::size_t Size() const { return mNodes.size(); }
+  TimePoint Now() const { return mClock.Now(); }
+  RetryAgent& Agent(std::size_t aNode) { return *mNodes[aNode].mAgent; }
+  std::mt19937& Random() { return mRandom; }
+  std::uint64_t Sent() const { return mSent; }
+  std::size_t Keeper() const { return mKeeper; }
+
+  /// The node's process starts anew and knows nothing; a right that it had is nobody's until it has
+  /// run out.
+  void Restart(std::size_t aNode)
+  {
+    Node& node = mNodes[aNode];
+    RetryAgentOptions options;
+    options.mNode = "n" + std::to_string(aNode);
+    options.mIncarnation = ++mIncarnations;
+    options.mAddress = std::to_string(aNode);
+    options.mLimits = mOptions.mLimits;
+    RetryAgentHooks hooks;
+    hooks.mNow = mClock.Hook();
+    hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
+      Send(aAddress, aBytes);
+    };
+    node.mAgent = std::make_unique<RetryAgent>(options, hooks);
+    node.mRight = {};
+    node.mStands = false;
+    mKeeps = mKeeps && mKeeper != aNode;
+    Tell(aNode);
+  }
+
+  /// The keeper does nothing for now; it goes on later with what it knew.
+  void Stand(std::size_t aNode, bool aStands) { mNodes[aNode].mStands = aStands; }
+
+  /// Another node is to have the right, once that of the last has run out.
+  void ChangeKeeper(std::size_t aNode)
+  {
+    mKeeps = false;
+    mNext = aNode;
+  }
+
+  /// @param aDone told whether the request may be sent again
+  void Ask(std::size_t aNode, RetryAgent::Done aDone)
+  {
+    if (!mNodes[aNode].mStands) {
+      Agent(aNode).Ask("plain", std::move(aDone));
+    }
+  }
+
+  void Step()
+  {
+    mClock.Advance(kStep);
+    GiveRight();
+    Deliver();
+    for (auto& it : mNodes) {
+      if (!it.mStands) {
+        it.mAgent->Tick();
+      }
+    }
+  }
+
+  void Run(Duration aFor)
+  {
+    for (const TimePoint end = Now() + aFor; Now() < end;) {
+      Step();
+    }
+  }
+
+private:
+  struct Node
+  {
+    std::unique_ptr<RetryAgent> mAgent;
+    KeeperRight mRight;
+    bool mStands = false;
+  };
+  struct Message
+  {
+    TimePoint mAt{};
+    std::size_t mTo = 0;
+    std::string mBytes;
+  };
+
+  void GiveRight()
+  {
+    const TimePoint now = Now();
+    if (!mKeeps && now >= mRightUntil + kGuard) {
+      mKeeper = mNext;
+      mKeeps = true;
+      mNodes[mKeeper].mRight = { now, now + kRight };
+      mToldAt = now + mOptions.mHeardAfter;
+      mTold = false;
+    }
+    if (mKeeps && !mNodes[mKeeper].mStands) {
+      Node& keeper = mNodes[mKeeper];
+      if (now >= keeper.mRight.mUntil) {
+        keeper.mRight.mSince = now;
+      }
+      keeper.mRight.mUntil = now + kRight;
+      mRightUntil = keeper.mRight.mUntil;
+      Tell(mKeeper);
+    }
+    if (mKeeps && !mTold && now >= mToldAt) {
+      mTold = true;
+      mHeardOf = mKeeper;
+      mHeard = true;
+      for (std::size_t i = 0; i < mNodes.size(); ++i) {
+        Tell(i);
+      }
+    }
+  }
+
+  void Tell(std::size_t aNode)
+  {
+    RetryFleet fleet;
+    fleet.mKeeper = mHeard && mHeardOf != aNode ? std::to_string(mHeardOf) : "";
+    fleet.mRight = mNodes[aNode].mRight;
+    const double counted = static_cast<double>(mNodes.size()) * (1 - mOptions.mMiscounted);
+    fleet.mNodes = std::max(1, static_cast<int>(counted));
+    mNodes[aNode].mAgent->SetFleet(fleet);
+  }
+
+  void Send(const std::string& aAddress, const std::string& aBytes)
+  {
+    ++mSent;
+    if (std::bernoulli_distribution(mOptions.mLost)(mRandom)) {
+      return;
+    }
+    std::uniform_int_distribution<Duration::rep> late(0, mOptions.mLatest.count());
+    mMessages.push_back({ Now() + Duration(late(mRandom)), std::stoul(aAddress), aBytes });
+  }
+
+  void Deliver()
+  {
+    for (std::size_t n = mMessages.size(); n > 0; --n) {
+      Message message = std::move(mMessages.front());
+      mMessages.pop_front();
+      if (Now() < message.mAt || mNodes[message.mTo].mStands) {
+        mMessages.push_back(std::move(message));
+        continue;
+      }
+      proto::PlaceMessage parsed;
+      if (parsed.ParseFromString(message.mBytes)) {
+        Agent(message.mTo).OnMessage(parsed);
+      }
+    }
+  }
+
+  RetryWorldOptions mOptions;
+  std::mt19937 mRandom;
+  ManualClock mClock;
+  std::vector<Node> mNodes;
+  std::deque<Message> mMessages;
+  std::uint64_t mIncarnations = 0;
+  std::uint64_t mSent = 0;
+  std::size_t mKeeper = 0;
+  std::size_t mNext = 0;
+  std::size_t mHeardOf = 0;
+  bool mKeeps = false;
+  bool mTold = false;
+  bool mHeard = false;
+  TimePoint mToldAt{};
+  TimePoint mRightUntil{};
+};
+
+/// Counts requests and second attempts by time, and holds the sum in each window against what is
+/// allowed.
+class RetryAccount
+{
+public:
+  explicit RetryAccount(RetryLimits aLimits)
+    : mLimits(aLimits)
+  {
+  }
+
+  void OnRequest(TimePoint aNow) { ++At(&mRequests, aNow); }
+  void OnRetry(TimePoint aNow) { ++At(&mRetries, aNow); }
+
+  /// @return the most by which a window exceeds what is allowed; 0 or less: none does. What is
+  /// allowed goes by the requests of the window, of the one before, or of the one between.
+  double Excess() const
+  {
+    double excess = -mLimits.mSlack;
+    for (int first = 0; first < Steps(); ++first) {
+      const int half = kWindow / 2;
+      const int requests = std::max(
+        { Sum(mRequests, first), Sum(mRequests, first - half), Sum(mRequests, first - kWindow) });
+      excess = std::max(excess, Sum(mRetries, first) - mLimits.mShare * requests - mLimits.mSlack);
+    }
+    return excess;
+  }
+
+  int Retries() const { return Sum(mRetries, 0, Steps()); }
+
+private:
+  static constexpr milliseconds kStep{ 100 };
+  static constexpr int kWindow = 100; ///< steps
+
+  int& At(std::vector<int>* aCounts, TimePoint aNow)
+  {
+    if (mBegin == TimePoint{}) {
+      mBegin = aNow;
+    }
+    const auto step = static_cast<std::size_t>((aNow - mBegin) / kStep);
+    mRequests.resize(std::max(mRequests.size(), step + 1));
+    mRetries.resize(mRequests.size());
+    return (*aCounts)[step];
+  }
+
+  int Steps() const { return static_cast<int>(mRequests.size()); }
+
+  static int Sum(const std::vector<int>& aCounts, int aFirst, int aMany = kWindow)
+  {
+    int sum = 0;
+    for (int i = std::max(0, aFirst); i < aFirst + aMany && i < static_cast<int>(aCounts.size());
+         ++i) {
+      sum += aCounts[static_cast<std::size_t>(i)];
+    }
+    return sum;
+  }
+
+  RetryLimits mLimits;
+  TimePoint mBegin{};
+  std::vector<int> mRequests;
+  std::vector<int> mRetries;
+};
+
+} // namespace pepperbay
