A question that ends late says by how much and through whom

Hypotheses that this tells apart: the peer answers late, the client ends its calls late, the control thread reads late. No change of behaviour.

--- a/src/pepperbay/coordinator/engine_calls.cpp
+++ b/src/pepperbay/coordinator/engine_calls.cpp
@@ -4,6 +4,23 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+
+Error
+Late(const std::string& aEngine,
+     const EngineCallOptions& aOptions,
+     Duration aTook,
+     const Error& aError)
+{
+  const auto ms = [](Duration aDuration) { return std::to_string(ToMs(aDuration).count()); };
+  return { Errc::kCancelled,
+           aOptions.mVia ? "engine.ask_through_peer" : "engine.ask",
+           aOptions.mVia ? aEngine + " by " + aOptions.mVia->mNode : aEngine,
+           "this node was late: ended after " + ms(aTook) + " of " + ms(aOptions.mTimeout) +
+             " ms; " + aError.mDetail };
+}
+
+} // namespace
 
 EngineCalls::EngineCalls(EngineCallsOptions aOptions, EngineCallsHooks aHooks)
   : mOptions(aOptions)
@@ -46,8 +63,9 @@
                 if (aReport.has_value()) {
                   NoteHeard(id, aOptions);
                 }
+                const Duration took = mHooks.mNow() - begun;
                 if (OnEnd(begun, aOptions.mTimeout, aReport.has_value())) {
-                  done(Error{ Errc::kCancelled, "engine.ask", id, "this node was late" });
+                  done(Late(id, aOptions, took, aReport.error()));
                 } else {
                   done(aReport);
                 }
