A peer is asked after 40 ms again, not 700: the options of doubts are set by name

What callers saw: where an engine goes dark, its replica refuses or holds requests for a third of a second instead of a tenth, before it is formed anew.

Cause: put mPeerAfter between the fields of EngineDoubtsOptions, and the coordinator fills them by position. So a peer was asked after 700 ms (the value of mAskAgain) and a lost engine again after 250 ms (mAskState). In effect the peer was asked when the direct question ended, with 110 - 700 = -590 ms left: no word came from it, and a verdict took three rounds.

Ruled out by the same lines: a peer that answers late, a client that ends its calls late, a control thread that reads late.

Change: the fields are set by name. Test: AnEngineThatIsDarkIsLostAfterOneRound, 0 of 1 engines lost after 200 ms before, 1 now. Other options that are filled by position were read: none has had a field put between.

--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -43,6 +43,16 @@
   return options;
 }
 
+EngineDoubtsOptions
+DoubtsOptionsOf(const CoordinatorOptions& aOptions)
+{
+  EngineDoubtsOptions options;
+  options.mAskTimeout = aOptions.mAskTimeout;
+  options.mAskAgain = aOptions.mAskAgain;
+  options.mAskState = aOptions.mAskState;
+  return options;
+}
+
 LeaseOptions
 LeaseOptionsOf(const CoordinatorOptions& aOptions)
 {
@@ -133,7 +143,7 @@
   , mLease(LeaseOptionsOf(mOptions), CountedLease(), mHooks.mNow)
   , mCalls({}, { mHooks.mNow, mHooks.mOrder, mHooks.mAsk })
   , mProxies(ProxyChoiceOptionsOf(mOptions.mNode, mOptions.mDataCentre))
-  , mDoubts({ mOptions.mAskTimeout, mOptions.mAskAgain, mOptions.mAskState }, DoubtsHooks())
+  , mDoubts(DoubtsOptionsOf(mOptions), DoubtsHooks())
   , mPeers(mOptions.mNode, mOptions.mPeerSilence)
   , mFreshness(mOptions.mNode, mOptions.mIncarnation)
   , mSuspects(SuspectOptionsOf(mOptions),
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -96,6 +96,18 @@
   EXPECT_TRUE(mWorld.mPool.Violations().empty());
 }
 
+/// Guards against an engine that is dark being found only after several rounds of questions, while
+/// requests wait at its replica.
+TEST_F(CoordinatorReach, AnEngineThatIsDarkIsLostAfterOneRound)
+{
+  const std::string head = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front().mHead.mId;
+  const std::string member = mWorld.mPool.At(head).mMembers.back();
+  mCut = { "n0>" + member, "n1>" + member, "n2>" + member };
+  mWorld.Holder().mCoordinator->OnSuspect(head, milliseconds(200));
+  mWorld.Run(milliseconds(200)); // a question has 110 ms
+  EXPECT_EQ(mWorld.mLines["engine_lost"], 1);
+}
+
 /// Guards against one poor path of the holder that costs a replica.
 TEST_F(CoordinatorReach, AnEngineThatOnlyTheHolderDoesNotReachStays)
 {
