A slow engine is not asked a third time after a stale connection

What callers would see: a request whose kept connection was closed, and whose engine is slow on the second connection, waits for it until its deadline though another engine is free.

Cause: found by reading. The engine of a stale connection is preferred until that is settled, so a second engine that is asked for slowness was the same one. The budget was also drawn before it was known that there is an engine to ask.

Evidence: AnEngineThatIsSlowOnTheSecondConnectionIsNotAskedAgain, 504 after 20 s before, 200 now.

Change: once the request has gone there again the engine is chosen as any other; the budget is asked only where there is an engine.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -99,7 +99,8 @@
   static Sending SendingTo(const Place& aPlace);
   /// To an engine of a plain service; nothing when there is none.
   std::optional<Sending> ChooseEngine() const;
-  /// @return the engine of the stale connection, as the plan lists it; null for none.
+  /// @return the engine of the stale connection, as the plan lists it, until the request goes there
+  /// again; null for none.
   const EngineTarget* StaleEngine() const;
   /// @return whether another engine could take it, as far as this node knows.
   bool HasTarget() const;
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -137,6 +137,9 @@
 void
 Exchange::AskSecondEngine()
 {
+  if (!ChooseEngine()) {
+    return;
+  }
   mMoving = true;
   mCore->mRetries.Ask(
     mService->mName, [self = shared_from_this(), serial = mCurrent.mSerial](bool aGranted) {
@@ -148,6 +151,8 @@
       const bool waits = self->IsCurrent(serial) && self->mPhase == Phase::kWaiting && !self->mNext;
       if (auto sending = waits ? self->ChooseEngine() : std::nullopt) {
         self->StartNext(std::move(*sending), "slow");
+      } else {
+        self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
       }
     });
 }
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -27,7 +27,10 @@
 const EngineTarget*
 Exchange::StaleEngine() const
 {
-  if (!mStale || mService->mPool || mCore->mPlaces.HasLimits(mService->mName)) {
+  if (!mStale || mTried.count(mStale->mTarget.mEngine) != 0) {
+    return nullptr; // the request has gone there again
+  }
+  if (mService->mPool || mCore->mPlaces.HasLimits(mService->mName)) {
     return nullptr; // whoever finds places chooses
   }
   const EngineTarget* engine = FindEngine(*mCore->mPlan, ShortId(mStale->mTarget.mEngine));
--- a/src/pepperbay/relay/relay_kept_test.cpp
+++ b/src/pepperbay/relay/relay_kept_test.cpp
@@ -192,6 +192,32 @@
   EXPECT_EQ(second.Requests(), 1);
 }
 
+/// Guards against an engine that is slow on the second connection being asked a third time, where
+/// another one is free.
+TEST_F(RelayKept, AnEngineThatIsSlowOnTheSecondConnectionIsNotAskedAgain)
+{
+  std::atomic<int> connections{ 0 };
+  RawEngine first([&](RawConnection& aConnection) {
+    if (connections++ == 0) {
+      ServesOne(aConnection);
+    } else {
+      aConnection.ReadToEnd();
+    }
+  });
+  RawEngine second(ServesOne);
+  RelayOptions options;
+  options.mSecondAfter = 0.001; // of 20 s
+  Serve({ &first, &second }, options);
+  const EngineTarget other = mPlan.mEngines["plain"].back();
+  mPlan.mEngines["plain"].pop_back();
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  mPlan.mEngines["plain"].push_back(other);
+  Publish();
+  EXPECT_EQ(StatusOf(Ask(Get("/safe/"))), 200);
+  EXPECT_EQ(second.Requests(), 1);
+}
+
 /// Guards against an engine that ends under a request going unnoticed, as the connection was kept.
 TEST_F(RelayKept, ARequestIsSuspectedWhenItsEngineHasEnded)
 {
