The property of second attempts draws the share; a test of keepers in series

The mutant "a keeper that takes over starts full" passed TheSumHoldsInEachWindow: with a share of 0.2 the requests of a history allow more than a keeper's bucket holds. The share is drawn now (0, 0.02, 0.2), and a test lets five keepers end, one a second.

--- a/src/pepperbay/retries/retry_agent_test.cpp
+++ b/src/pepperbay/retries/retry_agent_test.cpp
@@ -138,6 +138,24 @@
   EXPECT_LE(world.Agent(world.Keeper()).Counters().mGiven, 12U);
 }
 
+/// Guards against keepers that end one after the other and each spend the whole slack.
+TEST(RetryAgent, AKeeperThatTakesOverHasNothingSavedUp)
+{
+  RetryWorldOptions options;
+  options.mLimits.mShare = 0;
+  Trial trial(options);
+  const std::size_t nodes = trial.mWorld.Size();
+  trial.Run({ 0, 0, nodes }, seconds(12));
+  for (std::size_t i = 1; i <= 5; ++i) {
+    const std::size_t keeper = trial.mWorld.Keeper();
+    trial.Run({ 400, 1, nodes }, seconds(1));
+    trial.mWorld.Restart(keeper);
+    trial.mWorld.ChangeKeeper(i);
+  }
+  EXPECT_LE(trial.mAccount.Excess(), 0);
+  EXPECT_GT(trial.mGranted, options.mLimits.mSlack / 3);
+}
+
 /// New limits count for what comes next.
 TEST(RetryAgent, NewLimitsTakeForceWhileItRuns)
 {
@@ -208,6 +226,7 @@
   RetryWorldOptions options;
   options.mNodes = *rc::gen::weightedElement<int>({ { 8, 8 }, { 4, 75 }, { 3, 295 }, { 1, 1300 } });
   options.mLimits.mSlack = *rc::gen::element(0.0, 3.0, 35.2, 134.0, 669.0);
+  options.mLimits.mShare = *rc::gen::element(0.0, 0.02, 0.2);
   options.mLost = *rc::gen::element(0.0, 0.05, 0.5);
   options.mLatest = milliseconds(*rc::gen::element(0, 30, 150));
   options.mHeardAfter = milliseconds(*rc::gen::element(0, 200, 1500));
