Nodes spend less by times of their own, and nothing where the slack is small

Cause: nodes' own times lie apart by a hash, and two may fall together; of a slack of 3 there is no room for that.

Change: a twentieth of the slack in place of a tenth, and nothing where the reserve for nodes is under five. Nodes whose part is whole keep theirs. Test: NodesHaveNothingOfTheirOwnWhereTheSlackIsSmall.

--- a/bench/retries.cpp
+++ b/bench/retries.cpp
@@ -120,6 +120,7 @@
   RetryParts parts;
   parts.mOwnDepth = 0.45;
   parts.mOwnRate = 0.5;
+  parts.mRareRate = 0.5;
   std::map<std::size_t, OwnRetries> owns;
   std::map<std::size_t, EarnedRetries> earneds;
   const auto earned = [&](std::size_t aNode) -> EarnedRetries& {
--- a/include/pepperbay/retries/own_retries.hpp
+++ b/include/pepperbay/retries/own_retries.hpp
@@ -33,7 +33,8 @@
   TokenBucket& BucketOf(const std::string& aService, int aNodes, TimePoint aNow);
   /// @return whether the part is at least one.
   bool IsWhole(int aNodes) const { return mLimits.mSlack * mParts.mOwnDepth >= aNodes; }
-  double PerSecond() const;
+  /// @param aPart of the slack, in a window
+  double PerSecond(double aPart) const;
 
   RetryLimits mLimits;
   RetryParts mParts;
--- a/include/pepperbay/retries/retry_limits.hpp
+++ b/include/pepperbay/retries/retry_limits.hpp
@@ -28,6 +28,11 @@
   /// Of the slack: what nodes may spend without the keeper, all together; at once, and in a window.
   double mOwnDepth = 0.1;
   double mOwnRate = 0.1;
+  /// Of the slack, in place of these: what nodes spend in a window at times of their own. Their
+  /// times fall together by chance, so it is less, and nothing where both together are under
+  /// mLeastOwn second attempts.
+  double mRareRate = 0.05;
+  double mLeastOwn = 5;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/retries/own_retries.cpp
+++ b/src/pepperbay/retries/own_retries.cpp
@@ -12,15 +12,15 @@
 }
 
 double
-OwnRetries::PerSecond() const
+OwnRetries::PerSecond(double aPart) const
 {
-  return mLimits.mSlack * mParts.mOwnRate / std::chrono::duration<double>(mLimits.mWindow).count();
+  return mLimits.mSlack * aPart / std::chrono::duration<double>(mLimits.mWindow).count();
 }
 
 TokenBucket&
 OwnRetries::BucketOf(const std::string& aService, int aNodes, TimePoint aNow)
 {
-  const TokenBucket::Options options{ PerSecond() / aNodes,
+  const TokenBucket::Options options{ PerSecond(mParts.mOwnRate) / aNodes,
                                       mLimits.mSlack * mParts.mOwnDepth / aNodes };
   TokenBucket& bucket = mBuckets.emplace(aService, TokenBucket(options, aNow)).first->second;
   if (bucket.Current().mPerSecond != options.mPerSecond) {
@@ -32,8 +32,11 @@
 bool
 OwnRetries::MayTake(const std::string& aService, int aNodes, TimePoint aNow)
 {
-  return IsWhole(aNodes) ? BucketOf(aService, aNodes, aNow).Level(aNow) >= 1.0
-                         : mRare.MayUse(ShortId(aService), PerSecond(), aNodes, aNow);
+  if (IsWhole(aNodes)) {
+    return BucketOf(aService, aNodes, aNow).Level(aNow) >= 1.0;
+  }
+  return mLimits.mSlack * (mParts.mOwnDepth + mParts.mOwnRate) >= mParts.mLeastOwn &&
+         mRare.MayUse(ShortId(aService), PerSecond(mParts.mRareRate), aNodes, aNow);
 }
 
 bool
--- a/src/pepperbay/retries/retry_agent_test.cpp
+++ b/src/pepperbay/retries/retry_agent_test.cpp
@@ -156,6 +156,16 @@
   EXPECT_GT(trial.mGranted, options.mLimits.mSlack / 3);
 }
 
+/// Guards against nodes whose own times fall together by chance where the slack has no room for it.
+TEST(RetryAgent, NodesHaveNothingOfTheirOwnWhereTheSlackIsSmall)
+{
+  OwnRetries own("n1", { 0.2, 3, seconds(10) }, {});
+  for (TimePoint now{ std::chrono::hours(1) }; now < TimePoint{ std::chrono::hours(2) };
+       now += milliseconds(100)) {
+    ASSERT_FALSE(own.MayTake("plain", 8, now));
+  }
+}
+
 /// New limits count for what comes next.
 TEST(RetryAgent, NewLimitsTakeForceWhileItRuns)
 {
