A test of nodes without a keeper

The mutant "nodes have whole parts of their own" passed TheSumHoldsInEachWindow once the share was drawn: nodes that ask without a pause never save up what is theirs. The test lets them, and then has all requests fail.

--- a/scripts/mutants/retries.sh
+++ b/scripts/mutants/retries.sh
@@ -14,8 +14,8 @@
 mutant "a request earns the whole share" $retries/retry_agent.cpp \
   's/mOptions.mLimits.mShare \* mOptions.mParts.mEarned/2.5 * mOptions.mLimits.mShare/' $agent '*TheSumHolds*'
 mutant "nodes have whole parts of their own" $retries/own_retries.cpp \
-  's/PerSecond\(mParts.mOwnRate\) \/ aNodes/PerSecond(mParts.mOwnRate)/; s/mParts.mOwnDepth \/ aNodes/mParts.mOwnDepth/; s/mLimits.mSlack \* mParts.mOwnDepth >= aNodes/true/' \
-  $agent '*TheSumHolds*'
+  's/PerSecond\(mParts.mOwnRate\) \/ aNodes/PerSecond(mParts.mOwnRate)/; s/mParts.mOwnDepth \/ aNodes/mParts.mOwnDepth/' \
+  $agent '*StayWithinTheirPart*'
 mutant "the keeper is asked for ever" $retries/retry_agent.cpp \
   's/now - pending.mSent >= mOptions.mGiveUpAfter/false/' $agent '*OneTimeout*'
 mutant "no keeper is asked" $retries/retry_agent.cpp \
--- a/src/pepperbay/retries/retry_agent_test.cpp
+++ b/src/pepperbay/retries/retry_agent_test.cpp
@@ -156,6 +156,22 @@
   EXPECT_GT(trial.mGranted, options.mLimits.mSlack / 3);
 }
 
+/// Guards against nodes that each take the part of all where no keeper answers.
+TEST(RetryAgent, NodesWithoutAKeeperStayWithinTheirPart)
+{
+  for (const int nodes : kFleets) {
+    RetryWorldOptions options;
+    options.mNodes = nodes;
+    options.mLimits.mShare = 0;
+    Trial trial(options);
+    trial.mWorld.Stand(trial.mWorld.Keeper(), true);
+    trial.Run({ 400, 1, trial.mWorld.Size() }, seconds(2));
+    trial.Run({ 0, 0, 1 }, seconds(20)); // what is saved up comes on top
+    trial.Run({ 400, 1, trial.mWorld.Size() }, seconds(12));
+    EXPECT_LE(trial.mAccount.Excess(), 0) << nodes;
+  }
+}
+
 /// Guards against nodes whose own times fall together by chance where the slack has no room for it.
 TEST(RetryAgent, NodesHaveNothingOfTheirOwnWhereTheSlackIsSmall)
 {
