Whose words made an engine count as lost, and what a stream waits for between two engines

Cause: engine_lost says how the last question ended, and not by whose words the engine was called lost; where a stream's pause goes between two engines shows nowhere.

engine_lost has 'by', lost_engines_total is by it, undecided_engines_total is new on the metrics page. attempt_failed of a stream that moves names the times that no place was found and how long the second engine took; the same as moves_refused_total and resume_pause_seconds.

No decision changes. Tests of doubts check 'by' where they checked the verdict.

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -88,7 +88,9 @@
   std::uint64_t mCallerGone = 0; ///< the caller left first
   std::uint64_t mAttempts = 0;   ///< requests sent to engines
   std::uint64_t mSecondAttempts = 0;
-  std::uint64_t mResumes = 0;        ///< of these, streams that went on elsewhere
+  std::uint64_t mResumes = 0; ///< of these, streams that went on elsewhere
+  /// Streams that were to go on elsewhere and found no place, by why; some of them ask again.
+  std::map<std::string, std::uint64_t> mMovesRefused;
   std::uint64_t mForeignAnswers = 0; ///< of another request; dropped
   /// Kept connections that engines closed under a request, without a byte of an answer.
   std::uint64_t mStaleConnections = 0;
@@ -105,6 +107,8 @@
   std::uint64_t mOpen = 0;           ///< requests in progress
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
   LatencyHistogram mWholeAnswer;     ///< the same to an answer without a stream
+  /// From a stream's last event of one engine to the first of another, at the caller.
+  LatencyHistogram mResumePause;
   /// From the moment at which the control thread has a configuration until requests go by it.
   LatencyHistogram mInForce;
   std::uint64_t mConfigurationVersion = 0;       ///< that requests go by
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -496,6 +496,7 @@
 Coordinator::Counters() const
 {
   mImpl->mCounters.mAsks = mImpl->mDoubts.Asked();
+  mImpl->mCounters.mUndecided = mImpl->mDoubts.Undecided();
   mImpl->mCounters.mSuspectRequests = mImpl->mSuspects.Book().Size();
   mImpl->mCounters.mHeldRequests = mImpl->HeldRequests();
   mImpl->mCounters.mBadSuspects = mImpl->mSuspects.BadRecords();
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -119,7 +119,7 @@
   void AskMembers(const std::string& aHead);
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
   const EngineRecord* FindEngine(const std::string& aEngine) const;
-  void OnEngineChange(const EngineRecord& aEngine, bool aLost, const std::string& aError);
+  void OnEngineChange(const EngineRecord& aEngine, const EngineVerdict& aVerdict);
   // Ways to engines; see coordinator_reach.cpp.
   EngineDoubtsHooks DoubtsHooks();
   void SetReach(bool aReaches);
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -289,25 +289,26 @@
 }
 
 void
-Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine,
-                                  bool aLost,
-                                  const std::string& aError)
+Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, const EngineVerdict& aVerdict)
 {
   mChanged = true;
-  mHooks.mLog(aLost ? "engine_lost" : "engine_back",
+  const bool lost = aVerdict.mLostBy.has_value();
+  const std::string by = lost ? ToString(*aVerdict.mLostBy) : "";
+  mHooks.mLog(lost ? "engine_lost" : "engine_back",
               { { "engine", aEngine.mId },
                 { "domain", aEngine.mDomain },
-                { "error", aError },
+                { "by", by },
+                { "error", aVerdict.mError },
                 { "heard_others_ms_ago",
                   std::to_string(ToMs(Now() - mCalls.Heard().OtherThan(aEngine.mId)).count()) } });
   const auto planner = mPlanners.find(aEngine.mService);
-  if (!aLost) {
+  if (!lost) {
     if (planner != mPlanners.end()) {
       planner->second.Forgive(aEngine.mId);
     }
     return;
   }
-  ++mCounters.mLostEngines;
+  ++mCounters.mLostEngines[by];
   // Domains go dark whole: the next repair must not choose a spare that is gone as well.
   for (const auto& [id, engine] : mDirectory.Engines()) {
     const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aEngine.mDomain &&
--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -40,8 +40,8 @@
   hooks.mOnAnswer = [this](const EngineRecord& aEngine, const EngineReport& aReport) {
     OnReport(aEngine, aReport);
   };
-  hooks.mOnChange = [this](const EngineRecord& aEngine, bool aLost, const std::string& aError) {
-    OnEngineChange(aEngine, aLost, aError);
+  hooks.mOnChange = [this](const EngineRecord& aEngine, const EngineVerdict& aVerdict) {
+    OnEngineChange(aEngine, aVerdict);
   };
   hooks.mMayAsk = [this] { return mCalls.RoomForQuestion(); };
   hooks.mPickPeer = [this](const EngineRecord& aEngine, const std::set<std::string>& aTried) {
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -4,6 +4,22 @@
 
 namespace pepperbay {
 
+const char*
+ToString(LostBy aBy)
+{
+  switch (aBy) {
+    case LostBy::kTwoPlaces:
+      return "two_places";
+    case LostBy::kHereAlone:
+      return "here_alone";
+    case LostBy::kPeerAlone:
+      return "peer_alone";
+    case LostBy::kNoPeers:
+      return "no_peers";
+  }
+  return "unknown";
+}
+
 EngineDoubts::EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks)
   : mOptions(aOptions)
   , mHooks(std::move(aHooks))
@@ -115,7 +131,7 @@
     OnRoundOver(aEngine.mId);
   }
   if (aReport.has_value() && mLost.erase(aEngine.mId) != 0) {
-    mHooks.mOnChange(aEngine, false, "");
+    mHooks.mOnChange(aEngine, {});
   }
   if (first) {
     mHooks.mOnAnswer(aEngine, aReport.value());
@@ -162,10 +178,12 @@
   }
   if (!HasPeers()) {
     mQuestions.erase(it);
-    Decide(question, question.mUnansweredHere);
+    Decide(question,
+           question.mUnansweredHere ? std::make_optional(LostBy::kNoPeers) : std::nullopt);
     return;
   }
-  const int places = question.mUnansweredThere + (CountsHere(question) ? 1 : 0);
+  const bool here = CountsHere(question);
+  const int places = question.mUnansweredThere + (here ? 1 : 0);
   constexpr int kPlaces = 2;
   const bool last = question.mRounds >= mOptions.mMostRounds;
   if (places < kPlaces && !last) {
@@ -175,18 +193,21 @@
   mQuestions.erase(it);
   // Where no second place has a word, one that reaches other engines is enough: a repair must not
   // wait for nodes that are gone.
-  Decide(question, places > 0);
+  const LostBy alone = here ? LostBy::kHereAlone : LostBy::kPeerAlone;
+  Decide(question,
+         places == 0 ? std::nullopt
+                     : std::make_optional(places < kPlaces ? alone : LostBy::kTwoPlaces));
 }
 
 void
-EngineDoubts::Decide(const Question& aQuestion, bool aLost)
+EngineDoubts::Decide(const Question& aQuestion, std::optional<LostBy> aLostBy)
 {
-  if (!aLost) {
+  if (!aLostBy) {
     ++mUndecided;
     return;
   }
   if (mLost.emplace(aQuestion.mEngine.mId, mHooks.mNow()).second) {
-    mHooks.mOnChange(aQuestion.mEngine, true, aQuestion.mError);
+    mHooks.mOnChange(aQuestion.mEngine, { aLostBy, aQuestion.mError });
   }
 }
 
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -30,6 +30,25 @@
   int mMostRounds = 3;
 };
 
+/// Whose words have made an engine count as lost.
+enum class LostBy
+{
+  kTwoPlaces,
+  kHereAlone, ///< no second place had a word
+  kPeerAlone, ///< a peer's; this node's own does not count, and no other peer had one
+  kNoPeers,   ///< there are no other nodes
+};
+
+const char*
+ToString(LostBy aBy);
+
+/// What has become known of an engine under suspicion.
+struct EngineVerdict
+{
+  std::optional<LostBy> mLostBy; ///< none: it answers again
+  std::string mError;            ///< how the last question ended, where it is lost
+};
+
 struct EngineDoubtsHooks
 {
   NowFn mNow;
@@ -38,8 +57,7 @@
     mAsk;
   std::function<void(const EngineRecord&, const EngineReport&)> mOnAnswer;
   /// An engine has become lost, or a lost one answers.
-  /// @param aError how the last question ended, where it is lost
-  std::function<void(const EngineRecord&, bool aLost, const std::string& aError)> mOnChange;
+  std::function<void(const EngineRecord&, const EngineVerdict&)> mOnChange;
   /// Whether a question may be put now; null: any number.
   std::function<bool()> mMayAsk = nullptr;
 
@@ -122,8 +140,9 @@
   void OnRoundOver(const std::string& aEngine);
   /// @return whether this node's own question counts: others answer it.
   bool CountsHere(const Question& aQuestion) const;
-  /// No place has an answer. @param aLost enough of them have a word on the engine
-  void Decide(const Question& aQuestion, bool aLost);
+  /// No place has an answer.
+  /// @param aLostBy whose words count; none: too few have a word on the engine
+  void Decide(const Question& aQuestion, std::optional<LostBy> aLostBy);
 
   EngineDoubtsOptions mOptions;
   EngineDoubtsHooks mHooks;
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -24,7 +24,9 @@
           const EngineCallOptions&,
           const std::function<void(Result<EngineReport>)>& aDone) { asked.push_back(aDone); },
       [](const EngineRecord&, const EngineReport&) {},
-      [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; } });
+      [&](const EngineRecord&, const EngineVerdict& aVerdict) {
+        lost += aVerdict.mLostBy ? 1 : 0;
+      } });
   EngineRecord engine;
   engine.mId = "a";
   engine.mBorn = WallTime(milliseconds(1000));
@@ -57,7 +59,7 @@
           const EngineCallOptions&,
           const std::function<void(Result<EngineReport>)>& aDone) { asked.push_back(aDone); },
       [](const EngineRecord&, const EngineReport&) {},
-      [&](const EngineRecord&, bool aLost, const std::string&) { lost += aLost ? 1 : 0; },
+      [&](const EngineRecord&, const EngineVerdict& aVerdict) { lost += aVerdict.mLostBy ? 1 : 0; },
       [&] { return may; } });
   EngineRecord engine;
   engine.mId = "a";
@@ -100,8 +102,9 @@
       mLongest = std::max(mLongest, mClock.Now() - mBegun + aOptions.mTimeout);
     };
     hooks.mOnAnswer = [](const EngineRecord&, const EngineReport&) {};
-    hooks.mOnChange = [this](const EngineRecord&, bool aLost, const std::string&) {
-      mLost = aLost;
+    hooks.mOnChange = [this](const EngineRecord&, const EngineVerdict& aVerdict) {
+      mLost = aVerdict.mLostBy.has_value();
+      mLostBy = aVerdict.mLostBy;
     };
     hooks.mPickPeer = [this](const EngineRecord&, const std::set<std::string>& aTried) {
       for (const auto& it : mPeers) {
@@ -164,6 +167,7 @@
   bool mBlind = false;
   bool mSees = true;
   bool mLost = false;
+  std::optional<LostBy> mLostBy;
   int mLooks = 0;
   int mPathFaults = 0;
   EngineDoubts mDoubts{ {}, Hooks() };
@@ -176,7 +180,7 @@
   mDoubts.Ask(mEngine);
   EXPECT_EQ(Round(Word::kNone, Word::kNone), "here p1 ");
   EXPECT_EQ(mLooks, 1) << "whether this node sees others is looked at meanwhile";
-  EXPECT_TRUE(mLost);
+  EXPECT_EQ(mLostBy, LostBy::kTwoPlaces);
   EXPECT_EQ(mLongest, EngineDoubtsOptions().mAskTimeout) << "as long as the direct question";
 }
 
@@ -266,6 +270,7 @@
   EXPECT_FALSE(mLost);
   Round(Word::kNone, Word::kUnheard);
   EXPECT_TRUE(mLost);
+  EXPECT_EQ(mLostBy, LostBy::kHereAlone);
 }
 
 TEST_F(EngineDoubtsFromTwoPlaces, PeersOfAnOlderVersionAreNotAskedAndABlindNodeDecidesNothing)
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -97,6 +97,10 @@
     Counter("attempts_total", "Requests sent to engines", relay.mAttempts),
     Counter("second_attempts_total", "Of these, not the first", relay.mSecondAttempts),
     Counter("resumes_total", "Of these, streams that went on elsewhere", relay.mResumes),
+    Counters("moves_refused_total",
+             "Streams that were to go on elsewhere and found no place",
+             "reason",
+             relay.mMovesRefused),
     Counter("foreign_answers_total", "Answers of another request", relay.mForeignAnswers),
     Counter("stale_connections_total",
             "Kept connections that engines closed under a request",
@@ -118,7 +122,8 @@
     Counter("carried_to_engines_bytes_total", "For other nodes", relay.mTunnels.mToEngines),
     Counter("carried_from_engines_bytes_total", "For other nodes", relay.mTunnels.mFromEngines),
     Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
-    Counter("lost_engines_total", "Engines found not to answer", control.mLostEngines),
+    Counters("lost_engines_total", "Engines found not to answer", "by", control.mLostEngines),
+    Counter("undecided_engines_total", "Too few nodes had a word on them", control.mUndecided),
     Counter("asks_total", "Questions to engines", control.mAsks),
     Counters("orders_total", "Orders to engines", "order", control.mOrders),
     Counter("engines_ended_total", "While they had requests of this node", relay.mEnginesEnded),
@@ -188,6 +193,9 @@
     Histogram(
       "first_event_seconds", "From a request to its stream's first event", relay.mFirstEvent),
     Histogram("whole_answer_seconds", "From a request to a whole answer", relay.mWholeAnswer),
+    Histogram("resume_pause_seconds",
+              "From a stream's last event of one engine to the first of another",
+              relay.mResumePause),
     Counter("log_lines_left_out_total", "Not written", aFigures.mLinesLeftOut),
   };
   return prometheus::TextSerializer().Serialize(families);
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -257,10 +257,14 @@
   }
   if (!mCurrent.mWriting) {
     mCurrent.mWriting = true;
+    if (mStreamStarted) {
+      mCore->mCounters.mResumePause.Observe(now - mPassedAt);
+    }
   } else {
     mCore->mBalancer.OnPause(mCurrent.mTarget.mEngine, now - mCurrent.mLastEventAt, now);
   }
   mCurrent.mLastEventAt = now;
+  mPassedAt = now;
   if (!mStreamStarted) {
     mCore->mCounters.mFirstEvent.Observe(now - mArrived);
     mStreamStarted = true;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -253,6 +253,7 @@
   bool mAvoidsKept = false;              ///< one was stale; others may be as well
   bool mMoving = false;                  ///< asks for a place elsewhere
   TimePoint mMoveNotBefore{};            ///< no place was found just now, or it was refused
+  int mMovesRefused = 0;                 ///< times that no place was found
   int mSent = 0;
   int mConnectFailures = 0;
   Duration mLimitedFor{ 0 }; ///< engines with room take no more for so long
@@ -265,6 +266,7 @@
   std::string mBody;
   EventSplitter mSplitter;
   std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
+  TimePoint mPassedAt{};                   ///< the last event was passed on
   bool mStreamStarted = false;             ///< the caller has the head
   bool mPushing = false;                   ///< events are on their way to the caller
   /// An engine's own failure, kept while a second engine is asked.
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -42,6 +42,12 @@
     { "stale", YesNo(aSending.mStale) },
     { "sent", std::to_string(mSent) },
   };
+  if (mMovesRefused > 0) {
+    fields["moves_refused"] = std::to_string(mMovesRefused);
+  }
+  if (mNext) {
+    fields["next_after_ms"] = Millis(mCore->Now() - mNext->mSentAt);
+  }
   if (aSending.mHeadAt) {
     fields["answering_ms"] = Millis(mCore->Now() - *aSending.mHeadAt);
   }
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -123,6 +123,8 @@
     [self = shared_from_this(), serial = mCurrent.mSerial, aWhy](const Place& aPlace) {
       self->mMoving = false;
       if (aPlace.mOutcome != PlaceOutcome::kGranted) {
+        ++self->mMovesRefused;
+        ++self->mCore->mCounters.mMovesRefused[ToString(aPlace.mOutcome)];
         self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
         return;
       }
