A place's word on an engine counts only with a later look at another one

What callers see: replicas of engines that are well close for everybody, and requests are held back, while nodes are cut and their old connections live on.

Cause: a failure to reach an engine was vouched for by any byte of another engine since the question had begun: one from before the cut, or over a connection that lives on while new ones fail. Where the peers that were asked were cut as well, that one word decided. Class: evidence of an observer's own health that is older than what it vouches for, or of another kind.

Now a holder asks another engine over a new connection after its own question has failed (SightLooks; failures share the next question), a peer and a request that finds nobody at an engine's address go by connections that stood since, or begin one. Two places are still needed; the only place that has a word decides alone as before, so a broken replica is repaired while every other node is cut (test).

Why it works: a cut does not end and begin again between a failure and a look that succeeds after it, and a new connection fails where new connections fail.

Ruled out: waiting for more rounds (peers that are cut answer within milliseconds where paths refuse, so three rounds are over before anybody knows); not counting a holder that is known to be cut (known only 75 ms to 1.3 s later).

engine_doubts_test looked whether a look had begun beside the question; it now checks that one came after it, which is stricter.

--- a/include/pepperbay/coordinator/engine_call.hpp
+++ b/include/pepperbay/coordinator/engine_call.hpp
@@ -15,6 +15,8 @@
   /// The peer that it goes through; none: directly. A question that ends without an answer then has
   /// the error kCancelled where the peer has no word on the engine, or reaches no other either.
   std::optional<ProxyPeer> mVia;
+  /// Over a connection that is begun for it: one that was kept may live on in a cut.
+  bool mOwnConnection = false;
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -13,6 +13,7 @@
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
 #include "round_pace.hpp"
+#include "sight_looks.hpp"
 #include "suspect_keeper.hpp"
 
 namespace pepperbay {
@@ -132,11 +133,14 @@
                                 const std::string& aDataCentre,
                                 Duration aTimeout);
   /// Ask an engine of another domain directly, at most every few tens of milliseconds.
-  void LookElsewhere(const EngineRecord& aNotThis);
+  SightLooksHooks LooksHooks();
+  /// @return an engine that is well as far as is known, of another domain where there is one; null
+  /// for none.
+  const EngineRecord* PickForSight(const EngineRecord& aNotThis);
   /// Try whether own connections reach engines again.
   void ProbeWays();
   /// Ask an engine directly, only to see whether this node reaches it.
-  void AskForSight(const EngineRecord& aEngine, std::function<void()> aOnNoAnswer);
+  void AskForSight(const EngineRecord& aEngine, std::function<void(bool aAnswered)> aDone);
   /// Note what a question through a peer says of the peer.
   void NoteProxy(const EngineCallOptions& aOptions, bool aHeard);
   /// Put the peers together that may be asked, where anything has changed.
@@ -219,7 +223,7 @@
   std::size_t mProxiesOf = 0;     ///< what they were put together from
   bool mTrafficUnreached = false; ///< connections for requests do not reach the engines
   bool mToldUnreached = false;
-  TimePoint mLookDue{};
+  SightLooks mSightLooks;
   std::size_t mLooks = 0;
   EngineDoubts mDoubts;
   PeerBook mPeers;
--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -7,8 +7,6 @@
 namespace pepperbay {
 namespace {
 
-/// While engines are in doubt, whether this node sees others is looked at this often.
-constexpr std::chrono::milliseconds kLookEvery{ 50 };
 /// Nodes that are named in one heartbeat; a data centre of the largest fleet has some 130.
 constexpr int kMostNamed = 256;
 
@@ -50,10 +48,9 @@
   };
   hooks.mHasPeers = [this] { return !mPeers.Peers().empty(); };
   hooks.mIsBlind = [this] { return IsUnreached(); };
-  hooks.mSeesOthers = [this](const std::string& aEngine, TimePoint aSince) {
-    return mCalls.Heard().OtherThan(aEngine) >= aSince;
+  hooks.mFindSight = [this](const EngineRecord& aNotThis, std::function<void(bool)> aDone) {
+    mSightLooks.Find(aNotThis, std::move(aDone));
   };
-  hooks.mLookElsewhere = [this](const EngineRecord& aNotThis) { LookElsewhere(aNotThis); };
   hooks.mOnPathFault = [this](const EngineRecord& aEngine, TimePoint aBegun) {
     mWays.OnPathFault(aEngine.mId, aBegun, Now());
   };
@@ -103,40 +100,47 @@
   }
 }
 
-void
-Coordinator::Impl::LookElsewhere(const EngineRecord& aNotThis)
+SightLooksHooks
+Coordinator::Impl::LooksHooks()
+{
+  SightLooksHooks hooks;
+  hooks.mPick = [this](const EngineRecord& aNotThis) { return PickForSight(aNotThis); };
+  hooks.mAsk = [this](const EngineRecord& aEngine, std::function<void(bool)> aDone) {
+    AskForSight(aEngine, std::move(aDone));
+  };
+  return hooks;
+}
+
+const EngineRecord*
+Coordinator::Impl::PickForSight(const EngineRecord& aNotThis)
 {
-  if (Now() < mLookDue) {
-    return;
-  }
-  mLookDue = Now() + kLookEvery;
   std::vector<const EngineRecord*> others;
+  std::vector<const EngineRecord*> doubted; ///< or neighbours, which are lost together
   for (const auto& [id, engine] : mDirectory.Engines()) {
-    const bool same =
-      id == aNotThis.mId || (!engine.mDomain.empty() && engine.mDomain == aNotThis.mDomain);
-    if (!same && !mDoubts.IsLost(id) && !mDoubts.IsAsked(id)) {
-      others.push_back(&engine);
+    if (id == aNotThis.mId || mDoubts.IsLost(id)) {
+      continue;
     }
+    const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aNotThis.mDomain;
+    (neighbour || mDoubts.IsAsked(id) ? doubted : others).push_back(&engine);
   }
-  if (others.empty()) {
-    return; // peers may see more
-  }
-  AskForSight(*others[mLooks++ % others.size()], [] {});
+  const auto& from = others.empty() ? doubted : others;
+  return from.empty() ? nullptr : from[mLooks++ % from.size()];
 }
 
 void
-Coordinator::Impl::AskForSight(const EngineRecord& aEngine, std::function<void()> aOnNoAnswer)
+Coordinator::Impl::AskForSight(const EngineRecord& aEngine, std::function<void(bool)> aDone)
 {
-  mCalls.Ask(aEngine,
-             { mOptions.mAskTimeout, std::nullopt },
-             [this, id = aEngine.mId, onNoAnswer = std::move(aOnNoAnswer)](
-               const Result<EngineReport>& aReport) {
-               if (aReport.has_value()) {
-                 mWays.OnConnected(id, Now());
-               } else {
-                 onNoAnswer();
-               }
-             });
+  EngineCallOptions options{ mOptions.mAskTimeout, std::nullopt };
+  options.mOwnConnection = true;
+  mCalls.Ask(
+    aEngine,
+    options,
+    [this, id = aEngine.mId, done = std::move(aDone)](const Result<EngineReport>& aReport) {
+      if (aReport.has_value()) {
+        mWays.OnConnected(id, Now());
+      }
+      done(aReport.has_value());
+    });
 }
 
 void
@@ -150,7 +154,11 @@
     it = mDirectory.Engines().begin();
     std::advance(it, static_cast<std::ptrdiff_t>(mLooks++ % mDirectory.Engines().size()));
   }
-  AskForSight(it->second, [this] { mWays.OnBadProbe(Now()); });
+  AskForSight(it->second, [this](bool aAnswered) {
+    if (!aAnswered) {
+      mWays.OnBadProbe(Now());
+    }
+  });
 }
 
 void
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -108,6 +108,23 @@
   EXPECT_EQ(mWorld.mLines["engine_lost"], 1);
 }
 
+/// Guards against a broken replica that is not repaired since every other node is cut.
+TEST_F(CoordinatorReach, TheOnlyNodeThatReachesEnginesRepairsByItsOwnWord)
+{
+  for (const auto& it : mWorld.mNodes) {
+    if (it.mName != mHolder) {
+      mCut.insert(it.mName);
+    }
+  }
+  const std::string head = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front().mHead.mId;
+  mWorld.mPool.At(mWorld.mPool.At(head).mMembers.back()).mAlive = false;
+  mWorld.Holder().mCoordinator->OnSuspect(head, milliseconds(200));
+  mWorld.Run(milliseconds(500));
+  EXPECT_EQ(mWorld.mLines["engine_lost"], 1);
+  mWorld.Run(seconds(2));
+  EXPECT_EQ(mWorld.mPool.Serving("m"), 3U) << "a spare has taken its place";
+}
+
 /// Guards against one poor path of the holder that costs a replica.
 TEST_F(CoordinatorReach, AnEngineThatOnlyTheHolderDoesNotReachStays)
 {
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -270,20 +270,25 @@
                const EngineCallOptions& aOptions) const
   {
     if (aOptions.mVia) {
-      return MayCarry(aOptions.mVia->mNode) && Reaches(aOptions.mVia->mNode, aEngine, {});
+      EngineCallOptions own;
+      own.mOwnConnection = true;
+      return MayCarry(aOptions.mVia->mNode) && Reaches(aOptions.mVia->mNode, aEngine, own);
     }
-    return !mReaches || mReaches(aNode, aEngine) || mKept.count(aNode + ">" + aEngine) != 0;
+    const bool kept = !aOptions.mOwnConnection && mKept.count(aNode + ">" + aEngine) != 0;
+    return !mReaches || mReaches(aNode, aEngine) || kept;
   }
 
   /// @return whether a node is alive and reaches any engine, as it would say of itself.
   bool MayCarry(const std::string& aNode) const
   {
+    EngineCallOptions own;
+    own.mOwnConnection = true;
     const bool alive = std::any_of(mNodes.begin(), mNodes.end(), [&aNode](const TestNode& aIt) {
       return aIt.mName == aNode && aIt.mAlive;
     });
     const auto& engines = mPool.All();
     return alive && std::any_of(engines.begin(), engines.end(), [&](const auto& aIt) {
-             return aIt.second.mAlive && Reaches(aNode, aIt.first, {});
+             return aIt.second.mAlive && Reaches(aNode, aIt.first, own);
            });
   }
 
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -70,7 +70,6 @@
 void
 EngineDoubts::AskReserved(Question* aQuestion)
 {
-  mHooks.mLookElsewhere(aQuestion->mEngine);
   AskThroughPeer(aQuestion);
   aQuestion->mPeerDue.reset();
   --aQuestion->mOpen;
@@ -127,9 +126,7 @@
   } else if (question.mPeerDue) {
     AskReserved(&question);
   }
-  if (--question.mOpen == 0) {
-    OnRoundOver(aEngine.mId);
-  }
+  EndOne(aEngine.mId, &question);
   if (aReport.has_value() && mLost.erase(aEngine.mId) != 0) {
     mHooks.mOnChange(aEngine, {});
   }
@@ -147,16 +144,39 @@
   if (aPeer.empty()) {
     aQuestion->mUnheard = aQuestion->mUnheard || unheard;
     aQuestion->mUnansweredHere = aQuestion->mUnansweredHere || word;
+    if (word && HasPeers() && !aQuestion->mSees) {
+      FindSight(aQuestion);
+    }
   } else if (word) {
     ++aQuestion->mUnansweredThere;
   }
   aQuestion->mError = ToString(aError);
 }
 
-bool
-EngineDoubts::CountsHere(const Question& aQuestion) const
+void
+EngineDoubts::FindSight(Question* aQuestion)
+{
+  ++aQuestion->mOpen;
+  mHooks.mFindSight(aQuestion->mEngine,
+                    [this, engine = aQuestion->mEngine](bool aSees) { OnSight(engine, aSees); });
+}
+
+void
+EngineDoubts::OnSight(const EngineRecord& aEngine, bool aSees)
 {
-  return aQuestion.mUnansweredHere && mHooks.mSeesOthers(aQuestion.mEngine.mId, aQuestion.mBegun);
+  const auto it = mQuestions.find(aEngine.mId);
+  if (it != mQuestions.end() && it->second.mEngine.mBorn == aEngine.mBorn) {
+    it->second.mSees = it->second.mSees || aSees;
+    EndOne(aEngine.mId, &it->second);
+  }
+}
+
+void
+EngineDoubts::EndOne(const std::string& aEngine, Question* aQuestion)
+{
+  if (--aQuestion->mOpen == 0) {
+    OnRoundOver(aEngine);
+  }
 }
 
 void
@@ -182,7 +202,7 @@
            question.mUnansweredHere ? std::make_optional(LostBy::kNoPeers) : std::nullopt);
     return;
   }
-  const bool here = CountsHere(question);
+  const bool here = question.mUnansweredHere && question.mSees;
   const int places = question.mUnansweredThere + (here ? 1 : 0);
   constexpr int kPlaces = 2;
   const bool last = question.mRounds >= mOptions.mMostRounds;
--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -69,10 +69,10 @@
   std::function<bool()> mHasPeers = nullptr;
   /// Whether this node is known to reach no engine by itself.
   std::function<bool()> mIsBlind = nullptr;
-  /// Whether another engine has answered this node directly since a time.
-  std::function<bool(const std::string& aEngine, TimePoint aSince)> mSeesOthers = nullptr;
-  /// Ask another engine directly, which shows whether this node reaches any.
-  std::function<void(const EngineRecord& aNotThis)> mLookElsewhere = nullptr;
+  /// Find out whether this node reaches another engine now, see SightLooks. `aDone` may be called
+  /// before this returns.
+  std::function<void(const EngineRecord& aNotThis, std::function<void(bool aSees)> aDone)>
+    mFindSight = nullptr;
   /// A peer has an answer of an engine that this node's own question has none of.
   std::function<void(const EngineRecord&, TimePoint aBegun)> mOnPathFault = nullptr;
 };
@@ -80,7 +80,7 @@
 /// Asks engines under suspicion.
 ///
 /// A question goes out directly, and one through a peer where that has no answer soon; an engine is
-/// lost when two places have no answer in time that reach other engines at that moment. A node that
+/// lost when two places have no answer in time that reach other engines after that. A node that
 /// is partitioned from the engines, or has a poor link, would otherwise take all of them for lost
 /// and have every node refuse what it could serve; and one lost packet must not darken a replica. A
 /// place that was not heard, or reaches nothing itself, says nothing, and another is asked. Where
@@ -119,6 +119,7 @@
     bool mAnswered = false;
     bool mUnheard = false;        ///< this node was too late to hear an answer
     bool mUnansweredHere = false; ///< a question of this node's own had none
+    bool mSees = false;           ///< another engine has answered this node after that
     int mUnansweredThere = 0;     ///< peers that see other engines and had none
     std::set<std::string> mPeers; ///< asked
     std::string mError;           ///< how the last one ended
@@ -136,10 +137,12 @@
   void OnAnswer(const EngineRecord& aEngine,
                 const std::string& aPeer,
                 const Result<EngineReport>& aReport);
-  static void OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError);
+  void OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError);
+  /// Find out whether this node's own failure says anything of the engine.
+  void FindSight(Question* aQuestion);
+  void OnSight(const EngineRecord& aEngine, bool aSees);
+  void EndOne(const std::string& aEngine, Question* aQuestion);
   void OnRoundOver(const std::string& aEngine);
-  /// @return whether this node's own question counts: others answer it.
-  bool CountsHere(const Question& aQuestion) const;
   /// No place has an answer.
   /// @param aLostBy whose words count; none: too few have a word on the engine
   void Decide(const Question& aQuestion, std::optional<LostBy> aLostBy);
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -116,8 +116,10 @@
     };
     hooks.mHasPeers = [this] { return mHasPeers; };
     hooks.mIsBlind = [this] { return mBlind; };
-    hooks.mSeesOthers = [this](const std::string&, TimePoint) { return mSees; };
-    hooks.mLookElsewhere = [this](const EngineRecord&) { ++mLooks; };
+    hooks.mFindSight = [this](const EngineRecord&, const std::function<void(bool)>& aDone) {
+      ++mLooks;
+      aDone(mSees);
+    };
     hooks.mOnPathFault = [this](const EngineRecord&, TimePoint) { ++mPathFaults; };
     return hooks;
   }
@@ -179,7 +181,7 @@
 {
   mDoubts.Ask(mEngine);
   EXPECT_EQ(Round(Word::kNone, Word::kNone), "here p1 ");
-  EXPECT_EQ(mLooks, 1) << "whether this node sees others is looked at meanwhile";
+  EXPECT_EQ(mLooks, 1) << "whether this node sees others is found out after that";
   EXPECT_EQ(mLostBy, LostBy::kTwoPlaces);
   EXPECT_EQ(mLongest, EngineDoubtsOptions().mAskTimeout) << "as long as the direct question";
 }
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -152,27 +152,42 @@
     BeginDirect();
     return;
   }
-  EngineConnection connection;
-  connection.mGone = IsGone();
-  connection.mWhy = mWhy.empty() ? "connect: peers do not reach it" : mWhy;
-  Finish(std::move(connection));
+  OnNoWay();
 }
 
-bool
-Connecting::IsGone() const
+void
+Connecting::OnNoWay()
 {
-  if (mRefusals >= 2) {
-    return true;
-  }
-  if (mDirect != Direct::kRefused) {
-    return false;
+  const bool here = mDirect == Direct::kRefused;
+  if (AreTwoRefused() || !here || mHeardOf > 0 || mConnector->Avoids()) {
+    FinishUnconnected(AreTwoRefused());
+    return;
   }
-  if (mRefusals == 1 || !mConnector->mPeers.Any()) {
-    return true;
+  // No second place has a word on it. A node that reaches other engines is not partitioned.
+  if (!mConnector->mPeers.Any() && !mConnector->HasOther(mEngine.mEngine)) {
+    FinishUnconnected(true);
+    return;
   }
-  // No second place had a word on it. A node that hears other engines is not partitioned.
-  return mHeardOf == 0 && !mConnector->Avoids() &&
-         mConnector->mLastHeard.OtherThan(mEngine.mEngine) >= mBegun;
+  mConnector->FindSight(mEngine.mEngine, mBegun, [self = shared_from_this()](bool aSees) {
+    if (!self->Over()) {
+      self->FinishUnconnected(aSees);
+    }
+  });
+}
+
+bool
+Connecting::AreTwoRefused() const
+{
+  return mRefusals + (mDirect == Direct::kRefused ? 1 : 0) >= 2;
+}
+
+void
+Connecting::FinishUnconnected(bool aGone)
+{
+  EngineConnection connection;
+  connection.mGone = aGone;
+  connection.mWhy = mWhy.empty() ? "connect: peers do not reach it" : mWhy;
+  Finish(std::move(connection));
 }
 
 void
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -34,7 +34,11 @@
   void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
   /// Go on after one way has failed: ask the next peer, or end.
   void OnWayFailed();
-  bool IsGone() const;
+  /// No way is left: end, perhaps once it is known whether this node reaches other engines.
+  void OnNoWay();
+  void FinishUnconnected(bool aGone);
+  /// @return whether two places have found nobody at the engine's address.
+  bool AreTwoRefused() const;
   /// A peer reaches the engine. @return whether a direct connection should have stood by now
   bool IsPathFault() const;
   void Finish(EngineConnection aConnection);
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -119,6 +119,15 @@
   return engines[mTried++ % engines.size()];
 }
 
+bool
+EngineConnector::HasOther(const std::string& aEngine) const
+{
+  const std::vector<AttemptTarget> engines = mHooks.mEngines();
+  return std::any_of(engines.begin(), engines.end(), [&aEngine](const AttemptTarget& aIt) {
+    return aIt.mEngine != aEngine;
+  });
+}
+
 void
 EngineConnector::Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone)
 {
@@ -145,7 +154,7 @@
                            TimePoint aSince,
                            std::function<void(bool)> aDone)
 {
-  if (mLastHeard.OtherThan(aEngine) >= aSince) {
+  if (mLastStood.OtherThan(aEngine) >= aSince) {
     aDone(true);
     return;
   }
@@ -187,7 +196,6 @@
   mHeardAt = Now();
   mHeardOf[aEngine] = mHeardAt;
   mWays.OnHeard(mHeardAt);
-  mLastHeard.Note(aEngine, mHeardAt);
 }
 
 TimePoint
@@ -208,7 +216,7 @@
 EngineConnector::OnConnected(const std::string& aEngine)
 {
   mHeardAt = Now();
-  mLastHeard.Note(aEngine, mHeardAt);
+  mLastStood.Note(aEngine, mHeardAt);
   mWays.OnConnected(aEngine, mHeardAt);
   TellAvoid();
 }
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -107,7 +107,8 @@
   void Forget(const std::string& aEngine);
   /// @return when an engine was last heard directly; the zero time for never.
   TimePoint HeardAt(const std::string& aEngine) const;
-  /// Find out whether this node reaches any engine but this one; see TunnelServerHooks.
+  /// Find out whether this node reaches any engine but this one; see TunnelServerHooks. Bytes over
+  /// a connection that was there before prove nothing: it may live on while new ones fail.
   void FindSight(const std::string& aEngine, TimePoint aSince, std::function<void(bool)> aDone);
   /// A peer that carries something has given nothing for long.
   void OnPeerSilent(const std::string& aPeer);
@@ -137,6 +138,8 @@
   void Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone);
   /// @return an engine to try, another each time; null where there is none.
   std::optional<AttemptTarget> NextToTry(const std::string& aExcept);
+  /// @return whether there is any engine but this one.
+  bool HasOther(const std::string& aEngine) const;
 
   struct Trial;
 
@@ -145,8 +148,8 @@
   EngineConnectorHooks mHooks;
   WayBook mWays;
   ProxyChoice mPeers;
-  LastHeard mLastHeard; ///< over own connections
-  TimePoint mHeardAt{}; ///< the same, of any
+  LastHeard mLastStood; ///< own connections when they were begun
+  TimePoint mHeardAt{}; ///< any byte over own connections
   std::map<std::uint64_t, std::shared_ptr<Connecting>> mConnecting;
   std::vector<std::shared_ptr<Trial>> mTrials;
   std::unordered_map<std::string, TimePoint> mHeardOf; ///< by engine, over own connections
