A peer's open connection to an engine is no word that the engine is gone

What callers see: where nodes' paths to engines lose packets, replicas of engines that are well close for everybody.

Cause: a peer whose connection to the engine stood, and which then gave no answer in time, counted as a second place without an answer, whether it saw other engines or not. On a path that loses three packets in ten that is one question in four.

Now an open connection shows that the engine's host is there, and nothing more.

Test: one row of the table of answers failed before.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -45,7 +45,7 @@
                   USES admission places proto) # pure
 pepperbay_library(wire SOURCES peer_link.cpp codec.cpp TESTS codec_test.cpp peer_link_test.cpp USES base proto
                   PACKAGES cppzmq)
-pepperbay_library(http SOURCES message.cpp server.cpp client.cpp tunnelled.cpp TESTS http_test.cpp USES base reach
+pepperbay_library(http SOURCES message.cpp server.cpp client.cpp tunnelled.cpp TESTS http_test.cpp tunnelled_test.cpp USES base reach
                   PACKAGES PkgConfig::MHD CURL::libcurl Threads::Threads)
 pepperbay_library(control SOURCES claim_desk.cpp controller.cpp controller_hosts.cpp
                                   controller_messages.cpp controller_peers.cpp
--- a/include/pepperbay/http/tunnelled.hpp
+++ b/include/pepperbay/http/tunnelled.hpp
@@ -19,8 +19,9 @@
           HttpCall* aCall);
 
 /// What the failure of such a call says of the engine.
-/// @return Errc::kCancelled where it says nothing: the peer was not heard, carries nothing now or
-/// reaches no other engine either; else the engine has no answer
+/// @return Errc::kCancelled where it says nothing: the peer was not heard, carries nothing now,
+/// reaches no other engine either, or has a connection to the engine, whose host is there then;
+/// else the engine has no answer
 Error
 ErrorOfTunnelled(const HttpOutcome& aOutcome);
 
--- a/src/pepperbay/http/tunnelled.cpp
+++ b/src/pepperbay/http/tunnelled.cpp
@@ -35,9 +35,7 @@
   error.mStep = "engine.ask_through_peer";
   error.mDetail = std::string("peer: ") + ToString(answer) + (sight ? "" : ", sees no other") +
                   "; " + error.mDetail;
-  const bool word =
-    answer == TunnelAnswer::kOpen ||
-    (sight && (answer == TunnelAnswer::kRefused || answer == TunnelAnswer::kSilent));
+  const bool word = sight && (answer == TunnelAnswer::kRefused || answer == TunnelAnswer::kSilent);
   if (!word) {
     error.mCode = Errc::kCancelled;
   } else if (error.mCode == Errc::kCancelled) {
