What has been broken off is sent again over a new connection

What callers see: streams cut in the middle of their answer while paths to engines are reset, with engines free and second attempts left.

Cause: the second attempt went over a kept connection where its engine had been heard within 150 ms. In the first moments of a cut that is so for all, and the kept connections are reset as well; then no attempt is left.

Now a connection that is closed under a request has it sent again over one of its own.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -253,10 +253,10 @@
   std::uint64_t mLastSerial = 0;
   std::set<std::string> mTried;
   std::optional<StaleConnection> mStale; ///< the last, until it is known what became of its engine
-  bool mAvoidsKept = false;              ///< one was stale; others may be as well
-  bool mMoving = false;                  ///< asks for a place elsewhere
-  TimePoint mMoveNotBefore{};            ///< no place was found just now, or it was refused
-  int mMovesRefused = 0;                 ///< times that no place was found
+  bool mAvoidsKept = false;   ///< a connection was closed under it; kept ones may be dead as well
+  bool mMoving = false;       ///< asks for a place elsewhere
+  TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
+  int mMovesRefused = 0;      ///< times that no place was found
   int mSent = 0;
   int mConnectFailures = 0;
   Duration mLimitedFor{ 0 }; ///< engines with room take no more for so long
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -44,6 +44,7 @@
   }
   if (aEnd.mClosed) {
     mBrokenOff = true;
+    mAvoidsKept = true; // what has reset this one may have reset them
     mCore->mEndings.OnBrokenOff(aSending->mTarget, BrokenOffAt(*aSending));
   }
   if (aEnd.mBadBytes) {
--- a/src/pepperbay/relay/relay_kept_test.cpp
+++ b/src/pepperbay/relay/relay_kept_test.cpp
@@ -218,6 +218,45 @@
   EXPECT_EQ(second.Requests(), 1);
 }
 
+/// Guards against a stream whose last attempt is lost in a kept connection, when a path that is
+/// reset has just shown that such connections die.
+TEST_F(RelayKept, AStreamThatIsBrokenOffGoesOnOverANewConnection)
+{
+  const std::string head = std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string first = "f\r\nid: 1\ndata: a\n\n\r\n";
+  std::promise<void> breaks;
+  RawEngine broken([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(head + first);
+    breaks.get_future().wait();
+    aConnection.Reset();
+  });
+  std::atomic<int> connections{ 0 };
+  RawEngine other([&](RawConnection& aConnection) {
+    const bool kept = connections++ == 0;
+    aConnection.ReadRequest();
+    aConnection.Write(head + (kept ? first : "f\r\nid: 2\ndata: b\n\n\r\n") + "0\r\n\r\n");
+    aConnection.ReadRequest(); // and closes the kept one under it
+  });
+  mPublishAtOnce = false;
+  Serve({ &broken, &other });
+  const std::vector<PoolReplica> both = mPlan.mReplicas["pool"];
+  mPlan.mReplicas["pool"] = { both[0] };
+  Publish();
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\n"));
+  ASSERT_TRUE(caller.ReadUntil("data: a\n\n"));
+  mPlan.mReplicas["pool"] = { both[1] };
+  Publish();
+  ASSERT_EQ(StatusOf(Ask(Get("/stream/", "Model: m\r\n"))), 200); // its connection is kept
+  mPlan.mReplicas["pool"] = both;
+  Publish();
+  breaks.set_value();
+  EXPECT_TRUE(caller.ReadUntil("data: b\n\n"));
+  ::close(socket);
+}
+
 /// Guards against an engine that ends under a request going unnoticed, as the connection was kept.
 TEST_F(RelayKept, ARequestIsSuspectedWhenItsEngineHasEnded)
 {
