A stream that is broken off waits for a second attempt while its caller does

What callers see: an answer that is cut in the middle although an engine is free, since second attempts are used up for a moment.

Cause: without a second attempt, or without a place, a stream whose connection was reset was cut at once, while one on a silent path asked again every 200 ms.

Now both ask again until a second without an event has passed, the time after which a stream without hope is ended so that its caller can come back. What has not run is refused at once, as before; plain services are as before.

Tests: RelayAwaited, both fail without it (the stream is cut at once); property that only what may be sent again later waits.

--- a/include/pepperbay/dispatch/failure_step.hpp
+++ b/include/pepperbay/dispatch/failure_step.hpp
@@ -20,11 +20,13 @@
   bool mHasTarget = false;   ///< another engine could take it
   bool mHasBudget = false;   ///< the pool bears one more second attempt
   bool mHeldBack = false;    ///< engines have ended under it, and another one might
+  Duration mPatience{ 0 };   ///< its caller waits so long for the next piece of an answer
 };
 
 enum class FailureStep
 {
   kSendAgain,
+  kWait,   ///< nothing can take it now, and something may before its caller leaves
   kRefuse, ///< it has not run and never will: say so, and when to come back
   kFail,   ///< it may have run: say that nobody knows
   kCut,    ///< the answer has begun: break it off so that it cannot look complete
--- a/src/pepperbay/dispatch/failure_step.cpp
+++ b/src/pepperbay/dispatch/failure_step.cpp
@@ -37,6 +37,14 @@
   if (WhyNotAgain(aProgress).empty()) {
     return FailureStep::kSendAgain;
   }
+  RequestProgress later = aProgress;
+  later.mHasTarget = true;
+  later.mHasBudget = true;
+  // What has not run is refused instead, and told when to come back.
+  const bool waits = aProgress.mMayHaveRun && aProgress.mPatience > Duration::zero();
+  if (waits && WhyNotAgain(later).empty()) {
+    return FailureStep::kWait;
+  }
   if (aProgress.mAnswerBegun) {
     return FailureStep::kCut;
   }
--- a/src/pepperbay/dispatch/failure_step_test.cpp
+++ b/src/pepperbay/dispatch/failure_step_test.cpp
@@ -18,6 +18,7 @@
   progress.mLeft = std::chrono::milliseconds(*rc::gen::inRange(-100, 8000));
   progress.mHasTarget = *rc::gen::arbitrary<bool>();
   progress.mHasBudget = *rc::gen::arbitrary<bool>();
+  progress.mPatience = std::chrono::milliseconds(*rc::gen::inRange(-100, 200));
   return progress;
 }
 
@@ -38,6 +39,18 @@
   RC_ASSERT(WhyNotAgain(progress).empty() == (AfterFailure(progress) == FailureStep::kSendAgain));
 }
 
+/// Guards against callers who are held without hope, or longer than they stay.
+RC_GTEST_PROP(FailureStep, OnlyWhatMayBeSentAgainLaterWaits, ())
+{
+  const RequestProgress progress = AnyProgress();
+  if (AfterFailure(progress) == FailureStep::kWait) {
+    RC_ASSERT(progress.mPatience > Duration::zero());
+    RC_ASSERT(progress.mRepeatable && progress.mMayHaveRun);
+    RC_ASSERT(progress.mSent < progress.mMostSent);
+    RC_ASSERT(!progress.mHasBudget || !progress.mHasTarget);
+  }
+}
+
 RC_GTEST_PROP(FailureStep, NotRunIsSaidOnlyWithProof, ())
 {
   const RequestProgress progress = AnyProgress();
@@ -61,6 +74,8 @@
   EXPECT_EQ(AfterFailure(progress), FailureStep::kSendAgain);
   progress.mHasBudget = false;
   EXPECT_EQ(AfterFailure(progress), FailureStep::kFail);
+  progress.mPatience = std::chrono::seconds(1);
+  EXPECT_EQ(AfterFailure(progress), FailureStep::kWait);
   progress.mMayHaveRun = false;
   EXPECT_EQ(AfterFailure(progress), FailureStep::kRefuse);
 }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -60,6 +60,13 @@
   BrokenOff mRequest; ///< what is noted if the engine has ended
 };
 
+/// What could be sent nowhere, and is tried again.
+struct AwaitedAttempt
+{
+  std::string mWhy; ///< the last one came to nothing
+  TimePoint mAskAt{};
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -133,8 +140,12 @@
   void DropNext(const std::string& aWhy, bool aMayHaveRun);
   /// The second engine has the request from here on.
   void TakeNext();
-  /// The last attempt has failed: send again, or say so.
+  /// How far the request has come, where no attempt stands.
+  RequestProgress Progress() const;
+  /// The last attempt has failed: send again, wait until that is possible, or say so.
   void AfterAttempt(const std::string& aWhy, RequestProgress aProgress);
+  /// Try again what could be sent nowhere, once that is due.
+  void TickAwaited();
   /// Give back what is counted for a sending that is over.
   void EndCounts(Sending* aSending);
   UpstreamRequest MakeUpstreamRequest(const AttemptTarget& aTarget) const;
@@ -257,6 +268,7 @@
   bool mMoving = false;       ///< asks for a place elsewhere
   TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
   int mMovesRefused = 0;      ///< times that no place was found
+  std::optional<AwaitedAttempt> mAwaited;
   int mSent = 0;
   int mConnectFailures = 0;
   Duration mLimitedFor{ 0 }; ///< engines with room take no more for so long
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -33,6 +33,10 @@
 void
 Exchange::Tick()
 {
+  if (mAwaited) {
+    TickAwaited();
+    return;
+  }
   if (mPhase == Phase::kOver || !mCurrent.mAttempt) {
     return; // a place is found, or is refused, in a few tens of milliseconds
   }
@@ -77,7 +81,7 @@
 void
 Exchange::OnDeadline()
 {
-  mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
+  mMayHaveRun = mMayHaveRun || (mCurrent.mAttempt && mCurrent.mAttempt->MayHaveRun());
   DropAttempt();
   if (mStreamStarted) {
     Cut("deadline");
@@ -130,6 +134,15 @@
     TakeNext();
     return;
   }
+  const RequestProgress progress = Progress();
+  LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, WhyNotAgain(progress));
+  DropAttempt();
+  AfterAttempt(aWhy, progress);
+}
+
+RequestProgress
+Exchange::Progress() const
+{
   RequestProgress progress;
   progress.mRepeatable = mRoute->Repeatable();
   progress.mMayHaveRun = mMayHaveRun;
@@ -141,9 +154,25 @@
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
   progress.mHasBudget = mSent == 0 || HasBudget();
   progress.mHeldBack = IsHeldBack();
-  LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, WhyNotAgain(progress));
-  DropAttempt();
-  AfterAttempt(aWhy, progress);
+  if (mService->mPool && !mFallback) {
+    const TimePoint last = mStreamStarted ? mPassedAt : mArrived;
+    progress.mPatience = last + kHopelessAfter - mCore->Now();
+  }
+  return progress;
+}
+
+void
+Exchange::TickAwaited()
+{
+  const TimePoint now = mCore->Now();
+  if (now >= mDeadlineAt) {
+    mAwaited.reset();
+    OnDeadline();
+  } else if (now >= mAwaited->mAskAt) {
+    const std::string why = mAwaited->mWhy;
+    mAwaited.reset();
+    AfterAttempt(why, Progress());
+  }
 }
 
 void
@@ -167,6 +196,12 @@
         AfterAttempt(aWhy, last);
       });
       return;
+    case FailureStep::kWait:
+      mPhase = Phase::kPlacing;
+      ++mMovesRefused;
+      ++mCore->mCounters.mMovesRefused[WhyNotAgain(aProgress)];
+      mAwaited = AwaitedAttempt{ aWhy, mCore->Now() + kMoveAgainAfter };
+      return;
     case FailureStep::kRefuse:
       Refuse(aWhy);
       return;
@@ -269,6 +304,7 @@
     return;
   }
   mPhase = Phase::kOver;
+  mAwaited.reset();
   if (mStale) {
     // No other connection has shown whether its engine has ended.
     mCore->mEndings.OnBrokenOff(mStale->mTarget, mStale->mRequest);
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -14,18 +14,11 @@
 namespace pepperbay {
 namespace {
 
-/// A stream whose replica stands still and that found no place elsewhere asks again after this: a
-/// heartbeat, in which places come free.
-constexpr std::chrono::milliseconds kMoveAgainAfter{ 200 };
 /// A head that gave any stream an event within this moves, whatever is said of its replica: events
 /// come 50 to 80 ms apart. Members that leave stop listening long before they stop working, and a
 /// replica that is planned anew works on until its engines have joined.
 constexpr std::chrono::milliseconds kMovesWithin{ 150 };
 
-/// A stream that may be sent to no more engines, and whose replica is said to be lost, is ended
-/// after this without an event: callers leave after two seconds, and can come back sooner.
-constexpr std::chrono::seconds kHopelessAfter{ 1 };
-
 } // namespace
 
 bool
--- a/src/pepperbay/relay/relay_retries_test.cpp
+++ b/src/pepperbay/relay/relay_retries_test.cpp
@@ -92,5 +92,78 @@
   }
 }
 
+/// A stream that its engine breaks off after the first event, beside an engine that could go on.
+class RelayAwaited : public RelayRetries
+{
+protected:
+  void BreakOff()
+  {
+    RelayOptions options;
+    options.mNow = mClock.Hook();
+    options.mTuning.mRetryShare = 0;
+    options.mTuning.mRetrySlack = 0;
+    mPublishAtOnce = false;
+    Serve({ &mBroken, &mOther }, options);
+    const std::vector<PoolReplica> both = mPlan.mReplicas["pool"];
+    mPlan.mReplicas["pool"] = { both[0] };
+    Publish();
+    mSocket = Connect();
+    mCaller = std::make_unique<RawConnection>(mSocket);
+    mCaller->Write(Post("/stream/", "x", "Model: m\r\n"));
+    ASSERT_TRUE(mCaller->ReadUntil("data: a\n\n"));
+    mPlan.mReplicas["pool"] = both;
+    Publish();
+    mBreaks.set_value();
+    while (Counters().mMovesRefused.empty() && Counters().mCut == 0) {
+      std::this_thread::yield();
+    }
+  }
+
+  void TearDown() override
+  {
+    ::close(mSocket);
+    RelayRetries::TearDown();
+  }
+
+  static std::string Head() { return std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n"; }
+
+  SharedClock mClock;
+  std::promise<void> mBreaks;
+  std::shared_future<void> mBroke = mBreaks.get_future().share();
+  RawEngine mBroken{ [this](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(Head() + "f\r\nid: 1\ndata: a\n\n\r\n");
+    mBroke.wait();
+  } };
+  RawEngine mOther{ [](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(Head() + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+  } };
+  int mSocket = -1;
+  std::unique_ptr<RawConnection> mCaller;
+};
+
+/// Guards against streams that are cut since second attempts are used up for a moment, though their
+/// callers would wait.
+TEST_F(RelayAwaited, AStreamGoesOnOnceThereIsASecondAttempt)
+{
+  BreakOff();
+  RelayTuning tuning;
+  asio::post(mContext, [this, tuning] { mRelay->Tune(tuning); });
+  mClock.Advance(std::chrono::milliseconds(200));
+  EXPECT_TRUE(mCaller->ReadUntil("data: b\n\n"));
+  EXPECT_EQ(Counters().mCut, 0U);
+}
+
+/// Guards against callers who are held without hope until they leave.
+TEST_F(RelayAwaited, AStreamThatFindsNoSecondAttemptIsCutInTimeToComeBack)
+{
+  BreakOff();
+  EXPECT_EQ(Counters().mCut, 0U);
+  mClock.Advance(seconds(1));
+  EXPECT_FALSE(mCaller->ReadUntil("data: b\n\n"));
+  EXPECT_EQ(Counters().mCut, 1U);
+}
+
 } // namespace
 } // namespace pepperbay
