--- a/src/pepperbay/relay/relay_reach_fixture.hpp
+++ b/src/pepperbay/relay/relay_reach_fixture.hpp
@@ -148,6 +148,19 @@
     mPlan.mProxyPeers = std::move(peers);
   }
 
+  /// @return the plan of a node that has the same paths to engines as the one under test.
+  TrafficPlan PlanBehindPaths() const
+  {
+    auto addresses = std::make_shared<EngineAddresses>();
+    for (std::size_t i = 0; i < mPaths.size(); ++i) {
+      (*addresses)["e" + std::to_string(i)] = mPaths[i]->Address();
+    }
+    TrafficPlan plan = mPlan;
+    plan.mAddresses = addresses;
+    plan.mProxyPeers = nullptr;
+    return plan;
+  }
+
   void Cut(PathState aState)
   {
     for (const auto& it : mPaths) {
