A peer that reaches nothing, or says nothing, is asked after others

What callers see: at a node that is cut together with its data centre, or whose peers stand still, nobody is served, at the first try or later: 0 of 30 requests, with a peer that carries among the eight.

Cause, three of one class (a peer's state is taken from whether it answers, not from what it does): a peer that answers 'silent' or 'refused' and reaches no engine itself counted as one that works, so it was asked first again; a peer that had not answered when the time was over was not counted at all; and three peers were asked for a connection, always the same, as they are asked in the order of their use and only those that carried were used. A data centre that is cut whole makes it certain: half of the peers are of it and go before those that lie aside. Nobody is told that such a node is cut, since it finds that out by a peer that reaches what it does not.

Now only a connection that stands, or a word with sight, clears a peer; one that has not answered after 20 ms when the connection ends is passed over; peers that have not failed are asked beyond three, while there is time; peers take turns by when they were asked.

Ruled out: passing over for longer (the pause and that between two looks at a silent engine were both half a second and doubled together, so the same peers came up again); marking only peers silent for 80 ms (two of five in one round).

Test: RelayPeers, seven peers gone, frozen, busy or cut, paths silent or reset: 4 of 8 cases served 0 of 30 before, 8 of 8 serve 30 of 30 now, the slowest first answer 0.7 to 0.8 s.

--- a/include/pepperbay/reach/proxy_choice.hpp
+++ b/include/pepperbay/reach/proxy_choice.hpp
@@ -56,7 +56,7 @@
   /// @return whether it is another list than before.
   bool SetPeers(std::shared_ptr<const ProxyPeers> aPeers);
   /// The peer to ask for an engine of a data centre: one that has not failed lately, of a data
-  /// centre that the bytes pass anyway, with the fewest tunnels of this node, used longest ago.
+  /// centre that the bytes pass anyway, with the fewest tunnels of this node, asked longest ago.
   /// @param aTried names of peers to leave out
   /// @return null when there is none left; valid until `SetPeers()`
   const ProxyPeer* Pick(const std::string& aDataCentre,
@@ -67,6 +67,8 @@
   bool Knows(const std::string& aNode) const;
   bool Any() const { return mPeers && !mPeers->empty(); }
 
+  /// A peer is being asked; others are next.
+  void OnAsked(const std::string& aNode) { mAsked[aNode] = ++mAsks; }
   /// A connection through a peer stands. @return counts it until it is destroyed
   std::shared_ptr<void> CountTunnel(const std::string& aNode);
   /// A peer did not answer, or does not carry anything now.
@@ -89,8 +91,8 @@
   std::shared_ptr<std::map<std::string, int>> mOpen =
     std::make_shared<std::map<std::string, int>>();
   std::map<std::string, Failure> mFailures;
-  std::map<std::string, std::uint64_t> mUsed; ///< by peer, in the order of the last use
-  std::uint64_t mUses = 0;
+  std::map<std::string, std::uint64_t> mAsked; ///< by peer, in the order of the last question
+  std::uint64_t mAsks = 0;
 };
 
 } // namespace pepperbay
--- a/scripts/mutants/reach.sh
+++ b/scripts/mutants/reach.sh
@@ -45,3 +45,16 @@
   's/  if \(aEnd.mStale\) \{/  if (false) {/' relay_relay_moves_test '*KeptConnectionIsClosed*'
 mutant "a server ends with answers unsent" $s/http/server.cpp \
   's/    return mHasAnswer \&\& !mClosed.*/    return false;/' http_http_test '*Unsent*'
+mutant "a peer that is cut as well counts as one that works" $s/relay/connecting.cpp \
+  's/const bool word = aTunnel.mSight \&\& \(/const bool word = (/' relay_relay_peers_test '*cut_reset*'
+mutant "a peer that says nothing is asked again first" $s/relay/connecting.cpp \
+  's/asked.mAt >= mConnector->mOptions.mPeerAfter/asked.mAt >= std::chrono::hours(1)/' relay_relay_peers_test '*frozen_reset*'
+mutant "three peers are asked and no more" $s/relay/connecting.cpp \
+  's/enough \&\& !mConnector->mPeers.Usable\(peer->mNode, now\)/enough/' relay_relay_peers_test '*gone_reset*:*busy_reset*'
+mutant "what was heard before a failure is sight" $s/coordinator/engine_doubts.cpp \
+  's/question.mUnansweredHere \&\& question.mSees/question.mUnansweredHere/' coordinator_coordinator_reach_test '*OneOther*'
+mutant "a kept connection is sight" $s/coordinator/coordinator_reach.cpp \
+  's/options.mOwnConnection = true;/options.mOwnConnection = false;/' coordinator_coordinator_reach_test '*OneOther*'
+mutant "a failure shares the look that was begun before" $s/coordinator/sight_looks.cpp \
+  's/mHooks.mAsk\(\*engine, \[this, waiting = std::move\(waiting\)\]\(bool aAnswered\) \{/mHooks.mAsk(*engine, [this, waiting = std::move(waiting)](bool aAnswered) mutable { for (auto\& it : std::exchange(mWaiting, {})) { waiting.push_back(std::move(it)); }/' \
+  coordinator_sight_looks_test '*PutBefore*'
--- a/src/pepperbay/coordinator/coordinator_reach.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach.cpp
@@ -44,6 +44,9 @@
   hooks.mMayAsk = [this] { return mCalls.RoomForQuestion(); };
   hooks.mPickPeer = [this](const EngineRecord& aEngine, const std::set<std::string>& aTried) {
     const ProxyPeer* peer = mProxies.Pick(aEngine.mDataCentre, aTried, Now());
+    if (peer != nullptr) {
+      mProxies.OnAsked(peer->mNode);
+    }
     return peer == nullptr ? std::nullopt : std::make_optional(*peer);
   };
   hooks.mHasPeers = [this] { return !mPeers.Peers().empty(); };
--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -15,13 +15,13 @@
   bool mFails = false;
   bool mAside = false; ///< neither of the engine's data centre nor of this node's
   int mOpen = 0;       ///< tunnels of this node
-  std::uint64_t mUsed = 0;
+  std::uint64_t mAsked = 0;
   std::uint64_t mHash = 0; ///< another order at each node
 
   bool operator<(const Rank& aOther) const
   {
-    return std::tie(mFails, mAside, mOpen, mUsed, mHash) <
-           std::tie(aOther.mFails, aOther.mAside, aOther.mOpen, aOther.mUsed, aOther.mHash);
+    return std::tie(mFails, mAside, mOpen, mAsked, mHash) <
+           std::tie(aOther.mFails, aOther.mAside, aOther.mOpen, aOther.mAsked, aOther.mHash);
   }
 };
 
@@ -90,11 +90,11 @@
     }
     const bool aside = it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
     const auto open = mOpen->find(it.mNode);
-    const auto used = mUsed.find(it.mNode);
+    const auto asked = mAsked.find(it.mNode);
     const Rank rank{ Fails(it.mNode, aNow),
                      aside,
                      open == mOpen->end() ? 0 : open->second,
-                     used == mUsed.end() ? 0 : used->second,
+                     asked == mAsked.end() ? 0 : asked->second,
                      Hash64(it.mNode, mOptions.mSeed) };
     if (best == nullptr || rank < bestRank) {
       best = &it;
@@ -111,10 +111,12 @@
     return false;
   }
   mPeers = std::move(aPeers);
-  mUsed.clear();
   for (auto it = mFailures.begin(); it != mFailures.end();) {
     it = Knows(it->first) ? std::next(it) : mFailures.erase(it);
   }
+  for (auto it = mAsked.begin(); it != mAsked.end();) {
+    it = Knows(it->first) ? std::next(it) : mAsked.erase(it);
+  }
   return true;
 }
 
@@ -136,7 +138,7 @@
 ProxyChoice::CountTunnel(const std::string& aNode)
 {
   ++(*mOpen)[aNode];
-  mUsed[aNode] = ++mUses;
+  OnAsked(aNode);
   return { nullptr, [open = mOpen, aNode](void*) {
             const auto it = open->find(aNode);
             if (--it->second == 0) {
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -64,25 +64,31 @@
   return aError == asio::error::connection_refused ? Direct::kRefused : Direct::kFailed;
 }
 
+Duration
+Connecting::PeersWord() const
+{
+  return mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
+}
+
 bool
 Connecting::AskPeer()
 {
-  if (mAsked.size() >= mConnector->mOptions.mMostPeers) {
-    return false;
-  }
-  const ProxyPeer* peer = mConnector->mPeers.Pick(mEngine.mDataCentre, mAsked, mConnector->Now());
-  if (peer == nullptr) {
+  const TimePoint now = mConnector->Now();
+  const ProxyPeer* peer = mConnector->mPeers.Pick(mEngine.mDataCentre, mAsked, now);
+  const bool enough = mAsked.size() >= mConnector->mOptions.mMostFailing;
+  if (peer == nullptr || (enough && !mConnector->mPeers.Usable(peer->mNode, now))) {
     return false;
   }
   mAsked.insert(peer->mNode);
+  mConnector->mPeers.OnAsked(peer->mNode);
   mNextPeerAt = mConnector->Now() + mConnector->mOptions.mPeerAfter;
   TunnelRequest request;
   request.mEngine = mEngine.mEngine;
   request.mFrom = mConnector->mOptions.mNode;
   request.mKey = peer->mKey;
-  request.mWithin = mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
+  request.mWithin = PeersWord();
   const auto opening = std::make_shared<TunnelOpening>(mConnector->mContext);
-  mOpenings[peer->mNode] = opening;
+  mOpenings[peer->mNode] = { opening, mConnector->Now() };
   opening->Start(*peer,
                  mEngine.mAddress,
                  request,
@@ -98,12 +104,12 @@
 Connecting::OnPeer(const std::string& aPeer, OpenedTunnel aTunnel)
 {
   mOpenings.erase(aPeer);
-  const bool word = aTunnel.mAnswer == TunnelAnswer::kRefused ||
-                    aTunnel.mAnswer == TunnelAnswer::kSilent ||
-                    aTunnel.mAnswer == TunnelAnswer::kUnknown;
+  const bool word = aTunnel.mSight && (aTunnel.mAnswer == TunnelAnswer::kRefused ||
+                                       aTunnel.mAnswer == TunnelAnswer::kSilent);
   if (word || aTunnel.mSocket) {
     mConnector->mPeers.OnWorked(aPeer);
   } else {
+    // One that reaches nothing itself answers as promptly as others.
     mConnector->mPeers.OnFailed(aPeer, mConnector->Now());
   }
   if (aTunnel.mSocket) {
@@ -119,9 +125,8 @@
     Finish(std::move(connection));
     return;
   }
-  const bool counts = word && aTunnel.mSight;
-  mHeardOf += counts ? 1 : 0;
-  mRefusals += counts && aTunnel.mAnswer == TunnelAnswer::kRefused ? 1 : 0;
+  mHeardOf += word ? 1 : 0;
+  mRefusals += word && aTunnel.mAnswer == TunnelAnswer::kRefused ? 1 : 0;
   OnWayFailed();
 }
 
@@ -211,8 +216,11 @@
 void
 Connecting::Finish(EngineConnection aConnection)
 {
-  for (auto& [peer, opening] : std::exchange(mOpenings, {})) {
-    opening->Cancel();
+  for (auto& [peer, asked] : std::exchange(mOpenings, {})) {
+    asked.mOpening->Cancel();
+    if (mConnector->Now() - asked.mAt >= mConnector->mOptions.mPeerAfter) {
+      mConnector->mPeers.OnFailed(peer, mConnector->Now());
+    }
   }
   if (!aConnection.mSocket || !aConnection.mSocket->mPeer.empty()) {
     CloseNow(mSocket);
@@ -224,8 +232,8 @@
 Connecting::Cancel()
 {
   mDone = nullptr;
-  for (auto& [peer, opening] : std::exchange(mOpenings, {})) {
-    opening->Cancel();
+  for (auto& [peer, asked] : std::exchange(mOpenings, {})) {
+    asked.mOpening->Cancel();
   }
   CloseNow(mSocket);
 }
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -29,6 +29,8 @@
   void BeginDirect();
   void OnDirect(boost::system::error_code aError);
   static Direct FailureOf(boost::system::error_code aError);
+  /// How long a peer may take to find out whether the engine answers.
+  Duration PeersWord() const;
   /// @return whether there was one more to ask.
   bool AskPeer();
   void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
@@ -52,9 +54,14 @@
   TimePoint mDirectBegun{};
   std::string mWhy; ///< what was wrong with the direct connection
   Socket mSocket;
-  std::map<std::string, std::shared_ptr<TunnelOpening>> mOpenings; ///< by peer
-  std::set<std::string> mAsked;                                    ///< peers
-  int mHeardOf = 0;  ///< peers that had a word on the engine
+  struct AskedPeer
+  {
+    std::shared_ptr<TunnelOpening> mOpening;
+    TimePoint mAt{};
+  };
+  std::map<std::string, AskedPeer> mOpenings; ///< by peer
+  std::set<std::string> mAsked;               ///< peers
+  int mHeardOf = 0;                           ///< peers that had a word on the engine
   int mRefusals = 0; ///< of these, that the engine refuses them and others do not
 };
 
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -60,8 +60,9 @@
   /// after twice the time, up to the most, for as long as that goes on.
   Duration mLookAgain = std::chrono::milliseconds(500);
   Duration mLookAgainMost = std::chrono::seconds(4);
-  /// Peers that are asked for one connection.
-  std::size_t mMostPeers = 3;
+  /// Once so many peers have been asked for one connection, only those are that have not failed
+  /// lately.
+  std::size_t mMostFailing = 3;
 };
 
 struct EngineConnectorHooks
