--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -19,6 +19,21 @@
   }
 }
 
+/// Guards against a node that has never heard an engine, as it started in the cut, and takes none of
+/// it for a cut.
+TEST_F(RelayReach, ANodeThatStartsWhileItIsCutServesAsOthersDo)
+{
+  ServeBehindPaths();
+  Cut(PathState::kSilent);
+  EXPECT_EQ(Served(4), 12);
+  EXPECT_FALSE(mReaches);
+  Cut(PathState::kOpen);
+  while (!mReaches) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(Served(2), 6);
+}
+
 /// Guards against an engine's end that is found by two places and passes for a cut of the node, so
 /// that everything goes through peers.
 TEST_F(RelayReach, AnEngineThatHasEndedIsNoCut)
