--- a/include/pepperbay/retries/own_retries.hpp
+++ b/include/pepperbay/retries/own_retries.hpp
@@ -2,9 +2,9 @@
 /// @brief Second attempts that a node may make when the keeper gives none. Pure.
 #pragma once
 
+#include "pepperbay/admission/retry_limits.hpp"
 #include "pepperbay/admission/token_bucket.hpp"
 #include "pepperbay/places/own_part.hpp"
-#include "pepperbay/admission/retry_limits.hpp"
 
 #include <map>
 #include <string>
--- a/include/pepperbay/retries/retry_agent.hpp
+++ b/include/pepperbay/retries/retry_agent.hpp
@@ -8,9 +8,9 @@
 #pragma once
 
 #include "pepperbay/admission/earned_retries.hpp"
+#include "pepperbay/admission/retry_limits.hpp"
 #include "pepperbay/retries/own_retries.hpp"
 #include "pepperbay/retries/retry_keeper.hpp"
-#include "pepperbay/admission/retry_limits.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/include/pepperbay/retries/retry_keeper.hpp
+++ b/include/pepperbay/retries/retry_keeper.hpp
@@ -2,8 +2,8 @@
 /// @brief The second attempts that one node gives out for all nodes. Pure.
 #pragma once
 
-#include "pepperbay/admission/token_bucket.hpp"
 #include "pepperbay/admission/retry_limits.hpp"
+#include "pepperbay/admission/token_bucket.hpp"
 
 #include <map>
 #include <string>
--- a/src/pepperbay/relay/relay_reach_test.cpp
+++ b/src/pepperbay/relay/relay_reach_test.cpp
@@ -19,8 +19,8 @@
   }
 }
 
-/// Guards against a node that has never heard an engine, as it started in the cut, and takes none of
-/// it for a cut.
+/// Guards against a node that has never heard an engine, as it started in the cut, and takes none
+/// of it for a cut.
 TEST_F(RelayReach, ANodeThatStartsWhileItIsCutServesAsOthersDo)
 {
   ServeBehindPaths();
