--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -131,7 +131,7 @@
   std::uint64_t mAsks = 0;
   /// Times that an engine was found not to answer, by whose words; see LostBy.
   std::map<std::string, std::uint64_t> mLostEngines;
-  std::uint64_t mUndecided = 0; ///< times that too few nodes had a word on a silent engine
+  std::uint64_t mUndecided = 0; ///< times that no node with sight had a word on a silent engine
   std::uint64_t mBeats = 0;
   std::uint64_t mFeeds = 0; ///< times that another node passed records of the store on
   std::uint64_t mLooks = 0; ///< reads of the store because what others told was too old
--- a/include/pepperbay/places/place_agent.hpp
+++ b/include/pepperbay/places/place_agent.hpp
@@ -220,8 +220,8 @@
   const DeskAddress* UsableDesk() const;
   /// Ask the best desk, or choose alone where there is none.
   void AskDesk(std::uint64_t aId, Pending aPending);
-  /// @param aCounted a desk has counted the request
   void Resend(const Pending& aPending);
+  /// @param aCounted a desk has counted the request
   Place ChooseAlone(const PlaceRequest& aRequest, Chooser aChooser, bool aCounted);
   struct Choice
   {
--- a/scripts/mutants/retries.sh
+++ b/scripts/mutants/retries.sh
@@ -9,7 +9,7 @@
   's/if \(!Keeps\(aNow\) \|\|/if (/' $agent '*TheSumHolds*'
 mutant "a question that is sent again is counted again" $retries/retry_agent.cpp \
   's/if \(before != mGiven.end\(\)\)/if (false)/' $agent '*CountedOnce*'
-mutant "what was earned is never spent" $retries/earned_retries.cpp \
+mutant "what was earned is never spent" $s/admission/earned_retries.cpp \
   's/  \+\+Current\(aNow\).mTaken;//' $agent '*TheSumHolds*'
 mutant "a request earns the whole share" $retries/retry_agent.cpp \
   's/mOptions.mLimits.mShare \* mOptions.mParts.mEarned/2.5 * mOptions.mLimits.mShare/' $agent '*TheSumHolds*'
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -132,7 +132,6 @@
   EngineCallOptions CallOptions(const std::string& aEngine,
                                 const std::string& aDataCentre,
                                 Duration aTimeout);
-  /// Ask an engine of another domain directly, at most every few tens of milliseconds.
   SightLooksHooks LooksHooks();
   /// @return an engine that is well as far as is known, of another domain where there is one; null
   /// for none.
