--- a/scripts/mutants/shared_pool.sh
+++ b/scripts/mutants/shared_pool.sh
@@ -125,7 +125,7 @@
   's/if \(!held.mIds.insert\(ticket.mId\).second\)/held.mIds.insert(ticket.mId); if (false)/' \
   places_place_agent_test '*Property*'
 mutant "second attempts of a desk without a budget" $s/places/place_agent.cpp \
-  's/return budget.TakeRetry\(\);/return true;/' places_place_agent_test '*TheBudget*'
+  's/return EarnedOf\(aService\).Take\(Now\(\)\);/return true;/' places_place_agent_test '*SecondAttemptsStay*'
 mutant "a full model gives its replicas up" $groups/group_planner_survivors.cpp \
   's/after <= mOptions.mRoomToGive \|\|/true ||/' \
   placement_group_planner_survivors_test '*WithoutRoom*'
