Free engines are looked for in their domain, not among all engines

Cause: each replica that was formed looked at every engine of the pool, twice. The first round of 3,000 engines takes some four seconds of a node with a quarter of a core, which is longer than the lease, so holders follow each other and each begins anew.

The order of free engines and all choices are as they were: the engines of a domain stay in the order of their ids.

Class: work that grows with the square of the fleet on the thread that renews the lease.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -200,6 +200,8 @@
   std::vector<CompositionChange> TakeChanges();
   /// @return the models' replicas and the use of their places, as of the last round.
   const std::vector<ModelUse>& Uses() const { return mUses; }
+  /// @return how often an engine was looked at in the last round to find free ones.
+  std::size_t LookedAt() const { return mLookedAt; }
 
 private:
   struct Spare
@@ -455,7 +457,9 @@
   std::uint64_t mNames = 0;
   std::size_t mSeenEngines = 0;
   TimePoint mLastNew{};
-  const GroupView* mView = nullptr; ///< of the round in progress
+  const GroupView* mView = nullptr;                                  ///< of the round in progress
+  std::map<std::string, std::vector<const EngineRecord*>> mByDomain; ///< the round's engines
+  mutable std::size_t mLookedAt = 0;
   std::vector<GroupOrder> mOrders;
 };
 
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -67,6 +67,10 @@
 {
   mView = &aView;
   mOrders.clear();
+  mLookedAt = 0;
+  for (const auto& [id, engine] : *aView.mEngines) {
+    mByDomain[engine.mDomain].push_back(&engine);
+  }
   NoteStarts();
   LearnStanding();
   WantUnknown();
@@ -81,6 +85,7 @@
   FormNew();
   Drive();
   CareForSpares();
+  mByDomain.clear();
   mView = nullptr;
   return std::exchange(mOrders, {});
 }
--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -231,10 +231,16 @@
                           const std::string& aGroup) const
 {
   std::vector<std::pair<Duration, const EngineRecord*>> ranked;
-  for (const auto& [id, engine] : *mView->mEngines) {
-    const bool free = IsFree(engine) || (!InReplica(id) && !IsElsewhere(engine, aGroup));
-    if (engine.mDomain == aDomain && Usable(engine) && free && !InDoubt(id, aGroup)) {
-      ranked.emplace_back(JoinTime(engine, aModel), &engine);
+  const auto domain = mByDomain.find(aDomain);
+  if (domain == mByDomain.end()) {
+    return {};
+  }
+  mLookedAt += domain->second.size();
+  for (const auto* engine : domain->second) {
+    const std::string& id = engine->mId;
+    const bool free = IsFree(*engine) || (!InReplica(id) && !IsElsewhere(*engine, aGroup));
+    if (Usable(*engine) && free && !InDoubt(id, aGroup)) {
+      ranked.emplace_back(JoinTime(*engine, aModel), engine);
     }
   }
   std::stable_sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -1,5 +1,6 @@
 #include "group_planner_world.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
 #include <rapidcheck/gtest.h>
@@ -7,6 +8,24 @@
 namespace pepperbay {
 namespace {
 
+/// Guards against a holder whose first round outlasts its lease, as its work grows with the square
+/// of the engines.
+TEST(GroupPlanner, ARoundOfALargePoolLooksAtEachEngineAFewTimes)
+{
+  constexpr std::size_t kDomains = 300;
+  constexpr std::size_t kPerDomain = 10;
+  constexpr std::size_t kMostLooks = 10; // at each engine
+  World world(kDomains, kPerDomain);
+  GroupPlanner planner;
+  std::size_t most = 0;
+  for (int round = 0; round < 100 && planner.Replicas().size() < kDomains; ++round) {
+    world.Run(planner, milliseconds(20));
+    most = std::max(most, planner.LookedAt());
+  }
+  EXPECT_GE(planner.Replicas().size(), kDomains);
+  EXPECT_LE(most, kMostLooks * kDomains * kPerDomain);
+}
+
 TEST(GroupPlanner, FormsEachModelInEachDomainAndKeepsSpares)
 {
   World world(6);
