One rule for when a peer's answer says that an engine is away

The rule stood twice, in the client of questions and in the connecting of requests, and had drifted apart once: an open connection counted in one of them. Both call SaysEngineIsAway() now. The comment of the header that says it told of bytes heard; what counts since is a connection. No behaviour changes. One mutant is aimed at the call; not run.

--- a/include/pepperbay/reach/tunnel_wire.hpp
+++ b/include/pepperbay/reach/tunnel_wire.hpp
@@ -22,7 +22,7 @@
 inline constexpr const char* kTunnelEngine = "Tunnel-Engine"; ///< id of the engine that is meant
 inline constexpr const char* kTunnelFrom = "Tunnel-From";     ///< name of the asking node
 inline constexpr const char* kTunnelWithin = "Tunnel-Within-Ms";
-/// In an answer: the peer has heard other engines while this one did not answer it.
+/// In an answer: the peer has reached another engine since it was asked for this one.
 inline constexpr const char* kTunnelSight = "Tunnel-Sight";
 
 /// Bytes of the head of a request or an answer; more is neither.
@@ -72,4 +72,10 @@
 TunnelAnswer
 TunnelAnswerOf(int aStatus);
 
+/// @param aSight the peer has reached another engine since
+/// @return whether the answer says that the engine is away. An open connection does not: its host
+/// is there, and paths that lose packets look the same.
+bool
+SaysEngineIsAway(TunnelAnswer aAnswer, bool aSight);
+
 } // namespace pepperbay
--- a/scripts/mutants/reach.sh
+++ b/scripts/mutants/reach.sh
@@ -46,7 +46,7 @@
 mutant "a server ends with answers unsent" $s/http/server.cpp \
   's/    return mHasAnswer \&\& !mClosed.*/    return false;/' http_http_test '*Unsent*'
 mutant "a peer that is cut as well counts as one that works" $s/relay/connecting.cpp \
-  's/const bool word = aTunnel.mSight \&\& \(/const bool word = (/' relay_relay_peers_test '*cut_reset*'
+  's/SaysEngineIsAway\(aTunnel.mAnswer, aTunnel.mSight\)/SaysEngineIsAway(aTunnel.mAnswer, true)/' relay_relay_peers_test '*cut_reset*'
 mutant "a peer that says nothing is asked again first" $s/relay/connecting.cpp \
   's/asked.mAt >= mConnector->mOptions.mPeerAfter/asked.mAt >= std::chrono::hours(1)/' relay_relay_peers_test '*frozen_reset*'
 mutant "three peers are asked and no more" $s/relay/connecting.cpp \
--- a/src/pepperbay/http/tunnelled.cpp
+++ b/src/pepperbay/http/tunnelled.cpp
@@ -35,8 +35,7 @@
   error.mStep = "engine.ask_through_peer";
   error.mDetail = std::string("peer: ") + ToString(answer) + (sight ? "" : ", sees no other") +
                   "; " + error.mDetail;
-  const bool word = sight && (answer == TunnelAnswer::kRefused || answer == TunnelAnswer::kSilent);
-  if (!word) {
+  if (!SaysEngineIsAway(answer, sight)) {
     error.mCode = Errc::kCancelled;
   } else if (error.mCode == Errc::kCancelled) {
     error.mCode = Errc::kTimeout;
--- a/src/pepperbay/reach/tunnel_wire.cpp
+++ b/src/pepperbay/reach/tunnel_wire.cpp
@@ -108,4 +108,10 @@
   return it == kStatuses.end() ? TunnelAnswer::kNone : it->mAnswer;
 }
 
+bool
+SaysEngineIsAway(TunnelAnswer aAnswer, bool aSight)
+{
+  return aSight && (aAnswer == TunnelAnswer::kRefused || aAnswer == TunnelAnswer::kSilent);
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -104,9 +104,8 @@
 Connecting::OnPeer(const std::string& aPeer, OpenedTunnel aTunnel)
 {
   mOpenings.erase(aPeer);
-  const bool word = aTunnel.mSight && (aTunnel.mAnswer == TunnelAnswer::kRefused ||
-                                       aTunnel.mAnswer == TunnelAnswer::kSilent);
-  if (word || aTunnel.mSocket) {
+  const bool away = SaysEngineIsAway(aTunnel.mAnswer, aTunnel.mSight);
+  if (away || aTunnel.mSocket) {
     mConnector->mPeers.OnWorked(aPeer);
   } else {
     // One that reaches nothing itself answers as promptly as others.
@@ -125,8 +124,8 @@
     Finish(std::move(connection));
     return;
   }
-  mHeardOf += word ? 1 : 0;
-  mRefusals += word && aTunnel.mAnswer == TunnelAnswer::kRefused ? 1 : 0;
+  mHeardOf += away ? 1 : 0;
+  mRefusals += away && aTunnel.mAnswer == TunnelAnswer::kRefused ? 1 : 0;
   OnWayFailed();
 }
 
