Connecting: branches that all returned, and two functions of one use, are gone

OnWayFailed() had a condition with the same return in and after it. The time a peer has and the count of refusals had a function each and one caller.

--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -64,12 +64,6 @@
   return aError == asio::error::connection_refused ? Direct::kRefused : Direct::kFailed;
 }
 
-Duration
-Connecting::PeersWord() const
-{
-  return mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
-}
-
 bool
 Connecting::AskPeer()
 {
@@ -81,14 +75,14 @@
   }
   mAsked.insert(peer->mNode);
   mConnector->mPeers.OnAsked(peer->mNode);
-  mNextPeerAt = mConnector->Now() + mConnector->mOptions.mPeerAfter;
+  mNextPeerAt = now + mConnector->mOptions.mPeerAfter;
   TunnelRequest request;
   request.mEngine = mEngine.mEngine;
   request.mFrom = mConnector->mOptions.mNode;
   request.mKey = peer->mKey;
-  request.mWithin = PeersWord();
+  request.mWithin = mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
   const auto opening = std::make_shared<TunnelOpening>(mConnector->mContext);
-  mOpenings[peer->mNode] = { opening, mConnector->Now() };
+  mOpenings[peer->mNode] = { opening, now };
   opening->Start(*peer,
                  mEngine.mAddress,
                  request,
@@ -140,12 +134,11 @@
 void
 Connecting::OnWayFailed()
 {
-  if (mDirect == Direct::kOnItsWay || !mOpenings.empty()) {
-    // What is under way may still stand. A direct connection that only hangs is no reason to wait
-    // with the next peer.
-    if (mDirect != Direct::kOnItsWay || !mOpenings.empty() || !AskPeer()) {
-      return;
-    }
+  if (!mOpenings.empty()) {
+    return; // what is under way may still stand
+  }
+  if (mDirect == Direct::kOnItsWay) {
+    AskPeer(); // a direct connection that only hangs is no reason to wait with the next peer
     return;
   }
   const bool decided = mDirect == Direct::kRefused ? mHeardOf >= 1 : mHeardOf >= 2;
@@ -163,8 +156,9 @@
 Connecting::OnNoWay()
 {
   const bool here = mDirect == Direct::kRefused;
-  if (AreTwoRefused() || !here || mHeardOf > 0 || mConnector->Avoids()) {
-    FinishUnconnected(AreTwoRefused());
+  const bool twoRefused = mRefusals + (here ? 1 : 0) >= 2;
+  if (twoRefused || !here || mHeardOf > 0 || mConnector->Avoids()) {
+    FinishUnconnected(twoRefused);
     return;
   }
   // No second place has a word on it. A node that reaches other engines is not partitioned.
@@ -179,12 +173,6 @@
   });
 }
 
-bool
-Connecting::AreTwoRefused() const
-{
-  return mRefusals + (mDirect == Direct::kRefused ? 1 : 0) >= 2;
-}
-
 void
 Connecting::FinishUnconnected(bool aGone)
 {
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -29,8 +29,6 @@
   void BeginDirect();
   void OnDirect(boost::system::error_code aError);
   static Direct FailureOf(boost::system::error_code aError);
-  /// How long a peer may take to find out whether the engine answers.
-  Duration PeersWord() const;
   /// @return whether there was one more to ask.
   bool AskPeer();
   void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
@@ -39,8 +37,6 @@
   /// No way is left: end, perhaps once it is known whether this node reaches other engines.
   void OnNoWay();
   void FinishUnconnected(bool aGone);
-  /// @return whether two places have found nobody at the engine's address.
-  bool AreTwoRefused() const;
   /// A peer reaches the engine. @return whether a direct connection should have stood by now
   bool IsPathFault() const;
   void Finish(EngineConnection aConnection);
