Moves that found no place are counted in one place

The request's own count and the one on the metrics page were raised side by side in two functions. No behaviour changes; scripts/test.sh 695 passed.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -144,6 +144,8 @@
   RequestProgress Progress() const;
   /// The last attempt has failed: send again, wait until that is possible, or say so.
   void AfterAttempt(const std::string& aWhy, RequestProgress aProgress);
+  /// What was to go on elsewhere could be sent nowhere.
+  void CountRefusedMove(const std::string& aWhy);
   /// Try again what could be sent nowhere, once that is due.
   void TickAwaited();
   /// Give back what is counted for a sending that is over.
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -198,8 +198,7 @@
       return;
     case FailureStep::kWait:
       mPhase = Phase::kPlacing;
-      ++mMovesRefused;
-      ++mCore->mCounters.mMovesRefused[WhyNotAgain(aProgress)];
+      CountRefusedMove(WhyNotAgain(aProgress));
       mAwaited = AwaitedAttempt{ aWhy, mCore->Now() + kMoveAgainAfter };
       return;
     case FailureStep::kRefuse:
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -107,6 +107,13 @@
   return SaidToBeLost(aSending);
 }
 
+void
+Exchange::CountRefusedMove(const std::string& aWhy)
+{
+  ++mMovesRefused;
+  ++mCore->mCounters.mMovesRefused[aWhy];
+}
+
 void
 Exchange::Move(const std::string& aWhy)
 {
@@ -115,8 +122,7 @@
               [self = shared_from_this(), serial = mCurrent.mSerial, aWhy](const Place& aPlace) {
                 self->mMoving = false;
                 if (aPlace.mOutcome != PlaceOutcome::kGranted) {
-                  ++self->mMovesRefused;
-                  ++self->mCore->mCounters.mMovesRefused[ToString(aPlace.mOutcome)];
+                  self->CountRefusedMove(ToString(aPlace.mOutcome));
                   self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
                   return;
                 }
