--- a/src/pepperbay/placement/group_planner_repair.cpp
+++ b/src/pepperbay/placement/group_planner_repair.cpp
@@ -176,13 +176,18 @@
   };
   std::map<std::string, Domain> domains;
   std::size_t all = 0;
-  for (const auto& [id, engine] : *mView->mEngines) {
-    if (!Usable(engine) || engine.mDomain.empty()) {
+  for (const auto& [name, engines] : mByDomain) {
+    if (name.empty()) {
       continue;
     }
-    ++all;
-    ++domains[engine.mDomain].mAll;
-    domains[engine.mDomain].mFree += IsFree(engine) && !InDoubt(id, "") ? 1 : 0;
+    Domain& domain = domains[name];
+    for (const auto* it : engines) {
+      if (Usable(*it)) {
+        ++domain.mAll;
+        domain.mFree += IsFree(*it) && !InDoubt(it->mId, "") ? 1 : 0;
+      }
+    }
+    all += domain.mAll;
   }
   std::map<std::string, std::size_t> have;
   for (const auto& [name, replica] : mReplicas) {
