--- a/bench/retries.cpp
+++ b/bench/retries.cpp
@@ -141,6 +141,16 @@
     });
 }
 
+void
+AskIfItMay(RetryWorld* aWorld, std::size_t aNode, RetryAgent::Done aDone)
+{
+  if (aWorld->Agent(aNode).MayTry("plain")) {
+    aWorld->Ask(aNode, std::move(aDone));
+  } else {
+    aDone(false);
+  }
+}
+
 Figures
 Keeper(int aNodes, const Scenario& aScenario)
 {
@@ -150,11 +160,7 @@
     aScenario,
     [&](std::size_t aNode) { world.Agent(aNode).OnRequest("plain"); },
     [&](std::size_t aNode, RetryAgent::Done aDone) {
-      if (world.Agent(aNode).MayTry("plain")) {
-        world.Ask(aNode, std::move(aDone));
-      } else {
-        aDone(false);
-      }
+      AskIfItMay(&world, aNode, std::move(aDone));
     });
 }
 
@@ -261,11 +267,7 @@
     aCut,
     [&](std::size_t aNode) { world.Agent(aNode).OnRequest("plain"); },
     [&](std::size_t aNode, RetryAgent::Done aDone) {
-      if (world.Agent(aNode).MayTry("plain")) {
-        world.Ask(aNode, std::move(aDone));
-      } else {
-        aDone(false);
-      }
+      AskIfItMay(&world, aNode, std::move(aDone));
     });
 }
 
@@ -283,10 +285,8 @@
     [&](std::size_t aNode, RetryAgent::Done aDone) {
       if (desks[aNode % aGroups].Take(world.Now())) {
         aDone(true);
-      } else if (world.Agent(aNode).MayTry("plain")) {
-        world.Ask(aNode, std::move(aDone));
       } else {
-        aDone(false);
+        AskIfItMay(&world, aNode, std::move(aDone));
       }
     });
 }
