A line for each caller's connection that ends under a request or an answer

There is connection_closed now, with phase, reason and request; caller_gone has the reason as well. No change of behaviour; test AConnectionThatEndsUnderAHalfReadRequestHasALine; the relay's tests pass.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -73,8 +73,11 @@
   Exchange(RelayCore* aCore, CallerSide* aCaller, CallerRequest aRequest, TimePoint aArrived);
 
   void Start();
-  /// The caller has closed its connection: stop the work at the engine.
-  void OnCallerGone();
+  /// The caller's connection has ended: stop the work at the engine.
+  /// @param aWhy for people
+  void OnCallerGone(const std::string& aWhy);
+  /// @return the request's id; empty until its head is understood.
+  const std::string& RequestId() const { return mFacts.mId; }
   /// Do what is due by time; called every tick.
   void Tick();
   /// The process is about to end.
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -336,13 +336,13 @@
 }
 
 void
-Exchange::OnCallerGone()
+Exchange::OnCallerGone(const std::string& aWhy)
 {
   if (mPhase == Phase::kOver) {
     return;
   }
   ++mCore->mCounters.mCallerGone;
-  LogEnd("caller_gone", "");
+  LogEnd("caller_gone", aWhy);
   DropAttempt();
   Over();
 }
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -6,6 +6,7 @@
 #include "fakes/shared_clock.hpp"
 #include "pepperbay/relay/relay.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -102,6 +103,11 @@
       mEndsChanged.notify_all();
     };
     hooks.mOnRefused = [this](const std::string&) { ++mRefusals; };
+    hooks.mLog = [this](const char* aEvent, const std::map<std::string, std::string>& aFields) {
+      const std::lock_guard<std::mutex> lock(mEndsMutex);
+      mLines.push_back({ aEvent, aFields });
+      mEndsChanged.notify_all();
+    };
     hooks.mOnReach = [this](bool aReaches) { mReaches = aReaches; };
     hooks.mOnRanWhole = [this](const RequestKey&) { ++mRanWhole; };
     hooks.mSendToDesk = [this](const std::string&, const std::string& aBytes) {
@@ -214,9 +220,29 @@
     EngineEnd mEnd;
   };
 
+  /// One line of the relay's log.
+  struct SeenLine
+  {
+    std::string mEvent;
+    std::map<std::string, std::string> mFields;
+  };
+
+  /// @return the fields of the first line of an event, once there is one.
+  std::map<std::string, std::string> AwaitLine(const std::string& aEvent)
+  {
+    std::unique_lock<std::mutex> lock(mEndsMutex);
+    const auto find = [&] {
+      return std::find_if(
+        mLines.begin(), mLines.end(), [&](const auto& aIt) { return aIt.mEvent == aEvent; });
+    };
+    mEndsChanged.wait(lock, [&] { return find() != mLines.end(); });
+    return find()->mFields;
+  }
+
   std::mutex mEndsMutex;
   std::condition_variable mEndsChanged;
   std::vector<SeenEnd> mEnds;
+  std::vector<SeenLine> mLines;
   std::vector<std::string> mSentToDesks; ///< bytes of messages, in order
   std::atomic<bool> mReaches{ true };    ///< engines, by this node's own connections
   std::atomic<int> mRanWhole{ 0 };       ///< suspect requests that ran to their end
--- a/src/pepperbay/relay/relay_stop_test.cpp
+++ b/src/pepperbay/relay/relay_stop_test.cpp
@@ -106,5 +106,17 @@
   mAnswer.set_value();
 }
 
+/// Guards against a caller's connection that ends under a half-read request without a line.
+TEST_F(RelayTest, AConnectionThatEndsUnderAHalfReadRequestHasALine)
+{
+  Serve({});
+  const int socket = Connect();
+  RawConnection(socket).Write("GET /safe/ HTTP/1.1\r\nHost");
+  ::close(socket);
+  const auto fields = AwaitLine("connection_closed");
+  EXPECT_EQ(fields.at("phase"), "reading");
+  EXPECT_FALSE(fields.at("reason").empty());
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/relay/session.cpp
+++ b/src/pepperbay/relay/session.cpp
@@ -71,7 +71,7 @@
     return;
   }
   if (aError) {
-    Close();
+    Close(aError.message());
     return;
   }
   const CallerLimits limits = LimitsOf(*mCore);
@@ -160,7 +160,7 @@
     status = kBadRequest;
   }
   if (status == 0) {
-    Close(); // the caller has gone
+    Close(aError.message()); // the caller has gone
     return;
   }
   ++mCore->mCounters.mInvalid;
@@ -189,7 +189,7 @@
                          return;
                        }
                        if (Peek(self->mSocket) == PeekResult::kClosed) {
-                         self->Close();
+                         self->Close("closed by the caller");
                        }
                        // Bytes are the next request, sent early; they wait their turn.
                      });
@@ -207,6 +207,7 @@
   if (!mOpen) {
     return;
   }
+  mAnswering = true;
   mAnswer = std::move(aAnswer);
   mAnswer->version(kHttp11);
   const bool keep = KeepsAlive();
@@ -216,7 +217,7 @@
     *mAnswer,
     [self = shared_from_this(), keep](boost::system::error_code aError, std::size_t) {
       if (aError) {
-        self->Close();
+        self->Close("write: " + aError.message());
         return;
       }
       self->AfterAnswer(keep);
@@ -264,13 +265,14 @@
   if (mChunked) {
     out += "0\r\n\r\n";
   }
+  mAnswering = true;
   Write(std::move(out), [self = shared_from_this(), keep = mKeep] { self->AfterAnswer(keep); });
 }
 
 void
 Session::Break()
 {
-  Close();
+  Close("this node: the answer cannot be completed");
 }
 
 void
@@ -288,7 +290,7 @@
                         return;
                       }
                       if (aError) {
-                        self->Close();
+                        self->Close("write: " + aError.message());
                         return;
                       }
                       done();
@@ -301,6 +303,7 @@
   if (!mOpen) {
     return;
   }
+  mAnswering = false;
   mAnswer.reset();
   if (aKeep) {
     ReadRequest();
@@ -316,6 +319,7 @@
   boost::system::error_code ec;
   mSocket.shutdown(Socket::shutdown_send, ec);
   mIdle = false;
+  mLingers = true;
   mCloseAt = mCore->Now() + kLinger;
   DrainThenClose();
 }
@@ -330,7 +334,7 @@
         return;
       }
       if (aError) {
-        self->Close();
+        self->Close(aError.message());
         return;
       }
       self->DrainThenClose();
@@ -341,7 +345,7 @@
 Session::Tick()
 {
   if (mOpen && !mExchange && mCore->Now() >= mCloseAt) {
-    Close();
+    Close("this node: no complete request in time");
   }
 }
 
@@ -349,21 +353,37 @@
 Session::CloseWhenIdle()
 {
   if (mOpen && mIdle && !mExchange && Peek(mSocket) == PeekResult::kQuiet) {
-    Close();
+    Close("this node: stopping");
   }
 }
 
 void
-Session::Close()
+Session::LogClose(const std::string& aWhy) const
+{
+  const bool reading = !mIdle && !mExchange && !mLingers;
+  if (!reading && !mAnswering) {
+    return; // nothing was under way, or the request has a line of its own
+  }
+  mCore->Log("connection_closed",
+             { { "phase", reading ? "reading" : "answering" },
+               { "reason", aWhy },
+               { "request", mExchange ? mExchange->RequestId() : "" },
+               { "bytes", std::to_string(mBuffer.size()) },
+               { "after_ms", std::to_string(ToMs(mCore->Now() - mArrived).count()) } });
+}
+
+void
+Session::Close(const std::string& aWhy)
 {
   if (!mOpen) {
     return;
   }
   const auto self = shared_from_this();
   mOpen = false;
+  LogClose(aWhy);
   if (mExchange) {
     const auto exchange = std::exchange(mExchange, nullptr);
-    exchange->OnCallerGone();
+    exchange->OnCallerGone(aWhy);
   }
   CloseNow(mSocket);
   mCore->mSessions.erase(self);
--- a/src/pepperbay/relay/session.hpp
+++ b/src/pepperbay/relay/session.hpp
@@ -22,7 +22,8 @@
   void Tick();
   /// The node stops: close as soon as no request is in the way.
   void CloseWhenIdle();
-  void Close();
+  /// @param aWhy for people: who closes, or how the connection ended
+  void Close(const std::string& aWhy);
 
   void SendWhole(CallerAnswer aAnswer) override;
   void StartStream(int aStatus, const HeaderFields& aFields) override;
@@ -48,6 +49,9 @@
   void LingerAndClose();
   void DrainThenClose();
   bool KeepsAlive() const;
+  /// A line for a connection that ends under a request that is half read, or an answer half
+  /// written.
+  void LogClose(const std::string& aWhy) const;
 
   RelayCore* mCore;
   Socket mSocket;
@@ -61,6 +65,8 @@
   TimePoint mCloseAt{}; ///< idle or half-read for too long by then
   bool mIdle = true;    ///< no byte of a request has come
   bool mWatching = false;
+  bool mAnswering = false; ///< the last bytes of an answer are being written
+  bool mLingers = false;   ///< the last answer is out; only the caller's end is awaited
   bool mChunked = true;
   bool mKeep = true; ///< the caller takes another answer on this connection
   bool mOpen = true;
