Engines that pause in the fakes, and what the control state may do then

FakePool and CoordinatorWorld know engines that fall silent and go on: they answer no question, carry out orders afterwards or lose them, register nothing and lose nothing; their group stands still meanwhile. An engine that has ended may have a host that refuses connections.

What callers saw: streams cut beside a second of silence of an engine that had not failed.

--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -2,7 +2,9 @@
 /// @brief A pool of engines that form replicas by orders, for tests of what gives the orders.
 ///
 /// Joins take their time, heads do not look at their members, orders can be lost before or after
-/// they take effect or be carried out late. What must never be is noted in Violations().
+/// they take effect or be carried out late. An engine that is paused does and says nothing, loses
+/// nothing and goes on afterwards; its group stands still meanwhile. What must never be is noted in
+/// Violations().
 #pragma once
 
 #include "pepperbay/placement/group_order.hpp"
@@ -29,6 +31,8 @@
     EngineRecord mRecord;
     bool mAlive = true;
     bool mListed = true;
+    bool mRefuses = false; ///< its process has ended and its host refuses connections
+    TimePoint mPausedUntil = TimePoint::min();
     /// Its process has ended and another, with another id, answers at its address; the list still
     /// has the old one.
     bool mReborn = false;
@@ -74,6 +78,25 @@
     old = std::move(engine);
   }
 
+  /// The engine is silent up to a time, or longer where it already is.
+  void Pause(const std::string& aId, TimePoint aUntil)
+  {
+    TimePoint& until = mEngines.at(aId).mPausedUntil;
+    until = std::max(until, aUntil);
+  }
+  bool IsPaused(const std::string& aId) const
+  {
+    const auto it = mEngines.find(aId);
+    return it != mEngines.end() && IsPaused(it->second);
+  }
+  /// The engine's process ends, and its host refuses connections from now on.
+  void End(const std::string& aId)
+  {
+    Engine& engine = mEngines.at(aId);
+    engine.mAlive = false;
+    engine.mRefuses = true;
+  }
+
   Engine& At(const std::string& aId) { return mEngines.at(aId); }
   std::map<std::string, Engine>& Engines() { return mEngines; }
   const std::map<std::string, Engine>& All() const { return mEngines; }
@@ -96,11 +119,11 @@
     return map;
   }
 
-  /// The engine's own answer; kNone from one that is dead.
+  /// The engine's own answer; kNone from one that is dead or paused.
   OrderAnswer Order(const GroupOrder& aOrder, TimePoint aNow)
   {
     const auto it = mEngines.find(aOrder.mEngine);
-    if (it == mEngines.end() || !it->second.mAlive) {
+    if (it == mEngines.end() || !it->second.mAlive || aNow < it->second.mPausedUntil) {
       return OrderAnswer::kNone;
     }
     Engine& engine = it->second;
@@ -135,7 +158,11 @@
 
   void Advance(TimePoint aNow)
   {
+    mNow = aNow;
     for (auto& [id, engine] : mEngines) {
+      if (IsPaused(engine)) {
+        continue;
+      }
       GroupPlace& place = engine.mRecord.mGroup;
       if (!engine.mStaging.empty() && aNow >= engine.mStagedAt) {
         engine.mRecord.mStagedModels = { engine.mStaging };
@@ -167,7 +194,7 @@
     return it != mEngines.end() && Serves(it->second) && aNow >= it->second.mServesAt;
   }
 
-  /// Replicas that really serve: the head is open and every member is alive and in it.
+  /// Replicas that really serve: the head is open, every member is alive, in it and not paused.
   std::size_t Serving(const std::string& aModel) const
   {
     std::size_t n = 0;
@@ -178,6 +205,8 @@
   }
 
 private:
+  bool IsPaused(const Engine& aEngine) const { return mNow < aEngine.mPausedUntil; }
+
   static bool IsIn(const Engine& aEngine, const GroupOrder& aOrder)
   {
     const GroupPlace& place = aEngine.mRecord.mGroup;
@@ -229,6 +258,7 @@
     for (const auto& it : aHead.mMembers) {
       const auto member = mEngines.find(it);
       if (member == mEngines.end() || !member->second.mAlive || member->second.mReborn ||
+          IsPaused(member->second) ||
           member->second.mRecord.mGroup.mName != aHead.mRecord.mGroup.mName ||
           member->second.mRecord.mGroup.mEpoch != aHead.mRecord.mGroup.mEpoch) {
         return false;
@@ -351,6 +381,7 @@
   }
 
   EnginePool mPool;
+  TimePoint mNow = TimePoint::min(); ///< of the last Advance()
   std::map<std::string, Engine> mEngines;
   std::set<std::string> mWereReady;
   std::vector<std::string> mViolations;
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -197,6 +197,9 @@
                                   const EngineCallOptions& aOptions,
                                   const std::function<void(OrderAnswer)>& aDone) {
       ++mOrders[aOrder.mKind];
+      if (mOnOrder) {
+        mOnOrder(aOrder);
+      }
       const Duration aTimeout = aOptions.mTimeout;
       if (aNode.mClient) {
         auto answer = std::make_shared<OrderAnswer>(OrderAnswer::kNone);
@@ -210,6 +213,10 @@
         Unanswered(aTimeout, [aDone] { aDone(OrderAnswer::kNone); });
         return;
       }
+      if (mPool.IsPaused(aOrder.mEngine)) {
+        OrderPaused(aOrder, aTimeout, aDone);
+        return;
+      }
       mLater.push_back([this, aOrder, aDone] { aDone(mPool.Order(aOrder, mClock.Now())); });
     };
     hooks.mAsk = [this, &aNode](const EngineRecord& aEngine,
@@ -218,8 +225,10 @@
       ++mAsks;
       const Duration aTimeout = aOptions.mTimeout;
       const auto answer = [this, id = aEngine.mId, aDone](bool aAnswered) {
-        if (aAnswered && mPool.At(id).mAlive) {
+        if (aAnswered && mPool.At(id).mAlive && !mPool.IsPaused(id)) {
           aDone(mPool.Report(id));
+        } else if (aAnswered && mPool.At(id).mRefuses) {
+          aDone(Refused(id));
         } else {
           aDone(Error{ Errc::kTimeout, "engine.ask", id, "" });
         }
@@ -239,6 +248,10 @@
         Unanswered(aTimeout, [answer] { answer(false); });
         return;
       }
+      if (mPool.IsPaused(aEngine.mId)) {
+        mTimeouts.emplace(WhenHeard(aEngine.mId, aTimeout), [answer] { answer(true); });
+        return;
+      }
       mLater.push_back([answer] { answer(true); });
     };
     hooks.mSend = [this](const std::string& aAddress, const std::string& aBytes) {
@@ -264,6 +277,32 @@
     return hooks;
   }
 
+  /// How a call ends whose connection an engine's host refuses.
+  static Error Refused(const std::string& aEngine)
+  {
+    return { Errc::kUnavailable, "engine.ask", aEngine, "connection refused" };
+  }
+
+  /// When a call to an engine that is paused ends: once that goes on, or its time is over.
+  TimePoint WhenHeard(const std::string& aEngine, Duration aTimeout) const
+  {
+    return std::min(mPool.All().at(aEngine).mPausedUntil, mClock.Now() + aTimeout);
+  }
+
+  /// An order lies unread until the engine goes on, and is carried out then, whether or not its
+  /// sender still waits, or is lost.
+  void OrderPaused(const GroupOrder& aOrder,
+                   Duration aTimeout,
+                   const std::function<void(OrderAnswer)>& aDone)
+  {
+    auto answer = std::make_shared<OrderAnswer>(OrderAnswer::kNone);
+    if (!mPausedLoseOrders) {
+      mTimeouts.emplace(mPool.At(aOrder.mEngine).mPausedUntil,
+                        [this, aOrder, answer] { *answer = mPool.Order(aOrder, mClock.Now()); });
+    }
+    mTimeouts.emplace(WhenHeard(aOrder.mEngine, aTimeout), [aDone, answer] { aDone(*answer); });
+  }
+
   /// @return whether a call of a node reaches an engine, by itself or through a peer.
   bool Reaches(const std::string& aNode,
                const std::string& aEngine,
@@ -288,7 +327,8 @@
     });
     const auto& engines = mPool.All();
     return alive && std::any_of(engines.begin(), engines.end(), [&](const auto& aIt) {
-             return aIt.second.mAlive && Reaches(aNode, aIt.first, own);
+             return aIt.second.mAlive && !mPool.IsPaused(aIt.first) &&
+                    Reaches(aNode, aIt.first, own);
            });
   }
 
@@ -317,7 +357,7 @@
                                 std::to_string(engine.mRecord.mStagedModels.size()) + "@" +
                                 std::to_string(engine.mRecord.mBorn.time_since_epoch().count()) +
                                 (engine.mRecord.mLeaving ? "leaving" : "");
-      const bool lists = engine.mAlive && engine.mListed;
+      const bool lists = engine.mAlive && engine.mListed && !mPool.IsPaused(id);
       if (lists && mRegistered[id] != state) {
         mRegistered[id] = state;
         mEngineLog.Put(id, state);
@@ -386,7 +426,9 @@
   std::set<std::string> mKept; ///< "node>engine": an old connection that lives on in a cut
   std::deque<TestNode> mNodes;
   std::map<GroupOrderKind, int> mOrders;
-  int mAsks = 0; ///< questions to engines
+  std::function<void(const GroupOrder&)> mOnOrder; ///< as it is sent
+  bool mPausedLoseOrders = false; ///< what is sent to an engine that is paused is lost
+  int mAsks = 0;                  ///< questions to engines
   /// For nodes that are added from now on: what a call to an engine costs them.
   std::optional<FakeBusyClientCosts> mCallCosts;
   std::map<std::string, std::string> mLastSent; ///< messages by address
