A silence alone ends no answer sooner than its caller leaves

Callers saw streams cut, and requests that had not begun answered 502, though their engine went on half a second later: where no further engine might be asked, a stream was let go after one second of silence if the plan called its replica lost or planned it anew, and a second engine as well.

Cause: a pause taken for an end. What the plan says is a word or an intention, and a sound engine may be silent for a second and a half. Now the first engine keeps its answer for two seconds, after which callers leave by themselves at the earliest; the second is let go after one second only where another engine may be asked in its place.

Four of the five new tests failed before: 502 replica_lost before the first event, and the stream's end missing in the three others. The fifth (a stream with attempts left) passed before. AStreamThatStandsStillAtBothEnginesIsEnded is unchanged and holds: both stand still for four seconds.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -88,6 +88,7 @@
                                 exchange.cpp exchange_ends.cpp exchange_limits.cpp exchange_sending.cpp exchange_log.cpp
                                 exchange_second.cpp exchange_suspect.cpp relay.cpp relay_core.cpp session.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
+                        relay_pauses_test.cpp
                         relay_kept_test.cpp relay_retries_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp relay_sight_test.cpp relay_peers_test.cpp
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -216,8 +216,10 @@
   bool IsCutOff(const Sending& aSending) const;
   /// @return whether another engine is to be asked for what this one was sent.
   bool ShouldLeave(const Sending& aSending) const;
-  /// @return whether it stands still, is said to be lost, and has given nothing for long.
-  bool IsHopeless(const Sending& aSending) const;
+  /// @return whether it stands still, is said to be lost, and has given nothing for so long.
+  bool IsSilentFor(const Sending& aSending, Duration aFor) const;
+  /// @return whether the second engine is let go though no end of it shows.
+  bool IsNextHopeless() const;
   bool IsCurrent(std::uint64_t aSerial) const
   {
     return mPhase != Phase::kOver && mCurrent.mAttempt && mCurrent.mSerial == aSerial;
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -31,7 +31,7 @@
 void
 Exchange::AskSecondIfDue()
 {
-  if (mNext && IsHopeless(*mNext)) {
+  if (mNext && IsNextHopeless()) {
     // While it is asked, no other engine is, and the first one's end is not looked at either.
     DropNext("replica_lost", true);
   }
@@ -52,7 +52,7 @@
     return;
   }
   if (mSent >= mRoute->mMaxAttempts) {
-    if (IsHopeless(mCurrent)) {
+    if (IsSilentFor(mCurrent, kGivenUpAfter)) {
       OnFailure("replica_lost", true);
     }
   } else if (now >= mMoveNotBefore && !IsHeldBack() && HasTarget()) {
@@ -80,10 +80,17 @@
 }
 
 bool
-Exchange::IsHopeless(const Sending& aSending) const
+Exchange::IsSilentFor(const Sending& aSending, Duration aFor) const
 {
   const TimePoint last = aSending.mWriting ? aSending.mLastEventAt : aSending.mSentAt;
-  return mCore->Now() - last > kHopelessAfter && SaidToBeLost(aSending) && StandsStill(aSending);
+  return mCore->Now() - last > aFor && SaidToBeLost(aSending) && StandsStill(aSending);
+}
+
+bool
+Exchange::IsNextHopeless() const
+{
+  const bool another = mSent < mRoute->mMaxAttempts && HasTarget();
+  return IsSilentFor(*mNext, another ? Duration(kHopelessAfter) : Duration(kGivenUpAfter));
 }
 
 bool
--- /dev/null
+++ b/src/pepperbay/relay/relay_pauses_test.cpp
@@ -0,0 +1,178 @@
+/// Engines that fall silent for a second or so and go on, while the plan speaks of their end.
+#include "relay_moves_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The longest silence after which a sound engine goes on.
+constexpr milliseconds kPause{ 1500 };
+/// After this a head whose replica is called lost counts as one that stands still.
+constexpr milliseconds kStandsStill{ 200 };
+constexpr const char* kRefusal =
+  "HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+class RelayPauses : public RelayMoves
+{
+protected:
+  /// An engine that writes what it is told to, falls silent, and goes on when it is told to.
+  struct PausingEngine
+  {
+    explicit PausingEngine(std::string aBefore)
+      : mBefore(std::move(aBefore))
+      , mEngine([this](RawConnection& aConnection) {
+        if (aConnection.ReadRequest().empty()) {
+          return;
+        }
+        aConnection.Write(mBefore);
+        mAsked.set_value();
+        const std::string after = mAfter.get_future().get();
+        aConnection.Write(after);
+      })
+    {
+    }
+
+    void AwaitRequest() { mAsked.get_future().wait(); }
+    void GoOn(const std::string& aAfter) { mAfter.set_value(aAfter); }
+
+    std::string mBefore;
+    std::promise<void> mAsked;
+    std::promise<std::string> mAfter;
+    RawEngine mEngine;
+  };
+
+  /// What the control thread says of a replica whose head, or a member of it, is silent.
+  void CallFirstLost()
+  {
+    FirstReplica().mLost = true;
+    FirstReplica().mEpoch += 1;
+    Publish();
+  }
+
+  /// Let the pause pass in steps, as the relay would see it.
+  void Pause(Duration aFor)
+  {
+    constexpr milliseconds kStep{ 50 };
+    for (Duration passed{ 0 }; passed < aFor; passed += kStep) {
+      mClock.Advance(kStep);
+      mClock.WaitForTicks();
+    }
+  }
+};
+
+/// Guards against a silence that ends an answer: no other engine can take the stream.
+TEST_F(RelayPauses, AStreamWhoseOnlyEngineOfAReplicaCalledLostPausesGetsItsWholeAnswer)
+{
+  PausingEngine first(StreamHead() + kEventA);
+  RawEngine second([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  CallFirstLost();
+  Pause(kPause);
+  first.GoOn(std::string(kEventB) + kStreamEnd);
+  const std::string text = answer.get();
+  EXPECT_TRUE(Has(text, "data: a")) << text;
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Guards against a 502 for a request whose engine pauses before its first event, and whose second
+/// engine refuses it.
+TEST_F(RelayPauses, ARequestThatWaitsAtAPausingEngineIsAnsweredThoughASecondRefuses)
+{
+  PausingEngine first("");
+  RawEngine second([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(kRefusal);
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  CallFirstLost();
+  OfferSecond();
+  Pause(kPause);
+  first.GoOn(StreamHead() + kEventA + kStreamEnd);
+  const std::string text = answer.get();
+  EXPECT_GE(second.Requests(), 1);
+  EXPECT_EQ(StatusOf(text), 200) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Guards against a cut of a stream that is being written, whose engine pauses and whose second
+/// engine refuses it.
+TEST_F(RelayPauses, AStreamThatASecondEngineRefusesOutlastsThePauseOfItsFirst)
+{
+  PausingEngine first(StreamHead() + kEventA);
+  RawEngine second([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(kRefusal);
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  CallFirstLost();
+  OfferSecond();
+  Pause(kPause);
+  first.GoOn(std::string(kEventB) + kStreamEnd);
+  const std::string text = answer.get();
+  EXPECT_GE(second.Requests(), 1);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Guards against a stream that is let go by both of its engines, each of which pauses and is
+/// called lost: whichever goes on, answers.
+TEST_F(RelayPauses, AStreamGoesOnAtTheSecondEngineThoughBothHavePaused)
+{
+  PausingEngine first(StreamHead() + kEventA);
+  PausingEngine second("");
+  Serve({ &first.mEngine, &second.mEngine });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  CallFirstLost();
+  OfferSecond();
+  Pause(kStandsStill);
+  second.AwaitRequest();
+  mPlan.mReplicas["pool"][1].mLost = true;
+  Publish();
+  Pause(kPause);
+  second.GoOn(StreamHead() + kEventB + kStreamEnd);
+  const std::string text = answer.get();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  first.GoOn("");
+}
+
+/// The same, where it is the first that goes on.
+TEST_F(RelayPauses, AStreamGoesOnAtTheFirstEngineThoughBothHavePaused)
+{
+  PausingEngine first(StreamHead() + kEventA);
+  PausingEngine second("");
+  Serve({ &first.mEngine, &second.mEngine });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  CallFirstLost();
+  OfferSecond();
+  Pause(kStandsStill);
+  second.AwaitRequest();
+  mPlan.mReplicas["pool"][1].mLost = true;
+  Publish();
+  Pause(kPause - kStandsStill);
+  first.GoOn(std::string(kEventB) + kStreamEnd);
+  const std::string text = answer.get();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  second.GoOn("");
+}
+
+} // namespace
+} // namespace pepperbay
