Test of faults: the reservation that it goes by names a replica that is there

A reservation keeps the names of its replicas after one of them has been released (State::Fold(Release) leaves reserves alone; reading, not a trace), and the test took the first name for a replica. It waits now for a reservation that names one, and reads what may be missing by pointer, so that the test fails in words and not by an abort. As strict as before: the replica has to leave routing or be repaired.

--- a/tests/control_faults_test.cpp
+++ b/tests/control_faults_test.cpp
@@ -195,18 +195,28 @@
 LoseHostAndHolderWhileLogIsOut(Cluster& aCluster)
 {
   const int holder = aCluster.Holder();
-  const Json dump = aCluster.WaitFor(holder == 0 ? 1 : 0, "reservations", [](const Json& aDump) {
-    return !aDump["reserves"].empty();
+  // A reservation may still name a replica that has been released since it was written.
+  std::string name;
+  std::string host;
+  aCluster.WaitFor(holder == 0 ? 1 : 0, "a reservation for a replica", [&](const Json& aDump) {
+    for (const auto& [spare, replicas] : aDump.at("reserves").items()) {
+      for (const auto& it : replicas) {
+        name = it.get<std::string>();
+        if (aDump.at("replicas").contains(name)) {
+          host = aDump.at("replicas").at(name).at("members").at(1);
+          return true;
+        }
+      }
+    }
+    return false;
   });
-  const std::string name = dump["reserves"].begin().value()[0];
-  const std::string host = dump["replicas"][name]["members"][1];
   aCluster.Fault("log", "out");
   aCluster.WaitForAll("log out",
                       [](const Json& aDump) { return !aDump["log"]["reachable"].get<bool>(); });
   aCluster.Fault("host:" + host, "kill");
   aCluster.WaitForAll("out of routing", [&](const Json& aDump) {
-    return aDump["replicas"][name]["wholeness"] != "whole" ||
-           aDump["replicas"][name]["repaired_without_log"].get<bool>();
+    return At(aDump, "/replicas/" + name + "/wholeness") != "whole" ||
+           At(aDump, "/replicas/" + name + "/repaired_without_log") == true;
   });
   aCluster.Node(holder).Signal(SIGKILL);
   aCluster.Node(holder).Wait();
