A question to an engine says whether its host refused the connection

What callers saw: streams cut as their replica was formed anew for a backend server that only paused. To tell a pause from an end, a verdict has to know by what it was reached; the word "unavailable" stood for a refused connection, one that was reset and an answer other than 200.

Errc::kRefused is new: no process listens at the address. It is set in two places where outcomes are decoded: by the HTTP client's mRefused for a direct question, by TunnelAnswer::kRefused of a peer that sees other engines for one through a peer. A connection that is reset after it was taken says less, since an engine resets those beyond its limit.

Changed check: TunnelledFailure/0 expected kUnavailable for a peer's "refused"; it expects kRefused now, which is narrower. Http.NothingListensMeansThatNothingRan expects mRefused too.

--- a/include/pepperbay/base/error.hpp
+++ b/include/pepperbay/base/error.hpp
@@ -15,6 +15,7 @@
   kRestored,    ///< the peer has come back from an older copy; what it gave out since is void
   kConflict,    ///< somebody else's change came first
   kUnavailable, ///< the peer cannot be reached or refuses for now
+  kRefused,     ///< no process listens at the peer's address
   kTimeout,     ///< no answer in time; the effect is unknown
   kCancelled,   ///< given up by this process
   kInternal,    ///< a fault of this process
--- a/include/pepperbay/http/client.hpp
+++ b/include/pepperbay/http/client.hpp
@@ -44,6 +44,9 @@
   int mStatus = 0;  ///< 0 when no answer began
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
+  /// No process listens at the address: the host has refused the connection. A connection that is
+  /// reset later says less, as engines reset those beyond their limit.
+  bool mRefused = false;
   Error mError; ///< set when not mOk
   /// What a proxy answered to `CONNECT`; status 0: nothing, or a connection through it was used
   /// again.
--- a/src/pepperbay/base/error.cpp
+++ b/src/pepperbay/base/error.cpp
@@ -14,6 +14,8 @@
       return "restored";
     case Errc::kConflict:
       return "conflict";
+    case Errc::kRefused:
+      return "refused";
     case Errc::kUnavailable:
       return "unavailable";
     case Errc::kTimeout:
--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -55,13 +55,20 @@
   return socket;
 }
 
-/// @return errno where the call failed for want of something of this process; 0 for any other.
+/// @return errno of the last attempt to connect; 0 for none.
 int
-ShortageOf(const Transfer& aTransfer)
+ConnectErrno(const Transfer& aTransfer)
 {
   long connecting = 0;
   curl_easy_getinfo(aTransfer.mEasy, CURLINFO_OS_ERRNO, &connecting);
-  const int error = aTransfer.mNoSocket != 0 ? aTransfer.mNoSocket : static_cast<int>(connecting);
+  return static_cast<int>(connecting);
+}
+
+/// @return errno where the call failed for want of something of this process; 0 for any other.
+int
+ShortageOf(const Transfer& aTransfer)
+{
+  const int error = aTransfer.mNoSocket != 0 ? aTransfer.mNoSocket : ConnectErrno(aTransfer);
   return IsShortage(error) ? error : 0;
 }
 
@@ -396,6 +403,8 @@
     outcome.mError.mStep = "http." + aTransfer.mCall.mMethod;
     outcome.mError.mPeer = aTransfer.mCall.mUrl;
     outcome.mError.mDetail = curl_easy_strerror(aCode);
+    outcome.mRefused = aCode == CURLE_COULDNT_CONNECT && ConnectErrno(aTransfer) == ECONNREFUSED &&
+                       !aTransfer.mCall.mProxy;
     const int shortage = ShortageOf(aTransfer);
     if (shortage != 0) {
       outcome.mError.mCode = Errc::kInternal;
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -185,6 +185,7 @@
   const auto fetched = Get("x");
   EXPECT_FALSE(fetched.mOutcome.mOk);
   EXPECT_FALSE(fetched.mOutcome.mMayHaveRun);
+  EXPECT_TRUE(fetched.mOutcome.mRefused);
 }
 
 /// A peer that accepts connections and closes each after it has read a request.
--- a/src/pepperbay/http/tunnelled.cpp
+++ b/src/pepperbay/http/tunnelled.cpp
@@ -37,6 +37,8 @@
                   "; " + error.mDetail;
   if (!SaysEngineIsAway(answer, sight)) {
     error.mCode = Errc::kCancelled;
+  } else if (answer == TunnelAnswer::kRefused) {
+    error.mCode = Errc::kRefused;
   } else if (error.mCode == Errc::kCancelled) {
     error.mCode = Errc::kTimeout;
   }
--- a/src/pepperbay/http/tunnelled_test.cpp
+++ b/src/pepperbay/http/tunnelled_test.cpp
@@ -34,7 +34,7 @@
 INSTANTIATE_TEST_SUITE_P(
   Answers,
   TunnelledFailure,
-  testing::Values(Failure{ TunnelAnswer::kRefused, true, Errc::kUnavailable, Errc::kUnavailable },
+  testing::Values(Failure{ TunnelAnswer::kRefused, true, Errc::kUnavailable, Errc::kRefused },
                   Failure{ TunnelAnswer::kRefused, false, Errc::kUnavailable, Errc::kCancelled },
                   Failure{ TunnelAnswer::kSilent, true, Errc::kCancelled, Errc::kTimeout },
                   Failure{ TunnelAnswer::kSilent, false, Errc::kTimeout, Errc::kCancelled },
