A replica waits for a member that is only silent

What callers saw: streams cut in their answer, reset by the head, while no engine had failed. Cause: a member that did not answer counted as lost, the head's streams stood still, as they do in a pause, and so the replica was formed anew; the first member that joins ends the group.

GroupView::mEnded tells an end from a loss. A replica with a member that is lost and has not ended takes no new requests ("silent member X") and is never formed anew for that, whatever its streams do; it opens again once the member answers. The same holds for three orders without an answer, a registration that lapses in a pause, and a new holder that finds one member unlisted: these waited for nothing, or 0.9 s. A member that is neither listed nor heard has ended after mUnlistedAnswers and mPauseMost together: the platform and the holder have both lost it. Replicas are not given up for, and do not give their members to, one that a silent member may yet complete.

mPauseMost, 1.5 s, stands in GroupPlannerOptions only.

Changed test: AnUnlistedMemberThatStopsAnsweringIsReplaced held a bound of 2 s that rested on silence alone (0.9 s). The property of the planner draws pauses too.

--- a/include/pepperbay/placement/group_planner.hpp
+++ b/include/pepperbay/placement/group_planner.hpp
@@ -98,6 +98,9 @@
   /// What was known of an engine that is neither listed nor in a replica is forgotten after this; a
   /// late order of ours could no longer reach it.
   Duration mForgetAfter = std::chrono::seconds(30);
+  /// An engine that is well may be silent for so long and go on. Nothing that would end its streams
+  /// is done before.
+  Duration mPauseMost = std::chrono::milliseconds(1500);
   /// Pause after an order was refused as stale. Another holder may be at work; its word or the
   /// log's comes within that time.
   Duration mStalePause = std::chrono::milliseconds(200);
@@ -116,6 +119,8 @@
   bool mTraffic = false; ///< requests have come: loads now count against the weight store's rate
   /// The engine does not answer, whatever its registration says.
   std::function<bool(const std::string& aEngine)> mDead;
+  /// Such an engine will not go on; one that has not ended may only pause. Null: each of them has.
+  std::function<bool(const std::string& aEngine)> mEnded = nullptr;
   /// Requests of all nodes in progress at a head.
   std::function<int(const std::string& aHead)> mInFlight;
   /// Requests a second that a head takes from all nodes together; none: it names no limit. May be
@@ -278,8 +283,17 @@
   void WantUnknown();
   void Adopt(const std::string& aName, const std::vector<const EngineRecord*>& aMembers);
   void Judge(PlannedReplica& aReplica);
-  /// @return a member that is not there or does not answer, for people; empty for none.
-  std::string LostMember(const PlannedReplica& aReplica) const;
+  struct LostMember
+  {
+    std::string mName;   ///< for people
+    bool mEnded = false; ///< otherwise it may only pause
+  };
+  /// @return a member that is not there or does not answer, one that has ended before others.
+  std::optional<LostMember> FindLost(const PlannedReplica& aReplica) const;
+  /// @return whether a member that is lost will not go on.
+  bool HasEnded(const std::string& aMember) const;
+  /// @return whether a member does not answer and may go on at any moment.
+  bool HasSilentMember(const PlannedReplica& aReplica) const;
   /// @return whether a replica is to take no new requests although all its members answer.
   bool IsToLeave(const PlannedReplica& aReplica) const;
   /// @return whether a replica that takes no new requests still has some in progress.
--- a/src/pepperbay/placement/group_planner.cpp
+++ b/src/pepperbay/placement/group_planner.cpp
@@ -288,20 +288,61 @@
   mReplicas[aName] = std::move(replica);
 }
 
-std::string
-GroupPlanner::LostMember(const PlannedReplica& aReplica) const
+std::optional<GroupPlanner::LostMember>
+GroupPlanner::FindLost(const PlannedReplica& aReplica) const
 {
+  std::optional<LostMember> silent;
   for (const auto& it : aReplica.mMembers) {
     const EngineRecord* engine = Find(it);
     const bool answers = !mView->mDead(it) && mUnanswering.count(it) == 0;
     const bool leaves = engine != nullptr && engine->mLeaving && answers;
-    if (engine == nullptr || (!leaves && !Usable(*engine))) {
-      return it;
+    if (leaves || (engine != nullptr && Usable(*engine))) {
+      continue;
+    }
+    if (HasEnded(it)) {
+      return LostMember{ it, true };
     }
+    silent = silent ? silent : LostMember{ it, false };
   }
   const ModelSpec* model = mView->mPool->FindModel(aReplica.mModel);
   const bool all = model == nullptr || aReplica.mMembers.size() >= model->mSize;
-  return all ? "" : "that is not listed";
+  if (!silent && !all) {
+    // Its registration may have lapsed in a pause.
+    const bool waited =
+      aReplica.mLeavingSince && mView->mNow - *aReplica.mLeavingSince >= mOptions.mPauseMost;
+    return LostMember{ "that is not listed", waited };
+  }
+  return silent;
+}
+
+bool
+GroupPlanner::HasEnded(const std::string& aMember) const
+{
+  const bool dead = mView->mDead(aMember);
+  if (dead && (!mView->mEnded || mView->mEnded(aMember))) {
+    return true;
+  }
+  const auto answered = mAnsweredAt.find(aMember);
+  if (answered == mAnsweredAt.end()) {
+    return true; // of a start that has been replaced
+  }
+  const EngineRecord* engine = Find(aMember);
+  if (engine == nullptr) {
+    // No registration and no answer: the platform and this node have both lost it.
+    return mView->mNow - answered->second >= mOptions.mUnlistedAnswers + mOptions.mPauseMost;
+  }
+  return mGone.count(aMember) != 0 || engine->mService != mView->mService ||
+         !OfNewestStart(aMember, engine->mBorn);
+}
+
+bool
+GroupPlanner::HasSilentMember(const PlannedReplica& aReplica) const
+{
+  return std::any_of(
+    aReplica.mMembers.begin(), aReplica.mMembers.end(), [this](const std::string& aMember) {
+      const bool silent = mView->mDead(aMember) || mUnanswering.count(aMember) != 0;
+      return silent && !HasEnded(aMember);
+    });
 }
 
 bool
@@ -324,15 +365,15 @@
   if (aReplica.mPhase == ReplicaPhase::kBroken) {
     return;
   }
-  const std::string lost = LostMember(aReplica);
-  aReplica.mMemberLost = !lost.empty();
-  if (lost.empty() && !IsToLeave(aReplica)) {
+  const std::optional<LostMember> lost = FindLost(aReplica);
+  aReplica.mMemberLost = lost.has_value();
+  if (!lost && !IsToLeave(aReplica)) {
     aReplica.mLeavingSince.reset();
     return;
   }
   std::string why = "a member leaves";
-  if (!lost.empty()) {
-    why = "lost member " + lost;
+  if (lost) {
+    why = (lost->mEnded ? "lost member " : "silent member ") + lost->mName;
   } else if (aReplica.mGivenUp) {
     why = "its engines are needed by another";
   }
@@ -342,9 +383,11 @@
   }
   if (!aReplica.mLeavingSince) {
     aReplica.mLeavingSince = mView->mNow;
-    aReplica.mWhy = why;
   }
-  if (!WorksOn(aReplica)) {
+  aReplica.mWhy = why;
+  // A member that is only silent may go on, and all streams with it.
+  const bool mayGoOn = lost && !lost->mEnded;
+  if (!mayGoOn && !WorksOn(aReplica)) {
     Break(aReplica, std::move(why), mView->mNow);
   }
 }
--- a/src/pepperbay/placement/group_planner_leaving_test.cpp
+++ b/src/pepperbay/placement/group_planner_leaving_test.cpp
@@ -189,5 +189,119 @@
   EXPECT_EQ(JoinsOf(world, member), joins);
 }
 
+/// Guards against a replica that is formed anew, which ends its streams, as a member only pauses.
+TEST(GroupPlannerLeaving, AMemberThatIsOnlySilentEndsNothing)
+{
+  for (const std::size_t rank : { 0U, 3U }) {
+    for (const int streams : { 0, 2 }) {
+      World world(1);
+      GroupPlanner planner;
+      world.Run(planner, seconds(40));
+      const auto before = world.mJoins;
+      const std::string silent = world.MemberOf(planner, "big", rank);
+      const std::string name = world.mPool.At(silent).mRecord.mGroup.mName;
+      world.mInFlight = streams;
+      world.mSilent = { silent };
+      world.Run(planner, milliseconds(20));
+      EXPECT_TRUE(planner.Replicas().at(name).mMemberLost);
+      EXPECT_TRUE(planner.Replicas().at(name).mLeavingSince) << "it takes no new requests";
+      EXPECT_EQ(planner.Replicas().at(name).mWhy, "silent member " + silent);
+      world.Run(planner, milliseconds(1500));
+      world.mSilent.clear();
+      world.Run(planner, milliseconds(40));
+      EXPECT_FALSE(planner.Replicas().at(name).mLeavingSince) << "it is back";
+      world.Run(planner, seconds(1));
+      EXPECT_EQ(world.mJoins, before) << rank << " with " << streams << " streams";
+      EXPECT_EQ(planner.Replicas().at(name).mPhase, ReplicaPhase::kOpen);
+    }
+  }
+}
+
+/// Guards against a replica that waits for ever for a member whose silence was no pause.
+TEST(GroupPlannerLeaving, AMemberWhoseSilenceHasBecomeAnEndIsReplaced)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  world.mInFlight = 2;
+  const std::string silent = world.MemberOf(planner, "big", 3);
+  world.mSilent = { silent };
+  world.Run(planner, milliseconds(1600));
+  world.mSilent.clear();
+  world.Kill(silent);
+  world.Run(planner, milliseconds(800));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
+/// Guards against a replica that is formed anew for orders that a member left unanswered in a
+/// pause.
+TEST(GroupPlannerLeaving, OrdersWithoutAnAnswerEndNoStreams)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string head = world.MemberOf(planner, "big", 0);
+  const std::string member = world.MemberOf(planner, "big", 3);
+  const int before = JoinsOf(world, head);
+  world.mInFlight = 2;
+  GroupOrder stage;
+  stage.mKind = GroupOrderKind::kStage;
+  stage.mEngine = member;
+  stage.mBorn = world.mPool.At(member).mRecord.mBorn;
+  for (int i = 0; i < GroupPlannerOptions().mMostUnanswered; ++i) {
+    planner.OnAnswer(stage, OrderAnswer::kNone, world.Now());
+  }
+  ASSERT_EQ(planner.Unanswering().count(member), 1U);
+  world.mSilent = { member };
+  world.Run(planner, milliseconds(1500));
+  world.mSilent.clear();
+  planner.Forgive(member);
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(JoinsOf(world, head), before);
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
+/// Guards against a replica that is formed anew as a member's registration lapses in a pause.
+TEST(GroupPlannerLeaving, AMemberWhoseRegistrationLapsesInAPauseStays)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string head = world.MemberOf(planner, "big", 0);
+  const std::string member = world.MemberOf(planner, "big", 3);
+  const int before = JoinsOf(world, head);
+  world.mInFlight = 2;
+  world.mSilent = { member };
+  world.mPool.At(member).mListed = false;
+  world.Run(planner, milliseconds(1500));
+  world.mSilent.clear();
+  world.mPool.At(member).mListed = true;
+  world.Run(planner, seconds(1));
+  EXPECT_EQ(JoinsOf(world, head), before);
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
+/// Guards against a new holder that takes a registration that lapsed in a pause for an end.
+TEST(GroupPlannerLeaving, ANewHolderWaitsForAMemberWhoseRegistrationLapsedInAPause)
+{
+  World world(1);
+  GroupPlanner before;
+  world.Run(before, seconds(40));
+  const std::string head = world.MemberOf(before, "big", 0);
+  const std::string member = world.MemberOf(before, "big", 3);
+  const int joins = JoinsOf(world, head);
+  world.mInFlight = 2;
+  world.mSilent = { member };
+  world.mPool.At(member).mListed = false;
+  world.Run(before, milliseconds(200));
+  GroupPlanner after;
+  world.Run(after, milliseconds(1300), 2);
+  world.mSilent.clear();
+  world.mPool.At(member).mListed = true;
+  world.Run(after, seconds(1), 2);
+  EXPECT_EQ(JoinsOf(world, head), joins);
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/placement/group_planner_survivors.cpp
+++ b/src/pepperbay/placement/group_planner_survivors.cpp
@@ -42,7 +42,7 @@
   for (auto& [name, replica] : mReplicas) {
     const bool waits = replica.mPhase == ReplicaPhase::kBroken &&
                        mView->mNow - replica.mSince >= mOptions.mWaitForSpare &&
-                       mView->mNow >= replica.mNotBefore;
+                       mView->mNow >= replica.mNotBefore && !HasSilentMember(replica);
     if (waits && mView->mPool->FindModel(replica.mModel) != nullptr) {
       waiting[replica.mDomain].push_back(&replica);
     }
@@ -215,7 +215,7 @@
   for (const auto& [name, target] : mReplicas) {
     const bool waits = target.mPhase == ReplicaPhase::kBroken && !target.mGivenUp &&
                        mView->mNow - target.mSince >= mOptions.mWaitForSpare &&
-                       mView->mNow >= target.mNotBefore;
+                       mView->mNow >= target.mNotBefore && !HasSilentMember(target);
     if (!waits || mView->mPool->FindModel(target.mModel) == nullptr) {
       continue;
     }
--- a/src/pepperbay/placement/group_planner_test.cpp
+++ b/src/pepperbay/placement/group_planner_test.cpp
@@ -168,7 +168,7 @@
   EXPECT_TRUE(world.mPool.Violations().empty());
 }
 
-/// A member that left without a word is replaced once it stops answering.
+/// A member that left without a word is replaced once its host refuses connections.
 TEST(GroupPlanner, AnUnlistedMemberThatStopsAnsweringIsReplaced)
 {
   World world(1);
@@ -177,11 +177,25 @@
   const std::string member = world.MemberOf(planner, "big", 3);
   world.mPool.At(member).mListed = false;
   world.Run(planner, seconds(2));
-  world.mPool.At(member).mAlive = false;
+  world.Kill(member);
   world.Run(planner, seconds(2));
   EXPECT_EQ(world.mPool.Serving("big"), 1U);
 }
 
+/// Guards against a replica that waits for ever for a member that is neither listed nor heard.
+TEST(GroupPlanner, AnUnlistedMemberThatIsSilentForLongerThanAPauseIsReplaced)
+{
+  World world(1);
+  GroupPlanner planner;
+  world.Run(planner, seconds(40));
+  const std::string member = world.MemberOf(planner, "big", 3);
+  world.mPool.At(member).mListed = false;
+  world.Run(planner, seconds(2));
+  world.mPool.At(member).mAlive = false;
+  world.Run(planner, seconds(3));
+  EXPECT_EQ(world.mPool.Serving("big"), 1U);
+}
+
 TEST(GroupPlanner, AReplicaWithALeavingMemberDrainsAndThenSwapsIt)
 {
   World world(1);
@@ -280,6 +294,7 @@
   kNone,
   kDies,
   kSeemsLost, ///< lives, and nobody reaches it
+  kPauses,    ///< lives, and may go on
   kIsFound,
   kLeaves,
   kComes,        ///< a new engine
@@ -317,6 +332,7 @@
     switch (*rc::gen::weightedElement<Trouble>({ { 8, Trouble::kNone },
                                                  { 4, Trouble::kDies },
                                                  { 2, Trouble::kSeemsLost },
+                                                 { 2, Trouble::kPauses },
                                                  { 2, Trouble::kIsFound },
                                                  { 2, Trouble::kLeaves },
                                                  { 2, Trouble::kComes },
@@ -333,7 +349,11 @@
       case Trouble::kSeemsLost:
         mWorld.mFound.insert(engine);
         break;
+      case Trouble::kPauses:
+        mWorld.mSilent.insert(engine);
+        break;
       case Trouble::kIsFound:
+        mWorld.mSilent.erase(engine);
         if (mWorld.mPool.At(engine).mAlive) {
           mWorld.mFound.erase(engine);
         }
@@ -396,6 +416,7 @@
   {
     mWorld.mFate = nullptr;
     mWorld.mCutOff.clear();
+    mWorld.mSilent.clear();
     for (std::size_t d = 0; d < 2; ++d) {
       for (std::size_t i = 0; i < kPerDomain; ++i) {
         mWorld.mPool.Add("f" + std::to_string(d) + "-" + std::to_string(i),
--- a/src/pepperbay/placement/group_planner_world.hpp
+++ b/src/pepperbay/placement/group_planner_world.hpp
@@ -79,7 +79,10 @@
     view.mFence = aFence;
     view.mTraffic = mTraffic;
     view.mMostOrders = mMostOrders;
-    view.mDead = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
+    view.mDead = [this](const std::string& aEngine) {
+      return mFound.count(aEngine) != 0 || mSilent.count(aEngine) != 0;
+    };
+    view.mEnded = [this](const std::string& aEngine) { return mFound.count(aEngine) != 0; };
     view.mInFlight = [this, &aPlanner](const std::string& aHead) {
       if (mStreamsLast && TakesNoneSince(aPlanner, aHead) >= *mStreamsLast) {
         return 0;
@@ -105,14 +108,14 @@
     mMostGiven = std::max(mMostGiven, static_cast<int>(orders.size()));
     const auto wanted = aPlanner.Wanted();
     for (const auto& [it, engine] : wanted) {
-      if (mPool.At(it).mAlive && mFound.count(it) == 0) {
+      if (mPool.At(it).mAlive && mFound.count(it) == 0 && mSilent.count(it) == 0) {
         aPlanner.OnReport(it, OldReport(it), Now());
       }
     }
     for (const auto& order : orders) {
       ++mGiven[order.mKind];
       mJoins[order.mEngine] += order.mKind == GroupOrderKind::kJoin ? 1 : 0;
-      switch (mFate ? mFate(order) : Fate::kArrives) {
+      switch (FateOf(order)) {
         case Fate::kArrives:
           aPlanner.OnAnswer(order, Answer(order), Now());
           break;
@@ -141,6 +144,14 @@
     }
   }
 
+  Fate FateOf(const GroupOrder& aOrder) const
+  {
+    if (mSilent.count(aOrder.mEngine) != 0) {
+      return Fate::kLost;
+    }
+    return mFate ? mFate(aOrder) : Fate::kArrives;
+  }
+
   OrderAnswer Answer(const GroupOrder& aOrder)
   {
     const OrderAnswer answer = mPool.Order(aOrder, Now());
@@ -225,7 +236,7 @@
   {
     const auto& members = mPool.At(aHead).mMembers;
     return std::any_of(members.begin(), members.end(), [this](const std::string& aMember) {
-      return !mPool.At(aMember).mAlive;
+      return !mPool.At(aMember).mAlive || mSilent.count(aMember) != 0;
     });
   }
 
@@ -285,7 +296,8 @@
   FakePool mPool;
   Duration mReportLag = milliseconds(200);
   std::deque<std::pair<TimePoint, std::map<std::string, EngineReport>>> mReports;
-  std::set<std::string> mFound;
+  std::set<std::string> mFound;  ///< not to answer, and to have ended
+  std::set<std::string> mSilent; ///< these answer nothing, and may go on
   std::function<Fate(const GroupOrder&)> mFate;
   std::vector<std::pair<TimePoint, GroupOrder>> mLate;
   /// An order whose answer is still to come.
