A silent engine is lost at once and has ended only after a pause

What callers saw: streams cut in their answer beside a pause of one or more engines. Cause: the holder's verdict on an engine that two places had no answer of was one for all purposes, after 0.1 to 0.3 s. It closed the replica to new requests, which can be undone, and had it formed anew, which cannot.

EngineDoubts now tells how a verdict was reached. An engine without an answer is lost as quick as before: no new requests, no spare. It has ended when the places that count, up to two, heard a refused connection; or when it is silent at a question that was begun mPauseMost after its last word. The last word is what its head's streams tell, not before it last answered a question; without that, the first question. A hung engine, on which only the holder has a word, ends the same way some rounds later. Members that are not listed, or left orders unanswered, are asked from two places when they answer no question, in place of being lost by one.

Log lines: engine_lost has evidence, silent_ms and ended; engine_gone says that a silent one has ended; engine_back has lost_ms and silent_ms.

Changed tests, whose bounds rested on silence alone though the fake answered at once, as a host that refuses does: AnotherNodeTakesOverAnd- Repairs, TheLastHolderRepairsWhileTheStoreIsDown, TheDumpNamesReplicas- AndWhyOneDoesNotServe, ADomainThatIsDarkIsFoundAndSparesJoinThrough- Peers, TheOnlyNodeThatReachesEnginesRepairsByItsOwnWord and the property RandomCutsTakeNoWholeReplicaDown end the engine by FakePool::End(), with the same bounds; silence for good has a bound of 2.5 s to the first join in AnEngineThatStaysSilentIsReplacedSoonAfterTheLongestPause, a refusal 0.8 s in AnEngineWhoseHostRefusesIsReplacedAtOnce. In AnEngineThatIs- SilentForASecond... questions to the silent engine run out of time as they do in a pause, in place of ending at once; bound as before.

--- a/fakes/fake_pool.hpp
+++ b/fakes/fake_pool.hpp
@@ -29,6 +29,7 @@
     EngineRecord mRecord;
     bool mAlive = true;
     bool mListed = true;
+    bool mRefuses = false; ///< its process has ended and its host refuses connections
     /// Its process has ended and another, with another id, answers at its address; the list still
     /// has the old one.
     bool mReborn = false;
@@ -74,6 +75,14 @@
     old = std::move(engine);
   }
 
+  /// The engine's process ends, and its host refuses connections from now on.
+  void End(const std::string& aId)
+  {
+    Engine& engine = mEngines.at(aId);
+    engine.mAlive = false;
+    engine.mRefuses = true;
+  }
+
   Engine& At(const std::string& aId) { return mEngines.at(aId); }
   std::map<std::string, Engine>& Engines() { return mEngines; }
   const std::map<std::string, Engine>& All() const { return mEngines; }
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -49,6 +49,7 @@
   EngineDoubtsOptions options;
   options.mAskTimeout = aOptions.mAskTimeout;
   options.mAskAgain = aOptions.mAskAgain;
+  options.mPauseMost = aOptions.mPlanner.mPauseMost;
   options.mAskState = aOptions.mAskState;
   return options;
 }
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -51,7 +51,7 @@
         { "configuration", it.mBeat.config_version() } });
   }
   Json lost = Json::array();
-  for (const auto& [engine, asked] : mDoubts.Lost()) {
+  for (const auto& [engine, since] : mDoubts.Lost()) {
     lost.push_back(engine);
   }
   Json logs = Json::object();
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -116,11 +116,13 @@
   void OnSuspect(const std::string& aHead, Duration aSilence);
   void OnRefused(const std::string& aHead);
   /// A node's streams at a head stand still.
-  void OnSilentHead(const std::string& aHead);
-  void AskMembers(const std::string& aHead);
+  /// @param aSince when nothing has come of it
+  void OnSilentHead(const std::string& aHead, TimePoint aSince);
+  void AskMembers(const std::string& aHead, std::optional<TimePoint> aSilentSince);
   /// @return a registered engine, or a member of a replica whose registration has lapsed.
   const EngineRecord* FindEngine(const std::string& aEngine) const;
   void OnEngineChange(const EngineRecord& aEngine, const EngineVerdict& aVerdict);
+  void LogVerdict(const EngineRecord& aEngine, const EngineVerdict& aVerdict);
   // Ways to engines; see coordinator_reach.cpp.
   EngineDoubtsHooks DoubtsHooks();
   void SetReach(bool aReaches);
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -294,13 +294,13 @@
   for (const std::uint32_t it : aSuspicions.engines()) {
     const std::string head = EngineOf(it);
     if (!head.empty()) {
-      OnSilentHead(head);
+      OnSilentHead(head, Now());
     }
   }
   for (const std::uint32_t it : aSuspicions.refusing()) {
     const std::string head = EngineOf(it);
     if (!head.empty()) {
-      AskMembers(head);
+      AskMembers(head, std::nullopt);
     }
   }
 }
--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -62,6 +62,7 @@
   view.mMostOrders = mCalls.RoomForOrders();
   view.mTraffic = mTraffic;
   view.mDead = [this](const std::string& aEngine) { return mDoubts.IsLost(aEngine); };
+  view.mEnded = [this](const std::string& aEngine) { return mDoubts.HasEnded(aEngine); };
   // Most rounds ask for none, some for every head of the pool.
   std::optional<std::unordered_map<std::string, int>> others;
   view.mInFlight = [this, &others](const std::string& aHead) {
@@ -199,13 +200,15 @@
 void
 Coordinator::Impl::AskAsPlanned(const GroupPlanner& aPlanner)
 {
+  using IfSilent = EngineDoubts::IfSilent;
   for (const auto& [id, engine] : aPlanner.Wanted()) {
-    mDoubts.AskOnce(engine);
+    const bool lapsed = mDirectory.Find(id) == nullptr;
+    mDoubts.AskOnce(engine, lapsed ? IfSilent::kIsSuspect : IfSilent::kSaysNothing);
   }
   for (const auto& id : aPlanner.Unanswering()) {
     const EngineRecord* engine = mDirectory.Find(id);
     if (engine != nullptr && !mDoubts.IsLost(id)) {
-      mDoubts.AskOnce(*engine);
+      mDoubts.AskOnce(*engine, IfSilent::kIsSuspect);
     }
   }
 }
@@ -216,7 +219,7 @@
   mHooks.mLog("suspect",
               { { "head", aHead }, { "silent_ms", std::to_string(ToMs(aSilence).count()) } });
   if (MayOrder()) {
-    OnSilentHead(aHead);
+    OnSilentHead(aHead, Now() - aSilence);
     return;
   }
   proto::Suspicions suspicions;
@@ -231,7 +234,7 @@
   // at once, its absence shows in a tenth of a second in place of most of one.
   mHooks.mLog("refused", { { "head", aHead } });
   if (MayOrder()) {
-    AskMembers(aHead);
+    AskMembers(aHead, std::nullopt);
     return;
   }
   proto::Suspicions suspicions;
@@ -240,14 +243,14 @@
 }
 
 void
-Coordinator::Impl::OnSilentHead(const std::string& aHead)
+Coordinator::Impl::OnSilentHead(const std::string& aHead, TimePoint aSince)
 {
   mSilentHeads[aHead] = Now();
-  AskMembers(aHead);
+  AskMembers(aHead, aSince);
 }
 
 void
-Coordinator::Impl::AskMembers(const std::string& aHead)
+Coordinator::Impl::AskMembers(const std::string& aHead, std::optional<TimePoint> aSilentSince)
 {
   const TimePoint now = Now();
   for (auto it = mSilentHeads.begin(); it != mSilentHeads.end();) {
@@ -266,7 +269,7 @@
       }
       for (const auto& it : replica.mMembers) {
         if (const EngineRecord* engine = FindEngine(it)) {
-          mDoubts.Ask(*engine);
+          mDoubts.Ask(*engine, aSilentSince);
         }
       }
     }
@@ -289,26 +292,46 @@
 }
 
 void
-Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, const EngineVerdict& aVerdict)
+Coordinator::Impl::LogVerdict(const EngineRecord& aEngine, const EngineVerdict& aVerdict)
 {
-  mChanged = true;
-  const bool lost = aVerdict.mLostBy.has_value();
-  const std::string by = lost ? ToString(*aVerdict.mLostBy) : "";
-  mHooks.mLog(lost ? "engine_lost" : "engine_back",
+  const auto ms = [](Duration aDuration) { return std::to_string(ToMs(aDuration).count()); };
+  const std::string ended = aVerdict.mEnded ? "true" : "false";
+  if (!aVerdict.mLostBy) {
+    mHooks.mLog("engine_back",
+                { { "engine", aEngine.mId },
+                  { "domain", aEngine.mDomain },
+                  { "lost_ms", ms(aVerdict.mLostFor) },
+                  { "silent_ms", ms(aVerdict.mSilentFor) },
+                  { "ended", ended } });
+    return;
+  }
+  mHooks.mLog(aVerdict.mWasLost ? "engine_gone" : "engine_lost",
               { { "engine", aEngine.mId },
                 { "domain", aEngine.mDomain },
-                { "by", by },
+                { "by", ToString(*aVerdict.mLostBy) },
+                { "evidence", ToString(aVerdict.mEvidence) },
+                { "silent_ms", ms(aVerdict.mSilentFor) },
+                { "ended", ended },
                 { "error", aVerdict.mError },
-                { "heard_others_ms_ago",
-                  std::to_string(ToMs(Now() - mCalls.Heard().OtherThan(aEngine.mId)).count()) } });
+                { "heard_others_ms_ago", ms(Now() - mCalls.Heard().OtherThan(aEngine.mId)) } });
+}
+
+void
+Coordinator::Impl::OnEngineChange(const EngineRecord& aEngine, const EngineVerdict& aVerdict)
+{
+  mChanged = true;
+  LogVerdict(aEngine, aVerdict);
   const auto planner = mPlanners.find(aEngine.mService);
-  if (!lost) {
+  if (!aVerdict.mLostBy) {
     if (planner != mPlanners.end()) {
       planner->second.Forgive(aEngine.mId);
     }
     return;
   }
-  ++mCounters.mLostEngines[by];
+  if (aVerdict.mWasLost) {
+    return;
+  }
+  ++mCounters.mLostEngines[ToString(*aVerdict.mLostBy)];
   // Domains go dark whole: the next repair must not choose a spare that is gone as well.
   for (const auto& [id, engine] : mDirectory.Engines()) {
     const bool neighbour = !engine.mDomain.empty() && engine.mDomain == aEngine.mDomain &&
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -84,7 +84,7 @@
   const auto& replica = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front();
   const std::string head = replica.mHead.mId;
   const std::string member = mWorld.mPool.At(head).mMembers.back();
-  mWorld.mPool.At(member).mAlive = false;
+  mWorld.mPool.End(member);
   for (auto& it : mWorld.mNodes) {
     it.mCoordinator->OnSuspect(head, milliseconds(200));
   }
@@ -117,7 +117,7 @@
     }
   }
   const std::string head = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front().mHead.mId;
-  mWorld.mPool.At(mWorld.mPool.At(head).mMembers.back()).mAlive = false;
+  mWorld.mPool.End(mWorld.mPool.At(head).mMembers.back());
   mWorld.Holder().mCoordinator->OnSuspect(head, milliseconds(200));
   mWorld.Run(milliseconds(500));
   EXPECT_EQ(mWorld.mLines["engine_lost"], 1);
@@ -226,11 +226,13 @@
     const std::string first = replica.mHead.mId;
     const auto members = mWorld.mPool.At(first).mMembers;
     const std::string silent = head ? first : members.back();
-    mWorld.mPool.At(silent).mAlive = false;
+    for (const auto& it : mWorld.mNodes) {
+      mCut.insert(it.mName + ">" + silent); // its questions run out of time
+    }
     int dark = 0; // tenths of a second in which the pool lacks a replica
     for (int i = 0; i < 50; ++i) {
       if (i == 10) {
-        mWorld.mPool.At(silent).mAlive = true; // as it was
+        mCut.clear(); // as it was
       }
       if (i < 10) {
         for (auto& it : mWorld.mNodes) {
@@ -246,6 +248,101 @@
   EXPECT_TRUE(mWorld.mPool.Violations().empty());
 }
 
+class CoordinatorReachAndPauses : public CoordinatorReach
+{
+protected:
+  CoordinatorReachAndPauses()
+  {
+    mHead = mWorld.mNodes.front().mPlan->mReplicas.at("pool").front().mHead.mId;
+    mMembers = mWorld.mPool.At(mHead).mMembers;
+    for (auto& it : mWorld.mNodes) {
+      it.mCoordinator->SetInFlight({ { mHead, 2 } }, true);
+    }
+  }
+
+  /// No node hears an engine.
+  void Silence(const std::string& aEngine)
+  {
+    for (const auto& it : mWorld.mNodes) {
+      mCut.insert(it.mName + ">" + aEngine);
+    }
+  }
+
+  /// Streams stand still for so long at most. @return how long it took until an engine was told to
+  /// join
+  Duration UntilJoin(Duration aMost)
+  {
+    mWorld.mOrders.clear();
+    const TimePoint begun = mWorld.mClock.Now();
+    const auto took = [&] { return mWorld.mClock.Now() - begun; };
+    constexpr milliseconds kSuspect{ 200 };
+    TimePoint told = begun;
+    while (took() < aMost && mWorld.mOrders[GroupOrderKind::kJoin] == 0) {
+      mWorld.Run(milliseconds(20));
+      if (mWorld.mClock.Now() - told < kSuspect) {
+        continue;
+      }
+      told = mWorld.mClock.Now();
+      for (auto& it : mWorld.mNodes) {
+        it.mCoordinator->OnSuspect(mHead, took());
+      }
+    }
+    return took();
+  }
+
+  std::string mHead;
+  std::vector<std::string> mMembers;
+};
+
+/// Guards against a pause of a member or head that is taken for its end.
+TEST_F(CoordinatorReachAndPauses, AnEngineThatPausesIsInItsReplicaAsBeforeASecondLater)
+{
+  for (const auto& it : { mHead, mMembers.back() }) {
+    Silence(it);
+    EXPECT_GE(UntilJoin(milliseconds(1500)), milliseconds(1500)) << it;
+    EXPECT_EQ(CoordinatorWorld::Usable(mWorld.mNodes.back()), 2) << "it got no new requests";
+    mCut.clear();
+    mWorld.Run(milliseconds(500));
+    EXPECT_EQ(CoordinatorWorld::Usable(mWorld.mNodes.back()), 3);
+    mWorld.Run(milliseconds(500));
+    EXPECT_EQ(mWorld.mOrders[GroupOrderKind::kJoin] + mWorld.mOrders[GroupOrderKind::kLeave], 0);
+  }
+}
+
+/// Guards against a replica that waits long, or for ever, for a member that is silent for good.
+TEST_F(CoordinatorReachAndPauses, AnEngineThatStaysSilentIsReplacedSoonAfterTheLongestPause)
+{
+  Silence(mMembers.back());
+  const Duration took = UntilJoin(seconds(5));
+  EXPECT_GT(took, GroupPlannerOptions().mPauseMost);
+  EXPECT_LE(took, milliseconds(2500));
+}
+
+/// Guards against a repair that waits for a pause where the engine's host says that it has ended.
+TEST_F(CoordinatorReachAndPauses, AnEngineWhoseHostRefusesIsReplacedAtOnce)
+{
+  mWorld.mPool.End(mMembers.back());
+  EXPECT_LE(UntilJoin(seconds(5)), milliseconds(800));
+}
+
+/// Guards against a new holder that takes a pause for an end.
+TEST_F(CoordinatorReachAndPauses, ANewHolderWaitsForAnEngineThatPauses)
+{
+  mWorld.Holder().mAlive = false;
+  for (int i = 0;
+       i < 500 && !(mWorld.Holder().mAlive && mWorld.Holder().mCoordinator->HoldsLease());
+       ++i) {
+    mWorld.Run(milliseconds(20));
+  }
+  ASSERT_TRUE(mWorld.Holder().mCoordinator->HoldsLease());
+  Silence(mMembers.back());
+  EXPECT_GE(UntilJoin(milliseconds(1500)), milliseconds(1500));
+  mCut.clear();
+  mWorld.Run(seconds(1));
+  EXPECT_EQ(CoordinatorWorld::Usable(mWorld.Holder()), 3);
+  EXPECT_EQ(mWorld.mOrders[GroupOrderKind::kJoin] + mWorld.mOrders[GroupOrderKind::kLeave], 0);
+}
+
 /// Guards against fleets in which nodes ask others that are cut as well: who reaches no engine has
 /// to be known everywhere within a second, and a data centre that is cut whole has to spread.
 TEST(ReachOfAFleet, WhoIsCutIsKnownAndTheLoadSpreads)
@@ -346,7 +443,7 @@
   const auto& replicas = world.mNodes.front().mPlan->mReplicas.at("pool");
   const std::string head = replicas[static_cast<std::size_t>(*rc::gen::inRange(0, 3))].mHead.mId;
   const std::string member = world.mPool.At(head).mMembers.back();
-  world.mPool.At(member).mAlive = false;
+  world.mPool.End(member);
   for (int i = 0; i < 10; ++i) {
     for (auto& node : world.mNodes) {
       node.mCoordinator->OnSuspect(head, milliseconds(200));
--- a/src/pepperbay/coordinator/coordinator_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_test.cpp
@@ -38,7 +38,7 @@
   const std::string head = Holder().mPlan->mReplicas.at("pool").front().mHead.mId;
   for (const auto& it : mPool.At(head).mMembers) {
     if (it != head) {
-      mPool.At(it).mAlive = false;
+      mPool.End(it);
       break;
     }
   }
@@ -196,7 +196,7 @@
   Run(seconds(5));
   EXPECT_FALSE(node.mCoordinator->HoldsLease());
   const std::string head = node.mPlan->mReplicas.at("pool").front().mHead.mId;
-  mPool.At(head).mAlive = false;
+  mPool.End(head);
   node.mCoordinator->OnSuspect(head, milliseconds(200));
   Run(seconds(2));
   EXPECT_EQ(mPool.Serving("m"), 1U);
@@ -245,7 +245,9 @@
   Run(seconds(10));
   const std::string head = node.mPlan->mReplicas.at("pool").front().mHead.mId;
   for (const auto& it : { "e0", "e1", "e2", "e3", "e4" }) {
-    mPool.At(it).mAlive = it == head;
+    if (it != head) {
+      mPool.End(it);
+    }
   }
   node.mCoordinator->OnSuspect(head, milliseconds(200));
   Run(seconds(1));
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -220,6 +220,8 @@
       const auto answer = [this, id = aEngine.mId, aDone](bool aAnswered) {
         if (aAnswered && mPool.At(id).mAlive) {
           aDone(mPool.Report(id));
+        } else if (aAnswered && mPool.At(id).mRefuses) {
+          aDone(Refused(id));
         } else {
           aDone(Error{ Errc::kTimeout, "engine.ask", id, "" });
         }
@@ -264,6 +266,12 @@
     return hooks;
   }
 
+  /// How a call ends whose connection an engine's host refuses.
+  static Error Refused(const std::string& aEngine)
+  {
+    return { Errc::kRefused, "engine.ask", aEngine, "connection refused" };
+  }
+
   /// @return whether a call of a node reaches an engine, by itself or through a peer.
   bool Reaches(const std::string& aNode,
                const std::string& aEngine,
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -1,8 +1,13 @@
 #include "engine_doubts.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pepperbay {
+namespace {
+/// Places that must have no answer of an engine.
+constexpr int kPlaces = 2;
+}
 
 const char*
 ToString(LostBy aBy)
@@ -20,6 +25,18 @@
   return "unknown";
 }
 
+const char*
+ToString(LostEvidence aEvidence)
+{
+  switch (aEvidence) {
+    case LostEvidence::kSilent:
+      return "silent";
+    case LostEvidence::kRefused:
+      return "refused";
+  }
+  return "unknown";
+}
+
 EngineDoubts::EngineDoubts(EngineDoubtsOptions aOptions, EngineDoubtsHooks aHooks)
   : mOptions(aOptions)
   , mHooks(std::move(aHooks))
@@ -27,7 +44,7 @@
 }
 
 void
-EngineDoubts::Ask(const EngineRecord& aEngine)
+EngineDoubts::Ask(const EngineRecord& aEngine, std::optional<TimePoint> aSilentSince)
 {
   if (!MayAsk()) {
     mWaiting[aEngine.mId] = aEngine;
@@ -39,14 +56,31 @@
   }
   const auto lost = mLost.find(aEngine.mId);
   if (lost != mLost.end()) {
-    lost->second = mHooks.mNow();
+    lost->second.mAsked = mHooks.mNow();
   }
   Question& question = mQuestions[aEngine.mId];
   question.mEngine = aEngine;
   question.mBegun = mHooks.mNow();
+  question.mSilentSince = SilentSince(aEngine.mId, aSilentSince);
   AskRound(aEngine.mId);
 }
 
+TimePoint
+EngineDoubts::SilentSince(const std::string& aEngine, std::optional<TimePoint> aTold) const
+{
+  const TimePoint now = mHooks.mNow();
+  const auto heard = mHeard.find(aEngine);
+  const TimePoint told = std::min(aTold.value_or(now), now);
+  return heard == mHeard.end() ? told : std::max(told, heard->second);
+}
+
+bool
+EngineDoubts::HasEnded(const std::string& aEngine) const
+{
+  const auto it = mLost.find(aEngine);
+  return it != mLost.end() && it->second.mEnded;
+}
+
 void
 EngineDoubts::AskRound(const std::string& aEngine)
 {
@@ -127,28 +161,50 @@
     AskReserved(&question);
   }
   EndOne(aEngine.mId, &question);
-  if (aReport.has_value() && mLost.erase(aEngine.mId) != 0) {
-    mHooks.mOnChange(aEngine, {});
+  if (aReport.has_value()) {
+    OnHeard(aEngine);
   }
   if (first) {
     mHooks.mOnAnswer(aEngine, aReport.value());
   }
 }
 
+void
+EngineDoubts::OnHeard(const EngineRecord& aEngine)
+{
+  const TimePoint now = mHooks.mNow();
+  mHeard[aEngine.mId] = now;
+  const auto it = mLost.find(aEngine.mId);
+  if (it == mLost.end()) {
+    return;
+  }
+  EngineVerdict verdict;
+  verdict.mEnded = it->second.mEnded;
+  verdict.mWasLost = true;
+  verdict.mSilentFor = now - it->second.mSilentSince;
+  verdict.mLostFor = now - it->second.mSince;
+  mLost.erase(it);
+  mHooks.mOnChange(aEngine, verdict);
+}
+
 void
 EngineDoubts::OnNoAnswer(Question* aQuestion, const std::string& aPeer, const Error& aError)
 {
   const bool unheard = aError.mCode == Errc::kCancelled;
   // A question that this process could not put says nothing of the engine.
   const bool word = !unheard && aError.mCode != Errc::kInternal;
+  const bool refused = aError.mCode == Errc::kRefused;
   if (aPeer.empty()) {
     aQuestion->mUnheard = aQuestion->mUnheard || unheard;
+    const bool silentBefore = aQuestion->mUnansweredHere && !aQuestion->mRefusedHere;
     aQuestion->mUnansweredHere = aQuestion->mUnansweredHere || word;
+    aQuestion->mRefusedHere = refused && !silentBefore;
     if (word && HasPeers() && !aQuestion->mSees) {
       FindSight(aQuestion);
     }
   } else if (word) {
     ++aQuestion->mUnansweredThere;
+    aQuestion->mRefusedThere += refused ? 1 : 0;
   }
   aQuestion->mError = ToString(aError);
 }
@@ -204,7 +260,6 @@
   }
   const bool here = question.mUnansweredHere && question.mSees;
   const int places = question.mUnansweredThere + (here ? 1 : 0);
-  constexpr int kPlaces = 2;
   const bool last = question.mRounds >= mOptions.mMostRounds;
   if (places < kPlaces && !last) {
     AskRound(aEngine);
@@ -226,13 +281,43 @@
     ++mUndecided;
     return;
   }
-  if (mLost.emplace(aQuestion.mEngine.mId, mHooks.mNow()).second) {
-    mHooks.mOnChange(aQuestion.mEngine, { aLostBy, aQuestion.mError });
+  const TimePoint now = mHooks.mNow();
+  const auto [it, fresh] = mLost.try_emplace(aQuestion.mEngine.mId);
+  LostEngine& lost = it->second;
+  if (fresh) {
+    lost = { now, aQuestion.mSilentSince, aQuestion.mBegun, false };
   }
+  const bool refused = IsRefused(aQuestion);
+  // An engine that has gone on is heard by the last question, which must not be from before.
+  const bool outlasts = !fresh && aQuestion.mBegun - lost.mSilentSince >= mOptions.mPauseMost;
+  const bool ends = !lost.mEnded && (refused || outlasts);
+  lost.mEnded = lost.mEnded || ends;
+  if (!fresh && !ends) {
+    return;
+  }
+  EngineVerdict verdict;
+  verdict.mLostBy = aLostBy;
+  verdict.mError = aQuestion.mError;
+  verdict.mEvidence = refused ? LostEvidence::kRefused : LostEvidence::kSilent;
+  verdict.mEnded = lost.mEnded;
+  verdict.mWasLost = !fresh;
+  verdict.mSilentFor = now - lost.mSilentSince;
+  verdict.mLostFor = now - lost.mSince;
+  mHooks.mOnChange(aQuestion.mEngine, verdict);
+}
+
+bool
+EngineDoubts::IsRefused(const Question& aQuestion) const
+{
+  // A path may refuse what the engine would take: each place that counts has to say it, up to two.
+  const bool here = aQuestion.mUnansweredHere && (aQuestion.mSees || !HasPeers());
+  const int places = aQuestion.mUnansweredThere + (here ? 1 : 0);
+  const int refused = aQuestion.mRefusedThere + (here && aQuestion.mRefusedHere ? 1 : 0);
+  return refused >= std::clamp(places, 1, kPlaces);
 }
 
 void
-EngineDoubts::AskOnce(const EngineRecord& aEngine)
+EngineDoubts::AskOnce(const EngineRecord& aEngine, IfSilent aIfSilent)
 {
   const TimePoint now = mHooks.mNow();
   const auto last = mAskedOnce.find(aEngine.mId);
@@ -246,9 +331,12 @@
   if (HasPeers() && mHooks.mIsBlind()) {
     options.mVia = mHooks.mPickPeer(aEngine, {});
   }
-  mHooks.mAsk(aEngine, options, [this, aEngine](const Result<EngineReport>& aReport) {
+  mHooks.mAsk(aEngine, options, [this, aEngine, aIfSilent](const Result<EngineReport>& aReport) {
     if (aReport.has_value()) {
+      mHeard[aEngine.mId] = mHooks.mNow();
       mHooks.mOnAnswer(aEngine, aReport.value());
+    } else if (aIfSilent == IfSilent::kIsSuspect && !IsLost(aEngine.mId)) {
+      Ask(aEngine);
     }
   });
 }
@@ -260,6 +348,7 @@
   mWaiting.erase(aEngine);
   mLost.erase(aEngine);
   mAskedOnce.erase(aEngine);
+  mHeard.erase(aEngine);
 }
 
 void
@@ -279,6 +368,10 @@
     const bool old = mHooks.mNow() - it->second >= mOptions.mAskState;
     it = old ? mAskedOnce.erase(it) : std::next(it);
   }
+  for (auto it = mHeard.begin(); it != mHeard.end();) {
+    const bool old = mHooks.mNow() - it->second >= mOptions.mPauseMost;
+    it = old ? mHeard.erase(it) : std::next(it);
+  }
   std::vector<const EngineRecord*> again;
   for (auto it = mLost.begin(); it != mLost.end();) {
     const EngineRecord* engine = aFind(it->first);
@@ -286,7 +379,8 @@
       it = mLost.erase(it);
       continue;
     }
-    if (mHooks.mNow() - it->second >= mOptions.mAskAgain) {
+    const Duration pause = it->second.mEnded ? mOptions.mAskAgain : mOptions.mAskSilent;
+    if (mHooks.mNow() - it->second.mAsked >= pause) {
       again.push_back(engine);
     }
     ++it;
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -105,6 +105,7 @@
     hooks.mOnChange = [this](const EngineRecord&, const EngineVerdict& aVerdict) {
       mLost = aVerdict.mLostBy.has_value();
       mLostBy = aVerdict.mLostBy;
+      mVerdicts.push_back(aVerdict);
     };
     hooks.mPickPeer = [this](const EngineRecord&, const std::set<std::string>& aTried) {
       for (const auto& it : mPeers) {
@@ -128,6 +129,7 @@
   {
     kAnswer,
     kNone,    ///< the engine does not answer
+    kRefused, ///< its host refuses the connection
     kUnheard, ///< the place has no word on it
     kNotPut,  ///< the process had no descriptor for the question
   };
@@ -137,6 +139,8 @@
     switch (aWord) {
       case Word::kNotPut:
         return Errc::kInternal;
+      case Word::kRefused:
+        return Errc::kRefused;
       case Word::kUnheard:
         return Errc::kCancelled;
       default:
@@ -144,6 +148,16 @@
     }
   }
 
+  /// The engine is silent from all places. @return how long it took from now until it has ended
+  Duration UntilEnded(Word aHere = Word::kNone, Word aThere = Word::kNone)
+  {
+    const TimePoint begun = mClock.Now();
+    while (!mDoubts.HasEnded("a") && mClock.Now() - begun < seconds(10)) {
+      Round(aHere, aThere);
+    }
+    return mClock.Now() - begun;
+  }
+
   /// End the questions of one round. @return the places that were asked, in order
   std::string Round(Word aHere, Word aThere)
   {
@@ -170,6 +184,7 @@
   bool mSees = true;
   bool mLost = false;
   std::optional<LostBy> mLostBy;
+  std::vector<EngineVerdict> mVerdicts;
   int mLooks = 0;
   int mPathFaults = 0;
   EngineDoubts mDoubts{ {}, Hooks() };
@@ -303,5 +318,99 @@
   EXPECT_FALSE(mLost);
 }
 
+/// Guards against replicas that are formed anew, which ends their streams, for a pause.
+TEST_F(EngineDoubtsFromTwoPlaces, SilenceIsALossAtOnceAndAnEndOnlyAfterTheLongestPause)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kNone);
+  EXPECT_TRUE(mDoubts.IsLost("a")) << "it gets no new requests";
+  EXPECT_FALSE(mDoubts.HasEnded("a"));
+  EXPECT_GE(UntilEnded(), EngineDoubtsOptions().mPauseMost - milliseconds(40));
+  ASSERT_EQ(mVerdicts.size(), 2U);
+  EXPECT_FALSE(mVerdicts[0].mEnded);
+  EXPECT_TRUE(mVerdicts[1].mEnded);
+  EXPECT_EQ(mVerdicts[1].mEvidence, LostEvidence::kSilent);
+  EXPECT_LE(mVerdicts[1].mSilentFor,
+            EngineDoubtsOptions().mPauseMost + 2 * EngineDoubtsOptions().mAskSilent);
+}
+
+/// Guards against a repair of an engine that has ended waiting as long as for one that may go on.
+TEST_F(EngineDoubtsFromTwoPlaces, RefusedConnectionsFromTwoPlacesAreAnEndAtOnce)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kRefused, Word::kRefused);
+  EXPECT_TRUE(mDoubts.HasEnded("a"));
+  ASSERT_EQ(mVerdicts.size(), 1U);
+  EXPECT_EQ(mVerdicts[0].mEvidence, LostEvidence::kRefused);
+}
+
+/// Guards against one path that refuses making an end of a pause.
+TEST_F(EngineDoubtsFromTwoPlaces, ARefusalFromOnePlaceIsNoEnd)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kRefused, Word::kNone);
+  EXPECT_TRUE(mDoubts.IsLost("a"));
+  EXPECT_FALSE(mDoubts.HasEnded("a"));
+  mDoubts.Forget("a");
+  mSees = false;
+  mDoubts.Ask(mEngine);
+  Round(Word::kRefused, Word::kNone);
+  Round(Word::kRefused, Word::kNone);
+  EXPECT_TRUE(mDoubts.IsLost("a"));
+  EXPECT_FALSE(mDoubts.HasEnded("a"));
+}
+
+/// Guards against a repair that waits for a pause of an engine that ends within its silence.
+TEST_F(EngineDoubtsFromTwoPlaces, ASilentEngineWhoseHostRefusesLaterHasEnded)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kNone);
+  EXPECT_LE(UntilEnded(Word::kRefused, Word::kRefused), milliseconds(280));
+}
+
+/// Guards against an engine that goes on, and counts as ended by a question of before that.
+TEST_F(EngineDoubtsFromTwoPlaces, AnEngineIsAskedOnceMoreBeforeItsSilenceIsAnEnd)
+{
+  mDoubts.Ask(mEngine);
+  Round(Word::kNone, Word::kNone);
+  mClock.Advance(EngineDoubtsOptions().mAskSilent);
+  mDoubts.Tick([&](const std::string&) { return &mEngine; });
+  ASSERT_FALSE(mAsked.empty());
+  mClock.Advance(EngineDoubtsOptions().mPauseMost);
+  Round(Word::kNone, Word::kNone);
+  EXPECT_FALSE(mDoubts.HasEnded("a"));
+  mClock.Advance(EngineDoubtsOptions().mAskSilent);
+  Round(Word::kAnswer, Word::kAnswer);
+  EXPECT_FALSE(mDoubts.IsLost("a"));
+  ASSERT_EQ(mVerdicts.size(), 2U);
+  EXPECT_FALSE(mVerdicts[1].mLostBy);
+  EXPECT_FALSE(mVerdicts[1].mEnded);
+}
+
+/// Guards against a repair that begins its wait with the first question, though streams have told
+/// of the silence before; and against a wait that counts the silence of others.
+TEST_F(EngineDoubtsFromTwoPlaces, SilenceCountsFromTheLastWord)
+{
+  constexpr milliseconds kTold{ 400 };
+  mClock.Advance(seconds(5));
+  mDoubts.Ask(mEngine, mClock.Now() - kTold);
+  EXPECT_LE(UntilEnded(), EngineDoubtsOptions().mPauseMost - kTold + milliseconds(280));
+  Round(Word::kAnswer, Word::kAnswer);
+  mClock.Advance(seconds(1));
+  Round(Word::kAnswer, Word::kAnswer);
+  ASSERT_FALSE(mDoubts.IsLost("a"));
+  mDoubts.Ask(mEngine, mClock.Now() - seconds(1));
+  EXPECT_GE(UntilEnded(), EngineDoubtsOptions().mPauseMost - milliseconds(40));
+}
+
+/// Guards against an engine that takes connections, answers nothing and is never replaced.
+TEST_F(EngineDoubtsFromTwoPlaces, AnEngineThatHangsHasEndedSomeRoundsAfterTheLongestPause)
+{
+  mDoubts.Ask(mEngine);
+  const Duration took = UntilEnded(Word::kNone, Word::kUnheard);
+  EXPECT_GE(took, EngineDoubtsOptions().mPauseMost);
+  EXPECT_LE(took, EngineDoubtsOptions().mPauseMost + milliseconds(600));
+}
+
 } // namespace
 } // namespace pepperbay
