A test: nothing is given up for a replica that a silent member completes

Without !HasSilentMember(target) in GiveUpServing() the test fails: two replicas of the small model serve in place of three.

--- a/src/pepperbay/placement/group_planner_survivors_test.cpp
+++ b/src/pepperbay/placement/group_planner_survivors_test.cpp
@@ -1,6 +1,7 @@
 #include "group_planner_world.hpp"
 
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace pepperbay {
 namespace {
@@ -77,6 +78,32 @@
   EXPECT_EQ(world.mPool.Serving("small"), 2U);
 }
 
+/// Guards against a replica that serves being given up for one that a silent member will complete.
+TEST(GroupPlannerSurvivors, NoReplicaIsGivenUpForOneWhoseMemberOnlyPauses)
+{
+  World world(3);
+  GroupPlanner planner;
+  world.Run(planner, kAllStaged, 1, milliseconds(100));
+  world.mTraffic = true;
+  world.mInFlightOf = { { "big", 20 }, { "small", 8 } };
+  world.mStreamsLast = milliseconds(200);
+  const std::string lost = world.MemberOf(planner, "big", 3);
+  const std::string domain = world.mPool.At(lost).mRecord.mDomain;
+  bool one = false; // that takes the place of the lost one
+  for (const auto& it : SparesOf(world)) {
+    if (world.mPool.At(it).mRecord.mDomain == domain && std::exchange(one, true)) {
+      world.Kill(it);
+    }
+  }
+  world.mSilent = { world.MemberOf(planner, "big", 4) };
+  world.Kill(lost);
+  world.Run(planner, milliseconds(1500));
+  world.mSilent.clear();
+  world.Run(planner, seconds(3));
+  EXPECT_EQ(world.mPool.Serving("big"), 3U);
+  EXPECT_EQ(world.mPool.Serving("small"), 3U);
+}
+
 /// Pattern: the same losses while the smaller model is full, or has one replica only. To give that
 /// up would refuse as many callers as it helps.
 TEST(GroupPlannerSurvivors, AModelWithoutRoomKeepsItsReplicas)
