Silent engines are asked every 200 ms

With questions that run out of time, as the test has them now, it passes at 200 ms, with half the calls while a whole domain is silent.

--- a/src/pepperbay/coordinator/engine_doubts.hpp
+++ b/src/pepperbay/coordinator/engine_doubts.hpp
@@ -26,9 +26,8 @@
   Duration mPeerAfter = std::chrono::milliseconds(40);
   /// Engines that have ended are asked again after this.
   Duration mAskAgain = std::chrono::milliseconds(700);
-  /// The same for those that are only silent: one question is always under way, so that their
-  /// return is heard at once.
-  Duration mAskSilent = std::chrono::milliseconds(100);
+  /// The same for those that are only silent: they may go on at any moment.
+  Duration mAskSilent = std::chrono::milliseconds(200);
   /// An engine that is well may be silent for so long.
   Duration mPauseMost = GroupPlannerOptions().mPauseMost;
   /// What an engine says of itself is some 200 ms old; asking more often tells little more.
