--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -280,7 +280,7 @@
   /// How a call ends whose connection an engine's host refuses.
   static Error Refused(const std::string& aEngine)
   {
-    return { Errc::kUnavailable, "engine.ask", aEngine, "connection refused" };
+    return { Errc::kRefused, "engine.ask", aEngine, "connection refused" };
   }
 
   /// When a call to an engine that is paused ends: once that goes on, or its time is over.
