A route bounds the engines that are asked, not the times

Callers saw streams cut ("all attempts failed") when their first engine ended after a second one had refused them: the refusal had used up the last of the engines that the route allows, though the second engine had not run the request and could take it a moment later. A head whose replica had formed anew was passed over as well, though the same engine once more is no further one.

Cause: sendings were counted, not engines. AskedEngines counts engines; where the count is used up, one that has refused, or has formed anew, may have the request once more. While the first engine stands, that waits until it has been silent for a second, as it may only pause and a refusal is often repeated. The budget of second attempts, kMoveAgainAfter and the wait of kHopelessAfter are as before; unrepeatable requests and plain services as well. Desks are told to leave out all other heads, so nothing new is on the wire; a place that is granted elsewhere all the same is given back.

That a desk's place at a further engine is given back has no test yet.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -35,7 +35,9 @@
 pepperbay_library(admission SOURCES admission.cpp earned_retries.cpp retry_budget.cpp token_bucket.cpp turn_book.cpp
                   TESTS admission_test.cpp token_bucket_test.cpp turn_book_test.cpp
                   USES base) # pure
-pepperbay_library(dispatch SOURCES attempt.cpp claims.cpp failure_step.cpp TESTS attempt_test.cpp failure_step_test.cpp USES routing admission proto) # pure
+pepperbay_library(dispatch SOURCES asked_engines.cpp attempt.cpp claims.cpp failure_step.cpp
+                  TESTS asked_engines_test.cpp attempt_test.cpp failure_step_test.cpp
+                  USES routing admission proto) # pure
 pepperbay_library(places SOURCES place_agent.cpp place_desk.cpp place_limits.cpp place_book.cpp rate_ledger.cpp
                           own_part.cpp
                   TESTS place_agent_test.cpp limited_engines_test.cpp rate_ledger_test.cpp
@@ -88,7 +90,7 @@
                                 exchange.cpp exchange_ends.cpp exchange_limits.cpp exchange_sending.cpp exchange_log.cpp
                                 exchange_second.cpp exchange_suspect.cpp relay.cpp relay_core.cpp session.cpp
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
-                        relay_pauses_test.cpp
+                        relay_pauses_test.cpp relay_attempts_test.cpp
                         relay_kept_test.cpp relay_retries_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp relay_sight_test.cpp relay_peers_test.cpp
--- /dev/null
+++ b/src/pepperbay/dispatch/asked_engines.cpp
@@ -0,0 +1,52 @@
+#include "pepperbay/dispatch/asked_engines.hpp"
+
+#include <utility>
+
+namespace pepperbay {
+namespace {
+
+constexpr int kMostTimes = 2;
+
+} // namespace
+
+void
+AskedEngines::OnSent(const std::string& aEngine, AskedReplica aReplica)
+{
+  Asked& asked = mEngines[aEngine];
+  ++asked.mTimes;
+  asked.mNotTaken = false;
+  asked.mReplica = std::move(aReplica);
+}
+
+void
+AskedEngines::OnUnreached(const std::string& aEngine)
+{
+  const auto it = mEngines.find(aEngine);
+  if (it != mEngines.end() && --it->second.mTimes <= 0) {
+    mEngines.erase(it);
+  }
+}
+
+void
+AskedEngines::OnNotTaken(const std::string& aEngine)
+{
+  const auto it = mEngines.find(aEngine);
+  if (it != mEngines.end()) {
+    it->second.mNotTaken = true;
+  }
+}
+
+std::set<std::string>
+AskedEngines::OnceMore(const FormedAnew& aFormedAnew) const
+{
+  std::set<std::string> engines;
+  for (const auto& [engine, asked] : mEngines) {
+    const bool free = asked.mNotTaken || aFormedAnew(engine, asked.mReplica);
+    if (asked.mTimes < kMostTimes && free) {
+      engines.insert(engine);
+    }
+  }
+  return engines;
+}
+
+} // namespace pepperbay
--- /dev/null
+++ b/src/pepperbay/dispatch/asked_engines_test.cpp
@@ -0,0 +1,85 @@
+#include "pepperbay/dispatch/asked_engines.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace pepperbay {
+namespace {
+
+using Names = std::set<std::string>;
+
+bool
+Never(const std::string& /*aEngine*/, const AskedReplica& /*aAsked*/)
+{
+  return false;
+}
+
+/// Guards against a stream that is cut because a refusal has used up the engines of its route.
+TEST(AskedEngines, OneThatDidNotTakeItMayBeAskedOnceMore)
+{
+  AskedEngines asked;
+  asked.OnSent("a", { "g", 1 });
+  asked.OnSent("b", { "h", 1 });
+  asked.OnNotTaken("b");
+  EXPECT_EQ(asked.OnceMore(&Never), (Names{ "b" }));
+  asked.OnSent("b", { "h", 1 });
+  asked.OnNotTaken("b");
+  EXPECT_EQ(asked.OnceMore(&Never), Names{});
+  EXPECT_EQ(asked.Count(), 2);
+}
+
+/// Guards against a stream that is cut though the head that worked on it takes requests again.
+TEST(AskedEngines, AHeadThatHasFormedAnewMayBeAskedOnceMore)
+{
+  AskedEngines asked;
+  asked.OnSent("a", { "g", 1 });
+  std::uint64_t epoch = 1;
+  const auto formed = [&epoch](const std::string& aEngine, const AskedReplica& aAsked) {
+    return aEngine == "a" && aAsked.mGroup == "g" && epoch > aAsked.mEpoch;
+  };
+  EXPECT_EQ(asked.OnceMore(formed), Names{});
+  epoch = 2;
+  EXPECT_EQ(asked.OnceMore(formed), (Names{ "a" }));
+  asked.OnSent("a", { "g", 2 });
+  epoch = 3;
+  EXPECT_EQ(asked.OnceMore(formed), Names{});
+}
+
+/// Guards against attempts that are used up by engines that were never reached.
+TEST(AskedEngines, OneThatWasNotReachedDoesNotCount)
+{
+  AskedEngines asked;
+  asked.OnSent("a", {});
+  asked.OnUnreached("a");
+  EXPECT_EQ(asked.Count(), 0);
+  asked.OnSent("a", {});
+  asked.OnNotTaken("a");
+  asked.OnSent("a", {});
+  asked.OnUnreached("a");
+  EXPECT_EQ(asked.Count(), 1);
+}
+
+/// Guards against an engine that is asked again and again.
+RC_GTEST_PROP(AskedEngines, NoEngineIsOfferedAThirdTime, ())
+{
+  AskedEngines asked;
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 30; ++i) {
+    const std::string engine(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+    const bool formed = *rc::gen::arbitrary<bool>();
+    const auto formedAnew = [formed](const std::string&, const AskedReplica&) { return formed; };
+    const Names again = asked.OnceMore(formedAnew);
+    for (const auto& it : again) {
+      RC_ASSERT(sent[it] == 1);
+    }
+    if (sent[engine] == 0 || again.count(engine) != 0) {
+      asked.OnSent(engine, {});
+      ++sent[engine];
+    } else {
+      asked.OnNotTaken(engine);
+    }
+  }
+}
+
+} // namespace
+} // namespace pepperbay
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -180,7 +180,9 @@
   }
   NoteHead(mCurrent, facts);
   if (!fault.empty()) {
-    if (!facts.mNotRun) {
+    if (facts.mNotRun) {
+      mAsked.OnNotTaken(mCurrent.mTarget.mEngine);
+    } else {
       NoteFailedOnce();
     }
     OnFailure(fault, !facts.mNotRun);
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "attempt.hpp"
+#include "pepperbay/dispatch/asked_engines.hpp"
 #include "pepperbay/dispatch/failure_step.hpp"
 #include "pepperbay/quarantine/request_key.hpp"
 #include "pepperbay/relay/event_splitter.hpp"
@@ -50,6 +51,7 @@
   bool mWatched = false; ///< its silence counts: nothing else keeps its events back
   bool mRepeats = false; ///< its engine was counted for a sending whose connection was stale
   bool mStale = false;   ///< it went on a kept connection that was closed without an answer
+  bool mFailed = false;  ///< it has come to nothing
 };
 
 /// A kept connection that was closed under a request. The engine may not have read the request and
@@ -115,6 +117,14 @@
   /// @return the engine of the stale connection, as the plan lists it, until the request goes there
   /// again; null for none.
   const EngineTarget* StaleEngine() const;
+  /// @return whether it may be sent to an engine that it has not been sent to.
+  bool MayAskFurther() const;
+  /// @return engines of a pool that may have it once more, where none of it stands.
+  std::set<std::string> AskOnceMore() const;
+  /// @return engines that it may not be sent to now.
+  std::set<std::string> LeftOut() const;
+  /// @return whether a place that was granted is one that it may go to.
+  bool IsUsable(const Place& aPlace) const;
   /// @return whether another engine could take it, as far as this node knows.
   bool HasTarget() const;
   /// @return whether the pool bears one more second attempt.
@@ -130,6 +140,8 @@
   bool MayAskSecond() const;
   /// Ask a second engine where the first one is silent for too long.
   void AskSecondIfDue();
+  /// @return whether a stream may be moved now, if there is a place for it.
+  bool MayMove() const;
   /// Ask for a place at another replica, and send the request there as well.
   void Move(const std::string& aWhy);
   /// Send a request that may run again to another plain engine as well.
@@ -205,8 +217,8 @@
   void DropAttempt();
   /// Close a sending's connection, so that its engine stops, and give back its counts.
   void Drop(Sending* aSending);
-  /// @return the replica that a sending went to, as the plan has it now; null for none.
-  const PoolReplica* ReplicaInPlan(const Sending& aSending) const;
+  /// @return a replica as the plan has it now; null for none.
+  const PoolReplica* ReplicaInPlan(const std::string& aGroup) const;
   /// @return whether the replica stands still: by what it does first, then by what is said of it.
   bool StandsStill(const Sending& aSending) const;
   /// @return whether the plan speaks against the replica; it may still answer.
@@ -269,14 +281,15 @@
   std::optional<Sending> mNext; ///< asked as well, in case the current one stands still
   std::string mNextWhy;         ///< why it was asked
   std::uint64_t mLastSerial = 0;
-  std::set<std::string> mTried;
+  std::set<std::string> mTried; ///< engines that come into question no more
+  AskedEngines mAsked;
   std::optional<StaleConnection> mStale; ///< the last, until it is known what became of its engine
   bool mAvoidsKept = false;   ///< a connection was closed under it; kept ones may be dead as well
   bool mMoving = false;       ///< asks for a place elsewhere
   TimePoint mMoveNotBefore{}; ///< no place was found just now, or it was refused
   int mMovesRefused = 0;      ///< times that no place was found
   std::optional<AwaitedAttempt> mAwaited;
-  int mSent = 0;
+  int mSent = 0; ///< times
   int mConnectFailures = 0;
   Duration mLimitedFor{ 0 }; ///< engines with room take no more for so long
   bool mFoundFull = false; ///< each replica had all that it should hold when a place was asked for
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -103,16 +103,16 @@
 }
 
 const PoolReplica*
-Exchange::ReplicaInPlan(const Sending& aSending) const
+Exchange::ReplicaInPlan(const std::string& aGroup) const
 {
   const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
   if (replicas == mCore->mPlan->mReplicas.end()) {
     return nullptr;
   }
-  const auto it = std::find_if(
-    replicas->second.begin(), replicas->second.end(), [&aSending](const PoolReplica& aReplica) {
-      return aReplica.mGroup == aSending.mGroup;
-    });
+  const auto it =
+    std::find_if(replicas->second.begin(),
+                 replicas->second.end(),
+                 [&aGroup](const PoolReplica& aReplica) { return aReplica.mGroup == aGroup; });
   return it == replicas->second.end() ? nullptr : &*it;
 }
 
@@ -134,6 +134,7 @@
     TakeNext();
     return;
   }
+  mCurrent.mFailed = true;
   const RequestProgress progress = Progress();
   LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, WhyNotAgain(progress));
   DropAttempt();
@@ -147,8 +148,8 @@
   progress.mRepeatable = mRoute->Repeatable();
   progress.mMayHaveRun = mMayHaveRun;
   progress.mAnswerBegun = mStreamStarted;
-  // The engine of a stale connection may have the request once more.
-  progress.mSent = mSent - (StaleEngine() != nullptr ? 1 : 0);
+  const bool again = StaleEngine() != nullptr || !AskOnceMore().empty();
+  progress.mSent = mAsked.Count() - (again ? 1 : 0);
   progress.mMostSent = mRoute->mMaxAttempts;
   progress.mLeft = Left();
   progress.mHasTarget = mConnectFailures < kMostConnectFailures && HasTarget();
@@ -181,6 +182,7 @@
   ++mCore->mCounters.mConnectsFailed[aWhy];
   // No engine was asked, so nothing is spent but time.
   mSent -= aSending.mRepeats ? 0 : 1;
+  mAsked.OnUnreached(aSending.mTarget.mEngine);
   ++mConnectFailures;
 }
 
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -72,7 +72,7 @@
   if (aSending.mWriting) {
     fields["event_age_ms"] = Millis(now - aSending.mLastEventAt);
   }
-  if (const PoolReplica* replica = ReplicaInPlan(aSending)) {
+  if (const PoolReplica* replica = ReplicaInPlan(aSending.mGroup)) {
     fields["plan_epoch"] = std::to_string(replica->mEpoch);
     fields["plan_open"] = YesNo(!replica->mSuspended);
     fields["plan_lost"] = YesNo(replica->mLost);
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -24,8 +24,7 @@
 bool
 Exchange::MayAskSecond() const
 {
-  const int sent = mSent - (StaleEngine() != nullptr ? 1 : 0);
-  return sent < mRoute->mMaxAttempts && !IsHeldBack() && HasTarget() && HasBudget();
+  return MayAskFurther() && !IsHeldBack() && HasTarget() && HasBudget();
 }
 
 void
@@ -51,15 +50,22 @@
   if (!mRoute->Repeatable() || !mService->mPool || !ShouldLeave(mCurrent)) {
     return;
   }
-  if (mSent >= mRoute->mMaxAttempts) {
-    if (IsSilentFor(mCurrent, kGivenUpAfter)) {
-      OnFailure("replica_lost", true);
-    }
-  } else if (now >= mMoveNotBefore && !IsHeldBack() && HasTarget()) {
+  if (!MayAskFurther() && IsSilentFor(mCurrent, kGivenUpAfter)) {
+    OnFailure("replica_lost", true);
+  } else if (now >= mMoveNotBefore && !IsHeldBack() && MayMove()) {
     Move("replica_lost");
   }
 }
 
+bool
+Exchange::MayMove() const
+{
+  // Who has refused may refuse again, and is not asked a third time: not while the first engine may
+  // only pause.
+  const bool again = IsCutOff(mCurrent) || IsSilentFor(mCurrent, kHopelessAfter);
+  return (MayAskFurther() || (again && !AskOnceMore().empty())) && HasTarget();
+}
+
 bool
 Exchange::ShouldLeave(const Sending& aSending) const
 {
@@ -89,14 +95,17 @@
 bool
 Exchange::IsNextHopeless() const
 {
-  const bool another = mSent < mRoute->mMaxAttempts && HasTarget();
-  return IsSilentFor(*mNext, another ? Duration(kHopelessAfter) : Duration(kGivenUpAfter));
+  if (!IsSilentFor(*mNext, kHopelessAfter)) {
+    return false;
+  }
+  const bool another = (MayAskFurther() || !AskOnceMore().empty()) && HasTarget();
+  return another || IsSilentFor(*mNext, kGivenUpAfter);
 }
 
 bool
 Exchange::SaidToBeLost(const Sending& aSending) const
 {
-  const PoolReplica* replica = ReplicaInPlan(aSending);
+  const PoolReplica* replica = ReplicaInPlan(aSending.mGroup);
   // Lost, or formed anew, perhaps under another head.
   return replica != nullptr && (replica->mLost || replica->mEpoch > aSending.mEpoch);
 }
@@ -137,6 +146,12 @@
                   self->mCore->mPlaces.End(aPlace.mTicket); // it ended, or goes on, in the meantime
                   return;
                 }
+                if (!self->IsUsable(aPlace)) {
+                  self->mCore->mPlaces.End(aPlace.mTicket);
+                  self->CountRefusedMove(ToString(PlaceOutcome::kNoReplica));
+                  self->mMoveNotBefore = self->mCore->Now() + kMoveAgainAfter;
+                  return;
+                }
                 self->StartNext(SendingTo(aPlace), aWhy);
               });
 }
@@ -185,7 +200,9 @@
   }
   NoteHead(*mNext, facts);
   if (!fault.empty()) {
-    if (!facts.mNotRun) {
+    if (facts.mNotRun) {
+      mAsked.OnNotTaken(mNext->mTarget.mEngine);
+    } else {
       mCore->mBalancer.OnFault(mNext->mTarget.mEngine, mCore->Now());
     }
     DropNext(fault, !facts.mNotRun);
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -47,7 +47,7 @@
     return again;
   }
   Balancer::EngineQuery query;
-  query.mTried = ShortIds(mTried);
+  query.mTried = ShortIds(LeftOut());
   query.mOnce = !mRoute->Repeatable();
   if (mCore->mPlaces.HasLimits(mService->mName)) {
     query.mStanding = [this](const EngineTarget& aEngine) {
@@ -69,7 +69,7 @@
 {
   PlaceRequest request;
   request.mService = mService->mName;
-  request.mTried = mTried;
+  request.mTried = LeftOut();
   // What goes on, or was let down once, has waited already.
   request.mClaimant = { aAgain ? 0 : std::clamp(mPriority, 0, kLeastUrgent), ShortId(mCustomer) };
   request.mAgain = aAgain;
@@ -169,10 +169,67 @@
       aOtherwise(ToString(aPlace.mOutcome));
       return;
     }
+    if (!self->IsUsable(aPlace)) {
+      self->mCore->mPlaces.End(aPlace.mTicket);
+      aOtherwise(ToString(PlaceOutcome::kNoReplica));
+      return;
+    }
     self->SendToEngine(SendingTo(aPlace));
   });
 }
 
+bool
+Exchange::MayAskFurther() const
+{
+  return mAsked.Count() - (StaleEngine() != nullptr ? 1 : 0) < mRoute->mMaxAttempts;
+}
+
+std::set<std::string>
+Exchange::AskOnceMore() const
+{
+  if (!mService->mPool || !mRoute->Repeatable()) {
+    return {};
+  }
+  const auto formedAnew = [this](const std::string& aEngine, const AskedReplica& aAsked) {
+    const PoolReplica* replica = ReplicaInPlan(aAsked.mGroup);
+    return replica != nullptr && replica->mHead.mId == aEngine && replica->mEpoch > aAsked.mEpoch;
+  };
+  std::set<std::string> engines = mAsked.OnceMore(formedAnew);
+  if (mCurrent.mAttempt && !mCurrent.mFailed) {
+    engines.erase(mCurrent.mTarget.mEngine);
+  }
+  if (mNext) {
+    engines.erase(mNext->mTarget.mEngine);
+  }
+  return engines;
+}
+
+std::set<std::string>
+Exchange::LeftOut() const
+{
+  std::set<std::string> engines = mTried;
+  if (MayAskFurther() || !mService->mPool) {
+    return engines;
+  }
+  // A desk knows of engines to leave out, not of some that alone come into question.
+  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
+  if (replicas != mCore->mPlan->mReplicas.end()) {
+    for (const auto& it : replicas->second) {
+      engines.insert(it.mHead.mId);
+    }
+  }
+  for (const auto& it : AskOnceMore()) {
+    engines.erase(it);
+  }
+  return engines;
+}
+
+bool
+Exchange::IsUsable(const Place& aPlace) const
+{
+  return MayAskFurther() || AskOnceMore().count(aPlace.mHead.mId) != 0;
+}
+
 bool
 Exchange::HasTarget() const
 {
@@ -180,9 +237,9 @@
   const TimePoint now = mCore->Now();
   if (!mService->mPool) {
     return mCore->mBalancer.PickEngine(
-             *plan, mService->mName, mTried, !mRoute->Repeatable(), now) != nullptr;
+             *plan, mService->mName, LeftOut(), !mRoute->Repeatable(), now) != nullptr;
   }
-  return mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, mTried, now).mReplica !=
+  return mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, LeftOut(), now).mReplica !=
          nullptr;
 }
 
@@ -240,6 +297,7 @@
     mCore->mCounters.mResumes += mStreamStarted ? 1 : 0;
   }
   mSent += aSending->mRepeats ? 0 : 1;
+  mAsked.OnSent(aSending->mTarget.mEngine, { aSending->mGroup, aSending->mEpoch });
   CountIfLimited(*aSending);
   mCore->mBalancer.OnStart(aSending->mTarget.mEngine);
   aSending->mAttempt =
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -63,6 +63,7 @@
   aSending->mStale = true;
   mAvoidsKept = true;
   mTried.erase(aSending->mTarget.mEngine);
+  mAsked.OnNotTaken(aSending->mTarget.mEngine);
   if (mCore->SuspectOf(mKey).mScore > 0) {
     mBrokenOff = true; // an engine that ends closes kept connections as well
   }
--- a/src/pepperbay/relay/relay_moves_fixture.hpp
+++ b/src/pepperbay/relay/relay_moves_fixture.hpp
@@ -13,6 +13,10 @@
 inline constexpr const char* kEventB = "f\r\nid: 2\ndata: b\n\n\r\n";
 inline constexpr const char* kStreamEnd = "0\r\n\r\n";
 
+/// An engine that gives this has not run the request.
+inline constexpr const char* kRefusal =
+  "HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 inline std::string
 StreamHead()
 {
@@ -87,6 +91,25 @@
                       [this] { return Ask(Post("/stream/", "x", "Model: m\r\n")); });
   }
 
+  /// Let time pass in steps, so that the relay does in between what is due.
+  void Pass(Duration aTime)
+  {
+    constexpr std::chrono::milliseconds kStep{ 50 };
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      mClock.Advance(kStep);
+      mClock.WaitForTicks();
+    }
+  }
+
+  /// @return an answer that is due; a request that nothing ends is ended by its deadline.
+  std::string TextOf(std::future<std::string> aAnswer)
+  {
+    if (aAnswer.wait_for(seconds(10)) != std::future_status::ready) {
+      mClock.Advance(seconds(20));
+    }
+    return aAnswer.get();
+  }
+
   PoolReplica& FirstReplica() { return mPlan.mReplicas["pool"][0]; }
 
   WatchedClock mClock;
--- a/src/pepperbay/relay/relay_pauses_test.cpp
+++ b/src/pepperbay/relay/relay_pauses_test.cpp
@@ -10,8 +10,6 @@
 constexpr milliseconds kPause{ 1500 };
 /// After this a head whose replica is called lost counts as one that stands still.
 constexpr milliseconds kStandsStill{ 200 };
-constexpr const char* kRefusal =
-  "HTTP/1.1 503 No\r\nReq: q1\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 class RelayPauses : public RelayMoves
 {
@@ -49,16 +47,6 @@
     FirstReplica().mEpoch += 1;
     Publish();
   }
-
-  /// Let the pause pass in steps, as the relay would see it.
-  void Pause(Duration aFor)
-  {
-    constexpr milliseconds kStep{ 50 };
-    for (Duration passed{ 0 }; passed < aFor; passed += kStep) {
-      mClock.Advance(kStep);
-      mClock.WaitForTicks();
-    }
-  }
 };
 
 /// Guards against a silence that ends an answer: no other engine can take the stream.
@@ -71,9 +59,9 @@
   first.AwaitRequest();
   mClock.WaitForTicks();
   CallFirstLost();
-  Pause(kPause);
+  Pass(kPause);
   first.GoOn(std::string(kEventB) + kStreamEnd);
-  const std::string text = answer.get();
+  const std::string text = TextOf(std::move(answer));
   EXPECT_TRUE(Has(text, "data: a")) << text;
   EXPECT_TRUE(Has(text, "data: b")) << text;
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
@@ -95,9 +83,9 @@
   mClock.WaitForTicks();
   CallFirstLost();
   OfferSecond();
-  Pause(kPause);
+  Pass(kPause);
   first.GoOn(StreamHead() + kEventA + kStreamEnd);
-  const std::string text = answer.get();
+  const std::string text = TextOf(std::move(answer));
   EXPECT_GE(second.Requests(), 1);
   EXPECT_EQ(StatusOf(text), 200) << text;
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
@@ -119,9 +107,9 @@
   mClock.WaitForTicks();
   CallFirstLost();
   OfferSecond();
-  Pause(kPause);
+  Pass(kPause);
   first.GoOn(std::string(kEventB) + kStreamEnd);
-  const std::string text = answer.get();
+  const std::string text = TextOf(std::move(answer));
   EXPECT_GE(second.Requests(), 1);
   EXPECT_TRUE(Has(text, "data: b")) << text;
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
@@ -139,16 +127,16 @@
   mClock.WaitForTicks();
   CallFirstLost();
   OfferSecond();
-  Pause(kStandsStill);
+  Pass(kStandsStill);
   second.AwaitRequest();
   mPlan.mReplicas["pool"][1].mLost = true;
   Publish();
-  Pause(kPause);
+  Pass(kPause);
   second.GoOn(StreamHead() + kEventB + kStreamEnd);
-  const std::string text = answer.get();
+  const std::string text = TextOf(std::move(answer));
+  first.GoOn("");
   EXPECT_TRUE(Has(text, "data: b")) << text;
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
-  first.GoOn("");
 }
 
 /// The same, where it is the first that goes on.
@@ -162,13 +150,13 @@
   mClock.WaitForTicks();
   CallFirstLost();
   OfferSecond();
-  Pause(kStandsStill);
+  Pass(kStandsStill);
   second.AwaitRequest();
   mPlan.mReplicas["pool"][1].mLost = true;
   Publish();
-  Pause(kPause - kStandsStill);
+  Pass(kPause - kStandsStill);
   first.GoOn(std::string(kEventB) + kStreamEnd);
-  const std::string text = answer.get();
+  const std::string text = TextOf(std::move(answer));
   EXPECT_TRUE(Has(text, "data: b")) << text;
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
   second.GoOn("");
