A test that a place at one engine too many is given back

The relay before a hand-written desk: the question leaves out all heads but the one that has refused, and a place at a third engine is given back unused.

--- a/src/pepperbay/relay/relay_attempts_test.cpp
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -1,4 +1,5 @@
 /// How many engines a stream is sent to, and which of them may have it once more.
+#include "pepperbay/base/hash.hpp"
 #include "relay_moves_fixture.hpp"
 
 namespace pepperbay {
@@ -49,6 +50,44 @@
     RawEngine mEngine{ [this](RawConnection& aConnection) { Script(aConnection); } };
   };
 
+  /// Wait for the next question to the desk. @return it
+  proto::PlaceMessage AwaitQuestion()
+  {
+    for (;;) {
+      {
+        const std::lock_guard<std::mutex> lock(mEndsMutex);
+        while (mQuestionsSeen < mSentToDesks.size()) {
+          proto::PlaceMessage message;
+          message.ParseFromString(mSentToDesks[mQuestionsSeen++]);
+          if (message.has_ask()) {
+            return message;
+          }
+        }
+      }
+      std::this_thread::yield();
+    }
+  }
+
+  /// The desk grants a place at the n-th engine.
+  void Grant(const proto::PlaceMessage& aQuestion, std::size_t aEngine)
+  {
+    const PoolReplica& replica = mPlan.mReplicas["pool"][aEngine];
+    proto::PlaceMessage message;
+    message.set_node("desk");
+    auto* answer = message.mutable_answer();
+    answer->set_id(aQuestion.ask().id());
+    answer->set_outcome(proto::PlaceAnswer::GRANTED);
+    answer->set_group(replica.mGroup);
+    answer->set_epoch(replica.mEpoch);
+    answer->set_head(replica.mHead.mId);
+    answer->set_address(replica.mHead.mAddress);
+    answer->set_desk_address("127.0.0.1:1");
+    asio::post(mContext,
+               [this, bytes = message.SerializeAsString()] { mRelay->OnDeskMessage(bytes); });
+  }
+
+  std::size_t mQuestionsSeen = 0;
+
   void AwaitRefusal() const
   {
     while (mRefusals == 0) {
@@ -166,5 +205,42 @@
   EXPECT_EQ(requests, 2) << "once more, and no third time";
 }
 
+/// Guards against a stream that a desk, which does not know how many engines it was sent to, sends
+/// to one more than its route allows.
+TEST_F(RelayAttempts, APlaceAtAThirdEngineIsGivenBack)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(1, &requests));
+  RawEngine third([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  mPlan.mIsDesk = false;
+  mPlan.mDesks = { { "desk", "127.0.0.1:1" } };
+  Serve({ &first.mEngine, &second, &third });
+  OfferSecond();
+  auto answer = AskStream();
+  Grant(AwaitQuestion(), 0);
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  Publish();
+  mClock.Advance(kStandsStill);
+  Grant(AwaitQuestion(), 1);
+  AwaitRefusal();
+  mClock.Advance(milliseconds(300));
+  mClock.WaitForTicks();
+  first.mEnd.set_value();
+  const proto::PlaceMessage question = AwaitQuestion();
+  const std::set<std::uint32_t> tried(question.ask().tried().begin(), question.ask().tried().end());
+  EXPECT_EQ(tried, (std::set<std::uint32_t>{ ShortId("e0"), ShortId("e2") }));
+  Grant(question, 2);
+  mClock.WaitForTicks();
+  mClock.Advance(milliseconds(250));
+  Grant(AwaitQuestion(), 1);
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  EXPECT_EQ(third.Requests(), 0);
+}
+
 } // namespace
 } // namespace pepperbay
