A second attempt passes over heads that stand still for this node

Callers saw streams cut after both of their engines had been silent: a second attempt went to a head whose streams at the same node stood still as well, since the plan still had it as open, and used up the last of the engines that the route allows. Its refusal after the pause was the last word.

The node knows better than the plan: heads of which it has heard nothing for as long as makes one suspect are left out of second attempts while another head takes them. If only silent ones are left they are asked, as they may go on.

AStreamDoesNotMoveToAHeadThatStandsStillForThisNode failed before: the silent head got the second attempt, the sound one nothing.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -121,8 +121,15 @@
   bool MayAskFurther() const;
   /// @return engines of a pool that may have it once more, where none of it stands.
   std::set<std::string> AskOnceMore() const;
-  /// @return engines that it may not be sent to now.
+  /// @return engines that it may not be sent to.
+  std::set<std::string> Barred() const;
+  /// @return engines that it is not sent to now: those, and for a second attempt heads that are
+  /// silent, while another one takes it.
   std::set<std::string> LeftOut() const;
+  /// @return heads of a pool whose streams at this node stand still.
+  std::set<std::string> SilentHeads() const;
+  /// @return whether an engine beside those could take it, as far as this node knows.
+  bool HasTargetBeside(const std::set<std::string>& aLeftOut) const;
   /// @return whether a place that was granted is one that it may go to.
   bool IsUsable(const Place& aPlace) const;
   /// @return whether another engine could take it, as far as this node knows.
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -204,8 +204,36 @@
   return engines;
 }
 
+std::set<std::string>
+Exchange::SilentHeads() const
+{
+  std::set<std::string> heads;
+  const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
+  if (replicas == mCore->mPlan->mReplicas.end()) {
+    return heads;
+  }
+  for (const auto& it : replicas->second) {
+    if (mCore->mStalls.Silence(it.mHead.mId, mCore->Now()) > StallOptions().mSuspectAfter) {
+      heads.insert(it.mHead.mId);
+    }
+  }
+  return heads;
+}
+
 std::set<std::string>
 Exchange::LeftOut() const
+{
+  std::set<std::string> barred = Barred();
+  if (!mService->mPool || mSent == 0) {
+    return barred;
+  }
+  std::set<std::string> all = SilentHeads();
+  all.insert(barred.begin(), barred.end());
+  return HasTargetBeside(all) ? all : barred; // one that is silent may go on
+}
+
+std::set<std::string>
+Exchange::Barred() const
 {
   std::set<std::string> engines = mTried;
   if (MayAskFurther() || !mService->mPool) {
@@ -231,16 +259,22 @@
 }
 
 bool
-Exchange::HasTarget() const
+Exchange::HasTargetBeside(const std::set<std::string>& aLeftOut) const
 {
-  const auto plan = mCore->mPlan;
+  const TrafficPlan& plan = *mCore->mPlan;
+  const Balancer& balancer = mCore->mBalancer;
   const TimePoint now = mCore->Now();
   if (!mService->mPool) {
-    return mCore->mBalancer.PickEngine(
-             *plan, mService->mName, LeftOut(), !mRoute->Repeatable(), now) != nullptr;
+    return balancer.PickEngine(plan, mService->mName, aLeftOut, !mRoute->Repeatable(), now) !=
+           nullptr;
   }
-  return mCore->mBalancer.PickReplica(*plan, *mService, mFacts.mModel, LeftOut(), now).mReplica !=
-         nullptr;
+  return balancer.PickReplica(plan, *mService, mFacts.mModel, aLeftOut, now).mReplica != nullptr;
+}
+
+bool
+Exchange::HasTarget() const
+{
+  return HasTargetBeside(Barred());
 }
 
 bool
--- a/src/pepperbay/relay/relay_attempts_test.cpp
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -242,5 +242,42 @@
   EXPECT_EQ(third.Requests(), 0);
 }
 
+/// Guards against a stream whose second engine is silent as well while another would take it: the
+/// last of the engines that its route allows is used up there.
+TEST_F(RelayAttempts, AStreamDoesNotMoveToAHeadThatStandsStillForThisNode)
+{
+  FirstEngine first;
+  FirstEngine silent;
+  RawEngine sound([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first.mEngine, &silent.mEngine, &sound });
+  auto& replicas = mPlan.mReplicas["pool"];
+  replicas[2].mSuspended = true;
+  replicas[2].mHead.mDataCentre = "far"; // the other one would be chosen
+  Publish();
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  replicas[0].mSuspended = true;
+  replicas[1].mSuspended = false;
+  Publish();
+  auto other = AskStream();
+  silent.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  replicas[0].mLost = true;
+  replicas[2].mSuspended = false;
+  mClock.Advance(kStandsStill);
+  Publish();
+  mClock.WaitForTicks();
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(silent.mRequests, 1);
+  EXPECT_EQ(sound.Requests(), 1);
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  silent.mEnd.set_value();
+  first.mEnd.set_value();
+  TextOf(std::move(other));
+}
+
 } // namespace
 } // namespace pepperbay
