--- /dev/null
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -0,0 +1,283 @@
+/// How many engines a stream is sent to, and which of them may have it once more.
+#include "pepperbay/base/hash.hpp"
+#include "relay_moves_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// After this a head whose replica is called lost counts as one that stands still.
+constexpr milliseconds kStandsStill{ 200 };
+
+class RelayAttempts : public RelayMoves
+{
+protected:
+  /// An engine that refuses some requests, then serves.
+  static RawEngine::Script RefuseFirst(int aRefusals, std::atomic<int>* aRequests)
+  {
+    return [aRefusals, aRequests](RawConnection& aConnection) {
+      if (aConnection.ReadRequest().empty()) {
+        return; // it was only tried whether it listens
+      }
+      aConnection.Write(++*aRequests <= aRefusals ? std::string(kRefusal)
+                                                  : StreamHead() + kEventB + kStreamEnd);
+    };
+  }
+
+  /// An engine that writes an event and ends its connection when it is told to; from then on it
+  /// serves.
+  struct FirstEngine
+  {
+    void Script(RawConnection& aConnection)
+    {
+      if (aConnection.ReadRequest().empty()) {
+        return;
+      }
+      if (mRequests++ > 0) {
+        aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+        return;
+      }
+      aConnection.Write(StreamHead() + kEventA);
+      mBegan.set_value();
+      mEnd.get_future().wait();
+      aConnection.Reset();
+    }
+
+    std::atomic<int> mRequests{ 0 };
+    std::promise<void> mBegan;
+    std::promise<void> mEnd;
+    RawEngine mEngine{ [this](RawConnection& aConnection) { Script(aConnection); } };
+  };
+
+  /// Wait for the next question to the desk. @return it
+  proto::PlaceMessage AwaitQuestion()
+  {
+    for (;;) {
+      {
+        const std::lock_guard<std::mutex> lock(mEndsMutex);
+        while (mQuestionsSeen < mSentToDesks.size()) {
+          proto::PlaceMessage message;
+          message.ParseFromString(mSentToDesks[mQuestionsSeen++]);
+          if (message.has_ask()) {
+            return message;
+          }
+        }
+      }
+      std::this_thread::yield();
+    }
+  }
+
+  /// The desk grants a place at the n-th engine.
+  void Grant(const proto::PlaceMessage& aQuestion, std::size_t aEngine)
+  {
+    const PoolReplica& replica = mPlan.mReplicas["pool"][aEngine];
+    proto::PlaceMessage message;
+    message.set_node("desk");
+    auto* answer = message.mutable_answer();
+    answer->set_id(aQuestion.ask().id());
+    answer->set_outcome(proto::PlaceAnswer::GRANTED);
+    answer->set_group(replica.mGroup);
+    answer->set_epoch(replica.mEpoch);
+    answer->set_head(replica.mHead.mId);
+    answer->set_address(replica.mHead.mAddress);
+    answer->set_desk_address("127.0.0.1:1");
+    asio::post(mContext,
+               [this, bytes = message.SerializeAsString()] { mRelay->OnDeskMessage(bytes); });
+  }
+
+  std::size_t mQuestionsSeen = 0;
+
+  void AwaitRefusal() const
+  {
+    while (mRefusals == 0) {
+      std::this_thread::yield();
+    }
+  }
+};
+
+/// Guards against a stream that is cut when its first engine dies, since a refusal of its second
+/// engine has used up those that its route allows.
+TEST_F(RelayAttempts, AnEngineThatHasRefusedTakesTheStreamWhoseFirstEngineDies)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(1, &requests));
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(kStandsStill);
+  AwaitRefusal();
+  Pass(milliseconds(300));
+  EXPECT_EQ(requests, 1) << "asked again while its first engine may only pause";
+  first.mEnd.set_value();
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(requests, 2);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// The same where the first engine is dark: nothing of its end shows.
+TEST_F(RelayAttempts, AnEngineThatHasRefusedTakesTheStreamWhoseFirstEngineStaysSilent)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(1, &requests));
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(kStandsStill);
+  AwaitRefusal();
+  Pass(seconds(1));
+  const std::string text = TextOf(std::move(answer));
+  first.mEnd.set_value();
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Guards against a stream that is cut though the head that worked on it has formed anew.
+TEST_F(RelayAttempts, AHeadThatHasFormedAnewTakesItsStreamAgain)
+{
+  FirstEngine first;
+  std::promise<void> asked;
+  RawEngine second([&](RawConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(StreamHead());
+      aConnection.Reset();
+      asked.set_value();
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(kStandsStill);
+  asked.get_future().wait();
+  AwaitLine("attempt_failed");
+  FirstReplica().mLost = false;
+  FirstReplica().mEpoch += 1;
+  Publish();
+  mClock.WaitForTicks();
+  first.mEnd.set_value();
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(first.mRequests, 2);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+}
+
+/// Guards against a stream that is sent to more engines than its route allows.
+TEST_F(RelayAttempts, AStreamIsSentToNoThirdEngineWhateverTheOthersDo)
+{
+  constexpr int kAlways = 1000;
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(kAlways, &requests));
+  RawEngine third([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first.mEngine, &second, &third });
+  mPlan.mReplicas["pool"][2].mSuspended = true;
+  Publish();
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(kStandsStill);
+  AwaitRefusal();
+  mPlan.mReplicas["pool"][2].mSuspended = false;
+  Publish();
+  Pass(milliseconds(300));
+  first.mEnd.set_value();
+  Pass(seconds(2));
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_FALSE(Has(text, kStreamEnd)) << text;
+  EXPECT_EQ(third.Requests(), 0);
+  EXPECT_EQ(requests, 2) << "once more, and no third time";
+}
+
+/// Guards against a stream that a desk, which does not know how many engines it was sent to, sends
+/// to one more than its route allows.
+TEST_F(RelayAttempts, APlaceAtAThirdEngineIsGivenBack)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(1, &requests));
+  RawEngine third([](RawConnection& aConnection) { aConnection.ReadRequest(); });
+  mPlan.mIsDesk = false;
+  mPlan.mDesks = { { "desk", "127.0.0.1:1" } };
+  Serve({ &first.mEngine, &second, &third });
+  OfferSecond();
+  auto answer = AskStream();
+  Grant(AwaitQuestion(), 0);
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  Publish();
+  mClock.Advance(kStandsStill);
+  Grant(AwaitQuestion(), 1);
+  AwaitRefusal();
+  mClock.Advance(milliseconds(300));
+  mClock.WaitForTicks();
+  first.mEnd.set_value();
+  const proto::PlaceMessage question = AwaitQuestion();
+  const std::set<std::uint32_t> tried(question.ask().tried().begin(), question.ask().tried().end());
+  EXPECT_EQ(tried, (std::set<std::uint32_t>{ ShortId("e0"), ShortId("e2") }));
+  Grant(question, 2);
+  mClock.WaitForTicks();
+  mClock.Advance(milliseconds(250));
+  Grant(AwaitQuestion(), 1);
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  EXPECT_EQ(third.Requests(), 0);
+}
+
+/// Guards against a stream whose second engine is silent as well while another would take it: the
+/// last of the engines that its route allows is used up there.
+TEST_F(RelayAttempts, AStreamDoesNotMoveToAHeadThatStandsStillForThisNode)
+{
+  FirstEngine first;
+  FirstEngine silent;
+  RawEngine sound([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEventB + kStreamEnd);
+  });
+  Serve({ &first.mEngine, &silent.mEngine, &sound });
+  auto& replicas = mPlan.mReplicas["pool"];
+  replicas[2].mSuspended = true;
+  replicas[2].mHead.mDataCentre = "far"; // the other one would be chosen
+  Publish();
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  replicas[0].mSuspended = true;
+  replicas[1].mSuspended = false;
+  Publish();
+  auto other = AskStream();
+  silent.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  replicas[0].mLost = true;
+  replicas[2].mSuspended = false;
+  mClock.Advance(kStandsStill);
+  Publish();
+  mClock.WaitForTicks();
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(silent.mRequests, 1);
+  EXPECT_EQ(sound.Requests(), 1);
+  EXPECT_TRUE(Has(text, kStreamEnd)) << text;
+  silent.mEnd.set_value();
+  first.mEnd.set_value();
+  TextOf(std::move(other));
+}
+
+} // namespace
+} // namespace pepperbay
