--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -154,6 +154,8 @@
                pepperbay_platform_fakes)
 pepperbay_test(platform_reach_soak_test ${CMAKE_SOURCE_DIR}/platform/reach_soak_test.cpp
                pepperbay_platform_fakes)
+pepperbay_test(platform_pause_soak_test ${CMAKE_SOURCE_DIR}/platform/pause_soak_test.cpp
+               pepperbay_platform_fakes)
 add_executable(pepperbay_fake_platform platform/fake/main.cpp)
 target_link_libraries(pepperbay_fake_platform PRIVATE pepperbay_platform_fakes absl::flags
                       absl::flags_parse pepperbay_warnings)
