More peers are asked at each step while those before say nothing

Callers of a node that is cut on silent paths, whose first seven peers carry nothing (frozen, or cut as well), waited 0.7 to 0.8 s for their first answer.

Cause: one more peer was asked every 20 ms, each step late by the tick, so some five of eight within the 120 ms of a connection. The next look at the engine's path is 500 ms later.

Change: one, three, then all others, 20 ms apart, steps not put off by a late tick. Where the first one answers in time it is the only one asked, as before.

The connector takes its dial and its questions to peers as hooks, so that ConnectorWorld drives it in virtual time.

--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -7,6 +7,11 @@
 
 namespace asio = boost::asio;
 
+namespace {
+/// All of eight peers are asked in three steps, within the time that a connection has.
+constexpr std::size_t kAskGrowth = 3;
+}
+
 Connecting::Connecting(EngineConnector* aConnector,
                        AttemptTarget aEngine,
                        EngineConnector::Done aDone)
@@ -22,7 +27,7 @@
 Connecting::Start()
 {
   mNextPeerAt = mBegun + mConnector->mOptions.mPeerAfter;
-  if (mConnector->WayTo(mEngine.mEngine) == Way::kDirect || !AskPeer()) {
+  if (mConnector->WayTo(mEngine.mEngine) == Way::kDirect || !AskMorePeers()) {
     BeginDirect();
   }
 }
@@ -32,11 +37,12 @@
 {
   mDirect = Direct::kOnItsWay;
   mDirectBegun = mConnector->Now();
-  Dial(mSocket, mEngine.mAddress, [self = shared_from_this()](boost::system::error_code aError) {
-    if (!self->Over()) {
-      self->OnDirect(aError);
-    }
-  });
+  mConnector->mHooks.mDial(
+    mSocket, mEngine.mAddress, [self = shared_from_this()](boost::system::error_code aError) {
+      if (!self->Over()) {
+        self->OnDirect(aError);
+      }
+    });
 }
 
 void
@@ -81,19 +87,30 @@
   request.mFrom = mConnector->mOptions.mNode;
   request.mKey = peer->mKey;
   request.mWithin = mConnector->mOptions.mTimeout / 2; // its word has to come in time as well
-  const auto opening = std::make_shared<TunnelOpening>(mConnector->mContext);
-  mOpenings[peer->mNode] = { opening, now };
-  opening->Start(*peer,
-                 mEngine.mAddress,
-                 request,
-                 [self = shared_from_this(), name = peer->mNode](OpenedTunnel aTunnel) {
-                   if (!self->Over()) {
-                     self->OnPeer(name, std::move(aTunnel));
-                   }
-                 });
+  auto cancel = mConnector->mHooks.mAskPeer(
+    mConnector->mContext,
+    *peer,
+    mEngine.mAddress,
+    request,
+    [self = shared_from_this(), name = peer->mNode](OpenedTunnel aTunnel) {
+      if (!self->Over()) {
+        self->OnPeer(name, std::move(aTunnel));
+      }
+    });
+  mOpenings[peer->mNode] = { std::move(cancel), now };
   return true;
 }
 
+bool
+Connecting::AskMorePeers()
+{
+  bool asked = false;
+  for (std::size_t n = std::exchange(mAskNext, mAskNext * kAskGrowth); n > 0 && AskPeer(); --n) {
+    asked = true;
+  }
+  return asked;
+}
+
 void
 Connecting::OnPeer(const std::string& aPeer, OpenedTunnel aTunnel)
 {
@@ -193,10 +210,11 @@
     return;
   }
   if (now >= mNextPeerAt) {
-    mNextPeerAt = now + mConnector->mOptions.mPeerAfter;
-    if (!AskPeer() && mDirect == Direct::kNotBegun) {
+    const TimePoint next = mNextPeerAt + mConnector->mOptions.mPeerAfter;
+    if (!AskMorePeers() && mDirect == Direct::kNotBegun) {
       BeginDirect();
     }
+    mNextPeerAt = next; // not later by what the tick was late
   }
 }
 
@@ -204,7 +222,7 @@
 Connecting::Finish(EngineConnection aConnection)
 {
   for (auto& [peer, asked] : std::exchange(mOpenings, {})) {
-    asked.mOpening->Cancel();
+    asked.mCancel();
     if (mConnector->Now() - asked.mAt >= mConnector->mOptions.mPeerAfter) {
       mConnector->mPeers.OnFailed(peer, mConnector->Now());
     }
@@ -220,7 +238,7 @@
 {
   mDone = nullptr;
   for (auto& [peer, asked] : std::exchange(mOpenings, {})) {
-    asked.mOpening->Cancel();
+    asked.mCancel();
   }
   CloseNow(mSocket);
 }
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -31,6 +31,9 @@
   static Direct FailureOf(boost::system::error_code aError);
   /// @return whether there was one more to ask.
   bool AskPeer();
+  /// Those that were asked have said nothing for a while: ask others beside them.
+  /// @return whether there was one more to ask
+  bool AskMorePeers();
   void OnPeer(const std::string& aPeer, OpenedTunnel aTunnel);
   /// Go on after one way has failed: ask the next peer, or end.
   void OnWayFailed();
@@ -46,13 +49,14 @@
   EngineConnector::Done mDone;
   TimePoint mBegun{};
   TimePoint mNextPeerAt{};
+  std::size_t mAskNext = 1; ///< peers to ask at once then
   Direct mDirect = Direct::kNotBegun;
   TimePoint mDirectBegun{};
   std::string mWhy; ///< what was wrong with the direct connection
   Socket mSocket;
   struct AskedPeer
   {
-    std::shared_ptr<TunnelOpening> mOpening;
+    std::function<void()> mCancel;
     TimePoint mAt{};
   };
   std::map<std::string, AskedPeer> mOpenings; ///< by peer
--- /dev/null
+++ b/src/pepperbay/relay/connector_world.hpp
@@ -0,0 +1,209 @@
+/// @file
+/// @brief A connector of one node before engines and peers that exist in virtual time only.
+#pragma once
+
+#include "engine_connector.hpp"
+
+#include <boost/asio/error.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pepperbay {
+
+enum class PathKind
+{
+  kOpen,
+  kSilent, ///< nothing comes through
+  kRefuses,
+};
+
+enum class PeerKind
+{
+  kCarries,
+  kLate,   ///< carries, and takes long to answer
+  kFull,   ///< carries nothing now
+  kFrozen, ///< takes the question and says nothing
+  kGone,   ///< no process listens
+  kCut,    ///< reaches no engine either, on silent paths
+};
+
+class ConnectorWorld
+{
+public:
+  static constexpr std::chrono::milliseconds kRoundTrip{ 4 };
+  static constexpr std::chrono::milliseconds kLate{ 16 };
+  static constexpr std::chrono::seconds kRetransmission{ 1 }; ///< of a lost SYN
+
+  explicit ConnectorWorld(int aEngines, const std::string& aNode = "node")
+    : mConnector(mContext, Options(aNode), Hooks())
+  {
+    for (int i = 0; i < aEngines; ++i) {
+      const std::string id = "e" + std::to_string(i);
+      mEngines.push_back({ id, id, {}, "c0" });
+    }
+  }
+
+  void SetPeers(const ProxyPeers& aPeers)
+  {
+    mConnector.SetPeers(std::make_shared<const ProxyPeers>(aPeers));
+  }
+
+  /// Let time pass. Ticks come at any phase.
+  void Run(Duration aFor)
+  {
+    constexpr std::chrono::milliseconds kStep{ 1 };
+    for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
+      mClock.Advance(kStep);
+      while (!mDue.empty() && mDue.begin()->first <= mClock.Now()) {
+        const auto what = mDue.begin()->second;
+        mDue.erase(mDue.begin());
+        what();
+      }
+      if (mClock.Now() >= mTickDue) {
+        mTickDue += mTick;
+        mConnector.Tick();
+      }
+    }
+  }
+
+  /// One request without a kept connection, that goes on to other engines as the relay does.
+  /// @return how long it took until a connection stood; nothing where none did
+  std::optional<Duration> Request(std::size_t aFirst)
+  {
+    constexpr std::size_t kConnects = 3;
+    const TimePoint begun = mClock.Now();
+    for (std::size_t i = 0; i < kConnects; ++i) {
+      std::optional<bool> stands;
+      mConnector.Connect(mEngines[(aFirst + i) % mEngines.size()],
+                         [&stands](const EngineConnection& aConnection) {
+                           stands = aConnection.mSocket.has_value();
+                         });
+      while (!stands) {
+        Run(std::chrono::milliseconds(1));
+      }
+      if (*stands) {
+        return mClock.Now() - begun;
+      }
+    }
+    return std::nullopt;
+  }
+
+  bool Paused(const std::string& aEngine) const
+  {
+    const auto it = mPausedUntil.find(aEngine);
+    return it != mPausedUntil.end() && mClock.Now() < it->second;
+  }
+
+  ManualClock mClock;
+  PathKind mPath = PathKind::kOpen;              ///< of this node to all engines
+  std::map<std::string, PathKind> mPathTo;       ///< to single engines, where it is another
+  std::map<std::string, TimePoint> mPausedUntil; ///< engines whose kernel takes no connection
+  std::map<std::string, PeerKind> mPeerKinds;    ///< others carry
+  std::vector<AttemptTarget> mEngines;
+  Duration mTick = std::chrono::milliseconds(20); ///< as the relay has it
+  int mAvoided = 0;                               ///< times that the node has taken itself for cut
+  int mAsked = 0;                                 ///< questions to peers
+
+private:
+  static EngineConnectorOptions Options(const std::string& aNode)
+  {
+    EngineConnectorOptions options;
+    options.mNode = aNode;
+    options.mDataCentre = "c0";
+    return options;
+  }
+
+  EngineConnectorHooks Hooks()
+  {
+    EngineConnectorHooks hooks;
+    hooks.mNow = mClock.Hook();
+    hooks.mOnAvoid = [this](bool aAvoids) { mAvoided += aAvoids ? 1 : 0; };
+    hooks.mEngines = [this] { return mEngines; };
+    hooks.mOnCarried = [] {};
+    hooks.mKeep = [](const AttemptTarget&, const EngineSocket&) {};
+    hooks.mDial = [this](Socket&, const std::string& aAddress, auto aDone) {
+      After(kRoundTrip, [this, aAddress, done = std::move(aDone)] { Answer(aAddress, done); });
+    };
+    hooks.mAskPeer = [this](boost::asio::io_context&,
+                            const ProxyPeer& aPeer,
+                            const std::string& aAddress,
+                            const TunnelRequest& aRequest,
+                            const TunnelOpening::Done& aDone) {
+      ++mAsked;
+      Ask(aPeer.mNode, aAddress, aRequest, aDone);
+      return [] {}; // one that is over takes no answer
+    };
+    return hooks;
+  }
+
+  void After(Duration aAfter, std::function<void()> aWhat)
+  {
+    mDue.emplace(mClock.Now() + aAfter, std::move(aWhat));
+  }
+
+  void Answer(const std::string& aAddress,
+              const std::function<void(boost::system::error_code)>& aDone)
+  {
+    const auto it = mPathTo.find(aAddress);
+    const PathKind path = it == mPathTo.end() ? mPath : it->second;
+    if (path == PathKind::kRefuses) {
+      aDone(boost::asio::error::make_error_code(boost::asio::error::connection_refused));
+    } else if (path == PathKind::kSilent || Paused(aAddress)) {
+      After(kRetransmission, [this, aAddress, aDone] { Answer(aAddress, aDone); });
+    } else {
+      aDone({});
+    }
+  }
+
+  void Ask(const std::string& aPeer,
+           const std::string& aAddress,
+           const TunnelRequest& aRequest,
+           const TunnelOpening::Done& aDone)
+  {
+    const auto it = mPeerKinds.find(aPeer);
+    switch (it == mPeerKinds.end() ? PeerKind::kCarries : it->second) {
+      case PeerKind::kCarries:
+        After(kRoundTrip, [=] { Carry(aAddress, aRequest, aDone); });
+        return;
+      case PeerKind::kLate:
+        After(kRoundTrip + kLate, [=] { Carry(aAddress, aRequest, aDone); });
+        return;
+      case PeerKind::kFull:
+        After(kRoundTrip, [aDone] { aDone({ TunnelAnswer::kNotNow, false, std::nullopt }); });
+        return;
+      case PeerKind::kFrozen:
+        return;
+      case PeerKind::kGone:
+        After(kRoundTrip, [aDone] { aDone({}); });
+        return;
+      case PeerKind::kCut:
+        After(aRequest.mWithin, [aDone] { aDone({ TunnelAnswer::kSilent, false, std::nullopt }); });
+        return;
+    }
+  }
+
+  void Carry(const std::string& aAddress,
+             const TunnelRequest& aRequest,
+             const TunnelOpening::Done& aDone)
+  {
+    if (Paused(aAddress)) {
+      After(aRequest.mWithin, [aDone] { aDone({ TunnelAnswer::kSilent, true, std::nullopt }); });
+      return;
+    }
+    OpenedTunnel tunnel;
+    tunnel.mAnswer = TunnelAnswer::kOpen;
+    tunnel.mSocket.emplace(mContext, boost::asio::ip::tcp::v4());
+    aDone(std::move(tunnel));
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  std::multimap<TimePoint, std::function<void()>> mDue;
+  TimePoint mTickDue = mClock.Now();
+
+public:
+  EngineConnector mConnector;
+};
+
+} // namespace pepperbay
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -23,6 +23,18 @@
   std::function<void(bool)> mDone; ///< null once it is over
 };
 
+std::function<void()>
+OpenTunnel(boost::asio::io_context& aContext,
+           const ProxyPeer& aPeer,
+           const std::string& aAddress,
+           const TunnelRequest& aRequest,
+           TunnelOpening::Done aDone)
+{
+  const auto opening = std::make_shared<TunnelOpening>(aContext);
+  opening->Start(aPeer, aAddress, aRequest, std::move(aDone));
+  return [opening] { opening->Cancel(); };
+}
+
 EngineConnector::EngineConnector(boost::asio::io_context& aContext,
                                  EngineConnectorOptions aOptions,
                                  EngineConnectorHooks aHooks)
@@ -135,7 +147,7 @@
   trial->mUntil = Now() + mOptions.mTimeout;
   trial->mDone = std::move(aDone);
   mTrials.push_back(trial);
-  Dial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
+  mHooks.mDial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
     if (!trial->mDone) {
       return;
     }
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -65,6 +65,25 @@
   std::size_t mMostFailing = 3;
 };
 
+/// Begins a connection; see Dial().
+using DialFn = std::function<
+  void(Socket&, const std::string& aAddress, std::function<void(boost::system::error_code)> aDone)>;
+
+/// Asks a peer for a connection to an engine. @return what ends the question without an answer
+using AskPeerFn = std::function<std::function<void()>(boost::asio::io_context&,
+                                                      const ProxyPeer&,
+                                                      const std::string& aAddress,
+                                                      const TunnelRequest&,
+                                                      TunnelOpening::Done)>;
+
+/// Asks over the network, with a TunnelOpening.
+std::function<void()>
+OpenTunnel(boost::asio::io_context& aContext,
+           const ProxyPeer& aPeer,
+           const std::string& aAddress,
+           const TunnelRequest& aRequest,
+           TunnelOpening::Done aDone);
+
 struct EngineConnectorHooks
 {
   NowFn mNow;
@@ -76,6 +95,8 @@
   std::function<void()> mOnCarried;
   /// A connection that was only tried stands, and may be used.
   std::function<void(const AttemptTarget&, EngineSocket)> mKeep;
+  DialFn mDial = &Dial;
+  AskPeerFn mAskPeer = &OpenTunnel;
 };
 
 class Connecting;
