Peers that have failed take turns, those of other data centres too

Callers of a node whose data centre is cut whole were refused for up to some seconds after the peer that had carried stopped and another one began to, though that one would have carried.

Cause: of the peers that have failed lately, those of the node's own data centre went before those of others, and three in all were asked for one connection: the three were always of the data centre that is cut. Peers that had not failed used up the same three.

Change: among peers that fail the one asked longest ago goes first, wherever it is; three of them are asked besides those that have not failed.

--- a/src/pepperbay/reach/proxy_choice.cpp
+++ b/src/pepperbay/reach/proxy_choice.cpp
@@ -88,10 +88,13 @@
     if (aTried.count(it.mNode) != 0) {
       continue;
     }
-    const bool aside = it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
+    const bool fails = Fails(it.mNode, aNow);
+    // Of those that fail, all have their turn: a data centre may be cut whole.
+    const bool aside =
+      !fails && it.mDataCentre != aDataCentre && it.mDataCentre != mOptions.mDataCentre;
     const auto open = mOpen->find(it.mNode);
     const auto asked = mAsked.find(it.mNode);
-    const Rank rank{ Fails(it.mNode, aNow),
+    const Rank rank{ fails,
                      aside,
                      open == mOpen->end() ? 0 : open->second,
                      asked == mAsked.end() ? 0 : asked->second,
--- a/src/pepperbay/reach/proxy_choice_test.cpp
+++ b/src/pepperbay/reach/proxy_choice_test.cpp
@@ -116,6 +116,28 @@
   EXPECT_FALSE(choice.Usable("stranger", clock.Now()));
 }
 
+/// Guards against a node of a data centre that is cut whole, which asks the peers of that data
+/// centre again and again and none of the others.
+TEST(ProxyChoiceTest, PeersAsideHaveTheirTurnWhereAllHaveFailed)
+{
+  ManualClock clock;
+  ProxyChoice choice(InCentre());
+  choice.SetPeers(Shared(Peers(2, 4)));
+  std::set<std::string> asked;
+  while (const ProxyPeer* peer = choice.Pick("c0", asked, clock.Now())) {
+    asked.insert(peer->mNode);
+    choice.OnAsked(peer->mNode);
+    choice.OnFailed(peer->mNode, clock.Now());
+  }
+  std::set<std::string> again;
+  for (int i = 0; i < 8; ++i) {
+    const std::string peer = choice.Pick("c0", {}, clock.Now())->mNode;
+    again.insert(peer);
+    choice.OnAsked(peer);
+  }
+  EXPECT_EQ(again.size(), 8U);
+}
+
 /// Guards against a node that keeps an entry for each peer there has ever been.
 TEST(ProxyChoiceTest, WhatAPeerFailedAtIsForgottenWithThePeer)
 {
--- a/src/pepperbay/relay/connecting.cpp
+++ b/src/pepperbay/relay/connecting.cpp
@@ -75,10 +75,14 @@
 {
   const TimePoint now = mConnector->Now();
   const ProxyPeer* peer = mConnector->mPeers.Pick(mEngine.mDataCentre, mAsked, now);
-  const bool enough = mAsked.size() >= mConnector->mOptions.mMostFailing;
-  if (peer == nullptr || (enough && !mConnector->mPeers.Usable(peer->mNode, now))) {
+  if (peer == nullptr) {
     return false;
   }
+  const bool fails = !mConnector->mPeers.Usable(peer->mNode, now);
+  if (fails && mFailingAsked >= mConnector->mOptions.mMostFailing) {
+    return false;
+  }
+  mFailingAsked += fails ? 1 : 0;
   mAsked.insert(peer->mNode);
   mConnector->mPeers.OnAsked(peer->mNode);
   mNextPeerAt = now + mConnector->mOptions.mPeerAfter;
--- a/src/pepperbay/relay/connecting.hpp
+++ b/src/pepperbay/relay/connecting.hpp
@@ -61,6 +61,7 @@
   };
   std::map<std::string, AskedPeer> mOpenings; ///< by peer
   std::set<std::string> mAsked;               ///< peers
+  std::size_t mFailingAsked = 0;              ///< of these, that had failed lately
   int mHeardOf = 0;                           ///< peers that had a word on the engine
   int mRefusals = 0; ///< of these, that the engine refuses them and others do not
 };
--- a/src/pepperbay/relay/connector_peers_test.cpp
+++ b/src/pepperbay/relay/connector_peers_test.cpp
@@ -4,11 +4,14 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 namespace pepperbay {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr std::size_t kMostProxies = 8;
 constexpr std::size_t kEngines = 40;
@@ -49,6 +52,66 @@
   return peers;
 }
 
+struct Answers
+{
+  int mAsked = 0;
+  int mServed = 0;
+};
+
+/// Requests one after the other, with pauses that are drawn.
+void
+RequestsFor(Answers* aAnswers, ConnectorWorld* aWorld, Duration aFor)
+{
+  for (const TimePoint end = aWorld->mClock.Now() + aFor; aWorld->mClock.Now() < end;) {
+    aWorld->Run(milliseconds(*rc::gen::inRange(1, 250)));
+    const auto took = aWorld->Request(*rc::gen::inRange<std::size_t>(0, kEngines));
+    ++aAnswers->mAsked;
+    aAnswers->mServed += took ? 1 : 0;
+  }
+}
+
+/// Peers of the node's own data centre are cut as well; of the others one carries connections.
+void
+DrawKinds(const ProxyPeers& aPeers, ConnectorWorld* aWorld)
+{
+  ProxyPeers far;
+  for (const auto& it : aPeers) {
+    aWorld->mPeerKinds[it.mNode] = PeerKind::kCut;
+    if (it.mDataCentre != "c0") {
+      far.push_back(it);
+    }
+  }
+  for (const auto& it : far) {
+    aWorld->mPeerKinds[it.mNode] =
+      *rc::gen::element(PeerKind::kFull, PeerKind::kFrozen, PeerKind::kGone, PeerKind::kCut);
+  }
+  aWorld->mPeerKinds[far[*rc::gen::inRange<std::size_t>(0, far.size())].mNode] =
+    *rc::gen::element(PeerKind::kCarries, PeerKind::kLate);
+}
+
+/// Guards against a node of a data centre that is cut whole whose callers fail for longer than a
+/// second, though at each moment one of its peers carries connections.
+RC_GTEST_PROP(ConnectorPeers, ACutNodeWithOneGoodPeerServesAsOthersDo, ())
+{
+  const auto [nodes, centres] =
+    *rc::gen::element(std::pair{ 60, 4 }, std::pair{ 75, 5 }, std::pair{ 295, 5 });
+  const std::string node = "n" + std::to_string(centres * *rc::gen::inRange(0, nodes / centres));
+  const ProxyPeers peers = PeersOf(node, Fleet(nodes, centres));
+  ConnectorWorld world(kEngines, node);
+  world.SetPeers(peers);
+  world.Run(milliseconds(*rc::gen::inRange(1, 20)));
+  world.mPath = *rc::gen::element(PathKind::kSilent, PathKind::kRefuses);
+  DrawKinds(peers, &world);
+  Answers first;
+  RequestsFor(&first, &world, seconds(1));
+  Answers later;
+  for (int change = 0; change < 4; ++change) {
+    RequestsFor(&later, &world, milliseconds(*rc::gen::inRange(500, 3000)));
+    DrawKinds(peers, &world);
+  }
+  RC_ASSERT(later.mServed >= 0.98 * later.mAsked);
+}
+
 /// Guards against a node that asks peers one after the other, while the only one that carries is
 /// the last, so that the first request waits for longer than a connection may take.
 TEST(ConnectorPeers, TheLastOfEightPeersIsAskedWhileTheFirstConnectionIsMade)
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -60,8 +60,7 @@
   /// after twice the time, up to the most, for as long as that goes on.
   Duration mLookAgain = std::chrono::milliseconds(500);
   Duration mLookAgainMost = std::chrono::seconds(4);
-  /// Once so many peers have been asked for one connection, only those are that have not failed
-  /// lately.
+  /// So many of the peers that have failed lately are asked for one connection, after the others.
   std::size_t mMostFailing = 3;
 };
 
