A path fault at one engine is checked at another before a node counts as cut

An idle node took itself for cut, said so to all others and went through peers, after one engine had paused for 5 to 44 ms and more while a connection to it was made: a SYN that got lost in the pause is sent again after a second, a peer that is asked 20 ms later gets through.

Cause: one path fault, and no byte of any engine since that connection began, was read as a cut of all paths. On a node with little to do, nothing else is heard in 20 ms.

Change: the first such fault waits for a connection to another engine, for 20 ms and a tick; a fault at a second engine meanwhile counts at once. Requests go through the peer that has answered all the while.

A look for sight at an engine that pauses still finds none, and says so: that leaves a verdict open, which is the safe side. It is stated by a test.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -91,7 +91,7 @@
                         relay_kept_test.cpp relay_retries_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp relay_sight_test.cpp relay_peers_test.cpp
-                        connector_peers_test.cpp
+                        connector_peers_test.cpp connector_sight_test.cpp
                   USES settings membership quarantine reach admission routing dispatch places retries tunnel
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
 pepperbay_library(edge SOURCES edge_node.cpp edge_metrics.cpp
--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -109,7 +109,7 @@
     engines.begin(), engines.end(), [&reached](const auto& aIt) { return aIt.mEngine == reached; });
   const auto engine = it == engines.end() ? NextToTry("") : std::make_optional(*it);
   if (engine) {
-    Try(*engine, [this](bool aStands) {
+    Try(*engine, mOptions.mTimeout, [this](bool aStands) {
       if (!aStands) {
         mWays.OnBadProbe(Now());
       }
@@ -141,10 +141,12 @@
 }
 
 void
-EngineConnector::Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone)
+EngineConnector::Try(const AttemptTarget& aEngine,
+                     Duration aWithin,
+                     std::function<void(bool aStands)> aDone)
 {
   const auto trial = std::make_shared<Trial>(mContext, aEngine);
-  trial->mUntil = Now() + mOptions.mTimeout;
+  trial->mUntil = Now() + aWithin;
   trial->mDone = std::move(aDone);
   mTrials.push_back(trial);
   mHooks.mDial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
@@ -175,7 +177,7 @@
     aDone(false);
     return;
   }
-  Try(*other, std::move(aDone));
+  Try(*other, mOptions.mTimeout, std::move(aDone));
 }
 
 void
@@ -235,6 +237,25 @@
 
 void
 EngineConnector::OnPathFault(const std::string& aEngine, TimePoint aBegun)
+{
+  if (mFaultLooked == aEngine) {
+    return;
+  }
+  const bool undecided = mFaultLooked.empty() && !Avoids() && mHeardAt < aBegun;
+  const auto other = undecided ? NextToTry(aEngine) : std::nullopt;
+  if (!other) {
+    NotePathFault(aEngine, aBegun);
+    return;
+  }
+  mFaultLooked = aEngine;
+  Try(*other, mOptions.mPeerAfter, [this, aEngine, aBegun](bool /*aStands*/) {
+    mFaultLooked.clear();
+    NotePathFault(aEngine, aBegun); // an engine that answered was heard after `aBegun`
+  });
+}
+
+void
+EngineConnector::NotePathFault(const std::string& aEngine, TimePoint aBegun)
 {
   mWays.OnPathFault(aEngine, aBegun, Now());
   TellAvoid();
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -151,12 +151,15 @@
 
   TimePoint Now() const { return mHooks.mNow(); }
   void OnConnected(const std::string& aEngine);
+  /// A peer has reached an engine that this node has not. Whether that is all engines' paths is
+  /// seen from another one first: this one may just have paused.
   void OnPathFault(const std::string& aEngine, TimePoint aBegun);
+  void NotePathFault(const std::string& aEngine, TimePoint aBegun);
   void TellAvoid();
   /// Try whether own connections to engines stand again.
   void TryWay();
   /// Try a connection of this node's own, only to see whether it stands.
-  void Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone);
+  void Try(const AttemptTarget& aEngine, Duration aWithin, std::function<void(bool aStands)> aDone);
   /// @return an engine to try, another each time; null where there is none.
   std::optional<AttemptTarget> NextToTry(const std::string& aExcept);
   /// @return whether there is any engine but this one.
@@ -182,6 +185,7 @@
   std::unordered_map<std::string, Looked> mLooked; ///< by engine
   std::uint64_t mLastId = 0;
   std::size_t mTried = 0;
+  std::string mFaultLooked; ///< the engine whose path fault waits for a look at another one
   bool mToldAvoid = false;
 };
 
