A test of its own for peers that failed and are asked after all others

ConnectorPeers.OneThatFailedIsAskedAfterAllThatHaveNot fails with it, checked by hand with the mutant's expression; the mutant is aimed at this test.

--- a/scripts/mutants/reach.sh
+++ b/scripts/mutants/reach.sh
@@ -54,7 +54,7 @@
 mutant "peers aside have no turn once all have failed" $s/reach/proxy_choice.cpp \
   's/      !fails \&\& it.mDataCentre/      it.mDataCentre/' reach_proxy_choice_test '*PeersAside*'
 mutant "peers that have failed take no part once three were asked" $s/relay/connecting.cpp \
-  's/fails \&\& mFailingAsked >= /fails \&\& mAsked.size() >= /' relay_connector_peers_test '*ACutNode*'
+  's/fails \&\& mFailingAsked >= /fails \&\& mAsked.size() >= /' relay_connector_peers_test '*OneThatFailed*'
 mutant "what was heard before a failure is sight" $s/coordinator/engine_doubts.cpp \
   's/question.mUnansweredHere \&\& question.mSees/question.mUnansweredHere/' coordinator_coordinator_reach_test '*OneOther*'
 mutant "a kept connection is sight" $s/coordinator/coordinator_reach.cpp \
--- a/src/pepperbay/relay/connector_peers_test.cpp
+++ b/src/pepperbay/relay/connector_peers_test.cpp
@@ -131,6 +131,26 @@
   }
 }
 
+/// Guards against a connection that is given up while one peer that would carry it has not been
+/// asked, since it failed a while ago and some that have not failed were asked before it.
+TEST(ConnectorPeers, OneThatFailedIsAskedAfterAllThatHaveNot)
+{
+  ConnectorWorld world(kEngines);
+  ProxyPeers peers = OneGoodOfEight(PeerKind::kCarries, &world);
+  peers.front().mDataCentre = "c0"; // so that it has its turn
+  world.mPeerKinds["good"] = PeerKind::kFull;
+  world.SetPeers(peers);
+  world.mPath = PathKind::kRefuses;
+  for (std::size_t i = 0; i < kMostProxies; ++i) {
+    ASSERT_TRUE(world.Request(i).has_value());
+  }
+  for (const auto& it : peers) {
+    world.mPeerKinds[it.mNode] = PeerKind::kFull;
+  }
+  world.mPeerKinds["good"] = PeerKind::kCarries;
+  EXPECT_TRUE(world.Connects(0));
+}
+
 /// Guards against a node that asks many peers for each connection though the first one answers.
 TEST(ConnectorPeers, WhereThePeersCarryOneIsAskedForEachConnection)
 {
--- a/src/pepperbay/relay/connector_world.hpp
+++ b/src/pepperbay/relay/connector_world.hpp
@@ -68,6 +68,19 @@
     }
   }
 
+  /// @return whether one connection to an engine stands.
+  bool Connects(std::size_t aEngine)
+  {
+    std::optional<bool> stands;
+    mConnector.Connect(mEngines[aEngine], [&stands](const EngineConnection& aConnection) {
+      stands = aConnection.mSocket.has_value();
+    });
+    while (!stands) {
+      Run(std::chrono::milliseconds(1));
+    }
+    return *stands;
+  }
+
   /// One request without a kept connection, that goes on to other engines as the relay does.
   /// @return how long it took until a connection stood; nothing where none did
   std::optional<Duration> Request(std::size_t aFirst)
@@ -75,15 +88,7 @@
     constexpr std::size_t kConnects = 3;
     const TimePoint begun = mClock.Now();
     for (std::size_t i = 0; i < kConnects; ++i) {
-      std::optional<bool> stands;
-      mConnector.Connect(mEngines[(aFirst + i) % mEngines.size()],
-                         [&stands](const EngineConnection& aConnection) {
-                           stands = aConnection.mSocket.has_value();
-                         });
-      while (!stands) {
-        Run(std::chrono::milliseconds(1));
-      }
-      if (*stands) {
+      if (Connects((aFirst + i) % mEngines.size())) {
         return mClock.Now() - begun;
       }
     }
