--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -23,6 +23,18 @@
   std::function<void(bool)> mDone; ///< null once it is over
 };
 
+std::function<void()>
+OpenTunnel(boost::asio::io_context& aContext,
+           const ProxyPeer& aPeer,
+           const std::string& aAddress,
+           const TunnelRequest& aRequest,
+           TunnelOpening::Done aDone)
+{
+  const auto opening = std::make_shared<TunnelOpening>(aContext);
+  opening->Start(aPeer, aAddress, aRequest, std::move(aDone));
+  return [opening] { opening->Cancel(); };
+}
+
 EngineConnector::EngineConnector(boost::asio::io_context& aContext,
                                  EngineConnectorOptions aOptions,
                                  EngineConnectorHooks aHooks)
@@ -97,7 +109,7 @@
     engines.begin(), engines.end(), [&reached](const auto& aIt) { return aIt.mEngine == reached; });
   const auto engine = it == engines.end() ? NextToTry("") : std::make_optional(*it);
   if (engine) {
-    Try(*engine, [this](bool aStands) {
+    Try(*engine, mOptions.mTimeout, [this](bool aStands) {
       if (!aStands) {
         mWays.OnBadProbe(Now());
       }
@@ -129,13 +141,15 @@
 }
 
 void
-EngineConnector::Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone)
+EngineConnector::Try(const AttemptTarget& aEngine,
+                     Duration aWithin,
+                     std::function<void(bool aStands)> aDone)
 {
   const auto trial = std::make_shared<Trial>(mContext, aEngine);
-  trial->mUntil = Now() + mOptions.mTimeout;
+  trial->mUntil = Now() + aWithin;
   trial->mDone = std::move(aDone);
   mTrials.push_back(trial);
-  Dial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
+  mHooks.mDial(trial->mSocket, aEngine.mAddress, [this, trial](boost::system::error_code aError) {
     if (!trial->mDone) {
       return;
     }
@@ -163,7 +177,7 @@
     aDone(false);
     return;
   }
-  Try(*other, std::move(aDone));
+  Try(*other, mOptions.mTimeout, std::move(aDone));
 }
 
 void
@@ -223,6 +237,25 @@
 
 void
 EngineConnector::OnPathFault(const std::string& aEngine, TimePoint aBegun)
+{
+  if (mFaultLooked == aEngine) {
+    return;
+  }
+  const bool undecided = mFaultLooked.empty() && !Avoids() && mHeardAt < aBegun;
+  const auto other = undecided ? NextToTry(aEngine) : std::nullopt;
+  if (!other) {
+    NotePathFault(aEngine, aBegun);
+    return;
+  }
+  mFaultLooked = aEngine;
+  Try(*other, mOptions.mPeerAfter, [this, aEngine, aBegun](bool /*aStands*/) {
+    mFaultLooked.clear();
+    NotePathFault(aEngine, aBegun); // an engine that answered was heard after `aBegun`
+  });
+}
+
+void
+EngineConnector::NotePathFault(const std::string& aEngine, TimePoint aBegun)
 {
   mWays.OnPathFault(aEngine, aBegun, Now());
   TellAvoid();
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -60,11 +60,29 @@
   /// after twice the time, up to the most, for as long as that goes on.
   Duration mLookAgain = std::chrono::milliseconds(500);
   Duration mLookAgainMost = std::chrono::seconds(4);
-  /// Once so many peers have been asked for one connection, only those are that have not failed
-  /// lately.
+  /// So many of the peers that have failed lately are asked for one connection, after the others.
   std::size_t mMostFailing = 3;
 };
 
+/// Begins a connection; see Dial().
+using DialFn = std::function<
+  void(Socket&, const std::string& aAddress, std::function<void(boost::system::error_code)> aDone)>;
+
+/// Asks a peer for a connection to an engine. @return what ends the question without an answer
+using AskPeerFn = std::function<std::function<void()>(boost::asio::io_context&,
+                                                      const ProxyPeer&,
+                                                      const std::string& aAddress,
+                                                      const TunnelRequest&,
+                                                      TunnelOpening::Done)>;
+
+/// Asks over the network, with a TunnelOpening.
+std::function<void()>
+OpenTunnel(boost::asio::io_context& aContext,
+           const ProxyPeer& aPeer,
+           const std::string& aAddress,
+           const TunnelRequest& aRequest,
+           TunnelOpening::Done aDone);
+
 struct EngineConnectorHooks
 {
   NowFn mNow;
@@ -76,6 +94,8 @@
   std::function<void()> mOnCarried;
   /// A connection that was only tried stands, and may be used.
   std::function<void(const AttemptTarget&, EngineSocket)> mKeep;
+  DialFn mDial = &Dial;
+  AskPeerFn mAskPeer = &OpenTunnel;
 };
 
 class Connecting;
@@ -131,12 +151,15 @@
 
   TimePoint Now() const { return mHooks.mNow(); }
   void OnConnected(const std::string& aEngine);
+  /// A peer has reached an engine that this node has not. Whether that is all engines' paths is
+  /// seen from another one first: this one may just have paused.
   void OnPathFault(const std::string& aEngine, TimePoint aBegun);
+  void NotePathFault(const std::string& aEngine, TimePoint aBegun);
   void TellAvoid();
   /// Try whether own connections to engines stand again.
   void TryWay();
   /// Try a connection of this node's own, only to see whether it stands.
-  void Try(const AttemptTarget& aEngine, std::function<void(bool aStands)> aDone);
+  void Try(const AttemptTarget& aEngine, Duration aWithin, std::function<void(bool aStands)> aDone);
   /// @return an engine to try, another each time; null where there is none.
   std::optional<AttemptTarget> NextToTry(const std::string& aExcept);
   /// @return whether there is any engine but this one.
@@ -162,6 +185,7 @@
   std::unordered_map<std::string, Looked> mLooked; ///< by engine
   std::uint64_t mLastId = 0;
   std::size_t mTried = 0;
+  std::string mFaultLooked; ///< the engine whose path fault waits for a look at another one
   bool mToldAvoid = false;
 };
 
