Counters of engines that ended and of pauses that replicas outlived

ended_engines_total by evidence and paused_engines_total tell whether the longest pause is the right one: many engines that end by silence, or none that pauses.

--- a/src/pepperbay/coordinator/coordinator_pools.cpp
+++ b/src/pepperbay/coordinator/coordinator_pools.cpp
@@ -321,6 +321,10 @@
 {
   mChanged = true;
   LogVerdict(aEngine, aVerdict);
+  mCounters.mPauses += aVerdict.mLostBy || aVerdict.mEnded ? 0 : 1;
+  if (aVerdict.mLostBy && aVerdict.mEnded) {
+    ++mCounters.mEndedEngines[ToString(aVerdict.mEvidence)];
+  }
   const auto planner = mPlanners.find(aEngine.mService);
   if (!aVerdict.mLostBy) {
     if (planner != mPlanners.end()) {
--- a/src/pepperbay/coordinator/coordinator_reach_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_reach_test.cpp
@@ -307,6 +307,7 @@
     mWorld.Run(milliseconds(500));
     EXPECT_EQ(mWorld.mOrders[GroupOrderKind::kJoin] + mWorld.mOrders[GroupOrderKind::kLeave], 0);
   }
+  EXPECT_EQ(mWorld.Holder().mCoordinator->Counters().mPauses, 2U);
 }
 
 /// Guards against a replica that waits long, or for ever, for a member that is silent for good.
@@ -315,6 +316,7 @@
   Silence(mMembers.back());
   const Duration took = UntilJoin(seconds(5));
   EXPECT_GT(took, GroupPlannerOptions().mPauseMost);
+  EXPECT_EQ(mWorld.Holder().mCoordinator->Counters().mEndedEngines.at("silent"), 1U);
   EXPECT_LE(took, milliseconds(2500));
 }
 
@@ -325,6 +327,23 @@
   EXPECT_LE(UntilJoin(seconds(5)), milliseconds(800));
 }
 
+/// Guards against a replica that waits out a pause for a member that is not listed, though its host
+/// says that it has ended.
+TEST_F(CoordinatorReachAndPauses, AnUnlistedEngineWhoseHostRefusesIsReplacedWithoutASuspicion)
+{
+  const std::string member = mMembers.back();
+  mWorld.mPool.At(member).mListed = false;
+  mWorld.mEngineLog.Put(member, std::nullopt);
+  mWorld.Run(seconds(1));
+  mWorld.mPool.End(member);
+  for (auto& it : mWorld.mNodes) {
+    it.mCoordinator->SetInFlight({}, true);
+  }
+  mWorld.mOrders.clear();
+  mWorld.Run(milliseconds(800));
+  EXPECT_GT(mWorld.mOrders[GroupOrderKind::kJoin], 0);
+}
+
 /// Guards against a new holder that takes a pause for an end.
 TEST_F(CoordinatorReachAndPauses, ANewHolderWaitsForAnEngineThatPauses)
 {
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -123,6 +123,9 @@
     Counter("carried_from_engines_bytes_total", "For other nodes", relay.mTunnels.mFromEngines),
     Gauge("holds_lease", "This node gives the orders", aFigures.mHoldsLease ? 1 : 0),
     Counters("lost_engines_total", "Engines found not to answer", "by", control.mLostEngines),
+    Counters(
+      "ended_engines_total", "Lost engines that had ended", "evidence", control.mEndedEngines),
+    Counter("paused_engines_total", "Lost engines that went on", control.mPauses),
     Counter("undecided_engines_total", "Too few nodes had a word on them", control.mUndecided),
     Counter("asks_total", "Questions to engines", control.mAsks),
     Counters("orders_total", "Orders to engines", "order", control.mOrders),
