--- a/scripts/mutants/reach.sh
+++ b/scripts/mutants/reach.sh
@@ -51,6 +51,10 @@
   's/asked.mAt >= mConnector->mOptions.mPeerAfter/asked.mAt >= std::chrono::hours(1)/' relay_relay_peers_test '*frozen_reset*'
 mutant "three peers are asked and no more" $s/relay/connecting.cpp \
   's/fails \&\& mFailingAsked >= /mAsked.size() >= /' relay_relay_peers_test '*gone_silent*'
+mutant "one more peer is asked at a time" $s/relay/connecting.cpp \
+  's/kAskGrowth = 3;/kAskGrowth = 1;/' relay_connector_peers_test '*TheLastOfEight*'
+mutant "a fault at one engine is a cut" $s/relay/engine_connector.cpp \
+  's/ \&\& !Avoids\(\) \&\& mHeardAt < aBegun/ \&\& false/' relay_connector_sight_test '*APauseOf*'
 mutant "peers aside have no turn once all have failed" $s/reach/proxy_choice.cpp \
   's/      !fails \&\& it.mDataCentre/      it.mDataCentre/' reach_proxy_choice_test '*PeersAside*'
 mutant "peers that have failed take no part once three were asked" $s/relay/connecting.cpp \
