Tests of plain services whose engine pauses for a second and a half

A request that may run only once waits for its answer, before it and in the middle of it, with a deadline of four seconds; a safe one is answered by its first engine though the second refuses.

--- a/src/pepperbay/relay/relay_pauses_test.cpp
+++ b/src/pepperbay/relay/relay_pauses_test.cpp
@@ -162,5 +162,75 @@
   second.GoOn("");
 }
 
+/// An engine of a plain service that pauses before its answer, and in the middle of it.
+struct PlainPause
+{
+  const char* mWhat;
+  const char* mBefore;
+  const char* mAfter;
+};
+
+class RelayPlainPauses
+  : public RelayPauses
+  , public testing::WithParamInterface<PlainPause>
+{
+protected:
+  std::future<std::string> AskPlain(const std::string& aPath)
+  {
+    return std::async(std::launch::async, [this, aPath] {
+      return Ask(Post(aPath, "x", "Key: k1\r\nLeft-Ms: 4000\r\n"));
+    });
+  }
+
+  static std::string Begun(const char* aBody)
+  {
+    return std::string(kHead) + "Content-Length: 4\r\n\r\n" + aBody;
+  }
+};
+
+/// Guards against a 502 or 504 for a request that may run only once, before its deadline.
+TEST_P(RelayPlainPauses, ARequestThatMayRunOnceWaitsForItsAnswer)
+{
+  const bool begun = *GetParam().mBefore != '\0';
+  PausingEngine first(begun ? Begun(GetParam().mBefore) : "");
+  Serve({ &first.mEngine, &first.mEngine });
+  auto answer = AskPlain("/once/");
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  Pass(kPause);
+  EXPECT_EQ(Counters().mFailed, 0U);
+  first.GoOn(begun ? GetParam().mAfter : Begun(GetParam().mAfter));
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(StatusOf(text), 200) << text;
+  EXPECT_TRUE(Has(text, "okok")) << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(Pauses,
+                         RelayPlainPauses,
+                         testing::Values(PlainPause{ "before", "", "okok" },
+                                         PlainPause{ "middle", "ok", "ok" }),
+                         [](const auto& aInfo) { return std::string(aInfo.param.mWhat); });
+
+/// Guards against a safe request that fails while its engine pauses and a second one refuses.
+TEST_F(RelayPauses, ASafeRequestOutlastsAPauseThoughASecondEngineRefuses)
+{
+  PausingEngine first("");
+  RawEngine second([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(kRefusal);
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = std::async(std::launch::async, [this] { return Ask(Get("/safe/")); });
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  OfferSecond();
+  mClock.Advance(seconds(12)); // past the part of the objective after which a second is asked
+  Pass(kPause);
+  first.GoOn(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  EXPECT_EQ(StatusOf(TextOf(std::move(answer))), 200);
+  EXPECT_EQ(second.Requests(), 1);
+}
+
 } // namespace
 } // namespace pepperbay
