--- a/src/pepperbay/relay/relay_attempts_test.cpp
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -50,10 +50,11 @@
     RawEngine mEngine{ [this](RawConnection& aConnection) { Script(aConnection); } };
   };
 
-  /// Wait for the next question to the desk. @return it
+  /// Wait for the next question to the desk. @return it; an empty one when none comes
   proto::PlaceMessage AwaitQuestion()
   {
-    for (;;) {
+    const TimePoint until = BootClock::now() + seconds(10);
+    while (BootClock::now() < until) {
       {
         const std::lock_guard<std::mutex> lock(mEndsMutex);
         while (mQuestionsSeen < mSentToDesks.size()) {
@@ -66,6 +67,8 @@
       }
       std::this_thread::yield();
     }
+    ADD_FAILURE() << "the desk was not asked";
+    return {};
   }
 
   /// The desk grants a place at the n-th engine.
