--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -75,7 +75,8 @@
                         coordinator_messages_test.cpp
                         coordinator_registrations_test.cpp coordinator_restored_test.cpp
                         coordinator_suspects_test.cpp coordinator_chains_test.cpp
-                        coordinator_reach_test.cpp coordinator_pauses_test.cpp
+                        coordinator_reach_test.cpp coordinator_pauses_test.cpp coordinator_pauses_beside_test.cpp
+                        coordinator_ended_test.cpp
                         coordinator_many_engines_test.cpp coordinator_limits_test.cpp
                         engine_calls_test.cpp engine_doubts_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp sight_looks_test.cpp
