A pause counts from the first question that it leaves unanswered

What callers could see: a replica formed anew 0.64 s after a pause began, with its streams reset. The head's streams stand still for another member's sake; the head answers a question, pauses itself, and its silence counted from that answer. An answer that is newer than what the streams tell shows now that the silence begins with the question.

--- a/src/pepperbay/coordinator/coordinator_pauses_beside_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_pauses_beside_test.cpp
@@ -96,5 +96,23 @@
   CheckNothingHappened(world);
 }
 
+/// Guards against a pause that counts from an answer of well before it: the head of a group pauses
+/// while another member does, and was last asked some time before.
+TEST(CoordinatorPausesInTurn, AHeadThatPausesAfterItsMemberIsNotEndedEarly)
+{
+  for (int nodes : { 3, 5 }) {
+    for (int after = 300; after < 1500; after += 20) {
+      PausingWorld world(nodes);
+      const std::string head = world.Head(0);
+      world.Pause(world.Member(0), milliseconds(1500));
+      world.Go(milliseconds(after));
+      world.Pause(head, milliseconds(1500));
+      world.GoBeyondPauses(seconds(1));
+      EXPECT_TRUE(world.mHarmful.empty())
+        << nodes << " nodes, " << after << " ms: " << testing::PrintToString(world.mHarmful);
+    }
+  }
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/engine_doubts.cpp
+++ b/src/pepperbay/coordinator/engine_doubts.cpp
@@ -71,7 +71,9 @@
   const TimePoint now = mHooks.mNow();
   const auto heard = mHeard.find(aEngine);
   const TimePoint told = std::min(aTold.value_or(now), now);
-  return heard == mHeard.end() ? told : std::max(told, heard->second);
+  // What was told is older than an answer: something else kept the streams, and the silence begins
+  // with this question.
+  return heard != mHeard.end() && heard->second > told ? now : told;
 }
 
 bool
--- a/src/pepperbay/coordinator/engine_doubts_test.cpp
+++ b/src/pepperbay/coordinator/engine_doubts_test.cpp
@@ -412,5 +412,40 @@
   EXPECT_LE(took, EngineDoubtsOptions().mPauseMost + milliseconds(600));
 }
 
+/// Guards against a pause that counts from a word of well before it. A member's pause makes the
+/// head's streams stand still; the head answers, and pauses itself just before it is asked again.
+TEST_F(EngineDoubtsFromTwoPlaces, APauseCountsFromTheFirstQuestionItLeavesUnanswered)
+{
+  mClock.Advance(seconds(5));
+  const TimePoint still = mClock.Now();
+  mClock.Advance(milliseconds(180));
+  mDoubts.Ask(mEngine, still);
+  Round(Word::kAnswer, Word::kAnswer);
+  ASSERT_FALSE(mDoubts.IsLost("a"));
+  mClock.Advance(milliseconds(1000)); // nobody has asked it
+  const TimePoint paused = mClock.Now();
+  mDoubts.Ask(mEngine, still);
+  UntilEnded();
+  EXPECT_GE(mClock.Now() - paused, EngineDoubtsOptions().mPauseMost - milliseconds(40));
+}
+
+/// The same with streams that are watched, whose silence is told again every 200 ms.
+TEST_F(EngineDoubtsFromTwoPlaces, APauseCountsFromTheFirstQuestionItLeavesUnansweredOften)
+{
+  mClock.Advance(seconds(5));
+  const TimePoint still = mClock.Now();
+  for (int i = 0; i < 3; ++i) {
+    mClock.Advance(milliseconds(200));
+    mDoubts.Ask(mEngine, still);
+    Round(Word::kAnswer, Word::kAnswer);
+  }
+  mClock.Advance(milliseconds(190));
+  const TimePoint paused = mClock.Now();
+  mClock.Advance(milliseconds(10));
+  mDoubts.Ask(mEngine, still);
+  UntilEnded();
+  EXPECT_GE(mClock.Now() - paused, EngineDoubtsOptions().mPauseMost);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/dispatch/asked_engines_test.cpp
+++ b/src/pepperbay/dispatch/asked_engines_test.cpp
@@ -81,5 +81,18 @@
   }
 }
 
+/// Guards against an engine that refused once, was not reached the second time, and so was never
+/// asked again.
+TEST(AskedEnginesTest, OneThatRefusedMayBeAskedAfterAConnectionThatDidNotStand)
+{
+  AskedEngines asked;
+  asked.OnSent("e1", { "g1", 7 });
+  asked.OnNotTaken("e1");
+  asked.OnSent("e1", { "g1", 7 });
+  asked.OnUnreached("e1");
+  const auto never = [](const std::string&, const AskedReplica&) { return false; };
+  EXPECT_EQ(asked.OnceMore(never), std::set<std::string>{ "e1" });
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/relay/connector_sight_test.cpp
+++ b/src/pepperbay/relay/connector_sight_test.cpp
@@ -31,6 +31,40 @@
   }
 }
 
+/// Guards against a node that takes itself for cut since two engines paused at once, and were
+/// reached by a peer a moment later: only the first of the two faults is checked at another engine.
+TEST(ConnectorSight, APauseOfTwoEnginesMakesNoNodeBlind)
+{
+  for (int pause = 1; pause < 120; ++pause) {
+    ConnectorWorld world(5);
+    world.SetPeers(TwoPeers());
+    world.Run(seconds(1));
+    world.mPausedUntil["e0"] = world.mClock.Now() + milliseconds(pause);
+    world.mPausedUntil["e1"] = world.mClock.Now() + milliseconds(pause);
+    world.mConnector.Connect(world.mEngines[0], [](const EngineConnection&) {});
+    world.mConnector.Connect(world.mEngines[1], [](const EngineConnection&) {});
+    world.Run(milliseconds(300));
+    EXPECT_EQ(world.mAvoided, 0) << "a pause of " << pause << " ms";
+  }
+}
+
+/// The same where the second pauses longer, and is the one by which the node judges its sight.
+TEST(ConnectorSight, APauseOfTheEngineThatIsLookedAtMakesNoNodeBlind)
+{
+  for (int pause = 1; pause < 120; ++pause) {
+    for (int other = 1; other < 5; ++other) {
+      ConnectorWorld world(5);
+      world.SetPeers(TwoPeers());
+      world.Run(seconds(1));
+      world.mPausedUntil["e0"] = world.mClock.Now() + milliseconds(pause);
+      world.mPausedUntil["e" + std::to_string(other)] = world.mClock.Now() + seconds(1);
+      world.Request(0);
+      world.Run(milliseconds(300));
+      EXPECT_EQ(world.mAvoided, 0) << "a pause of " << pause << " ms, other " << other;
+    }
+  }
+}
+
 /// Guards against a node that is cut and goes on trying its own connections.
 TEST(ConnectorSight, ACutIsKnownSoonAfterTheFirstPathFault)
 {
--- a/src/pepperbay/relay/relay_attempts_test.cpp
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -2,6 +2,11 @@
 #include "pepperbay/base/hash.hpp"
 #include "relay_moves_fixture.hpp"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace pepperbay {
 namespace {
 
@@ -123,6 +128,125 @@
   EXPECT_TRUE(Has(text, kStreamEnd)) << text;
 }
 
+/// The same on a route that allows more engines than there are.
+TEST_F(RelayAttempts, AnEngineThatHasRefusedTakesTheStreamOfARouteThatAllowsMoreEngines)
+{
+  mStreamAttempts = 3;
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(1, &requests));
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(kStandsStill);
+  AwaitRefusal();
+  Pass(milliseconds(300));
+  first.mEnd.set_value();
+  mClock.WaitForTicks();
+  Pass(milliseconds(2000));
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(requests, 2);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+}
+
+/// A listener that takes no connection: its queue is full.
+struct DeafListener
+{
+  DeafListener()
+  {
+    mListener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::listen(mListener, 0);
+    socklen_t size = sizeof(address);
+    ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
+    mAddress = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    for (int i = 0; i < 4; ++i) {
+      const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      mSockets.push_back(socket);
+    }
+  }
+  ~DeafListener()
+  {
+    for (const int it : mSockets) {
+      ::close(it);
+    }
+    ::close(mListener);
+  }
+  int mListener = -1;
+  std::string mAddress;
+  std::vector<int> mSockets;
+};
+
+/// Guards against a pause, in which a second engine took no connection, that costs a stream that
+/// engine for good: it goes on nowhere once its first engine ends.
+TEST_F(RelayAttempts, AnEngineThatPausedTakesTheStreamWhoseFirstEngineDies)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine second(RefuseFirst(0, &requests));
+  DeafListener deaf;
+  Serve({ &first.mEngine, &second });
+  const std::string address = mPlan.mReplicas["pool"][1].mHead.mAddress;
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  mPlan.mReplicas["pool"][1].mHead.mAddress = deaf.mAddress;
+  OfferSecond();
+  Pass(milliseconds(600)); // both pause
+  EXPECT_GE(Counters().mConnectsFailed["connect: no answer"], 1U);
+  FirstReplica().mLost = false;
+  mPlan.mReplicas["pool"][1].mHead.mAddress = address;
+  Publish();
+  Pass(milliseconds(200)); // both are well
+  first.mEnd.set_value();
+  mClock.WaitForTicks();
+  Pass(milliseconds(2000));
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(requests, 1);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+}
+
+/// Guards against a pause of three engines, which took no connection, that leaves a stream with no
+/// second attempt for good, though other engines are well.
+TEST_F(RelayAttempts, AStreamThatMetThreePausesGoesOnAtAFourthEngine)
+{
+  FirstEngine first;
+  std::atomic<int> requests{ 0 };
+  RawEngine fourth(RefuseFirst(0, &requests));
+  DeafListener deaf;
+  Serve({ &first.mEngine, &fourth });
+  auto answer = AskStream();
+  first.mBegan.get_future().wait();
+  mClock.WaitForTicks();
+  for (const char* id : { "d1", "d2", "d3" }) {
+    PoolReplica replica = mPlan.mReplicas["pool"][0];
+    replica.mGroup = std::string("r") + id;
+    replica.mHead = { id, deaf.mAddress, "" };
+    mPlan.mReplicas["pool"].push_back(replica);
+  }
+  FirstReplica().mLost = true;
+  Publish();
+  Pass(milliseconds(1500)); // all of them pause
+  EXPECT_GE(Counters().mConnectsFailed["connect: no answer"], 3U);
+  FirstReplica().mLost = false;
+  OfferSecond();
+  Pass(milliseconds(200));
+  first.mEnd.set_value();
+  mClock.WaitForTicks();
+  Pass(milliseconds(2000));
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_EQ(requests, 1);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+}
+
 /// The same where the first engine is dark: nothing of its end shows.
 TEST_F(RelayAttempts, AnEngineThatHasRefusedTakesTheStreamWhoseFirstEngineStaysSilent)
 {
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -122,6 +122,7 @@
     configuration.mRoutes = { MakeRoute("/safe/", RequestKind::kSafe, "plain"),
                               MakeRoute("/once/", RequestKind::kUnrepeatable, "plain"),
                               MakeRoute("/stream/", RequestKind::kStream, "pool") };
+    configuration.mRoutes.back().mMaxAttempts = mStreamAttempts;
     for (auto& it : configuration.mRoutes) {
       it.mPublic = it.mName != "/once/";
     }
@@ -242,6 +243,7 @@
   std::mutex mEndsMutex;
   std::condition_variable mEndsChanged;
   std::vector<SeenEnd> mEnds;
+  int mStreamAttempts = 2; ///< engines to which a stream may be sent
   std::vector<SeenLine> mLines;
   std::vector<std::string> mSentToDesks; ///< bytes of messages, in order
   std::atomic<bool> mReaches{ true };    ///< engines, by this node's own connections
--- a/src/pepperbay/relay/relay_pauses_test.cpp
+++ b/src/pepperbay/relay/relay_pauses_test.cpp
@@ -162,6 +162,69 @@
   second.GoOn("");
 }
 
+/// Guards against a pause that ends a stream which had waited before: its silence counts from when
+/// it was sent, and not from the head's last word.
+TEST_F(RelayPauses, AStreamThatHasWaitedForLongOutlastsAShortPauseOfItsHead)
+{
+  PausingEngine first("");
+  RawEngine second([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(kRefusal);
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(milliseconds(100)); // a first pause, in which the second engine refuses
+  FirstReplica().mLost = false;
+  mPlan.mReplicas["pool"][1].mSuspended = true;
+  Publish();
+  Pass(milliseconds(2500)); // it waits at a head that is well
+  FirstReplica().mLost = true;
+  Publish();
+  Pass(milliseconds(300)); // a short pause
+  const auto failed = Counters().mFailed;
+  const auto cut = Counters().mCut;
+  const auto refused = Counters().mRefused;
+  EXPECT_EQ(failed + cut + refused, 0U) << failed << cut << refused;
+  first.GoOn(StreamHead() + kEventA + kStreamEnd);
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_GE(second.Requests(), 1);
+  EXPECT_EQ(StatusOf(text), 200) << text;
+}
+
+/// The same for a stream that has begun and was set aside by its head for others.
+TEST_F(RelayPauses, AStreamThatStoodAsideForLongOutlastsAShortPauseOfItsHead)
+{
+  PausingEngine first(StreamHead() + kEventA);
+  RawEngine second([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(kRefusal);
+    }
+  });
+  Serve({ &first.mEngine, &second });
+  auto answer = AskStream();
+  first.AwaitRequest();
+  mClock.WaitForTicks();
+  FirstReplica().mLost = true;
+  OfferSecond();
+  Pass(milliseconds(300));
+  FirstReplica().mLost = false;
+  mPlan.mReplicas["pool"][1].mSuspended = true;
+  Publish();
+  Pass(milliseconds(2500));
+  FirstReplica().mLost = true;
+  Publish();
+  Pass(milliseconds(300));
+  first.GoOn(std::string(kEventB) + kStreamEnd);
+  const std::string text = TextOf(std::move(answer));
+  EXPECT_GE(second.Requests(), 1);
+  EXPECT_TRUE(Has(text, "data: b")) << text;
+}
+
 /// An engine of a plain service that pauses before its answer, and in the middle of it.
 struct PlainPause
 {
