A stream that has waited for long outlasts a short pause of its head

Callers got 502 replica_lost, or a cut stream, 0.3 s into a pause: where no further engine might be asked, silence counted from when the stream was sent or from its own last event, also while its head was well and wrote others. It counts now from when the plan began to speak against the replica, if that is later.

--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -46,9 +46,10 @@
   TimePoint mSentAt{};
   std::optional<TimePoint> mHeadAt; ///< its answer began: it runs the request
   TimePoint mLastEventAt{};
-  TimePoint mHeardAt{};  ///< its last byte; the zero time for none
-  bool mWriting = false; ///< it has given an event
-  bool mWatched = false; ///< its silence counts: nothing else keeps its events back
+  TimePoint mHeardAt{};                ///< its last byte; the zero time for none
+  std::optional<TimePoint> mLostSince; ///< the plan speaks against its replica since then
+  bool mWriting = false;               ///< it has given an event
+  bool mWatched = false;               ///< its silence counts: nothing else keeps its events back
   bool mRepeats = false; ///< its engine was counted for a sending whose connection was stale
   bool mStale = false;   ///< it went on a kept connection that was closed without an answer
   bool mFailed = false;  ///< it has come to nothing
@@ -235,7 +236,9 @@
   bool IsCutOff(const Sending& aSending) const;
   /// @return whether another engine is to be asked for what this one was sent.
   bool ShouldLeave(const Sending& aSending) const;
-  /// @return whether it stands still, is said to be lost, and has given nothing for so long.
+  /// Keep the time at which the plan began to speak against a sending's replica.
+  void NoteLoss(Sending* aSending) const;
+  /// @return whether it stands still, is said to be lost, and has given nothing for so long since.
   bool IsSilentFor(const Sending& aSending, Duration aFor) const;
   /// @return whether the second engine is let go though no end of it shows.
   bool IsNextHopeless() const;
@@ -288,7 +291,7 @@
   std::optional<Sending> mNext; ///< asked as well, in case the current one stands still
   std::string mNextWhy;         ///< why it was asked
   std::uint64_t mLastSerial = 0;
-  std::set<std::string> mTried; ///< engines that come into question no more
+  std::set<std::string> mTried;     ///< engines that come into question no more
   AskedEngines mAsked;
   std::optional<StaleConnection> mStale; ///< the last, until it is known what became of its engine
   bool mAvoidsKept = false;   ///< a connection was closed under it; kept ones may be dead as well
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -27,9 +27,23 @@
   return MayAskFurther() && !IsHeldBack() && HasTarget() && HasBudget();
 }
 
+void
+Exchange::NoteLoss(Sending* aSending) const
+{
+  if (!SaidToBeLost(*aSending)) {
+    aSending->mLostSince.reset();
+  } else if (!aSending->mLostSince) {
+    aSending->mLostSince = mCore->Now();
+  }
+}
+
 void
 Exchange::AskSecondIfDue()
 {
+  NoteLoss(&mCurrent);
+  if (mNext) {
+    NoteLoss(&*mNext);
+  }
   if (mNext && IsNextHopeless()) {
     // While it is asked, no other engine is, and the first one's end is not looked at either.
     DropNext("replica_lost", true);
@@ -88,7 +102,9 @@
 bool
 Exchange::IsSilentFor(const Sending& aSending, Duration aFor) const
 {
-  const TimePoint last = aSending.mWriting ? aSending.mLastEventAt : aSending.mSentAt;
+  // A stream may have waited at a head that was well until then.
+  const TimePoint last = std::max(aSending.mWriting ? aSending.mLastEventAt : aSending.mSentAt,
+                                  aSending.mLostSince.value_or(mCore->Now()));
   return mCore->Now() - last > aFor && SaidToBeLost(aSending) && StandsStill(aSending);
 }
 
