Engines that refused once, or took no connection, stay in question for a stream

Callers saw streams cut though a sound engine was there: a second engine that took no connection in a pause was barred for the rest of the stream; three such connections left no target for ever; and one that refused was asked once more only where the route's engines were used up, not where there were no others. A second engine whose connection did not stand comes after the others now and its failure is not counted, since nobody waited for it; without a target beside those tried, one that refused is asked once more.

--- a/include/pepperbay/dispatch/asked_engines.hpp
+++ b/include/pepperbay/dispatch/asked_engines.hpp
@@ -47,6 +47,7 @@
   {
     int mTimes = 0;
     bool mNotTaken = false;
+    bool mRefusedBefore = false; ///< mNotTaken, before the last sending
     AskedReplica mReplica;
   };
 
--- a/src/pepperbay/dispatch/asked_engines.cpp
+++ b/src/pepperbay/dispatch/asked_engines.cpp
@@ -14,7 +14,7 @@
 {
   Asked& asked = mEngines[aEngine];
   ++asked.mTimes;
-  asked.mNotTaken = false;
+  asked.mRefusedBefore = std::exchange(asked.mNotTaken, false);
   asked.mReplica = std::move(aReplica);
 }
 
@@ -22,7 +22,11 @@
 AskedEngines::OnUnreached(const std::string& aEngine)
 {
   const auto it = mEngines.find(aEngine);
-  if (it != mEngines.end() && --it->second.mTimes <= 0) {
+  if (it == mEngines.end()) {
+    return;
+  }
+  it->second.mNotTaken = it->second.mRefusedBefore;
+  if (--it->second.mTimes <= 0) {
     mEngines.erase(it);
   }
 }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -292,6 +292,7 @@
   std::string mNextWhy;         ///< why it was asked
   std::uint64_t mLastSerial = 0;
   std::set<std::string> mTried;     ///< engines that come into question no more
+  std::set<std::string> mUnreached; ///< second engines that took no connection; asked after others
   AskedEngines mAsked;
   std::optional<StaleConnection> mStale; ///< the last, until it is known what became of its engine
   bool mAvoidsKept = false;   ///< a connection was closed under it; kept ones may be dead as well
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -127,6 +127,7 @@
   SettleStale(mCurrent, reached);
   if (!reached) {
     NoteUnreached(mCurrent, aWhy);
+    ++mConnectFailures;
   }
   if (mNext) {
     LogFailedAttempt(mCurrent, aWhy, aMayHaveRun, "");
@@ -183,7 +184,6 @@
   // No engine was asked, so nothing is spent but time.
   mSent -= aSending.mRepeats ? 0 : 1;
   mAsked.OnUnreached(aSending.mTarget.mEngine);
-  ++mConnectFailures;
 }
 
 void
--- a/src/pepperbay/relay/exchange_second.cpp
+++ b/src/pepperbay/relay/exchange_second.cpp
@@ -77,7 +77,8 @@
   // Who has refused may refuse again, and is not asked a third time: not while the first engine may
   // only pause.
   const bool again = IsCutOff(mCurrent) || IsSilentFor(mCurrent, kHopelessAfter);
-  return (MayAskFurther() || (again && !AskOnceMore().empty())) && HasTarget();
+  const bool fresh = MayAskFurther() && HasTargetBeside(mTried);
+  return (fresh || (again && !AskOnceMore().empty())) && HasTarget();
 }
 
 bool
@@ -252,6 +253,8 @@
   SettleStale(*mNext, reached);
   if (!reached) {
     NoteUnreached(*mNext, aWhy);
+    mTried.erase(mNext->mTarget.mEngine); // it may only pause
+    mUnreached.insert(mNext->mTarget.mEngine);
   }
   Drop(&*mNext);
   mNext.reset();
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -229,6 +229,7 @@
   }
   std::set<std::string> all = SilentHeads();
   all.insert(barred.begin(), barred.end());
+  all.insert(mUnreached.begin(), mUnreached.end());
   return HasTargetBeside(all) ? all : barred; // one that is silent may go on
 }
 
@@ -236,12 +237,13 @@
 Exchange::Barred() const
 {
   std::set<std::string> engines = mTried;
-  if (MayAskFurther() || !mService->mPool) {
+  const bool further = MayAskFurther();
+  if (!mService->mPool || (further && HasTargetBeside(engines))) {
     return engines;
   }
   // A desk knows of engines to leave out, not of some that alone come into question.
   const auto replicas = mCore->mPlan->mReplicas.find(mService->mName);
-  if (replicas != mCore->mPlan->mReplicas.end()) {
+  if (!further && replicas != mCore->mPlan->mReplicas.end()) {
     for (const auto& it : replicas->second) {
       engines.insert(it.mHead.mId);
     }
