--- a/src/pepperbay/relay/relay_attempts_test.cpp
+++ b/src/pepperbay/relay/relay_attempts_test.cpp
@@ -161,14 +161,15 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
     ::listen(mListener, 0);
     socklen_t size = sizeof(address);
     ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
     mAddress = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     for (int i = 0; i < 4; ++i) {
       const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      // Under way, or taken: both fill the queue.
+      static_cast<void>(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
       mSockets.push_back(socket);
     }
   }
