Lines of requests and of ended engines name the parts of the prompt

The record of the incident could not tell a cause that requests share from ends that have other reasons: no line said which parts a request has. No decision goes by them yet.

--- a/include/pepperbay/relay/dialect.hpp
+++ b/include/pepperbay/relay/dialect.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pepperbay {
 
@@ -24,8 +25,14 @@
   std::string mModel;                      ///< empty: the request asks for no model
   double mPromptTokens = 0;                ///< to be read before the first event; 0: not said
   std::optional<std::uint64_t> mLastEvent; ///< the caller has the events up to this one
+  /// Ids of the parts of its prompt that other requests may have as well, in order. The last part,
+  /// which is the request's own, is left out; at most kMostPromptParts.
+  std::vector<std::string> mPromptParts;
 };
 
+/// Further parts of a prompt are not told apart.
+inline constexpr std::size_t kMostPromptParts = 64;
+
 /// What the relay says to an engine beside the caller's own headers.
 struct RequestStamp
 {
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -32,7 +32,7 @@
                                       : !mService->mPool.has_value();
   const Suspicion suspicion = begun ? Suspicion::kBegun : Suspicion::kPresent;
   const bool once = !mService->mPool && !mRoute->Repeatable();
-  return { mKey, mFacts.mId, suspicion, now, !aSending.mGroup.empty(), once };
+  return { mKey, mFacts.mId, mFacts.mPromptParts, suspicion, now, !aSending.mGroup.empty(), once };
 }
 
 void
--- a/src/pepperbay/relay/relay_core.cpp
+++ b/src/pepperbay/relay/relay_core.cpp
@@ -5,6 +5,7 @@
 #include "pepperbay/routing/find_engine.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <sstream>
 #include <utility>
 
@@ -219,6 +220,7 @@
         { { "engine", aEngine.mEngine },
           { "request", it.mRequest },
           { "key", ToString(it.mKey) },
+          { "parts", boost::algorithm::join(it.mParts, ",") },
           { "begun", it.mSuspicion == Suspicion::kBegun ? "true" : "false" },
           { "ran_before", ran ? "true" : "false" },
           { "age_ms", std::to_string(ToMs(Now() - it.mAt).count()) } });
