Ends of engines are charged to parts of prompts as well

What callers saw: the heads of all replicas of a model ended one after the other, 45 in twelve seconds, and sound requests were broken off and refused with them.

Cause: an end was charged to the request as a whole, by a hash of customer, host, target and body.

Now each part that a request may share is charged like the request, by customer and service, in the same book, and is held back by the same rules on all nodes, through peers and the store. Two things keep the sound ones out: a part that a node has lately seen run to its end is not charged, nor kept by others (an answer whose end is only that of its connection proves nothing, since an engine that ended looks the same); and once something is held back for long, the ends that it began are not charged any more to what was there in fewer of them.

Ruled out: a plain count by part without these two.

--- a/include/pepperbay/quarantine/crash_book.hpp
+++ b/include/pepperbay/quarantine/crash_book.hpp
@@ -6,6 +6,11 @@
 /// there was the cause; a request that was there each time is. So ends are counted by request, each
 /// engine once, over all nodes: the book is a set that only grows, and books that exchange what
 /// they have come to the same, in whatever order and however often it arrives.
+///
+/// What is counted is a request in all its repeats, and each part of its prompt that it may share
+/// with others: requests that are never alike may have the cause in common. An end charges all that
+/// was there, so bystanders are charged with the cause. Once something has ended enough engines to
+/// be held back for long, the ends that it began count no more against what was in fewer of them.
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
@@ -82,6 +87,8 @@
 
   /// @return the sum of the suspicions; 0 for a request that is not in the book.
   int Score(const RequestKey& aKey) const;
+  /// @return the sum without the ends that a stronger cause accounts for; it decides.
+  int Charge(const RequestKey& aKey) const;
   /// @return until when it is held back; the zero time when it is not.
   TimePoint HeldUntil(const RequestKey& aKey) const;
   /// @return the engines that ended, in order of their hashes; empty for an unknown request.
@@ -101,11 +108,17 @@
     TimePoint mLastEnd{};
   };
 
+  static int Begun(const Request& aRequest);
+  int Charge(const Request& aRequest) const;
   TimePoint HeldUntil(const Request& aRequest) const;
   void MakeRoom();
+  /// Find anew which ends what is held back for long accounts for.
+  void AccountForEnds();
 
   CrashBookOptions mOptions;
   std::unordered_map<RequestKey, Request, RequestKeyHash> mRequests;
+  /// Engines whose end is accounted for, and how many engines its cause had begun to end.
+  std::unordered_map<std::uint64_t, int> mAccounted;
   std::uint64_t mRevision = 0;
 };
 
--- a/include/pepperbay/quarantine/suspects.hpp
+++ b/include/pepperbay/quarantine/suspects.hpp
@@ -11,7 +11,7 @@
 
 struct SuspectRequest
 {
-  int mScore = 0;         ///< see CrashBook; at least 1
+  int mScore = 0;         ///< see CrashBook::Charge(); at least 1
   TimePoint mHeldUntil{}; ///< it goes to no engine before; the zero time: it may run
 };
 
--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -68,7 +68,7 @@
     if (until > Now()) {
       held.push_back({ { "key", ToString(it) },
                        { "engines", mSuspects.Book().Ends(it).size() },
-                       { "score", mSuspects.Book().Score(it) },
+                       { "score", mSuspects.Book().Charge(it) },
                        { "for_ms", ToMs(until - Now()).count() } });
     }
   }
--- a/src/pepperbay/coordinator/suspect_keeper.cpp
+++ b/src/pepperbay/coordinator/suspect_keeper.cpp
@@ -146,7 +146,7 @@
 void
 SuspectKeeper::OnMore(const RequestKey& aKey, TimePoint aBefore, const char* aBy)
 {
-  if (mBook.Score(aKey) >= mOptions.mBook.mHoldFrom) {
+  if (mBook.Charge(aKey) >= mOptions.mBook.mHoldFrom) {
     mLasting.emplace(aKey, Now());
   }
   const TimePoint until = mBook.HeldUntil(aKey);
@@ -313,6 +313,9 @@
 bool
 SuspectKeeper::NeedsWrite(const RequestKey& aKey, bool aHoldsLease) const
 {
+  if (mBook.Charge(aKey) < mOptions.mBook.mHoldFrom) {
+    return false; // something else accounts for the ends by now
+  }
   const int score = mBook.Score(aKey);
   const auto stored = mStored.find(aKey);
   if (stored != mStored.end() && stored->second.mScore >= score) {
--- a/src/pepperbay/quarantine/crash_book.cpp
+++ b/src/pepperbay/quarantine/crash_book.cpp
@@ -3,6 +3,8 @@
 #include "pepperbay/base/hash.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <map>
 
 namespace pepperbay {
 namespace {
@@ -52,6 +54,9 @@
   }
   request.mLastEnd = std::max(request.mLastEnd, std::min(aEnd.mAt, aNow));
   ++mRevision;
+  if (request.mScore >= mOptions.mQuarantineFrom) {
+    AccountForEnds();
+  }
   return true;
 }
 
@@ -73,9 +78,17 @@
 bool
 CrashBook::Clear(const RequestKey& aKey)
 {
-  const bool known = mRequests.erase(aKey) != 0;
-  mRevision += known ? 1 : 0;
-  return known;
+  const auto it = mRequests.find(aKey);
+  if (it == mRequests.end()) {
+    return false;
+  }
+  const bool accounts = it->second.mScore >= mOptions.mQuarantineFrom;
+  mRequests.erase(it);
+  ++mRevision;
+  if (accounts) {
+    AccountForEnds();
+  }
+  return true;
 }
 
 std::vector<RequestKey>
@@ -93,17 +106,70 @@
   return forgotten;
 }
 
+int
+CrashBook::Begun(const Request& aRequest)
+{
+  return static_cast<int>(
+    std::count_if(aRequest.mEnds.begin(), aRequest.mEnds.end(), [](const EngineEnd& aIt) {
+      return aIt.mSuspicion == Suspicion::kBegun;
+    }));
+}
+
+int
+CrashBook::Charge(const Request& aRequest) const
+{
+  if (mAccounted.empty()) {
+    return aRequest.mScore;
+  }
+  const int begun = Begun(aRequest);
+  int charge = 0;
+  for (const auto& it : aRequest.mEnds) {
+    const auto cause = mAccounted.find(it.mEngine);
+    const bool accounted = cause != mAccounted.end() && cause->second > begun;
+    charge += accounted ? 0 : static_cast<int>(it.mSuspicion);
+  }
+  return charge;
+}
+
+void
+CrashBook::AccountForEnds()
+{
+  mAccounted.clear();
+  std::map<int, std::vector<const Request*>, std::greater<>> byBegun;
+  for (const auto& [key, request] : mRequests) {
+    if (request.mScore >= mOptions.mQuarantineFrom) {
+      byBegun[Begun(request)].push_back(&request);
+    }
+  }
+  for (auto& [begun, requests] : byBegun) {
+    // Of those that began to end equally many, none accounts for another's.
+    requests.erase(std::remove_if(requests.begin(),
+                                  requests.end(),
+                                  [this](const Request* aIt) {
+                                    return Charge(*aIt) < mOptions.mQuarantineFrom;
+                                  }),
+                   requests.end());
+    for (const Request* request : requests) {
+      for (const auto& it : request->mEnds) {
+        if (it.mSuspicion == Suspicion::kBegun) {
+          mAccounted.emplace(it.mEngine, begun);
+        }
+      }
+    }
+  }
+}
+
 TimePoint
 CrashBook::HeldUntil(const Request& aRequest) const
 {
-  if (aRequest.mScore < mOptions.mHoldFrom) {
+  const int charge = Charge(aRequest);
+  if (charge < mOptions.mHoldFrom) {
     return {};
   }
-  if (aRequest.mScore < mOptions.mQuarantineFrom) {
+  if (charge < mOptions.mQuarantineFrom) {
     return aRequest.mLastEnd + mOptions.mHold + mOptions.mSpread;
   }
-  const int further =
-    (aRequest.mScore - mOptions.mQuarantineFrom) / static_cast<int>(Suspicion::kBegun);
+  const int further = (charge - mOptions.mQuarantineFrom) / static_cast<int>(Suspicion::kBegun);
   const Duration length = mOptions.mQuarantine * (1 << std::min(further, kMostDoublings));
   return aRequest.mLastEnd + std::min(length, mOptions.mMostQuarantine) + mOptions.mSpread;
 }
@@ -115,6 +181,13 @@
   return it == mRequests.end() ? 0 : it->second.mScore;
 }
 
+int
+CrashBook::Charge(const RequestKey& aKey) const
+{
+  const auto it = mRequests.find(aKey);
+  return it == mRequests.end() ? 0 : Charge(it->second);
+}
+
 TimePoint
 CrashBook::HeldUntil(const RequestKey& aKey) const
 {
@@ -135,7 +208,9 @@
   SuspectRequests suspects;
   suspects.reserve(mRequests.size());
   for (const auto& [key, request] : mRequests) {
-    suspects[key] = { request.mScore, HeldUntil(request) };
+    if (const int charge = Charge(request); charge > 0) {
+      suspects[key] = { charge, HeldUntil(request) };
+    }
   }
   return suspects;
 }
--- a/src/pepperbay/quarantine/crash_book_test.cpp
+++ b/src/pepperbay/quarantine/crash_book_test.cpp
@@ -93,6 +93,59 @@
   EXPECT_EQ(book.HeldUntil(kKey), kNow + options.mMostQuarantine);
 }
 
+/// A bystander of three ends of one cause would be refused with it for ten minutes.
+TEST(CrashBook, EndsOfAStrongerCauseAreNotChargedToBystanders)
+{
+  const RequestKey bystander{ 1, 3 };
+  CrashBook book;
+  for (std::uint64_t it = 1; it <= 3; ++it) {
+    book.Add(bystander, Begun(it), kNow);
+  }
+  EXPECT_GT(book.HeldUntil(bystander), kNow);
+  for (std::uint64_t it = 1; it <= 4; ++it) {
+    book.Add(kKey, Begun(it), kNow);
+  }
+  EXPECT_GT(book.HeldUntil(kKey), kNow);
+  EXPECT_EQ(book.Charge(bystander), 0);
+  EXPECT_EQ(book.HeldUntil(bystander), TimePoint{});
+  EXPECT_EQ(book.Suspects().count(bystander), 0U);
+  book.Clear(kKey); // and then it is one of them again
+  EXPECT_GT(book.HeldUntil(bystander), kNow);
+}
+
+/// Two causes at a time would excuse one another, and both go on ending engines.
+TEST(CrashBook, ACauseIsChargedWithItsOwnEndsBesideAnother)
+{
+  const RequestKey other{ 1, 3 };
+  CrashBook book;
+  for (std::uint64_t it = 1; it <= 5; ++it) {
+    book.Add(kKey, Begun(it), kNow);
+  }
+  book.Add(other, Begun(5), kNow);
+  for (std::uint64_t it = 6; it <= 7; ++it) {
+    book.Add(other, Begun(it), kNow);
+    book.Add(kKey, Present(it), kNow);
+  }
+  EXPECT_EQ(book.Charge(other), 4);
+  book.Add(other, Begun(8), kNow);
+  EXPECT_EQ(book.Charge(other), 6);
+  EXPECT_GT(book.HeldUntil(other), kNow + minutes(1));
+  EXPECT_GT(book.HeldUntil(kKey), kNow + minutes(1));
+}
+
+/// What cannot be told apart is held back together; let go, the cause would end a fourth engine.
+TEST(CrashBook, EqualCausesDoNotExcuseOneAnother)
+{
+  const RequestKey other{ 1, 3 };
+  CrashBook book;
+  for (std::uint64_t it = 1; it <= 3; ++it) {
+    book.Add(kKey, Begun(it), kNow);
+    book.Add(other, Begun(it), kNow);
+  }
+  EXPECT_GT(book.HeldUntil(kKey), kNow + minutes(1));
+  EXPECT_GT(book.HeldUntil(other), kNow + minutes(1));
+}
+
 TEST(CrashBook, ForgetsARequestAnHourAfterItMayRunAgain)
 {
   const CrashBookOptions options;
@@ -162,6 +215,7 @@
   RC_ASSERT(one.Size() == other.Size());
   for (const auto& it : one.Keys()) {
     RC_ASSERT(one.Score(it) == other.Score(it));
+    RC_ASSERT(one.Charge(it) == other.Charge(it));
     RC_ASSERT(one.Ends(it).size() == other.Ends(it).size());
     RC_ASSERT((one.HeldUntil(it) == TimePoint{}) == (other.HeldUntil(it) == TimePoint{}));
   }
--- a/src/pepperbay/quarantine/request_key.cpp
+++ b/src/pepperbay/quarantine/request_key.cpp
@@ -34,6 +34,24 @@
   return { Hash64(aCustomer), Hash64(aBody, Hash64(aTarget, Hash64(aHost))) };
 }
 
+RequestKey
+KeyOfPromptPart(std::string_view aCustomer, std::string_view aService, std::string_view aPart)
+{
+  // Seeded, so that no path and body have the same key as a part.
+  constexpr std::uint64_t kPartSeed = 0x70617274;
+  return { Hash64(aCustomer), Hash64(aPart, Hash64(aService, kPartSeed)) };
+}
+
+std::string
+ToString(const std::vector<PromptPart>& aParts)
+{
+  std::string ids;
+  for (const auto& it : aParts) {
+    ids += (ids.empty() ? "" : ",") + it.mId;
+  }
+  return ids;
+}
+
 std::string
 ToString(const RequestKey& aKey)
 {
--- a/src/pepperbay/quarantine/request_key_test.cpp
+++ b/src/pepperbay/quarantine/request_key_test.cpp
@@ -25,6 +25,17 @@
             KeyOfRequest("kitchen", "h", "/", "x").mCaller);
 }
 
+/// A part named by one customer, or of another service, would have requests of others held back.
+TEST(RequestKey, APartIsOfOneCustomerAndOneService)
+{
+  const RequestKey key = KeyOfPromptPart("school", "pool", "5c");
+  EXPECT_EQ(key, KeyOfPromptPart("school", "pool", "5c"));
+  EXPECT_NE(key, KeyOfPromptPart("kitchen", "pool", "5c"));
+  EXPECT_NE(key, KeyOfPromptPart("school", "other", "5c"));
+  EXPECT_NE(key, KeyOfPromptPart("school", "pool", "5d"));
+  EXPECT_NE(key, KeyOfRequest("school", "pool", "5c", ""));
+}
+
 TEST(RequestKey, IsWrittenWithBothHalves)
 {
   EXPECT_EQ(ToString(RequestKey{ 1, 0xabc }), "00000000000000010000000000000abc");
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -194,6 +194,7 @@
   mEnded = true;
   AttemptEnd end;
   end.mComplete = aComplete;
+  end.mByClose = aComplete && mParser->need_eof();
   end.mMayHaveRun = mSent;
   end.mClosed = mClosed;
   end.mBadBytes = mBadBytes;
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -28,6 +28,9 @@
 struct AttemptEnd
 {
   bool mComplete = false; ///< the whole answer came, in the form of the protocol
+  /// It has neither a length nor chunks: nothing but the end of its connection says that it is
+  /// whole.
+  bool mByClose = false;
   /// False only with proof: no byte of the request left this process.
   bool mMayHaveRun = true;
   bool mClosed = false;   ///< the engine closed or reset the connection
--- a/src/pepperbay/relay/ending_probe.hpp
+++ b/src/pepperbay/relay/ending_probe.hpp
@@ -23,8 +23,8 @@
 struct BrokenOff
 {
   RequestKey mKey;
-  std::string mRequest;            ///< id of the caller's attempt, for the log
-  std::vector<std::string> mParts; ///< of its prompt, see RequestFacts
+  std::string mRequest; ///< id of the caller's attempt, for the log
+  std::vector<PromptPart> mParts;
   Suspicion mSuspicion = Suspicion::kPresent;
   TimePoint mAt{};
   bool mOfReplica = false; ///< the engine was the head of a replica
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -75,6 +75,10 @@
     Refuse("no_service");
     return;
   }
+  mParts.reserve(mFacts.mPromptParts.size());
+  for (const auto& it : mFacts.mPromptParts) {
+    mParts.push_back({ it, KeyOfPromptPart(mCustomer, mService->mName, it) });
+  }
   if (IsHeldBack()) {
     RefuseHeldBack();
     return;
@@ -317,7 +321,7 @@
     return;
   }
   if (mPhase == Phase::kWhole) {
-    OnWholeAnswer();
+    OnWholeAnswer(!aEnd.mByClose);
     return;
   }
   if (mSplitter.HasPartial()) {
@@ -325,7 +329,7 @@
     return;
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
-  mCore->OnRanWhole(mKey);
+  NoteRan(!aEnd.mByClose);
   ++mCore->mCounters.mAnswered;
   if (!mStreamStarted) {
     // A stream without any event; its end says that it is whole.
@@ -338,7 +342,7 @@
 }
 
 void
-Exchange::OnWholeAnswer()
+Exchange::OnWholeAnswer(bool aSaidWhole)
 {
   CallerAnswer answer;
   static_cast<HeaderFields&>(answer.base()) = mFields;
@@ -363,7 +367,7 @@
   }
   mCore->mBalancer.OnAnswer(mCurrent.mTarget.mEngine);
   if (mStatus < kServerFailure) {
-    mCore->OnRanWhole(mKey);
+    NoteRan(aSaidWhole);
   } else {
     NoteFailedOnce();
   }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -191,7 +191,8 @@
   void TakeHead(int aStatus, const HeaderFields& aFields, const AnswerFacts& aFacts);
   void OnBody(std::string_view aBytes);
   void OnEnd(const AttemptEnd& aEnd);
-  void OnWholeAnswer();
+  /// @param aSaidWhole see NoteRan()
+  void OnWholeAnswer(bool aSaidWhole);
   void PassEvents(std::string_view aBytes);
   /// Pass events on; nothing more is read of the engine until they have gone out.
   void PushToCaller(const std::string& aEvents);
@@ -200,8 +201,15 @@
   void Unwatch(Sending* aSending);
 
   // Requests under which engines end; see exchange_suspect.cpp.
+  /// @return what is known against the request, or against a part of its prompt: the longest hold,
+  /// and the highest score.
+  SuspectRequest Suspected() const;
   /// @return whether the request goes to no engine now: too many have ended under it.
   bool IsHeldBack() const;
+  /// An engine ran the request to its end.
+  /// @param aSaidWhole the answer itself says so; where its end is that of the connection, an
+  /// engine that ended looks the same
+  void NoteRan(bool aSaidWhole);
   /// What is noted of the request if the engine of a sending has ended just now.
   BrokenOff BrokenOffAt(const Sending& aSending) const;
   /// A sending came to nothing: note what that says of its engine, and of the request.
@@ -283,7 +291,8 @@
   const Route* mRoute = nullptr;
   const ServiceSpec* mService = nullptr;
   std::string mCustomer;
-  RequestKey mKey; ///< the same for all repeats of this request
+  RequestKey mKey;                ///< the same for all repeats of this request
+  std::vector<PromptPart> mParts; ///< that other requests may have as well
   int mPriority = 0;
 
   Phase mPhase = Phase::kWaiting;
--- a/src/pepperbay/relay/exchange_constants.hpp
+++ b/src/pepperbay/relay/exchange_constants.hpp
@@ -7,6 +7,7 @@
 namespace pepperbay {
 
 constexpr int kOk = 200;
+constexpr int kRedirection = 300;   ///< and above: no success
 constexpr int kServerFailure = 500; ///< and above: the server's own failures
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -3,7 +3,6 @@
 
 #include "exchange.hpp"
 
-#include <boost/algorithm/string/join.hpp>
 #include <map>
 #include <string_view>
 
@@ -33,7 +32,7 @@
   std::map<std::string, std::string> fields = {
     { "request", mFacts.mId },
     { "key", ToString(mKey) },
-    { "parts", boost::algorithm::join(mFacts.mPromptParts, ",") },
+    { "parts", ToString(mParts) },
     { "engine", aSending.mTarget.mEngine },
     { "by_peer", aSending.mAttempt ? aSending.mAttempt->Peer() : "" },
     { "reason", aWhy },
@@ -95,7 +94,7 @@
   mCore->Log("request",
              { { "request", mFacts.mId },
                { "key", ToString(mKey) },
-               { "parts", boost::algorithm::join(mFacts.mPromptParts, ",") },
+               { "parts", ToString(mParts) },
                { "outcome", aOutcome },
                { "reason", aReason },
                { "route", mRoute != nullptr ? mRoute->mName : "" },
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -8,11 +8,22 @@
 
 namespace pepperbay {
 
+SuspectRequest
+Exchange::Suspected() const
+{
+  SuspectRequest suspected = mCore->SuspectOf(mKey);
+  for (const auto& it : mParts) {
+    const SuspectRequest part = mCore->SuspectOf(it.mKey);
+    suspected.mScore = std::max(suspected.mScore, part.mScore);
+    suspected.mHeldUntil = std::max(suspected.mHeldUntil, part.mHeldUntil);
+  }
+  return suspected;
+}
+
 Duration
 Exchange::HeldFor() const
 {
-  const Duration left = mCore->SuspectOf(mKey).mHeldUntil - mCore->Now();
-  return std::max(left, Duration::zero());
+  return std::max(Suspected().mHeldUntil - mCore->Now(), Duration::zero());
 }
 
 bool
@@ -20,7 +31,16 @@
 {
   // One that has just been broken off, and under which an engine has ended before, may have ended
   // this one as well; that shows a moment after the second engine would have been asked.
-  return HeldFor() > Duration::zero() || (mBrokenOff && mCore->SuspectOf(mKey).mScore > 0);
+  return HeldFor() > Duration::zero() || (mBrokenOff && Suspected().mScore > 0);
+}
+
+void
+Exchange::NoteRan(bool aSaidWhole)
+{
+  mCore->OnRanWhole(mKey);
+  if (aSaidWhole && mStatus < kRedirection) {
+    mCore->OnPartsRan(mParts);
+  }
 }
 
 BrokenOff
@@ -32,7 +52,7 @@
                                       : !mService->mPool.has_value();
   const Suspicion suspicion = begun ? Suspicion::kBegun : Suspicion::kPresent;
   const bool once = !mService->mPool && !mRoute->Repeatable();
-  return { mKey, mFacts.mId, mFacts.mPromptParts, suspicion, now, !aSending.mGroup.empty(), once };
+  return { mKey, mFacts.mId, mParts, suspicion, now, !aSending.mGroup.empty(), once };
 }
 
 void
@@ -64,7 +84,7 @@
   mAvoidsKept = true;
   mTried.erase(aSending->mTarget.mEngine);
   mAsked.OnNotTaken(aSending->mTarget.mEngine);
-  if (mCore->SuspectOf(mKey).mScore > 0) {
+  if (Suspected().mScore > 0) {
     mBrokenOff = true; // an engine that ends closes kept connections as well
   }
   mStale = StaleConnection{ aSending->mTarget, BrokenOffAt(*aSending) };
--- a/src/pepperbay/relay/relay_core.cpp
+++ b/src/pepperbay/relay/relay_core.cpp
@@ -5,7 +5,6 @@
 #include "pepperbay/routing/find_engine.hpp"
 
 #include <algorithm>
-#include <boost/algorithm/string/join.hpp>
 #include <sstream>
 #include <utility>
 
@@ -189,6 +188,21 @@
 RelayCore::OnRanWhole(const RequestKey& aKey)
 {
   mRuns.OnRun(aKey, Now());
+  TellRan(aKey);
+}
+
+void
+RelayCore::OnPartsRan(const std::vector<PromptPart>& aParts)
+{
+  for (const auto& it : aParts) {
+    mPartRuns.OnRun(it.mKey, Now());
+    TellRan(it.mKey);
+  }
+}
+
+void
+RelayCore::TellRan(const RequestKey& aKey)
+{
   if (SuspectOf(aKey).mScore > 0 && mHooks.mOnRanWhole) {
     mHooks.mOnRanWhole(aKey);
   }
@@ -198,7 +212,8 @@
 RelayCore::ClearThoseThatRan(const SuspectRequests& aSuspects)
 {
   for (const auto& [key, suspect] : aSuspects) {
-    if (mRuns.HasRun(key, Now()) && mHooks.mOnRanWhole) {
+    const bool ran = mRuns.HasRun(key, Now()) || mPartRuns.HasRun(key, Now());
+    if (ran && mHooks.mOnRanWhole) {
       mHooks.mOnRanWhole(key);
     }
   }
@@ -220,16 +235,26 @@
         { { "engine", aEngine.mEngine },
           { "request", it.mRequest },
           { "key", ToString(it.mKey) },
-          { "parts", boost::algorithm::join(it.mParts, ",") },
+          { "parts", ToString(it.mParts) },
           { "begun", it.mSuspicion == Suspicion::kBegun ? "true" : "false" },
           { "ran_before", ran ? "true" : "false" },
           { "age_ms", std::to_string(ToMs(Now() - it.mAt).count()) } });
-    if (!ran && mHooks.mOnEngineEnded) {
-      mHooks.mOnEngineEnded(it.mKey, { start, it.mSuspicion, it.mAt });
+    const EngineEnd end{ start, it.mSuspicion, it.mAt };
+    ChargeEnd(mRuns, it.mKey, end);
+    for (const auto& part : it.mParts) {
+      ChargeEnd(mPartRuns, part.mKey, end);
     }
   }
 }
 
+void
+RelayCore::ChargeEnd(const RecentRuns& aRuns, const RequestKey& aKey, const EngineEnd& aEnd)
+{
+  if (!aRuns.HasRun(aKey, Now()) && mHooks.mOnEngineEnded) {
+    mHooks.mOnEngineEnded(aKey, aEnd);
+  }
+}
+
 void
 RelayCore::OnBrokenOffAlive(const AttemptTarget& aEngine, const std::vector<BrokenOff>& aRequests)
 {
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -34,6 +34,12 @@
   SuspectRequest SuspectOf(const RequestKey& aKey) const;
   /// An engine ran a request to its end, so it is not the cause of any engine's end.
   void OnRanWhole(const RequestKey& aKey);
+  /// The same for the parts of its prompt.
+  void OnPartsRan(const std::vector<PromptPart>& aParts);
+  /// Tell whoever keeps suspects that one ran to its end, if it is one.
+  void TellRan(const RequestKey& aKey);
+  /// Charge an engine's end to what it had, unless that has lately run to its end.
+  void ChargeEnd(const RecentRuns& aRuns, const RequestKey& aKey, const EngineEnd& aEnd);
   /// Clear those that have lately run to their end at this node; others have seen only the ends.
   void ClearThoseThatRan(const SuspectRequests& aSuspects);
   /// An engine has ended while it had requests of this node.
@@ -70,6 +76,7 @@
   EngineConnector mConnector;
   EndingProbe mEndings;
   RecentRuns mRuns;
+  RecentRuns mPartRuns; ///< of parts of prompts; a table of its own, since requests are many more
   RelayCounters mCounters;
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
--- a/src/pepperbay/relay/relay_fixture.hpp
+++ b/src/pepperbay/relay/relay_fixture.hpp
@@ -23,8 +23,8 @@
 
 using std::chrono::seconds;
 
-/// Headers of a made-up platform: `Req` names the request, `Seal` vouches, `Not-Run` states it,
-/// `Limit` names what the engine takes in a second.
+/// Headers of a made-up platform: `Req` names the request, `Part` a part of its prompt, `Seal`
+/// vouches, `Not-Run` states it, `Limit` names what the engine takes in a second.
 inline Dialect
 TestDialect()
 {
@@ -38,6 +38,9 @@
     facts.mId = text(aFields, "Req");
     facts.mModel = text(aFields, "Model");
     facts.mKey = text(aFields, "Key");
+    if (const std::string part = text(aFields, "Part"); !part.empty()) {
+      facts.mPromptParts = { part };
+    }
     if (const std::string left = text(aFields, "Left-Ms"); !left.empty()) {
       facts.mDeadline = std::chrono::milliseconds(std::stoi(left));
     }
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -21,11 +21,19 @@
 
   std::string AskStream() const { return Ask(Post("/stream/", "x", "Model: m\r\n")); }
 
-  /// What the plan says of the stream's request from here on.
-  void Suspect(int aScore, Duration aHeldFor)
+  /// A stream's request with a body of its own and a part that others may have.
+  std::string AskWithPart(const std::string& aBody) const
+  {
+    return Ask(Post("/stream/", aBody, "Model: m\r\nPart: p\r\n"));
+  }
+
+  static RequestKey PartKey() { return KeyOfPromptPart("", "pool", "p"); }
+
+  /// What the plan says of a request or a part from here on.
+  void Suspect(int aScore, Duration aHeldFor, const RequestKey& aKey = StreamKey())
   {
     auto suspects = std::make_shared<SuspectRequests>();
-    (*suspects)[StreamKey()] = { aScore, BootClock::now() + aHeldFor };
+    (*suspects)[aKey] = { aScore, BootClock::now() + aHeldFor };
     mPlan.mSuspects = std::move(suspects);
     Publish();
   }
@@ -285,6 +293,79 @@
   EXPECT_TRUE(Has(text, R"("ran":"unknown")")) << text;
 }
 
+/// Requests that share one part of their prompts, and are never alike, each end one engine more.
+TEST_F(RelaySuspects, APartOfAPromptIsSuspectedWithItsRequest)
+{
+  MortalEngine mortal(true);
+  Serve({ mortal.mEngine.get() });
+  auto answer = std::async(std::launch::async, [this] { return AskWithPart("x"); });
+  mortal.EndOnceAsked();
+  answer.get();
+  const auto ends = WaitForEnds(2);
+  ASSERT_EQ(ends.size(), 2U);
+  EXPECT_EQ(ends[0].mRequest, StreamKey());
+  EXPECT_EQ(ends[1].mRequest, PartKey());
+  EXPECT_EQ(ends[1].mEnd.mSuspicion, Suspicion::kBegun);
+  EXPECT_EQ(AwaitLine("engine_ended")["parts"], "p");
+}
+
+/// Most requests of a route share a part; each engine's end would be charged to it, and the whole
+/// route be refused.
+TEST_F(RelaySuspects, APartThatHasJustRunToItsEndIsNotSuspected)
+{
+  std::atomic<bool> runs{ true };
+  MortalEngine mortal(true, &runs);
+  Serve({ mortal.mEngine.get() });
+  EXPECT_EQ(StatusOf(AskWithPart("y")), 200);
+  runs = false;
+  auto answer = std::async(std::launch::async, [this] { return AskWithPart("x"); });
+  mortal.EndOnceAsked();
+  answer.get();
+  const auto ends = WaitForEnds(1);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].mRequest, StreamKey());
+}
+
+/// An engine that ends between two events of an answer without length or chunks closes it as if it
+/// were whole; a part that ends engines would count as harmless.
+TEST_F(RelaySuspects, AnAnswerThatEndsWithItsConnectionClearsNoPart)
+{
+  std::atomic<int> answers{ 0 };
+  RawEngine engine([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    if (++answers == 1) {
+      aConnection.Write(std::string(kHead) + "\r\nid: 1\ndata: a\n\n");
+    } else {
+      aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+    }
+  });
+  Serve({ &engine });
+  Suspect(2, -seconds(1), PartKey());
+  EXPECT_TRUE(Has(AskWithPart("x"), "data: a"));
+  EXPECT_EQ(mRanWhole, 0);
+  EXPECT_TRUE(Has(AskWithPart("y"), "data: a"));
+  EXPECT_EQ(mRanWhole, 1);
+}
+
+/// Requests with a part that ends engines would go on reaching them, each as a new one.
+TEST_F(RelaySuspects, ARequestWithAPartThatIsHeldBackIsRefusedAtOnceAndOthersAreNot)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent + kStreamEnd);
+  });
+  Serve({ &engine });
+  Suspect(6, std::chrono::minutes(10), PartKey());
+  const std::string answer = AskWithPart("x");
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_TRUE(Has(answer, "held_back")) << answer;
+  EXPECT_TRUE(Has(answer, R"("ran":"no")")) << answer;
+  EXPECT_TRUE(Has(answer, "Retry-After: ")) << answer;
+  EXPECT_EQ(engine.Connections(), 0);
+  EXPECT_EQ(StatusOf(AskStream()), 200);
+  EXPECT_EQ(StatusOf(Ask(Post("/stream/", "x", "Model: m\r\nPart: q\r\n"))), 200);
+}
+
 /// A stream that has been written for longer than any that ended an engine is not the cause.
 TEST_F(RelaySuspects, AStreamThatRunsForLongIsNotCutWhenItIsHeldBack)
 {
