An engine that ends inside an event of an answer without length is found out

An answer without length or chunks ends with its connection, so an engine whose process ends closes it in good order. The stream went on elsewhere, but the end was taken for that of an answer: nobody asked whether the engine lives, and neither its request nor a part of the prompt was charged.

RelayUntilClose.TheEndOfAnEngineInsideAnEventIsNoted waited 20 s for the note before, and passes. Through a peer resets and ends are told apart already (tunnel_test).

--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -325,6 +325,9 @@
     return;
   }
   if (mSplitter.HasPartial()) {
+    AttemptEnd broken = aEnd;
+    broken.mClosed = aEnd.mByClose;
+    NoteEnd(&mCurrent, broken);
     OnFailure("stream ended inside an event", true);
     return;
   }
--- /dev/null
+++ b/src/pepperbay/relay/relay_until_close_test.cpp
@@ -0,0 +1,111 @@
+/// Answers without length or chunks, which end with their connection.
+#include "relay_fixture.hpp"
+
+#include <array>
+#include <cerrno>
+#include <future>
+
+namespace pepperbay {
+namespace {
+
+constexpr const char* kEventA = "id: 1\ndata: a\n\n";
+constexpr const char* kEventB = "id: 2\ndata: b\n\n";
+constexpr const char* kLastChunk = "\r\n0\r\n\r\n";
+
+std::string
+OpenHead()
+{
+  return std::string(kHead) + "\r\n";
+}
+
+class RelayUntilClose : public RelayTest
+{
+protected:
+  std::string AskStream() const { return Ask(Post("/stream/", "x", "Model: m\r\n")); }
+};
+
+TEST_F(RelayUntilClose, AStreamThatEndsBetweenEventsIsWhole)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(OpenHead() + kEventA + kEventB);
+  });
+  Serve({ &engine });
+  const std::string answer = AskStream();
+  EXPECT_TRUE(Has(answer, "data: b")) << answer;
+  EXPECT_TRUE(Has(answer, kLastChunk)) << answer;
+}
+
+/// A stream that was broken off inside an event is cut, though another engine could go on.
+TEST_F(RelayUntilClose, AStreamThatEndsInsideAnEventGoesOnElsewhere)
+{
+  RawEngine first([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(OpenHead() + kEventA + "id: 2\nda");
+  });
+  std::string asked;
+  RawEngine second([&](RawConnection& aConnection) {
+    asked = aConnection.ReadRequest();
+    aConnection.Write(OpenHead() + kEventB);
+  });
+  Serve({ &first, &second });
+  mPlan.mReplicas["pool"][1].mHead.mDataCentre = "far"; // the other one is chosen first
+  Publish();
+  const std::string answer = AskStream();
+  EXPECT_TRUE(Has(asked, "Last: 1")) << asked;
+  EXPECT_TRUE(Has(answer, "data: a")) << answer;
+  EXPECT_TRUE(Has(answer, "data: b")) << answer;
+  EXPECT_TRUE(Has(answer, kLastChunk)) << answer;
+}
+
+/// An engine that ends inside an event is not found out: its end looks like that of an answer.
+TEST_F(RelayUntilClose, TheEndOfAnEngineInsideAnEventIsNoted)
+{
+  std::promise<void> asked;
+  std::promise<void> ends;
+  auto engine = std::make_unique<RawEngine>([&](RawConnection& aConnection) {
+    if (aConnection.ReadRequest().empty()) {
+      return;
+    }
+    aConnection.Write(OpenHead() + kEventA + "id: 2\nda");
+    asked.set_value();
+    ends.get_future().wait();
+  });
+  Serve({ engine.get() });
+  auto answer = std::async(std::launch::async, [this] { return AskStream(); });
+  asked.get_future().wait();
+  std::thread ending([&] { engine.reset(); });
+  ends.set_value();
+  ending.join();
+  EXPECT_FALSE(Has(answer.get(), kLastChunk));
+  std::unique_lock<std::mutex> lock(mEndsMutex);
+  EXPECT_TRUE(mEndsChanged.wait_for(lock, seconds(20), [this] { return !mEnds.empty(); }));
+}
+
+/// A reset that is taken for the end would make half an answer look whole.
+TEST_F(RelayUntilClose, AnAnswerThatIsResetIsNotWhole)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(OpenHead() + "half");
+    aConnection.Reset();
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "x", "Key: k1\r\n"))), 502);
+}
+
+TEST_F(RelayUntilClose, AnAnswerToHeadHasNoBody)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(OpenHead());
+  });
+  Serve({ &engine });
+  const std::string answer =
+    Ask("HEAD /safe/ HTTP/1.1\r\nHost: h\r\nReq: q1\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(StatusOf(answer), 200);
+  EXPECT_EQ(answer.substr(answer.find("\r\n\r\n")), "\r\n\r\n");
+}
+
+} // namespace
+} // namespace pepperbay
