A broken-off stream is reset for a caller that knows no chunks

A caller with HTTP/1.0 gets a stream without chunks, and its end is that of the connection. A stream that could not be completed was closed in good order, so half an answer looked whole. Found by reading for the rule on answers that end with their connection. The new test read an orderly end before and a reset now.

--- a/src/pepperbay/relay/relay_until_close_test.cpp
+++ b/src/pepperbay/relay/relay_until_close_test.cpp
@@ -107,5 +107,28 @@
   EXPECT_EQ(answer.substr(answer.find("\r\n\r\n")), "\r\n\r\n");
 }
 
+/// A caller that knows no chunks sees the end of an answer by that of its connection; an orderly
+/// end would make a broken-off stream look whole.
+TEST_F(RelayUntilClose, ACallerWithoutChunksSeesABrokenOffStreamReset)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(OpenHead() + kEventA + "id: 2\nda");
+  });
+  Serve({ &engine });
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(
+    "POST /stream/ HTTP/1.0\r\nHost: h\r\nReq: q1\r\nModel: m\r\nContent-Length: 1\r\n\r\nx");
+  std::array<char, 4096> bytes{};
+  ssize_t n = 0;
+  do {
+    n = ::recv(socket, bytes.data(), bytes.size(), 0);
+  } while (n > 0);
+  EXPECT_EQ(n, -1);
+  EXPECT_EQ(errno, ECONNRESET);
+  ::close(socket);
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/relay/session.cpp
+++ b/src/pepperbay/relay/session.cpp
@@ -272,6 +272,9 @@
 void
 Session::Break()
 {
+  if (!mChunked) {
+    ResetOnClose(mSocket); // an orderly end would say that the answer is whole
+  }
   Close("this node: the answer cannot be completed");
 }
 
