An event without end is looked through once

Now the search goes on where it stopped. The new test feeds 64 MiB in pieces of 256 bytes: ended by hand after 20 s before, 0.27 s now; the property that cuts do not matter still holds.

--- a/include/pepperbay/relay/event_splitter.hpp
+++ b/include/pepperbay/relay/event_splitter.hpp
@@ -38,6 +38,7 @@
 private:
   std::string mBytes;
   std::size_t mTaken = 0;
+  std::size_t mSearched = 0; ///< no event that is left ends before
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/relay/event_splitter.cpp
+++ b/src/pepperbay/relay/event_splitter.cpp
@@ -8,12 +8,13 @@
 
 constexpr std::size_t kCompactAt = 4096; // bytes taken before the buffer is moved together
 
+constexpr std::string_view kUnix = "\n\n";
+constexpr std::string_view kInternet = "\r\n\r\n";
+
 /// @return the offset after the empty line that ends an event; npos when there is none yet.
 std::size_t
 EndOfEvent(std::string_view aBytes)
 {
-  constexpr std::string_view kUnix = "\n\n";
-  constexpr std::string_view kInternet = "\r\n\r\n";
   const std::size_t shortEnd = aBytes.find(kUnix);
   const std::size_t longEnd = aBytes.find(kInternet);
   if (shortEnd == std::string_view::npos && longEnd == std::string_view::npos) {
@@ -50,19 +51,23 @@
 std::optional<StreamEvent>
 EventSplitter::Next()
 {
-  const std::string_view rest = std::string_view(mBytes).substr(mTaken);
-  const std::size_t end = EndOfEvent(rest);
+  // The empty line may have begun in what was looked through before.
+  const std::size_t from = std::max(mTaken, mSearched - std::min(mSearched, kInternet.size() - 1));
+  const std::string_view bytes(mBytes);
+  const std::size_t end = EndOfEvent(bytes.substr(from));
   if (end == std::string_view::npos) {
+    mSearched = mBytes.size();
     if (mTaken > kCompactAt) {
       mBytes.erase(0, mTaken);
+      mSearched -= mTaken;
       mTaken = 0;
     }
     return std::nullopt;
   }
   StreamEvent event;
-  event.mBytes = std::string(rest.substr(0, end));
+  event.mBytes = std::string(bytes.substr(mTaken, from + end - mTaken));
   event.mId = IdOf(event.mBytes);
-  mTaken += end;
+  mTaken = from + end;
   return event;
 }
 
@@ -71,6 +76,7 @@
 {
   mBytes.clear();
   mTaken = 0;
+  mSearched = 0;
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/relay/event_splitter_test.cpp
+++ b/src/pepperbay/relay/event_splitter_test.cpp
@@ -32,6 +32,26 @@
   EXPECT_FALSE(event->mId);
 }
 
+/// Looking for the end of an event from its beginning with each piece takes the square of its
+/// length: this test would take minutes.
+TEST(EventSplitter, AnEventWithoutEndIsLookedThroughOnce)
+{
+  constexpr std::size_t kPiece = 256;
+  constexpr std::size_t kAll = std::size_t{ 64 } << 20U;
+  EventSplitter splitter;
+  const std::string piece(kPiece, 'a');
+  for (std::size_t n = 0; n < kAll; n += kPiece) {
+    splitter.Feed(piece);
+    ASSERT_FALSE(splitter.Next());
+  }
+  for (const char* it : { "\r", "\n", "\r" }) {
+    splitter.Feed(it);
+    ASSERT_FALSE(splitter.Next());
+  }
+  splitter.Feed("\n");
+  EXPECT_EQ(splitter.Next()->mBytes.size(), kAll + 4);
+}
+
 /// However the bytes are cut, the same events come out, and nothing is lost between them.
 RC_GTEST_PROP(EventSplitter, CutsDoNotMatter, ())
 {
