Interim answers and lines of chunks without end are broken off

An engine in trouble may send bytes that are no answer until its caller closes. Heads were bounded, two things were not: interim answers, of which each is a head of its own (the caller waited until its deadline), and the line with the size of a chunk, with its extensions, which the parser keeps until its end. relay_endless_test before: 20 s and 504 for the first; for the second the process was ended by std::bad_alloc at a limit of 6 GB. Now at most 16 interim answers and 256 KiB that are read and not yet understood; the engine is told by a close, the caller gets 502 at once.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -93,7 +93,7 @@
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_pauses_test.cpp relay_attempts_test.cpp
                         relay_kept_test.cpp relay_retries_test.cpp
-                        relay_stop_test.cpp relay_suspects_test.cpp relay_until_close_test.cpp relay_limits_test.cpp
+                        relay_stop_test.cpp relay_suspects_test.cpp relay_until_close_test.cpp relay_endless_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp relay_sight_test.cpp relay_peers_test.cpp
                         connector_peers_test.cpp connector_sight_test.cpp
                   USES settings membership quarantine reach admission routing dispatch places retries tunnel
--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -71,15 +71,17 @@
     }
   }
 
-  void Write(std::string_view aBytes)
+  /// @return false when the other side has closed
+  bool Write(std::string_view aBytes)
   {
     while (!aBytes.empty()) {
       const ssize_t n = ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
       if (n <= 0) {
-        return;
+        return false;
       }
       aBytes.remove_prefix(static_cast<std::size_t>(n));
     }
+    return true;
   }
 
   /// Close with a reset in place of an orderly end.
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 constexpr std::uint32_t kMostHeaderBytes = 65536; // of an engine's answer; more is no answer
+constexpr int kMostInterim = 16;                  // interim answers to one request; the same
 }
 
 Attempt::Attempt(EngineConnector* aConnector, ConnectionPool* aPool, AttemptTarget aTarget)
@@ -105,7 +106,12 @@
 {
   constexpr int kFirstFinal = 200;
   if (mParser->get().result_int() < kFirstFinal) {
-    ReadHead(); // an interim answer; the final one follows
+    if (++mInterim > kMostInterim) {
+      mBadBytes = true;
+      Finish(false, "head: too many interim answers");
+      return;
+    }
+    ReadHead(); // the final one follows
     return;
   }
   mEvents.mOnHead(static_cast<int>(mParser->get().result_int()), mParser->get().base());
--- a/src/pepperbay/relay/attempt.hpp
+++ b/src/pepperbay/relay/attempt.hpp
@@ -79,6 +79,8 @@
   void SetMostIdle(std::size_t aMost) { mMostIdle = aMost; }
 
 private:
+  static constexpr std::size_t kMostBuffered = std::size_t{ 256 } << 10U; // bytes
+
   void Connect();
   void Send();
   void ReadHead();
@@ -99,11 +101,13 @@
   UpstreamRequest mRequest;
   std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>>
     mSerializer;
-  boost::beast::flat_buffer mBuffer;
+  /// Bounded: the parser keeps a line until its end, and a line of a chunk has no other bound.
+  boost::beast::flat_buffer mBuffer{ kMostBuffered };
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> mParser;
   std::array<char, 8192> mPiece{};
   std::optional<Duration> mKeepAlive;
   std::size_t mMostIdle = 1;
+  int mInterim = 0; ///< answers that have come before the final one
   bool mSent = false;
   bool mAllWritten = false;
   bool mKept = false; ///< the connection had waited unused
--- /dev/null
+++ b/src/pepperbay/relay/relay_endless_test.cpp
@@ -0,0 +1,75 @@
+/// Engines that send bytes without end, which are no answer.
+#include "relay_fixture.hpp"
+
+#include <future>
+
+namespace pepperbay {
+namespace {
+
+class RelayEndless : public RelayTest
+{
+protected:
+  /// Writes a piece again and again, until the relay closes.
+  static RawEngine::Script Repeats(const std::string& aFirst, const std::string& aPiece)
+  {
+    return [aFirst, aPiece](RawConnection& aConnection) {
+      if (aConnection.ReadRequest().empty()) {
+        return;
+      }
+      for (bool open = aConnection.Write(aFirst); open;) {
+        open = aConnection.Write(aPiece);
+      }
+    };
+  }
+
+  static std::string Once() { return Post("/once/", "x", "Key: k1\r\n"); }
+
+  const std::string mPiece = std::string(4096, 'a');
+};
+
+/// A caller would wait until its deadline while its engine sends interim answers.
+TEST_F(RelayEndless, InterimAnswersAreBrokenOff)
+{
+  RawEngine engine(Repeats("", "HTTP/1.1 102 Processing\r\n\r\n"));
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Once())), 502);
+}
+
+TEST_F(RelayEndless, AFewInterimAnswersArePassedOver)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" +
+                      std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+  });
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Once())), 200);
+}
+
+/// The process would keep all of it and be ended for its memory.
+TEST_F(RelayEndless, AHeadIsBrokenOff)
+{
+  RawEngine engine(Repeats("HTTP/1.1 200 OK\r\nA: ", mPiece));
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Once())), 502);
+}
+
+/// The same before the first byte of a chunk.
+TEST_F(RelayEndless, TheSizeOfAChunkIsBrokenOff)
+{
+  RawEngine engine(Repeats(std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n5;", mPiece));
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Once())), 502);
+}
+
+/// The same after the last chunk.
+TEST_F(RelayEndless, TrailersAreBrokenOff)
+{
+  RawEngine engine(Repeats(std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                           "A: " + mPiece + "\r\n"));
+  Serve({ &engine });
+  EXPECT_EQ(StatusOf(Ask(Once())), 502);
+}
+
+} // namespace
+} // namespace pepperbay
