Answers that are kept until they are whole are bounded together

Each answer could keep 16 MiB; sixteen engines that send bytes without end were the 260 MB at which a node is ended. All answers and events of a node together now keep 48 MiB; one that would make it more is broken off, but for those of up to 64 KiB, so sound small answers are served beside it. The gauge kept_answer_bytes shows the sum. Weighed: breaking off the largest one, which needs a look at all requests with each piece. An answer counts until its caller has it.

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -70,6 +70,9 @@
   Duration mSpreadReturns = std::chrono::milliseconds(1200);
   /// An engine that ends so soon after it began to answer a request may have ended for it.
   Duration mSuspectWithin = std::chrono::seconds(1);
+  /// Bytes of answers, and of events, that are kept until they are whole, of all requests together;
+  /// an answer that would make it more is broken off.
+  std::size_t mMostKeptBytes = std::size_t{ 48 } << 20U;
   /// After a stop is asked for, the balancer needs this long to send no more connections.
   Duration mStopGrace = std::chrono::milliseconds(2600);
   Duration mTick = std::chrono::milliseconds(20);
@@ -105,6 +108,7 @@
   std::uint64_t mLimitedEngines = 0; ///< engines that have a limit; now
   std::uint64_t mBadLimits = 0;      ///< answers with a limit that could not be read
   std::uint64_t mOpen = 0;           ///< requests in progress
+  std::uint64_t mKeptBytes = 0;      ///< of answers that are kept until they are whole; now
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
   LatencyHistogram mWholeAnswer;     ///< the same to an answer without a stream
   /// From a stream's last event of one engine to the first of another, at the caller.
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -146,6 +146,7 @@
              relay.mSentToLimited),
     Counter("bad_limits_total", "Limits of engines, not understood", relay.mBadLimits),
     Gauge("open_requests", "In progress", static_cast<double>(relay.mOpen)),
+    Gauge("kept_answer_bytes", "Kept until whole", static_cast<double>(relay.mKeptBytes)),
     Counter("place_questions_total", "Questions to other nodes' desks", aFigures.mPlaces.mAsked),
     Counter("place_questions_resent_total", "Of these, sent again", aFigures.mPlaces.mResent),
     Counter("place_questions_given_up_total", "Desks without an answer", aFigures.mPlaces.mGivenUp),
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -19,6 +19,8 @@
 
 /// Bytes of an answer that is collected whole before it is passed on; plain answers are small.
 constexpr std::size_t kMostWholeBytes = 16U << 20U;
+/// Bytes of one answer that may be kept though others keep too much.
+constexpr std::size_t kAlwaysKept = 64U << 10U;
 
 } // namespace
 
@@ -33,6 +35,11 @@
 {
 }
 
+Exchange::~Exchange()
+{
+  mCore->mCounters.mKeptBytes -= mKept;
+}
+
 void
 Exchange::Start()
 {
@@ -227,7 +234,7 @@
     return;
   }
   mBody.append(aBytes);
-  if (mBody.size() > kMostWholeBytes) {
+  if (!CountKept()) {
     NoteFailedOnce();
     OnFailure("answer_too_long", true);
     return;
@@ -235,11 +242,22 @@
   mCurrent.mAttempt->ReadMore();
 }
 
+bool
+Exchange::CountKept()
+{
+  std::uint64_t& all = mCore->mCounters.mKeptBytes;
+  all -= mKept;
+  mKept = mBody.size() + mSplitter.PartialBytes();
+  all += mKept;
+  return mKept <= kMostWholeBytes &&
+         (mKept <= kAlwaysKept || all <= mCore->mOptions.mMostKeptBytes);
+}
+
 void
 Exchange::PassEvents(std::string_view aBytes)
 {
   mSplitter.Feed(aBytes);
-  if (mSplitter.PartialBytes() > kMostWholeBytes) {
+  if (!CountKept()) {
     OnFailure("event_too_long", true);
     return;
   }
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -74,6 +74,9 @@
 {
 public:
   Exchange(RelayCore* aCore, CallerSide* aCaller, CallerRequest aRequest, TimePoint aArrived);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
   void Start();
   /// The caller's connection has ended: stop the work at the engine.
@@ -194,6 +197,8 @@
   /// @param aSaidWhole see NoteRan()
   void OnWholeAnswer(bool aSaidWhole);
   void PassEvents(std::string_view aBytes);
+  /// Count what is kept of the answer until it is whole. @return whether that may be kept
+  bool CountKept();
   /// Pass events on; nothing more is read of the engine until they have gone out.
   void PushToCaller(const std::string& aEvents);
   /// Count a sending's silence from now on, or no longer.
@@ -320,6 +325,7 @@
   HeaderFields mFields;
   std::string mBody;
   EventSplitter mSplitter;
+  std::size_t mKept = 0;                   ///< bytes of these two, as they are counted
   std::optional<std::uint64_t> mLastEvent; ///< passed on to the caller, or had before
   TimePoint mPassedAt{};                   ///< the last event was passed on
   bool mStreamStarted = false;             ///< the caller has the head
--- a/src/pepperbay/relay/relay_endless_test.cpp
+++ b/src/pepperbay/relay/relay_endless_test.cpp
@@ -71,5 +71,48 @@
   EXPECT_EQ(StatusOf(Ask(Once())), 502);
 }
 
+/// Answers that are each within the bound would together end the process for its memory.
+TEST_F(RelayEndless, BodiesAreBoundedTogetherAndSmallAnswersServed)
+{
+  constexpr std::size_t kHalf = std::size_t{ 300 } << 10U;
+  RelayOptions options;
+  options.mMostKeptBytes = std::size_t{ 512 } << 10U;
+  std::promise<void> over;
+  RawEngine engine([&](RawConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (Has(request, "slow")) {
+      aConnection.Write(std::string(kHead) + "\r\n" + std::string(kHalf, 'a'));
+      over.get_future().wait();
+    } else if (Has(request, "endless")) {
+      aConnection.Write(std::string(kHead) + "\r\n");
+      while (aConnection.Write(std::string(4096, 'a'))) {
+      }
+    } else {
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+    }
+  });
+  Serve({ &engine }, options);
+  auto slow =
+    std::async(std::launch::async, [this] { return Ask(Post("/once/", "slow", "Key: k1\r\n")); });
+  while (Counters().mKeptBytes < kHalf) {
+  }
+  EXPECT_EQ(StatusOf(Ask(Post("/once/", "endless", "Key: k1\r\n"))), 502);
+  EXPECT_EQ(StatusOf(Ask(Once())), 200);
+  over.set_value();
+  EXPECT_EQ(StatusOf(slow.get()), 200);
+  EXPECT_EQ(Counters().mKeptBytes, 0U);
+}
+
+/// A stream that is no stream of events.
+TEST_F(RelayEndless, AnEventIsBrokenOff)
+{
+  RelayOptions options;
+  options.mMostKeptBytes = std::size_t{ 512 } << 10U;
+  mStreamAttempts = 1;
+  RawEngine engine(Repeats(std::string(kHead) + "\r\n", mPiece));
+  Serve({ &engine }, options);
+  EXPECT_EQ(StatusOf(Ask(Post("/stream/", "x", "Model: m\r\n"))), 502);
+}
+
 } // namespace
 } // namespace pepperbay
