A test that calls to engines and the store bear a head without end

libcurl bounds the head of an answer itself: the test passed before a bound of our own was written, so that was not kept. Bodies are bounded by Fetch() already.

--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -129,6 +129,25 @@
   ended.set_value();
 }
 
+/// A server that sends header lines without end would fill the memory until the call's time is
+/// over.
+TEST(Http, AHeadWithoutEndIsBrokenOff)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 200 OK\r\n");
+    while (aConnection.Write("A: " + std::string(1000, 'a') + "\r\n")) {
+    }
+  });
+  const auto client = HttpClient::Create();
+  HttpCall call;
+  call.mUrl = "http://" + engine.Address() + "/";
+  call.mTimeout = std::chrono::hours(1);
+  const HttpFetched fetched = client->FetchAndWait(std::move(call));
+  EXPECT_FALSE(fetched.mOutcome.mOk);
+  EXPECT_NE(fetched.mOutcome.mError.mCode, Errc::kTimeout);
+}
+
 /// Guards against calls that are never given up.
 TEST(Http, ACallWithoutAnAnswerIsGivenUpAfterItsTime)
 {
