New connections of a rush are taken up at a rate that the node can serve

The users' platform may send most new connections of a region to one node. What that node read it had to serve, and nothing bounded what it read. The cost of a request comes after it was read, so lag shows too late; in a rush (over three times the usual rate) connections are taken up at eight times the usual rate at first, by 2 in 100 more each fifth of a second while the thread keeps up and by a fifth fewer while it is over 30 ms late. The rest is closed before a byte is read: the caller's next try meets another node. Connections are also bounded by descriptors (three fifths of them). A process that has just started knows no usual rate and takes all while it keeps up.

Not shown: the same with whole nodes.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -32,8 +32,8 @@
                         group_planner_starts_test.cpp group_planner_survivors_test.cpp
                         engine_state_test.cpp composition_test.cpp
                         group_planner_composition_test.cpp USES state membership routing) # pure
-pepperbay_library(admission SOURCES admission.cpp earned_retries.cpp retry_budget.cpp token_bucket.cpp turn_book.cpp
-                  TESTS admission_test.cpp token_bucket_test.cpp turn_book_test.cpp
+pepperbay_library(admission SOURCES admission.cpp connection_gate.cpp earned_retries.cpp retry_budget.cpp token_bucket.cpp turn_book.cpp
+                  TESTS admission_test.cpp connection_gate_test.cpp token_bucket_test.cpp turn_book_test.cpp
                   USES base) # pure
 pepperbay_library(dispatch SOURCES asked_engines.cpp attempt.cpp claims.cpp failure_step.cpp
                   TESTS asked_engines_test.cpp attempt_test.cpp failure_step_test.cpp
@@ -93,7 +93,7 @@
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_pauses_test.cpp relay_attempts_test.cpp
                         relay_kept_test.cpp relay_retries_test.cpp
-                        relay_stop_test.cpp relay_suspects_test.cpp relay_until_close_test.cpp relay_endless_test.cpp relay_limits_test.cpp
+                        relay_stop_test.cpp relay_suspects_test.cpp relay_until_close_test.cpp relay_endless_test.cpp relay_rush_test.cpp relay_limits_test.cpp
                         relay_reach_test.cpp relay_sight_test.cpp relay_peers_test.cpp
                         connector_peers_test.cpp connector_sight_test.cpp
                   USES settings membership quarantine reach admission routing dispatch places retries tunnel
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -6,6 +6,7 @@
 /// through immutable plans.
 #pragma once
 
+#include "pepperbay/admission/connection_gate.hpp"
 #include "pepperbay/base/clock.hpp"
 #include "pepperbay/base/error.hpp"
 #include "pepperbay/membership/stall_detector.hpp"
@@ -49,6 +50,7 @@
   std::string mTunnel;
   std::string mTunnelKey; ///< which others have to name
   std::size_t mMostCarried = kMostCarried;
+  ConnectionGateOptions mGate;
   RelayTuning mTuning;
   /// A connection to an engine that does not stand after this is given up; several round trips
   /// between data centres, and short enough to go elsewhere within an objective.
@@ -107,6 +109,7 @@
   std::map<std::string, std::uint64_t> mSentToLimited;
   std::uint64_t mLimitedEngines = 0; ///< engines that have a limit; now
   std::uint64_t mBadLimits = 0;      ///< answers with a limit that could not be read
+  std::uint64_t mClosedUnread = 0;   ///< connections of callers that were not taken up
   std::uint64_t mOpen = 0;           ///< requests in progress
   std::uint64_t mKeptBytes = 0;      ///< of answers that are kept until they are whole; now
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
--- /dev/null
+++ b/src/pepperbay/admission/connection_gate.cpp
@@ -0,0 +1,102 @@
+#include "pepperbay/admission/connection_gate.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace pepperbay {
+namespace {
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+std::size_t
+MostCallers(std::size_t aDescriptors)
+{
+  constexpr std::size_t kParts = 5;
+  constexpr std::size_t kOfCallers = 3;
+  return std::max<std::size_t>(1, aDescriptors / kParts * kOfCallers);
+}
+
+ConnectionGate::ConnectionGate(ConnectionGateOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+ConnectionGate::OnTick(Duration aLag, TimePoint aNow)
+{
+  mLag = aLag;
+  Control(aNow);
+}
+
+bool
+ConnectionGate::KnowsUsual(TimePoint aNow) const
+{
+  return aNow - mSince >= mOptions.mUsualOver;
+}
+
+bool
+ConnectionGate::IsRush() const
+{
+  const double now = std::max(mRecent, mCame / Seconds(mOptions.mControlEvery));
+  return now > std::max(mOptions.mLeastRush, mOptions.mRushFrom * mUsual);
+}
+
+void
+ConnectionGate::Control(TimePoint aNow)
+{
+  if (mPeriodFrom == TimePoint{}) {
+    mSince = aNow;
+    mPeriodFrom = aNow;
+  }
+  const Duration since = aNow - mPeriodFrom;
+  if (since < mOptions.mControlEvery) {
+    return;
+  }
+  mRecent = mCame / Seconds(since);
+  if (!IsRush()) {
+    mRate = 0;
+  } else if (mRate > 0) {
+    const double least = std::max(mOptions.mLeastRush, mUsual);
+    const double taken = mTaken / Seconds(since);
+    mRate = mLag > mOptions.mMostLag ? std::max(least, std::min(mRate, taken) * mOptions.mFall)
+                                     : mRate * mOptions.mGrowth;
+  }
+  // What came in a rush is not usual; what is taken of it may become so.
+  const Duration over = std::min(mOptions.mUsualOver, aNow - mSince);
+  mUsual += (mTaken / Seconds(since) - mUsual) * std::min(1.0, Seconds(since) / Seconds(over));
+  mCame = 0;
+  mTaken = 0;
+  mPeriodFrom = aNow;
+}
+
+bool
+ConnectionGate::Takes(std::size_t aOpen, TimePoint aNow)
+{
+  Control(aNow);
+  ++mCame;
+  if (aOpen >= mOptions.mMostOpen) {
+    return false;
+  }
+  if (!IsRush()) {
+    ++mTaken;
+    return true;
+  }
+  if (mRate == 0) {
+    // A process that has just started knows no usual rate; its lag alone bounds what it takes.
+    mRate = KnowsUsual(aNow) ? std::max(mOptions.mLeastRush, mOptions.mFirstRate * mUsual)
+                             : std::numeric_limits<double>::max();
+  }
+  if (mTaken >= mRate * Seconds(mOptions.mControlEvery)) {
+    return false;
+  }
+  ++mTaken;
+  return true;
+}
+
+} // namespace pepperbay
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -145,6 +145,7 @@
              "how",
              relay.mSentToLimited),
     Counter("bad_limits_total", "Limits of engines, not understood", relay.mBadLimits),
+    Counter("callers_closed_unread_total", "Connections not taken up", relay.mClosedUnread),
     Gauge("open_requests", "In progress", static_cast<double>(relay.mOpen)),
     Gauge("kept_answer_bytes", "Kept until whole", static_cast<double>(relay.mKeptBytes)),
     Counter("place_questions_total", "Questions to other nodes' desks", aFigures.mPlaces.mAsked),
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -27,6 +27,7 @@
 /// A thread that does its work this much too late has none to spare for other nodes' callers.
 constexpr std::chrono::milliseconds kMostLag{ 20 };
 constexpr int kLagWeight = 8; ///< ticks that the lag is averaged over
+constexpr std::chrono::seconds kLogUnreadEvery{ 1 };
 
 class RelayImpl : public Relay
 {
@@ -137,6 +138,11 @@
 
   void Take(Socket aSocket)
   {
+    if (!mGate.Takes(mCore.mSessions.size(), mCore.Now())) {
+      ++mCore.mCounters.mClosedUnread;
+      CloseNow(aSocket); // before a byte of a request is read: another node can have it
+      return;
+    }
     const auto session = std::make_shared<Session>(&mCore, std::move(aSocket));
     mCore.mSessions.insert(session);
     session->Start();
@@ -163,6 +169,8 @@
       mLag = (mLag * (kLagWeight - 1) + late) / kLagWeight;
     }
     mTickedAt = now;
+    mGate.OnTick(mLag, now);
+    LogClosedUnread(now);
     AcceptOnceKnown();
     mListener.Tick();
     for (const auto& it : mCore.mStalls.Suspects(now)) {
@@ -195,6 +203,22 @@
     }
   }
 
+  /// One line for what was not taken up in the last second.
+  void LogClosedUnread(TimePoint aNow)
+  {
+    const std::uint64_t n = mCore.mCounters.mClosedUnread - mLoggedUnread;
+    if (n == 0 || aNow - mLoggedUnreadAt < kLogUnreadEvery) {
+      return;
+    }
+    mLoggedUnread = mCore.mCounters.mClosedUnread;
+    mLoggedUnreadAt = aNow;
+    mCore.Log("closed_unread",
+              { { "connections", std::to_string(n) },
+                { "open", std::to_string(mCore.mSessions.size()) },
+                { "usual_per_second", std::to_string(mGate.UsualPerSecond()) },
+                { "lag_ms", std::to_string(ToMs(mLag).count()) } });
+  }
+
   void TickStop(TimePoint aNow)
   {
     const Duration since = aNow - mStopAt;
@@ -239,6 +263,9 @@
   }
 
   RelayCore mCore;
+  ConnectionGate mGate{ mCore.mOptions.mGate };
+  std::uint64_t mLoggedUnread = 0; ///< of mClosedUnread
+  TimePoint mLoggedUnreadAt{};
   SilenceWatch mSilence{ &mCore };
   std::unique_ptr<TunnelServer> mTunnels;
   Duration mLag{ 0 }; ///< how late this thread is, averaged over some ticks
--- /dev/null
+++ b/src/pepperbay/relay/relay_rush_test.cpp
@@ -0,0 +1,42 @@
+/// A balancer that sends most new connections to one node.
+#include "relay_fixture.hpp"
+
+namespace pepperbay {
+namespace {
+
+/// A node that gets the connections of a whole region reads them all, is late for all of them, and
+/// is taken out of rotation for its late answers.
+TEST_F(RelayTest, ConnectionsThatTheGateDoesNotTakeAreClosedUnread)
+{
+  RawEngine engine([](RawConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Write(std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+    }
+  });
+  RelayOptions options;
+  options.mGate.mMostOpen = 1;
+  Serve({ &engine }, options);
+  const int first = Connect();
+  RawConnection kept(first);
+  kept.Write("GET /safe/ HTTP/1.1\r\nHost: h\r\nReq: q1\r\n\r\n");
+  EXPECT_EQ(StatusOf(kept.ReadAnswer()), 200);
+  EXPECT_EQ(Ask(Get("/safe/")), "");
+  const RelayCounters counters = Counters();
+  EXPECT_EQ(counters.mClosedUnread, 1U);
+  EXPECT_EQ(counters.mRequests, 1U);
+  EXPECT_EQ(AwaitLine("closed_unread")["connections"], "1");
+  // A connection that was taken up is served on.
+  kept.Write(Get("/safe/"));
+  EXPECT_EQ(StatusOf(kept.ReadAnswer()), 200);
+  EXPECT_EQ(kept.ReadToEnd(), "");
+  ::close(first);
+  constexpr int kTries = 1000; // until the relay has seen the close
+  int status = 0;
+  for (int i = 0; i < kTries && status != 200; ++i) {
+    status = StatusOf(Ask(Get("/safe/")));
+  }
+  EXPECT_EQ(status, 200);
+}
+
+} // namespace
+} // namespace pepperbay
