Streams that run on with a part that is held back go on and clear it

A sound part that nobody has seen run, such as the first part of a route just after a start, cannot be told from the cause where both were at each end, and is held back with it. All that had begun within a second was then stopped, so nothing was left that could clear it, and the route was refused for ten minutes.

A stream that is held back for a part goes on once its answer is 300 ms old (engines end 42 to 178 ms after their beginning in the record), and an event later than a second after the beginning clears its parts on all nodes, without waiting for the end of the answer. The new test of relay_suspects_test failed before (the stream was cut).

--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -289,6 +289,7 @@
   }
   mCurrent.mLastEventAt = now;
   mPassedAt = now;
+  NoteRunsOn();
   if (!mStreamStarted) {
     mCore->mCounters.mFirstEvent.Observe(now - mArrived);
     mStreamStarted = true;
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -53,6 +53,7 @@
   bool mRepeats = false; ///< its engine was counted for a sending whose connection was stale
   bool mStale = false;   ///< it went on a kept connection that was closed without an answer
   bool mFailed = false;  ///< it has come to nothing
+  bool mRunsOn = false;  ///< noted as one that ends no engine
 };
 
 /// A kept connection that was closed under a request. The engine may not have read the request and
@@ -215,6 +216,8 @@
   /// @param aSaidWhole the answer itself says so; where its end is that of the connection, an
   /// engine that ended looks the same
   void NoteRan(bool aSaidWhole);
+  /// The engine writes for longer than those that the request's parts could have ended.
+  void NoteRunsOn();
   /// What is noted of the request if the engine of a sending has ended just now.
   BrokenOff BrokenOffAt(const Sending& aSending) const;
   /// A sending came to nothing: note what that says of its engine, and of the request.
--- a/src/pepperbay/relay/exchange_suspect.cpp
+++ b/src/pepperbay/relay/exchange_suspect.cpp
@@ -7,6 +7,13 @@
 #include <utility>
 
 namespace pepperbay {
+namespace {
+
+/// An engine that a part ends does so sooner, as a rule. A sound part may be held back with the
+/// cause where nobody has seen it run yet; what goes on with it clears it.
+constexpr std::chrono::milliseconds kPartGoesOnAfter{ 300 };
+
+} // namespace
 
 SuspectRequest
 Exchange::Suspected() const
@@ -43,6 +50,17 @@
   }
 }
 
+void
+Exchange::NoteRunsOn()
+{
+  const auto& headAt = mCurrent.mHeadAt;
+  const bool runsOn =
+    mCurrent.mWriting && headAt && mCurrent.mLastEventAt - *headAt > mCore->mOptions.mSuspectWithin;
+  if (runsOn && !std::exchange(mCurrent.mRunsOn, true)) {
+    mCore->OnPartsRan(mParts);
+  }
+}
+
 BrokenOff
 Exchange::BrokenOffAt(const Sending& aSending) const
 {
@@ -123,7 +141,9 @@
     DropNext("held_back", mNext->mAttempt->MayHaveRun());
   }
   const auto& headAt = mCurrent.mHeadAt;
-  const bool proven = headAt && mCore->Now() - *headAt > mCore->mOptions.mSuspectWithin;
+  const bool byPart = mCore->SuspectOf(mKey).mHeldUntil <= mCore->Now();
+  const Duration most = byPart ? Duration(kPartGoesOnAfter) : mCore->mOptions.mSuspectWithin;
+  const bool proven = headAt && mCore->Now() - *headAt > most;
   if (proven || mNext) {
     return false; // it runs for longer than those that ended engines
   }
--- a/src/pepperbay/relay/relay_suspects_test.cpp
+++ b/src/pepperbay/relay/relay_suspects_test.cpp
@@ -366,6 +366,43 @@
   EXPECT_EQ(StatusOf(Ask(Post("/stream/", "x", "Model: m\r\nPart: q\r\n"))), 200);
 }
 
+/// The first part of a whole route, held back with the cause before anybody has seen it run, would
+/// be refused for ten minutes: with nothing running, nothing clears it.
+TEST_F(RelaySuspects, AStreamThatRunsOnWithAPartThatIsHeldBackClearsIt)
+{
+  SharedClock clock;
+  std::promise<void> wrote;
+  std::promise<void> goOn;
+  RawEngine engine([&](RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write(StreamHead() + kEvent);
+    wrote.set_value();
+    goOn.get_future().wait();
+    aConnection.Write("f\r\nid: 2\ndata: b\n\n\r\n");
+    aConnection.ReadToEnd();
+  });
+  RelayOptions options;
+  options.mNow = clock.Hook();
+  options.mTick = std::chrono::milliseconds(1);
+  Serve({ &engine }, options);
+  const int socket = Connect();
+  RawConnection caller(socket);
+  caller.Write(Post("/stream/", "x", "Model: m\r\nPart: p\r\n"));
+  wrote.get_future().wait();
+  ASSERT_TRUE(caller.ReadUntil("data: a"));
+  clock.Advance(std::chrono::milliseconds(400));
+  Suspect(6, std::chrono::minutes(10), PartKey());
+  for (int i = 0; i < 20; ++i) {
+    Counters(); // each comes after what was due before
+  }
+  EXPECT_EQ(mRanWhole, 0);
+  clock.Advance(std::chrono::milliseconds(700));
+  goOn.set_value();
+  ASSERT_TRUE(caller.ReadUntil("data: b"));
+  EXPECT_EQ(mRanWhole, 1);
+  ::close(socket);
+}
+
 /// A stream that has been written for longer than any that ended an engine is not the cause.
 TEST_F(RelaySuspects, AStreamThatRunsForLongIsNotCutWhenItIsHeldBack)
 {
