Path faults of several engines are checked at others before a node counts itself cut

An idle node took its own paths for cut, for a moment, when two engines paused at once: only the first fault of a moment was checked at one other engine, which might be the one that paused as well. Now all faults of engines from which nothing was heard since wait together; each has two more engines tried that are neither at fault nor tried yet, at the same time, so a cut is known as soon as before.

ACutIsKnownSoonAfterTheFirstPathFault (40 ms) passes still; connector_peers, relay_sight, relay_reach and relay_peers tests: 4, 2, 12, 8 passed.

--- a/src/pepperbay/relay/engine_connector.cpp
+++ b/src/pepperbay/relay/engine_connector.cpp
@@ -107,7 +107,7 @@
   const std::vector<AttemptTarget> engines = mHooks.mEngines();
   const auto it = std::find_if(
     engines.begin(), engines.end(), [&reached](const auto& aIt) { return aIt.mEngine == reached; });
-  const auto engine = it == engines.end() ? NextToTry("") : std::make_optional(*it);
+  const auto engine = it == engines.end() ? NextToTry({}) : std::make_optional(*it);
   if (engine) {
     Try(*engine, mOptions.mTimeout, [this](bool aStands) {
       if (!aStands) {
@@ -118,12 +118,12 @@
 }
 
 std::optional<AttemptTarget>
-EngineConnector::NextToTry(const std::string& aExcept)
+EngineConnector::NextToTry(const std::set<std::string>& aExcept)
 {
   std::vector<AttemptTarget> engines = mHooks.mEngines();
   engines.erase(std::remove_if(engines.begin(),
                                engines.end(),
-                               [&](const auto& aIt) { return aIt.mEngine == aExcept; }),
+                               [&](const auto& aIt) { return aExcept.count(aIt.mEngine) != 0; }),
                 engines.end());
   if (engines.empty()) {
     return std::nullopt;
@@ -172,7 +172,7 @@
     aDone(true);
     return;
   }
-  const auto other = NextToTry(aEngine);
+  const auto other = NextToTry({ aEngine });
   if (!other) {
     aDone(false);
     return;
@@ -238,20 +238,39 @@
 void
 EngineConnector::OnPathFault(const std::string& aEngine, TimePoint aBegun)
 {
-  if (mFaultLooked == aEngine) {
+  if (mFaultsLooked.count(aEngine) != 0) {
     return;
   }
-  const bool undecided = mFaultLooked.empty() && !Avoids() && mHeardAt < aBegun;
-  const auto other = undecided ? NextToTry(aEngine) : std::nullopt;
-  if (!other) {
+  if (Avoids() || mHeardAt >= aBegun) {
     NotePathFault(aEngine, aBegun);
     return;
   }
-  mFaultLooked = aEngine;
-  Try(*other, mOptions.mPeerAfter, [this, aEngine, aBegun](bool /*aStands*/) {
-    mFaultLooked.clear();
-    NotePathFault(aEngine, aBegun); // an engine that answered was heard after `aBegun`
-  });
+  mFaultsLooked[aEngine] = aBegun;
+  // One that has been tried for another fault may be at fault itself by now.
+  mTriedForFaults.insert(aEngine);
+  for (std::size_t i = 0; i < kLooksAtFault; ++i) {
+    if (const auto other = NextToTry(mTriedForFaults)) {
+      mTriedForFaults.insert(other->mEngine);
+      ++mLooks;
+      Try(*other, mOptions.mPeerAfter, [this](bool /*aStands*/) {
+        if (--mLooks == 0) {
+          NoteLookedFaults();
+        }
+      });
+    }
+  }
+  if (mLooks == 0) {
+    NoteLookedFaults(); // there is no other engine
+  }
+}
+
+void
+EngineConnector::NoteLookedFaults()
+{
+  mTriedForFaults.clear();
+  for (const auto& [engine, begun] : std::exchange(mFaultsLooked, {})) {
+    NotePathFault(engine, begun); // an engine that answered was heard after it had begun
+  }
 }
 
 void
--- a/src/pepperbay/relay/engine_connector.hpp
+++ b/src/pepperbay/relay/engine_connector.hpp
@@ -151,17 +151,21 @@
 
   TimePoint Now() const { return mHooks.mNow(); }
   void OnConnected(const std::string& aEngine);
+  /// Engines that are tried after a fault, since one of them may pause as well.
+  static constexpr std::size_t kLooksAtFault = 2;
+
   /// A peer has reached an engine that this node has not. Whether that is all engines' paths is
-  /// seen from another one first: this one may just have paused.
+  /// seen from others first: this one may just have paused.
   void OnPathFault(const std::string& aEngine, TimePoint aBegun);
   void NotePathFault(const std::string& aEngine, TimePoint aBegun);
+  void NoteLookedFaults();
   void TellAvoid();
   /// Try whether own connections to engines stand again.
   void TryWay();
   /// Try a connection of this node's own, only to see whether it stands.
   void Try(const AttemptTarget& aEngine, Duration aWithin, std::function<void(bool aStands)> aDone);
   /// @return an engine to try, another each time; null where there is none.
-  std::optional<AttemptTarget> NextToTry(const std::string& aExcept);
+  std::optional<AttemptTarget> NextToTry(const std::set<std::string>& aExcept);
   /// @return whether there is any engine but this one.
   bool HasOther(const std::string& aEngine) const;
 
@@ -185,7 +189,10 @@
   std::unordered_map<std::string, Looked> mLooked; ///< by engine
   std::uint64_t mLastId = 0;
   std::size_t mTried = 0;
-  std::string mFaultLooked; ///< the engine whose path fault waits for a look at another one
+  /// Engines whose path faults wait for looks at others, and when their connections were begun.
+  std::map<std::string, TimePoint> mFaultsLooked;
+  std::set<std::string> mTriedForFaults; ///< these, and the engines that are looked at
+  std::size_t mLooks = 0;                ///< under way
   bool mToldAvoid = false;
 };
 
