Callers that come back all at once are no rush

By reading: with a low usual rate, since callers keep their connections, a node that was idle would have closed most of a few dozen callers who were cut off elsewhere and came back at once: over 20 in a second counted as a rush, and 4 in a fifth of a second were taken. A rush is now more than 200 new connections within a second, and the first rate is at least 100 a second. New test CallersThatComeBackAtOnceAreTaken.

--- a/include/pepperbay/admission/connection_gate.hpp
+++ b/include/pepperbay/admission/connection_gate.hpp
@@ -12,6 +12,7 @@
 
 #include "pepperbay/base/clock.hpp"
 
+#include <array>
 #include <cstddef>
 
 namespace pepperbay {
@@ -23,10 +24,13 @@
   /// A rush is so many times the usual rate. Below, a node that is late for another reason serves
   /// its own callers on.
   double mRushFrom = 3;
-  double mLeastRush = 20; ///< new connections a second; fewer are no rush
-  double mFirstRate = 8;  ///< times the usual rate, taken at first in a rush
-  double mGrowth = 1.02;  ///< of that rate, while the thread keeps up
-  double mFall = 0.8;     ///< of that rate, while it is late
+  /// New connections a second; fewer are no rush. Callers that were cut off come back all at once.
+  double mLeastRush = 200;
+  double mFirstRate = 8;    ///< times the usual rate, taken at first in a rush
+  double mLeastFirst = 100; ///< a second; the same where the usual rate is low
+  double mLeastRate = 20;   ///< a second, taken whatever the lag
+  double mGrowth = 1.02;    ///< of the rate in a rush, while the thread keeps up
+  double mFall = 0.8;       ///< of that rate, while it is late
   Duration mControlEvery = std::chrono::milliseconds(200);
   Duration mUsualOver = std::chrono::seconds(20); ///< over which a rate becomes the usual one
   std::size_t mMostOpen = 4096;                   ///< connections; see MostCallers()
@@ -53,17 +57,19 @@
   double UsualPerSecond() const { return mUsual; }
 
 private:
+  static constexpr std::size_t kPeriods = 5; ///< of control, over which a rush is seen
+
   void Control(TimePoint aNow);
   bool IsRush() const;
   bool KnowsUsual(TimePoint aNow) const;
 
   ConnectionGateOptions mOptions;
   Duration mLag{ 0 };
-  double mUsual = 0;  ///< a second
-  double mRecent = 0; ///< a second, that came in the last whole period of control
-  double mRate = 0;   ///< a second, taken in a rush; 0: none is on
-  double mCame = 0;   ///< in this period
-  double mTaken = 0;  ///< of these
+  double mUsual = 0;                      ///< a second
+  std::array<double, kPeriods> mCounts{}; ///< of the last periods of control, each its connections
+  std::size_t mPeriod = 0;                ///< the present one
+  double mRate = 0;                       ///< a second, taken in a rush; 0: none is on
+  double mTaken = 0;                      ///< in this period
   TimePoint mPeriodFrom{};
   TimePoint mSince{}; ///< the first look
 };
--- a/src/pepperbay/admission/connection_gate.cpp
+++ b/src/pepperbay/admission/connection_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace pepperbay {
 namespace {
@@ -43,8 +44,9 @@
 bool
 ConnectionGate::IsRush() const
 {
-  const double now = std::max(mRecent, mCame / Seconds(mOptions.mControlEvery));
-  return now > std::max(mOptions.mLeastRush, mOptions.mRushFrom * mUsual);
+  const double came = std::accumulate(mCounts.begin(), mCounts.end(), 0.0);
+  return came / (kPeriods * Seconds(mOptions.mControlEvery)) >
+         std::max(mOptions.mLeastRush, mOptions.mRushFrom * mUsual);
 }
 
 void
@@ -58,11 +60,10 @@
   if (since < mOptions.mControlEvery) {
     return;
   }
-  mRecent = mCame / Seconds(since);
   if (!IsRush()) {
     mRate = 0;
   } else if (mRate > 0) {
-    const double least = std::max(mOptions.mLeastRush, mUsual);
+    const double least = std::max(mOptions.mLeastRate, mUsual);
     const double taken = mTaken / Seconds(since);
     mRate = mLag > mOptions.mMostLag ? std::max(least, std::min(mRate, taken) * mOptions.mFall)
                                      : mRate * mOptions.mGrowth;
@@ -70,7 +71,8 @@
   // What came in a rush is not usual; what is taken of it may become so.
   const Duration over = std::min(mOptions.mUsualOver, aNow - mSince);
   mUsual += (mTaken / Seconds(since) - mUsual) * std::min(1.0, Seconds(since) / Seconds(over));
-  mCame = 0;
+  mPeriod = (mPeriod + 1) % kPeriods;
+  mCounts[mPeriod] = 0;
   mTaken = 0;
   mPeriodFrom = aNow;
 }
@@ -79,7 +81,7 @@
 ConnectionGate::Takes(std::size_t aOpen, TimePoint aNow)
 {
   Control(aNow);
-  ++mCame;
+  ++mCounts[mPeriod];
   if (aOpen >= mOptions.mMostOpen) {
     return false;
   }
@@ -89,7 +91,7 @@
   }
   if (mRate == 0) {
     // A process that has just started knows no usual rate; its lag alone bounds what it takes.
-    mRate = KnowsUsual(aNow) ? std::max(mOptions.mLeastRush, mOptions.mFirstRate * mUsual)
+    mRate = KnowsUsual(aNow) ? std::max(mOptions.mLeastFirst, mOptions.mFirstRate * mUsual)
                              : std::numeric_limits<double>::max();
   }
   if (mTaken >= mRate * Seconds(mOptions.mControlEvery)) {
--- a/src/pepperbay/admission/connection_gate_test.cpp
+++ b/src/pepperbay/admission/connection_gate_test.cpp
@@ -51,6 +51,14 @@
   EXPECT_EQ(gate.Run(350, seconds(5), milliseconds(0)), 1750);
 }
 
+/// Callers whose connections were all cut come back at once, and would be sent away by idle nodes.
+TEST(ConnectionGate, CallersThatComeBackAtOnceAreTaken)
+{
+  Gate gate;
+  gate.Run(2, seconds(30), milliseconds(0));
+  EXPECT_EQ(gate.Run(1000, milliseconds(180), kLate), 180);
+}
+
 /// After all nodes have started anew their callers come back at once.
 TEST(ConnectionGate, ANewProcessThatKeepsUpTakesAll)
 {
