Ends of a cause that makes room for another are charged again

By reading: the book forgets the least suspected when it is full, and did not find the causes anew when that was one. Its ends stayed accounted for, so nothing else could be charged with them. The model of the gate's test says once how a node serves.

--- a/src/pepperbay/admission/connection_gate_test.cpp
+++ b/src/pepperbay/admission/connection_gate_test.cpp
@@ -118,20 +118,12 @@
   {
     const std::size_t from = mRequests.size();
     Count count;
-    double due = 0;
-    for (const TimePoint end = mNow + aFor; mNow < end; mNow += kTick) {
-      due += aPerSecond * std::chrono::duration<double>(kTick).count();
-      for (; due >= 1; due -= 1) {
-        count.mUnread += Connect() ? 0 : 1;
-      }
-      Tick();
-    }
+    count.mUnread = Serve(aPerSecond, aFor);
     const std::size_t to = mRequests.size();
-    const TimePoint now = mNow;
-    for (int i = 0; i < 500; ++i, mNow += kTick) {
+    constexpr int kTicks = 500;
+    for (int i = 0; i < kTicks; ++i, mNow += kTick) {
       Tick(); // what was read is served to its end
     }
-    mNow = now + 500 * kTick;
     for (std::size_t i = from; i < to; ++i) {
       ++count.mRead;
       count.mInTime += mRequests[i].mLate ? 0 : 1;
@@ -139,17 +131,19 @@
     return count;
   }
 
-  /// The same, without the pause after it.
-  void Warm(double aPerSecond, Duration aFor)
+  /// @return the connections that were closed unread.
+  int Serve(double aPerSecond, Duration aFor)
   {
+    int unread = 0;
     double due = 0;
     for (const TimePoint end = mNow + aFor; mNow < end; mNow += kTick) {
       due += aPerSecond * std::chrono::duration<double>(kTick).count();
       for (; due >= 1; due -= 1) {
-        Connect();
+        unread += Connect() ? 0 : 1;
       }
       Tick();
     }
+    return unread;
   }
 
 private:
@@ -206,8 +200,8 @@
 {
   for (const double rush : { 60.0, 160.0, 400.0, 1200.0, 5000.0 }) {
     Node node;
-    node.Warm(20, seconds(60));
-    node.Warm(rush, seconds(3));
+    node.Serve(20, seconds(60));
+    node.Serve(rush, seconds(3));
     const Node::Count count = node.Run(rush, seconds(5));
     EXPECT_GE(count.mInTime, 0.95 * count.mRead) << rush;
     EXPECT_GE(count.mRead + 1, std::min(rush, 160.0) * 5)
--- a/src/pepperbay/quarantine/crash_book.cpp
+++ b/src/pepperbay/quarantine/crash_book.cpp
@@ -75,7 +75,11 @@
       const Request& right = aRight.second;
       return std::tie(left.mScore, left.mLastEnd) < std::tie(right.mScore, right.mLastEnd);
     });
+  const bool accounts = least->second.mScore >= mOptions.mQuarantineFrom;
   mRequests.erase(least);
+  if (accounts) {
+    AccountForEnds();
+  }
 }
 
 bool
--- a/src/pepperbay/quarantine/crash_book_test.cpp
+++ b/src/pepperbay/quarantine/crash_book_test.cpp
@@ -186,6 +186,24 @@
   EXPECT_EQ(book.HeldUntil(kKey), kNow + CrashBookOptions().mQuarantine);
 }
 
+/// A cause that has made room for another would excuse what is charged with its ends for ever.
+TEST(CrashBook, EndsOfACauseThatIsForgottenAreChargedAgain)
+{
+  CrashBookOptions options;
+  options.mMost = 2;
+  CrashBook book(options);
+  const RequestKey other{ 1, 3 };
+  for (std::uint64_t it = 1; it <= 3; ++it) {
+    book.Add(kKey, Begun(it), kNow);
+  }
+  for (std::uint64_t it = 11; it <= 14; ++it) {
+    book.Add(other, Begun(it), kNow + seconds(1));
+  }
+  book.Add({ 1, 4 }, Begun(1), kNow + seconds(2)); // of the first two the less suspected goes
+  EXPECT_EQ(book.Score(kKey), 0);
+  EXPECT_EQ(book.Charge({ 1, 4 }), 2);
+}
+
 /// Callers that send many such requests would fill the memory, or push out what is held back.
 TEST(CrashBook, KeepsABoundedNumberAndTheMostSuspectedOfThem)
 {
