--- a/src/pepperbay/quarantine/part_holds_test.cpp
+++ b/src/pepperbay/quarantine/part_holds_test.cpp
@@ -57,7 +57,7 @@
     for (; mNow < end; mNow += kStep) {
       HearNews();
       Arrive(mOptions.mPerHead * static_cast<double>(mOptions.mHeads), 0);
-      if (mNow >= kStart + seconds(4)) {
+      if (mNow >= mStart + seconds(4)) {
         for (int it = 1; it <= mOptions.mCauses; ++it) {
           Arrive(mOptions.mCausePerSecond, it);
         }
@@ -94,7 +94,7 @@
 private:
   static constexpr std::uint64_t kSound = 1; ///< first half of keys of sound parts
   static constexpr std::uint64_t kCause = 2;
-  const TimePoint kStart = TimePoint(std::chrono::hours(1));
+  const TimePoint mStart = TimePoint(std::chrono::hours(1));
 
   struct Request
   {
@@ -226,7 +226,7 @@
 
   WorldOptions mOptions;
   std::mt19937_64 mRandom;
-  TimePoint mNow = kStart;
+  TimePoint mNow = mStart;
   std::vector<RecentRuns> mRuns; ///< by node
   std::vector<Head> mHeads;
   CrashBook mBook;
