Kept bytes are uncounted when a request is over, not when it is destroyed

Found in the last reading: the destructor of Exchange wrote to the core's counters. Sessions that wait in handlers of the io_context outlive the core where a relay is torn down with requests open, so that write went to freed memory. Over() is where counts are settled.

--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -35,11 +35,6 @@
 {
 }
 
-Exchange::~Exchange()
-{
-  mCore->mCounters.mKeptBytes -= mKept;
-}
-
 void
 Exchange::Start()
 {
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -75,9 +75,6 @@
 {
 public:
   Exchange(RelayCore* aCore, CallerSide* aCaller, CallerRequest aRequest, TimePoint aArrived);
-  ~Exchange();
-  Exchange(const Exchange&) = delete;
-  Exchange& operator=(const Exchange&) = delete;
 
   void Start();
   /// The caller's connection has ended: stop the work at the engine.
--- a/src/pepperbay/relay/exchange_ends.cpp
+++ b/src/pepperbay/relay/exchange_ends.cpp
@@ -317,6 +317,7 @@
   DropAttempt();
   mCaller = nullptr;
   --mCore->mCounters.mOpen;
+  mCore->mCounters.mKeptBytes -= std::exchange(mKept, 0);
   mCore->mExchanges.erase(shared_from_this());
 }
 
