--- a/review/1/drive.cpp
+++ b/review/1/drive.cpp
@@ -64,11 +64,10 @@
 main(int /*aCount*/, char** aArguments)
 {
   NowMs();
-  const bool trouble =
-    std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
+  const bool trouble = Trouble();
   const std::string folder = aArguments[2];
   Record record(aArguments[3]);
-  const int base = 10000 + static_cast<int>(::getpid() % 1000) * 20;
+  const int base = BasePort();
   Store store("127.0.0.2", base);
   store.Put("op", "config", kConfiguration);
   std::vector<std::unique_ptr<Engine>> engines;
@@ -88,19 +87,10 @@
                           "z" + std::to_string(i),
                           base,
                           ip + ":" + std::to_string(base + 10) });
-    const std::string file = folder + "/" + addresses.back().mName + ".yaml";
-    std::ofstream(file) << SettingsOf(addresses.back());
-    nodes.push_back(
-      std::make_unique<Node>(aArguments[1], file, folder + "/" + addresses.back().mName + ".log"));
+    nodes.push_back(StartNode(aArguments[1], folder, addresses.back()));
   }
-  for (const auto& it : addresses) {
-    while (!IsReady(it)) {
-      if (NowMs() > 20000) {
-        std::cerr << it.mName << " is not ready\n";
-        return 2;
-      }
-      SleepMs(50);
-    }
+  if (!AwaitReady(addresses)) {
+    return 2;
   }
   std::vector<std::thread> clients;
   for (const auto& it : addresses) {
--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -642,6 +642,46 @@
            .Status() == 200;
 }
 
+/// @return whether the disruption is to take place
+inline bool
+Trouble()
+{
+  const char* const value = std::getenv("TROUBLE");
+  return value == nullptr || std::string(value) != "0";
+}
+
+/// The first of twenty ports that this process uses.
+inline int
+BasePort()
+{
+  return 10000 + static_cast<int>(::getpid() % 1000) * 20;
+}
+
+inline std::unique_ptr<Node>
+StartNode(const std::string& aProgram, const std::string& aFolder, const NodeAddresses& aNode)
+{
+  const std::string file = aFolder + "/" + aNode.mName + ".yaml";
+  std::ofstream(file) << SettingsOf(aNode);
+  return std::make_unique<Node>(aProgram, file, aFolder + "/" + aNode.mName + ".log");
+}
+
+/// @return whether all nodes are ready within 20 seconds
+inline bool
+AwaitReady(const std::vector<NodeAddresses>& aNodes)
+{
+  const double until = NowMs() + 20000;
+  for (const auto& it : aNodes) {
+    while (!IsReady(it)) {
+      if (NowMs() > until) {
+        std::cerr << it.mName << " is not ready\n";
+        return false;
+      }
+      SleepMs(50);
+    }
+  }
+  return true;
+}
+
 struct Sent
 {
   double mAtMs = 0;
