Log lines: who told of a removed registration, and whether its engine is kept

The lines tell when each log of the store was lost and came back, but not who acted on the removal, so runs that break and runs that hold look alike.

New line registration_removed: engine, from (store, or the node that forwarded it), kept.

--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -96,8 +96,8 @@
   void Remove(const std::string& aId, TimePoint aNow);
   /// A registration was overwritten by what names no engine: drop it, outage or not.
   void Withdraw(const std::string& aId, TimePoint aNow);
-  /// The whole list was read again: drop whatever is not in it.
-  void KeepOnly(const std::set<std::string>& aIds, TimePoint aNow);
+  /// The whole list was read again: drop whatever is not in it. @return the engines it lacks
+  std::vector<std::string> KeepOnly(const std::set<std::string>& aIds, TimePoint aNow);
   /// The store answers again after it did not.
   void OnStoreBack(TimePoint aNow);
   /// The store has come back from an older copy; the list that follows is as old as that. Engines
@@ -110,6 +110,8 @@
 
   const EngineMap& Engines() const { return mEngines; }
   const EngineRecord* Find(const std::string& aId) const;
+  /// @return whether an engine is kept for now although its registration was removed.
+  bool IsKept(const std::string& aId) const { return mMissing.count(aId) != 0; }
   /// @return the newest start known of an engine, listed or not; default when none was stated.
   WallTime NewestStart(const std::string& aId) const;
   /// Grows with each change.
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -44,6 +44,8 @@
   void OnConfiguration(const KeyedRecord& aRecord);
   void OnEngine(const KeyedRecord& aRecord);
   void OnEngineList(const std::vector<KeyedRecord>& aRecords);
+  /// Logs that a registration was removed, who told this node, and whether the engine is kept.
+  void LogRemoval(const std::string& aEngine);
   void TakeEngine(EngineRecord aEngine);
   void OnReport(const EngineRecord& aEngine, const EngineReport& aReport);
   /// Handles a log that was restored from an older copy; its list is read again.
@@ -201,7 +203,7 @@
   void ForwardRecords(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
   /// Sends one message of records; one that does not fit into a datagram is left out.
   void SendFeed(const proto::PeerMessage& aMessage);
-  void ApplyFeed(const proto::LogFeed& aFeed);
+  void ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed);
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
@@ -233,6 +235,7 @@
   QuarantineManager mSuspects;
   NodeTree mTree;
   LogReads mReads;
+  std::string mFeeder; ///< the node whose forwarded records are being applied; empty: none
   std::optional<TimePoint> mStoreLostSince;
   bool mReportedStoreLost = false; ///< as reported in the last heartbeats
   std::string mLoggedReader;       ///< the last reader that was logged
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -268,7 +268,7 @@
 }
 
 void
-Coordinator::Impl::ApplyFeed(const proto::LogFeed& aFeed)
+Coordinator::Impl::ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed)
 {
   if (aFeed.log() >= kFollowedLogs) {
     ++mCounters.mBadMessages;
@@ -285,7 +285,9 @@
     tail.mRecords.push_back(std::move(record));
   }
   ++mCounters.mFeeds;
+  mFeeder = aFrom;
   FollowerOf(static_cast<FollowedLog>(aFeed.log())).Feed(aFeed.from(), tail);
+  mFeeder.clear();
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -129,7 +129,7 @@
       AnswerUpdateRequest(message);
       return;
     case proto::PeerMessage::kFeed:
-      ApplyFeed(message.feed());
+      ApplyFeed(message.node(), message.feed());
       return;
     case proto::PeerMessage::kConfiguration:
       OnConfiguration({ mHooks.mConfigKey, message.configuration() });
--- a/src/pepperbay/coordinator/coordinator_registrations.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations.cpp
@@ -9,7 +9,11 @@
 {
   if (!aRecord.mValue) {
     mRefusedEntries.erase(aRecord.mKey);
+    const bool known = mDirectory.Find(aRecord.mKey) != nullptr;
     mDirectory.Remove(aRecord.mKey, Now());
+    if (known) {
+      LogRemoval(aRecord.mKey);
+    }
     return;
   }
   auto engine = mHooks.mDecodeEngine(aRecord.mKey, *aRecord.mValue);
@@ -31,6 +35,15 @@
   }
 }
 
+void
+Coordinator::Impl::LogRemoval(const std::string& aEngine)
+{
+  mHooks.mLog("registration_removed",
+              { { "engine", aEngine },
+                { "from", mFeeder.empty() ? "store" : mFeeder },
+                { "kept", mDirectory.IsKept(aEngine) ? "true" : "false" } });
+}
+
 void
 Coordinator::Impl::TakeEngine(EngineRecord aEngine)
 {
@@ -72,7 +85,9 @@
       OnEngine(it);
     }
   }
-  mDirectory.KeepOnly(listed, Now());
+  for (const auto& it : mDirectory.KeepOnly(listed, Now())) {
+    LogRemoval(it);
+  }
   for (auto it = mRefusedEntries.begin(); it != mRefusedEntries.end();) {
     it = listed.count(it->first) == 0 ? mRefusedEntries.erase(it) : std::next(it);
   }
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -105,7 +105,7 @@
   ++mRevision;
 }
 
-void
+std::vector<std::string>
 EngineDirectory::KeepOnly(const std::set<std::string>& aIds, TimePoint aNow)
 {
   std::vector<std::string> gone;
@@ -120,6 +120,7 @@
   for (auto it = mReturning.begin(); it != mReturning.end();) {
     it = aIds.count(it->first) == 0 ? mReturning.erase(it) : std::next(it);
   }
+  return gone;
 }
 
 void
