Follow the store's logs over a new connection where a call is late

Cause, first half: a read on a dead connection was given up after its hold and 1 s (1.6 s), and the failure, of this node's own connection, counted as the store's. Kept connections that were idle then were as dead: calls after the first failed one by one on them. The log of nodes, read for 20 s at a time, found out after 21 s.

Change: a call of a log that is 0.3 s late is repeated over a new connection (twice at most, 0.3 s apart), and the first answer counts; the log is lost only when no connection answers within the first call's time. Connections to the store that were open before are not used again (HttpClient::RetireConnections), and the other logs repeat what they have under way. While a log is lost, each call opens a connection. Metric store_connections_replaced_total, line store_connection_replaced, calls by reason 'late'.

Ruled out: a shorter time-out for all calls (a slow store answers in 0.25 s; then nothing is left for a slow node); keep-alive probes (the dead peer's host may acknowledge them).

--- a/fakes/fake_store_line.hpp
+++ b/fakes/fake_store_line.hpp
@@ -28,6 +28,7 @@
   KeyedLogHooks Hooks(FakeKeyedLog* aLog)
   {
     KeyedLogHooks hooks;
+    hooks.mReplaceConnections = [this] { mDead = false; };
     hooks.mNewest = [this, aLog](const std::string& aAfter,
                                  const std::function<void(Result<KeyedPage>)>& aDone) {
       Call call = NewCall(aLog, Duration::zero());
@@ -55,6 +56,15 @@
       it.mLost = it.mLost || aSilent;
     }
   }
+  /// The connections that are open go dead without a sign: calls under way get no answer, nor do
+  /// others until the connections are replaced.
+  void BreakConnections()
+  {
+    mDead = true;
+    for (auto& it : mCalls) {
+      it.mLost = true;
+    }
+  }
   /// Only the calls to one log get no answer.
   void SilenceLog(const FakeKeyedLog* aLog)
   {
@@ -98,12 +108,13 @@
     Call call;
     call.mLog = aLog;
     call.mHeldUntil = mNow() + aWait;
-    call.mLost = mSilent || aLog == mSilentLog;
+    call.mLost = mSilent || mDead || aLog == mSilentLog;
     return call;
   }
 
   NowFn mNow;
   bool mSilent = false;
+  bool mDead = false; ///< connections that are open give no answer
   const FakeKeyedLog* mSilentLog = nullptr;
   std::vector<Call> mCalls;
 };
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -153,6 +153,8 @@
   std::uint64_t mStaleIncarnations = 0;   ///< messages of a stale incarnation, ignored
   std::uint64_t mSuspectRequests = 0;     ///< requests under which engines have exited; now
   std::uint64_t mQuarantinedRequests = 0; ///< of these, quarantined; now
+  /// Late calls to the store's logs that were answered over a new connection.
+  std::uint64_t mReplacedConnections = 0;
   std::uint64_t mStoreRestored = 0;       ///< logs that the store restored from an older copy
   /// Records or messages on suspect requests that could not be decoded.
   std::uint64_t mBadSuspects = 0;
--- a/include/pepperbay/http/client.hpp
+++ b/include/pepperbay/http/client.hpp
@@ -99,6 +99,10 @@
   /// Give a call up; mOnDone still comes, with kCancelled, unless it came before.
   virtual void Cancel(std::uint64_t aId) = 0;
 
+  /// Calls that begin from now on use no connection to the address that is open now. Calls under
+  /// way go on. @param aAddress `IP:port`
+  virtual void RetireConnections(const std::string& aAddress) = 0;
+
   virtual HttpClientCounters Counters() const = 0;
 
   /// Begin a call and have its whole answer delivered to `aDone`, on the client's thread.
--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -43,6 +43,8 @@
   std::function<void(const std::string& aAfterKey, std::function<void(Result<KeyedPage>)>)> mNewest;
   std::function<void(std::uint64_t aFrom, Duration aWait, std::function<void(Result<KeyedTail>)>)>
     mRead;
+  /// Calls made from now on use no connection that is open now. May be null.
+  std::function<void()> mReplaceConnections = nullptr;
 };
 
 /// What the follower tells its owner.
@@ -60,6 +62,9 @@
   std::function<void(const Error&)> mOnRestored = nullptr;
   /// Records were read from the log, before each is told: for passing them on. May be null.
   std::function<void(std::uint64_t aFrom, const KeyedTail&)> mOnTail = nullptr;
+  /// A call that was late was answered over a connection opened at `aOpened`: others that were open
+  /// before may be dead. May be null.
+  std::function<void(TimePoint aOpened, Duration aLate)> mOnReplaced = nullptr;
 };
 
 struct KeyedFollowerOptions
@@ -71,11 +76,19 @@
   /// A view that is older than this is brought up to date by a read that is not held: a held one
   /// without news would say only at its end whether the log answers at all.
   Duration mMostGap = Duration::max();
+  /// A call that is not answered this long after the end of its hold is repeated over a new
+  /// connection. A slow log still answers within this.
+  Duration mLateAfter = std::chrono::milliseconds(300);
+  /// Repetitions of one call. Each is made `mLateAfter` after the one before.
+  int mMostRepeats = 2;
 };
 
 /// Follows one keyed log: the list first, then records as they come; the list again whenever
 /// records that were not read yet have been deleted.
 ///
+/// A connection may be dead without a sign of it. A call that is late is therefore repeated over a
+/// new connection, and the first answer counts. Only if no connection answers is the log lost.
+///
 /// Pages of a list are no snapshot. Reading goes on from the end that the *first* page gave, so a
 /// record that was added between two pages is read again rather than missed.
 ///
@@ -103,6 +116,11 @@
   std::uint64_t Next() const { return mNext; }
   /// @return whether Tick() would make a call: none is under way, and none has just failed.
   bool MayAsk() const { return !mAsking && mNow() >= mDue; }
+  /// @return whether Tick() would repeat the call under way over a new connection.
+  bool IsLate() const { return mAsking && mRepeatsLeft > 0 && mNow() >= mLateAt; }
+  /// Another log has found that connections opened before a time may be dead. A call that was sent
+  /// before then counts as late.
+  void SuspectConnection(TimePoint aOpenedBefore);
 
   /// All that was in the log at this time has been told; the zero time when nothing was read yet.
   TimePoint AsOf() const { return mAsOf; }
@@ -116,10 +134,24 @@
   bool Overdue() const { return mAsking && mNow() > mAnswerDue; }
 
 private:
-  void AskNewest();
-  void AskTail();
-  void OnPage(Result<KeyedPage> aPage, TimePoint aSent);
-  void OnTail(Result<KeyedTail> aTail, std::uint64_t aFrom, TimePoint aSent, Duration aWait);
+  /// One call of a round. A round is a call and its repetitions, and ends with the first answer.
+  struct Call
+  {
+    std::uint64_t mRound = 0;
+    bool mRepeats = false;
+    TimePoint mSent{};
+    Duration mWait{ 0 };
+    std::uint64_t mFrom = 0;
+  };
+
+  void Send(bool aRepeats);
+  void AskNewest(Call aCall);
+  void AskTail(Call aCall);
+  void ReplaceConnections();
+  /// Handles the end of a call. @return whether its answer counts
+  bool EndCall(const Call& aCall, const Error* aError);
+  void OnPage(Result<KeyedPage> aPage, const Call& aCall);
+  void OnTail(Result<KeyedTail> aTail, const Call& aCall);
   void OnFailure(const Error& aError);
   void OnSuccess();
 
@@ -138,6 +170,12 @@
   TimePoint mAsOf{};
   TimePoint mDue{};
   TimePoint mAnswerDue{}; ///< of the call under way: end of the time that it may be held
+  std::uint64_t mRound = 0;
+  int mCalls = 0; ///< of the round, under way
+  int mRepeatsLeft = 0;
+  TimePoint mFirstSent{}; ///< of the round
+  TimePoint mLateAt{};
+  bool mSuspected = false; ///< another log's word made the call late
   Duration mRetry{ 0 };
 };
 
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -111,6 +111,8 @@
       return "doubt";
     case StoreCallReason::kList:
       return "list";
+    case StoreCallReason::kLate:
+      return "late";
   }
   return "unknown";
 }
@@ -207,6 +209,9 @@
     mHooks.mLog("store_restored", { { "log", name }, { "error", ToString(aError) } });
     OnStoreRestored(aLog);
   };
+  events.mOnReplaced = [this, aLog](TimePoint aOpened, Duration aLate) {
+    OnConnectionsReplaced(aLog, aOpened, aLate);
+  };
   events.mOnLost = [this, name](const Error& aError) {
     mHooks.mLog("store_lost", { { "log", name }, { "error", ToString(aError) } });
   };
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -30,6 +30,7 @@
   kMissed, ///< records that its reader has announced have not arrived
   kStale,  ///< forwarded records are too old, or the call probes whether the store is back
   kList,   ///< a page of the list
+  kLate,   ///< the call under way is not answered; it is repeated over a new connection
 };
 
 const char*
@@ -207,6 +208,8 @@
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
+  /// A log was answered over a new connection only.
+  void OnConnectionsReplaced(FollowedLog aLog, TimePoint aOpened, Duration aLate);
   std::string Dump();
 
   CoordinatorOptions mOptions;
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -185,7 +185,9 @@
   }
   for (const auto log :
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
-    if (FollowerOf(log).NeedsList()) {
+    if (FollowerOf(log).IsLate()) {
+      Ask(log, StoreCallReason::kLate);
+    } else if (FollowerOf(log).NeedsList()) {
       Ask(log, StoreCallReason::kList);
     }
   }
@@ -201,15 +203,29 @@
 Coordinator::Impl::Ask(FollowedLog aLog, StoreCallReason aReason)
 {
   KeyedFollower& follower = FollowerOf(aLog);
-  if (!follower.MayAsk()) {
+  if (!follower.MayAsk() && !follower.IsLate()) {
     return;
   }
   // A list is read first, whatever the call was meant for.
-  const StoreCallReason reason = follower.NeedsList() ? StoreCallReason::kList : aReason;
+  const StoreCallReason reason = follower.IsLate()      ? StoreCallReason::kLate
+                                 : follower.NeedsList() ? StoreCallReason::kList
+                                                        : aReason;
   ++mCounters.mStoreCalls[std::string(NameOf(aLog)) + "_" + NameOf(reason)];
   follower.Tick();
 }
 
+void
+Coordinator::Impl::OnConnectionsReplaced(FollowedLog aLog, TimePoint aOpened, Duration aLate)
+{
+  ++mCounters.mReplacedConnections;
+  mHooks.mLog("store_connection_replaced",
+              { { "log", NameOf(aLog) }, { "late_ms", std::to_string(ToMs(aLate).count()) } });
+  for (const auto log :
+       { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
+    FollowerOf(log).SuspectConnection(aOpened);
+  }
+}
+
 std::vector<std::string>
 Coordinator::Impl::Dependants() const
 {
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -104,6 +104,7 @@
   {
     const KeyedLogHooks hooks = mHoldsReads ? aNode.mLine->Hooks(aLog) : aLog->Hooks();
     KeyedLogHooks guarded;
+    guarded.mReplaceConnections = hooks.mReplaceConnections;
     guarded.mNewest = [this, hooks, &aNode](const std::string& aAfter,
                                             const std::function<void(Result<KeyedPage>)>& aDone) {
       if (aNode.mStoreDown || mStoreDown) {
@@ -173,6 +174,11 @@
         pool.mName = "second";
         configuration.mServices.push_back(pool);
       }
+      if (mPlainService) {
+        ServiceSpec plain;
+        plain.mName = kPlainService;
+        configuration.mServices.push_back(plain);
+      }
       return configuration;
     };
     hooks.mDecodeEngine = [this](const std::string& aId,
@@ -444,7 +450,9 @@
   bool mLoseFeeds = false;  ///< what delegates pass on does not arrive
   bool mHoldsReads = false; ///< for nodes that are added from now on
   bool mTunnels = true;     ///< nodes that are added from now on carry connections for others
-  bool mTwoPools = false;   ///< the configuration has the pools "pool" and "second"
+  static constexpr const char* kPlainService = "plain";
+  bool mPlainService = false; ///< the configuration has a service whose engines serve alone
+  bool mTwoPools = false;     ///< the configuration has the pools "pool" and "second"
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -135,6 +135,9 @@
           static_cast<double>(control.mSuspectRequests)),
     Counter(
       "store_restored_total", "Logs that came back from an older copy", control.mStoreRestored),
+    Counter("store_connections_replaced_total",
+            "Late calls answered over a new connection",
+            control.mReplacedConnections),
     Counter("bad_suspect_records_total", "Not understood", control.mBadSuspects),
     Gauge(
       "held_requests", "Of these, held back", static_cast<double>(control.mQuarantinedRequests)),
--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -99,6 +99,14 @@
   return std::string(aText.substr(first, last - first + 1));
 }
 
+/// @return the `IP:port` of a URL.
+std::string
+AddressOf(const std::string& aUrl)
+{
+  constexpr std::string_view kScheme = "http://";
+  return aUrl.substr(kScheme.size(), aUrl.find('/', kScheme.size()) - kScheme.size());
+}
+
 void
 ReportHead(Transfer& aTransfer)
 {
@@ -191,6 +199,12 @@
     curl_multi_wakeup(mMulti);
   }
 
+  void RetireConnections(const std::string& aAddress) override
+  {
+    const std::lock_guard lock(mMutex);
+    mRetired[aAddress] = mOptions.mNow();
+  }
+
   HttpClientCounters Counters() const override
   {
     return { mCalls.load(), mSentBytes.load(), mReceivedBytes.load() };
@@ -274,13 +288,14 @@
     mActive.emplace(easy, std::move(aTransfer));
   }
 
-  void Configure(Transfer& aTransfer) const
+  void Configure(Transfer& aTransfer)
   {
     CURL* easy = aTransfer.mEasy;
     const HttpCall& call = aTransfer.mCall;
     curl_easy_setopt(easy, CURLOPT_URL, call.mUrl.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     ConfigureProxy(aTransfer);
+    ConfigureReuse(aTransfer);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -289,10 +304,6 @@
     if (!mOptions.mSource.empty()) {
       curl_easy_setopt(easy, CURLOPT_INTERFACE, mOptions.mSource.c_str());
     }
-    if (call.mOwnConnection) {
-      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
     for (const auto& it : call.mHeaders) {
       const std::string line = it.mName + ": " + it.mValue;
       aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, line.c_str());
@@ -314,6 +325,37 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
   }
 
+  void ConfigureReuse(Transfer& aTransfer)
+  {
+    CURL* easy = aTransfer.mEasy;
+    if (aTransfer.mCall.mOwnConnection) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+      return;
+    }
+    const auto since = SinceRetired(AddressOf(aTransfer.mCall.mUrl));
+    if (!since) {
+      return;
+    }
+    // The library compares whole seconds of a connection's age, rounded down, and takes a limit of
+    // zero for none.
+    const long limit =
+      static_cast<long>(std::chrono::floor<std::chrono::seconds>(*since).count()) - 1;
+    if (limit > 0) {
+      curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, limit);
+    } else {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+  }
+
+  /// @return the time since the connections to an address were retired; none: they never were.
+  std::optional<Duration> SinceRetired(const std::string& aAddress)
+  {
+    const std::lock_guard lock(mMutex);
+    const auto it = mRetired.find(aAddress);
+    return it == mRetired.end() ? std::nullopt : std::make_optional(mOptions.mNow() - it->second);
+  }
+
   static void ConfigureProxy(Transfer& aTransfer)
   {
     CURL* easy = aTransfer.mEasy;
@@ -430,6 +472,7 @@
   std::uint64_t mLastId = 0;
   std::vector<std::unique_ptr<Transfer>> mNew;
   std::set<std::uint64_t> mCancelled;
+  std::map<std::string, TimePoint> mRetired; ///< by address
   std::map<CURL*, std::unique_ptr<Transfer>> mActive;
 };
 
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -313,6 +313,23 @@
   }
 }
 
+/// Guards against a call that waits on a connection that is known to be dead.
+TEST(Http, ARetiredConnectionIsNotUsedAgain)
+{
+  for (const bool retires : { false, true }) {
+    const ClosingPeer peer;
+    const auto client = HttpClient::Create();
+    HttpCall call;
+    const std::string address = "127.0.0.1:" + std::to_string(kPort);
+    call.mUrl = "http://" + address + "/";
+    EXPECT_TRUE(client->FetchAndWait(call).mOutcome.mOk);
+    client->RetireConnections(retires ? address : "127.0.0.1:1");
+    EXPECT_TRUE(client->FetchAndWait(call).mOutcome.mOk);
+    // Reused: sent on the old connection, which the peer closes, and again on a new one.
+    EXPECT_EQ(peer.Requests(), retires ? 2 : 3);
+  }
+}
+
 /// Guards against a server that ends with the last bytes of a complete answer unsent.
 TEST(Http, AnAnswerCountsAsUnsentUntilItsLastBytesAreOut)
 {
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -19,55 +19,124 @@
 void
 KeyedFollower::Tick()
 {
+  if (IsLate()) {
+    --mRepeatsLeft;
+    ReplaceConnections();
+    Send(true);
+    return;
+  }
   if (!MayAsk()) {
     return;
   }
   mAsking = true;
+  // While the log is lost each call is a new attempt in any case, and is made anew soon.
+  mRepeatsLeft = mLost ? 0 : mOptions.mMostRepeats;
+  if (mLost) {
+    ReplaceConnections();
+  }
+  Send(false);
+}
+
+void
+KeyedFollower::ReplaceConnections()
+{
+  if (mHooks.mReplaceConnections) {
+    mHooks.mReplaceConnections();
+  }
+}
+
+void
+KeyedFollower::SuspectConnection(TimePoint aOpenedBefore)
+{
+  if (mAsking && mFirstSent < aOpenedBefore && mNow() < mLateAt) {
+    mLateAt = mNow();
+    mSuspected = true;
+  }
+}
+
+void
+KeyedFollower::Send(bool aRepeats)
+{
+  Call call;
+  call.mRound = mRound;
+  call.mRepeats = aRepeats;
+  call.mSent = mNow();
+  call.mFrom = mNext;
+  // After an outage, or a while without own reads, nothing may be new for long, and how old the
+  // view is must be known at once.
+  const bool held = !mListing && !aRepeats && !mLost && call.mSent - mAsOf <= mOptions.mMostGap;
+  call.mWait = held ? mOptions.mWait : Duration::zero();
+  if (!aRepeats) {
+    mFirstSent = call.mSent;
+    mAnswerDue = call.mSent + call.mWait;
+    mSuspected = false;
+  }
+  mLateAt = call.mSent + call.mWait + mOptions.mLateAfter;
+  ++mCalls;
   if (mListing) {
-    AskNewest();
+    AskNewest(call);
   } else {
-    AskTail();
+    AskTail(call);
   }
 }
 
 void
-KeyedFollower::AskNewest()
+KeyedFollower::AskNewest(Call aCall)
 {
-  const TimePoint sent = mNow();
-  mAnswerDue = sent;
   const std::string after = mList.empty() ? std::string() : mList.back().mKey;
-  mHooks.mNewest(after, [this, sent](Result<KeyedPage> aPage) { OnPage(std::move(aPage), sent); });
+  mHooks.mNewest(after,
+                 [this, aCall](Result<KeyedPage> aPage) { OnPage(std::move(aPage), aCall); });
 }
 
 void
-KeyedFollower::AskTail()
+KeyedFollower::AskTail(Call aCall)
 {
-  const TimePoint sent = mNow();
-  // After an outage, or a while without own reads, nothing may be new for long, and how old the
-  // view is must be known at once.
-  const bool atOnce = mLost || sent - mAsOf > mOptions.mMostGap;
-  const Duration wait = atOnce ? Duration::zero() : mOptions.mWait;
-  mAnswerDue = sent + wait;
-  mHooks.mRead(mNext, wait, [this, from = mNext, sent, wait](Result<KeyedTail> aTail) {
-    OnTail(std::move(aTail), from, sent, wait);
+  mHooks.mRead(aCall.mFrom, aCall.mWait, [this, aCall](Result<KeyedTail> aTail) {
+    OnTail(std::move(aTail), aCall);
   });
 }
 
-void
-KeyedFollower::OnPage(Result<KeyedPage> aPage, TimePoint aSent)
+bool
+KeyedFollower::EndCall(const Call& aCall, const Error* aError)
 {
+  if (aCall.mRound != mRound) {
+    return false; // another call of its round was answered first
+  }
+  --mCalls;
+  const bool failed = aError != nullptr;
+  // The first call's time leaves enough for its repetitions; another failure may be that of one
+  // connection.
+  const bool timedOut = failed && !aCall.mRepeats && aError->mCode == Errc::kTimeout;
+  if (failed && mCalls > 0 && !timedOut) {
+    return false;
+  }
   mAsking = false;
-  if (!aPage.has_value()) {
+  mCalls = 0;
+  ++mRound;
+  if (!failed && aCall.mRepeats && !mSuspected && mEvents.mOnReplaced) {
+    mEvents.mOnReplaced(aCall.mSent, mNow() - mAnswerDue);
+  }
+  return true;
+}
+
+void
+KeyedFollower::OnPage(Result<KeyedPage> aPage, const Call& aCall)
+{
+  const Error* error = aPage.has_value() ? nullptr : &aPage.error();
+  if (!EndCall(aCall, error)) {
+    return;
+  }
+  if (error != nullptr) {
     mList.clear(); // pages of two attempts must not be mixed
     mListEnd.reset();
-    OnFailure(aPage.error());
+    OnFailure(*error);
     return;
   }
   OnSuccess();
   KeyedPage page = std::move(aPage.value());
   if (!mListEnd) {
     mListEnd = page.mEnd;
-    mListSent = aSent;
+    mListSent = aCall.mSent;
   }
   const bool more = page.mMore && !page.mRecords.empty();
   for (auto& it : page.mRecords) {
@@ -85,30 +154,33 @@
 }
 
 void
-KeyedFollower::OnTail(Result<KeyedTail> aTail, std::uint64_t aFrom, TimePoint aSent, Duration aWait)
+KeyedFollower::OnTail(Result<KeyedTail> aTail, const Call& aCall)
 {
-  mAsking = false;
-  if (!aTail.has_value()) {
-    const Errc code = aTail.error().mCode;
-    if (code == Errc::kNotFound || code == Errc::kRestored) {
-      OnSuccess();
-      mListing = true;
-      if (code == Errc::kRestored && mEvents.mOnRestored) {
-        mEvents.mOnRestored(aTail.error());
-      }
-      return;
-    }
-    OnFailure(aTail.error());
+  const Error* error = aTail.has_value() ? nullptr : &aTail.error();
+  const bool answered =
+    error == nullptr || error->mCode == Errc::kNotFound || error->mCode == Errc::kRestored;
+  if (!EndCall(aCall, answered ? nullptr : error)) {
+    return;
+  }
+  if (!answered) {
+    OnFailure(*error);
     return;
   }
   OnSuccess();
+  if (error != nullptr) {
+    mListing = true;
+    if (error->mCode == Errc::kRestored && mEvents.mOnRestored) {
+      mEvents.mOnRestored(*error);
+    }
+    return;
+  }
   const KeyedTail& tail = aTail.value();
   mDue = mNow() + mOptions.mPause;
   // The answer shows the end as it was when the log answered, which was not before the call. A
   // read without news that was held to its end says that there was none all the while.
-  const bool held = tail.mRecords.empty() && mNow() - aSent >= aWait;
+  const bool held = tail.mRecords.empty() && mNow() - aCall.mSent >= aCall.mWait;
   if (std::max(mNext, tail.mNext) >= tail.mEnd) {
-    mAsOf = std::max(mAsOf, held ? aSent + aWait : aSent);
+    mAsOf = std::max(mAsOf, held ? aCall.mSent + aCall.mWait : aCall.mSent);
   }
   if (tail.mNext < mNext) {
     return; // another node's word was quicker than this answer
@@ -116,7 +188,7 @@
   // Records that were fed in the meantime are told again; what they lead to is the same.
   mNext = tail.mNext;
   if (mEvents.mOnTail && !tail.mRecords.empty()) {
-    mEvents.mOnTail(aFrom, tail);
+    mEvents.mOnTail(aCall.mFrom, tail);
   }
   for (const auto& it : tail.mRecords) {
     mEvents.mOnRecord(it);
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -105,11 +105,18 @@
     events.mOnLost = [](const Error&) {};
     return events;
   }
+  KeyedFollowerEvents CountingEvents()
+  {
+    KeyedFollowerEvents events = Events();
+    events.mOnReplaced = [this](TimePoint, Duration) { ++mReplaced; };
+    return events;
+  }
 
+  int mReplaced = 0;
   ManualClock mClock;
   FakeKeyedLog mLog;
   FakeStoreLine mLine{ mClock.Hook() };
-  KeyedFollower mFollower{ Options(), mLine.Hooks(&mLog), Events(), mClock.Hook() };
+  KeyedFollower mFollower{ Options(), mLine.Hooks(&mLog), CountingEvents(), mClock.Hook() };
 };
 
 /// Symptom: a node that takes over reading finds out only after a whole held read that the log does
@@ -137,6 +144,58 @@
   EXPECT_FALSE(reader.mFollower.Overdue());
 }
 
+/// Guards against a log that counts as lost, and a view that grows old, because one connection is
+/// dead.
+TEST(KeyedFollower, ALateCallIsRepeatedOverANewConnection)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mLine.BreakConnections();
+  for (int i = 0; i < 100; ++i) {
+    reader.Run(milliseconds(20), true);
+    EXPECT_FALSE(reader.mFollower.Lost());
+    // The hold of 700 ms, 300 ms until the call is late, and a tick for each of the two calls.
+    EXPECT_LE(reader.mClock.Now() - reader.mFollower.AsOf(), milliseconds(1060));
+  }
+  EXPECT_EQ(reader.mReplaced, 1);
+}
+
+/// Guards against a log that is never taken for lost, since each new connection is given a chance.
+TEST(KeyedFollower, ALogThatAnswersOverNoConnectionIsLost)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mLine.SetSilent(true);
+  reader.Run(milliseconds(700) + FakeStoreLine::kTimeout + milliseconds(40), true);
+  EXPECT_TRUE(reader.mFollower.Lost());
+  EXPECT_EQ(reader.mReplaced, 0);
+}
+
+/// Guards against a read that is held for long over a connection which another log has found dead,
+/// and against two logs that make each other repeat their calls for ever.
+TEST(KeyedFollower, ACallThatAnotherLogSuspectsIsRepeatedAtOnceAndTellsNobody)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mLine.BreakConnections();
+  reader.Run(milliseconds(20), true);
+  reader.mFollower.SuspectConnection(reader.mClock.Now() + milliseconds(1));
+  EXPECT_TRUE(reader.mFollower.IsLate());
+  reader.Run(milliseconds(40), true);
+  EXPECT_FALSE(reader.mFollower.Overdue());
+  EXPECT_LE(reader.mClock.Now() - reader.mFollower.AsOf(), milliseconds(60));
+  EXPECT_EQ(reader.mReplaced, 0);
+}
+
+/// Guards against a repetition of calls that were sent after the new connection was opened.
+TEST(KeyedFollower, ACallThatWasSentOverTheNewConnectionIsNotSuspected)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mFollower.SuspectConnection(TimePoint{});
+  EXPECT_FALSE(reader.mFollower.IsLate());
+}
+
 /// Symptom: a node that was told of a record sooner than it read it asks again and again, since its
 /// view seems old.
 /// Sequence: a read leaves; a record comes by another node; the answer of before that record comes.
