Registrations that lapsed in an outage of the store are kept at each node

What callers saw: after a real outage of the store two of three nodes refuse every request of a plain service for 1.5 s (503, reason=no_engine), though its engines answer all the while.

Cause: whether a missing registration may have lapsed was asked of this node's own calls: one had failed, now one succeeds. The first node that the store answers forwards the removals; its peers, which have had no answer of their own yet, drop the engines at once.

Change: OutageTracker asks it of the log of registrations. An outage is a time of 1.5 s or more in which the log has answered nobody, as far as is known here (own answers, and the ages that peers state), and in which a call has failed over new connections too. Its end is one moment; the node that notices it first states it in its messages until the grace ends, and others take it unless the log has answered somebody in that time. Logs: store_outage_ended; metric store_outages_total. A node that the store turns away alone keeps nothing.

Ruled out: the duration alone (a dead reader leaves the others without word for 1.6 s); failures alone (one node may be turned away); a return per log, as today (config and registrations may be away apart).

--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -62,6 +62,10 @@
   std::function<void(const Error&)> mOnRestored = nullptr;
   /// Records were read from the log, before each is told: for passing them on. May be null.
   std::function<void(std::uint64_t aFrom, const KeyedTail&)> mOnTail = nullptr;
+  /// The log has answered, before anything that it says is told. May be null.
+  std::function<void()> mOnAnswer = nullptr;
+  /// A call has failed, whether or not the log was lost already. May be null.
+  std::function<void()> mOnFailure = nullptr;
   /// A call that was late was answered over a connection opened at `aOpened`: others that were open
   /// before may be dead. May be null.
   std::function<void(TimePoint aOpened, Duration aLate)> mOnReplaced = nullptr;
--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -98,8 +98,11 @@
   void Withdraw(const std::string& aId, TimePoint aNow);
   /// The whole list was read again: drop whatever is not in it. @return the engines it lacks
   std::vector<std::string> KeepOnly(const std::set<std::string>& aIds, TimePoint aNow);
-  /// The store answers again after it did not.
-  void OnStoreBack(TimePoint aNow);
+  /// The store answers again since `aReturned`, after an outage in which registrations may have
+  /// lapsed.
+  void OnStoreBack(TimePoint aReturned);
+  /// @return for how long after the store's return registrations that are missing are kept.
+  Duration ReturnGrace() const { return mOptions.mReturnGrace; }
   /// The store has come back from an older copy; the list that follows is as old as that. Engines
   /// that it lacks are kept for a while, and engines that have left since are not taken for listed
   /// until what they and the platform wrote has been written again.
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -201,14 +201,15 @@
   };
   events.mOnList = std::move(aOnList);
   events.mOnRecord = std::move(aOnRecord);
-  events.mOnBack = [this, name] {
-    mDirectory.OnStoreBack(Now());
-    mHooks.mLog("store_back", { { "log", name } });
-  };
+  if (aLog == FollowedLog::kEngines) {
+    events.mOnAnswer = [this] { OnEnginesAnswer(); };
+  }
+  events.mOnBack = [this, name] { mHooks.mLog("store_back", { { "log", name } }); };
   events.mOnRestored = [this, name, aLog](const Error& aError) {
     mHooks.mLog("store_restored", { { "log", name }, { "error", ToString(aError) } });
     OnStoreRestored(aLog);
   };
+  events.mOnFailure = [this] { mOutages.OnFailed(Now()); };
   events.mOnReplaced = [this, aLog](TimePoint aOpened, Duration aLate) {
     OnConnectionsReplaced(aLog, aOpened, aLate);
   };
@@ -277,6 +278,7 @@
     PreferStronger();
     mLease.Tick();
   }
+  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
   mDirectory.Tick(now);
   UpdateProxies();
   if (MayOrder()) {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -8,6 +8,7 @@
 #include "freshness_tracker.hpp"
 #include "log_reads.hpp"
 #include "node_tree.hpp"
+#include "outage_tracker.hpp"
 #include "peer_table.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
@@ -208,6 +209,12 @@
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
+  void OnEnginesAnswer();
+  /// Handles another node's word that an outage of the store has ended.
+  void OnOutageReported(const proto::PeerMessage& aMessage);
+  /// Keeps the registrations that are missing since the end of an outage.
+  /// @param aReporter the node that reports it; empty: this one
+  void OnOutageEnded(const std::string& aReporter);
   /// A log was answered over a new connection only.
   void OnConnectionsReplaced(FollowedLog aLog, TimePoint aOpened, Duration aLate);
   std::string Dump();
@@ -242,6 +249,7 @@
   std::optional<TimePoint> mStoreLostSince;
   bool mReportedStoreLost = false; ///< as reported in the last heartbeats
   std::string mLoggedReader;       ///< the last reader that was logged
+  OutageTracker mOutages;
   DirectReadBackoff mConfigurationBackoff;
   DirectReadBackoff mEnginesBackoff;
   std::shared_ptr<const RouteTable> mRoutes;
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -214,6 +214,35 @@
   follower.Tick();
 }
 
+void
+Coordinator::Impl::OnEnginesAnswer()
+{
+  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
+  if (mOutages.OnOwnAnswer(Now())) {
+    OnOutageEnded("");
+  }
+}
+
+void
+Coordinator::Impl::OnOutageReported(const proto::PeerMessage& aMessage)
+{
+  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
+  const std::chrono::milliseconds ago(aMessage.outage_ended_ms_ago());
+  if (ago < mDirectory.ReturnGrace() && mOutages.OnReported(Now() - ago)) {
+    OnOutageEnded(aMessage.node());
+  }
+}
+
+void
+Coordinator::Impl::OnOutageEnded(const std::string& aReporter)
+{
+  ++mCounters.mOutages;
+  mDirectory.OnStoreBack(*mOutages.Ended());
+  mHooks.mLog("store_outage_ended",
+              { { "reporter", aReporter.empty() ? mOptions.mNode : aReporter },
+                { "ago_ms", std::to_string(ToMs(Now() - *mOutages.Ended()).count()) } });
+}
+
 void
 Coordinator::Impl::OnConnectionsReplaced(FollowedLog aLog, TimePoint aOpened, Duration aLate)
 {
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -118,6 +118,9 @@
   if (!mPeers.IsCurrent(message)) {
     return; // of a stale incarnation, or the store has not listed the node yet
   }
+  if (message.outage_ended_ms_ago() != 0) {
+    OnOutageReported(message);
+  }
   switch (message.body_case()) {
     case proto::PeerMessage::kBeat:
       OnBeat(message);
@@ -351,6 +354,12 @@
   proto::PeerMessage message;
   message.set_node(mOptions.mNode);
   message.set_incarnation(mOptions.mIncarnation);
+  const auto ended = mOutages.Ended();
+  if (ended && Now() - *ended < mDirectory.ReturnGrace()) {
+    const auto ago = std::chrono::ceil<std::chrono::milliseconds>(Now() - *ended);
+    message.set_outage_ended_ms_ago(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(1, ago.count())));
+  }
   return message;
 }
 
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -135,6 +135,7 @@
           static_cast<double>(control.mSuspectRequests)),
     Counter(
       "store_restored_total", "Logs that came back from an older copy", control.mStoreRestored),
+    Counter("store_outages_total", "Long enough for registrations to lapse", control.mOutages),
     Counter("store_connections_replaced_total",
             "Late calls answered over a new connection",
             control.mReplacedConnections),
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -214,6 +214,9 @@
   mRetry =
     mRetry == Duration::zero() ? mOptions.mRetryFirst : std::min(mRetry * 2, mOptions.mRetryMost);
   mDue = mNow() + mRetry;
+  if (mEvents.mOnFailure) {
+    mEvents.mOnFailure();
+  }
   if (!mLost) {
     mLost = true;
     mEvents.mOnLost(aError);
@@ -224,6 +227,9 @@
 KeyedFollower::OnSuccess()
 {
   mRetry = Duration::zero();
+  if (mEvents.mOnAnswer) {
+    mEvents.mOnAnswer();
+  }
   if (mLost) {
     mLost = false;
     mEvents.mOnBack();
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -124,9 +124,9 @@
 }
 
 void
-EngineDirectory::OnStoreBack(TimePoint aNow)
+EngineDirectory::OnStoreBack(TimePoint aReturned)
 {
-  mDoubtUntil = aNow + mOptions.mReturnGrace;
+  mDoubtUntil = std::max(mDoubtUntil, aReturned + mOptions.mReturnGrace);
 }
 
 void
