--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -155,8 +155,8 @@
   std::uint64_t mQuarantinedRequests = 0; ///< of these, quarantined; now
   /// Late calls to the store's logs that were answered over a new connection.
   std::uint64_t mReplacedConnections = 0;
-  std::uint64_t mOutages = 0; ///< of the store, long enough for registrations to lapse
-  std::uint64_t mStoreRestored = 0;       ///< logs that the store restored from an older copy
+  std::uint64_t mOutages = 0;       ///< of the store, long enough for registrations to lapse
+  std::uint64_t mStoreRestored = 0; ///< logs that the store restored from an older copy
   /// Records or messages on suspect requests that could not be decoded.
   std::uint64_t mBadSuspects = 0;
 };
