Answers to HEAD have no body, whoever gives them

Cause: Session wrote the body of the node's own answers for each method. The same on related paths: the last chunk of a stream that HEAD asks for, in the relay and in HttpServer (the library ends a chunked body for HEAD); a length of 0 in engines' answers with 204 and 304.

Ruled out: engines' answers to HEAD, which were right. Services of the own path take GET and POST only.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -96,7 +96,7 @@
                         relay_pooled_connections_test.cpp relay_retries_test.cpp
                         relay_stop_test.cpp relay_suspects_test.cpp relay_until_close_test.cpp
                         relay_endless_answers_test.cpp relay_connection_burst_test.cpp relay_limits_test.cpp
-                        relay_reach_test.cpp relay_reachability_test.cpp relay_peers_test.cpp
+                        relay_bodiless_answers_test.cpp relay_reach_test.cpp relay_reachability_test.cpp relay_peers_test.cpp
                         connector_peers_test.cpp connector_reachability_test.cpp
                   USES settings membership quarantine reach admission routing dispatch places retries tunnel
                   PACKAGES nlohmann_json::nlohmann_json Threads::Threads)
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -65,6 +65,31 @@
 }
 
 /// Symptom: a caller takes half an answer for a whole one.
+/// Guards against a body in an answer to HEAD, which callers take for the start of their next
+/// answer.
+TEST(Http, AnAnswerToHeadHasNoBody)
+{
+  const auto server = Serve([](const HttpRequest& aRequest, const auto& aResponder) {
+    if (aRequest.mPath == "/stream") {
+      aResponder->StartStream({ 200, {}, "" });
+      aResponder->Write("piece");
+      aResponder->End();
+      return;
+    }
+    aResponder->Send({ aRequest.mPath == "/end" ? 404 : 401, {}, "body" });
+  });
+  for (const char* path : { "/own", "/stream" }) {
+    const int socket = ConnectTo("127.0.0.1:" + std::to_string(kPort));
+    ASSERT_GE(socket, 0);
+    RawConnection connection(socket);
+    connection.Write("HEAD " + std::string(path) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(connection.ReadUntil("\r\n\r\n"));
+    connection.Write("GET /end HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(connection.ReadToEnd().substr(0, 12), "HTTP/1.1 404") << path;
+    ::close(socket);
+  }
+}
+
 TEST(Http, AnAbortedStreamIsNoCompleteAnswer)
 {
   const auto server = Serve([](const HttpRequest&, const auto& aResponder) {
--- a/src/pepperbay/http/server.cpp
+++ b/src/pepperbay/http/server.cpp
@@ -168,6 +168,7 @@
   }
 
   HttpRequest mRequest;
+  bool mIsHead = false;
   bool mTooLarge = false;
   bool mDispatched = false;
 
@@ -395,6 +396,7 @@
   {
     auto exchange = std::make_shared<Exchange>(aConnection, mOptions.mMaxBuffered);
     exchange->mRequest.mMethod = aMethod;
+    exchange->mIsHead = exchange->mRequest.mMethod == MHD_HTTP_METHOD_HEAD;
     exchange->mRequest.mPath = aUrl;
     exchange->mRequest.mCallerIp = CallerIp(aConnection);
     MHD_get_connection_values(
@@ -476,7 +478,7 @@
     return MHD_NO;
   }
   MHD_Response* response = nullptr;
-  if (mStreamed) {
+  if (mStreamed && !mIsHead) { // the library ends a chunked body for HEAD as well
     constexpr std::size_t kBlock = 4096;
     response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
                                                  kBlock,
--- a/src/pepperbay/relay/exchange.cpp
+++ b/src/pepperbay/relay/exchange.cpp
@@ -22,6 +22,15 @@
 /// Bytes that one answer may always buffer, even when the limit on all answers is exceeded.
 constexpr std::size_t kMinBufferedBytes = 64U << 10U;
 
+/// @return whether an answer has a body, and so a length of its own (RFC 9110, 6.4.1).
+bool
+HasBody(http::verb aMethod, int aStatus)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return aMethod != http::verb::head && aStatus != kNoContent && aStatus != kNotModified;
+}
+
 } // namespace
 
 Exchange::Exchange(RelayCore* aCore,
@@ -367,7 +376,7 @@
   static_cast<HeaderFields&>(answer.base()) = mFields;
   answer.result(static_cast<unsigned>(mStatus));
   answer.body() = std::move(mBody);
-  if (mRequest.method() != http::verb::head) {
+  if (HasBody(mRequest.method(), mStatus)) {
     answer.content_length(answer.body().size());
   }
   // The engine answered with an error and the request may run again: another engine may succeed.
--- a/src/pepperbay/relay/session.cpp
+++ b/src/pepperbay/relay/session.cpp
@@ -141,6 +141,7 @@
 {
   mKeep = mParser->keep_alive();
   mChunked = mParser->get().version() >= kHttp11;
+  mIsHead = mParser->get().method() == http::verb::head;
   mExchange = std::make_shared<Exchange>(mCore, this, mParser->release(), mArrived);
   mCore->mExchanges.insert(mExchange);
   WatchForClose();
@@ -167,6 +168,7 @@
   ++mCore->mCounters.mReasons["bad_http"];
   mCore->Log("bad_http", { { "detail", aError.message() } });
   mKeep = false;
+  mIsHead = mParser->get().method() == http::verb::head;
   CallerAnswer answer;
   answer.result(static_cast<unsigned>(status));
   answer.set(http::field::content_type, "application/json");
@@ -212,6 +214,9 @@
   mAnswer->version(kHttp11);
   const bool keep = KeepsAlive();
   mAnswer->set(http::field::connection, keep ? "keep-alive" : "close");
+  if (mIsHead) {
+    mAnswer->body().clear(); // the header stays that of an answer to GET
+  }
   http::async_write(
     mSocket,
     *mAnswer,
@@ -248,6 +253,10 @@
 Session::Push(const std::string& aBytes, std::function<void()> aDone)
 {
   std::string out = std::exchange(mOut, {});
+  if (mIsHead) {
+    Write(std::move(out), std::move(aDone));
+    return;
+  }
   if (mChunked) {
     std::ostringstream size;
     size << std::hex << aBytes.size() << "\r\n";
@@ -262,7 +271,7 @@
 Session::EndStream()
 {
   std::string out = std::exchange(mOut, {});
-  if (mChunked) {
+  if (mChunked && !mIsHead) {
     out += "0\r\n\r\n";
   }
   mAnswering = true;
--- a/src/pepperbay/relay/session.hpp
+++ b/src/pepperbay/relay/session.hpp
@@ -67,7 +67,8 @@
   bool mAnswering = false; ///< the last bytes of an answer are being written
   bool mLingers = false;   ///< the last answer is written; waits for the caller to close
   bool mChunked = true;
-  bool mKeep = true; ///< the connection may be used for another request
+  bool mIsHead = false; ///< the request's method is HEAD; no answer to it has a body
+  bool mKeep = true;    ///< the connection may be used for another request
   bool mOpen = true;
 };
 
