--- a/src/pepperbay/relay/relay_bodiless_answers_test.cpp
+++ b/src/pepperbay/relay/relay_bodiless_answers_test.cpp
@@ -1,6 +1,7 @@
 #include "relay_fixture.hpp"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pepperbay {
@@ -20,7 +21,7 @@
 {
 protected:
   /// The answer to the request behind the first begins so.
-  const std::string kNextAnswer = "HTTP/1.1 404";
+  static constexpr std::string_view kNextAnswer = "HTTP/1.1 404";
 
   static std::string Head(const HeadCase& aCase)
   {
@@ -43,7 +44,7 @@
   {
     SCOPED_TRACE("HEAD " + aCase.mPath + ", " + std::to_string(aCase.mStatus));
     const std::string rest = AfterHeader(Head(aCase), aCase.mStatus);
-    EXPECT_EQ(rest.substr(0, kNextAnswer.size()), aCase.mKeeps ? kNextAnswer : "");
+    EXPECT_EQ(rest.substr(0, kNextAnswer.size()), aCase.mKeeps ? kNextAnswer : std::string_view());
   }
 };
 
