--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -142,15 +142,15 @@
   struct Call
   {
     std::uint64_t mRound = 0;
-    bool mRepeats = false;
+    bool mIsRepeat = false; ///< sent over a new connection, since the first call was late
     TimePoint mSent{};
-    Duration mWait{ 0 };
-    std::uint64_t mFrom = 0;
+    Duration mWait{ 0 };     ///< how long the log may hold it
+    std::uint64_t mFrom = 0; ///< offset that is read from; unused for a page of the list
   };
 
-  void Send(bool aRepeats);
-  void AskNewest(Call aCall);
-  void AskTail(Call aCall);
+  void Send(bool aIsRepeat);
+  void AskNewest(const Call& aCall);
+  void AskTail(const Call& aCall);
   void ReplaceConnections();
   /// Handles the end of a call. @return whether its answer counts
   bool EndCall(const Call& aCall, const Error* aError);
@@ -177,8 +177,8 @@
   std::uint64_t mRound = 0;
   int mCalls = 0; ///< of the round, under way
   int mRepeatsLeft = 0;
-  TimePoint mFirstSent{}; ///< of the round
-  TimePoint mLateAt{};
+  TimePoint mFirstSent{};  ///< of the round
+  TimePoint mLateAt{};     ///< the round's next call is due
   bool mSuspected = false; ///< another log's word made the call late
   Duration mRetry{ 0 };
 };
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -205,10 +205,12 @@
   void ForwardRecords(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
   /// Sends one message of records; one that does not fit into a datagram is left out.
   void SendFeed(const proto::PeerMessage& aMessage);
+  /// @param aFrom the node that forwards the records
   void ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed);
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
+  /// Handles an answer of the log of registrations, before what it says.
   void OnEnginesAnswer();
   /// Handles another node's word that an outage of the store has ended.
   void OnOutageReported(const proto::PeerMessage& aMessage);
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -29,7 +29,7 @@
     return;
   }
   mAsking = true;
-  // While the log is lost each call is a new attempt in any case, and is made anew soon.
+  // While the log is lost each call opens a connection and is followed by another one soon.
   mRepeatsLeft = mLost ? 0 : mOptions.mMostRepeats;
   if (mLost) {
     ReplaceConnections();
@@ -55,18 +55,18 @@
 }
 
 void
-KeyedFollower::Send(bool aRepeats)
+KeyedFollower::Send(bool aIsRepeat)
 {
   Call call;
   call.mRound = mRound;
-  call.mRepeats = aRepeats;
+  call.mIsRepeat = aIsRepeat;
   call.mSent = mNow();
   call.mFrom = mNext;
   // After an outage, or a while without own reads, nothing may be new for long, and how old the
   // view is must be known at once.
-  const bool held = !mListing && !aRepeats && !mLost && call.mSent - mAsOf <= mOptions.mMostGap;
+  const bool held = !mListing && !aIsRepeat && !mLost && call.mSent - mAsOf <= mOptions.mMostGap;
   call.mWait = held ? mOptions.mWait : Duration::zero();
-  if (!aRepeats) {
+  if (!aIsRepeat) {
     mFirstSent = call.mSent;
     mAnswerDue = call.mSent + call.mWait;
     mSuspected = false;
@@ -81,7 +81,7 @@
 }
 
 void
-KeyedFollower::AskNewest(Call aCall)
+KeyedFollower::AskNewest(const Call& aCall)
 {
   const std::string after = mList.empty() ? std::string() : mList.back().mKey;
   mHooks.mNewest(after,
@@ -89,7 +89,7 @@
 }
 
 void
-KeyedFollower::AskTail(Call aCall)
+KeyedFollower::AskTail(const Call& aCall)
 {
   mHooks.mRead(aCall.mFrom, aCall.mWait, [this, aCall](Result<KeyedTail> aTail) {
     OnTail(std::move(aTail), aCall);
@@ -106,14 +106,14 @@
   const bool failed = aError != nullptr;
   // The first call's time leaves enough for its repetitions; another failure may be that of one
   // connection.
-  const bool timedOut = failed && !aCall.mRepeats && aError->mCode == Errc::kTimeout;
+  const bool timedOut = failed && !aCall.mIsRepeat && aError->mCode == Errc::kTimeout;
   if (failed && mCalls > 0 && !timedOut) {
     return false;
   }
   mAsking = false;
   mCalls = 0;
   ++mRound;
-  if (!failed && aCall.mRepeats && !mSuspected && mEvents.mOnReplaced) {
+  if (!failed && aCall.mIsRepeat && !mSuspected && mEvents.mOnReplaced) {
     mEvents.mOnReplaced(aCall.mSent, mNow() - mAnswerDue);
   }
   return true;
