--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -64,7 +64,6 @@
   EXPECT_EQ(fetched.mResponse.mBody, "later");
 }
 
-/// Symptom: a caller takes half an answer for a whole one.
 /// Guards against a body in an answer to HEAD, which callers take for the start of their next
 /// answer.
 TEST(Http, AnAnswerToHeadHasNoBody)
@@ -90,6 +89,7 @@
   }
 }
 
+/// Symptom: a caller takes half an answer for a whole one.
 TEST(Http, AnAbortedStreamIsNoCompleteAnswer)
 {
   const auto server = Serve([](const HttpRequest&, const auto& aResponder) {
