Count repeats at the engines with real processes; too late deadlines reproduced

The report names rule BUDGET and no cause; five bounds go by that name and nothing counted any of them at the engines. A checker does now (pure, with tests that exceed each bound), and a soak feeds it: nodes and engines as processes, stopped, paused, killed, cut off, slow and failing in overlapping series.

Ruled out as found: a stand-in that answered before it ended under a fatal request (the node rightly counted it as run), and a path that takes connections for an engine that has ended; both were faults of the soak.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -153,8 +153,10 @@
 endforeach()
 
 # The users' platform as a stand-in, and the whole path before it with real processes.
-add_library(pepperbay_platform_fakes STATIC platform/fake/fake_store.cpp
-                                            platform/fake/fake_engine_farm.cpp)
+add_library(pepperbay_platform_fakes STATIC platform/fake/engine_messages.cpp
+                                            platform/fake/fake_store.cpp
+                                            platform/fake/fake_engine_farm.cpp
+                                            platform/fake/repeat_checker.cpp)
 target_link_libraries(pepperbay_platform_fakes PUBLIC pepperbay_platform)
 target_link_libraries(pepperbay_platform_fakes PRIVATE pepperbay_warnings)
 pepperbay_test(platform_store_contract_test ${CMAKE_SOURCE_DIR}/platform/store_contract_test.cpp
@@ -170,6 +172,16 @@
 target_compile_definitions(
   edge_path_test PRIVATE PEPPERBAY_FAKE_PLATFORM="$<TARGET_FILE:pepperbay_fake_platform>")
 add_dependencies(edge_path_test pepperbay pepperbay_fake_platform)
+add_executable(pepperbay_fake_engine platform/fake/engine_process.cpp)
+target_link_libraries(pepperbay_fake_engine PRIVATE pepperbay_platform_fakes absl::flags
+                      absl::flags_parse pepperbay_warnings)
+pepperbay_test(platform_repeat_checker_test ${CMAKE_SOURCE_DIR}/platform/repeat_checker_test.cpp
+               pepperbay_platform_fakes)
+pepperbay_test(platform_repeat_soak_test ${CMAKE_SOURCE_DIR}/platform/repeat_soak_test.cpp
+               pepperbay_platform_fakes pepperbay_cluster)
+target_compile_definitions(platform_repeat_soak_test PRIVATE
+                           PEPPERBAY_FAKE_ENGINE="$<TARGET_FILE:pepperbay_fake_engine>")
+add_dependencies(platform_repeat_soak_test pepperbay pepperbay_fake_engine)
 
 # Measurements; run by scripts/bench_*.sh, never by tests.
 add_executable(pepperbay_load bench/load.cpp)
