Reset the connection of a request that is given up, so that its engine need not run it

What callers saw: nothing of their own request, but engines that were stopped and went on ran requests which another engine had answered seconds before, with the caller's whole deadline once more, beside the requests of those who still waited.

Cause: an attempt that is given up (another engine answered, the caller left, the deadline passed) closed its connection in good order. What the engine's host had taken stood before the end, so the engine read and ran it when it continued. A reset is seen by an engine before it reads, and drops what has not left this host yet. Peers that carry a connection pass the reset on.

--- a/fakes/raw_engine.hpp
+++ b/fakes/raw_engine.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <mutex>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -106,6 +107,15 @@
     }
   }
 
+  /// Wait until the caller closes, without reading what it has sent.
+  /// @return whether it closed with a reset
+  bool AwaitReset() const
+  {
+    pollfd waiting{ mSocket, POLLRDHUP, 0 };
+    ::poll(&waiting, 1, -1);
+    return (waiting.revents & POLLERR) != 0;
+  }
+
   /// Wait until the caller closes. @return the bytes that came before
   std::string ReadToEnd()
   {
--- a/src/pepperbay/relay/attempt.cpp
+++ b/src/pepperbay/relay/attempt.cpp
@@ -167,6 +167,11 @@
   }
   mEnded = true;
   mEvents = {};
+  if (mSocket) {
+    // Bytes that the engine has not been sent yet are dropped, and an engine that has not read the
+    // request can tell that nobody waits for it any more. After an orderly end it would run it.
+    ResetOnClose(mSocket->mSocket);
+  }
   CloseConnection();
 }
 
--- a/src/pepperbay/tunnel/carried_connection.cpp
+++ b/src/pepperbay/tunnel/carried_connection.cpp
@@ -247,6 +247,9 @@
 CarriedConnection::OnReadError(const Pipe& aPipe, boost::system::error_code aError)
 {
   if (!aPipe.mOfEngine || aError != asio::error::eof) {
+    if (!aPipe.mOfEngine && aError != asio::error::eof) {
+      ResetOnClose(mEngine); // the asker has withdrawn its request, and so does this node
+    }
     Close(); // the asker wants no more of it, or the engine was reset and the asker has to see that
     return;
   }
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -163,6 +163,22 @@
   EXPECT_EQ(Counters().mFromEngines, 6U);
 }
 
+/// Guards against an engine that runs a request which its asker has withdrawn.
+TEST_F(TunnelTest, AResetOfTheAskerReachesTheEngineAsAReset)
+{
+  std::promise<bool> reset;
+  RawEngine engine([&](RawConnection& aConnection) { reset.set_value(aConnection.AwaitReset()); });
+  Serve(engine.Address());
+  const int socket = Connect();
+  RawConnection asker(socket);
+  asker.Write(Request());
+  ASSERT_TRUE(asker.ReadUntil("\r\n\r\n"));
+  asker.Write("GET / HTTP/1.1\r\n\r\n");
+  asker.Reset();
+  ::close(socket);
+  EXPECT_TRUE(reset.get_future().get());
+}
+
 /// Guards against strangers who reach engines, or anything else, through a node.
 TEST_F(TunnelTest, NobodyIsLetInWithoutTheKeyAndToNothingButEngines)
 {
