An answer that ends within its head is no answer, for all that goes through the HTTP client

What callers saw (own path, pepperbay serve): a backend server of a plain service that closes in the middle of its answer's head gave them 200 with an empty body, framed as whole. The same client asks the store and gives orders to engines: an append, a claim of the lease or an order whose answer broke off counted as done.

Cause: libcurl reports success once the status line and one further line end have been read and the connection closes, however much of the head is missing. Nobody looked whether the head had ended.

Change: a head has ended with its empty line; without one the call has failed and may have run. Trailers come after that line and do not unset it.

--- a/src/pepperbay/http/client.cpp
+++ b/src/pepperbay/http/client.cpp
@@ -39,6 +39,7 @@
   TimePoint mGiveUpAt{};
   TimePoint mConnectBy{};
   bool mHeadReported = false;
+  bool mHeadEnded = false; ///< of the latest answer, an interim one or a proxy's included
   bool mGivenUp = false;
   int mNoSocket = 0; ///< errno where none could be opened
 };
@@ -128,8 +129,10 @@
   const std::string_view line(aData, aSize * aCount);
   if (line.substr(0, 5) == "HTTP/") {
     transfer.mAnswerHeaders.clear();
+    transfer.mHeadEnded = false;
     return line.size();
   }
+  transfer.mHeadEnded = transfer.mHeadEnded || Trimmed(line).empty(); // trailers follow a head
   const auto colon = line.find(':');
   if (colon != std::string_view::npos) {
     transfer.mAnswerHeaders.push_back(
@@ -436,7 +439,9 @@
         outcome.mProxyHeaders = aTransfer.mAnswerHeaders;
       }
     }
-    outcome.mOk = aCode == CURLE_OK && !aCancelled;
+    // The library takes a head that the other side breaks off for the whole answer.
+    const bool brokenOff = aCode == CURLE_OK && !aTransfer.mHeadEnded;
+    outcome.mOk = aCode == CURLE_OK && !brokenOff && !aCancelled;
     // No byte of the request was written and none of an answer was read: it cannot have run.
     outcome.mMayHaveRun = sent != 0 || status != 0;
     if (outcome.mOk) {
@@ -444,7 +449,8 @@
     }
     outcome.mError.mStep = "http." + aTransfer.mCall.mMethod;
     outcome.mError.mPeer = aTransfer.mCall.mUrl;
-    outcome.mError.mDetail = curl_easy_strerror(aCode);
+    outcome.mError.mDetail =
+      brokenOff ? "the answer ended within its head" : curl_easy_strerror(aCode);
     outcome.mRefused = aCode == CURLE_COULDNT_CONNECT && ConnectErrno(aTransfer) == ECONNREFUSED &&
                        !aTransfer.mCall.mProxy;
     const int shortage = ShortageOf(aTransfer);
--- a/src/pepperbay/http/http_test.cpp
+++ b/src/pepperbay/http/http_test.cpp
@@ -173,6 +173,36 @@
   EXPECT_NE(fetched.mOutcome.mError.mCode, Errc::kTimeout);
 }
 
+/// Guards against an answer that breaks off in its head and is taken for a whole one without a
+/// body.
+TEST(Http, AnAnswerThatEndsWithinItsHeadIsNoAnswer)
+{
+  const std::vector<std::string> heads = {
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n",
+    "HTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+  };
+  for (const auto& head : heads) {
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      for (const char* method : { "GET", "POST" }) {
+        RawEngine engine([&](RawConnection& aConnection) {
+          aConnection.ReadRequest();
+          aConnection.Write(std::string_view(head).substr(0, n));
+        });
+        const auto client = HttpClient::Create();
+        HttpCall call;
+        call.mMethod = method;
+        call.mUrl = "http://" + engine.Address() + "/";
+        call.mOwnConnection = true;
+        const HttpFetched fetched = client->FetchAndWait(call);
+        EXPECT_FALSE(fetched.mOutcome.mOk) << method << " after '" << head.substr(0, n) << "'";
+        EXPECT_TRUE(fetched.mOutcome.mMayHaveRun);
+      }
+    }
+  }
+}
+
 /// Guards against calls that are never given up.
 TEST(Http, ACallWithoutAnAnswerIsGivenUpAfterItsTime)
 {
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -1,6 +1,7 @@
 /// Requests under failure, with real processes: truth about running, at most once, whole answers.
 
 #include "cluster.hpp"
+#include "fakes/raw_engine.hpp"
 
 #include <atomic>
 #include <csignal>
@@ -68,6 +69,31 @@
   }
 }
 
+/// Guards against a backend server's answer that breaks off in its head and reaches the caller as a
+/// whole one without a body.
+TEST(PlainService, AnAnswerThatEndsWithinItsHeadIsNoAnswer)
+{
+  pepperbay::RawEngine service([](pepperbay::RawConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Write("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Le");
+  });
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  const auto published = cluster.PublishYaml(
+    0, "services:\n  - { name: torn, endpoints: [\"" + service.Address() + "\"] }\n");
+  ASSERT_EQ(published.mResponse.mStatus, 200) << published.mResponse.mBody;
+  pepperbay::HttpFetched answer;
+  cluster.WaitFor(0, "the service is known", [&](const Json&) {
+    answer = cluster.Call("POST",
+                          "http://" + cluster.NodeIp(0) + ":8080/services/torn/book",
+                          "lot",
+                          { { "X-Customer", "school" } });
+    return service.Requests() > 0;
+  });
+  EXPECT_EQ(answer.mResponse.mStatus, 502) << answer.mResponse.mBody;
+  EXPECT_EQ(pepperbay::FirstValue(answer.mResponse.mHeaders, "X-Ran").value_or(""), "unknown");
+}
+
 std::vector<pepperbay::HttpHeader>
 KeyHeaders(const std::string& aKey)
 {
