--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -94,7 +94,7 @@
                   TESTS connection_pool_test.cpp event_splitter_test.cpp relay_test.cpp relay_moves_test.cpp
                         relay_pauses_test.cpp relay_attempts_test.cpp
                         relay_pooled_connections_test.cpp relay_retries_test.cpp
-                        relay_stop_test.cpp relay_suspects_test.cpp relay_withdrawn_requests_test.cpp relay_until_close_test.cpp
+                        relay_stop_test.cpp relay_suspects_test.cpp relay_withdrawn_requests_test.cpp relay_broken_heads_test.cpp relay_until_close_test.cpp
                         relay_endless_answers_test.cpp relay_connection_burst_test.cpp relay_limits_test.cpp
                         relay_bodiless_answers_test.cpp relay_reach_test.cpp relay_reachability_test.cpp relay_peers_test.cpp
                         connector_peers_test.cpp connector_reachability_test.cpp
--- a/src/pepperbay/places/slot_agent.cpp
+++ b/src/pepperbay/places/slot_agent.cpp
@@ -222,11 +222,11 @@
     full = picked.mFull;
     limited = picked.mLimited;
   } else {
-    const auto picked =
-      mBalancer->PickEngine(*mPlan,
-                            aQuery.mService,
-                            { aQuery.mReplica.mTried, aQuery.mOnce, aQuery.mReplica.mStanding, false },
-                            Now());
+    const auto picked = mBalancer->PickEngine(
+      *mPlan,
+      aQuery.mService,
+      { aQuery.mReplica.mTried, aQuery.mOnce, aQuery.mReplica.mStanding, false },
+      Now());
     choice.mHead = picked.mEngine;
     limited = picked.mLimited;
   }
--- a/src/pepperbay/routing/balancer.cpp
+++ b/src/pepperbay/routing/balancer.cpp
@@ -95,8 +95,7 @@
   std::tuple<bool, bool, bool, int, bool, std::uint64_t> bestRank;
   for (const auto& it : engines->second) {
     const std::uint32_t id = ShortId(it.mId);
-    if (aQuery.mTried.count(id) != 0 ||
-        (aQuery.mHedge && !mUnanswered.MayRepeatAt(it.mId, aNow))) {
+    if (aQuery.mTried.count(id) != 0 || (aQuery.mHedge && !mUnanswered.MayRepeatAt(it.mId, aNow))) {
       continue;
     }
     const RateStanding standing = StandingOf(aQuery.mStanding, it);
@@ -106,12 +105,9 @@
     }
     const bool fails = aQuery.mOnce && mFailures.Fails(id, aNow);
     const std::tuple<bool, bool, bool, int, bool, std::uint64_t> rank{
-      standing == RateStanding::kElsewhere,
-      mUnanswered.IsSilent(it.mId, aNow),
-      fails || RecentFault(it.mId, aNow),
-      InFlight(aPlan, it.mId),
-      it.mDataCentre != mOptions.mDataCentre,
-      Hash64(it.mId, mOptions.mSeed)
+      standing == RateStanding::kElsewhere,   mUnanswered.IsSilent(it.mId, aNow),
+      fails || RecentFault(it.mId, aNow),     InFlight(aPlan, it.mId),
+      it.mDataCentre != mOptions.mDataCentre, Hash64(it.mId, mOptions.mSeed)
     };
     if (choice.mEngine == nullptr || rank < bestRank) {
       choice.mEngine = &it;
--- a/src/pepperbay/tunnel/tunnel_test.cpp
+++ b/src/pepperbay/tunnel/tunnel_test.cpp
@@ -386,6 +386,14 @@
     aConnection.Write("odd bytes\r\n\r\n");
   });
   EXPECT_EQ(open("e", odd.Address()), TunnelAnswer::kNone);
+  const std::string head = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    RawEngine torn([&](RawConnection& aConnection) {
+      aConnection.ReadRequest();
+      aConnection.Write(std::string_view(head).substr(0, n));
+    });
+    EXPECT_EQ(open("e", torn.Address()), TunnelAnswer::kNone) << head.substr(0, n);
+  }
 }
 
 } // namespace
