--- a/src/pepperbay/coordinator/coordinator_dump.cpp
+++ b/src/pepperbay/coordinator/coordinator_dump.cpp
@@ -130,7 +130,7 @@
                       { "models", models },
                       { "replicas", replicas },
                       { "peers", peers } };
-  return dump.dump(2);
+  return dump.dump(2, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace pepperbay
