Odd bytes in what operators write end no node of the own path

Looked for beside the odd entries: the same library call. A publish whose YAML is no text, or a stop for a host with such a name, ended the node that was to answer with a message that repeats it (std::terminate).

OddBytesOfAnOperatorEndNoNode, real nodes: the node was gone before, answers now. Orders to hosts and the dump replace odd bytes as well.

--- a/src/pepperbay/control/dump.cpp
+++ b/src/pepperbay/control/dump.cpp
@@ -162,7 +162,7 @@
   json["replicas_lost"] = mCounters.mReplicasLost;
   json["dropped_messages"] = mCounters.mDroppedMessages;
   json["records_folded"] = mCounters.mFolded;
-  return json.dump();
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/node/node.cpp
+++ b/src/pepperbay/node/node.cpp
@@ -23,6 +23,13 @@
 namespace pepperbay {
 namespace {
 
+/// What operators and other programs wrote may be no text, and the library throws on that.
+std::string
+ToText(const nlohmann::json& aJson)
+{
+  return aJson.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 using Json = nlohmann::json;
 
 constexpr int kOk = 200;
@@ -401,7 +408,7 @@
       for (const auto& it : file.mProblems) {
         json["problems"].push_back(ToString(it));
       }
-      aResponder->Send({ kBadRequest, {}, json.dump() });
+      aResponder->Send({ kBadRequest, {}, ToText(json) });
       return;
     }
     mController->Publish(std::move(file.mItems),
@@ -414,7 +421,7 @@
                                               { "offset", it.mOffset },
                                               { "reason", it.mReason } });
                            }
-                           aResponder->Send({ kOk, {}, json.dump() });
+                           aResponder->Send({ kOk, {}, ToText(json) });
                          });
   }
 
@@ -423,11 +430,11 @@
     const std::string host = FirstValue(aRequest.mQuery, "host").value_or("");
     mController->StopHost(host, [aResponder, host](const Result<void>& aDone) {
       if (aDone.has_value()) {
-        aResponder->Send({ kOk, {}, Json{ { "host", host }, { "announced", true } }.dump() });
+        aResponder->Send({ kOk, {}, ToText({ { "host", host }, { "announced", true } }) });
         return;
       }
       const int status = aDone.error().mCode == Errc::kNotFound ? kNotFound : kUnavailable;
-      aResponder->Send({ status, {}, Json{ { "error", ToString(aDone.error()) } }.dump() });
+      aResponder->Send({ status, {}, ToText({ { "error", ToString(aDone.error()) } }) });
     });
   }
 
--- a/src/pepperbay/node/platform.cpp
+++ b/src/pepperbay/node/platform.cpp
@@ -186,7 +186,7 @@
   HttpCall call;
   call.mMethod = "POST";
   call.mUrl = "http://" + aOrder.mAddress + "/orders";
-  call.mBody = json.dump();
+  call.mBody = json.dump(-1, ' ', false, Json::error_handler_t::replace);
   call.mTimeout = aTimeout;
   mClient->Fetch(std::move(call),
                  [done = std::move(aDone), peer = aOrder.mAddress](HttpFetched aFetched) {
--- a/tests/bad_messages_test.cpp
+++ b/tests/bad_messages_test.cpp
@@ -104,6 +104,23 @@
             std::string::npos);
 }
 
+/// Guards against a node that ends because its answer to an operator would repeat bytes that are no
+/// text.
+TEST(BadRequests, OddBytesOfAnOperatorEndNoNode)
+{
+  Cluster cluster(Options());
+  cluster.StartAndPublish();
+  const std::string admin = "http://" + cluster.NodeIp(0) + ":8081";
+  for (const char* it : { "customers:\n  - { name: \"a\xff\", share: 0.1 }\n",
+                          "\xff: 1\n",
+                          "customers:\n  - { name: a, \xfe: 0.1 }\n",
+                          "customers: \"\xff\xfe\"\n" }) {
+    cluster.PublishYaml(0, it);
+    cluster.Call("POST", admin + "/stop-host?host=%ff%fe");
+    EXPECT_TRUE(cluster.Ask(0).mWhole) << it;
+  }
+}
+
 /// Two data centres: what is published here is in force there, and a request whose profile has no
 /// whole replica here is served there.
 TEST(TwoDataCentres, ShareConfigurationAndSpill)
