Log values have a bounded length and no control characters

Values may come from other programs: a service name of 200 kB made lines of that length, and bytes below a space other than the line end were written as they are. Values end after 2,000 bytes, control characters are written as spaces. No test: the log library writes to standard output, and the lines of the odd entries were looked at by hand.

--- a/src/pepperbay/log/log.cpp
+++ b/src/pepperbay/log/log.cpp
@@ -2,6 +2,7 @@
 
 #include "line_budget.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
@@ -56,20 +57,28 @@
   return logger;
 }
 
+/// Bytes of a value that are written: other programs' text may be of any length.
+constexpr std::size_t kMaxValue = 2000;
+
 std::string
 Quoted(const std::string& aValue)
 {
-  if (!aValue.empty() && aValue.find_first_of(" \"=\n\t") == std::string::npos) {
+  const auto isPlain = [](char aIt) {
+    return static_cast<unsigned char>(aIt) > ' ' && aIt != '"' && aIt != '=' && aIt != '\x7f';
+  };
+  if (!aValue.empty() && aValue.size() <= kMaxValue &&
+      std::all_of(aValue.begin(), aValue.end(), isPlain)) {
     return aValue;
   }
   std::string quoted = "\"";
-  for (const char c : aValue) {
-    if (c == '"' || c == '\\') {
+  for (const char it : aValue.substr(0, kMaxValue)) {
+    if (it == '"' || it == '\\') {
       quoted += '\\';
     }
-    quoted += c == '\n' ? ' ' : c;
+    const bool control = static_cast<unsigned char>(it) < ' ' || it == '\x7f';
+    quoted += control ? ' ' : it;
   }
-  return quoted + "\"";
+  return quoted + (aValue.size() > kMaxValue ? "...\"" : "\"");
 }
 
 /// @return whether the line may be written; the number of those left out before it is added.
