--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <mutex>
@@ -63,6 +64,23 @@
   return aText;
 }
 
+/// @return what each thread of a process does, which tells one that is stopped from one that waits.
+std::string
+ThreadsOf(pid_t aPid)
+{
+  std::string text;
+  std::error_code ec; // a process that has ended has no threads
+  const std::string folder = "/proc/" + std::to_string(aPid) + "/task";
+  for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
+    for (const char* name : { "stat", "wchan", "syscall" }) {
+      std::string line;
+      std::getline(std::ifstream(it.path() / name), line);
+      text += std::string(name) + ": " + line + "\n";
+    }
+  }
+  return text.empty() ? "the process has ended\n" : text;
+}
+
 } // namespace
 
 Process::Process(const std::vector<std::string>& aArguments, const std::string& aErrorFile)
@@ -304,7 +322,7 @@
   }
   ADD_FAILURE() << NodeName(aNode) << " never came to: " << aWhat << "\n"
                 << last.dump(2) << "\n"
-                << ErrorsOf(aNode);
+                << ThreadsOf(Node(aNode).Pid()) << ErrorsOf(aNode);
   return last;
 }
 
