Metrics for engines that hold requests and say nothing

Cause: of second sendings that an engine reads late, a node's metrics said only that second attempts were granted. Nothing told an operator that requests had been withdrawn, or that engines were taken for silent.

Ruled out: a log line for each (attempt_failed has one already), and a count at the engines (they are not ours).

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -96,7 +96,10 @@
   std::uint64_t mCallerGone = 0; ///< the caller disconnected before the end of its answer
   std::uint64_t mAttempts = 0;   ///< requests sent to engines
   std::uint64_t mSecondAttempts = 0;
-  std::uint64_t mResumes = 0; ///< second attempts that resumed a stream on another engine
+  /// Requests withdrawn from an engine because a second one answered first.
+  std::uint64_t mOvertaken = 0;
+  std::uint64_t mSilentEngines = 0; ///< engines of plain services that have unanswered requests
+  std::uint64_t mResumes = 0;       ///< second attempts that resumed a stream on another engine
   /// Times that no slot was found for moving a stream, by reason; a stream may be counted again
   /// when it retries.
   std::map<std::string, std::uint64_t> mMovesRefused;
--- a/include/pepperbay/routing/unanswered_tracker.hpp
+++ b/include/pepperbay/routing/unanswered_tracker.hpp
@@ -47,6 +47,8 @@
   bool IsSilent(const std::string& aEngine, TimePoint aNow) const;
   /// @return whether a request that was sent to another engine may be sent to this one as well.
   bool MayRepeatAt(const std::string& aEngine, TimePoint aNow) const;
+  /// @return how many engines are silent.
+  std::size_t Silent(TimePoint aNow) const;
 
 private:
   struct Engine
--- a/src/pepperbay/relay/exchange_hedge.cpp
+++ b/src/pepperbay/relay/exchange_hedge.cpp
@@ -271,6 +271,7 @@
 Exchange::PromoteHedge()
 {
   if (mCurrent.mAttempt) {
+    ++mCore->mCounters.mOvertaken;
     mMayHaveRun = mMayHaveRun || mCurrent.mAttempt->MayHaveRun();
     mCore->mBalancer.OnFault(mCurrent.mTarget.mEngine, mCore->Now());
     mCore->mBalancer.Unanswered().OnOvertaken(mCurrent.mTarget.mEngine, mCore->Now());
--- a/src/pepperbay/relay/relay.cpp
+++ b/src/pepperbay/relay/relay.cpp
@@ -183,6 +183,7 @@
     mCore.mRetries.Tick();
     mCore.mConnector.Tick();
     mCore.mExitProbe.Tick();
+    mCore.mCounters.mSilentEngines = mCore.mBalancer.Unanswered().Silent(mCore.Now());
     mSilence.Tick();
     if (mTunnels) {
       mTunnels->Tick();
--- a/src/pepperbay/relay/relay_withdrawn_requests_test.cpp
+++ b/src/pepperbay/relay/relay_withdrawn_requests_test.cpp
@@ -55,6 +55,7 @@
   AdvanceInSteps(milliseconds(200));
   EXPECT_EQ(StatusOf(TextOf(std::move(answer))), 200);
   EXPECT_TRUE(reset.get_future().get());
+  EXPECT_EQ(Counters().mOvertaken, 1U);
 }
 
 /// Guards against an engine that runs a request whose caller has left.
@@ -94,6 +95,7 @@
   AdvanceInSteps(milliseconds(1000));
   const int perEngine = UnansweredOptions().mMaxRepeats;
   EXPECT_LE(Counters().mSecondAttempts, static_cast<std::uint64_t>(2 * perEngine));
+  EXPECT_EQ(Counters().mSilentEngines, 2U);
   continues.set_value();
   while (Counters().mOpen > 0) {
     mClock.Advance(milliseconds(1));
--- a/src/pepperbay/routing/unanswered_tracker.cpp
+++ b/src/pepperbay/routing/unanswered_tracker.cpp
@@ -1,5 +1,7 @@
 #include "pepperbay/routing/unanswered_tracker.hpp"
 
+#include <algorithm>
+
 namespace pepperbay {
 
 UnansweredTracker::UnansweredTracker(UnansweredOptions aOptions)
@@ -49,4 +51,13 @@
   return engine == nullptr || (engine->mRepeats < mOptions.mMaxRepeats && !IsSilent(aEngine, aNow));
 }
 
+std::size_t
+UnansweredTracker::Silent(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mEngines.begin(), mEngines.end(), [&](const auto& aEngine) {
+      return IsSilent(aEngine.first, aNow);
+    }));
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/routing/unanswered_tracker_test.cpp
+++ b/src/pepperbay/routing/unanswered_tracker_test.cpp
@@ -24,6 +24,8 @@
   EXPECT_FALSE(mTracker.IsSilent("e", At(milliseconds(200))));
   EXPECT_TRUE(mTracker.IsSilent("e", At(milliseconds(201))));
   EXPECT_FALSE(mTracker.IsSilent("other", At(milliseconds(201))));
+  EXPECT_EQ(mTracker.Silent(At(milliseconds(200))), 0U);
+  EXPECT_EQ(mTracker.Silent(At(milliseconds(201))), 1U);
 }
 
 TEST_F(UnansweredTrackerTest, ASilentEngineGetsNoSecondSendings)
