Logs and metrics tell by how old a view an engine was chosen, and by whom

No line or metric could tell the hypotheses of the incident apart: a request that reaches an engine late may follow a grant of another node, this node's own old view, or a late choice.

Nodes now remember since when they know that an engine leaves or is gone, past its registration. sent_to_leaving_total and a line sent_to_leaving count requests that go to such an engine all the same, with who chose it and how old the registrations were there and here; a grant states that age. engines_view_age_seconds has the age for every request. No choice changes.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -21,7 +21,7 @@
                           engine_limit_table.cpp unanswered_tracker.cpp
                   TESTS router_test.cpp route_table_test.cpp balancer_test.cpp refusal_tracker_test.cpp
                         failure_tracker_test.cpp engine_limit_table_test.cpp unanswered_tracker_test.cpp
-                  USES base quarantine reach) # pure
+                  USES base membership quarantine reach) # pure
 pepperbay_library(placement SOURCES planner.cpp survey.cpp orders.cpp reserves.cpp group_order.cpp
                           engine_state.cpp group_planner.cpp group_planner_orders.cpp
                           group_planner_repair.cpp group_planner_spares.cpp
--- a/include/pepperbay/membership/engine_directory.hpp
+++ b/include/pepperbay/membership/engine_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
+#include "pepperbay/membership/engine_departure.hpp"
 
 #include <cstdint>
 #include <map>
@@ -117,6 +118,8 @@
   bool IsKept(const std::string& aId) const { return mMissing.count(aId) != 0; }
   /// @return the newest start known of an engine, listed or not; default when none was stated.
   WallTime NewestStart(const std::string& aId) const;
+  /// Engines that leave, and those that have left and are remembered.
+  const EngineDepartures& Departures() const { return mDepartures; }
   /// Grows with each change.
   std::uint64_t Revision() const { return mRevision; }
 
@@ -128,15 +131,17 @@
   };
 
   void Drop(const std::string& aId, TimePoint aNow);
+  void NoteDeparture(const EngineRecord& aEngine, TimePoint aNow);
 
   Options mOptions;
   EngineMap mEngines;
   std::map<std::string, Start> mStarts;      ///< of engines that state one
   std::map<std::string, TimePoint> mMissing; ///< kept until then
   std::map<std::string, TimePoint> mDropped; ///< engines that have left, and when
-  EngineMap mReturning;                      ///< listed again by an older copy of the store
-  TimePoint mDoubtUntil{};                   ///< removals before this are held back
-  TimePoint mRestoredUntil{};                ///< returns before this are held back
+  EngineDepartures mDepartures;
+  EngineMap mReturning;       ///< listed again by an older copy of the store
+  TimePoint mDoubtUntil{};    ///< removals before this are held back
+  TimePoint mRestoredUntil{}; ///< returns before this are held back
   std::uint64_t mRevision = 0;
 };
 
--- a/include/pepperbay/places/slot_agent.hpp
+++ b/include/pepperbay/places/slot_agent.hpp
@@ -105,6 +105,8 @@
   std::uint64_t mEpoch = 0;
   EngineTarget mHead;
   SlotTicket mTicket;
+  /// Age of the registrations by which the head was chosen; none: not known.
+  std::optional<Duration> mViewAge;
   RateGrant mRate;
   Duration mRetryAfter{ 0 }; ///< where all engines are limited; zero: not known
 };
--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -96,6 +96,8 @@
   std::uint64_t mCallerGone = 0; ///< the caller disconnected before the end of its answer
   std::uint64_t mAttempts = 0;   ///< requests sent to engines
   std::uint64_t mSecondAttempts = 0;
+  /// Requests sent to engines that this node knew to leave or to have left.
+  std::uint64_t mSentToLeaving = 0;
   /// Requests withdrawn from an engine because a second one answered first.
   std::uint64_t mOvertaken = 0;
   std::uint64_t mSilentEngines = 0; ///< engines of plain services that have unanswered requests
@@ -121,6 +123,8 @@
   std::uint64_t mBufferedBytes = 0;  ///< bytes of incomplete answers that are buffered now
   LatencyHistogram mFirstEvent;      ///< from a request's first byte to its stream's first event
   LatencyHistogram mWholeAnswer;     ///< from a request's first byte to a complete plain answer
+  /// Age of the registrations by which an engine was chosen.
+  LatencyHistogram mViewAge;
   /// Gap in a resumed stream as the caller sees it: from the last event of one engine to the first
   /// event of the next.
   LatencyHistogram mResumePause;
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -2,6 +2,7 @@
 /// @brief The control state that traffic threads use: an immutable value, replaced as a whole.
 #pragma once
 
+#include "pepperbay/membership/engine_departure.hpp"
 #include "pepperbay/quarantine/suspects.hpp"
 #include "pepperbay/reach/proxy_choice.hpp"
 #include "pepperbay/routing/route_table.hpp"
@@ -99,6 +100,10 @@
   EngineIncarnations mIncarnations; ///< of the listed engines
   /// Of the listed engines; null until they are known.
   std::shared_ptr<const EngineAddresses> mAddresses;
+  /// Engines that leave or have left, as this node knows; null until any is known.
+  std::shared_ptr<const EngineDepartures> mDepartures;
+  /// Latest time at which all registrations were known here.
+  TimePoint mEnginesAsOf{};
   /// Peers that tunnel connections to engines for this node; null for none.
   std::shared_ptr<const ProxyPeers> mProxyPeers;
   UpdateMark mUpdate;
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -322,6 +322,7 @@
   aPlan->mOthersInFlight = OthersInFlight();
   aPlan->mProxyPeers = mProxyPeers;
   aPlan->mUpdate = { mUpdates.Fence(), mUpdates.Change(), mUpdates.AsOf() };
+  aPlan->mEnginesAsOf = LogAsOf(FollowedLog::kEngines);
   aPlan->mConfigurationAsOf = ConfigurationAsOf();
   aPlan->mConfigurationTaken = mConfigurationTaken;
   aPlan->mKeysValidUntil = ConfigurationAsOf() + mOptions.mBounds.mKeysTrusted;
@@ -376,6 +377,7 @@
   sources.mComplete = HasFullState();
   sources.mRoutes = mRoutes;
   sources.mEngines = &mDirectory.Engines();
+  sources.mDepartures = &mDirectory.Departures();
   sources.mUpdates = now - mUpdates.AsOf() < kUpdateLifetime ? &mUpdates.Replicas() : &kNoUpdates;
   sources.mLost = [this](const std::string& aEngine) { return mEngineSuspicions.IsLost(aEngine); };
   auto plan = BuildPlan(sources);
--- a/src/pepperbay/coordinator/plan_builder.cpp
+++ b/src/pepperbay/coordinator/plan_builder.cpp
@@ -121,6 +121,9 @@
 {
   auto plan = std::make_shared<TrafficPlan>();
   plan->mComplete = aSources.mComplete;
+  if (aSources.mDepartures != nullptr && !aSources.mDepartures->empty()) {
+    plan->mDepartures = std::make_shared<EngineDepartures>(*aSources.mDepartures);
+  }
   plan->mRoutes = aSources.mRoutes;
   if (!plan->mRoutes) {
     return plan;
--- a/src/pepperbay/coordinator/plan_builder.hpp
+++ b/src/pepperbay/coordinator/plan_builder.hpp
@@ -19,6 +19,7 @@
   bool mComplete = false;
   std::shared_ptr<const RouteTable> mRoutes;
   const EngineMap* mEngines = nullptr;
+  const EngineDepartures* mDepartures = nullptr;
   /// The lease holder's updates of replicas, by name.
   const std::map<std::string, proto::ReplicaNews>* mUpdates = nullptr;
   std::function<bool(const std::string& aEngine)> mLost;
--- a/src/pepperbay/membership/engine_directory.cpp
+++ b/src/pepperbay/membership/engine_directory.cpp
@@ -57,10 +57,25 @@
   const bool leaving = aEngine.mLeaving || (engine.mLeaving && !again);
   engine = std::move(aEngine);
   engine.mLeaving = leaving;
+  if (leaving) {
+    NoteDeparture(engine, aNow);
+  } else {
+    mDepartures.erase(engine.mId);
+  }
   ++mRevision;
   return again ? EngineNews::kNewStart : EngineNews::kSameStart;
 }
 
+void
+EngineDirectory::NoteDeparture(const EngineRecord& aEngine, TimePoint aNow)
+{
+  EngineDeparture& departure =
+    mDepartures.try_emplace(aEngine.mId, EngineDeparture{ aNow, aEngine.mBorn }).first->second;
+  if (departure.mBorn < aEngine.mBorn) {
+    departure = { aNow, aEngine.mBorn };
+  }
+}
+
 WallTime
 EngineDirectory::NewestStart(const std::string& aId) const
 {
@@ -99,6 +114,7 @@
   if (start != mStarts.end()) {
     start->second.mLastListed = aNow;
   }
+  NoteDeparture(mEngines.at(aId), aNow);
   mMissing.erase(aId);
   mEngines.erase(aId);
   mDropped[aId] = aNow;
@@ -156,7 +172,12 @@
     changed = true;
   }
   for (auto it = mDropped.begin(); it != mDropped.end();) {
-    it = aNow - it->second >= mOptions.mRememberDropped ? mDropped.erase(it) : std::next(it);
+    if (aNow - it->second < mOptions.mRememberDropped) {
+      ++it;
+      continue;
+    }
+    mDepartures.erase(it->first);
+    it = mDropped.erase(it);
   }
   for (auto it = mStarts.begin(); it != mStarts.end();) {
     const bool old =
--- a/src/pepperbay/membership/engine_directory_test.cpp
+++ b/src/pepperbay/membership/engine_directory_test.cpp
@@ -159,6 +159,31 @@
   EXPECT_EQ(directory.Find("a"), nullptr);
 }
 
+/// Guards against requests that follow another node's older view to an engine that has left: what
+/// this node knows of a leaving must outlast the registration.
+TEST(EngineDirectory, RemembersSinceWhenEnginesLeaveOrAreGone)
+{
+  ManualClock clock;
+  EngineDirectory directory;
+  for (const char* it : { "says so", "removed", "back", "stays" }) {
+    directory.Put(Engine(it), clock.Now());
+  }
+  EXPECT_TRUE(directory.Departures().empty());
+  const TimePoint known = clock.Now();
+  directory.Put(Engine("says so", true), clock.Now());
+  directory.Remove("removed", clock.Now());
+  directory.Remove("back", clock.Now());
+  clock.Advance(seconds(2));
+  directory.Put(Engine("back"), clock.Now());
+  directory.Remove("says so", clock.Now());
+  EXPECT_EQ(directory.Departures().size(), 2U);
+  EXPECT_EQ(directory.Departures().at("says so").mSince, known);
+  EXPECT_EQ(directory.Departures().at("removed").mSince, known);
+  clock.Advance(seconds(100));
+  directory.Tick(clock.Now());
+  EXPECT_TRUE(directory.Departures().empty());
+}
+
 TEST(EngineDirectory, LeavingIsForGood)
 {
   ManualClock clock;
--- a/src/pepperbay/places/slot_agent.cpp
+++ b/src/pepperbay/places/slot_agent.cpp
@@ -1,6 +1,7 @@
 #include "pepperbay/places/slot_agent.hpp"
 
 #include "pepperbay/base/hash.hpp"
+#include "pepperbay/routing/find_engine.hpp"
 #include "slot_wire.hpp"
 
 #include <algorithm>
@@ -268,6 +269,7 @@
     result.mGroup = choice.mReplica != nullptr ? choice.mReplica->mGroup : "";
     result.mEpoch = choice.mReplica != nullptr ? choice.mReplica->mEpoch : 0;
     result.mHead = *choice.mHead;
+    result.mViewAge = EnginesAge(*mPlan, Now());
     result.mRate.mPerSecond = CountRequest(result.mHead, aChooser, work, aRequest.mClaimant);
     result.mRate.mAt = Now();
     mBalancer->OnPrompt(result.mHead.mId, aRequest.mWork, Now());
@@ -411,6 +413,9 @@
     return;
   }
   result.mTicket = aTicket;
+  if (answer.has_engines_age_ms()) {
+    result.mViewAge = std::chrono::milliseconds(answer.engines_age_ms());
+  }
   if (answer.limit().has_per_second()) {
     result.mRate.mPerSecond = answer.limit().per_second();
   }
--- a/src/pepperbay/places/slot_allocator.cpp
+++ b/src/pepperbay/places/slot_allocator.cpp
@@ -3,6 +3,7 @@
 
 #include "pepperbay/base/hash.hpp"
 #include "pepperbay/places/slot_agent.hpp"
+#include "pepperbay/routing/find_engine.hpp"
 #include "slot_wire.hpp"
 
 #include <algorithm>
@@ -151,6 +152,9 @@
   aAnswer->set_address(head.mAddress);
   aAnswer->set_head_born_ms(BornMs(head.mBorn));
   aAnswer->set_head_data_centre(head.mDataCentre);
+  if (const auto age = EnginesAge(*mPlan, Now())) {
+    aAnswer->set_engines_age_ms(static_cast<std::uint32_t>(ToMs(*age).count()));
+  }
   FillLimit(head, aAnswer);
 }
 
--- a/src/pepperbay/relay/exchange.hpp
+++ b/src/pepperbay/relay/exchange.hpp
@@ -43,6 +43,8 @@
   std::string mGroup;       ///< target replica; empty for an engine of a plain service
   std::uint64_t mEpoch = 0; ///< epoch of that replica
   SlotTicket mTicket;
+  /// Age of the registrations by which the engine was chosen, then; none: not known.
+  std::optional<Duration> mViewAge;
   RateGrant mRate;
   TimePoint mSentAt{};
   std::optional<TimePoint> mHeadAt; ///< when the answer began: the engine runs the request
@@ -150,6 +152,8 @@
   /// Starts a dispatch and counts it. Its events go to the handlers of the current dispatch or of
   /// the hedge.
   void Launch(EngineDispatch* aDispatch);
+  /// Counts by how old a view the engine was chosen, and whether this node knows that it leaves.
+  void NoteView(const EngineDispatch& aDispatch);
   void OnDeadline();
   /// Notes that the connection to an engine could not be established.
   void NoteUnreached(const EngineDispatch& aDispatch, const std::string& aReason);
@@ -297,6 +301,7 @@
   /// Calls Release(). @return the writer for the end of the answer; null if the caller has gone
   AnswerWriter* Finish();
   void Release();
+  void LogSentToLeaving(const EngineDispatch& aDispatch, const EngineDeparture& aDeparture) const;
   void LogEnd(const char* aOutcome, const std::string& aReason) const;
 
   RelayCore* mCore;
--- a/src/pepperbay/relay/exchange_log.cpp
+++ b/src/pepperbay/relay/exchange_log.cpp
@@ -2,6 +2,7 @@
 /// @brief Log lines about the outcome of a request and of its attempts.
 
 #include "exchange.hpp"
+#include "pepperbay/routing/find_engine.hpp"
 
 #include <map>
 #include <string_view>
@@ -40,6 +41,7 @@
     { "may_have_run", YesNo(aMayHaveRun) },
     { "last_event", mLastEvent ? std::to_string(*mLastEvent) : "" },
     { "not_again", aNotAgain },
+    { "chosen_by_view_ms", aDispatch.mViewAge ? Millis(*aDispatch.mViewAge) : "" },
     { "stale", YesNo(aDispatch.mStale) },
     { "sent", std::to_string(mSent) },
   };
@@ -85,6 +87,21 @@
   }
 }
 
+void
+Exchange::LogSentToLeaving(const EngineDispatch& aDispatch, const EngineDeparture& aDeparture) const
+{
+  const TimePoint now = mCore->Now();
+  const auto ownAge = EnginesAge(*mCore->mPlan, now);
+  mCore->Log("sent_to_leaving",
+             { { "request", mMetadata.mId },
+               { "engine", aDispatch.mTarget.mEngine },
+               { "known_ms", Millis(now - aDeparture.mSince) },
+               { "granted_by", aDispatch.mTicket.mAllocator },
+               { "chosen_by_view_ms", aDispatch.mViewAge ? Millis(*aDispatch.mViewAge) : "" },
+               { "own_view_ms", ownAge ? Millis(*ownAge) : "" },
+               { "sent", std::to_string(mSent) } });
+}
+
 void
 Exchange::LogEnd(const char* aOutcome, const std::string& aReason) const
 {
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -62,6 +62,7 @@
   const EngineTarget& engine = *choice.mEngine;
   EngineDispatch dispatch;
   dispatch.mTarget = { engine.mId, engine.mAddress, engine.mBorn, engine.mDataCentre };
+  dispatch.mViewAge = EnginesAge(*plan, mCore->Now());
   return dispatch;
 }
 
@@ -122,6 +123,7 @@
   dispatch.mEpoch = aPlace.mEpoch;
   dispatch.mGroup = aPlace.mGroup;
   dispatch.mTicket = aPlace.mTicket;
+  dispatch.mViewAge = aPlace.mViewAge;
   dispatch.mRate = aPlace.mRate;
   return dispatch;
 }
@@ -322,6 +324,20 @@
   Launch(&mCurrent);
 }
 
+void
+Exchange::NoteView(const EngineDispatch& aDispatch)
+{
+  if (aDispatch.mViewAge) {
+    mCore->mCounters.mViewAge.Observe(*aDispatch.mViewAge);
+  }
+  const AttemptTarget& target = aDispatch.mTarget;
+  const EngineDeparture* departure = FindDeparture(*mCore->mPlan, target.mEngine, target.mBorn);
+  if (departure != nullptr) {
+    ++mCore->mCounters.mSentToLeaving;
+    LogSentToLeaving(aDispatch, *departure);
+  }
+}
+
 void
 Exchange::Launch(EngineDispatch* aDispatch)
 {
@@ -330,6 +346,7 @@
   aDispatch->mSentAt = mCore->Now();
   mTried.insert(aDispatch->mTarget.mEngine);
   ++mCore->mCounters.mAttempts;
+  NoteView(*aDispatch);
   aDispatch->mRepeats = mStale && mStale->mTarget.mEngine == aDispatch->mTarget.mEngine;
   if (mSent > 0) {
     ++mCore->mCounters.mSecondAttempts;
--- a/src/pepperbay/routing/find_engine.cpp
+++ b/src/pepperbay/routing/find_engine.cpp
@@ -24,4 +24,26 @@
   return nullptr;
 }
 
+const EngineDeparture*
+FindDeparture(const TrafficPlan& aPlan, const std::string& aEngine, WallTime aBorn)
+{
+  if (!aPlan.mDepartures) {
+    return nullptr;
+  }
+  const auto it = aPlan.mDepartures->find(aEngine);
+  if (it == aPlan.mDepartures->end() || (aBorn != WallTime{} && it->second.mBorn < aBorn)) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+std::optional<Duration>
+EnginesAge(const TrafficPlan& aPlan, TimePoint aNow)
+{
+  if (aPlan.mEnginesAsOf == TimePoint{}) {
+    return std::nullopt;
+  }
+  return aNow - aPlan.mEnginesAsOf;
+}
+
 } // namespace pepperbay
