A test that fails: slots at engines that the asking node knows to leave

An allocator that no longer follows the registrations grants slots at an engine that leaves, or that is gone; the node that asked knows it and sends the request there.

--- a/src/pepperbay/places/slot_agent_test.cpp
+++ b/src/pepperbay/places/slot_agent_test.cpp
@@ -106,6 +106,50 @@
   EXPECT_EQ(node.mAgent->Counters().mTimedOut, 1U);
 }
 
+/// Guards against requests to engines that have left: an allocator that is cut off from the store
+/// goes on granting slots at engines that the asking node knows to leave, or to be gone.
+TEST(Slots, AGrantOfAnEngineThatTheAskerKnowsToLeaveIsNotUsed)
+{
+  for (const bool gone : { false, true }) {
+    SCOPED_TRACE(gone ? "gone" : "leaves");
+    SlotSimulation simulation;
+    simulation.AddReplicas(4, "a");
+    auto& allocator = simulation.AddNode("desk");
+    auto& node = simulation.AddNode("n");
+    simulation.Publish({ { "a", { "desk" } } });
+    allocator.mIgnoresPlans = true;
+    const PoolReplica left = simulation.mReplicas[1];
+    simulation.mDepartures[left.mHead.mId] = { simulation.mClock.Now(), left.mHead.mBorn };
+    if (gone) {
+      simulation.mReplicas.erase(simulation.mReplicas.begin() + 1);
+    } else {
+      simulation.mReplicas[1].mSuspended = true;
+    }
+    simulation.Publish({ { "a", { "desk" } } });
+    for (int i = 0; i < 3 * kSlots; ++i) {
+      const SlotResult result = simulation.Ask(node);
+      ASSERT_EQ(result.mOutcome, SlotOutcome::kGranted) << i;
+      EXPECT_NE(result.mHead.mId, left.mHead.mId) << i;
+      EXPECT_EQ(result.mTicket.mAllocator, "desk") << "it still counts the slots";
+    }
+    simulation.Run(milliseconds(40));
+    EXPECT_EQ(simulation.InProgress(allocator, left.mHead.mId), 0);
+  }
+}
+
+/// Guards against an engine that started again and is refused for what its former start said.
+TEST(Slots, AGrantOfANewStartIsUsedThoughTheFormerOneLeft)
+{
+  SlotSimulation simulation;
+  simulation.AddReplicas(1, "a");
+  simulation.mReplicas[0].mHead.mBorn = WallTime(milliseconds(2000));
+  simulation.AddNode("desk");
+  auto& node = simulation.AddNode("n");
+  simulation.mDepartures["e0"] = { simulation.mClock.Now(), WallTime(milliseconds(1000)) };
+  simulation.Publish({ { "a", { "desk" } } });
+  EXPECT_EQ(simulation.Ask(node).mHead.mId, "e0");
+}
+
 /// Without an allocator, nodes choose from their own information, and nodes that do not know of
 /// each other must not all start with the same replica.
 TEST(Slots, NodesWithoutAnAllocatorSpreadOverTheReplicas)
--- a/src/pepperbay/places/slot_simulation.hpp
+++ b/src/pepperbay/places/slot_simulation.hpp
@@ -113,6 +113,9 @@
       plan.mReplicas["pool"] = mReplicas;
       plan.mEngines["plain"] = mPlainEngines;
       plan.mNodes = static_cast<int>(mNodes.size());
+      if (!mDepartures.empty()) {
+        plan.mDepartures = std::make_shared<EngineDepartures>(mDepartures);
+      }
       const auto& allocators =
         it.mAllocators.empty() ? aAllocators.at(it.mDataCentre) : it.mAllocators;
       plan.mIsAllocator = allocators.front() == it.mName;
@@ -240,6 +243,7 @@
   std::shared_ptr<const RouteTable> mRoutes;
   std::vector<PoolReplica> mReplicas;
   std::vector<EngineTarget> mPlainEngines;
+  EngineDepartures mDepartures; ///< published with the next plan
   std::deque<Node> mNodes;
   std::deque<std::pair<std::string, std::string>> mInTransit; ///< address and bytes
   std::deque<Late> mLate;
