A slot at an engine that this node knows to leave is not used

Callers saw requests go to engines that had said that they leave: the slot allocator of a data centre chooses the engine for its nodes by its own view, and may be cut off from the store alone.

--- a/include/pepperbay/places/slot_agent.hpp
+++ b/include/pepperbay/places/slot_agent.hpp
@@ -137,7 +137,9 @@
   std::uint64_t mTimedOut = 0; ///< questions that were not answered in time
   /// Choices made without an allocator though the plan names one.
   std::uint64_t mWithoutAllocator = 0;
-  std::uint64_t mGranted = 0;   ///< slots granted to other nodes
+  std::uint64_t mGranted = 0; ///< slots granted to other nodes
+  /// Slots granted to this node at engines that it knew to leave; not used.
+  std::uint64_t mGrantsOfLeaving = 0;
   std::uint64_t mForwarded = 0; ///< questions forwarded to the allocator of another data centre
   /// Requests refused since all replicas with free slots have reached their rate limits.
   std::uint64_t mLimited = 0;
--- a/src/pepperbay/places/slot_agent.cpp
+++ b/src/pepperbay/places/slot_agent.cpp
@@ -406,7 +406,10 @@
   result.mHead = {
     answer.head(), answer.address(), answer.head_data_centre(), BornOf(answer.head_born_ms())
   };
-  if (!ApplyGrantedLimit(aMessage, result.mHead)) {
+  // An allocator that is cut off from the store knows less of the engines than this node.
+  const bool leaves = FindDeparture(*mPlan, result.mHead.mId, result.mHead.mBorn) != nullptr;
+  mCounters.mGrantsOfLeaving += leaves ? 1 : 0;
+  if (leaves || !ApplyGrantedLimit(aMessage, result.mHead)) {
     End(aTicket);
     aPending.mRequest.mTried.insert(result.mHead.mId);
     AskAllocator(++mLastId, std::move(aPending));
