Not knowing of an answer is no outage of the store, and a peer's word of one refutes it

Callers can be sent to engines whose registration was removed, for 2.2 s more, by nodes that believe that an outage of the store has just ended. Two kinds of nodes reported one that nobody else had seen:

- one that has just started and whose first call was late: the zero time, never, was subtracted from now as a time without answers;
- one that is cut off from the store alone while its history is dropped: what its peers say of the log's age did not count, since they had records that this node lacks.
That rule is right for how recent the registrations are here, not for whether the store has answered anybody.

A node that knows of no answer now knows of no outage, and peers' ages of a log count for the outage whatever records they speak of. Log lines say 'never' for an age that stands for the zero time.

That a report of this kind ever reached nodes in touch is not shown.

--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -278,7 +278,7 @@
     PreferStronger();
     mLease.Tick();
   }
-  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
+  mOutages.OnAnswered(EnginesAnsweredAt());
   mDirectory.Tick(now);
   UpdateProxies();
   if (MayOrder()) {
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -106,6 +106,8 @@
   TimePoint ConfigurationAsOf() const;
   /// @return when all records of a log were known here, according to the store or a peer.
   TimePoint LogAsOf(FollowedLog aLog);
+  /// @return when the log of registrations last answered any node; the zero time: not known.
+  TimePoint EnginesAnsweredAt();
   LogOffsets OwnOffsets() const;
   std::uint64_t ConfigurationVersion() const { return mRoutes ? mRoutes->Version() : 0; }
   /// @return whether to ask peers for freshness: another node reads, or the store has been silent
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -14,8 +14,17 @@
 /// the next call, and a reader that gives up because of one would make all nodes that rely on it
 /// choose another.
 constexpr std::chrono::milliseconds kStoreLostAfter{ 300 };
+/// A greater age stands for what was never known.
+constexpr std::chrono::hours kMaxAge{ 1 };
+
+std::string
+AgeText(Duration aAge)
+{
+  return aAge >= kMaxAge ? "never" : std::to_string(ToMs(aAge).count());
 }
 
+} // namespace
+
 KeyedFollower&
 Coordinator::Impl::FollowerOf(FollowedLog aLog)
 {
@@ -36,6 +45,12 @@
   return std::max(FollowerOf(aLog).AsOf(), mFreshness.LogAsOf(aLog));
 }
 
+TimePoint
+Coordinator::Impl::EnginesAnsweredAt()
+{
+  return std::max(LogAsOf(FollowedLog::kEngines), mFreshness.LogAnsweredAt(FollowedLog::kEngines));
+}
+
 LogOffsets
 Coordinator::Impl::OwnOffsets() const
 {
@@ -127,7 +142,7 @@
   ++mCounters.mDirectReads;
   mHooks.mLog("store_looked_at",
               { { "log", NameOf(aLog) },
-                { "age_ms", std::to_string(ToMs(aAge).count()) },
+                { "age_ms", AgeText(aAge) },
                 { "version", std::to_string(ConfigurationVersion()) },
                 { "reader", mTree.Reader() } });
 }
@@ -141,8 +156,7 @@
   }
   mLoggedReader = reader;
   mHooks.mLog("store_reader",
-              { { "reader", reader },
-                { "age_ms", std::to_string(ToMs(Now() - ConfigurationAsOf()).count()) } });
+              { { "reader", reader }, { "age_ms", AgeText(Now() - ConfigurationAsOf()) } });
 }
 
 void
@@ -217,7 +231,7 @@
 void
 Coordinator::Impl::OnEnginesAnswer()
 {
-  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
+  mOutages.OnAnswered(EnginesAnsweredAt());
   if (mOutages.OnOwnAnswer(Now())) {
     OnOutageEnded("");
   }
@@ -226,7 +240,7 @@
 void
 Coordinator::Impl::OnOutageReported(const proto::PeerMessage& aMessage)
 {
-  mOutages.OnAnswered(LogAsOf(FollowedLog::kEngines));
+  mOutages.OnAnswered(EnginesAnsweredAt());
   const std::chrono::milliseconds ago(aMessage.outage_ended_ms_ago());
   if (ago < mDirectory.ReturnGrace() && mOutages.OnReported(Now() - ago)) {
     OnOutageEnded(aMessage.node());
--- a/src/pepperbay/coordinator/coordinator_outages_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_outages_test.cpp
@@ -45,10 +45,15 @@
 class OutageWorld : public StoreOutageWorld
 {
 public:
-  /// The store goes away for some of the nodes, or comes back.
+  /// The store goes away for the first nodes, or comes back.
   void SetAway(Outage aOutage, bool aAway, std::size_t aNodes = 3)
   {
-    for (std::size_t i = 0; i < aNodes; ++i) {
+    SetAway(aOutage, aAway, 0, aNodes);
+  }
+  /// The same for the nodes from one index up to another.
+  void SetAway(Outage aOutage, bool aAway, std::size_t aFirst, std::size_t aEnd)
+  {
+    for (std::size_t i = aFirst; i < aEnd; ++i) {
       TestNode& node = mNodes[i];
       switch (aOutage) {
         case Outage::kSilent:
@@ -196,6 +201,59 @@
   }
 }
 
+/// Guards against requests to an engine that has left, at nodes that believe a node which has just
+/// started, whose first calls were late, that the store was away.
+TEST(StoreOutages, ANodeThatStartsWithLateCallsReportsNoOutage)
+{
+  for (const Outage outage : kOutages) {
+    SCOPED_TRACE(NameOf(outage));
+    OutageWorld world;
+    world.AddNode("node-d", 0, "a");
+    world.AddNode("node-e", 0, "d");
+    world.SetAway(outage, true, 3, 5);
+    world.Run(seconds(3));
+    world.SetAway(outage, false, 3, 5);
+    world.Run(seconds(3));
+    EXPECT_EQ(world.mLines["store_outage_ended"], 0);
+  }
+}
+
+/// Guards against the same by nodes that were cut off from the store alone while its history was
+/// dropped: the others have records that these lack, and cannot pass them on.
+TEST(StoreOutages, ANodeThatIsCutOffWhileTheHistoryIsDroppedReportsNoOutage)
+{
+  for (const Outage outage : kOutages) {
+    SCOPED_TRACE(NameOf(outage));
+    OutageWorld world;
+    world.SetAway(outage, true, 0, 1);
+    world.Run(seconds(1));
+    world.Remove("p0");
+    world.mEngineLog.Compact();
+    world.Run(seconds(5));
+    world.SetAway(outage, false, 0, 1);
+    world.Run(seconds(3));
+    EXPECT_EQ(world.mLines["store_outage_ended"], 0);
+    EXPECT_FALSE(world.UsedByAny("p0"));
+  }
+}
+
+/// Guards against a node that takes what it does not know for a time without answers.
+TEST(OutageTracker, ANodeThatNeverHeardOfAnAnswerKnowsOfNoOutage)
+{
+  ManualClock clock;
+  clock.Advance(seconds(1000));
+  OutageTracker tracker;
+  tracker.OnFailed(clock.Now());
+  clock.Advance(seconds(5));
+  EXPECT_FALSE(tracker.OnReported(clock.Now()));
+  EXPECT_FALSE(tracker.OnOwnAnswer(clock.Now()));
+  EXPECT_FALSE(tracker.Ended());
+  clock.Advance(seconds(1));
+  tracker.OnFailed(clock.Now());
+  clock.Advance(seconds(1));
+  EXPECT_TRUE(tracker.OnOwnAnswer(clock.Now())) << "it knows of an answer now";
+}
+
 /// Guards against an outage that is taken from the failure of one node's call, or of an old one.
 TEST(OutageTracker, AnOutageNeedsSilenceTowardsAllAndAFailure)
 {
--- a/src/pepperbay/coordinator/freshness_tracker.cpp
+++ b/src/pepperbay/coordinator/freshness_tracker.cpp
@@ -68,10 +68,13 @@
   for (std::size_t i = 0; i < kFollowedLogs; ++i) {
     const int log = static_cast<int>(i);
     const std::uint64_t age = aBeat.log_age_ms(log);
-    const bool known = age < static_cast<std::uint64_t>(kMaxLogAge.count());
-    if (known &&
-        aBeat.log_next(log) <= aOwn[i]) { // else the peer has records that are missing here
-      mLogAsOf[i] = std::max(mLogAsOf[i], aAnswered - std::chrono::milliseconds(age));
+    if (age >= static_cast<std::uint64_t>(kMaxLogAge.count())) {
+      continue;
+    }
+    const TimePoint asOf = aAnswered - std::chrono::milliseconds(age);
+    mLogAnsweredAt[i] = std::max(mLogAnsweredAt[i], asOf);
+    if (aBeat.log_next(log) <= aOwn[i]) { // else the peer has records that are missing here
+      mLogAsOf[i] = std::max(mLogAsOf[i], asOf);
     }
   }
 }
--- a/src/pepperbay/coordinator/freshness_tracker.hpp
+++ b/src/pepperbay/coordinator/freshness_tracker.hpp
@@ -45,6 +45,12 @@
   TimePoint AsOf() const { return mAsOf; }
   /// @return when all records of a log were known here, according to peers.
   TimePoint LogAsOf(FollowedLog aLog) const { return mLogAsOf[static_cast<std::size_t>(aLog)]; }
+  /// @return when a log last answered any node, according to peers, whether or not its records have
+  /// come here; the zero time: not known.
+  TimePoint LogAnsweredAt(FollowedLog aLog) const
+  {
+    return mLogAnsweredAt[static_cast<std::size_t>(aLog)];
+  }
 
 private:
   /// @param aAnswered a time at or before which the peer answered
@@ -62,6 +68,7 @@
   std::map<std::string, Request> mRequests; ///< by node
   TimePoint mAsOf{};
   std::array<TimePoint, kFollowedLogs> mLogAsOf{};
+  std::array<TimePoint, kFollowedLogs> mLogAnsweredAt{};
 };
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/outage_tracker.hpp
+++ b/src/pepperbay/coordinator/outage_tracker.hpp
@@ -14,9 +14,10 @@
 ///
 /// A failed call of this node is no outage while the log answers others, and neither is a dead
 /// connection. An outage is a time in which the log has answered nobody, as far as is known here,
-/// and in which calls over new connections have failed. All nodes should agree on its end, as the
-/// registrations that are missing after it are kept for a while: the node that notices the end
-/// first reports it to the others.
+/// and in which calls over new connections have failed. A node that knows of no answer at all,
+/// since it has just started, knows of no outage either, and has no registrations to keep. All
+/// nodes should agree on its end, as the registrations that are missing after it are kept for a
+/// while: the node that notices the end first reports it to the others.
 class OutageTracker
 {
 public:
@@ -24,14 +25,19 @@
   /// of a working reader reaches at the other nodes.
   static constexpr std::chrono::milliseconds kMinOutage{ 1500 };
 
-  /// The log has answered some node at this time.
-  void OnAnswered(TimePoint aAt) { mAnswered = std::max(mAnswered, aAt); }
+  /// The log has answered some node at this time; the zero time: none is known of.
+  void OnAnswered(TimePoint aAt)
+  {
+    if (aAt != TimePoint{}) {
+      mAnswered = std::max(mAnswered.value_or(aAt), aAt);
+    }
+  }
   /// A call of this node has failed, over a new connection as well.
   void OnFailed(TimePoint aNow) { mFailed = aNow; }
   /// The log has answered this node. @return whether that ends an outage
   bool OnOwnAnswer(TimePoint aNow)
   {
-    const bool failed = mFailed && *mFailed > mAnswered;
+    const bool failed = mAnswered && mFailed && *mFailed > *mAnswered;
     const bool ends = failed && End(aNow);
     OnAnswered(aNow);
     return ends;
@@ -45,7 +51,7 @@
 private:
   bool End(TimePoint aAt)
   {
-    if (aAt - mAnswered < kMinOutage) {
+    if (!mAnswered || aAt - *mAnswered < kMinOutage) {
       return false;
     }
     mEnded = aAt;
@@ -53,7 +59,7 @@
     return true;
   }
 
-  TimePoint mAnswered{}; ///< the zero time: never, as far as known
+  std::optional<TimePoint> mAnswered; ///< none: never, as far as known
   std::optional<TimePoint> mFailed;
   std::optional<TimePoint> mEnded;
 };
