What changed while the store's history was dropped is passed on to the other nodes

One node of a data centre reads the store's logs and forwards the records. When the history is dropped before it has read all of them, it reads the list anew, and forwarded nothing of what it found: the records that follow did not follow on from what the others had, so each of them had to read the list itself, and one that is cut off from the store alone was told nothing any more until its own path was back.

A list that is read anew is now compared with the values known before, and the differences are forwarded as records that follow on from the last offset, also where there are none. A log that was restored from an older copy is read by each node as before.

--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pepperbay {
@@ -60,7 +61,8 @@
   /// The log has come back from an older copy: the list that follows may lack what was told before.
   /// May be null.
   std::function<void(const Error&)> mOnRestored = nullptr;
-  /// Records were read from the log, before each is told: for passing them on. May be null.
+  /// Records were read from the log, before each is told: for passing them on. After a list that
+  /// was read anew, the changes since the offset `aFrom`, unless the log was restored. May be null.
   std::function<void(std::uint64_t aFrom, const KeyedTail&)> mOnTail = nullptr;
   /// The log has answered, before anything that it says is told. May be null.
   std::function<void()> mOnAnswer = nullptr;
@@ -156,6 +158,10 @@
   bool EndCall(const Call& aCall, const Error* aError);
   void OnPage(Result<KeyedPage> aPage, const Call& aCall);
   void OnTail(Result<KeyedTail> aTail, const Call& aCall);
+  /// Notes the newest value of a record's key, before the record is told.
+  void Note(const KeyedRecord& aRecord);
+  /// @return what has changed against the values noted, which are those of the list from now on.
+  std::vector<KeyedRecord> ChangesTo(const std::vector<KeyedRecord>& aList);
   void OnFailure(const Error& aError);
   void OnSuccess();
 
@@ -167,6 +173,8 @@
   bool mHasList = false;
   bool mListing = true;
   bool mLost = false;
+  bool mRestored = false; ///< the list that is being read is of a log that was restored
+  std::unordered_map<std::string, std::uint64_t> mKnown; ///< hash of the newest value, by key
   std::vector<KeyedRecord> mList;
   std::optional<std::uint64_t> mListEnd; ///< of the first page
   TimePoint mListSent{};
--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -233,6 +233,39 @@
   EXPECT_LT(delay.count(), kOneLook.count());
 }
 
+/// Guards against requests to an engine that leaves, at nodes that are cut off from the store
+/// alone: once its history was dropped, none of their peers could tell them of any record. Guards
+/// as well against a call of every node to the store each time that this happens.
+TEST(ReadersTest, WhatChangesWhileTheHistoryIsDroppedIsPassedOn)
+{
+  for (const bool leaves : { false, true }) {
+    SCOPED_TRACE(leaves ? "an engine leaves" : "nothing changes");
+    ReadersWorld world;
+    world.Run(seconds(10)); // the pool has formed
+    const std::size_t last = world.mNodes.size() - 1;
+    world.Ranked(last).mLine->SetSilent(true);
+    world.Run(seconds(1));
+    const std::string holder = world.Holder().mName;
+    world.mReads.clear();
+    if (leaves) {
+      world.mPool.At(ReadersWorld::kLeaver).mRecord.mLeaving = true;
+    } else {
+      world.mEngineLog.Put("stranger", std::nullopt);
+    }
+    world.Register();
+    world.mEngineLog.Compact();
+    world.Run(kInForce);
+    const std::string next = "\"next\": " + std::to_string(world.mEngineLog.mEnd);
+    for (const auto& it : world.mNodes) {
+      EXPECT_NE(it.mCoordinator->Dump().find(next), std::string::npos) << it.mName;
+      EXPECT_EQ(it.mLines.count("engine_leaves") != 0, leaves) << it.mName;
+      const bool reads = it.mName == world.mRanked[0] || it.mName == holder;
+      EXPECT_TRUE(reads || world.mReads[it.mName] == 0)
+        << it.mName << " " << world.mReads[it.mName];
+    }
+  }
+}
+
 /// Guards against a call of every node to the store whenever many engines register at once.
 TEST(ReadersTest, RecordsThatFillManyMessagesArePassedOn)
 {
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -1,6 +1,9 @@
 #include "pepperbay/journal/keyed_log.hpp"
 
+#include "pepperbay/base/hash.hpp"
+
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace pepperbay {
@@ -145,12 +148,51 @@
   if (more) {
     return; // the next tick asks for the next page
   }
+  const std::uint64_t before = mNext;
   mNext = *mListEnd;
   mListEnd.reset();
   mListing = false;
-  mHasList = true;
+  const bool passesOn = std::exchange(mHasList, true) && !std::exchange(mRestored, false);
   mAsOf = std::max(mAsOf, mListSent);
-  mEvents.mOnList(std::exchange(mList, {}));
+  const std::vector<KeyedRecord> list = std::exchange(mList, {});
+  KeyedTail changes{ ChangesTo(list), mNext, mNext };
+  if (passesOn && mEvents.mOnTail) {
+    mEvents.mOnTail(before, changes);
+  }
+  mEvents.mOnList(list);
+}
+
+void
+KeyedFollower::Note(const KeyedRecord& aRecord)
+{
+  if (aRecord.mValue) {
+    mKnown[aRecord.mKey] = Hash64(*aRecord.mValue);
+  } else {
+    mKnown.erase(aRecord.mKey);
+  }
+}
+
+std::vector<KeyedRecord>
+KeyedFollower::ChangesTo(const std::vector<KeyedRecord>& aList)
+{
+  std::vector<KeyedRecord> changes;
+  std::unordered_set<std::string> listed;
+  for (const auto& it : aList) {
+    listed.insert(it.mKey);
+    const auto known = mKnown.find(it.mKey);
+    if (it.mValue && (known == mKnown.end() || known->second != Hash64(*it.mValue))) {
+      changes.push_back(it);
+    }
+  }
+  for (const auto& [key, value] : mKnown) {
+    if (listed.count(key) == 0) {
+      changes.push_back({ key, std::nullopt });
+    }
+  }
+  for (const auto& it : changes) {
+    Note(it);
+  }
+  return changes;
 }
 
 void
@@ -169,7 +211,8 @@
   OnSuccess();
   if (error != nullptr) {
     mListing = true;
-    if (error->mCode == Errc::kRestored && mEvents.mOnRestored) {
+    mRestored = error->mCode == Errc::kRestored;
+    if (mRestored && mEvents.mOnRestored) {
       mEvents.mOnRestored(*error);
     }
     return;
@@ -191,6 +234,7 @@
     mEvents.mOnTail(aCall.mFrom, tail);
   }
   for (const auto& it : tail.mRecords) {
+    Note(it);
     mEvents.mOnRecord(it);
   }
 }
@@ -203,6 +247,7 @@
   }
   mNext = aTail.mNext;
   for (const auto& it : aTail.mRecords) {
+    Note(it);
     mEvents.mOnRecord(it);
   }
   return true;
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -74,6 +74,58 @@
   EXPECT_EQ(reader.mSeen, log.mNewest);
 }
 
+/// Guards against nodes that are told nothing more once the node that reads for them has read the
+/// list anew: what has changed in between is told as records that follow on from the last one.
+TEST(KeyedFollower, AListThatIsReadAnewTellsWhatHasChanged)
+{
+  FakeKeyedLog log;
+  for (const char* it : { "a", "b", "c", "d" }) {
+    log.Put(it, "1");
+  }
+  ManualClock clock;
+  std::map<std::string, std::string> seen;
+  std::vector<KeyedTail> tails;
+  std::vector<std::uint64_t> froms;
+  KeyedFollowerEvents events;
+  events.mOnList = [](const auto&) {};
+  events.mOnRecord = [](const auto&) {};
+  events.mOnBack = [] {};
+  events.mOnLost = [](const Error&) {};
+  events.mOnTail = [&](std::uint64_t aFrom, const KeyedTail& aTail) {
+    froms.push_back(aFrom);
+    tails.push_back(aTail);
+  };
+  KeyedFollower follower({}, log.Hooks(), events, clock.Hook());
+  const auto run = [&](int aTicks) {
+    for (int i = 0; i < aTicks; ++i) {
+      clock.Advance(milliseconds(20));
+      follower.Tick();
+    }
+  };
+  run(4);
+  EXPECT_TRUE(tails.empty()) << "nobody relies on a first list";
+  const std::uint64_t before = log.mEnd;
+  log.Put("b", "2");
+  log.Put("c", std::nullopt);
+  log.Put("d", "1");
+  log.Put("e", "1");
+  log.Compact();
+  run(5);
+  ASSERT_EQ(tails.size(), 1U);
+  EXPECT_EQ(froms.front(), before);
+  EXPECT_EQ(tails.front().mNext, log.mEnd);
+  for (const auto& it : tails.front().mRecords) {
+    seen[it.mKey] = it.mValue.value_or("gone");
+  }
+  const std::map<std::string, std::string> changed = { { "b", "2" },
+                                                       { "c", "gone" },
+                                                       { "e", "1" } };
+  EXPECT_EQ(seen, changed);
+  log.GoBack(1);
+  run(8);
+  EXPECT_EQ(tails.size(), 1U) << "a restored log is read by each node";
+}
+
 /// A follower over a line that holds reads.
 struct HeldReader
 {
