A leaving engine is known in time by late reads over dead connections, with a bound of 4 s

Played for one, three and six silent readers, all phases of the reads and four moments at which all connections go dead: known within 3.6 s in each case, so this sum alone does not exceed the bound.

--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -159,6 +159,37 @@
   }
 }
 
+/// Guards against requests to an engine that has left, where operators guarantee a longer time: the
+/// node's own read comes late, and its connection turns out to be dead.
+TEST(ReadersTest, ALeavingEngineIsKnownInTimeByOwnReadsOverDeadConnections)
+{
+  constexpr seconds kLeave{ 4 };
+  /// From a plan until the request has reached the engine.
+  constexpr milliseconds kOnTheWay{ 400 };
+  for (const std::size_t silent : { 1, 3, 6 }) {
+    for (milliseconds phase{ 0 }; phase < kLongestHold; phase += milliseconds(200)) {
+      for (const int broken : { 0, 1800, 2600, 3300 }) {
+        SCOPED_TRACE(std::to_string(silent) + " silent, phase " + std::to_string(phase.count()) +
+                     ", dead after " + std::to_string(broken));
+        ReadersWorld world;
+        for (auto& it : world.mNodes) {
+          it.mCoordinator->SetBounds(BoundsOf({ kLeave, seconds(5), kLeave }));
+        }
+        world.Run(phase);
+        world.Silence(silent);
+        const TimePoint left = world.mClock.Now();
+        world.mPool.At(ReadersWorld::kLeaver).mRecord.mLeaving = true;
+        world.Run(milliseconds(broken));
+        for (auto& it : world.mNodes) {
+          it.mLine->BreakConnections();
+        }
+        world.LeaveDelay();
+        EXPECT_LE(ToMs(world.mClock.Now() - left).count(), ToMs(kLeave - kOnTheWay).count());
+      }
+    }
+  }
+}
+
 /// Symptom: as above.
 /// Sequence: the reader ends, and the store is silent towards the next; or the reader is heard by
 /// nobody while it hears all, and reads on.
