A soak of engines that leave counts the requests that reach them afterwards

No soak with real processes held arrivals against the bound on engines that leave. Engines are now registered as draining, or no more, and work on, while nodes are cut off from the store, stopped and killed and the store's history is dropped, in series that overlap; callers keep their connections. No request may reach an engine later than 2 s after the store has accepted its leaving, sent by a node that reaches the store.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -179,9 +179,11 @@
                pepperbay_platform_fakes)
 pepperbay_test(platform_repeat_soak_test ${CMAKE_SOURCE_DIR}/platform/repeat_soak_test.cpp
                pepperbay_platform_fakes pepperbay_cluster)
+pepperbay_test(platform_leave_soak_test ${CMAKE_SOURCE_DIR}/platform/leave_soak_test.cpp
+               pepperbay_platform_fakes pepperbay_cluster)
 pepperbay_test(platform_odd_entries_test ${CMAKE_SOURCE_DIR}/platform/odd_entries_test.cpp
                pepperbay_platform_fakes pepperbay_cluster)
-foreach(name repeat_soak odd_entries)
+foreach(name repeat_soak leave_soak odd_entries)
   target_compile_definitions(platform_${name}_test PRIVATE
                              PEPPERBAY_FAKE_ENGINE="$<TARGET_FILE:pepperbay_fake_engine>")
   add_dependencies(platform_${name}_test pepperbay pepperbay_fake_engine)
