Late calls to the store are repeated only as long as repetitions are of use

A store that is slow because many nodes ask it got up to three calls for one, each over a new connection, when it could bear them least: nothing bounded the repetitions of all nodes together. The store of the large deployment gives 80 MB a second to all readers; 295 nodes that read its list of 875 engines ask for some 137 MB, calls run out after a second, and their repetitions ask for it again.

Repetitions that were of no use come out of a bucket at each node, two deep and one more in twenty seconds, which is full again once one was of use. What another log has found to be a dead connection is repeated without it.

RepetitionsAreFewWhileTheStoreIsSlow: 408, 472 and 1,006 repeated calls of 24 nodes in 20 s with answers 400, 600 and 800 ms late where nothing bounds them, at most 72 now. The tests of dead connections and of late reads with bounds of 2 and 4 s pass.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -81,7 +81,7 @@
                         coordinator_many_engines_test.cpp coordinator_limits_test.cpp
                         engine_calls_test.cpp engine_suspicions_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp reachability_probes_test.cpp
-                  USES journal lease membership placement quarantine reach routing
+                  USES journal lease membership placement admission quarantine reach routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
 pepperbay_library(tunnel SOURCES sockets.cpp listener.cpp tunnel_server.cpp carried_connection.cpp
                           tunnel_opening.cpp
--- a/fakes/fake_store_line.hpp
+++ b/fakes/fake_store_line.hpp
@@ -74,6 +74,8 @@
     }
   }
   bool Silent() const { return mSilent; }
+  /// Answers come so much later than the store has them.
+  void SetDelay(Duration aDelay) { mDelay = aDelay; }
 
   /// Answer what is due.
   void Advance()
@@ -84,7 +86,8 @@
     for (auto& it : calls) {
       if (it.mLost && now >= it.mHeldUntil + kTimeout) {
         it.mRunsOut();
-      } else if (!it.mLost && (it.mAnswers() || now >= it.mHeldUntil)) {
+      } else if (!it.mLost && now >= it.mSent + mDelay &&
+                 (it.mAnswers() || now >= it.mHeldUntil + mDelay)) {
         it.mAnswer();
       } else {
         mCalls.push_back(std::move(it));
@@ -96,6 +99,7 @@
   struct Call
   {
     const FakeKeyedLog* mLog = nullptr;
+    TimePoint mSent{};
     TimePoint mHeldUntil{};
     bool mLost = false;
     std::function<bool()> mAnswers; ///< there is something to say before the time is over
@@ -107,13 +111,15 @@
   {
     Call call;
     call.mLog = aLog;
-    call.mHeldUntil = mNow() + aWait;
+    call.mSent = mNow();
+    call.mHeldUntil = call.mSent + aWait;
     call.mLost = mSilent || mDead || aLog == mSilentLog;
     return call;
   }
 
   NowFn mNow;
   bool mSilent = false;
+  Duration mDelay{ 0 };
   bool mDead = false; ///< connections that are open give no answer
   const FakeKeyedLog* mSilentLog = nullptr;
   std::vector<Call> mCalls;
--- a/include/pepperbay/admission/token_bucket.hpp
+++ b/include/pepperbay/admission/token_bucket.hpp
@@ -6,7 +6,8 @@
 
 namespace pepperbay {
 
-/// In any interval a bucket grants at most its rate times the interval, plus its depth.
+/// In any interval without a Fill() a bucket grants at most its rate times the interval, plus its
+/// depth.
 ///
 /// @code
 /// TokenBucket bucket({ 3.0, 2.0 }, now);
@@ -36,6 +37,8 @@
   void Spend(TimePoint aNow);
   /// Drops all tokens; the refill starts from now.
   void Empty(TimePoint aNow);
+  /// As many tokens as the depth, whatever was taken before.
+  void Fill(TimePoint aNow);
 
 private:
   void Advance(TimePoint aNow);
--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -71,6 +71,9 @@
   /// A call that was late was answered over a connection opened at `aOpened`: others that were open
   /// before may be dead. May be null.
   std::function<void(TimePoint aOpened, Duration aLate)> mOnReplaced = nullptr;
+  /// Whether a call that is late may be repeated over a new connection; not asked where another log
+  /// has found its connection to be dead. Null: always.
+  std::function<bool()> mMayRepeat = nullptr;
 };
 
 struct KeyedFollowerOptions
@@ -123,7 +126,13 @@
   /// @return whether Tick() would make a call: none is under way, and none has just failed.
   bool MayAsk() const { return !mAsking && mNow() >= mDue; }
   /// @return whether Tick() would repeat the call under way over a new connection.
-  bool IsLate() const { return mAsking && mRepeatsLeft > 0 && mNow() >= mLateAt; }
+  bool IsLate() const
+  {
+    return mAsking && mRepeatsLeft > 0 && mNow() >= mLateAt &&
+           (mSuspected || !mEvents.mMayRepeat || mEvents.mMayRepeat());
+  }
+  /// @return whether another log has found the connection of the call under way to be dead.
+  bool IsSuspected() const { return mAsking && mSuspected; }
   /// Another log has found that connections opened before a time may be dead. A call that was sent
   /// before then counts as late.
   void SuspectConnection(TimePoint aOpenedBefore);
--- a/src/pepperbay/admission/token_bucket.cpp
+++ b/src/pepperbay/admission/token_bucket.cpp
@@ -57,4 +57,11 @@
   mLevel = std::min(mLevel, 0.0);
 }
 
+void
+TokenBucket::Fill(TimePoint aNow)
+{
+  Advance(aNow);
+  mLevel = mOptions.mDepth;
+}
+
 } // namespace pepperbay
--- a/src/pepperbay/admission/token_bucket_test.cpp
+++ b/src/pepperbay/admission/token_bucket_test.cpp
@@ -42,6 +42,17 @@
   EXPECT_TRUE(bucket.Take(kStart + seconds(3)));
 }
 
+TEST(TokenBucket, FillsUpToItsDepthAndNoFurther)
+{
+  TokenBucket bucket({ 1.0, 2.0 }, kStart);
+  for (int i = 0; i < 3; ++i) {
+    bucket.Spend(kStart);
+  }
+  bucket.Fill(kStart);
+  bucket.Fill(kStart);
+  EXPECT_DOUBLE_EQ(bucket.Level(kStart), 2.0);
+}
+
 /// Property: in any interval it grants at most its rate times the interval, plus its depth.
 RC_GTEST_PROP(TokenBucketProperty, AnyIntervalGetsAtMostTheRateAndTheDepth, ())
 {
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -24,6 +24,10 @@
 /// newer registrations may differ.
 constexpr std::chrono::seconds kUpdateLifetime{ 3 };
 
+/// Repetitions of late calls to the store that were of no use. If the store is slow because many
+/// nodes ask it, repetitions by all of them make it slower.
+constexpr TokenBucket::Options kUselessRepeats{ 0.05, 2 };
+
 Duration
 StaggerOf(const CoordinatorOptions& aOptions)
 {
@@ -169,9 +173,11 @@
   , mTree({ mOptions.mNode, mOptions.mDataCentre, mOptions.mCpuPermille })
   , mConfigurationBackoff(mOptions.mMinDirectReadPause, mOptions.mMaxOutageProbePause)
   , mEnginesBackoff(mOptions.mMinDirectReadPause, mOptions.mMaxOutageProbePause)
+  , mRepeats(kUselessRepeats, mHooks.mNow())
   , mGrantedRateLeases(mOptions.mRateLeases)
   , mGrantedRetryLeases(mOptions.mRateLeases)
 {
+  mRepeats.Fill(Now());
 }
 
 LogLeaseHooks
@@ -213,6 +219,7 @@
   events.mOnReplaced = [this, aLog](TimePoint aOpened, Duration aLate) {
     OnConnectionsReplaced(aLog, aOpened, aLate);
   };
+  events.mMayRepeat = [this] { return mRepeats.Level(Now()) >= 1.0; };
   events.mOnLost = [this, name](const Error& aError) {
     mHooks.mLog("store_lost", { { "log", name }, { "error", ToString(aError) } });
   };
--- a/src/pepperbay/coordinator/coordinator_dead_connections_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_dead_connections_test.cpp
@@ -11,6 +11,9 @@
 /// into it.
 constexpr milliseconds kLongestRead{ 1100 };
 
+/// Ending of the names under which repeated calls are counted.
+const std::string kLate = "_late";
+
 /// When the connections of which nodes go dead, and when an engine leaves.
 struct Case
 {
@@ -99,5 +102,44 @@
   }
 }
 
+/// @return how many calls to the store the nodes have repeated.
+std::uint64_t
+RepeatedCalls(const CoordinatorWorld& aWorld)
+{
+  std::uint64_t n = 0;
+  for (const auto& it : aWorld.mNodes) {
+    for (const auto& [call, calls] : it.mCoordinator->Counters().mStoreCalls) {
+      const bool late = call.size() > kLate.size() &&
+                        call.compare(call.size() - kLate.size(), kLate.size(), kLate) == 0;
+      n += late ? calls : 0;
+    }
+  }
+  return n;
+}
+
+/// Guards against a store that is kept slow by its own readers: all nodes of a large fleet repeated
+/// each call that was late, twice.
+TEST(DeadConnections, RepetitionsAreFewWhileTheStoreIsSlow)
+{
+  constexpr std::size_t kNodes = 24;
+  constexpr seconds kSlow{ 20 };
+  constexpr std::uint64_t kMostOfNode = 3;
+  for (const int late : { 400, 600, 800 }) {
+    SCOPED_TRACE("answers " + std::to_string(late) + " ms late");
+    CoordinatorWorld world;
+    world.AddPool();
+    world.mHoldsReads = true;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      world.AddNode("n" + std::to_string(i), 0, i % 2 == 0 ? "a" : "b");
+    }
+    world.Run(seconds(10));
+    for (auto& it : world.mNodes) {
+      it.mLine->SetDelay(milliseconds(late));
+    }
+    world.Run(kSlow);
+    EXPECT_LE(RepeatedCalls(world), kNodes * kMostOfNode);
+  }
+}
+
 } // namespace
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -10,6 +10,7 @@
 #include "node_tree.hpp"
 #include "outage_tracker.hpp"
 #include "peer_table.hpp"
+#include "pepperbay/admission/token_bucket.hpp"
 #include "pepperbay/coordinator/coordinator.hpp"
 #include "plan_builder.hpp"
 #include "quarantine_manager.hpp"
@@ -256,6 +257,7 @@
   OutageTracker mOutages;
   DirectReadBackoff mConfigurationBackoff;
   DirectReadBackoff mEnginesBackoff;
+  TokenBucket mRepeats; ///< of late calls to the store; full again once one was of use
   std::shared_ptr<const RouteTable> mRoutes;
   std::string mConfiguration; ///< the text that mRoutes was built from, as the operator wrote it
   TimePoint mConfigurationTaken{};               ///< when this node received it
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -226,6 +226,9 @@
                                                         : aReason;
   ++mCounters.mStoreCalls[std::string(NameOf(aLog)) + "_" + NameOf(reason)];
   follower.Tick();
+  if (reason == StoreCallReason::kLate && !follower.IsSuspected()) {
+    mRepeats.Spend(Now());
+  }
 }
 
 void
@@ -261,6 +264,7 @@
 Coordinator::Impl::OnConnectionsReplaced(FollowedLog aLog, TimePoint aOpened, Duration aLate)
 {
   ++mCounters.mReplacedConnections;
+  mRepeats.Fill(Now());
   mHooks.mLog("store_connection_replaced",
               { { "log", NameOf(aLog) }, { "late_ms", std::to_string(ToMs(aLate).count()) } });
   for (const auto log :
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -51,8 +51,8 @@
 void
 KeyedFollower::SuspectConnection(TimePoint aOpenedBefore)
 {
-  if (mAsking && mFirstSent < aOpenedBefore && mNow() < mLateAt) {
-    mLateAt = mNow();
+  if (mAsking && mFirstSent < aOpenedBefore) {
+    mLateAt = std::min(mLateAt, mNow());
     mSuspected = true;
   }
 }
--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -161,10 +161,12 @@
   {
     KeyedFollowerEvents events = Events();
     events.mOnReplaced = [this](TimePoint, Duration) { ++mReplaced; };
+    events.mMayRepeat = [this] { return mMayRepeat; };
     return events;
   }
 
   int mReplaced = 0;
+  bool mMayRepeat = true;
   ManualClock mClock;
   FakeKeyedLog mLog;
   FakeStoreLine mLine{ mClock.Hook() };
@@ -212,6 +214,21 @@
   EXPECT_EQ(reader.mReplaced, 1);
 }
 
+/// Guards against repetitions beyond what the owner allows.
+TEST(KeyedFollower, ALateCallIsNotRepeatedUnlessItMayBe)
+{
+  HeldReader reader;
+  reader.Run(seconds(3), true);
+  reader.mMayRepeat = false;
+  reader.mLine.BreakConnections();
+  reader.Run(seconds(1) + milliseconds(200), true);
+  EXPECT_FALSE(reader.mFollower.IsLate());
+  EXPECT_EQ(reader.mReplaced, 0);
+  reader.mMayRepeat = true;
+  reader.Run(milliseconds(60), true);
+  EXPECT_EQ(reader.mReplaced, 1);
+}
+
 /// Guards against a log that is never taken for lost, since each new connection is given a chance.
 TEST(KeyedFollower, ALogThatAnswersOverNoConnectionIsLost)
 {
