--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -47,7 +47,7 @@
   mv "$2.kept" "$2"
   touch "$2" # newer than the objects made of the mutant
 }
-for list in "${@:-own_path shared_pool suspects restored late composition limits reach retries}"; do
+for list in "${@:-own_path shared_pool suspects restored late composition limits reach retries repeats}"; do
   for it in $list; do
     # shellcheck source=/dev/null
     source "scripts/mutants/$it.sh"
