--- a/src/pepperbay/coordinator/coordinator_readers_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_readers_test.cpp
@@ -297,6 +297,28 @@
   }
 }
 
+/// Guards against the same where the reader is replaced while the history is dropped: it reads the
+/// list anew while nobody relies on it, and the next reader did so before.
+TEST(ReadersTest, WhatChangesWhileTheReaderIsReplacedIsPassedOn)
+{
+  for (const int silent : { 400, 800, 1200, 1600 }) {
+    SCOPED_TRACE("the store is silent for " + std::to_string(silent) + " ms");
+    ReadersWorld world;
+    world.Run(seconds(10)); // the pool has formed
+    const std::size_t last = world.mNodes.size() - 1;
+    world.Silence(world.mNodes.size());
+    world.Run(milliseconds(silent));
+    world.mPool.At(ReadersWorld::kLeaver).mRecord.mLeaving = true;
+    world.Register();
+    world.mEngineLog.Compact();
+    for (std::size_t i = 0; i < last; ++i) {
+      world.Ranked(i).mLine->SetSilent(false);
+    }
+    world.Run(seconds(4));
+    EXPECT_NE(world.Ranked(last).mLines.count("engine_leaves"), 0U) << "cut off from the store";
+  }
+}
+
 /// Guards against a call of every node to the store whenever many engines register at once.
 TEST(ReadersTest, RecordsThatFillManyMessagesArePassedOn)
 {
