Logs and metrics tell how late a registration is in use, and by how old a view requests go

New: engines_in_force_seconds and the line engines_late (over 250 ms); control_lag_seconds and control_late (over 300 ms); engines_view_old and engines_view_fresh (over 2 s, half of the shortest time that operators allow).

Test: APlanStatesWhenItsChangeOfRegistrationsWasReceived (new behaviour; it did not compile before). coordinator_registrations_test: 5 passed.

--- a/include/pepperbay/relay/relay.hpp
+++ b/include/pepperbay/relay/relay.hpp
@@ -130,6 +130,9 @@
   LatencyHistogram mResumePause;
   /// From the moment when the control thread has a configuration until requests use it.
   LatencyHistogram mInForce;
+  /// The same for changes of registrations.
+  LatencyHistogram mEnginesInForce;
+  TimePoint mEnginesTaken{};                     ///< of the changes that were observed last
   std::uint64_t mConfigurationVersion = 0;       ///< version that requests use
   TimePoint mConfigurationAsOf{};                ///< when that version was last known to be current
   std::map<std::string, std::uint64_t> mReasons; ///< refusals, failures and aborts, by reason
--- a/include/pepperbay/routing/traffic_plan.hpp
+++ b/include/pepperbay/routing/traffic_plan.hpp
@@ -104,6 +104,9 @@
   std::shared_ptr<const EngineDepartures> mDepartures;
   /// Latest time at which all registrations were known here.
   TimePoint mEnginesAsOf{};
+  /// When this node received the earliest of the changes of registrations that the last build of
+  /// the plan added.
+  TimePoint mEnginesTaken{};
   /// Peers that tunnel connections to engines for this node; null for none.
   std::shared_ptr<const ProxyPeers> mProxyPeers;
   UpdateMark mUpdate;
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -389,6 +389,7 @@
   sources.mLost = [this](const std::string& aEngine) { return mEngineSuspicions.IsLost(aEngine); };
   auto plan = BuildPlan(sources);
   FillPlan(plan.get());
+  plan->mEnginesTaken = std::exchange(mEnginesTaken, std::nullopt).value_or(now);
   mPlan = std::move(plan);
   mHooks.mPublish(mPlan);
 }
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -285,6 +285,8 @@
   std::uint64_t mShortIdsOf = 0; ///< revision of the directory that they were built from
   std::uint64_t mPlannedFence = 0;
   std::uint64_t mPublishedRevision = 0;
+  /// When the earliest change of registrations that is not published yet was received.
+  std::optional<TimePoint> mEnginesTaken;
   std::uint64_t mPublishedSuspects = 0; ///< revision of the tracker that the plan was built from
   /// The same for quarantined requests, which are published at once.
   std::uint64_t mPublishedQuarantine = 0;
--- a/src/pepperbay/coordinator/coordinator_registrations.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations.cpp
@@ -7,6 +7,7 @@
 void
 Coordinator::Impl::OnEngine(const KeyedRecord& aRecord)
 {
+  mEnginesTaken = mEnginesTaken.value_or(Now());
   if (!aRecord.mValue) {
     mRefusedEntries.erase(aRecord.mKey);
     const bool known = mDirectory.Find(aRecord.mKey) != nullptr;
--- a/src/pepperbay/coordinator/coordinator_registrations_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_registrations_test.cpp
@@ -33,6 +33,19 @@
   EXPECT_TRUE(mPool.Violations().empty());
 }
 
+/// Guards against a change of registrations that is known and not in force without a sign of it.
+TEST_F(CoordinatorTest, APlanStatesWhenItsChangeOfRegistrationsWasReceived)
+{
+  TestNode& node = AddNode("a");
+  Run(seconds(10));
+  const TimePoint changed = mClock.Now();
+  ASSERT_LT(node.mPlan->mEnginesTaken, changed);
+  mPool.At("e4").mRecord.mLeaving = true;
+  Run(milliseconds(400));
+  EXPECT_GT(node.mPlan->mEnginesTaken, changed);
+  EXPECT_LT(node.mPlan->mEnginesTaken, mClock.Now());
+}
+
 /// Symptom: streams at a replica stand still for seconds, requests go to a head that has no
 /// replica. Sequence: a head starts again under its id; its next registration says so. Cause: the
 /// nodes knew an engine by its id alone.
--- a/src/pepperbay/edge/edge_metrics.hpp
+++ b/src/pepperbay/edge/edge_metrics.hpp
@@ -18,6 +18,7 @@
   CoordinatorCounters mCoordinator;
   Duration mConfigurationAge{ 0 }; ///< of what requests go by
   Duration mEngineHeardAge{ 0 };   ///< since the last byte of any engine
+  LatencyHistogram mControlLag;    ///< by which rounds of the control thread begin late
   bool mHoldsLease = false;
   std::uint64_t mLinesLeftOut = 0;
 };
--- a/src/pepperbay/edge/edge_node.cpp
+++ b/src/pepperbay/edge/edge_node.cpp
@@ -34,6 +34,9 @@
 /// The control thread looks at its work this often. A join of a replica takes 200 ms; a tenth of
 /// that is lost to looking at most.
 constexpr std::chrono::milliseconds kControlTick{ 20 };
+/// A round of the control thread that begins later by more than this is logged: peers count on a
+/// heartbeat every 200 ms.
+constexpr std::chrono::milliseconds kLongControlLag{ 300 };
 /// How often the traffic thread tells the control thread what is in progress.
 constexpr std::chrono::milliseconds kTellTraffic{ 100 };
 constexpr std::chrono::milliseconds kStopMargin{ 800 }; // before the platform would kill
@@ -367,15 +370,26 @@
   void TickControl()
   {
     mControlTimer.expires_after(kControlTick);
+    mControlDue = BootClock::now() + kControlTick;
     mControlTimer.async_wait([this](boost::system::error_code aError) {
       if (aError) {
         return;
       }
+      NoteControlLag();
       mCoordinator->Tick();
       TickControl();
     });
   }
 
+  void NoteControlLag()
+  {
+    const Duration lag = BootClock::now() - mControlDue;
+    mControlLag.Observe(lag);
+    if (lag > kLongControlLag) {
+      LogEvent("control_late", { { "late_ms", std::to_string(ToMs(lag).count()) } });
+    }
+  }
+
   void TellTraffic()
   {
     mTrafficTimer.expires_after(kTellTraffic);
@@ -393,6 +407,7 @@
           mCoordinator->SetLimits(std::move(limits));
           const std::lock_guard<std::mutex> lock(mFiguresMutex);
           mFigures.mCoordinator = mCoordinator->Counters();
+          mFigures.mControlLag = mControlLag;
           mFigures.mHoldsLease = mCoordinator->HoldsLease();
         });
       {
@@ -412,6 +427,8 @@
   asio::io_context mControl{ 1 };
   asio::io_context mTraffic{ 1 };
   Timer mControlTimer;
+  TimePoint mControlDue{};      ///< of the next round of the control thread
+  LatencyHistogram mControlLag; ///< owned by the control thread
   Timer mTrafficTimer;
   DatagramSocket mPeers;
   DatagramSocket mDesks;
--- a/src/pepperbay/relay/exchange_sending.cpp
+++ b/src/pepperbay/relay/exchange_sending.cpp
@@ -328,7 +328,7 @@
 Exchange::NoteView(const EngineDispatch& aDispatch)
 {
   if (aDispatch.mViewAge) {
-    mCore->mCounters.mViewAge.Observe(*aDispatch.mViewAge);
+    mCore->NoteViewAge(*aDispatch.mViewAge);
   }
   const AttemptTarget& target = aDispatch.mTarget;
   const EngineDeparture* departure = FindDeparture(*mCore->mPlan, target.mEngine, target.mBorn);
--- a/src/pepperbay/relay/relay_core.cpp
+++ b/src/pepperbay/relay/relay_core.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
-/// A configuration version that takes longer than this to reach the traffic thread is logged.
-constexpr std::chrono::milliseconds kSlowConfiguration{ 250 };
+/// A configuration version, or a change of registrations, that takes longer than this to reach the
+/// traffic thread is logged.
+constexpr std::chrono::milliseconds kSlowPlan{ 250 };
+/// Registrations are old beyond this age: half of the shortest time that operators allow between an
+/// engine's word that it leaves and its last request.
+constexpr std::chrono::milliseconds kOldView{ 2000 };
 
 BalancerOptions
 BalancerOptionsOf(const RelayOptions& aOptions)
@@ -114,6 +118,7 @@
     ForgetStaleIncarnations(mPlan->mIncarnations, aPlan->mIncarnations);
   }
   NoteConfiguration(*aPlan);
+  NoteEngines(*aPlan);
   const bool suspects = aPlan->mSuspects && (!mPlan || aPlan->mSuspects != mPlan->mSuspects);
   mPlan = std::move(aPlan);
   if (suspects) {
@@ -142,13 +147,42 @@
   mCounters.mConfigurationVersion = version;
   const Duration took = Now() - aPlan.mConfigurationTaken;
   mCounters.mInForce.Observe(took);
-  if (took > kSlowConfiguration) {
+  if (took > kSlowPlan) {
     Log("configuration_late",
         { { "version", std::to_string(version) },
           { "after_ms", std::to_string(ToMs(took).count()) } });
   }
 }
 
+void
+RelayCore::NoteEngines(const TrafficPlan& aPlan)
+{
+  if (aPlan.mEnginesTaken == mCounters.mEnginesTaken) {
+    return;
+  }
+  mCounters.mEnginesTaken = aPlan.mEnginesTaken;
+  const Duration took = Now() - aPlan.mEnginesTaken;
+  mCounters.mEnginesInForce.Observe(took);
+  if (took > kSlowPlan) {
+    Log("engines_late", { { "after_ms", std::to_string(ToMs(took).count()) } });
+  }
+}
+
+void
+RelayCore::NoteViewAge(Duration aAge)
+{
+  mCounters.mViewAge.Observe(aAge);
+  if (aAge > kOldView) {
+    if (!mOldestView) {
+      Log("engines_view_old", { { "age_ms", std::to_string(ToMs(aAge).count()) } });
+    }
+    mOldestView = std::max(mOldestView.value_or(aAge), aAge);
+  } else if (mOldestView) {
+    Log("engines_view_fresh", { { "oldest_ms", std::to_string(ToMs(*mOldestView).count()) } });
+    mOldestView.reset();
+  }
+}
+
 void
 RelayCore::ForgetStaleIncarnations(const EngineIncarnations& aBefore,
                                    const EngineIncarnations& aNow)
--- a/src/pepperbay/relay/relay_core.hpp
+++ b/src/pepperbay/relay/relay_core.hpp
@@ -9,6 +9,7 @@
 #include "pepperbay/relay/relay.hpp"
 #include "pepperbay/retries/retry_agent.hpp"
 
+#include <optional>
 #include <set>
 
 namespace pepperbay {
@@ -28,6 +29,11 @@
   void Tune(const RelayTuning& aTuning);
   /// Records how long a new configuration version took to reach this thread.
   void NoteConfiguration(const TrafficPlan& aPlan);
+  /// The same for changes of registrations.
+  void NoteEngines(const TrafficPlan& aPlan);
+  /// Logs when requests begin to be sent by old registrations, and when they no longer are.
+  /// @param aAge of the registrations by which an engine was chosen
+  void NoteViewAge(Duration aAge);
   /// Discards what was learnt about engines that have restarted or are no longer listed: it does
   /// not hold for the new process.
   void ForgetStaleIncarnations(const EngineIncarnations& aBefore, const EngineIncarnations& aNow);
@@ -84,6 +90,7 @@
   /// Prompt parts; in mRuns the more numerous requests would evict them.
   RecentCompletions mPartRuns;
   RelayCounters mCounters;
+  std::optional<Duration> mOldestView; ///< while requests are sent by old registrations
   std::set<std::shared_ptr<Session>> mSessions;
   std::set<std::shared_ptr<Exchange>> mExchanges;
   bool mStopping = false;
