A test that fails: a leaving engine while the store drops its history, with the store's bandwidth

Reproduces, in a simulation, a way in which requests reach an engine more than 4 s after it has said that it leaves. Sixty nodes in five data centres; the store needs 1.7 s to send all of them the list of engines, as for 295 nodes before 875 engines at 80 MB a second (0.47 MB each). Held reads hear nothing for 1.2 s, an engine leaves meanwhile, then the history is dropped.

FakeStoreLine gets a bandwidth that all lines share; without one it is as before.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -78,7 +78,7 @@
                         coordinator_reach_test.cpp coordinator_pauses_test.cpp coordinator_pauses_beside_test.cpp
                         coordinator_ended_test.cpp coordinator_dead_connections_test.cpp
                         coordinator_outages_test.cpp
-                        coordinator_many_engines_test.cpp coordinator_limits_test.cpp
+                        coordinator_many_engines_test.cpp coordinator_limits_test.cpp coordinator_list_storm_test.cpp
                         engine_calls_test.cpp engine_suspicions_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp reachability_probes_test.cpp
                   USES journal lease membership placement admission quarantine reach routing
--- a/fakes/fake_store_line.hpp
+++ b/fakes/fake_store_line.hpp
@@ -12,6 +12,38 @@
 
 namespace pepperbay {
 
+/// What a store sends to all its callers together, shared evenly by the answers under way.
+class FakeBandwidth
+{
+public:
+  /// @param aRecordBytes size of each record on the wire
+  FakeBandwidth(double aBytesPerSecond, double aRecordBytes)
+    : mBytesPerSecond(aBytesPerSecond)
+    , mRecordBytes(aRecordBytes)
+  {
+  }
+
+  double SizeOf(std::size_t aRecords) const { return mRecordBytes * static_cast<double>(aRecords); }
+  /// A step of time begins.
+  void Advance(Duration aStep)
+  {
+    const double seconds = std::chrono::duration<double>(aStep).count();
+    mShare = mBytesPerSecond * seconds / std::max(1, std::exchange(mAnswers, 0));
+  }
+  /// @return the bytes of one answer under way that are sent in this step.
+  double Take()
+  {
+    ++mAnswers;
+    return mShare;
+  }
+
+private:
+  double mBytesPerSecond;
+  double mRecordBytes;
+  double mShare = 0;
+  int mAnswers = 0; ///< under way in this step
+};
+
 /// Answers calls as a store over a connection does: at the next Advance(), a read without news when
 /// its time is over. What is under way when the line falls silent gets no answer any more.
 class FakeStoreLine
@@ -34,6 +66,7 @@
       Call call = NewCall(aLog, Duration::zero());
       call.mAnswers = [] { return true; };
       call.mAnswer = [aLog, aAfter, aDone] { aLog->Hooks().mNewest(aAfter, aDone); };
+      call.mRecords = [aLog] { return std::min(aLog->mPage, aLog->mNewest.size()); };
       call.mRunsOut = [aDone] { aDone(Error{ Errc::kTimeout, "log.newest", "store", "" }); };
       mCalls.push_back(std::move(call));
     };
@@ -43,6 +76,7 @@
       Call call = NewCall(aLog, aWait);
       call.mAnswers = [aLog, aFrom] { return aLog->mEnd > aFrom || aLog->mFirst > aFrom; };
       call.mAnswer = [aLog, aFrom, aDone] { aLog->Hooks().mRead(aFrom, Duration::zero(), aDone); };
+      call.mRecords = [aLog, aFrom] { return aLog->mFirst > aFrom ? 0 : aLog->mEnd - aFrom; };
       call.mRunsOut = [aDone] { aDone(Error{ Errc::kTimeout, "log.read", "store", "" }); };
       mCalls.push_back(std::move(call));
     };
@@ -76,6 +110,8 @@
   bool Silent() const { return mSilent; }
   /// Answers come so much later than the store has them.
   void SetDelay(Duration aDelay) { mDelay = aDelay; }
+  /// Answers take the time that their bytes need. Null: none.
+  void SetBandwidth(FakeBandwidth* aBandwidth) { mBandwidth = aBandwidth; }
 
   /// Answer what is due.
   void Advance()
@@ -84,11 +120,12 @@
     std::vector<Call> calls;
     calls.swap(mCalls); // an answer may lead to the next call
     for (auto& it : calls) {
-      if (it.mLost && now >= it.mHeldUntil + kTimeout) {
-        it.mRunsOut();
-      } else if (!it.mLost && now >= it.mSent + mDelay &&
-                 (it.mAnswers() || now >= it.mHeldUntil + mDelay)) {
+      const bool answers =
+        !it.mLost && now >= it.mSent + mDelay && (it.mAnswers() || now >= it.mHeldUntil + mDelay);
+      if (answers && IsSent(&it)) {
         it.mAnswer();
+      } else if ((it.mLost || answers) && now >= it.mHeldUntil + kTimeout) {
+        it.mRunsOut();
       } else {
         mCalls.push_back(std::move(it));
       }
@@ -102,11 +139,23 @@
     TimePoint mSent{};
     TimePoint mHeldUntil{};
     bool mLost = false;
-    std::function<bool()> mAnswers; ///< there is something to say before the time is over
+    double mSentBytes = 0;
+    std::function<std::size_t()> mRecords; ///< of the answer
+    std::function<bool()> mAnswers;        ///< there is something to say before the time is over
     std::function<void()> mAnswer;
     std::function<void()> mRunsOut;
   };
 
+  /// Sends the next bytes of an answer. @return whether all of it is sent
+  bool IsSent(Call* aCall)
+  {
+    if (mBandwidth == nullptr || aCall->mRecords() == 0) {
+      return true;
+    }
+    aCall->mSentBytes += mBandwidth->Take();
+    return aCall->mSentBytes >= mBandwidth->SizeOf(aCall->mRecords());
+  }
+
   Call NewCall(const FakeKeyedLog* aLog, Duration aWait) const
   {
     Call call;
@@ -120,6 +169,7 @@
   NowFn mNow;
   bool mSilent = false;
   Duration mDelay{ 0 };
+  FakeBandwidth* mBandwidth = nullptr;
   bool mDead = false; ///< connections that are open give no answer
   const FakeKeyedLog* mSilentLog = nullptr;
   std::vector<Call> mCalls;
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -107,6 +107,7 @@
     guarded.mReplaceConnections = hooks.mReplaceConnections;
     guarded.mNewest = [this, hooks, &aNode](const std::string& aAfter,
                                             const std::function<void(Result<KeyedPage>)>& aDone) {
+      ++mPages[aNode.mName];
       if (aNode.mStoreDown || mStoreDown) {
         aDone(Error{ Errc::kUnavailable, "log.newest", "store", "" });
         return;
@@ -374,7 +375,10 @@
   void Run(Duration aFor)
   {
     for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
-      mClock.Advance(milliseconds(20));
+      mClock.Advance(kStep);
+      if (mBandwidth) {
+        mBandwidth->Advance(kStep);
+      }
       mPool.Advance(mClock.Now());
       Register();
       for (auto& it : mNodes) {
@@ -417,6 +421,17 @@
     return n;
   }
 
+  /// From now on the store's answers take the time that their bytes need.
+  void LimitBandwidth(const FakeBandwidth& aBandwidth)
+  {
+    mBandwidth = aBandwidth;
+    for (auto& it : mNodes) {
+      it.mLine->SetBandwidth(&*mBandwidth);
+    }
+  }
+
+  static constexpr milliseconds kStep{ 20 };
+  std::optional<FakeBandwidth> mBandwidth;
   ManualClock mClock;
   FakePool mPool;
   FakeKeyedLog mConfigLog;
@@ -443,6 +458,7 @@
   std::function<bool(const std::string& aFrom, const std::string& aTo)> mLoses;
   std::map<std::string, int> mWrites; ///< of records of the nodes' log, by node
   std::map<std::string, int> mReads;  ///< calls to the store's logs by node
+  std::map<std::string, int> mPages;  ///< calls for a page of a list by node
   std::map<std::string, int> mLines;  ///< log lines of all nodes by event
   std::set<std::string> mUnreadable;  ///< registrations that cannot be read, by key
   std::uint64_t mIncarnations = 0;
