Missed records come from peers, so that a dropped history does not make all nodes read lists

What callers would see: requests reach an engine more than 4 s after it has said that it leaves.

Cause: a node that had missed records could get them from the store only. If the history was dropped meanwhile, that is the whole list, for each node for itself; all lists together take longer than a call may last, so calls ran out and were made again, and the store stayed slow for its readers, too.

Class: a request that is answered from one shared place by all at once, and a time-out that repeats it.

Change: each node keeps the last 512 KiB of records of each log, as messages. A node that its reader is ahead of asks it for the records 250 ms later, and reads the store 400 ms after that, or at once if they are not kept. A node whose own call is late or fails asks any peer that is ahead, also one of another data centre. What a list shows is forwarded by whoever reads it, with the keys that it has, and in several messages if need be: before, more than 65 kB of changes were dropped without a sign. A node that is told so stops reading its list. Parts have a message of their own, which nodes of an older version ignore.

Found by reading: a list's changes forwarded to a node that knows more of the log than the sender did lacked keys that had come and gone in between; such an engine would have stayed in that node's plan. The keys of the list drop it.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -68,7 +68,7 @@
 pepperbay_library(coordinator SOURCES coordinator.cpp coordinator_bounds.cpp coordinator_dump.cpp coordinator_peers.cpp
                                       coordinator_pools.cpp coordinator_registrations.cpp
                                       coordinator_reach.cpp engine_calls.cpp engine_suspicions.cpp freshness_tracker.cpp
-                                      coordinator_logs.cpp coordinator_rate_leases.cpp log_reads.cpp update_tracker.cpp
+                                      coordinator_logs.cpp coordinator_rate_leases.cpp log_feeds.cpp log_reads.cpp update_tracker.cpp
                                       node_tree.cpp peer_table.cpp plan_builder.cpp
                                       rate_leases.cpp reachability_probes.cpp quarantine_manager.cpp
                   TESTS coordinator_test.cpp coordinator_tree_test.cpp coordinator_freshness_test.cpp coordinator_readers_test.cpp
@@ -79,7 +79,7 @@
                         coordinator_ended_test.cpp coordinator_dead_connections_test.cpp
                         coordinator_outages_test.cpp
                         coordinator_many_engines_test.cpp coordinator_limits_test.cpp coordinator_list_storm_test.cpp
-                        engine_calls_test.cpp engine_suspicions_test.cpp log_reads_test.cpp
+                        engine_calls_test.cpp engine_suspicions_test.cpp log_feeds_test.cpp log_reads_test.cpp
                         rate_leases_test.cpp round_pace_test.cpp reachability_probes_test.cpp
                   USES journal lease membership placement admission quarantine reach routing
                   PACKAGES nlohmann_json::nlohmann_json) # pure
--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -144,6 +144,7 @@
   std::uint64_t mUndecided = 0;
   std::uint64_t mBeats = 0;
   std::uint64_t mFeeds = 0; ///< batches of store records forwarded by another node
+  std::uint64_t mRecordRequests = 0; ///< requests to peers for records that were missed
   /// Direct reads of the store because forwarded records were too old.
   std::uint64_t mDirectReads = 0;
   std::uint64_t mBadMessages = 0;
--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -34,6 +34,10 @@
   std::vector<KeyedRecord> mRecords;
   std::uint64_t mEnd = 0;  ///< offset after the last record of the log
   std::uint64_t mNext = 0; ///< offset after the last record that was read
+  /// The records are those that differ in a list of the whole log, whose older records had been
+  /// deleted.
+  bool mOfList = false;
+  std::vector<std::uint32_t> mListed; ///< with `mOfList`: the keys in that list, by ShortId()
 };
 
 /// Calls to the log; each answers exactly once. A read of records that were deleted answers with
@@ -119,7 +123,7 @@
 
   /// Records that another node has read, as a tail from an offset on. Records at an offset never
   /// change, so any node is as good a source as the log; only what follows on from what is known
-  /// here is taken. @return whether it was
+  /// here is taken, and ends the reading of a list. @return whether it was
   bool Feed(std::uint64_t aFrom, const KeyedTail& aTail);
   /// Offset after the last record that was told.
   std::uint64_t Next() const { return mNext; }
@@ -170,7 +174,9 @@
   /// Notes the newest value of a record's key, before the record is told.
   void Note(const KeyedRecord& aRecord);
   /// @return what has changed against the values noted, which are those of the list from now on.
-  std::vector<KeyedRecord> ChangesTo(const std::vector<KeyedRecord>& aList);
+  KeyedTail ChangesTo(const std::vector<KeyedRecord>& aList);
+  /// Ends the reading of a list, since another node has told what it would say.
+  void AbandonList();
   void OnFailure(const Error& aError);
   void OnSuccess();
 
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -6,6 +6,7 @@
 #include "engine_calls.hpp"
 #include "engine_suspicions.hpp"
 #include "freshness_tracker.hpp"
+#include "log_feeds.hpp"
 #include "log_reads.hpp"
 #include "node_tree.hpp"
 #include "outage_tracker.hpp"
@@ -206,10 +207,18 @@
   KeyedFollower& FollowerOf(FollowedLog aLog);
   /// Forwards records to nodes that rely on this one.
   void ForwardRecords(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
-  /// Sends one message of records; one that does not fit into a datagram is left out.
-  void SendFeed(const proto::PeerMessage& aMessage);
+  void ForwardBatch(const RecordBatch& aBatch);
+  void SendBatch(const std::string& aNode, const RecordBatch& aBatch);
   /// @param aFrom the node that forwards the records
   void ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed);
+  /// Asks peers for records of the logs that the reader has and this node does not, and for those
+  /// that the store does not tell this node.
+  void RequestMissedRecords();
+  void RequestRecords(FollowedLog aLog);
+  /// @return a live peer that has records of a log which are missing here; empty: none is known.
+  std::string PeerAhead(FollowedLog aLog);
+  void AnswerRecordsRequest(const std::string& aNode, const proto::FeedRequest& aRequest);
+  RecentRecords& RecentOf(FollowedLog aLog) { return mRecent[static_cast<std::size_t>(aLog)]; }
   KeyedFollowerEvents Events(FollowedLog aLog,
                              std::function<void(const std::vector<KeyedRecord>&)> aOnList,
                              std::function<void(const KeyedRecord&)> aOnRecord);
@@ -250,6 +259,9 @@
   QuarantineManager mSuspects;
   NodeTree mTree;
   LogReads mReads;
+  std::array<RecentRecords, kFollowedLogs> mRecent;
+  std::array<BatchAssembler, kFollowedLogs> mAssemblers;
+  std::array<TimePoint, kFollowedLogs> mRecordsRequestDue{};
   std::string mFeeder; ///< the node whose forwarded records are being applied; empty: none
   std::optional<TimePoint> mStoreLostSince;
   bool mReportedStoreLost = false; ///< as reported in the last heartbeats
--- a/src/pepperbay/coordinator/coordinator_list_storm_test.cpp
+++ b/src/pepperbay/coordinator/coordinator_list_storm_test.cpp
@@ -63,7 +63,7 @@
       return aNode.mLines.count("engine_leaves") != 0;
     };
     while (!std::all_of(mNodes.begin(), mNodes.end(), knows) && mClock.Now() - left < 4 * kLeave) {
-      Run(kStep);
+      Run(kRound);
     }
     return ToMs(mClock.Now() - left);
   }
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -4,12 +4,8 @@
 
 namespace pepperbay {
 namespace {
-/// Records are forwarded in datagrams up to this size; a longer record is left out, and other nodes
-/// read it themselves.
-constexpr std::size_t kMaxFeedBytes = 60000;
-constexpr std::size_t kMaxDatagramBytes = 65000;
-/// Overhead of a record in a message besides its key and value.
-constexpr std::size_t kFedRecordOverhead = 16;
+/// Shortest time between two requests for missed records of a log: half a heartbeat.
+constexpr std::chrono::milliseconds kRecordsRequestInterval{ 100 };
 /// The store counts as lost once calls have failed for this long. A lost answer is compensated by
 /// the next call, and a reader that gives up because of one would make all nodes that rely on it
 /// choose another.
@@ -174,6 +170,7 @@
     const auto& next = reader->mBeat.log_next();
     mReads.RelyOn({ next.begin(), next.end() }, OwnOffsets(), now);
   }
+  RequestMissedRecords();
   // The reader may be cut off from the store without knowing it yet, and so may the next ones.
   // Nodes that waited for each in turn would use an outdated configuration, or send to engines that
   // have left, for seconds.
@@ -288,45 +285,31 @@
 void
 Coordinator::Impl::ForwardRecords(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail)
 {
-  if (!ReadsForItself()) {
-    return;
-  }
-  // Offsets of single records are known only if the read left none out.
-  const bool splits = aTail.mNext - aFrom == aTail.mRecords.size();
-  proto::PeerMessage message = NewMessage();
-  auto* feed = message.mutable_feed();
-  feed->set_log(static_cast<std::uint32_t>(aLog));
-  feed->set_from(aFrom);
-  feed->set_next(aFrom);
-  std::size_t bytes = 0;
-  for (const auto& it : aTail.mRecords) {
-    const std::size_t size = it.mKey.size() + it.mValue.value_or("").size() + kFedRecordOverhead;
-    if (splits && bytes > 0 && bytes + size > kMaxFeedBytes) {
-      SendFeed(message);
-      feed->clear_records();
-      feed->set_from(feed->next());
-      bytes = 0;
+  // What a list shows that was read anew is read nowhere else, so it is forwarded by any node.
+  const bool forwards = ReadsForItself() || aTail.mOfList;
+  for (auto& it : BatchesOf(aLog, aFrom, aTail)) {
+    if (forwards) {
+      ForwardBatch(it);
     }
-    auto* record = feed->add_records();
-    record->set_key(it.mKey);
-    record->set_gone(!it.mValue.has_value());
-    record->set_value(it.mValue.value_or(""));
-    feed->set_next(feed->next() + 1);
-    bytes += size;
-  }
-  feed->set_next(aTail.mNext);
-  SendFeed(message);
+    RecentOf(aLog).Add(std::move(it));
+  }
 }
 
 void
-Coordinator::Impl::SendFeed(const proto::PeerMessage& aMessage)
+Coordinator::Impl::ForwardBatch(const RecordBatch& aBatch)
 {
-  const std::string bytes = aMessage.SerializeAsString();
-  if (bytes.size() > kMaxDatagramBytes) {
-    return;
-  }
   for (const auto& it : Dependants()) {
-    SendTo(it, bytes);
+    SendBatch(it, aBatch);
+  }
+}
+
+void
+Coordinator::Impl::SendBatch(const std::string& aNode, const RecordBatch& aBatch)
+{
+  for (const auto& it : aBatch.mParts) {
+    proto::PeerMessage message = NewMessage();
+    *(it.parts() > 1 ? message.mutable_feed_part() : message.mutable_feed()) = it;
+    SendTo(aNode, message.SerializeAsString());
   }
 }
 
@@ -337,20 +320,95 @@
     ++mCounters.mBadMessages;
     return;
   }
-  KeyedTail tail;
-  tail.mNext = aFeed.next();
-  tail.mEnd = aFeed.next();
-  for (const auto& it : aFeed.records()) {
-    KeyedRecord record{ it.key(), std::nullopt };
-    if (!it.gone()) {
-      record.mValue = it.value();
-    }
-    tail.mRecords.push_back(std::move(record));
+  const auto log = static_cast<FollowedLog>(aFeed.log());
+  if (aFeed.from() == aFeed.next()) {
+    mReads.OnNotKept(log);
+    return;
   }
   ++mCounters.mFeeds;
+  auto batch = mAssemblers[aFeed.log()].Take(aFeed);
+  if (!batch) {
+    return;
+  }
   mFeeder = aFrom;
-  FollowerOf(static_cast<FollowedLog>(aFeed.log())).Feed(aFeed.from(), tail);
+  const bool taken = FollowerOf(log).Feed(batch->mFrom, TailOf(*batch));
   mFeeder.clear();
+  if (!taken) {
+    return;
+  }
+  if (ReadsForItself()) {
+    ForwardBatch(*batch); // no other node reads it for those that rely on this one
+  }
+  RecentOf(log).Add(std::move(*batch));
+}
+
+void
+Coordinator::Impl::RequestMissedRecords()
+{
+  for (const auto log :
+       { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
+    const KeyedFollower& follower = FollowerOf(log);
+    const bool unanswered = follower.Lost() || follower.Overdue();
+    if (follower.HasList() && (mReads.Misses(log) || unanswered)) {
+      RequestRecords(log);
+    }
+  }
+}
+
+std::string
+Coordinator::Impl::PeerAhead(FollowedLog aLog)
+{
+  std::vector<std::string> peers = { mTree.Reader(), mTree.Followed() };
+  peers.insert(peers.end(), mTree.Delegates().begin(), mTree.Delegates().end());
+  for (const auto& [scope, delegates] : mTree.OtherDelegates()) {
+    peers.insert(peers.end(), delegates.begin(), delegates.end());
+  }
+  const std::uint64_t own = FollowerOf(aLog).Next();
+  const auto ahead = std::find_if(peers.begin(), peers.end(), [&](const std::string& aName) {
+    const KnownPeer* peer = mPeers.Find(aName);
+    return peer != nullptr && mPeers.Alive(*peer, Now()) &&
+           peer->mBeat.log_next_size() == static_cast<int>(kFollowedLogs) &&
+           peer->mBeat.log_next(static_cast<int>(aLog)) > own;
+  });
+  return ahead == peers.end() ? std::string() : *ahead;
+}
+
+void
+Coordinator::Impl::RequestRecords(FollowedLog aLog)
+{
+  const TimePoint now = Now();
+  TimePoint& due = mRecordsRequestDue[static_cast<std::size_t>(aLog)];
+  const std::string peer = PeerAhead(aLog);
+  if (now < due || peer.empty()) {
+    return;
+  }
+  due = now + kRecordsRequestInterval;
+  ++mCounters.mRecordRequests;
+  proto::PeerMessage message = NewMessage();
+  message.mutable_feed_request()->set_log(static_cast<std::uint32_t>(aLog));
+  message.mutable_feed_request()->set_from(FollowerOf(aLog).Next());
+  SendTo(peer, message.SerializeAsString());
+}
+
+void
+Coordinator::Impl::AnswerRecordsRequest(const std::string& aNode,
+                                        const proto::FeedRequest& aRequest)
+{
+  if (aRequest.log() >= kFollowedLogs) {
+    ++mCounters.mBadMessages;
+    return;
+  }
+  const auto batches = mRecent[aRequest.log()].Since(aRequest.from());
+  for (const auto* it : batches) {
+    SendBatch(aNode, *it);
+  }
+  if (batches.empty()) {
+    proto::PeerMessage message = NewMessage();
+    message.mutable_feed()->set_log(aRequest.log());
+    message.mutable_feed()->set_from(aRequest.from());
+    message.mutable_feed()->set_next(aRequest.from());
+    SendTo(aNode, message.SerializeAsString());
+  }
 }
 
 } // namespace pepperbay
--- a/src/pepperbay/coordinator/coordinator_peers.cpp
+++ b/src/pepperbay/coordinator/coordinator_peers.cpp
@@ -134,6 +134,12 @@
     case proto::PeerMessage::kFeed:
       ApplyFeed(message.node(), message.feed());
       return;
+    case proto::PeerMessage::kFeedPart:
+      ApplyFeed(message.node(), message.feed_part());
+      return;
+    case proto::PeerMessage::kFeedRequest:
+      AnswerRecordsRequest(message.node(), message.feed_request());
+      return;
     case proto::PeerMessage::kConfiguration:
       OnConfiguration({ mHooks.mConfigKey, message.configuration() });
       return;
--- a/src/pepperbay/coordinator/coordinator_world.hpp
+++ b/src/pepperbay/coordinator/coordinator_world.hpp
@@ -268,7 +268,8 @@
       if (mOnSend) {
         mOnSend(aAddress, message);
       }
-      if ((mLoseFeeds && message.has_feed()) || (mLoses && mLoses(message.node(), aAddress))) {
+      if ((mLoseFeeds && (message.has_feed() || message.has_feed_part())) ||
+          (mLoses && mLoses(message.node(), aAddress))) {
         return;
       }
       mLater.push_back([this, aAddress, aBytes] { Deliver(aAddress, aBytes); });
@@ -375,9 +376,9 @@
   void Run(Duration aFor)
   {
     for (const TimePoint end = mClock.Now() + aFor; mClock.Now() < end;) {
-      mClock.Advance(kStep);
+      mClock.Advance(kRound);
       if (mBandwidth) {
-        mBandwidth->Advance(kStep);
+        mBandwidth->Advance(kRound);
       }
       mPool.Advance(mClock.Now());
       Register();
@@ -430,7 +431,7 @@
     }
   }
 
-  static constexpr milliseconds kStep{ 20 };
+  static constexpr milliseconds kRound{ 20 };
   std::optional<FakeBandwidth> mBandwidth;
   ManualClock mClock;
   FakePool mPool;
--- a/src/pepperbay/edge/edge_metrics.cpp
+++ b/src/pepperbay/edge/edge_metrics.cpp
@@ -201,6 +201,9 @@
     Counter(
       "former_starts_total", "Words of replaced starts, not taken", control.mStaleIncarnations),
     Counter("feeds_total", "Records of the store passed on by a delegate", control.mFeeds),
+    Counter("record_requests_total",
+            "Requests to peers for records of the store that were missed",
+            control.mRecordRequests),
     Counter(
       "looks_total", "Reads of the store as what others told was too old", control.mDirectReads),
     Counter("bad_messages_total", "Of peers, not understood", control.mBadMessages),
--- a/src/pepperbay/journal/keyed_log.cpp
+++ b/src/pepperbay/journal/keyed_log.cpp
@@ -155,7 +155,7 @@
   const bool passesOn = std::exchange(mHasList, true) && !std::exchange(mRestored, false);
   mAsOf = std::max(mAsOf, mListSent);
   const std::vector<KeyedRecord> list = std::exchange(mList, {});
-  KeyedTail changes{ ChangesTo(list), mNext, mNext };
+  const KeyedTail changes = ChangesTo(list);
   if (passesOn && mEvents.mOnTail) {
     mEvents.mOnTail(before, changes);
   }
@@ -172,24 +172,31 @@
   }
 }
 
-std::vector<KeyedRecord>
+KeyedTail
 KeyedFollower::ChangesTo(const std::vector<KeyedRecord>& aList)
 {
-  std::vector<KeyedRecord> changes;
+  KeyedTail changes;
+  changes.mNext = mNext;
+  changes.mEnd = mNext;
+  changes.mOfList = true;
   std::unordered_set<std::string> listed;
   for (const auto& it : aList) {
+    if (!it.mValue) {
+      continue;
+    }
     listed.insert(it.mKey);
+    changes.mListed.push_back(ShortId(it.mKey));
     const auto known = mKnown.find(it.mKey);
-    if (it.mValue && (known == mKnown.end() || known->second != Hash64(*it.mValue))) {
-      changes.push_back(it);
+    if (known == mKnown.end() || known->second != Hash64(*it.mValue)) {
+      changes.mRecords.push_back(it);
     }
   }
   for (const auto& [key, value] : mKnown) {
     if (listed.count(key) == 0) {
-      changes.push_back({ key, std::nullopt });
+      changes.mRecords.push_back({ key, std::nullopt });
     }
   }
-  for (const auto& it : changes) {
+  for (const auto& it : changes.mRecords) {
     Note(it);
   }
   return changes;
@@ -242,17 +249,47 @@
 bool
 KeyedFollower::Feed(std::uint64_t aFrom, const KeyedTail& aTail)
 {
-  if (mListing || aFrom > mNext || aTail.mNext <= mNext) {
+  if (!mHasList || mRestored || aFrom > mNext || aTail.mNext <= mNext) {
     return false;
   }
+  if (mListing) {
+    AbandonList();
+  }
   mNext = aTail.mNext;
-  for (const auto& it : aTail.mRecords) {
-    Note(it);
-    mEvents.mOnRecord(it);
+  const auto tell = [this](const KeyedRecord& aRecord) {
+    Note(aRecord);
+    mEvents.mOnRecord(aRecord);
+  };
+  std::for_each(aTail.mRecords.begin(), aTail.mRecords.end(), tell);
+  if (!aTail.mOfList) {
+    return true;
+  }
+  // A key that was written and dropped after the offset at which the sender knew the log, and is
+  // known here, is in none of the records.
+  const std::unordered_set<std::uint32_t> listed(aTail.mListed.begin(), aTail.mListed.end());
+  std::vector<KeyedRecord> gone;
+  for (const auto& [key, value] : mKnown) {
+    if (listed.count(ShortId(key)) == 0) {
+      gone.push_back({ key, std::nullopt });
+    }
   }
+  std::for_each(gone.begin(), gone.end(), tell);
   return true;
 }
 
+void
+KeyedFollower::AbandonList()
+{
+  mListing = false;
+  mList.clear();
+  mListEnd.reset();
+  if (mAsking) {
+    mAsking = false;
+    mCalls = 0;
+    ++mRound; // an answer to the call under way counts no more
+  }
+}
+
 void
 KeyedFollower::OnFailure(const Error& aError)
 {
