Peers are asked for records only where the store would send a list, or sends nothing

Cause: each node that was 250 ms behind its reader asked it for the records every 100 ms. While a pool forms, records come in hundreds a second and are on their way for longer than that, so the answers were sent again and again, and the reader's link lost its heartbeats. A node whose held read was due counted as not answered, and asked as well.

Peers are asked only by a node whose records the store has deleted, for half a second before it reads the list, and by one whose calls fail; every 400 ms. A node sends 20 messages a second to askers, 120 at once, and says otherwise that it does not have them. Records that a node has asked for are forwarded by it only while its own calls fail.

--- a/include/pepperbay/journal/keyed_log.hpp
+++ b/include/pepperbay/journal/keyed_log.hpp
@@ -147,6 +147,8 @@
   /// @return whether the list is to be read before anything else can be told: it never was, or
   /// records that were not read yet are gone.
   bool NeedsList() const { return mListing; }
+  /// @return whether a page of the list has been asked for, and not all have been read.
+  bool IsReadingList() const { return mListing && (mAsking || mListEnd); }
   /// @return whether the last call failed.
   bool Lost() const { return mLost; }
   /// @return whether the log should have answered the call under way by now.
--- a/src/pepperbay/coordinator/coordinator.cpp
+++ b/src/pepperbay/coordinator/coordinator.cpp
@@ -28,6 +28,10 @@
 /// nodes ask it, repetitions by all of them make it slower.
 constexpr TokenBucket::Options kUselessRepeats{ 0.05, 2 };
 
+/// Messages of up to 56 kB to nodes that ask for records, per second and at once. A node whose link
+/// is full of them loses its heartbeats, and other nodes then choose another reader.
+constexpr TokenBucket::Options kRecordsForAskers{ 20, 120 };
+
 Duration
 StaggerOf(const CoordinatorOptions& aOptions)
 {
@@ -171,6 +175,7 @@
                 },
                 mHooks.mLog })
   , mTree({ mOptions.mNode, mOptions.mDataCentre, mOptions.mCpuPermille })
+  , mRecordsSent(kRecordsForAskers, mHooks.mNow())
   , mConfigurationBackoff(mOptions.mMinDirectReadPause, mOptions.mMaxOutageProbePause)
   , mEnginesBackoff(mOptions.mMinDirectReadPause, mOptions.mMaxOutageProbePause)
   , mRepeats(kUselessRepeats, mHooks.mNow())
@@ -178,6 +183,7 @@
   , mGrantedRetryLeases(mOptions.mRateLeases)
 {
   mRepeats.Fill(Now());
+  mRecordsSent.Fill(Now());
 }
 
 LogLeaseHooks
--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -211,9 +211,10 @@
   void SendBatch(const std::string& aNode, const RecordBatch& aBatch);
   /// @param aFrom the node that forwards the records
   void ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed);
-  /// Asks peers for records of the logs that the reader has and this node does not, and for those
-  /// that the store does not tell this node.
-  void RequestMissedRecords();
+  /// @return whether this node needs a log's list and waits for a peer that may have sent it only
+  /// what has changed.
+  bool AwaitsPeersRecords(FollowedLog aLog);
+  /// Asks a peer for the records of a log that it has and this node does not, if there is one.
   void RequestRecords(FollowedLog aLog);
   /// @return a live peer that has records of a log which are missing here; empty: none is known.
   std::string PeerAhead(FollowedLog aLog);
@@ -262,7 +263,9 @@
   std::array<RecentRecords, kFollowedLogs> mRecent;
   std::array<BatchAssembler, kFollowedLogs> mAssemblers;
   std::array<TimePoint, kFollowedLogs> mRecordsRequestDue{};
-  std::string mFeeder; ///< the node whose forwarded records are being applied; empty: none
+  std::array<std::optional<TimePoint>, kFollowedLogs> mAwaitsRecordsSince{};
+  TokenBucket mRecordsSent; ///< messages to nodes that asked for records
+  std::string mFeeder;      ///< the node whose forwarded records are being applied; empty: none
   std::optional<TimePoint> mStoreLostSince;
   bool mReportedStoreLost = false; ///< as reported in the last heartbeats
   std::string mLoggedReader;       ///< the last reader that was logged
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -4,8 +4,11 @@
 
 namespace pepperbay {
 namespace {
-/// Shortest time between two requests for missed records of a log: half a heartbeat.
-constexpr std::chrono::milliseconds kRecordsRequestInterval{ 100 };
+/// Shortest time between two requests for missed records of a log: an answer takes as long to
+/// arrive where links are full.
+constexpr std::chrono::milliseconds kRecordsRequestInterval{ 400 };
+/// A node that needs a list waits so long for the changes that peers have.
+constexpr std::chrono::milliseconds kAwaitPeersRecords{ 500 };
 /// The store counts as lost once calls have failed for this long. A lost answer is compensated by
 /// the next call, and a reader that gives up because of one would make all nodes that rely on it
 /// choose another.
@@ -170,7 +173,6 @@
     const auto& next = reader->mBeat.log_next();
     mReads.RelyOn({ next.begin(), next.end() }, OwnOffsets(), now);
   }
-  RequestMissedRecords();
   // The reader may be cut off from the store without knowing it yet, and so may the next ones.
   // Nodes that waited for each in turn would use an outdated configuration, or send to engines that
   // have left, for seconds.
@@ -198,8 +200,10 @@
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     if (FollowerOf(log).IsLate()) {
       Ask(log, StoreCallReason::kLate);
-    } else if (FollowerOf(log).NeedsList()) {
+    } else if (FollowerOf(log).NeedsList() && !AwaitsPeersRecords(log)) {
       Ask(log, StoreCallReason::kList);
+    } else if (FollowerOf(log).HasList() && FollowerOf(log).Lost()) {
+      RequestRecords(log);
     }
   }
 }
@@ -322,7 +326,7 @@
   }
   const auto log = static_cast<FollowedLog>(aFeed.log());
   if (aFeed.from() == aFeed.next()) {
-    mReads.OnNotKept(log);
+    mAwaitsRecordsSince[aFeed.log()] = TimePoint{}; // the peer does not have them
     return;
   }
   ++mCounters.mFeeds;
@@ -336,23 +340,28 @@
   if (!taken) {
     return;
   }
-  if (ReadsForItself()) {
-    ForwardBatch(*batch); // no other node reads it for those that rely on this one
+  if (ReadsForItself() && FollowerOf(log).Lost()) {
+    ForwardBatch(*batch); // the nodes that rely on this one hear of it from nobody else
   }
   RecentOf(log).Add(std::move(*batch));
 }
 
-void
-Coordinator::Impl::RequestMissedRecords()
+bool
+Coordinator::Impl::AwaitsPeersRecords(FollowedLog aLog)
 {
-  for (const auto log :
-       { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
-    const KeyedFollower& follower = FollowerOf(log);
-    const bool unanswered = follower.Lost() || follower.Overdue();
-    if (follower.HasList() && (mReads.Misses(log) || unanswered)) {
-      RequestRecords(log);
-    }
+  const KeyedFollower& follower = FollowerOf(aLog);
+  const TimePoint now = Now();
+  auto& since = mAwaitsRecordsSince[static_cast<std::size_t>(aLog)];
+  if (!follower.NeedsList() || !follower.HasList()) {
+    since.reset();
+    return false;
+  }
+  since = since.value_or(now);
+  if (follower.IsReadingList() || now - *since >= kAwaitPeersRecords || PeerAhead(aLog).empty()) {
+    return false;
   }
+  RequestRecords(aLog);
+  return true;
 }
 
 std::string
@@ -399,10 +408,15 @@
     return;
   }
   const auto batches = mRecent[aRequest.log()].Since(aRequest.from());
-  for (const auto* it : batches) {
-    SendBatch(aNode, *it);
-  }
-  if (batches.empty()) {
+  const std::size_t messages = MessagesIn(batches);
+  if (messages > 0 && mRecordsSent.Level(Now()) >= static_cast<double>(messages)) {
+    for (const auto* it : batches) {
+      SendBatch(aNode, *it);
+    }
+    for (std::size_t i = 0; i < messages; ++i) {
+      mRecordsSent.Spend(Now());
+    }
+  } else {
     proto::PeerMessage message = NewMessage();
     message.mutable_feed()->set_log(aRequest.log());
     message.mutable_feed()->set_from(aRequest.from());
--- a/src/pepperbay/coordinator/log_feeds.cpp
+++ b/src/pepperbay/coordinator/log_feeds.cpp
@@ -134,6 +134,16 @@
   return tail;
 }
 
+std::size_t
+MessagesIn(const std::vector<const RecordBatch*>& aBatches)
+{
+  std::size_t n = 0;
+  for (const auto* it : aBatches) {
+    n += it->mParts.size();
+  }
+  return n;
+}
+
 std::optional<RecordBatch>
 BatchAssembler::Take(const proto::LogFeed& aPart)
 {
--- a/src/pepperbay/coordinator/log_feeds.hpp
+++ b/src/pepperbay/coordinator/log_feeds.hpp
@@ -30,6 +30,10 @@
 KeyedTail
 TailOf(const RecordBatch& aBatch);
 
+/// @return the number of datagrams that the batches need.
+std::size_t
+MessagesIn(const std::vector<const RecordBatch*>& aBatches);
+
 /// Puts the parts of a batch together. Parts that do not come in their order are dropped, as a node
 /// that misses records asks for them again.
 class BatchAssembler
--- a/src/pepperbay/coordinator/log_reads.cpp
+++ b/src/pepperbay/coordinator/log_reads.cpp
@@ -12,14 +12,11 @@
     const bool behind = reported && aReaderNext[i] > aOwn[i];
     if (!behind) {
       mBehindSince[i].reset();
-      mNotKept[i] = false;
     } else if (!mBehindSince[i]) {
       mBehindSince[i] = aNow;
     }
-    const Duration behindFor = behind ? aNow - *mBehindSince[i] : Duration::zero();
-    mMisses[i] = behind && behindFor >= kFeedTimeout;
-    const bool askedInVain = mNotKept[i] || behindFor >= kFeedTimeout + kRequestTimeout;
-    mReads[i] = !reported || (mMisses[i] && askedInVain);
+    const bool missed = behind && aNow - *mBehindSince[i] >= kFeedTimeout;
+    mReads[i] = !reported || missed;
   }
 }
 
--- a/src/pepperbay/coordinator/log_reads.hpp
+++ b/src/pepperbay/coordinator/log_reads.hpp
@@ -5,7 +5,7 @@
 /// Every call to the store is billed and the rate of all nodes together is limited. Nodes that each
 /// follow the logs make 2.5 calls a second each (65 nodes, measured), which 1,300 nodes could not.
 /// So one node of each data centre, the reader, reads and forwards the records. A node that
-/// receives nothing from it, or misses records that it does not have any more, reads for itself.
+/// receives nothing from it, or misses records, reads for itself.
 #pragma once
 
 #include "pepperbay/base/clock.hpp"
@@ -34,14 +34,11 @@
   /// Records that the reader's heartbeat names and that have not arrived after this are lost. A
   /// reader sends a large configuration to sixty nodes within some 150 ms.
   static constexpr std::chrono::milliseconds kFeedTimeout{ 250 };
-  /// Lost records that another node was asked for and has not sent after this are read from the
-  /// store.
-  static constexpr std::chrono::milliseconds kRequestTimeout{ 400 };
 
   /// No other node reads for this one.
-  void ReadAll() { SetAll(true); }
+  void ReadAll() { mReads.fill(true); }
   /// Another node may read for this one; its heartbeats will show.
-  void ReadNothing() { SetAll(false); }
+  void ReadNothing() { mReads.fill(false); }
   /// Another node reads for this one.
   /// @param aReaderNext the reader's next offsets by its last heartbeat; empty: not stated
   /// @param aOwn this node's next offsets
@@ -49,23 +46,10 @@
               const LogOffsets& aOwn,
               TimePoint aNow);
 
-  /// The reader does not have the records that are missing here.
-  void OnNotKept(FollowedLog aLog) { mNotKept[static_cast<std::size_t>(aLog)] = true; }
-
-  /// @return whether records of the log that the reader has are lost; to be asked for.
-  bool Misses(FollowedLog aLog) const { return mMisses[static_cast<std::size_t>(aLog)]; }
   /// @return whether this node should read the log itself now.
   bool Reads(FollowedLog aLog) const { return mReads[static_cast<std::size_t>(aLog)]; }
 
 private:
-  void SetAll(bool aReads)
-  {
-    mReads.fill(aReads);
-    mMisses.fill(false);
-  }
-
-  std::array<bool, kFollowedLogs> mMisses{};
-  std::array<bool, kFollowedLogs> mNotKept{};
   std::array<bool, kFollowedLogs> mReads{ true, true, true };
   std::array<std::optional<TimePoint>, kFollowedLogs> mBehindSince{};
 };
