--- a/src/pepperbay/journal/keyed_log_test.cpp
+++ b/src/pepperbay/journal/keyed_log_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/fake_keyed_log.hpp"
 #include "fakes/fake_store_line.hpp"
+#include "pepperbay/base/hash.hpp"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -40,6 +41,9 @@
     events.mOnBack = [this] { ++mBack; };
     events.mOnLost = [this](const Error&) { ++mLost; };
     events.mOnRestored = [this](const Error&) { ++mRestored; };
+    events.mOnTail = [this](std::uint64_t aFrom, const KeyedTail& aTail) {
+      mTails.emplace_back(aFrom, aTail);
+    };
     return events;
   }
 
@@ -56,9 +60,32 @@
   int mBack = 0;
   int mLost = 0;
   int mRestored = 0;
+  std::vector<std::pair<std::uint64_t, KeyedTail>> mTails; ///< for others, by offset
   KeyedFollower mFollower;
 };
 
+/// What may happen to a log that several followers read.
+void
+ChangeLog(int aStep, FakeKeyedLog* aLog)
+{
+  const auto key = *rc::gen::element<std::string>("a", "b", "c", "d", "e", "f");
+  switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+    case 1:
+      aLog->Put(key, std::to_string(aStep));
+      return;
+    case 2:
+      aLog->Put(key, std::nullopt);
+      return;
+    case 3:
+      aLog->Compact();
+      return;
+    default:
+      aLog->GoBack(*rc::gen::inRange<std::size_t>(0, 3));
+      return;
+  }
+}
+
 TEST(KeyedFollower, ListsAllPagesAndThenFollows)
 {
   FakeKeyedLog log;
@@ -162,10 +189,12 @@
     KeyedFollowerEvents events = Events();
     events.mOnReplaced = [this](TimePoint, Duration) { ++mReplaced; };
     events.mMayRepeat = [this] { return mMayRepeat; };
+    events.mOnList = [this](const auto&) { ++mLists; };
     return events;
   }
 
   int mReplaced = 0;
+  int mLists = 0;
   bool mMayRepeat = true;
   ManualClock mClock;
   FakeKeyedLog mLog;
@@ -462,5 +491,83 @@
   RC_ASSERT(reader.mSeen == log.mNewest);
 }
 
+/// Guards against keys that one follower keeps for good: another one read the list anew and told it
+/// what had changed, and the keys had come and gone since that one's last offset.
+RC_GTEST_PROP(KeyedFollower, EndsWithWhatTheLogHoldsWhereAnotherTellsIt, ())
+{
+  FakeKeyedLog log;
+  Reader teller(log);
+  Reader told(log);
+  told.Run(4);
+  const auto steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        teller.Run(*rc::gen::inRange(1, 6));
+        break;
+      case 1:
+        told.Run(*rc::gen::inRange(1, 6));
+        break;
+      case 2:
+        for (const auto& [from, tail] : std::exchange(teller.mTails, {})) {
+          told.mFollower.Feed(from, tail);
+        }
+        break;
+      default:
+        ChangeLog(i, &log);
+        break;
+    }
+  }
+  told.Run(40);
+  RC_ASSERT(told.mSeen == log.mNewest);
+}
+
+/// Guards against requests to an engine that is gone for good: its key had come and gone since the
+/// offset at which the node that tells of the list knew the log.
+TEST(KeyedFollower, AKeyThatAToldListLacksIsGone)
+{
+  FakeKeyedLog log;
+  log.Put("a", "1");
+  Reader teller(log);
+  Reader told(log);
+  teller.Run(4);
+  told.Run(4);
+  log.Put("b", "1");
+  told.Run(4);
+  log.Put("b", std::nullopt);
+  log.Compact();
+  teller.Run(4);
+  ASSERT_EQ(teller.mTails.size(), 1U);
+  EXPECT_TRUE(told.mFollower.Feed(teller.mTails.front().first, teller.mTails.front().second));
+  EXPECT_EQ(told.mSeen, log.mNewest);
+}
+
+/// Guards against nodes that all read a list whose changes another one has told them: an answer to
+/// a call that is under way counts no more.
+TEST(KeyedFollower, AListThatAnotherHasToldIsNotReadOn)
+{
+  HeldReader reader;
+  reader.mLog.Put("a", "1");
+  reader.Run(milliseconds(500), true);
+  const std::uint64_t known = reader.mFollower.Next();
+  reader.mLog.Put("a", "2");
+  reader.mLog.Compact();
+  while (!reader.mFollower.NeedsList()) {
+    reader.Run(milliseconds(20), true);
+  }
+  ASSERT_TRUE(reader.mFollower.IsReadingList());
+  const int lists = reader.mLists;
+  KeyedTail changes;
+  changes.mRecords = { { "a", "2" } };
+  changes.mNext = reader.mLog.mEnd;
+  changes.mOfList = true;
+  changes.mListed = { ShortId("a") };
+  EXPECT_TRUE(reader.mFollower.Feed(known, changes));
+  EXPECT_FALSE(reader.mFollower.NeedsList());
+  reader.Run(milliseconds(500), true);
+  EXPECT_EQ(reader.mLists, lists);
+  EXPECT_EQ(reader.mFollower.Next(), reader.mLog.mEnd);
+}
+
 } // namespace
 } // namespace pepperbay
