A node waits for its peers' records whatever it wanted to read

What was wrong: the wait for peers' records, half a second before a list is read, held back only the call that is made for a list. A node that reads for itself or has missed records made its next call all the same, and that call asks for the list first. So the wait was passed over in the case that it is for. Found by reading.

Change: the wait is in Ask(), which all calls to the logs go through.

ListStorm, readers, restored, outages and dead_connections tests pass in a clone.

--- a/include/pepperbay/coordinator/coordinator.hpp
+++ b/include/pepperbay/coordinator/coordinator.hpp
@@ -143,7 +143,7 @@
   /// Times that no node that reaches engines had evidence on a silent engine.
   std::uint64_t mUndecided = 0;
   std::uint64_t mBeats = 0;
-  std::uint64_t mFeeds = 0; ///< batches of store records forwarded by another node
+  std::uint64_t mFeeds = 0;          ///< batches of store records forwarded by another node
   std::uint64_t mRecordRequests = 0; ///< requests to peers for records that were missed
   /// Direct reads of the store because forwarded records were too old.
   std::uint64_t mDirectReads = 0;
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -200,7 +200,7 @@
        { FollowedLog::kConfiguration, FollowedLog::kEngines, FollowedLog::kNodes }) {
     if (FollowerOf(log).IsLate()) {
       Ask(log, StoreCallReason::kLate);
-    } else if (FollowerOf(log).NeedsList() && !AwaitsPeersRecords(log)) {
+    } else if (FollowerOf(log).NeedsList()) {
       Ask(log, StoreCallReason::kList);
     } else if (FollowerOf(log).HasList() && FollowerOf(log).Lost()) {
       RequestRecords(log);
@@ -218,7 +218,7 @@
 Coordinator::Impl::Ask(FollowedLog aLog, StoreCallReason aReason)
 {
   KeyedFollower& follower = FollowerOf(aLog);
-  if (!follower.MayAsk() && !follower.IsLate()) {
+  if ((!follower.MayAsk() && !follower.IsLate()) || AwaitsPeersRecords(aLog)) {
     return;
   }
   // A list is read first, whatever the call was meant for.
