--- a/src/pepperbay/coordinator/coordinator_impl.hpp
+++ b/src/pepperbay/coordinator/coordinator_impl.hpp
@@ -208,7 +208,7 @@
   /// Forwards records to nodes that rely on this one.
   void ForwardRecords(FollowedLog aLog, std::uint64_t aFrom, const KeyedTail& aTail);
   void ForwardBatch(const RecordBatch& aBatch);
-  void SendBatch(const std::string& aNode, const RecordBatch& aBatch);
+  void SendBatch(const std::vector<std::string>& aNodes, const RecordBatch& aBatch);
   /// @param aFrom the node that forwards the records
   void ApplyFeed(const std::string& aFrom, const proto::LogFeed& aFeed);
   /// @return whether this node needs a log's list and waits for a peer that may have sent it only
--- a/src/pepperbay/coordinator/coordinator_logs.cpp
+++ b/src/pepperbay/coordinator/coordinator_logs.cpp
@@ -302,18 +302,19 @@
 void
 Coordinator::Impl::ForwardBatch(const RecordBatch& aBatch)
 {
-  for (const auto& it : Dependants()) {
-    SendBatch(it, aBatch);
-  }
+  SendBatch(Dependants(), aBatch);
 }
 
 void
-Coordinator::Impl::SendBatch(const std::string& aNode, const RecordBatch& aBatch)
+Coordinator::Impl::SendBatch(const std::vector<std::string>& aNodes, const RecordBatch& aBatch)
 {
-  for (const auto& it : aBatch.mParts) {
+  for (const auto& part : aBatch.mParts) {
     proto::PeerMessage message = NewMessage();
-    *(it.parts() > 1 ? message.mutable_feed_part() : message.mutable_feed()) = it;
-    SendTo(aNode, message.SerializeAsString());
+    *(part.parts() > 1 ? message.mutable_feed_part() : message.mutable_feed()) = part;
+    const std::string bytes = message.SerializeAsString();
+    for (const auto& it : aNodes) {
+      SendTo(it, bytes);
+    }
   }
 }
 
@@ -411,7 +412,7 @@
   const std::size_t messages = MessagesIn(batches);
   if (messages > 0 && mRecordsSent.Level(Now()) >= static_cast<double>(messages)) {
     for (const auto* it : batches) {
-      SendBatch(aNode, *it);
+      SendBatch({ aNode }, *it);
     }
     for (std::size_t i = 0; i < messages; ++i) {
       mRecordsSent.Spend(Now());
